Thin path: callers, boxes, engines, services and a bill

Change: workspace with a package for each peer, decisions apart in ivyweir-policy; ivyweird serves whole and streamed completions, sessions and plain services, reads its configuration from the Object API, spreads it by watches, pushes and digests, and bills through a copy on a box in another hall. Stand-ins for platform, engine, service and rating; a gateway that injects faults.

Conclusion: the path stands; mechanisms are in place but not yet attacked by tests.

--- /dev/null
+++ b/crates/ivyweir-policy/src/choose.rs
@@ -0,0 +1,167 @@
+//! Which model answers: the cheapest that meets the quality target, alone or in a cascade.
+
+use crate::VersionRef;
+use crate::quality::{BUCKETS, Count, DEFAULT_Z};
+
+/// Answers a bucket needs before a cascade trusts it.
+const MIN_BUCKET_RATED: u64 = 4;
+
+/// One version that may answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The version.
+    pub at: VersionRef,
+    /// Price of one thousand tokens, in millionths.
+    pub cost_micro_per_ktoken: u64,
+    /// Quality expected before any rating.
+    pub prior_quality: f64,
+    /// Counts by confidence bucket.
+    pub buckets: [Count; BUCKETS],
+    /// Whether it is held to be bad now.
+    pub bad: bool,
+}
+
+/// What to do for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// One call to the candidate of this index.
+    Single(usize),
+    /// A call to `first`; an answer below the bucket is dropped for one of `then`.
+    Cascade {
+        /// Index of the cheap candidate.
+        first: usize,
+        /// Index of the better one.
+        then: usize,
+        /// The lowest confidence bucket whose answers are delivered.
+        accept_from: u8,
+    },
+}
+
+/// Quality and price that a choice is expected to have.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Forecast {
+    /// Lower bound of the mean quality, 0 to 1.
+    pub quality: f64,
+    /// Expected price of one thousand tokens, in millionths.
+    pub cost_micro: f64,
+}
+
+/// What limits the choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Needs {
+    /// Mean quality to reach, 0 to 1.
+    pub quality_target: f64,
+    /// Whether a second call is possible: the answer is not streamed and the deadline allows it.
+    pub may_cascade: bool,
+}
+
+impl Candidate {
+    fn total(&self) -> Count {
+        self.buckets
+            .iter()
+            .fold(Count::default(), |sum, c| sum.plus(*c))
+    }
+
+    fn forecast(&self) -> Forecast {
+        Forecast {
+            quality: self.total().estimate(self.prior_quality).lower(DEFAULT_Z),
+            cost_micro: self.cost_micro_per_ktoken as f64,
+        }
+    }
+}
+
+/// Chooses among `candidates`; none if there is no candidate.
+///
+/// Without a choice that meets the target, the best expected quality wins.
+pub fn choose(candidates: &[Candidate], needs: Needs) -> Option<Choice> {
+    let usable: Vec<usize> = usable(candidates);
+    let mut options: Vec<(Choice, Forecast)> = usable
+        .iter()
+        .map(|&i| (Choice::Single(i), candidates[i].forecast()))
+        .collect();
+    if needs.may_cascade {
+        options.extend(cascades(candidates, &usable));
+    }
+    let meeting = options
+        .iter()
+        .filter(|(_, f)| f.quality >= needs.quality_target)
+        .min_by(|a, b| a.1.cost_micro.total_cmp(&b.1.cost_micro));
+    let best = || {
+        options
+            .iter()
+            .max_by(|a, b| a.1.quality.total_cmp(&b.1.quality))
+    };
+    meeting.or_else(best).map(|(choice, _)| *choice)
+}
+
+/// Good versions; the bad ones only where there is no other.
+fn usable(candidates: &[Candidate]) -> Vec<usize> {
+    let good: Vec<usize> = (0..candidates.len())
+        .filter(|&i| !candidates[i].bad)
+        .collect();
+    if good.is_empty() {
+        (0..candidates.len()).collect()
+    } else {
+        good
+    }
+}
+
+fn cascades(candidates: &[Candidate], usable: &[usize]) -> Vec<(Choice, Forecast)> {
+    let mut options = Vec::new();
+    for &first in usable {
+        for &then in usable {
+            let dearer =
+                candidates[then].cost_micro_per_ktoken > candidates[first].cost_micro_per_ktoken;
+            if !dearer {
+                continue;
+            }
+            for accept_from in 1..BUCKETS as u8 {
+                let forecast = cascade(&candidates[first], &candidates[then], accept_from);
+                let choice = Choice::Cascade {
+                    first,
+                    then,
+                    accept_from,
+                };
+                options.extend(forecast.map(|f| (choice, f)));
+            }
+        }
+    }
+    options
+}
+
+/// Forecast of a cascade; none while too few answers of `first` were rated.
+fn cascade(first: &Candidate, then: &Candidate, accept_from: u8) -> Option<Forecast> {
+    let total_done: u64 = first.buckets.iter().map(|c| c.done).sum();
+    let kept = &first.buckets[usize::from(accept_from)..];
+    let kept_count = kept.iter().fold(Count::default(), |sum, c| sum.plus(*c));
+    if total_done == 0 || kept_count.rated < MIN_BUCKET_RATED {
+        return None;
+    }
+    let kept_share = kept_count.done as f64 / total_done as f64;
+    let kept_quality = kept_count.estimate(first.prior_quality).lower(DEFAULT_Z);
+    let then_forecast = then.forecast();
+    let passed_share = 1.0 - kept_share;
+    Some(Forecast {
+        quality: kept_share * kept_quality + passed_share * then_forecast.quality,
+        cost_micro: first.cost_micro_per_ktoken as f64 + passed_share * then_forecast.cost_micro,
+    })
+}
+
+/// Which cheaper candidate to try for the sake of its rating, if any.
+///
+/// `draw` is uniform over 0..1000. A candidate is tried while few of its answers were rated.
+pub fn explore(candidates: &[Candidate], draw_permille: u32) -> Option<usize> {
+    const EXPLORE_PERMILLE: u32 = 30;
+    const ENOUGH_RATED: u64 = 30;
+    if draw_permille >= EXPLORE_PERMILLE {
+        return None;
+    }
+    (0..candidates.len())
+        .filter(|&i| !candidates[i].bad && candidates[i].total().rated < ENOUGH_RATED)
+        .min_by_key(|&i| {
+            (
+                candidates[i].total().rated,
+                candidates[i].cost_micro_per_ktoken,
+            )
+        })
+}
--- /dev/null
+++ b/crates/ivyweir-policy/src/lib.rs
@@ -0,0 +1,42 @@
+//! The decisions of ivyweir, free of I/O.
+//!
+//! Every function here is given what it needs, the time included, and returns a value. The daemon
+//! calls them unchanged; tests explore them exhaustively.
+//!
+//! ```
+//! use ivyweir_policy::{Config, Intent, Plan};
+//!
+//! let config = Config::default();
+//! let intent = Intent::CreateEvent { name: "drop".into(), start_ms: 1_000, workspaces: vec![] };
+//! let plan = Plan::draw(&config, intent, b"fleet key").unwrap();
+//! let next = plan.apply(&config, "alice", 5).unwrap();
+//! assert_eq!(next.generation, 1);
+//! assert_eq!(next.audit.len(), 1);
+//! ```
+
+pub mod admit;
+pub mod balance;
+pub mod choose;
+pub mod claim;
+mod error;
+pub mod guard;
+pub mod ledger;
+pub mod member;
+mod plan;
+pub mod quality;
+pub mod rank;
+pub mod refusal;
+pub mod retry;
+pub mod rollout;
+pub mod sight;
+pub mod token;
+mod value;
+
+pub use error::{Error, ErrorKind, Result};
+pub use plan::{APPLIED_PLANS_KEPT, AUDIT_KEPT, Change, Intent, Plan, describe, split_audit};
+pub use refusal::{Code, Refusal, Run};
+pub use value::{
+    AuditEntry, BoxEntry, BoxKind, BoxList, BoxState, Config, Event, Guard, Model, Name, Operator,
+    Pool, PoolKind, Role, Rollout, RolloutState, SessionKey, Version, VersionRef, VersionState,
+    Workspace,
+};
--- /dev/null
+++ b/crates/ivyweir-policy/src/token.rs
@@ -0,0 +1,107 @@
+//! Session tokens: signed, so that any box honours them without state.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, ErrorKind, Name, Result, SessionKey, VersionRef};
+
+/// What a session token says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Session {
+    /// Id of the key that signed it.
+    pub key_id: Name,
+    /// The workspace it belongs to.
+    pub workspace: Name,
+    /// Makes it unique, and decides its side of every roll-out.
+    pub nonce: Name,
+    /// The version for each model of its cascade.
+    pub versions: Vec<VersionRef>,
+    /// The box that opened it.
+    pub box_name: Name,
+    /// That box's incarnation.
+    pub incarnation: u64,
+    /// End of validity, in milliseconds since the epoch.
+    pub expires_ms: u64,
+}
+
+const MAX_TOKEN_BYTES: usize = 4_096;
+
+impl Session {
+    /// Signs the session; `key` must be the one that `key_id` names.
+    pub fn seal(&self, key: &SessionKey) -> String {
+        debug_assert_eq!(self.key_id, key.id);
+        let body = serde_json::to_vec(self).expect("a session is always valid JSON");
+        let body_hex = to_hex(&body);
+        let mac = mac(key, body_hex.as_bytes());
+        format!("{body_hex}.{}", mac.to_hex())
+    }
+
+    /// Reads a token and checks its signature, workspace and expiry.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] for text that is no token, [`ErrorKind::Forged`] for a wrong
+    /// signature, unknown key or another workspace, [`ErrorKind::Expired`].
+    pub fn open(text: &str, keys: &[SessionKey], workspace: &str, now_ms: u64) -> Result<Self> {
+        let session = Self::open_unscoped(text, keys)?;
+        if session.workspace.as_ref() != workspace {
+            return Err(Error::new(
+                ErrorKind::Forged,
+                "session of another workspace",
+            ));
+        }
+        if session.expires_ms <= now_ms {
+            return Err(Error::new(ErrorKind::Expired, "session"));
+        }
+        Ok(session)
+    }
+
+    fn open_unscoped(text: &str, keys: &[SessionKey]) -> Result<Self> {
+        let invalid = || Error::new(ErrorKind::Invalid, "session token");
+        if text.len() > MAX_TOKEN_BYTES {
+            return Err(invalid());
+        }
+        let (body_hex, mac_hex) = text.split_once('.').ok_or_else(invalid)?;
+        let body = from_hex(body_hex).ok_or_else(invalid)?;
+        let session: Self = serde_json::from_slice(&body).map_err(|_| invalid())?;
+        let forged = || Error::new(ErrorKind::Forged, "session token");
+        let key = keys
+            .iter()
+            .find(|k| k.id == session.key_id)
+            .ok_or_else(forged)?;
+        let given = blake3::Hash::from_hex(mac_hex).map_err(|_| forged())?;
+        if mac(key, body_hex.as_bytes()) == given {
+            Ok(session)
+        } else {
+            Err(forged())
+        }
+    }
+
+    /// The session's version of `model`.
+    pub fn version_of(&self, model: &str) -> Option<&VersionRef> {
+        self.versions.iter().find(|v| v.model.as_ref() == model)
+    }
+}
+
+fn mac(key: &SessionKey, body: &[u8]) -> blake3::Hash {
+    let derived = blake3::derive_key("ivyweir session token", key.secret_hex.as_bytes());
+    blake3::keyed_hash(&derived, body)
+}
+
+fn to_hex(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    bytes
+        .iter()
+        .flat_map(|b| [DIGITS[usize::from(b >> 4)], DIGITS[usize::from(b & 15)]])
+        .map(char::from)
+        .collect()
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> = text
+        .chars()
+        .map(|c| c.to_digit(16).map(|d| d as u8))
+        .collect();
+    let digits = digits?;
+    (digits.len() % 2 == 0).then(|| digits.chunks(2).map(|p| p[0] << 4 | p[1]).collect())
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/fleet.rs
@@ -0,0 +1,180 @@
+//! Boxes as real processes, for tests and examples.
+
+use std::fs;
+use std::io;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+/// A port that was free a moment ago.
+pub fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("loopback has a free port")
+        .port()
+}
+
+/// A box's settings file.
+#[derive(Debug, Clone, Serialize)]
+pub struct Settings {
+    /// The box's name.
+    pub box_name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where callers reach it.
+    pub caller_addr: String,
+    /// Where operators reach it.
+    pub operator_addr: String,
+    /// Where peers reach it.
+    pub peer_addr: String,
+    /// The platform.
+    pub platform_url: String,
+    /// The rating service, if there is one.
+    pub rating_url: Option<String>,
+    /// Hex of the key that peers share.
+    pub fleet_key_hex: String,
+    /// Hash of the key of the first operator, for an empty store.
+    pub bootstrap_operator_key_hash: Option<String>,
+    /// Choices of the policy, for experiments.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub policy: Option<serde_json::Value>,
+    /// The boxes' limits, if not the usual ones.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limits: Option<serde_json::Value>,
+    /// Where peers reach the box, if not at `peer_addr`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advertised_peer_addr: Option<String>,
+    /// Addresses of peers to try when the platform is out.
+    pub seed_peers: Vec<String>,
+}
+
+/// What a box is started with.
+#[derive(Debug, Clone)]
+pub struct BoxSpec {
+    /// The `ivyweird` binary.
+    pub binary: PathBuf,
+    /// Folder for the settings file.
+    pub folder: PathBuf,
+    /// The settings.
+    pub settings: Settings,
+    /// Other environment variables, as fail points.
+    pub env: Vec<(String, String)>,
+}
+
+/// A running box; it is killed when dropped.
+pub struct BoxProcess {
+    child: Child,
+    /// Its settings.
+    pub settings: Settings,
+}
+
+impl BoxSpec {
+    /// Writes the settings and starts the box.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be written or the process not be started.
+    pub fn start(&self) -> io::Result<BoxProcess> {
+        fs::create_dir_all(&self.folder)?;
+        let file = self.folder.join(format!("{}.json", self.settings.box_name));
+        fs::write(&file, serde_json::to_vec_pretty(&self.settings)?)?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", self.settings.box_name)))?;
+        let child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&file)
+            .envs(self.env.iter().cloned())
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(BoxProcess {
+            child,
+            settings: self.settings.clone(),
+        })
+    }
+}
+
+impl BoxProcess {
+    /// Base URL for callers.
+    pub fn caller_url(&self) -> String {
+        format!("http://{}", self.settings.caller_addr)
+    }
+
+    /// Base URL for operators.
+    pub fn operator_url(&self) -> String {
+        format!("http://{}", self.settings.operator_addr)
+    }
+
+    /// The process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.pid().to_string())
+            .status();
+        assert!(
+            sent.is_ok_and(|s| s.success()),
+            "signal {name} was not sent"
+        );
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _already_gone = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+
+    /// Waits until it has ended and returns its exit code; none if that takes over `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        attohttpc::get(format!("{}/readyz", self.caller_url()))
+            .timeout(Duration::from_secs(1))
+            .send()
+            .is_ok_and(|r| r.is_success())
+    }
+
+    /// Resident memory, in bytes.
+    pub fn resident_bytes(&self) -> u64 {
+        read_status(self.pid(), "VmRSS:").unwrap_or(0) * 1_024
+    }
+}
+
+impl Drop for BoxProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn read_status(pid: u32, field: &str) -> Option<u64> {
+    let status =
+        fs::read_to_string(Path::new("/proc").join(pid.to_string()).join("status")).ok()?;
+    let line = status.lines().find(|l| l.starts_with(field))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/gateway.rs
@@ -0,0 +1,140 @@
+//! A TCP gateway that injects faults between two processes.
+
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const STACK_BYTES: usize = 64 << 10;
+const PIECE_BYTES: usize = 16 << 10;
+const POLL: Duration = Duration::from_millis(5);
+
+/// What the gateway does to connections, new and open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each piece waits this long, in both directions.
+    DelayMs(u64),
+    /// Connections are closed.
+    Cut,
+    /// Connections stay open and carry nothing.
+    HalfOpen,
+    /// What the target sends is lost.
+    LoseAnswers,
+    /// The target's answers end after so many bytes of each connection.
+    TruncateAfter(usize),
+}
+
+/// A running gateway.
+pub struct Gateway {
+    addr: SocketAddr,
+    fault: Arc<Mutex<Fault>>,
+}
+
+impl Gateway {
+    /// Starts a gateway to `target` on a free port.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start(target: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let fault = Arc::new(Mutex::new(Fault::None));
+        let target = target.to_owned();
+        let shared = fault.clone();
+        spawn(move || {
+            for client in listener.incoming().flatten() {
+                let fault = shared.clone();
+                let target = target.clone();
+                spawn(move || connect(client, &target, &fault));
+            }
+        });
+        Ok(Self { addr, fault })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> String {
+        self.addr.to_string()
+    }
+
+    /// Sets what it does.
+    pub fn set(&self, fault: Fault) {
+        *self.fault.lock().expect("no thread panics with the lock") = fault;
+    }
+}
+
+fn spawn(run: impl FnOnce() + Send + 'static) {
+    thread::Builder::new()
+        .stack_size(STACK_BYTES)
+        .spawn(run)
+        .expect("threads can be made");
+}
+
+fn current(fault: &Mutex<Fault>) -> Fault {
+    *fault.lock().expect("no thread panics with the lock")
+}
+
+fn connect(client: TcpStream, target: &str, fault: &Arc<Mutex<Fault>>) {
+    if current(fault) == Fault::Cut {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(target) else {
+        return;
+    };
+    let (Ok(client_in), Ok(server_in)) = (client.try_clone(), server.try_clone()) else {
+        return;
+    };
+    let towards = fault.clone();
+    spawn(move || carry(client_in, server, &towards, false));
+    carry(server_in, client, fault, true);
+}
+
+/// Carries bytes one way until an end, a cut or a truncation.
+fn carry(mut from: TcpStream, mut to: TcpStream, fault: &Mutex<Fault>, is_answer: bool) {
+    let _no_delay = to.set_nodelay(true);
+    let _poll = from.set_read_timeout(Some(POLL));
+    let mut piece = vec![0; PIECE_BYTES];
+    let mut carried = 0;
+    loop {
+        let fault_now = current(fault);
+        if fault_now == Fault::Cut {
+            break;
+        }
+        if fault_now == Fault::HalfOpen {
+            thread::sleep(POLL);
+            continue;
+        }
+        let read = match from.read(&mut piece) {
+            Ok(0) => break,
+            Ok(read) => read,
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) =>
+            {
+                continue;
+            }
+            Err(_) => break,
+        };
+        let mut keep = read;
+        match current(fault) {
+            Fault::DelayMs(ms) => thread::sleep(Duration::from_millis(ms)),
+            Fault::LoseAnswers if is_answer => continue,
+            Fault::TruncateAfter(limit) if is_answer => {
+                keep = read.min(limit.saturating_sub(carried))
+            }
+            _ => {}
+        }
+        carried += keep;
+        if to.write_all(&piece[..keep]).is_err() || keep < read {
+            break;
+        }
+    }
+    let _closed = from.shutdown(Shutdown::Both);
+    let _closed = to.shutdown(Shutdown::Both);
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/lib.rs
@@ -0,0 +1,33 @@
+//! Small stand-ins of the systems around ivyweir, for tests, the demo and the load tool.
+//!
+//! They speak the published forms that the real ones would and keep records of what reached them,
+//! so that a test can hold the records against what callers were told. None of them keeps a promise
+//! on ivyweir's behalf.
+//!
+//! ```
+//! use ivyweir_standins::{Platform, PlatformOptions};
+//!
+//! let platform = Platform::start(PlatformOptions::default()).unwrap();
+//! assert!(platform.base_url().starts_with("http://127.0.0.1:"));
+//! ```
+
+mod caller;
+mod engine;
+mod fleet;
+mod gateway;
+mod platform;
+mod rating;
+mod scheduler;
+mod service;
+pub mod text;
+pub mod world;
+
+pub use caller::{Caller, Outcome};
+pub use engine::{Behaviour, Engine, EngineOptions, EngineRun, wait_until};
+pub use fleet::{BoxProcess, BoxSpec, Settings, free_port};
+pub use gateway::{Fault, Gateway};
+pub use platform::{CallCount, Platform, PlatformFaults, PlatformOptions};
+pub use rating::Rating;
+pub use scheduler::Speed;
+pub use service::{Service, ServiceRun};
+pub use world::{World, WorldSpec};
--- /dev/null
+++ b/crates/ivyweir/src/main.rs
@@ -0,0 +1,2 @@
+//! ivyweir
+fn main() {}
--- /dev/null
+++ b/crates/ivyweird/src/digest.rs
@@ -0,0 +1,292 @@
+//! Digests: what this box tells its peers, and what it takes in of theirs.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use ivyweir_peer::{BOX_LIST_DOCUMENT, CONFIG_DOCUMENT, pb};
+use ivyweir_policy::Name;
+use ivyweir_policy::balance::Report;
+use ivyweir_policy::member::{Beat, Record};
+use ivyweir_policy::quality::{Count, Counter, Subject};
+
+use crate::gate::Moment;
+use crate::learn::{Tally, Verdict};
+use crate::node::Node;
+
+/// Load reports older than this are not passed on.
+const LOAD_MAX_AGE_MS: u64 = 1_500;
+/// Rows of quality counters per digest.
+const TALLIES: usize = 24;
+
+static TURN: AtomicUsize = AtomicUsize::new(0);
+
+/// What a digest showed of its sender, for the caller to act on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Lacking {
+    /// The sender has a newer configuration.
+    pub config: bool,
+    /// The sender has a newer box list.
+    pub box_list: bool,
+    /// The sender knows other members than this box.
+    pub members: bool,
+    /// The sender has an older configuration.
+    pub is_behind: bool,
+}
+
+/// This box's digest; with full member records if `with_members`.
+pub fn build(node: &Node, with_members: bool) -> pb::Digest {
+    let now_ms = node.clock.now_ms();
+    let current = node.current();
+    let (members, beats, table_digest) = node.with_members(|table, timing, now_ms| {
+        let beats = table
+            .beats(timing, now_ms)
+            .into_iter()
+            .map(beat_out)
+            .collect();
+        let full = if with_members {
+            table.records().map(member_out).collect()
+        } else {
+            vec![]
+        };
+        (full, beats, table.digest())
+    });
+    let turn = TURN.fetch_add(1, Ordering::Relaxed);
+    pb::Digest {
+        r#box: node.me.box_name.to_string(),
+        incarnation: node.me.number,
+        members,
+        beats,
+        marks: marks(node, current.config.generation, current.digest),
+        proof_age_ms: node
+            .config
+            .proof_age_ms(now_ms)
+            .map(|age| age.min(u64::from(u32::MAX)) as u32),
+        loads: loads(node, now_ms),
+        tallies: node
+            .learning
+            .tallies(TALLIES, turn)
+            .into_iter()
+            .map(tally_out)
+            .collect(),
+        verdicts: node
+            .learning
+            .verdicts(now_ms)
+            .into_iter()
+            .map(verdict_out)
+            .collect(),
+        table_digest,
+    }
+}
+
+fn marks(node: &Node, generation: u64, digest: u64) -> Vec<pb::Mark> {
+    vec![
+        pb::Mark {
+            kind: CONFIG_DOCUMENT,
+            generation,
+            digest,
+        },
+        pb::Mark {
+            kind: BOX_LIST_DOCUMENT,
+            generation: node.box_list.get().generation,
+            digest: 0,
+        },
+    ]
+}
+
+fn loads(node: &Node, now_ms: u64) -> Vec<pb::Load> {
+    let fresh = |at_ms: u64| at_ms > 0 && now_ms.saturating_sub(at_ms) <= LOAD_MAX_AGE_MS;
+    let upstreams = node
+        .gate
+        .upstreams()
+        .into_iter()
+        .filter(|u| fresh(u.report.at_ms));
+    upstreams
+        .map(|u| pb::Load {
+            upstream: u.name.to_string(),
+            running: u.report.running,
+            waiting: u.report.waiting,
+            slots: u.report.slots,
+            age_ms: now_ms.saturating_sub(u.report.at_ms) as u32,
+            versions: u.report.versions.iter().map(|v| v.to_string()).collect(),
+            seq: u.report.seq,
+        })
+        .collect()
+}
+
+/// Takes in a peer's digest.
+pub fn merge(node: &Node, digest: &pb::Digest) -> Lacking {
+    let now_ms = node.clock.now_ms();
+    let mut lacking = merge_members(node, digest);
+    for mark in &digest.marks {
+        match mark.kind {
+            CONFIG_DOCUMENT => {
+                let held = merge_mark(node, digest, mark, now_ms);
+                lacking.config = mark.generation > held;
+                lacking.is_behind = mark.generation < held;
+            }
+            BOX_LIST_DOCUMENT => {
+                lacking.box_list = mark.generation > node.box_list.get().generation;
+            }
+            _ => {}
+        }
+    }
+    let moment = Moment {
+        now_ms,
+        live_boxes: node.live_boxes(),
+    };
+    node.gate
+        .report(digest.loads.iter().map(|l| load_in(l, now_ms)), moment);
+    node.learning
+        .merge_tallies(digest.tallies.iter().map(tally_in));
+    for verdict in &digest.verdicts {
+        node.learning.merge_verdict(verdict_in(verdict), now_ms);
+    }
+    lacking
+}
+
+fn merge_members(node: &Node, digest: &pb::Digest) -> Lacking {
+    node.with_members(|table, _, now_ms| {
+        for member in &digest.members {
+            table.merge(member_in(member), now_ms);
+        }
+        for beat in &digest.beats {
+            table.merge_beat(beat_in(beat), now_ms);
+        }
+        Lacking {
+            members: table.digest() != digest.table_digest,
+            ..Lacking::default()
+        }
+    })
+}
+
+/// Uses the sender's proof if it holds here too. Returns the generation held here.
+fn merge_mark(node: &Node, digest: &pb::Digest, mark: &pb::Mark, now_ms: u64) -> u64 {
+    let current = node.current();
+    let held = current.config.generation;
+    assert!(
+        mark.generation != held || held == 0 || mark.digest == current.digest,
+        "invariant: one generation has one configuration (box {}, generation {held})",
+        digest.r#box,
+    );
+    let proof_ms = digest
+        .proof_age_ms
+        .map(|age| now_ms.saturating_sub(u64::from(age)));
+    node.config.prove(mark.generation, proof_ms);
+    held
+}
+
+fn member_out(record: &Record) -> pb::Member {
+    let (successor, successor_incarnation) = record.successor.clone().unwrap_or(("".into(), 0));
+    pb::Member {
+        r#box: record.name.to_string(),
+        incarnation: record.incarnation,
+        heartbeat: record.heartbeat,
+        leaving: record.leaving,
+        hall: record.hall.to_string(),
+        peer_addr: record.peer_addr.to_string(),
+        successor: successor.to_string(),
+        successor_incarnation,
+        generation: record.generation,
+    }
+}
+
+fn member_in(member: &pb::Member) -> Record {
+    let successor: Name = member.successor.as_str().into();
+    Record {
+        name: member.r#box.as_str().into(),
+        incarnation: member.incarnation,
+        heartbeat: member.heartbeat,
+        leaving: member.leaving,
+        hall: member.hall.as_str().into(),
+        peer_addr: member.peer_addr.as_str().into(),
+        successor: (!successor.is_empty()).then_some((successor, member.successor_incarnation)),
+        generation: member.generation,
+    }
+}
+
+fn beat_out(beat: Beat) -> pb::Beat {
+    pb::Beat {
+        member_id: beat.member_id,
+        heartbeat: beat.heartbeat as u32,
+        generation: beat.generation,
+    }
+}
+
+fn beat_in(beat: &pb::Beat) -> Beat {
+    Beat {
+        member_id: beat.member_id,
+        heartbeat: u64::from(beat.heartbeat),
+        generation: beat.generation,
+    }
+}
+
+fn load_in(load: &pb::Load, now_ms: u64) -> (Name, Report) {
+    let report = Report {
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        versions: load.versions.iter().map(|v| v.as_str().into()).collect(),
+        seq: load.seq,
+        at_ms: now_ms.saturating_sub(u64::from(load.age_ms)),
+    };
+    (load.upstream.as_str().into(), report)
+}
+
+fn tally_out(tally: Tally) -> pb::Tally {
+    pb::Tally {
+        r#box: tally.by.box_name.to_string(),
+        incarnation: tally.by.incarnation,
+        version: tally.subject.version.to_string(),
+        class: tally.subject.class.to_string(),
+        rated: tally.count.rated,
+        score_milli: tally.count.score_milli,
+        score_square_milli: tally.count.score_square_milli,
+        done: tally.count.done,
+        failed: tally.count.failed,
+        window: tally.subject.window,
+        bucket: u32::from(tally.subject.bucket),
+    }
+}
+
+fn tally_in(tally: &pb::Tally) -> Tally {
+    Tally {
+        subject: Subject {
+            version: tally.version.as_str().into(),
+            class: tally.class.as_str().into(),
+            bucket: tally.bucket.min(u32::from(u8::MAX)) as u8,
+            window: tally.window,
+        },
+        by: Counter {
+            box_name: tally.r#box.as_str().into(),
+            incarnation: tally.incarnation,
+        },
+        count: Count {
+            rated: tally.rated,
+            score_milli: tally.score_milli,
+            score_square_milli: tally.score_square_milli,
+            done: tally.done,
+            failed: tally.failed,
+        },
+    }
+}
+
+fn verdict_out(verdict: Verdict) -> pb::Verdict {
+    pb::Verdict {
+        r#box: verdict.by.box_name.to_string(),
+        incarnation: verdict.by.incarnation,
+        version: verdict.version.to_string(),
+        bad: verdict.bad,
+        seq: verdict.seq,
+    }
+}
+
+fn verdict_in(verdict: &pb::Verdict) -> Verdict {
+    Verdict {
+        by: Counter {
+            box_name: verdict.r#box.as_str().into(),
+            incarnation: verdict.incarnation,
+        },
+        version: verdict.version.as_str().into(),
+        bad: verdict.bad,
+        seq: verdict.seq,
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/src/learn.rs
@@ -0,0 +1,252 @@
+//! What this box learns of versions: ratings, failures, and the verdicts of other boxes.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use ivyweir_policy::claim::Incarnation;
+use ivyweir_policy::guard::{self, Detector};
+use ivyweir_policy::quality::{BUCKETS, Book, Count, Counter, Subject};
+use ivyweir_policy::{Name, VersionRef};
+
+use crate::shards::lock;
+
+/// Failures of one upstream count against a version once in this time, so that a dying upstream
+/// does not condemn all that it had loaded.
+const SAME_UPSTREAM_MS: u64 = 1_000;
+/// Verdicts of a box that is silent for long are void.
+const VERDICT_MS: u64 = 120_000;
+
+/// One box's verdict on one version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Verdict {
+    /// The box.
+    pub by: Counter,
+    /// The version.
+    pub version: Name,
+    /// Whether it is bad.
+    pub bad: bool,
+    /// Grows with each change.
+    pub seq: u64,
+}
+
+/// One state of one box's counters.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tally {
+    /// What it is about.
+    pub subject: Subject,
+    /// Who counted.
+    pub by: Counter,
+    /// The counters.
+    pub count: Count,
+}
+
+/// All that is learnt.
+pub struct Learning {
+    me: Counter,
+    book: Mutex<Book>,
+    watch: Mutex<Watch>,
+}
+
+#[derive(Default)]
+struct Watch {
+    detectors: HashMap<Name, Detector>,
+    own_seq: u64,
+    verdicts: HashMap<(Name, Name), Held>,
+    blamed_ms: HashMap<(Name, Name), u64>,
+}
+
+struct Held {
+    verdict: Verdict,
+    heard_ms: u64,
+}
+
+/// One answer, as it bears on its version.
+#[derive(Debug, Clone)]
+pub struct Observation {
+    /// The version.
+    pub at: VersionRef,
+    /// Workspace and class.
+    pub class: Name,
+    /// Confidence bucket.
+    pub bucket: u8,
+    /// The upstream that answered.
+    pub upstream: Name,
+    /// Whether the answer was not whole.
+    pub failed: bool,
+}
+
+/// The class that counts are kept under.
+pub fn class_name(workspace: &str, class: &str) -> Name {
+    format!("{workspace}/{class}").into()
+}
+
+impl Learning {
+    /// Nothing learnt.
+    pub fn new(me: &Incarnation) -> Self {
+        Self {
+            me: Counter {
+                box_name: me.box_name.clone(),
+                incarnation: me.number,
+            },
+            book: Mutex::new(Book::default()),
+            watch: Mutex::new(Watch::default()),
+        }
+    }
+
+    /// Takes in an answer. Returns whether this box's verdict on the version changed.
+    pub fn finished(&self, seen: &Observation, epoch_ms: u64, now_ms: u64) -> bool {
+        let subject = subject(&seen.at, &seen.class, seen.bucket, epoch_ms);
+        lock(&self.book).row(subject, &self.me).finish(seen.failed);
+        let mut watch = lock(&self.watch);
+        let version: Name = seen.at.to_string().into();
+        if seen.failed {
+            let key = (version.clone(), seen.upstream.clone());
+            let last_ms = watch.blamed_ms.insert(key, now_ms);
+            if last_ms.is_some_and(|last_ms| now_ms < last_ms + SAME_UPSTREAM_MS) {
+                return false;
+            }
+        }
+        watch.observe(&self.me, version, seen.failed)
+    }
+
+    /// Takes in a rating; `expected` is what the version should give.
+    /// Returns whether this box's verdict on the version changed.
+    pub fn rated(&self, seen: &Observation, score: f64, expected: f64, epoch_ms: u64) -> bool {
+        let subject = subject(&seen.at, &seen.class, seen.bucket, epoch_ms);
+        lock(&self.book).row(subject, &self.me).rate(score);
+        let version: Name = seen.at.to_string().into();
+        let is_bad = guard::is_bad_rating(score, expected);
+        lock(&self.watch).observe(&self.me, version, is_bad)
+    }
+
+    /// Counts by confidence bucket.
+    pub fn by_bucket(&self, at: &VersionRef, class: &str) -> [Count; BUCKETS] {
+        lock(&self.book).by_bucket(at, class)
+    }
+
+    /// Counts of a version in all classes of a workspace, or of all workspaces.
+    pub fn across_classes(&self, at: &VersionRef, workspace: Option<&str>) -> Count {
+        let prefix = workspace.map_or(String::new(), |w| format!("{w}/"));
+        lock(&self.book).across_classes(at, &prefix)
+    }
+
+    /// Whether the version is held to be bad, by this box or by enough others.
+    pub fn is_bad(&self, version: &str, now_ms: u64) -> bool {
+        let watch = lock(&self.watch);
+        let own = watch.detectors.get(version).is_some_and(Detector::is_bad);
+        let others = watch
+            .verdicts
+            .values()
+            .filter(|h| h.verdict.bad && h.verdict.version.as_ref() == version)
+            .filter(|h| h.verdict.by != self.me && now_ms < h.heard_ms + VERDICT_MS)
+            .count();
+        guard::is_bad(own, others)
+    }
+
+    /// All verdicts known and not void.
+    pub fn verdicts(&self, now_ms: u64) -> Vec<Verdict> {
+        let watch = lock(&self.watch);
+        let held = watch.verdicts.values();
+        held.filter(|h| h.verdict.by == self.me || now_ms < h.heard_ms + VERDICT_MS)
+            .map(|h| h.verdict.clone())
+            .collect()
+    }
+
+    /// Takes in another box's verdict.
+    pub fn merge_verdict(&self, verdict: Verdict, now_ms: u64) {
+        if verdict.by == self.me {
+            return;
+        }
+        let mut watch = lock(&self.watch);
+        let key = (verdict.by.box_name.clone(), verdict.version.clone());
+        let is_news = watch.verdicts.get(&key).is_none_or(|held| {
+            let known = &held.verdict;
+            (verdict.by.incarnation, verdict.seq) > (known.by.incarnation, known.seq)
+        });
+        if is_news {
+            let held = Held {
+                verdict,
+                heard_ms: now_ms,
+            };
+            watch.verdicts.insert(key, held);
+        }
+    }
+
+    /// Takes in other boxes' counters.
+    pub fn merge_tallies(&self, tallies: impl IntoIterator<Item = Tally>) {
+        let mut book = lock(&self.book);
+        for tally in tallies {
+            if tally.by != self.me {
+                book.merge(tally.subject, &tally.by, tally.count);
+            }
+        }
+    }
+
+    /// Up to `most` rows to tell others: own ones first, then others from a place that moves.
+    pub fn tallies(&self, most: usize, turn: usize) -> Vec<Tally> {
+        let book = lock(&self.book);
+        let all: Vec<Tally> = book
+            .iter()
+            .map(|(subject, by, count)| Tally {
+                subject: subject.clone(),
+                by: by.clone(),
+                count: *count,
+            })
+            .collect();
+        let (own, others): (Vec<Tally>, Vec<Tally>) =
+            all.into_iter().partition(|t| t.by == self.me);
+        let own_part = rotate(own, turn, most / 2);
+        let rest = most - own_part.len();
+        own_part
+            .into_iter()
+            .chain(rotate(others, turn, rest))
+            .collect()
+    }
+
+    /// Drops what is too old to count.
+    pub fn forget(&self, epoch_ms: u64) {
+        lock(&self.book).forget(epoch_ms);
+    }
+}
+
+/// `most` of the rows, starting at a place that moves with `turn`.
+fn rotate(mut rows: Vec<Tally>, turn: usize, most: usize) -> Vec<Tally> {
+    if rows.len() > most {
+        let start = (turn * most) % rows.len();
+        rows.rotate_left(start);
+        rows.truncate(most);
+    }
+    rows
+}
+
+fn subject(at: &VersionRef, class: &Name, bucket: u8, epoch_ms: u64) -> Subject {
+    Subject {
+        version: at.to_string().into(),
+        class: class.clone(),
+        bucket,
+        window: Book::window(epoch_ms),
+    }
+}
+
+impl Watch {
+    fn observe(&mut self, me: &Counter, version: Name, is_bad: bool) -> bool {
+        let detector = self.detectors.entry(version.clone()).or_default();
+        if !detector.observe(is_bad) {
+            return false;
+        }
+        let bad = detector.is_bad();
+        self.own_seq += 1;
+        let verdict = Verdict {
+            by: me.clone(),
+            version: version.clone(),
+            bad,
+            seq: self.own_seq,
+        };
+        let held = Held {
+            verdict,
+            heard_ms: 0,
+        };
+        self.verdicts.insert((me.box_name.clone(), version), held);
+        true
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/src/loads.rs
@@ -0,0 +1,95 @@
+//! Load reports: each upstream is asked by a few boxes, which tell the others.
+
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use ivyweir_policy::balance::{Report, Upstream};
+use ivyweir_policy::{BoxState, Name, rank};
+
+use crate::gate::Moment;
+use crate::node::Node;
+
+/// Boxes that ask one upstream.
+const ASKERS: usize = 2;
+/// Time between two reports of one upstream to one box.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Threads that ask; a slow upstream must not hold up the others.
+pub const THREADS: usize = 4;
+
+/// Upstreams to be asked.
+pub struct Round {
+    sender: Sender<Target>,
+    receiver: Receiver<Target>,
+}
+
+struct Target {
+    name: Name,
+    addr: Name,
+}
+
+impl Round {
+    /// Nobody to be asked.
+    pub fn new() -> Self {
+        let (sender, receiver) = bounded(MAX_ROUND);
+        Self { sender, receiver }
+    }
+}
+
+impl Default for Round {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// More than one box is asked about; a longer round goes on in the next.
+const MAX_ROUND: usize = 256;
+
+/// Says, round after round, which upstreams this box is to ask.
+pub fn plan_rounds(node: &Node, round: &Round) {
+    while !node.is_stopped() {
+        let serving = node.serving();
+        let names: Vec<&str> = serving.iter().map(|m| m.name.as_ref()).collect();
+        for upstream in node.gate.upstreams() {
+            if upstream.state == BoxState::Live && is_mine(node, &names, &upstream) {
+                let target = Target {
+                    name: upstream.name,
+                    addr: upstream.addr,
+                };
+                let _next_round = round.sender.try_send(target);
+            }
+        }
+        std::thread::sleep(INTERVAL);
+    }
+}
+
+fn is_mine(node: &Node, serving: &[&str], upstream: &Upstream) -> bool {
+    let key = format!("load/{}", upstream.name);
+    rank::top(&key, serving.iter().copied(), ASKERS).contains(&node.me.box_name.as_ref())
+}
+
+/// Asks upstreams as they are named, for as long as the box runs.
+pub fn ask(node: &Node, round: &Round) {
+    while !node.is_stopped() {
+        let Ok(target) = round.receiver.recv_timeout(INTERVAL) else {
+            continue;
+        };
+        let asked_ms = node.clock.now_ms();
+        node.metrics.load_polls.add(1, &[]);
+        let Ok(load) = node.engine.load(&target.addr) else {
+            continue;
+        };
+        let report = Report {
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            versions: load.versions.iter().map(|v| v.as_str().into()).collect(),
+            seq: asked_ms,
+            at_ms: asked_ms,
+        };
+        let moment = Moment {
+            now_ms: node.clock.now_ms(),
+            live_boxes: node.live_boxes(),
+        };
+        node.gate.report([(target.name, report)], moment);
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/src/main.rs
@@ -0,0 +1,54 @@
+//! The ivyweir daemon: `ivyweird --settings FILE`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use ivyweird::Settings;
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a start that failed.
+const EXIT_START: u8 = 1;
+
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "settings file (JSON)", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(help = "check the settings file and exit", no_short)]
+    check: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.version {
+        println!("ivyweird {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = args.settings else {
+        eprintln!("ivyweird: --settings FILE is missing; --help tells more");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match Settings::from_file(&file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("ivyweird: {e}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: ok", file.display());
+        return ExitCode::SUCCESS;
+    }
+    match ivyweird::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("ivyweird: {e}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/src/peer_api.rs
@@ -0,0 +1,65 @@
+//! What this box answers its peers.
+
+use std::sync::Arc;
+
+use ivyweir_peer::{Peer, pb};
+use ivyweir_policy::claim::{Incarnation, Journal};
+
+use crate::node::Node;
+use crate::{digest, forward, once, spread};
+
+/// Answers peers out of the box's state.
+pub struct PeerApi {
+    /// The box.
+    pub node: Arc<Node>,
+}
+
+impl Peer for PeerApi {
+    fn exchange(&self, digest: pb::Digest) -> pb::Digest {
+        let lacking = digest::merge(&self.node, &digest);
+        // What is newer at the sender is fetched in this box's own next round with it.
+        digest::build(&self.node, lacking.members)
+    }
+
+    fn push(&self, document: pb::Document) -> bool {
+        spread::take_document(&self.node, &document)
+    }
+
+    fn fetch(&self, request: pb::FetchRequest) -> pb::Document {
+        spread::give_document(&self.node, &request)
+    }
+
+    fn hold(&self, request: pb::HoldRequest) -> bool {
+        !self.node.is_draining() && self.node.ledger.hold(request)
+    }
+
+    fn release(&self, request: pb::ReleaseRequest) {
+        self.node.ledger.release(&request);
+    }
+
+    fn claim(&self, request: pb::ClaimRequest) -> pb::ClaimReply {
+        once::claim_reply(&once::write_claim(&self.node, &request))
+    }
+
+    fn outcome(&self, request: pb::OutcomeRequest) -> pb::OutcomeReply {
+        let key = Journal::entry_name(&request.workspace, &request.key);
+        self.node.once.outcome(&key)
+    }
+
+    fn forward(&self, request: pb::ForwardRequest) -> Option<pb::ForwardReply> {
+        forward::answer(&self.node, request)
+    }
+
+    fn hand_over(&self, request: pb::HandOverRequest) -> bool {
+        let from = Incarnation {
+            box_name: request.r#box.as_str().into(),
+            number: request.incarnation,
+        };
+        let used = request.keys.iter().map(|k| k.as_str().into()).collect();
+        let adopted = !self.node.is_draining() && self.node.once.adopt(&from, used);
+        if adopted {
+            log::info!("took over the sessions of {}", from.box_name);
+        }
+        adopted
+    }
+}
