Command line, demo and a whole world on loopback

Cause: nobody could see the thin path work, nor operate it.

Change: ivyweir (plan, show, confirm, status, audit, bill, check, hash, events, models, workspaces), the demo example and the world it runs on: stand-ins in one process, boxes as real processes.

--- a/crates/ivyweir-standins/src/fleet.rs
+++ b/crates/ivyweir-standins/src/fleet.rs
@@ -18,6 +18,36 @@
         .port()
 }
 
+/// Builds the two binaries as this program was built and returns their folder.
+///
+/// For examples, which cargo builds without the binaries of other packages.
+///
+/// # Errors
+///
+/// When cargo fails or this program does not lie in a cargo target folder.
+pub fn build_binaries() -> io::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folder = program
+        .ancestors()
+        .nth(2)
+        .ok_or_else(|| io::Error::other("not in a target folder"))?
+        .to_owned();
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let mut build = Command::new(cargo);
+    build.args([
+        "build", "--quiet", "--locked", "-p", "ivyweird", "-p", "ivyweir",
+    ]);
+    build.current_dir(env!("CARGO_MANIFEST_DIR"));
+    if folder.ends_with("release") {
+        build.arg("--release");
+    }
+    if build.status()?.success() {
+        Ok(folder)
+    } else {
+        Err(io::Error::other("the binaries could not be built"))
+    }
+}
+
 /// A box's settings file.
 #[derive(Debug, Clone, Serialize)]
 pub struct Settings {
--- /dev/null
+++ b/crates/ivyweir/src/run.rs
@@ -0,0 +1,285 @@
+//! Carries out a command.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use ivyweir_operator::{Client, ConfirmReply};
+use ivyweir_policy::{
+    Guard, Intent, Name, Operator, Plan, Pool, PoolKind, Role, VersionRef, Workspace,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::args::{
+    Args, Command, ConfirmArgs, EventArgs, IntentArgs, PlanArgs, RollArgs, WorkspaceArgs,
+};
+use crate::{show, time};
+
+/// Why a command did not do what it was asked.
+#[derive(Debug)]
+pub enum Failure {
+    /// The arguments or a file cannot be used: exit code 2.
+    Usage(String),
+    /// The box refused: exit code 3.
+    Refused(String),
+    /// The box did not answer: exit code 4.
+    Unanswered(String),
+    /// The plan no longer fits; nothing changed: exit code 5.
+    Moved(String),
+    /// The store did not say whether it took the change: exit code 6.
+    Unknown(String),
+}
+
+impl Failure {
+    /// The process's exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Usage(_) => 2,
+            Self::Refused(_) => 3,
+            Self::Unanswered(_) => 4,
+            Self::Moved(_) => 5,
+            Self::Unknown(_) => 6,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(text)
+            | Self::Refused(text)
+            | Self::Unanswered(text)
+            | Self::Moved(text)
+            | Self::Unknown(text) => f.write_str(text),
+        }
+    }
+}
+
+impl From<ivyweir_operator::Error> for Failure {
+    fn from(error: ivyweir_operator::Error) -> Self {
+        if error.status().is_some() {
+            Self::Refused(error.to_string())
+        } else {
+            Self::Unanswered(error.to_string())
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, Failure>;
+
+/// Carries out a command and gives what is to be printed.
+///
+/// # Errors
+///
+/// A [`Failure`], whose kind is the exit code.
+pub fn run(args: &Args) -> Result<String> {
+    let Some(command) = &args.command else {
+        return Err(Failure::Usage("no command; --help lists them".into()));
+    };
+    match command {
+        Command::Status(_) => out(args, &client(args)?.status()?, show::status),
+        Command::Events(_) => out(args, &client(args)?.config()?.events, show::events),
+        Command::Models(_) => out(args, &client(args)?.config()?.models, show::models),
+        Command::Workspaces(_) => out(args, &client(args)?.config()?.workspaces, show::workspaces),
+        Command::Audit(_) => out(args, &client(args)?.audit()?, |entries| {
+            show::audit(entries)
+        }),
+        Command::Bill(_) => out(args, &client(args)?.bill()?, show::bill),
+        Command::Plan(plan) => draw(args, plan),
+        Command::Show(file) => show_plan(args, &file.file),
+        Command::Confirm(confirm) => self::confirm(args, confirm),
+        Command::Check(file) => check(&file.file),
+        Command::Hash(hash) => Ok(format!("{}\n", blake3::hash(hash.key.as_bytes()).to_hex())),
+    }
+}
+
+fn out<T: Serialize>(args: &Args, value: &T, table: impl Fn(&T) -> String) -> Result<String> {
+    if !args.json {
+        return Ok(table(value));
+    }
+    let text = serde_json::to_string_pretty(value).expect("answers are always valid JSON");
+    Ok(text + "\n")
+}
+
+fn client(args: &Args) -> Result<Client> {
+    let setting = |given: &Option<String>, variable: &str, what: &str| {
+        given
+            .clone()
+            .or_else(|| std::env::var(variable).ok())
+            .ok_or_else(|| Failure::Usage(format!("{what} or {variable} is missing")))
+    };
+    let base_url = setting(&args.r#box, "IVYWEIR_BOX", "--box")?;
+    let key = setting(&args.key, "IVYWEIR_KEY", "--key")?;
+    Ok(Client::new(base_url.trim_end_matches('/'), key))
+}
+
+fn read_file<T: DeserializeOwned>(path: &str) -> Result<T> {
+    let bytes = fs::read(path).map_err(|e| Failure::Usage(format!("{path}: {e}")))?;
+    serde_json::from_slice(&bytes).map_err(|e| Failure::Usage(format!("{path}: {e}")))
+}
+
+fn write_plan(path: &str, plan: &Plan) -> Result<()> {
+    let text = serde_json::to_string_pretty(plan).expect("a plan is always valid JSON");
+    fs::write(path, text + "\n").map_err(|e| Failure::Usage(format!("{path}: {e}")))
+}
+
+fn draw(args: &Args, plan_args: &PlanArgs) -> Result<String> {
+    let Some(intent_args) = &plan_args.intent else {
+        return Err(Failure::Usage("no intent; `plan --help` lists them".into()));
+    };
+    let plan = client(args)?.plan(&intent(intent_args)?)?;
+    if let Some(path) = &plan_args.out {
+        write_plan(path, &plan)?;
+    }
+    out(args, &plan, show::plan)
+}
+
+fn show_plan(args: &Args, path: &str) -> Result<String> {
+    let plan: Plan = read_file(path)?;
+    let mut text = out(args, &plan, show::plan)?;
+    // Without a box, the plan is shown as the file has it.
+    if let Ok(client) = client(args)
+        && !args.json
+    {
+        text += &show::plan_check(&client.check(&plan)?);
+    }
+    Ok(text)
+}
+
+fn confirm(args: &Args, confirm: &ConfirmArgs) -> Result<String> {
+    let plan: Plan = read_file(&confirm.file)?;
+    let reply = client(args)?.confirm(&plan)?;
+    match &reply {
+        ConfirmReply::Applied { .. } | ConfirmReply::AlreadyApplied { .. } => {
+            out(args, &reply, show::confirmed)
+        }
+        ConfirmReply::Moved { fresh } => {
+            let path = confirm.out.as_deref().unwrap_or(&confirm.file);
+            write_plan(path, fresh)?;
+            let text = show::plan(fresh);
+            Err(Failure::Moved(format!(
+                "the configuration changed under this plan; nothing was done.\n\
+                 a fresh plan is in {path}:\n{text}"
+            )))
+        }
+        ConfirmReply::Unknown { detail } => Err(Failure::Unknown(format!(
+            "it is not known whether the change was taken ({detail}); confirm again to find out"
+        ))),
+    }
+}
+
+fn check(path: &str) -> Result<String> {
+    match ivyweird::Settings::from_file(Path::new(path)) {
+        Ok(_) => Ok(format!("{path}: ok\n")),
+        Err(e) => Err(Failure::Usage(e.to_string())),
+    }
+}
+
+fn version(text: &str) -> Result<VersionRef> {
+    text.parse().map_err(|e| Failure::Usage(format!("{e}")))
+}
+
+fn at_time(text: &str) -> Result<u64> {
+    let problem = || {
+        Failure::Usage(format!(
+            "time {text:?}, expected 2026-12-03T06:00:00Z or +30m"
+        ))
+    };
+    time::parse(text, time::now_ms()).ok_or_else(problem)
+}
+
+fn names(list: &Option<String>) -> Vec<Name> {
+    let parts = list.as_deref().unwrap_or_default().split(',');
+    parts.filter(|p| !p.is_empty()).map(Name::from).collect()
+}
+
+fn intent(args: &IntentArgs) -> Result<Intent> {
+    Ok(match args {
+        IntentArgs::Event(a) => event(a)?,
+        IntentArgs::Version(a) => Intent::AddVersion {
+            at: version(&a.at)?,
+            cost_micro_per_ktoken: a.cost,
+            prior_quality: a.quality,
+        },
+        IntentArgs::Current(a) => Intent::SetCurrent {
+            at: version(&a.at)?,
+        },
+        IntentArgs::Withdraw(a) => Intent::Withdraw {
+            at: version(&a.at)?,
+        },
+        IntentArgs::Workspace(a) => workspace(a)?,
+        IntentArgs::Pool(a) => Intent::PutPool {
+            name: a.name.as_str().into(),
+            pool: Pool {
+                kind: choice(
+                    "kind",
+                    &a.kind,
+                    &[("engine", PoolKind::Engine), ("service", PoolKind::Service)],
+                )?,
+                checks_fence: a.checks_fence,
+            },
+        },
+        IntentArgs::Operator(a) => Intent::PutOperator {
+            name: a.name.as_str().into(),
+            operator: Operator {
+                key_hash: a.key_hash.as_str().into(),
+                role: choice(
+                    "role",
+                    &a.role,
+                    &[("viewer", Role::Viewer), ("editor", Role::Editor)],
+                )?,
+            },
+        },
+        IntentArgs::Roll(a) => roll(a)?,
+        IntentArgs::Halt(a) => Intent::Halt {
+            rollout: a.id.as_str().into(),
+            reason: a.reason.clone(),
+        },
+    })
+}
+
+fn choice<T: Copy>(field: &str, text: &str, choices: &[(&str, T)]) -> Result<T> {
+    let found = choices.iter().find(|(name, _)| *name == text);
+    found.map(|(_, value)| *value).ok_or_else(|| {
+        let all: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        Failure::Usage(format!("{field} {text:?}, expected {}", all.join(" or ")))
+    })
+}
+
+fn event(args: &EventArgs) -> Result<Intent> {
+    Ok(Intent::CreateEvent {
+        name: args.name.as_str().into(),
+        start_ms: at_time(&args.start)?,
+        workspaces: names(&args.workspaces),
+    })
+}
+
+fn workspace(args: &WorkspaceArgs) -> Result<Intent> {
+    let allowed: Result<Vec<VersionRef>> = names(&args.allow).iter().map(|n| version(n)).collect();
+    Ok(Intent::PutWorkspace {
+        name: args.name.as_str().into(),
+        workspace: Workspace {
+            key_hash: args.key_hash.as_str().into(),
+            quality_target: args.target,
+            weight: args.weight,
+            allowed: allowed?,
+            services: names(&args.services),
+        },
+    })
+}
+
+fn roll(args: &RollArgs) -> Result<Intent> {
+    Ok(Intent::Roll {
+        workspace: args.workspace.as_str().into(),
+        to: version(&args.at)?,
+        target_permille: args.share.saturating_mul(10),
+        start_ms: time::now_ms(),
+        until_ms: at_time(&args.before)?,
+        steps: args.steps,
+        guard: Guard {
+            quality_floor: args.floor,
+            failed_permille: args.failed,
+        },
+    })
+}
--- /dev/null
+++ b/crates/ivyweir/src/show.rs
@@ -0,0 +1,220 @@
+//! Tables for people.
+
+use std::collections::BTreeMap;
+
+use ivyweir_operator::{ConfirmReply, PlanCheck, Status};
+use ivyweir_policy::ledger::Bill;
+use ivyweir_policy::{AuditEntry, Event, Model, Name, Plan, VersionState, Workspace, describe};
+
+use crate::time;
+
+/// Lays out rows under a head, each column as wide as its widest cell.
+fn table(head: &[&str], rows: Vec<Vec<String>>) -> String {
+    let mut widths: Vec<usize> = head.iter().map(|h| h.len()).collect();
+    for row in &rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.chars().count());
+        }
+    }
+    let line = |cells: Vec<&str>| {
+        let padded: Vec<String> = cells
+            .iter()
+            .zip(&widths)
+            .map(|(cell, &width)| format!("{cell:width$}"))
+            .collect();
+        padded.join("  ").trim_end().to_owned() + "\n"
+    };
+    let mut text = line(head.to_vec());
+    for row in &rows {
+        text += &line(row.iter().map(String::as_str).collect());
+    }
+    text
+}
+
+/// The system as one box sees it.
+pub fn status(status: &Status) -> String {
+    let proof = status
+        .proof_age_ms
+        .map_or("none".into(), |ms| format!("{ms} ms old"));
+    let mut text = format!(
+        "seen from {}: generation {}, {}, proof {proof}\n\n",
+        status.seen_from, status.generation, status.sight
+    );
+    let boxes = status.boxes.iter().map(|b| {
+        vec![
+            b.name.to_string(),
+            b.hall.to_string(),
+            b.health.clone(),
+            b.generation.to_string(),
+        ]
+    });
+    text += &table(&["BOX", "HALL", "HEALTH", "GENERATION"], boxes.collect());
+    let upstreams = status.upstreams.iter().map(|u| {
+        vec![
+            u.name.to_string(),
+            u.pool.to_string(),
+            u.hall.to_string(),
+            u.state.clone(),
+            format!("{}+{}/{}", u.running, u.waiting, u.slots),
+        ]
+    });
+    text += "\n";
+    text += &table(
+        &["UPSTREAM", "POOL", "HALL", "STATE", "LOAD"],
+        upstreams.collect(),
+    );
+    let rollouts = status.rollouts.iter().map(|r| {
+        let share = format!("{}/{}", r.share_permille, r.target_permille);
+        vec![r.id.to_string(), r.to.clone(), share, r.state.clone()]
+    });
+    text += "\n";
+    text += &table(&["ROLL-OUT", "TO", "SHARE", "STATE"], rollouts.collect());
+    let exposure = status.exposure.iter().map(|e| {
+        vec![
+            e.version.to_string(),
+            e.done.to_string(),
+            e.failed.to_string(),
+            e.rated.to_string(),
+            format!("{:.3}", e.mean_quality),
+            if e.bad { "bad".into() } else { String::new() },
+        ]
+    });
+    text += "\n";
+    let head = [
+        "VERSION", "ANSWERS", "FAILED", "RATED", "QUALITY", "VERDICT",
+    ];
+    text + &table(&head, exposure.collect())
+}
+
+/// Events.
+pub fn events(events: &BTreeMap<Name, Event>) -> String {
+    let rows = events.iter().map(|(name, e)| {
+        let workspaces: Vec<&str> = e.workspaces.iter().map(|w| w.as_ref()).collect();
+        vec![
+            name.to_string(),
+            time::format(e.start_ms),
+            workspaces.join(" "),
+        ]
+    });
+    table(&["EVENT", "START", "WORKSPACES"], rows.collect())
+}
+
+/// Models and versions.
+pub fn models(models: &BTreeMap<Name, Model>) -> String {
+    let rows = models.iter().flat_map(|(model, entry)| {
+        entry.versions.iter().map(move |(name, v)| {
+            let state = match v.state {
+                VersionState::Withdrawn => "withdrawn",
+                VersionState::Active if entry.current == *name => "current",
+                VersionState::Active => "active",
+            };
+            vec![
+                format!("{model}@{name}"),
+                v.cost_micro_per_ktoken.to_string(),
+                v.prior_quality.to_string(),
+                state.to_owned(),
+            ]
+        })
+    });
+    table(
+        &["VERSION", "MICRO/KTOKEN", "QUALITY", "STATE"],
+        rows.collect(),
+    )
+}
+
+/// Workspaces and quality targets.
+pub fn workspaces(workspaces: &BTreeMap<Name, Workspace>) -> String {
+    let rows = workspaces.iter().map(|(name, w)| {
+        let allowed: Vec<String> = w.allowed.iter().map(ToString::to_string).collect();
+        vec![
+            name.to_string(),
+            w.quality_target.to_string(),
+            w.weight.to_string(),
+            allowed.join(" "),
+        ]
+    });
+    table(
+        &["WORKSPACE", "TARGET", "WEIGHT", "ALLOWED"],
+        rows.collect(),
+    )
+}
+
+/// Accepted changes.
+pub fn audit(entries: &[AuditEntry]) -> String {
+    let rows = entries.iter().map(|e| {
+        vec![
+            e.generation.to_string(),
+            time::format(e.at_ms),
+            e.operator.to_string(),
+            e.plan_id.to_string(),
+            e.intent.clone(),
+        ]
+    });
+    table(
+        &["GENERATION", "WHEN", "WHO", "PLAN", "INTENT"],
+        rows.collect(),
+    )
+}
+
+/// What each workspace owes.
+pub fn bill(bill: &Bill) -> String {
+    let rows = bill.workspaces.iter().map(|(name, t)| {
+        vec![
+            name.to_string(),
+            t.requests.to_string(),
+            t.tokens.to_string(),
+            format!("{:.6}", t.cost_micro as f64 / 1e6),
+        ]
+    });
+    table(&["WORKSPACE", "REQUESTS", "TOKENS", "COST"], rows.collect())
+}
+
+/// A plan.
+pub fn plan(plan: &Plan) -> String {
+    let mut text = format!(
+        "plan {} on generation {}: {}\nchanges:\n",
+        plan.id,
+        plan.base_generation,
+        describe(&plan.intent)
+    );
+    for change in &plan.changes {
+        text += &format!("  {change}\n");
+    }
+    text += "effects on live traffic:\n";
+    for effect in &plan.effects {
+        text += &format!("  {effect}\n");
+    }
+    text + "nothing changes until it is confirmed\n"
+}
+
+/// What a box knows of a plan.
+pub fn plan_check(check: &PlanCheck) -> String {
+    let yes = |is: bool| if is { "yes" } else { "no" };
+    format!(
+        "genuine: {}, applied: {}, still fits: {}\n",
+        yes(check.genuine),
+        yes(check.applied),
+        yes(check.fits)
+    )
+}
+
+/// A confirm that was accepted.
+pub fn confirmed(reply: &ConfirmReply) -> String {
+    match reply {
+        ConfirmReply::Applied {
+            generation,
+            rebased,
+        } => {
+            let rebased = if *rebased {
+                ", rebased on changes made meanwhile"
+            } else {
+                ""
+            };
+            format!("accepted as generation {generation}{rebased}\n")
+        }
+        ConfirmReply::AlreadyApplied { generation } => {
+            format!("accepted before; generation {generation} is in force\n")
+        }
+        ConfirmReply::Moved { .. } | ConfirmReply::Unknown { .. } => String::new(),
+    }
+}
