--- a/crates/ivyweir-caller/src/reply.rs
+++ b/crates/ivyweir-caller/src/reply.rs
@@ -111,7 +111,7 @@
     /// # Errors
     ///
     /// When the caller is gone.
-    pub(crate) fn start(mut out: Box<dyn Write + Send>, headers: &[Header]) -> io::Result<Self> {
+    pub fn start(mut out: Box<dyn Write + Send>, headers: &[Header]) -> io::Result<Self> {
         let mut head = String::from(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n",
         );
@@ -132,7 +132,9 @@
     ///
     /// When the caller is gone.
     pub fn event(&mut self, data: &str) -> io::Result<()> {
-        self.out.write_all(format!("data: {data}\n\n").as_bytes())
+        self.out.write_all(format!("data: {data}\n\n").as_bytes())?;
+        // The encoder passes its chunks on, but what lies below has a buffer of its own.
+        self.out.get_mut().flush()
     }
 
     /// Ends the stream with an error, so that nobody takes it for whole.
--- a/crates/ivyweir-policy/src/quality.rs
+++ b/crates/ivyweir-policy/src/quality.rs
@@ -16,6 +16,9 @@
 /// Weight of the operator's prior, in ratings.
 const PRIOR_WEIGHT: f64 = 10.0;
 
+/// Ratings of a class and bucket from which on other classes add nothing.
+const ENOUGH_PER_BUCKET: u64 = 20;
+
 /// Number of standard errors between the mean and the lower bound.
 pub const DEFAULT_Z: f64 = 1.0;
 
@@ -71,6 +74,21 @@
         }
     }
 
+    /// The same proportions with `most` ratings at the most.
+    pub fn scaled_to(self, most: u64) -> Self {
+        let scale = |n: u64| n * most / self.rated.max(1);
+        if self.rated <= most {
+            return self;
+        }
+        Self {
+            rated: most,
+            score_milli: scale(self.score_milli),
+            score_square_milli: scale(self.score_square_milli),
+            done: scale(self.done),
+            failed: scale(self.failed),
+        }
+    }
+
     /// Mean rating, 0 to 1; 0 when none is in.
     pub fn mean(self) -> f64 {
         self.score_milli as f64 / 1_000.0 / (self.rated.max(1) as f64)
@@ -198,6 +216,27 @@
         buckets
     }
 
+    /// Counts by bucket for a class, filled up from all other classes while it has few ratings.
+    ///
+    /// A new workspace starts from what the others have learnt, and outweighs that with its own.
+    pub fn by_bucket_filled(&self, at: &VersionRef, class: &str) -> [Count; BUCKETS] {
+        let mut own = self.by_bucket(at, class);
+        let version: Name = at.to_string().into();
+        let mut others = [Count::default(); BUCKETS];
+        let rows = self.rows.iter();
+        for (subject, counts) in
+            rows.filter(|(s, _)| s.version == version && s.class.as_ref() != class)
+        {
+            let bucket = &mut others[usize::from(subject.bucket) % BUCKETS];
+            *bucket = counts.values().fold(*bucket, |sum, c| sum.plus(*c));
+        }
+        for (own, others) in own.iter_mut().zip(others) {
+            let lacking = ENOUGH_PER_BUCKET.saturating_sub(own.rated);
+            *own = own.plus(others.scaled_to(lacking));
+        }
+        own
+    }
+
     /// The merged count of one version over all classes whose name starts with `prefix`.
     pub fn across_classes(&self, at: &VersionRef, prefix: &str) -> Count {
         let version: Name = at.to_string().into();
--- a/crates/ivyweird/src/learn.rs
+++ b/crates/ivyweird/src/learn.rs
@@ -119,9 +119,9 @@
         lock(&self.watch).observe(&self.me, version, is_bad)
     }
 
-    /// Counts by confidence bucket.
+    /// Counts by confidence bucket, filled up from other classes.
     pub fn by_bucket(&self, at: &VersionRef, class: &str) -> [Count; BUCKETS] {
-        lock(&self.book).by_bucket(at, class)
+        lock(&self.book).by_bucket_filled(at, class)
     }
 
     /// Counts of a version in all classes of a workspace, or of all workspaces.
