--- a/crates/ivyweir-policy/src/balance.rs
+++ b/crates/ivyweir-policy/src/balance.rs
@@ -1,6 +1,7 @@
 //! Which upstream gets a call: prefix affinity with bounded load, corrected lagging reports.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::rank::{hash64, mix};
 use crate::{BoxState, Name};
@@ -39,6 +40,43 @@
     LeastInFlight,
 }
 
+/// Versions that an upstream has loaded; shared, as few sets cover all upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionSet {
+    names: Arc<[Name]>,
+    id: u32,
+}
+
+impl VersionSet {
+    /// The versions, as `model@version`.
+    pub fn names(&self) -> &[Name] {
+        &self.names
+    }
+
+    /// The set's id: a hash of its names.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+}
+
+impl FromIterator<Name> for VersionSet {
+    fn from_iter<I: IntoIterator<Item = Name>>(names: I) -> Self {
+        let mut names: Vec<Name> = names.into_iter().collect();
+        names.sort();
+        let parts: Vec<&[u8]> = names.iter().map(|n| n.as_bytes()).collect();
+        Self {
+            id: hash64(&parts) as u32,
+            names: names.into(),
+        }
+    }
+}
+
+impl Default for VersionSet {
+    fn default() -> Self {
+        Self::from_iter([])
+    }
+}
+
 /// What an upstream reported last.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Report {
@@ -49,9 +87,7 @@
     /// Calls that may run at once.
     pub slots: u32,
     /// Versions it has loaded, as `model@version`.
-    pub versions: Vec<Name>,
-    /// Grows with each report of one asker.
-    pub seq: u64,
+    pub versions: VersionSet,
     /// When it was made, by this box's clock, in milliseconds.
     pub at_ms: u64,
 }
@@ -80,6 +116,7 @@
     ejected_until_ms: u64,
     first_seen_ms: u64,
     first_token_ewma_ms: u64,
+    changed_ms: u64,
 }
 
 /// What a call needs of its upstream.
@@ -117,6 +154,7 @@
 pub struct Balancer {
     upstreams: Vec<Upstream>,
     by_name: HashMap<Name, usize>,
+    by_id: HashMap<u64, usize>,
     policy: Policy,
     turn: usize,
 }
@@ -140,9 +178,20 @@
             ejected_until_ms: 0,
             first_seen_ms: now_ms,
             first_token_ewma_ms: 0,
+            changed_ms: 0,
         }
     }
 
+    /// The id that peers know it by: a hash of its name.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// When its report last said something else than the one before.
+    pub fn changed_ms(&self) -> u64 {
+        self.changed_ms
+    }
+
     /// Calls of this box under way.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
@@ -182,9 +231,13 @@
 
     fn offers(&self, want: &Want<'_>) -> bool {
         let pool_fits = want.pool.is_none_or(|p| p == self.pool.as_ref());
-        let version_fits = want
-            .version
-            .is_none_or(|v| self.report.versions.iter().any(|have| have.as_ref() == v));
+        let version_fits = want.version.is_none_or(|v| {
+            self.report
+                .versions
+                .names()
+                .iter()
+                .any(|have| have.as_ref() == v)
+        });
         pool_fits && version_fits && self.state == BoxState::Live
     }
 
@@ -224,8 +277,9 @@
                 known.pool = fresh.pool;
             }
             None => {
-                self.by_name
-                    .insert(fresh.name.clone(), self.upstreams.len());
+                let at = self.upstreams.len();
+                self.by_name.insert(fresh.name.clone(), at);
+                self.by_id.insert(fresh.id, at);
                 self.upstreams.push(fresh);
             }
         }
@@ -240,12 +294,9 @@
         }
         self.upstreams
             .retain(|u| u.state == BoxState::Live || u.in_flight > 0 || is_listed(&u.name));
-        self.by_name = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .map(|(at, u)| (u.name.clone(), at))
-            .collect();
+        let numbered = || self.upstreams.iter().enumerate();
+        self.by_name = numbered().map(|(at, u)| (u.name.clone(), at)).collect();
+        self.by_id = numbered().map(|(at, u)| (u.id, at)).collect();
     }
 
     /// All upstreams.
@@ -258,14 +309,22 @@
         self.by_name.get(name).map(|&at| &self.upstreams[at])
     }
 
-    /// Takes in a report if it is newer than the one held.
-    pub fn report(&mut self, name: &str, report: Report) -> bool {
-        let Some(upstream) = self.get_mut(name) else {
+    /// Takes in a report by the upstream's id if it is newer than the one held.
+    pub fn report(&mut self, id: u64, report: Report) -> bool {
+        let Some(&at) = self.by_id.get(&id) else {
             return false;
         };
+        let upstream = &mut self.upstreams[at];
         if report.at_ms <= upstream.report.at_ms {
             return false;
         }
+        let same = Report {
+            at_ms: report.at_ms,
+            ..upstream.report.clone()
+        };
+        if same != report {
+            upstream.changed_ms = report.at_ms;
+        }
         upstream.report = report;
         upstream.sent_since_report = 0;
         upstream.done_since_report = 0;
--- a/crates/ivyweir-policy/src/member.rs
+++ b/crates/ivyweir-policy/src/member.rs
@@ -24,12 +24,9 @@
     /// Times for a fleet of `boxes`: news needs about log2 of the fleet in exchanges.
     pub fn for_fleet(boxes: usize) -> Self {
         let rounds = u64::from(usize::BITS - boxes.max(2).leading_zeros());
-        let (period_ms, fanout) = if boxes <= SMALL_FLEET {
-            (250, 2)
-        } else {
-            (500, 1)
-        };
-        let suspect_ms = period_ms * (2 + rounds);
+        let period_ms = if boxes <= SMALL_FLEET { 250 } else { 500 };
+        let fanout = if boxes <= TINY_FLEET { 2 } else { 1 };
+        let suspect_ms = period_ms * (4 + rounds);
         Self {
             period_ms,
             suspect_ms,
@@ -40,6 +37,7 @@
     }
 }
 
+const TINY_FLEET: usize = 5;
 const SMALL_FLEET: usize = 32;
 const FORGET_MS: u64 = 60_000;
 
--- a/crates/ivyweir-policy/tests/load.rs
+++ b/crates/ivyweir-policy/tests/load.rs
@@ -8,7 +8,7 @@
 use ivyweir_policy::guard::Detector;
 use ivyweir_policy::member::{Health, Record, Table, Timing};
 use ivyweir_policy::quality::{BUCKETS, Count};
-use ivyweir_policy::rank::mix;
+use ivyweir_policy::rank::{hash64, mix};
 use ivyweir_policy::retry::{Budget, hint_ms};
 use ivyweir_policy::{BoxState, Name};
 
@@ -20,11 +20,11 @@
         balancer.upsert(upstream);
         let report = Report {
             slots: *slots,
-            versions: vec!["m@v1".into()],
+            versions: ["m@v1".into()].into_iter().collect(),
             at_ms: 1,
             ..Report::default()
         };
-        balancer.report(&name, report);
+        balancer.report(hash64(&[name.as_bytes()]), report);
     }
     balancer
 }
--- a/crates/ivyweird/src/digest.rs
+++ b/crates/ivyweird/src/digest.rs
@@ -10,12 +10,15 @@
 
 use crate::gate::Moment;
 use crate::learn::{Tally, Verdict};
+use crate::loads;
 use crate::node::Node;
 
-/// Load reports older than this are not passed on.
-const LOAD_MAX_AGE_MS: u64 = 1_500;
+/// Rounds for which a report that changed is told in every digest.
+const NEWS_ROUNDS: u64 = 3;
+/// Digests in which each unchanged report is told once.
+const TURNS: usize = 8;
 /// Rows of quality counters per digest.
-const TALLIES: usize = 24;
+const TALLIES: usize = 8;
 
 static TURN: AtomicUsize = AtomicUsize::new(0);
 
@@ -30,10 +33,23 @@
     pub members: bool,
     /// The sender has an older configuration.
     pub is_behind: bool,
+    /// The sender tells of loads with a version set that is not known here.
+    pub sets: bool,
 }
 
-/// This box's digest; with full member records if `with_members`.
-pub fn build(node: &Node, with_members: bool) -> pb::Digest {
+/// What a digest tells besides what it always does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Tell {
+    /// The full member records.
+    pub members: bool,
+    /// The version sets.
+    pub sets: bool,
+    /// That a version set is not known here.
+    pub wants_sets: bool,
+}
+
+/// This box's digest.
+pub fn build(node: &Node, tell: Tell) -> pb::Digest {
     let now_ms = node.clock.now_ms();
     let current = node.current();
     let (members, beats, table_digest) = node.with_members(|table, timing, now_ms| {
@@ -42,7 +58,7 @@
             .into_iter()
             .map(beat_out)
             .collect();
-        let full = if with_members {
+        let full = if tell.members {
             table.records().map(member_out).collect()
         } else {
             vec![]
@@ -60,7 +76,7 @@
             .config
             .proof_age_ms(now_ms)
             .map(|age| age.min(u64::from(u32::MAX)) as u32),
-        loads: loads(node, now_ms),
+        loads: loads(node, now_ms, turn),
         tallies: node
             .learning
             .tallies(TALLIES, turn)
@@ -74,6 +90,12 @@
             .map(verdict_out)
             .collect(),
         table_digest,
+        version_sets: if tell.sets {
+            version_sets(node)
+        } else {
+            vec![]
+        },
+        wants_sets: tell.wants_sets,
     }
 }
 
@@ -92,26 +114,71 @@
     ]
 }
 
-fn loads(node: &Node, now_ms: u64) -> Vec<pb::Load> {
-    let fresh = |at_ms: u64| at_ms > 0 && now_ms.saturating_sub(at_ms) <= LOAD_MAX_AGE_MS;
-    let upstreams = node
-        .gate
-        .upstreams()
-        .into_iter()
-        .filter(|u| fresh(u.report.at_ms));
-    upstreams
-        .map(|u| pb::Load {
-            upstream: u.name.to_string(),
-            running: u.report.running,
-            waiting: u.report.waiting,
-            slots: u.report.slots,
-            age_ms: now_ms.saturating_sub(u.report.at_ms) as u32,
-            versions: u.report.versions.iter().map(|v| v.to_string()).collect(),
-            seq: u.report.seq,
+/// Load reports to tell: those that changed lately, and of the others a part that moves.
+///
+/// A report that says what the one before said is of little use, so it is told less often.
+fn loads(node: &Node, now_ms: u64, turn: usize) -> Vec<pb::Load> {
+    let news_ms = NEWS_ROUNDS * node.timing().period_ms;
+    let max_age_ms = 4 * loads::interval(node).as_millis() as u64 + news_ms;
+    node.gate.read_upstreams(|u| {
+        let report = &u.report;
+        let age_ms = now_ms.saturating_sub(report.at_ms);
+        let is_news = now_ms.saturating_sub(u.changed_ms()) <= news_ms;
+        let in_turn = (u.id() as usize).wrapping_add(turn).is_multiple_of(TURNS);
+        let told = report.at_ms > 0 && age_ms <= max_age_ms && (is_news || in_turn);
+        told.then(|| pb::Load {
+            upstream_id: u.id(),
+            running: report.running,
+            waiting: report.waiting,
+            slots: report.slots,
+            age_ms: age_ms as u32,
+            versions_id: report.versions.id(),
+        })
+    })
+}
+
+/// The version sets that upstreams have, told to who asks for them or knows no members yet.
+fn version_sets(node: &Node) -> Vec<pb::VersionSet> {
+    let sets = node.learning.version_sets();
+    sets.iter()
+        .map(|set| pb::VersionSet {
+            id: set.id(),
+            versions: set.names().iter().map(|v| v.to_string()).collect(),
         })
         .collect()
 }
 
+/// Reads told loads; whether a set among them is not known here.
+fn merge_loads(node: &Node, digest: &pb::Digest, now_ms: u64) -> bool {
+    for set in &digest.version_sets {
+        let names = set.versions.iter().map(|v| Name::from(v.as_str()));
+        node.learning.learn_set(names.collect());
+    }
+    let mut unknown = false;
+    let reports: Vec<(u64, Report)> = digest
+        .loads
+        .iter()
+        .filter_map(|load| {
+            let versions = node.learning.version_set(load.versions_id);
+            unknown |= versions.is_none();
+            let report = Report {
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+                versions: versions?,
+                at_ms: now_ms.saturating_sub(u64::from(load.age_ms)),
+            };
+            Some((load.upstream_id, report))
+        })
+        .collect();
+    let moment = Moment {
+        now_ms,
+        live_boxes: node.live_boxes(),
+    };
+    node.gate.report(reports, moment);
+    unknown
+}
+
 /// Takes in a peer's digest.
 pub fn merge(node: &Node, digest: &pb::Digest) -> Lacking {
     let now_ms = node.clock.now_ms();
@@ -129,12 +196,7 @@
             _ => {}
         }
     }
-    let moment = Moment {
-        now_ms,
-        live_boxes: node.live_boxes(),
-    };
-    node.gate
-        .report(digest.loads.iter().map(|l| load_in(l, now_ms)), moment);
+    lacking.sets = merge_loads(node, digest, now_ms);
     node.learning
         .merge_tallies(digest.tallies.iter().map(tally_in));
     for verdict in &digest.verdicts {
@@ -219,18 +281,6 @@
     }
 }
 
-fn load_in(load: &pb::Load, now_ms: u64) -> (Name, Report) {
-    let report = Report {
-        running: load.running,
-        waiting: load.waiting,
-        slots: load.slots,
-        versions: load.versions.iter().map(|v| v.as_str().into()).collect(),
-        seq: load.seq,
-        at_ms: now_ms.saturating_sub(u64::from(load.age_ms)),
-    };
-    (load.upstream.as_str().into(), report)
-}
-
 fn tally_out(tally: Tally) -> pb::Tally {
     pb::Tally {
         r#box: tally.by.box_name.to_string(),
--- a/crates/ivyweird/src/gate.rs
+++ b/crates/ivyweird/src/gate.rs
@@ -255,14 +255,19 @@
     }
 
     /// Takes in load reports; those who wait may go on then.
-    pub fn report(&self, reports: impl IntoIterator<Item = (Name, Report)>, moment: Moment) {
+    pub fn report(&self, reports: impl IntoIterator<Item = (u64, Report)>, moment: Moment) {
         let mut inner = lock(&self.inner);
-        for (name, report) in reports {
-            inner.balancer.report(&name, report);
+        for (id, report) in reports {
+            inner.balancer.report(id, report);
         }
         inner.pump(&self.hall, moment);
     }
 
+    /// What `read` makes of each upstream, without the cost of copying them all.
+    pub fn read_upstreams<T>(&self, read: impl FnMut(&Upstream) -> Option<T>) -> Vec<T> {
+        lock(&self.inner).balancer.iter().filter_map(read).collect()
+    }
+
     /// Takes in a box list: upstreams that are new, moved, leaving or gone.
     pub fn apply_list(&self, list: &BoxList, moment: Moment) {
         let mut inner = lock(&self.inner);
--- a/crates/ivyweird/src/learn.rs
+++ b/crates/ivyweird/src/learn.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 
+use ivyweir_policy::balance::VersionSet;
 use ivyweir_policy::claim::Incarnation;
 use ivyweir_policy::guard::{self, Detector};
 use ivyweir_policy::quality::{BUCKETS, Book, Count, Counter, Subject};
@@ -45,6 +46,7 @@
     me: Counter,
     book: Mutex<Book>,
     watch: Mutex<Watch>,
+    sets: Mutex<HashMap<u32, VersionSet>>,
 }
 
 #[derive(Default)]
@@ -90,9 +92,25 @@
             },
             book: Mutex::new(Book::default()),
             watch: Mutex::new(Watch::default()),
+            sets: Mutex::new(HashMap::new()),
         }
     }
 
+    /// Notes a set of versions that upstreams have loaded.
+    pub fn learn_set(&self, set: VersionSet) {
+        lock(&self.sets).insert(set.id(), set);
+    }
+
+    /// The set of this id, if it is known.
+    pub fn version_set(&self, id: u32) -> Option<VersionSet> {
+        lock(&self.sets).get(&id).cloned()
+    }
+
+    /// All sets known.
+    pub fn version_sets(&self) -> Vec<VersionSet> {
+        lock(&self.sets).values().cloned().collect()
+    }
+
     /// Takes in an answer. Returns whether this box's verdict on the version changed.
     pub fn finished(&self, seen: &Observation, epoch_ms: u64, now_ms: u64) -> bool {
         let subject = subject(&seen.at, &seen.class, seen.bucket, epoch_ms);
--- a/crates/ivyweird/src/loads.rs
+++ b/crates/ivyweird/src/loads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
-use ivyweir_policy::balance::{Report, Upstream};
+use ivyweir_policy::balance::{Report, Upstream, VersionSet};
 use ivyweir_policy::{BoxState, Name, rank};
 
 use crate::gate::Moment;
@@ -11,8 +11,10 @@
 
 /// Boxes that ask one upstream.
 const ASKERS: usize = 2;
-/// Time between two reports of one upstream to one box.
-const INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest time between two reports of one upstream to one box.
+const MIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Time added for each upstream, so that what boxes tell each other of loads does not grow.
+const INTERVAL_PER_UPSTREAM: Duration = Duration::from_millis(5);
 /// Threads that ask; a slow upstream must not hold up the others.
 pub const THREADS: usize = 4;
 
@@ -23,7 +25,7 @@
 }
 
 struct Target {
-    name: Name,
+    id: u64,
     addr: Name,
 }
 
@@ -49,19 +51,26 @@
     while !node.is_stopped() {
         let serving = node.serving();
         let names: Vec<&str> = serving.iter().map(|m| m.name.as_ref()).collect();
-        for upstream in node.gate.upstreams() {
-            if upstream.state == BoxState::Live && is_mine(node, &names, &upstream) {
-                let target = Target {
-                    name: upstream.name,
-                    addr: upstream.addr,
-                };
-                let _next_round = round.sender.try_send(target);
-            }
+        let targets = node.gate.read_upstreams(|upstream| {
+            let mine = upstream.state == BoxState::Live && is_mine(node, &names, upstream);
+            mine.then(|| Target {
+                id: upstream.id(),
+                addr: upstream.addr.clone(),
+            })
+        });
+        for target in targets {
+            let _next_round = round.sender.try_send(target);
         }
-        node.pause(INTERVAL);
+        node.pause(interval(node));
     }
 }
 
+/// Time between two reports of one upstream, for as many upstreams as there are.
+pub fn interval(node: &Node) -> Duration {
+    let upstreams = node.gate.read_upstreams(|_| Some(())).len() as u32;
+    (INTERVAL_PER_UPSTREAM * upstreams).max(MIN_INTERVAL)
+}
+
 fn is_mine(node: &Node, serving: &[&str], upstream: &Upstream) -> bool {
     let key = format!("load/{}", upstream.name);
     rank::top(&key, serving.iter().copied(), ASKERS).contains(&node.me.box_name.as_ref())
@@ -70,7 +79,7 @@
 /// Asks upstreams as they are named, for as long as the box runs.
 pub fn ask(node: &Node, round: &Round) {
     while !node.is_stopped() {
-        let Ok(target) = round.receiver.recv_timeout(INTERVAL) else {
+        let Ok(target) = round.receiver.recv_timeout(MIN_INTERVAL) else {
             continue;
         };
         let asked_ms = node.clock.now_ms();
@@ -78,18 +87,19 @@
         let Ok(load) = node.engine.load(&target.addr) else {
             continue;
         };
+        let versions: VersionSet = load.versions.iter().map(|v| v.as_str().into()).collect();
+        node.learning.learn_set(versions.clone());
         let report = Report {
             running: load.running,
             waiting: load.waiting,
             slots: load.slots,
-            versions: load.versions.iter().map(|v| v.as_str().into()).collect(),
-            seq: asked_ms,
+            versions,
             at_ms: asked_ms,
         };
         let moment = Moment {
             now_ms: node.clock.now_ms(),
             live_boxes: node.live_boxes(),
         };
-        node.gate.report([(target.name, report)], moment);
+        node.gate.report([(target.id, report)], moment);
     }
 }
--- a/crates/ivyweird/src/peer_api.rs
+++ b/crates/ivyweird/src/peer_api.rs
@@ -5,6 +5,7 @@
 use ivyweir_peer::{Peer, pb};
 use ivyweir_policy::claim::{Incarnation, Journal};
 
+use crate::digest::Tell;
 use crate::node::Node;
 use crate::{digest, forward, once, spread};
 
@@ -18,7 +19,14 @@
     fn exchange(&self, digest: pb::Digest) -> pb::Digest {
         let lacking = digest::merge(&self.node, &digest);
         // What is newer at the sender is fetched in this box's own next round with it.
-        digest::build(&self.node, lacking.members)
+        let tell = Tell {
+            members: lacking.members,
+            sets: digest.wants_sets,
+            wants_sets: lacking.sets,
+        };
+        let answer = digest::build(&self.node, tell);
+        spread::count_bytes(&self.node, [&digest, &answer]);
+        answer
     }
 
     fn push(&self, document: pb::Document) -> bool {
--- a/crates/ivyweird/src/spread.rs
+++ b/crates/ivyweird/src/spread.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Clock;
 use crate::config::Adoption;
-use crate::digest;
+use crate::digest::{self, Lacking, Tell};
 use crate::gate::Moment;
 use crate::node::Node;
 
@@ -226,7 +226,11 @@
 
 /// Exchanges digests with peers, in rounds, for as long as the box runs.
 pub fn exchange_rounds(node: &Node) {
-    let mut tell_members = true;
+    let mut tell = Tell {
+        members: true,
+        sets: true,
+        wants_sets: false,
+    };
     while !node.is_stopped() {
         let timing = node.timing();
         let addrs = node.with_members(|table, timing, now_ms| {
@@ -245,35 +249,35 @@
                 .cloned()
                 .collect();
         }
-        tell_members = exchange(node, &addrs, tell_members);
+        tell = exchange(node, &addrs, tell);
         node.count_live_boxes();
         node.pause(Duration::from_millis(timing.period_ms));
     }
 }
 
-/// One round. Returns whether some partner knows other members than this box.
-fn exchange(node: &Node, addrs: &[String], with_members: bool) -> bool {
-    let digest = digest::build(node, with_members);
+/// One round. Returns what to tell in the next.
+fn exchange(node: &Node, addrs: &[String], tell: Tell) -> Tell {
+    let digest = digest::build(node, tell);
     node.metrics.exchanges.add(addrs.len() as u64, &[]);
-    let sent_bytes = encoded_bytes(&digest) * addrs.len() as u64;
-    let mut received_bytes = 0;
-    let mut differs = false;
+    let mut next = Tell::default();
     for answer in node.peers.exchange_all(addrs, &digest) {
-        received_bytes += encoded_bytes(&answer);
-        differs |= take_digest(node, &answer);
+        count_bytes(node, [&digest, &answer]);
+        let lacking = take_digest(node, &answer);
+        next.members |= lacking.members;
+        next.wants_sets |= lacking.sets;
+        next.sets |= answer.wants_sets;
     }
-    node.metrics
-        .digest_bytes
-        .add(sent_bytes + received_bytes, &[]);
-    differs
+    next
 }
 
-fn encoded_bytes(digest: &pb::Digest) -> u64 {
-    ivyweir_peer::encoded_bytes(digest) as u64
+/// Counts digests that this box sent and received.
+pub fn count_bytes(node: &Node, digests: [&pb::Digest; 2]) {
+    let bytes = digests.map(|d| ivyweir_peer::encoded_bytes(d) as u64);
+    node.metrics.digest_bytes.add(bytes.iter().sum(), &[]);
 }
 
-/// Takes in a digest and fetches what its sender has newer. Returns whether members differ.
-pub fn take_digest(node: &Node, digest: &pb::Digest) -> bool {
+/// Takes in a digest and fetches what its sender has newer. Returns what this box lacked.
+fn take_digest(node: &Node, digest: &pb::Digest) -> Lacking {
     let lacking = digest::merge(node, digest);
     let sender = node.member(&digest.r#box);
     if let Some(sender) = sender {
@@ -288,7 +292,7 @@
             let _missed = node.peers.push(&sender.peer_addr, config_document(node));
         }
     }
-    lacking.members
+    lacking
 }
 
 fn fetch(node: &Node, addr: &str, kind: u32) {
