--- a/crates/ivyweir-policy/src/member.rs
+++ b/crates/ivyweir-policy/src/member.rs
@@ -24,7 +24,12 @@
     /// Times for a fleet of `boxes`: news needs about log2 of the fleet in exchanges.
     pub fn for_fleet(boxes: usize) -> Self {
         let rounds = u64::from(usize::BITS - boxes.max(2).leading_zeros());
-        let period_ms = if boxes <= SMALL_FLEET { 250 } else { 500 };
+        let period_ms = match boxes {
+            0..=SMALL_FLEET => 250,
+            _ if boxes <= LARGE_FLEET => 500,
+            // Each digest names all members, so larger fleets exchange less often.
+            _ => 750,
+        };
         let fanout = if boxes <= TINY_FLEET { 2 } else { 1 };
         let suspect_ms = period_ms * (4 + rounds);
         Self {
@@ -39,6 +44,7 @@
 
 const TINY_FLEET: usize = 5;
 const SMALL_FLEET: usize = 32;
+const LARGE_FLEET: usize = 200;
 const FORGET_MS: u64 = 60_000;
 
 /// What is said of a member.
@@ -66,7 +72,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Beat {
     /// From [`member_id`].
-    pub member_id: u64,
+    pub member_id: u32,
     /// The heartbeat.
     pub heartbeat: u64,
     /// Generation of the configuration in force there.
@@ -97,14 +103,14 @@
     rows: HashMap<Name, Row>,
     /// Highest incarnation forgotten, by box.
     graves: HashMap<Name, u64>,
-    ids: HashMap<u64, Name>,
+    ids: HashMap<u32, Name>,
     listed: Vec<(Name, Name, Name)>,
     turn: u64,
 }
 
 /// The short id of a member in heartbeats.
-pub fn member_id(name: &str, incarnation: u64) -> u64 {
-    hash64(&[name.as_bytes(), &incarnation.to_le_bytes()])
+pub fn member_id(name: &str, incarnation: u64) -> u32 {
+    hash64(&[name.as_bytes(), &incarnation.to_le_bytes()]) as u32
 }
 
 impl Table {
@@ -313,7 +319,7 @@
     /// Digest of names and incarnations: two boxes with the same know the same members.
     pub fn digest(&self) -> u64 {
         self.records()
-            .map(|r| member_id(&r.name, r.incarnation) ^ flags(r))
+            .map(|r| u64::from(member_id(&r.name, r.incarnation)) ^ flags(r))
             .fold(0, |sum, id| sum.wrapping_add(mix(id, 1)))
     }
 
--- a/crates/ivyweird/src/digest.rs
+++ b/crates/ivyweird/src/digest.rs
@@ -52,12 +52,9 @@
 pub fn build(node: &Node, tell: Tell) -> pb::Digest {
     let now_ms = node.clock.now_ms();
     let current = node.current();
+    let generation = current.config.generation;
     let (members, beats, table_digest) = node.with_members(|table, timing, now_ms| {
-        let beats = table
-            .beats(timing, now_ms)
-            .into_iter()
-            .map(beat_out)
-            .collect();
+        let beats = table.beats(timing, now_ms);
         let full = if tell.members {
             table.records().map(member_out).collect()
         } else {
@@ -70,8 +67,13 @@
         r#box: node.me.box_name.to_string(),
         incarnation: node.me.number,
         members,
-        beats,
-        marks: marks(node, current.config.generation, current.digest),
+        beat_ids: beats.iter().map(|b| b.member_id).collect(),
+        beat_counts: beats.iter().map(|b| b.heartbeat as u32).collect(),
+        beat_lags: beats
+            .iter()
+            .map(|b| lag(generation, b.generation))
+            .collect(),
+        marks: marks(node, generation, current.digest),
         proof_age_ms: node
             .config
             .proof_age_ms(now_ms)
@@ -210,8 +212,8 @@
         for member in &digest.members {
             table.merge(member_in(member), now_ms);
         }
-        for beat in &digest.beats {
-            table.merge_beat(beat_in(beat), now_ms);
+        for beat in beats_in(digest) {
+            table.merge_beat(beat, now_ms);
         }
         Lacking {
             members: table.digest() != digest.table_digest,
@@ -265,20 +267,29 @@
     }
 }
 
-fn beat_out(beat: Beat) -> pb::Beat {
-    pb::Beat {
-        member_id: beat.member_id,
-        heartbeat: beat.heartbeat as u32,
-        generation: beat.generation,
-    }
+fn lag(generation: u64, behind: u64) -> u32 {
+    generation.saturating_sub(behind).min(u64::from(u32::MAX)) as u32
 }
 
-fn beat_in(beat: &pb::Beat) -> Beat {
-    Beat {
-        member_id: beat.member_id,
-        heartbeat: u64::from(beat.heartbeat),
-        generation: beat.generation,
+/// The heartbeats of a digest; a digest whose lists do not fit together has none.
+fn beats_in(digest: &pb::Digest) -> Vec<Beat> {
+    let count = digest.beat_ids.len();
+    if digest.beat_counts.len() != count || digest.beat_lags.len() != count {
+        return Vec::new();
     }
+    let marks = digest.marks.iter();
+    let generation = marks
+        .filter(|m| m.kind == CONFIG_DOCUMENT)
+        .map(|m| m.generation)
+        .max();
+    let generation = generation.unwrap_or(0);
+    (0..count)
+        .map(|at| Beat {
+            member_id: digest.beat_ids[at],
+            heartbeat: u64::from(digest.beat_counts[at]),
+            generation: generation.saturating_sub(u64::from(digest.beat_lags[at])),
+        })
+        .collect()
 }
 
 fn tally_out(tally: Tally) -> pb::Tally {
--- a/crates/ivyweird/src/loads.rs
+++ b/crates/ivyweird/src/loads.rs
@@ -48,11 +48,12 @@
 
 /// Says, round after round, which upstreams this box is to ask.
 pub fn plan_rounds(node: &Node, round: &Round) {
+    let me = hash_name(&node.me.box_name);
     while !node.is_stopped() {
         let serving = node.serving();
-        let names: Vec<&str> = serving.iter().map(|m| m.name.as_ref()).collect();
+        let hashes: Vec<u64> = serving.iter().map(|m| hash_name(&m.name)).collect();
         let targets = node.gate.read_upstreams(|upstream| {
-            let mine = upstream.state == BoxState::Live && is_mine(node, &names, upstream);
+            let mine = upstream.state == BoxState::Live && is_mine(me, &hashes, upstream);
             mine.then(|| Target {
                 id: upstream.id(),
                 addr: upstream.addr.clone(),
@@ -65,15 +66,24 @@
     }
 }
 
+fn hash_name(name: &str) -> u64 {
+    rank::hash64(&[name.as_bytes()])
+}
+
 /// Time between two reports of one upstream, for as many upstreams as there are.
 pub fn interval(node: &Node) -> Duration {
     let upstreams = node.gate.read_upstreams(|_| Some(())).len() as u32;
     (INTERVAL_PER_UPSTREAM * upstreams).max(MIN_INTERVAL)
 }
 
-fn is_mine(node: &Node, serving: &[&str], upstream: &Upstream) -> bool {
-    let key = format!("load/{}", upstream.name);
-    rank::top(&key, serving.iter().copied(), ASKERS).contains(&node.me.box_name.as_ref())
+/// Whether this box is among the first for an upstream, by a rendezvous over hashed names.
+///
+/// With 350 boxes and 1,000 upstreams this runs often, so names are hashed once a round.
+fn is_mine(me: u64, serving: &[u64], upstream: &Upstream) -> bool {
+    let score = |of: u64| rank::mix(upstream.id(), of);
+    let own = score(me);
+    let before = serving.iter().filter(|other| score(**other) > own);
+    before.take(ASKERS).count() < ASKERS
 }
 
 /// Asks upstreams as they are named, for as long as the box runs.
