--- a/crates/ivyweir-policy/src/balance.rs
+++ b/crates/ivyweir-policy/src/balance.rs
@@ -149,6 +149,14 @@
     Full,
 }
 
+/// Load of several upstreams together.
+#[derive(Debug, Clone, Copy, Default)]
+struct Load {
+    slots: u64,
+    held: u64,
+    own: u64,
+}
+
 /// The upstreams that this box knows.
 #[derive(Debug, Default)]
 pub struct Balancer {
@@ -429,18 +437,28 @@
     }
 
     /// The first in rendezvous order whose load is within the bound.
+    ///
+    /// Reports lag, and all boxes choose alike, so this box's own calls are the newest sample of
+    /// everybody's: they must be within the bound too.
     fn by_affinity(&self, with_room: &[usize], want: &Want<'_>) -> Option<usize> {
         let prefix = want.prefix?;
-        let (slots, held) = with_room.iter().fold((0, 0), |(slots, held), &at| {
+        let mut sum = Load::default();
+        for &at in with_room {
             let u = &self.upstreams[at];
-            (slots + u.slots(want.now_ms), held + u.corrected())
-        });
+            sum.slots += u.slots(want.now_ms);
+            sum.held += u.corrected();
+            sum.own += u64::from(u.in_flight);
+        }
         let slow_ms = self.slow_ms(with_room);
         let within = |at: &&usize| {
             let u = &self.upstreams[**at];
-            let bound = (held + 1) * u.slots(want.now_ms) * BOUND_PERMILLE / slots.max(1) / 1_000;
+            let bound = |total: u64| {
+                let share = (total + 1) * u.slots(want.now_ms) * BOUND_PERMILLE;
+                share.div_ceil(sum.slots.max(1) * 1_000)
+            };
             let is_slow = slow_ms > 0 && u.first_token_ewma_ms > slow_ms;
-            u.corrected() <= bound && !is_slow
+            let own = u64::from(u.in_flight);
+            u.corrected() <= bound(sum.held) && own < bound(sum.own) && !is_slow
         };
         with_room
             .iter()
--- a/crates/ivyweir-policy/src/choose.rs
+++ b/crates/ivyweir-policy/src/choose.rs
@@ -147,21 +147,45 @@
     })
 }
 
-/// Which cheaper candidate to try for the sake of its rating, if any.
+/// What to do for the sake of a candidate's ratings, if anything.
 ///
-/// `draw` is uniform over 0..1000. A candidate is tried while few of its answers were rated.
-pub fn explore(candidates: &[Candidate], draw_permille: u32) -> Option<usize> {
-    const EXPLORE_PERMILLE: u32 = 30;
-    const ENOUGH_RATED: u64 = 30;
-    if draw_permille >= EXPLORE_PERMILLE {
-        return None;
-    }
-    (0..candidates.len())
-        .filter(|&i| !candidates[i].bad && candidates[i].total().rated < ENOUGH_RATED)
+/// `draw_permille` is uniform over 0..1000. The candidate with the fewest ratings is tried, more
+/// often while it has next to none; where a second call is possible, an answer that it is not sure
+/// of is dropped for one of the best candidate, so that trying costs little quality.
+pub fn explore(candidates: &[Candidate], needs: Needs, draw_permille: u32) -> Option<Choice> {
+    let first = (0..candidates.len())
+        .filter(|&i| !candidates[i].bad)
         .min_by_key(|&i| {
             (
                 candidates[i].total().rated,
                 candidates[i].cost_micro_per_ktoken,
             )
-        })
+        })?;
+    let chance_permille = match candidates[first].total().rated {
+        0..FEW_RATED => EAGER_PERMILLE,
+        FEW_RATED..ENOUGH_RATED => EXPLORE_PERMILLE,
+        _ => 0,
+    };
+    if draw_permille >= chance_permille {
+        return None;
+    }
+    let quality = |i: &usize| candidates[*i].forecast().quality;
+    let then = (0..candidates.len())
+        .filter(|&i| !candidates[i].bad && i != first)
+        .max_by(|a, b| quality(a).total_cmp(&quality(b)));
+    match then {
+        Some(then) if needs.may_cascade => Some(Choice::Cascade {
+            first,
+            then,
+            accept_from: BUCKETS as u8 / 2,
+        }),
+        _ => Some(Choice::Single(first)),
+    }
 }
+
+/// Ratings up to which a candidate is hardly known.
+const FEW_RATED: u64 = 40;
+/// Ratings from which on it is known.
+const ENOUGH_RATED: u64 = 160;
+const EAGER_PERMILLE: u32 = 100;
+const EXPLORE_PERMILLE: u32 = 30;
--- a/crates/ivyweir-standins/examples/load/report.rs
+++ b/crates/ivyweir-standins/examples/load/report.rs
@@ -9,7 +9,7 @@
 
 use crate::Args;
 use crate::drive::Done;
-use crate::scenario::TARGET;
+use crate::scenario::target;
 
 type Failure = Box<dyn std::error::Error>;
 
@@ -122,10 +122,10 @@
             .or_default()
             .extend(done.quality);
     }
-    let told = by_workspace.values().filter(|q| q.len() >= ENOUGH);
-    let means = told.map(|q| q.iter().sum::<f64>() / q.len() as f64);
-    means.fold((0, 0), |(met, all), mean| {
-        (met + usize::from(mean >= TARGET), all + 1)
+    let told = by_workspace.iter().filter(|(_, q)| q.len() >= ENOUGH);
+    let met = told.map(|(at, q)| q.iter().sum::<f64>() / q.len() as f64 >= target(*at));
+    met.fold((0, 0), |(met, all), is_met| {
+        (met + usize::from(is_met), all + 1)
     })
 }
 
--- a/crates/ivyweird/src/route.rs
+++ b/crates/ivyweird/src/route.rs
@@ -214,9 +214,6 @@
         ModelSetting::Cheap => return Ok(Choice::Single(all.min_by_key(by_cost).unwrap_or(0))),
         ModelSetting::Target => {}
     }
-    if let Some(at) = choose::explore(candidates, draw_permille()) {
-        return Ok(Choice::Single(at));
-    }
     let workspace = context.current.config.workspaces.get(&context.workspace);
     let needs = Needs {
         quality_target: workspace.map_or(1.0, |w| w.quality_target),
@@ -225,6 +222,9 @@
             && !context.marks.at_most_once
             && context.left_ms() >= CASCADE_LEFT_MS,
     };
+    if let Some(choice) = choose::explore(candidates, needs, draw_permille()) {
+        return Ok(choice);
+    }
     choose::choose(candidates, needs)
         .ok_or_else(|| Refusal::not_run(Code::ModelNotFound, "the workspace may use no model"))
 }
