Dying upstreams no longer condemn versions; large files split; costs that grew with the book cut

Change: an upstream's failure speaks against a version once, until that upstream succeeds again. A request that a peer forwarded is counted in progress, so that a planned stop waits for it; a box that knows of a newer configuration accepts no change; replicas get records by position in place of a copy of all; counts for choices are kept for 250 ms; plan.rs and balance.rs split by job.

Conclusion: verdicts need evidence from more than one upstream or from one that also succeeds.

--- /dev/null
+++ b/crates/ivyweir-policy/src/carry.rs
@@ -0,0 +1,385 @@
+//! Carrying out intents: the configuration that each one makes, and the parts that it rests on.
+
+use serde::Serialize;
+
+use crate::plan::Change;
+use crate::{
+    Config, Error, ErrorKind, Event, Intent, Model, Name, Result, Rollout, RolloutState,
+    SessionKey, Version, VersionRef, VersionState, Workspace, rollout,
+};
+
+/// A configuration after an intent, with what that changes and does.
+pub(crate) struct Outcome {
+    pub(crate) config: Config,
+    pub(crate) changes: Vec<Change>,
+    pub(crate) effects: Vec<String>,
+}
+
+impl Outcome {
+    fn change(&mut self, path: impl Into<String>, becomes: impl Into<String>) {
+        self.changes.push(Change {
+            path: path.into(),
+            becomes: becomes.into(),
+        });
+    }
+
+    fn effect(&mut self, text: impl Into<String>) {
+        self.effects.push(text.into());
+    }
+}
+
+/// Carries out an intent on a copy of `config`.
+///
+/// # Errors
+///
+/// When the intent does not fit.
+pub(crate) fn carry_out(config: &Config, intent: &Intent) -> Result<Outcome> {
+    let mut out = Outcome {
+        config: config.clone(),
+        changes: Vec::new(),
+        effects: Vec::new(),
+    };
+    match intent {
+        Intent::CreateEvent {
+            name,
+            start_ms,
+            workspaces,
+        } => create_event(&mut out, name, *start_ms, workspaces)?,
+        Intent::AddVersion {
+            at,
+            cost_micro_per_ktoken,
+            prior_quality,
+        } => add_version(&mut out, at, *cost_micro_per_ktoken, *prior_quality)?,
+        Intent::SetCurrent { at } => set_current(&mut out, at)?,
+        Intent::PutWorkspace { name, workspace } => put_workspace(&mut out, name, workspace)?,
+        Intent::PutPool { name, pool } => {
+            out.config.pools.insert(name.clone(), pool.clone());
+            out.change(format!("pools.{name}"), json(pool));
+        }
+        Intent::PutOperator { name, operator } => {
+            out.config.operators.insert(name.clone(), operator.clone());
+            out.change(format!("operators.{name}.role"), json(&operator.role));
+        }
+        Intent::Roll { .. } => roll(&mut out, intent)?,
+        Intent::Halt { rollout, reason } => halt(&mut out, rollout, reason)?,
+        Intent::Withdraw { at } => withdraw(&mut out, at)?,
+        Intent::Step {
+            rollout,
+            share_permille,
+            at_ms,
+        } => step(&mut out, rollout, *share_permille, *at_ms)?,
+        Intent::RotateSessionKey {
+            key,
+            drop_before_ms,
+        } => rotate(&mut out, key, *drop_before_ms),
+    }
+    Ok(out)
+}
+
+fn create_event(out: &mut Outcome, name: &Name, start_ms: u64, workspaces: &[Name]) -> Result<()> {
+    if out.config.events.contains_key(name) {
+        return Err(Error::new(ErrorKind::Exists, format!("event {name}")));
+    }
+    for workspace in workspaces {
+        require_workspace(&out.config, workspace)?;
+    }
+    let event = Event {
+        start_ms,
+        workspaces: workspaces.to_vec(),
+    };
+    out.change(format!("events.{name}"), json(&event));
+    out.config.events.insert(name.clone(), event);
+    Ok(())
+}
+
+fn add_version(out: &mut Outcome, at: &VersionRef, cost: u64, prior: f64) -> Result<()> {
+    check_unit("prior_quality", prior)?;
+    let model = out
+        .config
+        .models
+        .entry(at.model.clone())
+        .or_insert_with(|| Model {
+            current: at.version.clone(),
+            ..Model::default()
+        });
+    if model.versions.contains_key(&at.version) {
+        return Err(Error::new(ErrorKind::Exists, format!("version {at}")));
+    }
+    let version = Version {
+        cost_micro_per_ktoken: cost,
+        prior_quality: prior,
+        state: VersionState::Active,
+    };
+    let text = json(&version);
+    model.versions.insert(at.version.clone(), version);
+    out.change(format!("models.{}.versions.{}", at.model, at.version), text);
+    out.effect(format!("{at} takes no work until a workspace allows it"));
+    Ok(())
+}
+
+fn set_current(out: &mut Outcome, at: &VersionRef) -> Result<()> {
+    require_active(&out.config, at)?;
+    let model = out.config.models.get_mut(&at.model).expect("version found");
+    model.current = at.version.clone();
+    out.change(format!("models.{}.current", at.model), at.version.as_ref());
+    out.effect(format!(
+        "new sessions of {} use {at}; open ones keep theirs",
+        at.model
+    ));
+    Ok(())
+}
+
+fn put_workspace(out: &mut Outcome, name: &Name, workspace: &Workspace) -> Result<()> {
+    check_unit("quality_target", workspace.quality_target)?;
+    if workspace.weight == 0 {
+        return Err(Error::new(
+            ErrorKind::Invalid,
+            "weight 0, expected 1 or more",
+        ));
+    }
+    for at in &workspace.allowed {
+        if out.config.version(at).is_none() {
+            return Err(Error::new(ErrorKind::NotFound, format!("version {at}")));
+        }
+    }
+    let allowed: Vec<String> = workspace.allowed.iter().map(|v| v.to_string()).collect();
+    out.change(format!("workspaces.{name}.allowed"), allowed.join(" "));
+    out.change(
+        format!("workspaces.{name}.quality_target"),
+        workspace.quality_target.to_string(),
+    );
+    out.change(
+        format!("workspaces.{name}.weight"),
+        workspace.weight.to_string(),
+    );
+    out.effect(format!(
+        "requests of {name} run only on the versions listed"
+    ));
+    out.config
+        .workspaces
+        .insert(name.clone(), workspace.clone());
+    Ok(())
+}
+
+fn roll(out: &mut Outcome, intent: &Intent) -> Result<()> {
+    let Intent::Roll {
+        workspace,
+        to,
+        target_permille,
+        start_ms,
+        until_ms,
+        steps,
+        guard,
+    } = intent
+    else {
+        unreachable!("called for a roll only")
+    };
+    require_active(&out.config, to)?;
+    let owner = require_workspace(&out.config, workspace)?;
+    if !owner.allowed.contains(to) {
+        let text = format!("version {to} for workspace {workspace}, allow it first");
+        return Err(Error::new(ErrorKind::Invalid, text));
+    }
+    if *target_permille > 1_000 || *steps == 0 || until_ms <= start_ms {
+        let text =
+            "roll-out, expected a share of at most 1000, 1 step or more, an end after its start";
+        return Err(Error::new(ErrorKind::Invalid, text));
+    }
+    let id = rollout::id(workspace, &to.model);
+    let from_permille = rollout::share_of(&out.config, &id, &to.version);
+    let span = target_permille.saturating_sub(from_permille);
+    let rollout = Rollout {
+        workspace: workspace.clone(),
+        model: to.model.clone(),
+        to: to.version.clone(),
+        share_permille: from_permille.min(*target_permille),
+        target_permille: *target_permille,
+        step_permille: span.div_ceil(*steps).max(1),
+        step_interval_ms: (until_ms - start_ms) / u64::from(*steps),
+        stepped_ms: *start_ms,
+        until_ms: *until_ms,
+        state: RolloutState::Running,
+        guard: guard.clone(),
+    };
+    out.change(format!("rollouts.{id}"), json(&rollout));
+    out.effect(format!(
+        "new sessions of {workspace} move to {to} in steps of {}/1000 every {} ms, to {target_permille}/1000",
+        rollout.step_permille, rollout.step_interval_ms
+    ));
+    out.effect("open sessions keep their version");
+    out.config.rollouts.insert(id, rollout);
+    Ok(())
+}
+
+fn halt(out: &mut Outcome, id: &Name, reason: &str) -> Result<()> {
+    let rollout = require_rollout(&mut out.config, id)?;
+    rollout.state = RolloutState::Halted;
+    rollout.share_permille = 0;
+    let to = VersionRef::new(rollout.model.clone(), rollout.to.clone());
+    out.change(format!("rollouts.{id}.state"), format!("halted ({reason})"));
+    out.effect(format!(
+        "new sessions no longer use {to}; open ones keep it"
+    ));
+    Ok(())
+}
+
+fn withdraw(out: &mut Outcome, at: &VersionRef) -> Result<()> {
+    let Some(model) = out.config.models.get_mut(&at.model) else {
+        return Err(Error::new(
+            ErrorKind::NotFound,
+            format!("model {}", at.model),
+        ));
+    };
+    let Some(version) = model.versions.get_mut(&at.version) else {
+        return Err(Error::new(ErrorKind::NotFound, format!("version {at}")));
+    };
+    version.state = VersionState::Withdrawn;
+    let was_current = model.current == at.version;
+    let successor = model
+        .versions
+        .iter()
+        .rev()
+        .find(|(_, v)| v.state == VersionState::Active)
+        .map(|(name, _)| name.clone());
+    if let (true, Some(next)) = (was_current, &successor) {
+        model.current = next.clone();
+    }
+    out.change(
+        format!("models.{}.versions.{}.state", at.model, at.version),
+        "withdrawn",
+    );
+    out.effect(format!(
+        "{at} receives no new work; its open sessions are refused"
+    ));
+    match (was_current, successor) {
+        (true, Some(next)) => out.change(format!("models.{}.current", at.model), next.as_ref()),
+        (true, None) => out.effect(format!("{} has no version left", at.model)),
+        (false, _) => {}
+    }
+    halt_all_to(out, at);
+    Ok(())
+}
+
+fn halt_all_to(out: &mut Outcome, at: &VersionRef) {
+    let ids: Vec<Name> = out
+        .config
+        .rollouts
+        .iter()
+        .filter(|(_, r)| r.model == at.model && r.to == at.version)
+        .map(|(id, _)| id.clone())
+        .collect();
+    for id in ids {
+        halt(out, &id, "version withdrawn").expect("the roll-out was listed");
+    }
+}
+
+fn step(out: &mut Outcome, id: &Name, share_permille: u32, at_ms: u64) -> Result<()> {
+    let rollout = require_rollout(&mut out.config, id)?;
+    if rollout.state != RolloutState::Running {
+        return Err(Error::new(
+            ErrorKind::Invalid,
+            format!("roll-out {id}, not running"),
+        ));
+    }
+    rollout.share_permille = share_permille.min(rollout.target_permille);
+    rollout.stepped_ms = at_ms;
+    if rollout.share_permille == rollout.target_permille {
+        rollout.state = RolloutState::Done;
+    }
+    let share = rollout.share_permille.to_string();
+    out.change(format!("rollouts.{id}.share_permille"), share);
+    Ok(())
+}
+
+fn rotate(out: &mut Outcome, key: &SessionKey, drop_before_ms: u64) {
+    let keys = &mut out.config.session_keys;
+    keys.retain(|k| k.created_ms >= drop_before_ms);
+    keys.push(key.clone());
+    out.change("session_keys", format!("signed by {} from now on", key.id));
+    out.effect("open sessions stay valid until they expire");
+}
+
+/// Digest of the parts of `config` that `intent` reads or writes.
+pub(crate) fn footprint(config: &Config, intent: &Intent) -> Name {
+    let parts = match intent {
+        Intent::CreateEvent { name, .. } => json(&config.events.get(name)),
+        Intent::AddVersion { at, .. } => {
+            let version = config.version(at);
+            json(&(config.models.contains_key(&at.model), version))
+        }
+        Intent::SetCurrent { at } => json(&config.models.get(&at.model)),
+        Intent::PutWorkspace { name, workspace } => {
+            let versions: Vec<_> = workspace
+                .allowed
+                .iter()
+                .map(|v| config.version(v))
+                .collect();
+            json(&(config.workspaces.get(name), versions))
+        }
+        Intent::PutPool { name, .. } => json(&config.pools.get(name)),
+        Intent::PutOperator { name, .. } => json(&config.operators.get(name)),
+        Intent::Roll { workspace, to, .. } => {
+            let id = rollout::id(workspace, &to.model);
+            let allowed = config.workspaces.get(workspace).map(|w| &w.allowed);
+            json(&(
+                config.models.get(&to.model),
+                allowed,
+                config.rollouts.get(&id),
+            ))
+        }
+        Intent::Halt { rollout, .. } | Intent::Step { rollout, .. } => {
+            json(&config.rollouts.get(rollout))
+        }
+        Intent::Withdraw { at } => {
+            let to_it: Vec<_> = config
+                .rollouts
+                .iter()
+                .filter(|(_, r)| r.model == at.model)
+                .map(|(id, r)| (id, &r.to, r.state))
+                .collect();
+            json(&(config.models.get(&at.model), to_it))
+        }
+        Intent::RotateSessionKey { .. } => json(&config.session_keys),
+    };
+    blake3::hash(parts.as_bytes()).to_hex()[..32].into()
+}
+
+fn json<T: Serialize + ?Sized>(value: &T) -> String {
+    serde_json::to_string(value).expect("configuration parts are always valid JSON")
+}
+
+fn require_workspace<'a>(config: &'a Config, name: &str) -> Result<&'a Workspace> {
+    config
+        .workspaces
+        .get(name)
+        .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("workspace {name}")))
+}
+
+fn require_rollout<'a>(config: &'a mut Config, id: &str) -> Result<&'a mut Rollout> {
+    config
+        .rollouts
+        .get_mut(id)
+        .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("roll-out {id}")))
+}
+
+fn require_active(config: &Config, at: &VersionRef) -> Result<()> {
+    match config.version(at).map(|v| v.state) {
+        None => Err(Error::new(ErrorKind::NotFound, format!("version {at}"))),
+        Some(VersionState::Withdrawn) => Err(Error::new(
+            ErrorKind::Invalid,
+            format!("version {at}, withdrawn"),
+        )),
+        Some(VersionState::Active) => Ok(()),
+    }
+}
+
+fn check_unit(field: &str, value: f64) -> Result<()> {
+    if (0.0..=1.0).contains(&value) {
+        Ok(())
+    } else {
+        Err(Error::new(
+            ErrorKind::Invalid,
+            format!("{field} {value}, expected 0 to 1"),
+        ))
+    }
+}
--- a/crates/ivyweir-policy/src/choose.rs
+++ b/crates/ivyweir-policy/src/choose.rs
@@ -184,8 +184,8 @@
 }
 
 /// Ratings up to which a candidate is hardly known.
-const FEW_RATED: u64 = 40;
+const FEW_RATED: u64 = 24;
 /// Ratings from which on it is known.
-const ENOUGH_RATED: u64 = 160;
-const EAGER_PERMILLE: u32 = 100;
-const EXPLORE_PERMILLE: u32 = 30;
+const ENOUGH_RATED: u64 = 96;
+const EAGER_PERMILLE: u32 = 60;
+const EXPLORE_PERMILLE: u32 = 20;
--- a/crates/ivyweir-policy/src/ledger.rs
+++ b/crates/ivyweir-policy/src/ledger.rs
@@ -135,9 +135,13 @@
         seq
     }
 
-    /// Everything pending, up to `max_records`, oldest first.
-    pub fn batch(&self, max_records: usize) -> Vec<(u64, Record)> {
-        self.pending.iter().take(max_records).cloned().collect()
+    /// Pending records behind `after_seq`, up to `max_records`, oldest first.
+    pub fn batch_after(&self, after_seq: u64, max_records: usize) -> Vec<(u64, Record)> {
+        // Sequence numbers have no gaps, so the place is known.
+        let first_seq = self.pending.front().map_or(0, |(seq, _)| *seq);
+        let skip = (after_seq + 1).saturating_sub(first_seq) as usize;
+        let behind = self.pending.iter().skip(skip);
+        behind.take(max_records).cloned().collect()
     }
 
     /// Drops what is in the store: all records up to and with `through_seq`.
--- a/crates/ivyweir-policy/src/lib.rs
+++ b/crates/ivyweir-policy/src/lib.rs
@@ -16,10 +16,12 @@
 
 pub mod admit;
 pub mod balance;
+mod carry;
 pub mod choose;
 pub mod claim;
 mod error;
 pub mod guard;
+mod intent;
 pub mod ledger;
 pub mod member;
 mod plan;
@@ -30,10 +32,12 @@
 pub mod rollout;
 pub mod sight;
 pub mod token;
+mod upstream;
 mod value;
 
 pub use error::{Error, ErrorKind, Result};
-pub use plan::{APPLIED_PLANS_KEPT, AUDIT_KEPT, Change, Intent, Plan, describe, split_audit};
+pub use intent::{Intent, describe};
+pub use plan::{APPLIED_PLANS_KEPT, AUDIT_KEPT, Change, Plan, split_audit};
 pub use refusal::{Code, Refusal, Run};
 pub use value::{
     AuditEntry, BoxEntry, BoxKind, BoxList, BoxState, Config, Event, Guard, Model, Name, Operator,
--- a/crates/ivyweir-policy/src/quality.rs
+++ b/crates/ivyweir-policy/src/quality.rs
@@ -248,7 +248,7 @@
     }
 
     /// All rows, for digests.
-    pub fn iter(&self) -> impl Iterator<Item = (&Subject, &Counter, &Count)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&Subject, &Counter, &Count)> + Clone {
         self.rows
             .iter()
             .flat_map(|(s, counts)| counts.iter().map(move |(by, c)| (s, by, c)))
--- a/crates/ivyweird/src/confirm.rs
+++ b/crates/ivyweird/src/confirm.rs
@@ -32,6 +32,10 @@
     if !sight::may_accept(node.evidence()) {
         return Err("this box hears too few others to accept a change".into());
     }
+    // A store that was set back must not get a second change of a generation that was in force.
+    if node.is_behind() {
+        return Err("another box has a newer configuration; try again".into());
+    }
     let mut in_doubt = None;
     for _ in 0..ROUNDS {
         match round(node, plan, operator, in_doubt.is_some()) {
--- a/crates/ivyweird/src/forward.rs
+++ b/crates/ivyweird/src/forward.rs
@@ -136,13 +136,18 @@
     if !for_me {
         return None;
     }
+    // Counted, so that a planned stop waits for it; a stopping box still tells what it kept.
+    let entered = node.enter_forwarded();
     let parsed = Parsed {
         method: request.method,
         path_and_query: request.path,
         headers: request.headers.into_iter().map(header_in).collect(),
         body: request.body,
     };
-    let reply = caller_api::respond(node, &parsed);
+    let reply = match &entered {
+        Ok(_in_progress) => caller_api::respond(node, &parsed),
+        Err(refusal) => Reply::from(refusal),
+    };
     Some(pb::ForwardReply {
         http_status: u32::from(reply.status),
         headers: reply.headers.iter().map(header_out).collect(),
--- a/crates/ivyweird/src/learn.rs
+++ b/crates/ivyweird/src/learn.rs
@@ -1,6 +1,6 @@
 //! What this box learns of versions: ratings, failures, and the verdicts of other boxes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 
 use ivyweir_policy::balance::VersionSet;
@@ -11,9 +11,6 @@
 
 use crate::shards::lock;
 
-/// Failures of one upstream count against a version once in this time: an upstream that dies breaks
-/// off all its calls at one moment, and must not condemn all that it had loaded.
-const SAME_UPSTREAM_MS: u64 = 100;
 /// Verdicts of a box that is silent for long are void.
 const VERDICT_MS: u64 = 120_000;
 
@@ -47,14 +44,27 @@
     book: Mutex<Book>,
     watch: Mutex<Watch>,
     sets: Mutex<HashMap<u32, VersionSet>>,
+    /// Counts by version and class, as they were a moment ago.
+    known: Mutex<HashMap<(Name, Name), Known>>,
 }
 
+/// Counts by bucket, and when they were added up.
+#[derive(Clone, Copy)]
+struct Known {
+    at_ms: u64,
+    buckets: [Count; BUCKETS],
+}
+
+/// Counts may be this old; adding them up takes a walk through the book.
+const KNOWN_MS: u64 = 250;
+
 #[derive(Default)]
 struct Watch {
     detectors: HashMap<Name, Detector>,
     own_seq: u64,
     verdicts: HashMap<(Name, Name), Held>,
-    blamed_ms: HashMap<(Name, Name), u64>,
+    /// Upstreams whose last call failed; another failure says nothing more about a version.
+    failing: HashSet<Name>,
 }
 
 struct Held {
@@ -93,6 +103,7 @@
             book: Mutex::new(Book::default()),
             watch: Mutex::new(Watch::default()),
             sets: Mutex::new(HashMap::new()),
+            known: Mutex::new(HashMap::new()),
         }
     }
 
@@ -112,17 +123,17 @@
     }
 
     /// Takes in an answer. Returns whether this box's verdict on the version changed.
-    pub fn finished(&self, seen: &Observation, epoch_ms: u64, now_ms: u64) -> bool {
+    pub fn finished(&self, seen: &Observation, epoch_ms: u64) -> bool {
         let subject = subject(&seen.at, &seen.class, seen.bucket, epoch_ms);
         lock(&self.book).row(subject, &self.me).finish(seen.failed);
         let mut watch = lock(&self.watch);
         let version: Name = seen.at.to_string().into();
-        if seen.failed {
-            let key = (version.clone(), seen.upstream.clone());
-            let last_ms = watch.blamed_ms.insert(key, now_ms);
-            if last_ms.is_some_and(|last_ms| now_ms < last_ms + SAME_UPSTREAM_MS) {
-                return false;
-            }
+        // An upstream that is gone fails all it gets, whatever the version: it counts once.
+        if seen.failed && !watch.failing.insert(seen.upstream.clone()) {
+            return false;
+        }
+        if !seen.failed {
+            watch.failing.remove(&seen.upstream);
         }
         watch.observe(&self.me, version, seen.failed)
     }
@@ -137,9 +148,22 @@
         lock(&self.watch).observe(&self.me, version, is_bad)
     }
 
-    /// Counts by confidence bucket, filled up from other classes.
-    pub fn by_bucket(&self, at: &VersionRef, class: &str) -> [Count; BUCKETS] {
-        lock(&self.book).by_bucket_filled(at, class)
+    /// Counts by confidence bucket, filled up from other classes; up to 250 ms old.
+    pub fn by_bucket(&self, at: &VersionRef, class: &Name, now_ms: u64) -> [Count; BUCKETS] {
+        let key = (Name::from(at.to_string()), class.clone());
+        let known = lock(&self.known).get(&key).copied();
+        if let Some(known) = known
+            && now_ms < known.at_ms + KNOWN_MS
+        {
+            return known.buckets;
+        }
+        let buckets = lock(&self.book).by_bucket_filled(at, class);
+        let fresh = Known {
+            at_ms: now_ms,
+            buckets,
+        };
+        lock(&self.known).insert(key, fresh);
+        buckets
     }
 
     /// Counts of a version in all classes of a workspace, or of all workspaces.
@@ -203,38 +227,43 @@
     /// Up to `most` rows to tell others: own ones first, then others from a place that moves.
     pub fn tallies(&self, most: usize, turn: usize) -> Vec<Tally> {
         let book = lock(&self.book);
-        let all: Vec<Tally> = book
-            .iter()
-            .map(|(subject, by, count)| Tally {
-                subject: subject.clone(),
-                by: by.clone(),
-                count: *count,
-            })
-            .collect();
-        let (own, others): (Vec<Tally>, Vec<Tally>) =
-            all.into_iter().partition(|t| t.by == self.me);
-        let own_part = rotate(own, turn, most / 2);
-        let rest = most - own_part.len();
-        own_part
-            .into_iter()
-            .chain(rotate(others, turn, rest))
-            .collect()
+        let own = pick(
+            book.iter().filter(|(_, by, _)| **by == self.me),
+            turn,
+            most / 2,
+        );
+        let rest = most - own.len();
+        let others = pick(book.iter().filter(|(_, by, _)| **by != self.me), turn, rest);
+        own.into_iter().chain(others).collect()
     }
 
     /// Drops what is too old to count.
     pub fn forget(&self, epoch_ms: u64) {
+        lock(&self.known).clear();
         lock(&self.book).forget(epoch_ms);
     }
 }
 
-/// `most` of the rows, starting at a place that moves with `turn`.
-fn rotate(mut rows: Vec<Tally>, turn: usize, most: usize) -> Vec<Tally> {
-    if rows.len() > most {
-        let start = (turn * most) % rows.len();
-        rows.rotate_left(start);
-        rows.truncate(most);
-    }
-    rows
+/// `most` of the rows, starting at a place that moves with `turn`; only those are copied.
+fn pick<'b>(
+    rows: impl Iterator<Item = (&'b Subject, &'b Counter, &'b Count)> + Clone,
+    turn: usize,
+    most: usize,
+) -> Vec<Tally> {
+    let total = rows.clone().count();
+    let start = if total > most {
+        (turn * most) % total
+    } else {
+        0
+    };
+    let from_start = rows.clone().skip(start).chain(rows).take(most.min(total));
+    from_start
+        .map(|(subject, by, count)| Tally {
+            subject: subject.clone(),
+            by: by.clone(),
+            count: *count,
+        })
+        .collect()
 }
 
 fn subject(at: &VersionRef, class: &Name, bucket: u8, epoch_ms: u64) -> Subject {
--- a/crates/ivyweird/src/ledger.rs
+++ b/crates/ivyweird/src/ledger.rs
@@ -234,13 +234,7 @@
 fn send_pending(node: &Node, replica: &mut Replica) -> Option<u64> {
     let at = replica.at.clone()?;
     loop {
-        let lacking: Vec<(u64, Record)> = {
-            let pending = lock(&node.ledger.buffer).batch(usize::MAX);
-            let after = pending
-                .into_iter()
-                .filter(|(seq, _)| *seq > replica.through_seq);
-            after.take(HOLD_RECORDS).collect()
-        };
+        let lacking = lock(&node.ledger.buffer).batch_after(replica.through_seq, HOLD_RECORDS);
         let Some((last, _)) = lacking.last() else {
             return Some(
                 replica
@@ -289,7 +283,7 @@
 }
 
 fn next_flush(node: &Node) -> Option<Flush> {
-    let batch = lock(&node.ledger.buffer).batch(SEGMENT_RECORDS);
+    let batch = lock(&node.ledger.buffer).batch_after(0, SEGMENT_RECORDS);
     let through_seq = batch.last()?.0;
     let name = segment_name(
         &node.me.box_name,
--- a/crates/ivyweird/src/node.rs
+++ b/crates/ivyweird/src/node.rs
@@ -188,6 +188,12 @@
         }
     }
 
+    /// Whether some member has a newer configuration than this box.
+    pub fn is_behind(&self) -> bool {
+        let generation = self.config.generation();
+        self.with_members(|table, _, _| table.records().any(|r| r.generation > generation))
+    }
+
     /// Whether this box may serve on its configuration.
     pub fn sight(&self) -> Sight {
         sight::judge(self.evidence())
@@ -199,11 +205,21 @@
     ///
     /// A refusal; the request has not run then.
     pub fn enter(&self) -> Result<InProgress<'_>, Refusal> {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
-        let entered = InProgress { node: self };
+        let entered = self.enter_forwarded()?;
         if self.is_draining() {
             return Err(Refusal::not_run(Code::Draining, "this box is stopping").retry_after(0));
         }
+        Ok(entered)
+    }
+
+    /// Counts a request of a peer in, also while this box stops: its authority decides then.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; the request has not run then.
+    pub fn enter_forwarded(&self) -> Result<InProgress<'_>, Refusal> {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        let entered = InProgress { node: self };
         if self.config.generation() == 0 || !self.sight().admits() {
             let text = "this box cannot show that its configuration is current";
             return Err(Refusal::not_run(Code::StaleConfig, text).retry_after(STALE_HINT_MS));
--- a/crates/ivyweird/src/route.rs
+++ b/crates/ivyweird/src/route.rs
@@ -170,10 +170,11 @@
         .config
         .version(at)
         .expect("the version was checked");
+    let now_ms = context.node.clock.now_ms();
     Candidate {
         cost_micro_per_ktoken: version.cost_micro_per_ktoken,
         prior_quality: version.prior_quality,
-        buckets: context.node.learning.by_bucket(at, &context.class),
+        buckets: context.node.learning.by_bucket(at, &context.class, now_ms),
         bad: is_bad(context, at),
         at: at.clone(),
     }
--- a/crates/ivyweird/src/run.rs
+++ b/crates/ivyweird/src/run.rs
@@ -129,7 +129,7 @@
     );
     if speaks {
         let (epoch_ms, now_ms) = (Clock::epoch_ms(), node.clock.now_ms());
-        if node.learning.finished(observation, epoch_ms, now_ms) {
+        if node.learning.finished(observation, epoch_ms) {
             node.metrics.verdict_changes.add(1, &[]);
             let verdict = if node.learning.is_bad(&version, now_ms) {
                 "bad"
--- a/crates/ivyweird/tests/answers.rs
+++ b/crates/ivyweird/tests/answers.rs
@@ -311,3 +311,31 @@
         "sessions are refused, not moved: {refused} of 20"
     );
 }
+
+#[test]
+fn upstreams_that_die_do_not_condemn_the_versions_they_had() {
+    let engine = || quick_engine(&[("notes@v1", 0.9), ("notes@v2", 0.9), ("tags@v1", 0.4)]);
+    let world = start(WorldSpec {
+        engines: (0..6).map(|_| engine()).collect(),
+        ..spec(&["hall-a", "hall-b", "hall-c"])
+    });
+    for engine in &world.engines[..2] {
+        engine.set_dead(true);
+    }
+    let codes: Vec<String> = (0..150)
+        .map(|n| {
+            world
+                .caller(n % 3, "studio")
+                .chat("notes", &format!("e{n}"), 4)
+                .code
+        })
+        .collect();
+    let refused = codes.iter().filter(|c| !c.is_empty()).count();
+    assert!(refused <= 3, "retries and ejection carry it: {codes:?}");
+    let status = world.operator(0).status().expect("the box answers");
+    assert!(
+        status.exposure.iter().all(|e| !e.bad),
+        "{:?}",
+        status.exposure
+    );
+}
--- a/crates/ivyweird/tests/once.rs
+++ b/crates/ivyweird/tests/once.rs
@@ -6,8 +6,9 @@
 
 use attohttpc::Method;
 use common::three;
+use ivyweir_policy::{BoxEntry, BoxKind, BoxState};
 use ivyweir_standins::world::SERVICES;
-use ivyweir_standins::{Caller, Outcome, PlatformFaults, World, wait_until};
+use ivyweir_standins::{Caller, Fault, Gateway, Outcome, PlatformFaults, World, wait_until};
 
 fn activate(caller: &Caller, key: &str) -> Outcome {
     let path = format!("/services/{SERVICES}/sims/{key}");
@@ -68,6 +69,38 @@
     assert_eq!(runs(&world, "sim-lost"), 1);
 }
 
+#[test]
+fn a_connection_that_breaks_after_the_call_left_is_not_tried_again() {
+    let world = three();
+    let broken = Gateway::start(&world.services[0].addr()).expect("a port is free");
+    world.platform.list_box(BoxEntry {
+        name: "service-0".into(),
+        kind: BoxKind::Upstream,
+        addr: broken.addr().as_str().into(),
+        hall: "hall-a".into(),
+        pool: SERVICES.into(),
+        state: BoxState::Live,
+    });
+    wait_until("all boxes go through the gateway", || {
+        (0..3).all(|at| {
+            broken.set(Fault::Cut);
+            let path = format!("/services/{SERVICES}/probe");
+            let probe = world.caller(at, "studio").service(Method::POST, &path, "");
+            broken.set(Fault::None);
+            probe.status != 200
+        })
+    });
+    broken.set(Fault::TruncateAfter(0));
+    let lost = activate(&world.caller(0, "studio"), "sim-1");
+    assert_eq!(told(&lost), ("outcome_unknown", "unknown"), "{lost:?}");
+    broken.set(Fault::None);
+    for at in 0..3 {
+        let again = activate(&world.caller(at, "studio"), "sim-1");
+        assert_eq!(told(&again), ("duplicate", "unknown"), "{again:?}");
+    }
+    assert_eq!(runs(&world, "sim-1"), 1);
+}
+
 #[test]
 fn without_the_store_a_session_goes_on_and_others_are_refused_as_not_run() {
     let world = three();
