--- a/crates/ivyweir-policy/src/upstream.rs
+++ b/crates/ivyweir-policy/src/upstream.rs
@@ -6,9 +6,9 @@
 use crate::rank::hash64;
 use crate::{BoxState, Name};
 
-/// Failures in a row after which an upstream is ejected.
-const EJECT_AFTER: u32 = 3;
-/// First time out; doubles with each ejection in a row.
+/// Time out after one failure; long enough to send the next calls elsewhere.
+const FIRST_EJECT_MS: u64 = 250;
+/// Time out after a second failure in a row; doubles with each further one.
 const EJECT_MS: u64 = 1_000;
 const EJECT_MAX_MS: u64 = 30_000;
 /// Own calls beyond the reported free slots that one box may risk, in thousandths of its share.
@@ -92,7 +92,6 @@
     sent_since_report: u32,
     done_since_report: u32,
     failures_in_row: u32,
-    ejections_in_row: u32,
     ejected_until_ms: u64,
     first_seen_ms: u64,
     first_token_ewma_ms: u64,
@@ -114,7 +113,6 @@
             sent_since_report: 0,
             done_since_report: 0,
             failures_in_row: 0,
-            ejections_in_row: 0,
             ejected_until_ms: 0,
             first_seen_ms: now_ms,
             first_token_ewma_ms: 0,
@@ -135,7 +133,6 @@
         self.done_since_report += 1;
         if ok {
             self.failures_in_row = 0;
-            self.ejections_in_row = 0;
             if let Some(ms) = first_token_ms {
                 let old = self.first_token_ewma_ms;
                 self.first_token_ewma_ms = match old {
@@ -145,14 +142,13 @@
             }
             return;
         }
+        // The first failure may be chance, so it costs little; each further one doubles the time.
+        let time_out_ms = match self.failures_in_row {
+            0 => FIRST_EJECT_MS,
+            n => (EJECT_MS << (n - 1).min(5)).min(EJECT_MAX_MS),
+        };
         self.failures_in_row += 1;
-        if self.failures_in_row >= EJECT_AFTER {
-            let time_out_ms = (EJECT_MS << self.ejections_in_row.min(5)).min(EJECT_MAX_MS);
-            self.ejected_until_ms = now_ms + time_out_ms;
-            self.ejections_in_row += 1;
-            // One probe call decides after the time out.
-            self.failures_in_row = EJECT_AFTER - 1;
-        }
+        self.ejected_until_ms = now_ms + time_out_ms;
     }
 
     /// Takes in a report if it is newer than the one held.
--- a/crates/ivyweir-policy/tests/load.rs
+++ b/crates/ivyweir-policy/tests/load.rs
@@ -99,31 +99,29 @@
 #[test]
 fn a_leaving_or_failing_upstream_gets_nothing_and_is_probed_back_in() {
     let mut balancer = balancer(Policy::TwoChoices, &[8, 8]);
-    for _ in 0..3 {
+    let at = |n, now_ms| Want { now_ms, ..want(n) };
+    for now_ms in [100_000, 102_000, 104_000] {
         // Whoever is picked, u0 is made to fail.
-        loop {
-            let picked = balancer
-                .pick(&want(rand_of(&balancer)))
-                .expect("there is room")
-                .name;
-            balancer.finish(&picked, picked.as_ref() != "u0", None, 100_000);
-            if picked.as_ref() == "u0" {
-                break;
-            }
+        let mut failed = false;
+        for n in 0..50 {
+            let picked = balancer.pick(&at(n, now_ms)).expect("there is room").name;
+            assert!(
+                !failed || picked.as_ref() == "u1",
+                "one failure is enough for a while"
+            );
+            failed |= picked.as_ref() == "u0";
+            balancer.finish(&picked, picked.as_ref() != "u0", None, now_ms);
         }
+        assert!(failed, "it is probed when its time is over");
     }
     for n in 0..50 {
-        let picked = balancer.pick(&want(n)).expect("there is room").name;
-        assert_eq!(picked.as_ref(), "u1");
-        balancer.finish(&picked, true, None, 100_000);
+        let picked = balancer.pick(&at(n, 105_900)).expect("there is room").name;
+        assert_eq!(picked.as_ref(), "u1", "the time out has doubled");
+        balancer.finish(&picked, true, None, 105_900);
     }
-    let later = |n| Want {
-        now_ms: 102_000,
-        ..want(n)
-    };
     let back = (0..50).any(|n| {
-        let picked = balancer.pick(&later(n)).expect("there is room").name;
-        balancer.finish(&picked, true, None, 102_000);
+        let picked = balancer.pick(&at(n, 106_100)).expect("there is room").name;
+        balancer.finish(&picked, true, None, 106_100);
         picked.as_ref() == "u0"
     });
     assert!(back, "the ejected one is probed");
@@ -132,18 +130,6 @@
     assert_ne!(state, Some(BoxState::Live));
 }
 
-fn rand_of(balancer: &Balancer) -> u64 {
-    mix(balancer.iter().map(|u| u64::from(u.in_flight())).sum(), 9)
-        ^ DRAW.with(|d| {
-            d.set(d.get() + 1);
-            mix(d.get(), 3)
-        })
-}
-
-thread_local! {
-    static DRAW: std::cell::Cell<u64> = const { std::cell::Cell::new(0) };
-}
-
 fn ticket(id: u64, workspace: &str, weight: u32) -> Ticket {
     Ticket {
         id,
