--- a/crates/ivyweir-standins/examples/load/main.rs
+++ b/crates/ivyweir-standins/examples/load/main.rs
@@ -7,6 +7,7 @@
 mod cost;
 mod drive;
 mod overhead;
+mod recover;
 mod report;
 mod scenario;
 mod size;
@@ -25,6 +26,8 @@
     experiment: bool,
     #[options(help = "added time against the engines called directly", no_short)]
     overhead: bool,
+    #[options(help = "times to recover on nine boxes", no_short)]
+    recover: bool,
     #[options(
         help = "cost of a box at rest, for fleets of these sizes: 3,9,18",
         meta = "LIST",
@@ -58,6 +61,9 @@
     if args.overhead {
         return overhead::run(&args, &binary);
     }
+    if args.recover {
+        return recover::run(&args, &binary);
+    }
     if let Some(sizes) = &args.size {
         return size::run(&args, &binary, sizes);
     }
