A call to an upstream that moved meanwhile ends without a trace; claims do not outwait a hanging store

Cause: a test of a broken connection aborted a box now and then: an upstream listed at a new address replaced the old one under its name, and the old one's calls ended uncounted (in release builds the count went below what runs). And a store that hangs, rather than refuses, held a session's activation for up to eight rounds of 2 s.

Change: upstreams have instances, and a call ends at the one it was sent to; the check is an assertion in all builds.

--- a/crates/ivyweir-policy/src/balance.rs
+++ b/crates/ivyweir-policy/src/balance.rs
@@ -74,6 +74,7 @@
     by_id: HashMap<u64, usize>,
     policy: Policy,
     turn: usize,
+    instances: u64,
 }
 
 impl Balancer {
@@ -86,7 +87,11 @@
     }
 
     /// Adds an upstream or takes over its address and state.
-    pub fn upsert(&mut self, fresh: Upstream) {
+    ///
+    /// At another address it is another upstream: calls to the old one end without a trace.
+    pub fn upsert(&mut self, mut fresh: Upstream) {
+        self.instances += 1;
+        fresh.instance = self.instances;
         match self.by_name.get(&fresh.name) {
             Some(&at) => {
                 let known = &mut self.upstreams[at];
@@ -266,11 +271,20 @@
             .copied()
     }
 
-    /// Counts a call as over.
-    pub fn finish(&mut self, name: &str, ok: bool, first_token_ms: Option<u64>, now_ms: u64) {
-        let Some(upstream) = self.get_mut(name) else {
+    /// Counts a call as over; `picked` is what [`pick`](Self::pick) gave for it.
+    pub fn finish(
+        &mut self,
+        picked: &Upstream,
+        ok: bool,
+        first_token_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let Some(upstream) = self.get_mut(&picked.name) else {
             return;
         };
+        if upstream.instance != picked.instance {
+            return;
+        }
         upstream.finish(ok, first_token_ms, now_ms);
     }
 
--- a/crates/ivyweir-policy/src/upstream.rs
+++ b/crates/ivyweir-policy/src/upstream.rs
@@ -96,6 +96,8 @@
     first_seen_ms: u64,
     first_token_ewma_ms: u64,
     changed_ms: u64,
+    /// Tells this upstream from another one that had its name before.
+    pub(crate) instance: u64,
 }
 
 impl Upstream {
@@ -117,6 +119,7 @@
             first_seen_ms: now_ms,
             first_token_ewma_ms: 0,
             changed_ms: 0,
+            instance: 0,
         }
     }
 
@@ -128,8 +131,11 @@
 
     /// Counts a call as over.
     pub(crate) fn finish(&mut self, ok: bool, first_token_ms: Option<u64>, now_ms: u64) {
-        debug_assert!(self.in_flight > 0, "a call ended that was not counted");
-        self.in_flight = self.in_flight.saturating_sub(1);
+        assert!(
+            self.in_flight > 0,
+            "invariant: a call that ends was counted"
+        );
+        self.in_flight -= 1;
         self.done_since_report += 1;
         if ok {
             self.failures_in_row = 0;
--- a/crates/ivyweir-policy/tests/load.rs
+++ b/crates/ivyweir-policy/tests/load.rs
@@ -68,7 +68,7 @@
         prefix: Some(42),
         ..want(0)
     };
-    let first = balancer.pick(&prefix).expect("there is room").name;
+    let first = balancer.pick(&prefix).expect("there is room");
     balancer.finish(&first, true, Some(5), 100_000);
     for n in 0..20 {
         let picked = balancer
@@ -76,9 +76,8 @@
                 random: n,
                 ..prefix
             })
-            .expect("there is room")
-            .name;
-        assert_eq!(picked, first);
+            .expect("there is room");
+        assert_eq!(picked.name, first.name);
         balancer.finish(&picked, true, Some(5), 100_000);
     }
     let mut counts: HashMap<Name, u32> = HashMap::new();
@@ -88,9 +87,8 @@
                 random: n,
                 ..prefix
             })
-            .expect("there is room")
-            .name;
-        *counts.entry(picked).or_default() += 1;
+            .expect("there is room");
+        *counts.entry(picked.name).or_default() += 1;
     }
     let most = counts.values().max().copied().unwrap_or(0);
     assert!(most <= 16, "a hot prefix spreads: {counts:?}");
@@ -104,25 +102,25 @@
         // Whoever is picked, u0 is made to fail.
         let mut failed = false;
         for n in 0..50 {
-            let picked = balancer.pick(&at(n, now_ms)).expect("there is room").name;
+            let picked = balancer.pick(&at(n, now_ms)).expect("there is room");
             assert!(
-                !failed || picked.as_ref() == "u1",
+                !failed || picked.name.as_ref() == "u1",
                 "one failure is enough for a while"
             );
-            failed |= picked.as_ref() == "u0";
-            balancer.finish(&picked, picked.as_ref() != "u0", None, now_ms);
+            failed |= picked.name.as_ref() == "u0";
+            balancer.finish(&picked, picked.name.as_ref() != "u0", None, now_ms);
         }
         assert!(failed, "it is probed when its time is over");
     }
     for n in 0..50 {
-        let picked = balancer.pick(&at(n, 105_900)).expect("there is room").name;
-        assert_eq!(picked.as_ref(), "u1", "the time out has doubled");
+        let picked = balancer.pick(&at(n, 105_900)).expect("there is room");
+        assert_eq!(picked.name.as_ref(), "u1", "the time out has doubled");
         balancer.finish(&picked, true, None, 105_900);
     }
     let back = (0..50).any(|n| {
-        let picked = balancer.pick(&at(n, 106_100)).expect("there is room").name;
+        let picked = balancer.pick(&at(n, 106_100)).expect("there is room");
         balancer.finish(&picked, true, None, 106_100);
-        picked.as_ref() == "u0"
+        picked.name.as_ref() == "u0"
     });
     assert!(back, "the ejected one is probed");
     balancer.retire_unlisted(|name| name != "u0");
@@ -130,6 +128,17 @@
     assert_ne!(state, Some(BoxState::Live));
 }
 
+#[test]
+fn a_call_to_an_upstream_that_moved_meanwhile_ends_without_a_trace() {
+    let mut balancer = balancer(Policy::Affinity, &[4]);
+    let old = balancer.pick(&want(1)).expect("there is room");
+    let moved = Upstream::new("u0".into(), "b".into(), "h".into(), "p".into(), 100_000);
+    balancer.upsert(moved);
+    balancer.finish(&old, false, None, 100_000);
+    let now = balancer.get("u0").expect("it is listed");
+    assert_eq!((now.in_flight(), now.is_ejected(100_001)), (0, false));
+}
+
 fn ticket(id: u64, workspace: &str, weight: u32) -> Ticket {
     Ticket {
         id,
--- a/crates/ivyweird/src/context.rs
+++ b/crates/ivyweird/src/context.rs
@@ -5,6 +5,7 @@
 
 use ivyweir_caller::{Header, Marks};
 use ivyweir_policy::claim::Incarnation;
+use ivyweir_policy::sight::Sight;
 use ivyweir_policy::token::Session;
 use ivyweir_policy::{Code, ErrorKind, Name, Refusal, VersionRef};
 
@@ -175,6 +176,10 @@
     }
 
     fn claim(&self) -> Result<(), Refusal> {
+        if self.session.is_some() && self.node.sight() != Sight::Fresh {
+            // The store is out, and the session's authority is enough.
+            return Ok(());
+        }
         let nonce: Name = match &self.session {
             // The same for a repeat in the same session, whichever box holds the authority.
             Some(session) => format!("s/{}", session.nonce).into(),
--- a/crates/ivyweird/src/gate.rs
+++ b/crates/ivyweird/src/gate.rs
@@ -111,8 +111,7 @@
     /// Ends the call. `ok` speaks of the upstream, not of the request.
     pub fn finish(mut self, ok: bool, first_token_ms: Option<u64>, moment: Moment) {
         self.finished = true;
-        self.gate
-            .finish(&self.upstream.name, ok, first_token_ms, moment);
+        self.gate.finish(&self.upstream, ok, first_token_ms, moment);
     }
 }
 
@@ -246,11 +245,11 @@
         Ok(Entry::Wait(id, workspace, receiver))
     }
 
-    fn finish(&self, name: &str, ok: bool, first_token_ms: Option<u64>, moment: Moment) {
+    fn finish(&self, picked: &Upstream, ok: bool, first_token_ms: Option<u64>, moment: Moment) {
         let mut inner = lock(&self.inner);
         inner
             .balancer
-            .finish(name, ok, first_token_ms, moment.now_ms);
+            .finish(picked, ok, first_token_ms, moment.now_ms);
         inner.pump(&self.hall, moment);
     }
 
--- a/crates/ivyweird/src/node.rs
+++ b/crates/ivyweird/src/node.rs
@@ -28,6 +28,8 @@
 
 /// Time for one call to the platform.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time for one call to the platform that a caller waits for.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A box.
 pub struct Node {
@@ -45,6 +47,8 @@
     pub box_list: BoxListState,
     /// The store.
     pub store: Arc<dyn ObjectStore>,
+    /// The same store, for calls that a caller waits for.
+    pub claim_store: Arc<dyn ObjectStore>,
     /// Where the box list comes from.
     pub boxes: Arc<dyn BoxSource>,
     /// Calls to engines.
@@ -116,6 +120,7 @@
             config: ConfigState::new(),
             box_list: BoxListState::default(),
             store: platform.clone(),
+            claim_store: Arc::new(HttpPlatform::new(&settings.platform_url, CLAIM_TIMEOUT)),
             boxes: platform,
             engine: Arc::new(HttpEngine),
             service: Arc::new(HttpService),
--- a/crates/ivyweird/src/once.rs
+++ b/crates/ivyweird/src/once.rs
@@ -19,6 +19,8 @@
 const MAX_KEPT_BYTES: usize = 64 << 10;
 /// Rounds of read and conditional write before a claim is given up.
 const CLAIM_ROUNDS: usize = 8;
+/// Time after which no further round is begun: a caller waits, and a store that hangs is out.
+const CLAIM_MS: u64 = 1_000;
 
 /// What a request that runs at most once may do.
 #[derive(Debug)]
@@ -244,7 +246,11 @@
     let shard = claim::shard(&request.workspace, &request.key);
     let _one_at_a_time = lock(&node.once.writers[shard as usize]);
     let object = format!("claims/{shard:04}");
+    let give_up_ms = node.clock.now_ms() + CLAIM_MS;
     for _ in 0..CLAIM_ROUNDS {
+        if node.clock.now_ms() > give_up_ms {
+            break;
+        }
         match claim_round(node, &object, request) {
             Ok(Some(claimed)) => return claimed,
             Ok(None) => {}
@@ -262,7 +268,7 @@
     request: &pb::ClaimRequest,
 ) -> Result<Option<Claimed>, ErrorKind> {
     node.metrics.store_call("claim_read");
-    let held = node.store.get(object).map_err(|e| e.kind())?;
+    let held = node.claim_store.get(object).map_err(|e| e.kind())?;
     let (mut journal, expect) = match &held {
         None => (Journal::default(), Expect::Absent),
         Some(object) => {
@@ -296,7 +302,7 @@
     node.metrics.store_call("claim_write");
     node.metrics.claim_writes.add(1, &[]);
     match node
-        .store
+        .claim_store
         .put(object, &body, expect)
         .map_err(|e| e.kind())?
     {
--- a/crates/ivyweird/tests/access.rs
+++ b/crates/ivyweird/tests/access.rs
@@ -20,23 +20,32 @@
         key_hash: hash_hex("viewer key").as_str().into(),
         role: Role::Viewer,
     };
-    let generation = world.change(0, &Intent::PutOperator {
-        name: "vera".into(),
-        operator: viewer,
-    });
+    let generation = world.change(
+        0,
+        &Intent::PutOperator {
+            name: "vera".into(),
+            operator: viewer,
+        },
+    );
     world.wait_in_force(generation);
     let url = world.up(1).operator_url();
     let vera = Client::new(&url, "viewer key");
     assert!(vera.status().is_ok());
     let refused = |error: ivyweir_operator::Error| error.status();
     assert_eq!(vera.plan(&event("e")).map_err(refused), Err(Some(403)));
-    let plan = world.operator(1).plan(&event("e")).expect("the intent fits");
+    let plan = world
+        .operator(1)
+        .plan(&event("e"))
+        .expect("the intent fits");
     assert_eq!(vera.confirm(&plan).map_err(refused), Err(Some(403)));
     let stranger = Client::new(&url, "some key");
     assert_eq!(stranger.status().map_err(refused), Err(Some(401)));
     let shown = vera.config().expect("she may look").to_vec();
     let shown = String::from_utf8_lossy(&shown).into_owned();
-    assert!(!shown.contains(&hash_hex("viewer key")), "no hash and no secret is shown");
+    assert!(
+        !shown.contains(&hash_hex("viewer key")),
+        "no hash and no secret is shown"
+    );
 }
 
 #[test]
@@ -61,8 +70,11 @@
 
 /// Sends raw bytes and reads what comes back until the box closes or falls silent.
 fn send_raw(world: &World, bytes: &[u8]) -> String {
-    let mut socket = TcpStream::connect(&world.up(0).settings.caller_addr).expect("the box listens");
-    socket.set_read_timeout(Some(Duration::from_secs(30))).expect("a valid time");
+    let mut socket =
+        TcpStream::connect(&world.up(0).settings.caller_addr).expect("the box listens");
+    socket
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .expect("a valid time");
     socket.write_all(bytes).expect("the box takes it");
     let mut answer = Vec::new();
     let mut piece = [0; 4_096];
--- a/crates/ivyweird/tests/once.rs
+++ b/crates/ivyweird/tests/once.rs
@@ -5,10 +5,12 @@
 use std::thread;
 
 use attohttpc::Method;
-use common::three;
+use common::{spec, start, three};
 use ivyweir_policy::{BoxEntry, BoxKind, BoxState};
 use ivyweir_standins::world::SERVICES;
-use ivyweir_standins::{Caller, Fault, Gateway, Outcome, PlatformFaults, World, wait_until};
+use ivyweir_standins::{
+    Caller, Fault, Gateway, Outcome, PlatformFaults, World, WorldSpec, wait_until,
+};
 
 fn activate(caller: &Caller, key: &str) -> Outcome {
     let path = format!("/services/{SERVICES}/sims/{key}");
@@ -125,6 +127,30 @@
     assert_eq!(later.status, 200, "{later:?}");
 }
 
+#[test]
+fn a_store_that_hangs_does_not_hold_up_a_session_until_its_deadline() {
+    let world = start(WorldSpec {
+        platform_gateways: true,
+        ..spec(&["hall-a", "hall-b", "hall-c"])
+    });
+    let token = world
+        .caller(0, "studio")
+        .open_session()
+        .expect("a session opens");
+    for gateway in &world.platform_gateways {
+        gateway.set(Fault::HalfOpen);
+    }
+    for n in 0..6 {
+        let caller = world.caller(n % 3, "studio").in_session(&token);
+        let served = activate(
+            &caller.with("X-Ivyweir-Deadline-Ms", "10000"),
+            &format!("sim-{n}"),
+        );
+        assert_eq!(served.status, 200, "{served:?}");
+        assert_eq!(runs(&world, &format!("sim-{n}")), 1);
+    }
+}
+
 #[test]
 fn lost_claim_answers_neither_block_nor_double() {
     let world = three();
