Ratings are judged against what the version should give; a box is ready when it knows its upstreams

One detector took bad ratings of over 5 in 100 as news, while such a version has about 15 in 100 as a rule, so every middling version was condemned in time. Ruled out first: a restarted box that knew no reports yet (also true, and mended).

Change: a detector for whole answers as before, and one for ratings whose normal share follows from the quality that the version should give; /readyz waits for reports of half the upstreams, 3 s at most.

The tables of MEASUREMENTS are of before this change; exposure has to be measured again.

--- a/crates/ivyweir-policy/src/guard.rs
+++ b/crates/ivyweir-policy/src/guard.rs
@@ -6,6 +6,8 @@
 /// once in tens of thousands of answers; the property test and `docs/MEASUREMENTS.md` give the rate.
 #[derive(Debug, Clone)]
 pub struct Detector {
+    normal: f64,
+    broken: f64,
     sum: f64,
     bad: bool,
     good_in_row: u32,
@@ -13,8 +15,12 @@
 
 /// Share of bad answers that is normal.
 const NORMAL: f64 = 0.05;
-/// Share of bad answers that must be noticed.
-const BROKEN: f64 = 0.35;
+/// How much of the rest must be bad as well to count as broken.
+const BROKEN_OF_REST: f64 = 0.32;
+/// Highest share of bad ratings that is taken as normal.
+const MOST_NORMAL: f64 = 0.6;
+/// How much worse than expected ratings may be before they speak against a version.
+const RATING_SLACK: f64 = 1.25;
 /// Sum at which the alarm is raised.
 const ALARM: f64 = 7.0;
 /// Good answers in a row that clear the alarm.
@@ -22,22 +28,37 @@
 
 impl Default for Detector {
     fn default() -> Self {
+        Self::new(NORMAL)
+    }
+}
+
+impl Detector {
+    /// A detector for observations of which the share `normal` is bad as a rule.
+    pub fn new(normal: f64) -> Self {
+        let normal = normal.clamp(NORMAL, MOST_NORMAL);
         Self {
+            normal,
+            broken: normal + (1.0 - normal) * BROKEN_OF_REST,
             sum: 0.0,
             bad: false,
             good_in_row: 0,
         }
     }
-}
 
-impl Detector {
+    /// A detector for ratings of a version whose mean should be `expected`.
+    ///
+    /// A version of middling quality has many bad answers as a rule; only more of them are news.
+    pub fn for_ratings(expected: f64) -> Self {
+        Self::new((1.0 - expected) * RATING_SLACK)
+    }
+
     /// Takes in one answer. Returns whether the verdict changed.
     pub fn observe(&mut self, is_bad: bool) -> bool {
         let was = self.bad;
         let step = if is_bad {
-            (BROKEN / NORMAL).ln()
+            (self.broken / self.normal).ln()
         } else {
-            ((1.0 - BROKEN) / (1.0 - NORMAL)).ln()
+            ((1.0 - self.broken) / (1.0 - self.normal)).ln()
         };
         self.sum = (self.sum + step).max(0.0);
         self.good_in_row = if is_bad { 0 } else { self.good_in_row + 1 };
--- a/crates/ivyweir-policy/tests/load.rs
+++ b/crates/ivyweir-policy/tests/load.rs
@@ -305,6 +305,21 @@
     assert!(false_alarms <= 2, "{false_alarms} in 400 000 answers");
 }
 
+#[test]
+fn a_version_of_middling_quality_is_not_taken_for_broken() {
+    for (expected, bad_permille) in [(0.85, 170), (0.7, 330), (0.55, 500)] {
+        let alarms = (0..100).filter(|&seed| {
+            let mut detector = Detector::for_ratings(expected);
+            (0..1_000).any(|n| detector.observe(mix(seed, n) % 1_000 < bad_permille))
+        });
+        let alarms = alarms.count();
+        assert!(alarms <= 10, "{alarms} in 100 000 ratings at {expected}");
+        let mut broken = Detector::for_ratings(expected);
+        let noticed = (0..200).find(|n| broken.observe(mix(3, *n) % 1_000 < 950));
+        assert!(noticed.is_some_and(|n| n < 40), "{noticed:?} at {expected}");
+    }
+}
+
 #[test]
 fn a_verdict_is_lifted_by_good_answers() {
     let mut detector = Detector::default();
--- a/crates/ivyweird/src/learn.rs
+++ b/crates/ivyweird/src/learn.rs
@@ -60,7 +60,9 @@
 
 #[derive(Default)]
 struct Watch {
-    detectors: HashMap<Name, Detector>,
+    /// By version: whole answers, and ratings, each against what is normal for them.
+    answers: HashMap<Name, Detector>,
+    ratings: HashMap<Name, Detector>,
     own_seq: u64,
     verdicts: HashMap<(Name, Name), Held>,
     /// Upstreams whose last call failed; another failure says nothing more about a version.
@@ -135,7 +137,13 @@
         if !seen.failed {
             watch.failing.remove(&seen.upstream);
         }
-        watch.observe(&self.me, version, seen.failed)
+        let before = watch.is_bad(&version);
+        watch
+            .answers
+            .entry(version.clone())
+            .or_default()
+            .observe(seen.failed);
+        watch.judge(&self.me, version, before)
     }
 
     /// Takes in a rating; `expected` is what the version should give.
@@ -145,7 +153,13 @@
         lock(&self.book).row(subject, &self.me).rate(score);
         let version: Name = seen.at.to_string().into();
         let is_bad = guard::is_bad_rating(score, expected);
-        lock(&self.watch).observe(&self.me, version, is_bad)
+        let mut watch = lock(&self.watch);
+        let before = watch.is_bad(&version);
+        let detector = watch.ratings.entry(version.clone());
+        detector
+            .or_insert_with(|| Detector::for_ratings(expected))
+            .observe(is_bad);
+        watch.judge(&self.me, version, before)
     }
 
     /// Counts by confidence bucket, filled up from other classes; up to 250 ms old.
@@ -175,7 +189,7 @@
     /// Whether the version is held to be bad, by this box or by enough others.
     pub fn is_bad(&self, version: &str, now_ms: u64) -> bool {
         let watch = lock(&self.watch);
-        let own = watch.detectors.get(version).is_some_and(Detector::is_bad);
+        let own = watch.is_bad(version);
         let others = watch
             .verdicts
             .values()
@@ -276,12 +290,18 @@
 }
 
 impl Watch {
-    fn observe(&mut self, me: &Counter, version: Name, is_bad: bool) -> bool {
-        let detector = self.detectors.entry(version.clone()).or_default();
-        if !detector.observe(is_bad) {
+    /// Whether one of this box's detectors holds the version to be bad.
+    fn is_bad(&self, version: &str) -> bool {
+        let detectors = [self.answers.get(version), self.ratings.get(version)];
+        detectors.into_iter().flatten().any(Detector::is_bad)
+    }
+
+    /// Notes this box's verdict if it is another than `before`. Returns whether it is.
+    fn judge(&mut self, me: &Counter, version: Name, before: bool) -> bool {
+        let bad = self.is_bad(&version);
+        if bad == before {
             return false;
         }
-        let bad = detector.is_bad();
         self.own_seq += 1;
         let verdict = Verdict {
             by: me.clone(),
--- a/crates/ivyweird/src/node.rs
+++ b/crates/ivyweird/src/node.rs
@@ -11,7 +11,7 @@
 use ivyweir_policy::claim::Incarnation;
 use ivyweir_policy::member::{Record, Table, Timing};
 use ivyweir_policy::sight::{self, Evidence, Sight};
-use ivyweir_policy::{Code, Name, Refusal};
+use ivyweir_policy::{BoxState, Code, Name, Refusal};
 use ivyweir_rating::{HttpRater, Rater};
 use ivyweir_service::{HttpService, Service};
 
@@ -73,6 +73,8 @@
     live_boxes: AtomicU32,
     in_progress: AtomicUsize,
     draining: AtomicBool,
+    warm: AtomicBool,
+    started_ms: u64,
     stopped: AtomicBool,
     stopping: (Mutex<()>, Condvar),
 }
@@ -135,6 +137,8 @@
             live_boxes: AtomicU32::new(1),
             in_progress: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            warm: AtomicBool::new(false),
+            started_ms: clock.now_ms(),
             stopped: AtomicBool::new(false),
             stopping: (Mutex::new(()), Condvar::new()),
             me,
@@ -239,7 +243,26 @@
 
     /// Whether this box may be sent callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.config.generation() > 0 && self.sight().admits()
+        let admits = self.config.generation() > 0 && self.sight().admits();
+        !self.is_draining() && admits && self.is_warm()
+    }
+
+    /// Whether this box has heard what most upstreams offer, or has waited long enough for it.
+    ///
+    /// A box that was just started would refuse callers for want of an upstream otherwise.
+    fn is_warm(&self) -> bool {
+        if self.warm.load(Ordering::Relaxed) {
+            return true;
+        }
+        let live = self
+            .gate
+            .read_upstreams(|u| (u.state == BoxState::Live).then_some(u.report.at_ms));
+        let reported = live.iter().filter(|at_ms| **at_ms > 0).count();
+        let has_list = self.box_list.get().generation > 0;
+        let waited = self.clock.now_ms() > self.started_ms + WARM_UP_MS;
+        let warm = waited || (has_list && reported * 2 >= live.len());
+        self.warm.store(warm, Ordering::Relaxed);
+        warm
     }
 
     /// Takes no new requests from now on. Returns whether it took some before.
@@ -287,3 +310,5 @@
 }
 
 const STALE_HINT_MS: u64 = 500;
+/// Longest time that a box waits after its start for what upstreams offer.
+const WARM_UP_MS: u64 = 3_000;
