A stopping box leaves records of a living one to that one while the store is out

Cause: a planned stop in a store outage waited for ever when the records it held were those of the only other box alive: the store was out and there was nobody to pass them to.

Change: records of a box that lives need no further copy from here; it has them itself and finds another replica when it hears that this one leaves.

--- a/crates/ivyweird/src/segments.rs
+++ b/crates/ivyweird/src/segments.rs
@@ -149,9 +149,9 @@
 pub fn close(node: &Node) -> bool {
     let owners: Vec<Incarnation> = lock(&node.ledger.held).keys().cloned().collect();
     let own = flush(node).is_some() || pass_on_own(node);
-    let others = owners
-        .iter()
-        .all(|owner| settle(node, owner) || pass_on(node, owner));
+    // A box that lives has its records itself and finds another replica when this one leaves.
+    let is_safe = |owner| settle(node, owner) || pass_on(node, owner) || !is_gone(node, owner);
+    let others = owners.iter().all(is_safe);
     own && others
 }
 
