Remove what no piece calls: balancer look-ups, a lease's write count, a ticket's lane

Cause: the read-through found public items that nothing uses: Balancer::offers and ::capacity (pick tells both by its Shortage), Lease::writes (the metrics count store calls), Ticket::lane (a queue is one lane).

Change: removed, with the places that filled them. No behaviour, bound or assertion changes.

--- a/crates/ivyweir-policy/src/admit.rs
+++ b/crates/ivyweir-policy/src/admit.rs
@@ -21,8 +21,6 @@
     pub priority: u8,
     /// When it is of no use any more, in milliseconds.
     pub deadline_ms: u64,
-    /// What it waits for: tickets of one lane compete.
-    pub lane: Name,
 }
 
 /// Limits of the queue.
--- a/crates/ivyweir-policy/src/balance.rs
+++ b/crates/ivyweir-policy/src/balance.rs
@@ -144,21 +144,6 @@
         self.upstreams[at].take_report(report)
     }
 
-    /// Whether any upstream offers `version`, full or not.
-    pub fn offers(&self, want: &Want<'_>) -> bool {
-        self.upstreams.iter().any(|u| u.offers(want))
-    }
-
-    /// Slots of the upstreams that offer what is wanted, and the calls that they hold.
-    pub fn capacity(&self, want: &Want<'_>) -> (u64, u64) {
-        self.upstreams
-            .iter()
-            .filter(|u| u.offers(want) && !u.is_ejected(want.now_ms))
-            .fold((0, 0), |(slots, held), u| {
-                (slots + u.slots(want.now_ms), held + u.corrected())
-            })
-    }
-
     /// Picks an upstream and counts the call as sent.
     ///
     /// # Errors
--- a/crates/ivyweir-policy/tests/load.rs
+++ b/crates/ivyweir-policy/tests/load.rs
@@ -146,7 +146,6 @@
         weight,
         priority: 5,
         deadline_ms: 10_000,
-        lane: "m@v1".into(),
     }
 }
 
--- a/crates/ivyweird/src/gate.rs
+++ b/crates/ivyweird/src/gate.rs
@@ -224,7 +224,6 @@
             weight: ask.weight,
             priority: ask.priority,
             deadline_ms: ask.deadline_ms,
-            lane: lane_name.clone(),
         };
         let lane = inner
             .lanes
--- a/crates/ivyweird/src/lease.rs
+++ b/crates/ivyweird/src/lease.rs
@@ -35,8 +35,6 @@
     seen_since_ms: u64,
     held_until_ms: u64,
     next_look_ms: u64,
-    /// Renewals and takings written so far.
-    pub writes: u64,
 }
 
 impl Lease {
@@ -49,7 +47,6 @@
             seen_since_ms: 0,
             held_until_ms: 0,
             next_look_ms: 0,
-            writes: 0,
         }
     }
 
@@ -103,7 +100,6 @@
             renewals,
         };
         let body = serde_json::to_vec(&stored).expect("a lease is always valid JSON");
-        self.writes += 1;
         // A lost answer leaves the old time in force; the next look shows who holds it.
         if let Ok(PutOutcome::Written { .. }) = store.put(&self.object, &body, expect) {
             self.held_until_ms = asked_ms + TERM_MS - MARGIN_MS;
