--- /dev/null
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -0,0 +1,246 @@
+//! One send of a request to one upstream, up to the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::body::Incoming;
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::channel::{Channel, SendError, keep_time_ms};
+use crate::dialect::{AnswerMarks, Forward};
+use crate::job::Job;
+use crate::log::Trace;
+use crate::state::Gateway;
+
+/// Counts a request at an upstream while it lives, and holds its connection.
+pub struct Lease {
+    gateway: Arc<Gateway>,
+    /// The upstream.
+    pub upstream: Arc<UpstreamRecord>,
+    channel: Option<Channel>,
+}
+
+impl Lease {
+    fn new(gateway: Arc<Gateway>, upstream: Arc<UpstreamRecord>) -> Self {
+        gateway.with_load(&upstream.id, |load, _| load.begin());
+        Self {
+            gateway,
+            upstream,
+            channel: None,
+        }
+    }
+
+    /// Keeps the connection for later: the whole answer was read.
+    pub fn keep_channel(&mut self, keep_ms: Option<u64>) {
+        if let (Some(channel), Some(keep_ms)) = (self.channel.take(), keep_ms) {
+            let now_ms = self.gateway.clock.now_ms();
+            let channels = &self.gateway.channels;
+            channels.keep(&self.upstream.id, channel, keep_ms, now_ms);
+        }
+    }
+
+    /// Takes in how the answer ended.
+    pub fn outcome(&self, failed: bool) {
+        let id = &self.upstream.id;
+        self.gateway.with_load(id, |load, now_ms| load.outcome(failed, now_ms));
+    }
+
+    /// Takes in that the connection broke.
+    pub fn broke(&self) {
+        let id = &self.upstream.id;
+        self.gateway.with_load(id, |load, now_ms| load.outcome(true, now_ms));
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.gateway.with_load(&self.upstream.id, |load, _| load.end());
+    }
+}
+
+/// The head of an answer and the way to the rest.
+pub struct Reply {
+    /// Status, headers and the body to come.
+    pub response: Response<Incoming>,
+    /// What the upstream says of it.
+    pub marks: AnswerMarks,
+    /// The upstream and its connection.
+    pub lease: Lease,
+    /// How long its connection may be kept afterwards.
+    pub keep_ms: Option<u64>,
+}
+
+/// What became of a send.
+pub enum Sent {
+    /// The upstream took the request and answers.
+    Answered(Box<Reply>),
+    /// No byte left, or the upstream says that the request does not run.
+    NotRun {
+        /// Whether the request reached the upstream.
+        arrived: bool,
+    },
+    /// It may have run; there is no answer to use.
+    Lost,
+}
+
+/// What is sent, beyond the job itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending {
+    /// The model, by its place from the smallest.
+    pub model: usize,
+    /// The event behind which the stream goes on.
+    pub resume_after: Option<u64>,
+    /// Longest wait for the head of the answer.
+    pub wait_ms: u64,
+}
+
+/// Sends a job to an upstream.
+pub async fn send(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    upstream: &Arc<UpstreamRecord>,
+    sending: Sending,
+    trace: &mut Trace,
+) -> Sent {
+    let mut lease = Lease::new(gateway.clone(), upstream.clone());
+    // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
+    let mut kept = gateway.channels.take(&upstream.id, gateway.clock.now_ms());
+    loop {
+        let is_kept = kept.is_some();
+        let mut channel = match kept.take() {
+            Some(channel) => channel,
+            None => match Channel::open(upstream.addr).await {
+                Ok(channel) => channel,
+                Err(e) => {
+                    let detail = json!({"upstream": upstream.id, "error": e.to_string()});
+                    trace.fail("connect_failed", detail);
+                    gateway.with_load(&upstream.id, |load, now_ms| load.connection_failed(now_ms));
+                    count(gateway, job, "connect_failed");
+                    return Sent::NotRun { arrived: false };
+                }
+            },
+        };
+        if job.is_keyed && !gateway.keys_are_current() {
+            trace.fail("keys_not_current", json!({"proof_age_ms": gateway.proof_age_ms()}));
+            return Sent::NotRun { arrived: false };
+        }
+        let request = job.request(&*gateway.dialect, &forward(gateway, job, upstream, sending));
+        let waited = timeout(Duration::from_millis(sending.wait_ms), channel.send(request)).await;
+        match waited {
+            Ok(Ok(response)) => {
+                lease.channel = Some(channel);
+                return answered(gateway, job, lease, response, trace);
+            }
+            Ok(Err(SendError::NotSent)) if is_kept => continue,
+            Ok(Err(SendError::NotSent)) => {
+                gateway.with_load(&upstream.id, |load, now_ms| load.connection_failed(now_ms));
+                trace.fail("not_sent", json!({"upstream": upstream.id}));
+                count(gateway, job, "not_sent");
+                return Sent::NotRun { arrived: false };
+            }
+            Ok(Err(SendError::Lost(e))) => {
+                lease.broke();
+                let detail = json!({"upstream": upstream.id, "error": e.to_string(), "kept_connection": is_kept});
+                trace.fail("answer_lost", detail);
+                count(gateway, job, "lost");
+                return Sent::Lost;
+            }
+            Err(_) => {
+                lease.broke();
+                let detail = json!({"upstream": upstream.id, "waited_ms": sending.wait_ms});
+                trace.fail("no_head_in_time", detail);
+                count(gateway, job, "late");
+                return Sent::Lost;
+            }
+        }
+    }
+}
+
+fn answered(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    mut lease: Lease,
+    response: Response<Incoming>,
+    trace: &mut Trace,
+) -> Sent {
+    let status = response.status().as_u16();
+    let marks = gateway.dialect.answer(status, response.headers());
+    let keep_ms = keep_time_ms(response.headers());
+    let upstream: &Name = &lease.upstream.id;
+    if let Some(load) = marks.load {
+        gateway.report_load(upstream, load);
+    }
+    let detail = json!({"upstream": upstream, "status": status, "load": marks.load.map(|l| [l.running, l.waiting])});
+    if marks.is_other_incarnation {
+        trace.fail("other_incarnation", detail);
+        gateway.upstream_left(upstream);
+        count(gateway, job, "other_incarnation");
+        return Sent::NotRun { arrived: true };
+    }
+    if marks.not_run {
+        trace.fail("upstream_refused", detail);
+        lease.outcome(true);
+        if response.body().size_hint_is_empty() {
+            lease.keep_channel(keep_ms);
+        }
+        count(gateway, job, "refused");
+        return Sent::NotRun { arrived: true };
+    }
+    if !belongs(job, &marks, status) {
+        trace.fail("not_our_answer", detail);
+        lease.broke();
+        count(gateway, job, "spoilt");
+        return Sent::Lost;
+    }
+    count(gateway, job, "answered");
+    Sent::Answered(Box::new(Reply {
+        response,
+        marks,
+        lease,
+        keep_ms,
+    }))
+}
+
+/// Whether an answer is the upstream's own to this request.
+fn belongs(job: &Job, marks: &AnswerMarks, status: u16) -> bool {
+    let is_success = (200..300).contains(&status);
+    marks.request_id == job.envelope.request_id && (marks.is_signed || !is_success)
+}
+
+fn forward<'a>(
+    gateway: &Gateway,
+    job: &'a Job,
+    upstream: &'a UpstreamRecord,
+    sending: Sending,
+) -> Forward<'a> {
+    let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
+    Forward {
+        upstream_id: &upstream.id,
+        budget_ms: left_ms.max(1),
+        workspace: job.workspace.as_ref().map(|w| &*w.name),
+        model: job
+            .chooses_model()
+            .then(|| &*job.route.models[sending.model]),
+        resume_after: sending.resume_after,
+        urgency: job.route.kind.is_stream().then(|| job.urgency()),
+    }
+}
+
+fn count(gateway: &Gateway, job: &Job, outcome: &str) {
+    let sends = &gateway.metrics.sends;
+    sends.with_label_values(&[&*job.pool, outcome]).inc();
+}
+
+trait SizeHintExt {
+    fn size_hint_is_empty(&self) -> bool;
+}
+
+impl SizeHintExt for Incoming {
+    fn size_hint_is_empty(&self) -> bool {
+        hyper::body::Body::is_end_stream(self)
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -0,0 +1,223 @@
+//! What a dialect translates: headers of requests and answers, and the store's messages.
+//!
+//! The gateway decides with the types below. A dialect reads them from, and writes them to, the names
+//! that callers, upstreams and the store use. It holds no state and decides nothing.
+
+use std::fmt;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Request};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::rollout::RolloutOrder;
+use ivyweir_policy::gateway::site::Site;
+
+/// A part of a prompt that may stand in other prompts too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Hash of its id.
+    pub id_hash: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a caller says of its request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Envelope {
+    /// Id of this try.
+    pub request_id: Option<Name>,
+    /// Time for which the caller waits.
+    pub budget_ms: Option<u64>,
+    /// The caller's key.
+    pub key: Option<Name>,
+    /// Whether the caller leaves the model to the system.
+    pub any_model: bool,
+    /// Parts of the prompt in order; the last belongs to this request or its session.
+    pub parts: Vec<PromptPart>,
+    /// The event behind which the caller wants a stream to go on.
+    pub last_event_id: Option<u64>,
+    /// Hash of the session, if there is one.
+    pub session: Option<u64>,
+}
+
+/// What the system says of a request that it sends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Forward<'a> {
+    /// The incarnation that is to run it; any other refuses.
+    pub upstream_id: &'a str,
+    /// What is left of the caller's time.
+    pub budget_ms: u64,
+    /// Whose request it is.
+    pub workspace: Option<&'a str>,
+    /// The model, where the caller left it open.
+    pub model: Option<&'a str>,
+    /// The event behind which the stream goes on, where that differs from what the caller said.
+    pub resume_after: Option<u64>,
+    /// Rank at the engine, 0 first.
+    pub urgency: Option<u8>,
+}
+
+/// Load told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What an upstream says of its answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerMarks {
+    /// Id of the request that it answers.
+    pub request_id: Option<Name>,
+    /// Whether it carries the upstream's signature.
+    pub is_signed: bool,
+    /// Whether the upstream says that the request did not run and will not.
+    pub not_run: bool,
+    /// Whether another incarnation has the address.
+    pub is_other_incarnation: bool,
+    /// The upstream's load.
+    pub load: Option<ReportedLoad>,
+    /// The model's opinion of its answer, 0 to 100.
+    pub confidence: Option<u8>,
+}
+
+/// Which records of the store are meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The configuration.
+    Site,
+    /// Upstreams.
+    Upstreams,
+    /// Roll-outs.
+    Rollouts,
+}
+
+impl Topic {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Site => "site",
+            Self::Upstreams => "upstreams",
+            Self::Rollouts => "rollouts",
+        }
+    }
+}
+
+/// A record of the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Item {
+    /// A configuration.
+    Site(Box<Site>),
+    /// An upstream.
+    Upstream(UpstreamRecord),
+    /// A roll-out.
+    Rollout(RolloutOrder),
+}
+
+/// A record, or why it cannot be read.
+pub type Entry = std::result::Result<Item, DialectError>;
+
+/// A page of a listing.
+#[derive(Debug)]
+pub struct Page {
+    /// The records.
+    pub entries: Vec<Entry>,
+    /// Where the next page starts, if there is one.
+    pub next_after: Option<String>,
+    /// The store's revision when it answered.
+    pub revision: u64,
+}
+
+/// A change that a watch saw.
+#[derive(Debug)]
+pub enum Change {
+    /// A record was written.
+    Put(Entry),
+    /// The record of this name is gone.
+    Gone(Name),
+}
+
+/// What a watch saw.
+#[derive(Debug)]
+pub struct Changes {
+    /// In order.
+    pub changes: Vec<Change>,
+    /// Where the next watch starts.
+    pub revision: u64,
+}
+
+/// A message that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DialectError {
+    detail: String,
+}
+
+impl DialectError {
+    /// `detail` says which message, and what was expected.
+    pub fn new(detail: impl Into<String>) -> Self {
+        Self {
+            detail: detail.into(),
+        }
+    }
+}
+
+impl fmt::Display for DialectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.detail)
+    }
+}
+
+impl std::error::Error for DialectError {}
+
+/// Names on requests and answers.
+pub trait Dialect: Send + Sync {
+    /// The path at which the balancer asks whether a box takes new connections.
+    fn ready_path(&self) -> &str;
+
+    /// Reads what a caller says.
+    fn envelope(&self, headers: &HeaderMap) -> Envelope;
+
+    /// Removes what only the system may say, and the caller's key.
+    fn strip(&self, headers: &mut HeaderMap);
+
+    /// Adds what the system says.
+    fn mark(&self, headers: &mut HeaderMap, forward: &Forward);
+
+    /// Reads what an upstream says.
+    fn answer(&self, status: u16, headers: &HeaderMap) -> AnswerMarks;
+}
+
+/// The store's messages.
+pub trait StoreCodec: Send + Sync {
+    /// Asks for a page of records.
+    fn list(&self, topic: Topic, after: Option<&str>) -> Request<Bytes>;
+
+    /// Asks for changes behind a revision, waiting for some.
+    fn watch(&self, topic: Topic, since: u64, wait_ms: u64) -> Request<Bytes>;
+
+    /// Writes how far a roll-out is, if its record has not changed.
+    fn write_rollout(&self, order: &RolloutOrder) -> Request<Bytes>;
+
+    /// Reads a page.
+    ///
+    /// # Errors
+    ///
+    /// When the body is no page.
+    fn page(&self, topic: Topic, body: &[u8]) -> Result<Page, DialectError>;
+
+    /// Reads what a watch saw.
+    ///
+    /// # Errors
+    ///
+    /// When the body is no answer to a watch.
+    fn changes(&self, topic: Topic, body: &[u8]) -> Result<Changes, DialectError>;
+
+    /// Reads a roll-out's record as it stands after a write, or in place of one.
+    ///
+    /// # Errors
+    ///
+    /// When the body is no such record.
+    fn rollout(&self, body: &[u8]) -> Result<RolloutOrder, DialectError>;
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -0,0 +1,95 @@
+//! Drives roll-outs: any box may write the next state, under the record's revision.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use ivyweir_policy::gateway::rollout::{RolloutDuty, RolloutOrder, RolloutState};
+use ivyweir_policy::rank::hash64;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::state::Gateway;
+use crate::store::StoreClient;
+use crate::sync::adopt_rollout;
+
+/// How often duties are looked at.
+const ROUND: Duration = Duration::from_millis(100);
+/// Boxes act one after the other within this time, so that the first one's write spares the others'.
+const SPREAD_MS: u64 = 900;
+/// Time for the store to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause after a write that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(400);
+
+/// Does the duties of roll-outs for the life of the process.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut client = StoreClient::new(gateway.settings.store_addr);
+    let box_hash = hash64(&[gateway.settings.box_name.as_bytes()]);
+    let own_delay_ms = box_hash % SPREAD_MS;
+    loop {
+        sleep(ROUND).await;
+        for (order, duty) in duties(&gateway, own_delay_ms) {
+            write(&gateway, &mut client, order, duty).await;
+        }
+    }
+}
+
+/// What is to be written; a roll-back at once, the rest when it is this box's turn.
+fn duties(gateway: &Gateway, own_delay_ms: u64) -> Vec<(RolloutOrder, RolloutDuty)> {
+    gateway.with_rollouts(|rollouts, now_ms| {
+        rollouts
+            .values()
+            .filter_map(|track| {
+                let due = match track.duty(now_ms) {
+                    RolloutDuty::None => return None,
+                    RolloutDuty::RollBack => RolloutDuty::RollBack,
+                    _ => track.duty(now_ms.saturating_sub(own_delay_ms)),
+                };
+                let elapsed_ms = track.elapsed_ms(now_ms);
+                if due == RolloutDuty::None || elapsed_ms < own_delay_ms {
+                    return None;
+                }
+                let mut order = track.order().clone();
+                order.state = match due {
+                    RolloutDuty::Complete => RolloutState::Completed,
+                    RolloutDuty::RollBack => RolloutState::RolledBack,
+                    RolloutDuty::Start | RolloutDuty::None => RolloutState::Running { elapsed_ms },
+                };
+                Some((order, due))
+            })
+            .collect()
+    })
+}
+
+async fn write(
+    gateway: &Arc<Gateway>,
+    client: &mut StoreClient,
+    order: RolloutOrder,
+    duty: RolloutDuty,
+) {
+    let request = gateway.codec.write_rollout(&order);
+    let answer = client.call(request, ANSWER_LIMIT).await;
+    let outcome = match answer {
+        Ok(answer) if answer.status == StatusCode::OK || answer.status == StatusCode::CONFLICT => {
+            match gateway.codec.rollout(&answer.body) {
+                Ok(now) => {
+                    adopt_rollout(gateway, now);
+                    if answer.status == StatusCode::OK { "written" } else { "conflict" }.to_owned()
+                }
+                Err(e) => e.to_string(),
+            }
+        }
+        Ok(answer) => format!("status {}", answer.status.as_u16()),
+        Err(e) => e.to_string(),
+    };
+    let wrote = outcome == "written" || outcome == "conflict";
+    let detail = json!({
+        "pool": order.pool, "target_version": order.target_version,
+        "duty": format!("{duty:?}"), "outcome": outcome, "revision": order.revision,
+    });
+    gateway.log.line("rollout_step", detail);
+    if !wrote {
+        sleep(FAILED_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -0,0 +1,139 @@
+//! A request that was admitted, with all that is needed to send it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderName};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Uri};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::place::Ask;
+use ivyweir_policy::gateway::rollout::Side;
+use ivyweir_policy::gateway::site::{Route, Workspace};
+use ivyweir_policy::rank::{hash64, mix};
+
+use crate::dialect::{Dialect, Envelope, Forward, PromptPart};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+];
+/// Further ones without a name in the library.
+const HOP_BY_HOP_OTHER: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// An admitted request.
+#[derive(Debug)]
+pub struct Job {
+    /// Method, path and the headers that are passed on.
+    pub head: Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// What the caller says.
+    pub envelope: Envelope,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its pool.
+    pub pool: Name,
+    /// Whose request it is.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Whether it was let in by a key that may be withdrawn.
+    pub is_keyed: bool,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When it must have its final answer.
+    pub deadline_ms: u64,
+    /// The side of a roll-out that serves it.
+    pub side: Option<Side>,
+    /// Differs between requests.
+    pub seed: u64,
+}
+
+impl Job {
+    /// Rank at the engine: the workspace's, or else the route's.
+    pub fn urgency(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|w| w.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Whether the system chooses the model.
+    pub fn chooses_model(&self) -> bool {
+        self.envelope.any_model && !self.route.models.is_empty()
+    }
+
+    /// What is asked of an upstream for the model in this place.
+    pub fn ask<'a>(&self, model: usize, hall: &'a str) -> Ask<'a> {
+        let shared = self.shared_parts();
+        let prefix = shared.last().map(|part| mix(part.id_hash, model as u64));
+        Ask {
+            prefix,
+            prefix_tokens: shared.iter().map(|part| part.tokens).sum(),
+            hall,
+            seed: self.seed,
+        }
+    }
+
+    /// The request as it is sent to an upstream.
+    pub fn request(&self, dialect: &dyn Dialect, forward: &Forward) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.head.headers.clone();
+        dialect.mark(request.headers_mut(), forward);
+        request
+    }
+
+    fn shared_parts(&self) -> &[PromptPart] {
+        match self.envelope.parts.split_last() {
+            Some((_, shared)) => shared,
+            None => &[],
+        }
+    }
+}
+
+/// The head as it is passed on: origin form, without what concerns one connection or is the system's.
+pub fn passed_on(mut head: Parts, dialect: &dyn Dialect) -> Parts {
+    if let Some(path) = head.uri.path_and_query() {
+        head.uri = Uri::from(path.clone());
+    }
+    strip_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.headers.remove(header::EXPECT);
+    dialect.strip(&mut head.headers);
+    head.extensions.clear();
+    head
+}
+
+/// Removes headers that concern one connection only.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|token| token.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_OTHER {
+        headers.remove(name);
+    }
+}
+
+/// A number that differs between requests, the same on all boxes.
+pub fn seed_of(envelope: &Envelope) -> u64 {
+    match &envelope.request_id {
+        Some(id) => hash64(&[id.as_bytes()]),
+        None => rand::random(),
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -0,0 +1,181 @@
+//! The request path of ivyweir for opaque requests and streams of events.
+//!
+//! A gateway takes requests from callers, finds their route in the configuration, and sends them to an
+//! upstream of the route's pool. It passes bodies on unaltered and streams event by event. What callers,
+//! upstreams and the store call things is the business of a [`Dialect`] and a [`StoreCodec`]; decisions
+//! are in `ivyweir_policy::gateway`.
+//!
+//! ```no_run
+//! use std::path::Path;
+//! use std::sync::Arc;
+//! use ivyweir_gateway::{Dialect, Settings, StoreCodec};
+//!
+//! # fn start(dialect: Arc<dyn Dialect>, codec: Arc<dyn StoreCodec>) -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = Settings::from_file(Path::new("gateway.json"))?;
+//! ivyweir_gateway::run(settings, dialect, codec)?;
+//! # Ok(())
+//! # }
+//! ```
+
+mod attempt;
+mod channel;
+mod clock;
+pub mod dialect;
+mod drive;
+mod job;
+mod log;
+mod metrics;
+mod pipeline;
+mod refusal;
+mod relay;
+mod server;
+mod settings;
+mod state;
+mod store;
+mod sync;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use serde_json::json;
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use clock::Clock;
+use dialect::Topic;
+use log::Log;
+use state::Gateway;
+
+pub use dialect::{Dialect, StoreCodec};
+pub use settings::{Bounds, Machine, Settings, SettingsError};
+
+/// How often what is past its time is swept up.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Left of the grace for the end itself.
+const END_MARGIN_MS: u64 = 250;
+/// How often the end of the last request is looked for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Runs a box until it is told to stop by a signal.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub fn run(
+    settings: Settings,
+    dialect: Arc<dyn Dialect>,
+    codec: Arc<dyn StoreCodec>,
+) -> io::Result<()> {
+    let clock = Clock::start();
+    let log = Log::start(clock)?;
+    let gateway = Gateway::new(settings, clock, dialect, codec, log.clone());
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let ended = runtime.block_on(serve(Arc::new(gateway)));
+    log.finish();
+    ended
+}
+
+async fn serve(gateway: Arc<Gateway>) -> io::Result<()> {
+    let settings = &gateway.settings;
+    let callers = server::bind(settings.caller_addr)?;
+    let balancer = server::bind(settings.ready_addr)?;
+    let metrics = server::bind(settings.metrics_addr)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    gateway.log.line(
+        "started",
+        json!({
+            "box": settings.box_name, "hall": settings.hall, "version": env!("CARGO_PKG_VERSION"),
+            "caller_addr": settings.caller_addr, "store_addr": settings.store_addr,
+        }),
+    );
+    for topic in [Topic::Site, Topic::Upstreams, Topic::Rollouts] {
+        tokio::spawn(sync::follow(gateway.clone(), topic));
+    }
+    tokio::spawn(drive::run(gateway.clone()));
+    tokio::spawn(sweep(gateway.clone()));
+    tokio::spawn(server::serve_plain(balancer, answer_balancer(&gateway)));
+    tokio::spawn(server::serve_plain(metrics, answer_metrics(&gateway)));
+    let (stop, stopped) = watch::channel(false);
+    let server = tokio::spawn(server::serve_callers(gateway.clone(), callers, stopped));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => gateway.log.line("reload_asked", json!({})),
+        }
+    }
+    drain(&gateway, &stop).await;
+    server.abort();
+    gateway.log.line("stopped", json!({"requests_left": gateway.active()}));
+    Ok(())
+}
+
+/// Waits until the balancer has noticed and the last request has ended, within the grace.
+async fn drain(gateway: &Arc<Gateway>, stop: &watch::Sender<bool>) {
+    gateway.stop();
+    gateway.log.line("stopping", json!({"requests": gateway.active()}));
+    let grace_ms = gateway.settings.bounds.stop_grace_ms();
+    let end = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
+    let notice = Duration::from_millis(pipeline::STOP_NOTICE_MS);
+    sleep_until(end.min(Instant::now() + notice)).await;
+    // The receiver lives as long as the server's task.
+    let _server_gone = stop.send(true);
+    sleep(POLL).await;
+    while gateway.active() > 0 && Instant::now() < end {
+        sleep(POLL).await;
+    }
+    // The last answers leave the kernel's buffers.
+    sleep(POLL).await;
+}
+
+async fn sweep(gateway: Arc<Gateway>) {
+    let mut was_ready = false;
+    loop {
+        sleep(SWEEP).await;
+        gateway.sweep();
+        let ready = gateway.is_ready();
+        if ready != was_ready {
+            let detail = json!({"ready": ready, "proof_age_ms": gateway.proof_age_ms()});
+            gateway.log.line("readiness", detail);
+            was_ready = ready;
+        }
+    }
+}
+
+fn answer_balancer(
+    gateway: &Arc<Gateway>,
+) -> impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static {
+    let gateway = gateway.clone();
+    move |path| {
+        let status = if path != gateway.dialect.ready_path() {
+            StatusCode::NOT_FOUND
+        } else if gateway.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, String::new())
+    }
+}
+
+fn answer_metrics(
+    gateway: &Arc<Gateway>,
+) -> impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static {
+    let gateway = gateway.clone();
+    move |_| {
+        let belief = |what: &str, value: u64| {
+            let gauge = gateway.metrics.beliefs.with_label_values(&[what]);
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        let site = gateway.site();
+        belief("site_version", site.map_or(0, |site| site.site().version));
+        belief("proof_age_ms", gateway.proof_age_ms().unwrap_or(u64::MAX));
+        belief("requests_active", gateway.active());
+        belief("log_lines_dropped", gateway.log.dropped());
+        (StatusCode::OK, gateway.metrics.text())
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -0,0 +1,108 @@
+//! Answers of the gateway's own: refusals and failures.
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::{Response, StatusCode, header};
+
+/// The body of every answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Why the gateway itself answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The request's head or body breaks a limit or cannot be read.
+    BadRequest,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not arrive in time.
+    BodyLate,
+    /// No route serves the host and path.
+    NoRoute,
+    /// The key is unknown.
+    NoAccess,
+    /// The box does not know its configuration yet, or not whether it is the newest.
+    NotCurrent,
+    /// The box is stopping.
+    Stopping,
+    /// No upstream could take the request; it did not run.
+    NoUpstream,
+    /// Time ran out before any upstream took the request.
+    LateNotRun,
+    /// Time ran out while an upstream may have been working.
+    Late,
+    /// The request was sent and its answer lost or spoilt.
+    AnswerLost,
+}
+
+/// Time after which a refused caller should come back.
+const COME_BACK_MS: u64 = 250;
+/// The same where the box itself leaves or lags: another box may take the request at once.
+const COME_BACK_ELSEWHERE_MS: u64 = 50;
+
+impl Reason {
+    /// The status: 503, 429 and 408 are said only where the request did not run.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoAccess => StatusCode::UNAUTHORIZED,
+            Self::NotCurrent | Self::Stopping | Self::NoUpstream | Self::LateNotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Its name in logs, metrics and bodies.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
+            Self::BodyLate => "body_late",
+            Self::NoRoute => "no_route",
+            Self::NoAccess => "no_access",
+            Self::NotCurrent => "not_current",
+            Self::Stopping => "stopping",
+            Self::NoUpstream => "no_upstream",
+            Self::LateNotRun => "late_not_run",
+            Self::Late => "late",
+            Self::AnswerLost => "answer_lost",
+        }
+    }
+
+    fn come_back_ms(self) -> Option<u64> {
+        match self {
+            Self::NotCurrent | Self::Stopping => Some(COME_BACK_ELSEWHERE_MS),
+            Self::NoUpstream | Self::LateNotRun => Some(COME_BACK_MS),
+            _ => None,
+        }
+    }
+
+    /// The answer; `close` asks the caller for a new connection.
+    pub fn into_answer(self, close: bool) -> Response<AnswerBody> {
+        let body = Bytes::from(format!("{{\"code\":\"{}\"}}\n", self.name()));
+        let mut answer = Response::builder()
+            .status(self.status())
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(ms) = self.come_back_ms() {
+            answer = answer.header(header::RETRY_AFTER, format!("{:.3}", ms as f64 / 1_000.0));
+        }
+        if close || self == Self::Stopping {
+            answer = answer.header(header::CONNECTION, "close");
+        }
+        answer
+            .body(whole(body))
+            .expect("invariant: all parts are valid")
+    }
+}
+
+/// A body that is known as a whole.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/relay.rs
@@ -0,0 +1,259 @@
+//! Passes a stream on event by event, and goes on at another upstream where it breaks off.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Response, header};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::rollout::Evidence;
+use serde_json::json;
+use tokio::time::timeout_at;
+
+use crate::attempt::{self, Lease, Reply, Sending, Sent};
+use crate::job::{Job, strip_hop_by_hop};
+use crate::log::Trace;
+use crate::pipeline::{choose, weigh};
+use crate::refusal::AnswerBody;
+use crate::state::{Active, Gateway};
+
+/// Events after which the pause between them says something.
+const PACE_EVENTS: u32 = 3;
+
+/// Starts to relay.
+pub fn start(
+    gateway: &Arc<Gateway>,
+    job: Arc<Job>,
+    reply: Reply,
+    model: usize,
+    sent: u32,
+    trace: Trace,
+    active: Active,
+) -> Response<AnswerBody> {
+    let Reply {
+        response,
+        lease,
+        keep_ms,
+        ..
+    } = reply;
+    let (mut head, body) = response.into_parts();
+    strip_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    let last_event_id = job.envelope.last_event_id;
+    let relay = Relay {
+        gateway: gateway.clone(),
+        job,
+        source: Source {
+            body,
+            lease,
+            keep_ms,
+        },
+        partial: BytesMut::new(),
+        last_event_id,
+        events: 0,
+        first_event_ms: 0,
+        last_event_ms: 0,
+        model,
+        sent,
+        tried: Vec::new(),
+        trace,
+        ended: false,
+        _active: active,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let frame = relay.next().await?;
+        Some((frame, relay))
+    });
+    Response::from_parts(head, StreamBody::new(Box::pin(frames)).boxed_unsync())
+}
+
+struct Source {
+    body: Incoming,
+    lease: Lease,
+    keep_ms: Option<u64>,
+}
+
+struct Relay {
+    gateway: Arc<Gateway>,
+    job: Arc<Job>,
+    source: Source,
+    /// Bytes behind the last whole event.
+    partial: BytesMut,
+    last_event_id: Option<u64>,
+    events: u32,
+    first_event_ms: u64,
+    last_event_ms: u64,
+    model: usize,
+    sent: u32,
+    tried: Vec<Name>,
+    trace: Trace,
+    ended: bool,
+    _active: Active,
+}
+
+/// What the upstream sent next.
+enum Next {
+    Events(Bytes),
+    Partial,
+    End,
+    Broke(String),
+    Late,
+}
+
+impl Relay {
+    /// The next bytes for the caller; none at the end, an error where the answer breaks off.
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Next::Events(events) => return Some(Ok(Frame::data(events))),
+                Next::Partial => {}
+                Next::End => {
+                    self.finish();
+                    if self.partial.is_empty() {
+                        return None;
+                    }
+                    return Some(Ok(Frame::data(self.partial.split().freeze())));
+                }
+                Next::Broke(error) => {
+                    let upstream = self.source.lease.upstream.id.clone();
+                    let detail = json!({"upstream": upstream, "error": error, "behind_event": self.last_event_id});
+                    self.trace.fail("stream_broke", detail);
+                    self.source.lease.broke();
+                    self.tried.push(upstream);
+                    if !self.resume().await {
+                        return Some(Err(self.break_off("stream broke off")));
+                    }
+                }
+                Next::Late => return Some(Err(self.break_off("time is up"))),
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        let until = self.gateway.clock.instant(self.job.deadline_ms);
+        match timeout_at(until, self.source.body.frame()).await {
+            Err(_) => Next::Late,
+            Ok(None) => Next::End,
+            Ok(Some(Err(e))) => Next::Broke(e.to_string()),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => self.take_events(data),
+                // Trailers are not passed on.
+                Err(_) => Next::Partial,
+            },
+        }
+    }
+
+    /// Cuts whole events off what arrived.
+    fn take_events(&mut self, data: Bytes) -> Next {
+        let whole = if self.partial.is_empty() && data.ends_with(b"\n\n") {
+            data
+        } else {
+            self.partial.extend_from_slice(&data);
+            let Some(end) = last_event_end(&self.partial) else {
+                return Next::Partial;
+            };
+            self.partial.split_to(end).freeze()
+        };
+        let now_ms = self.gateway.clock.now_ms();
+        if self.events == 0 {
+            self.first_event_ms = now_ms;
+        }
+        self.last_event_ms = now_ms;
+        for id in event_ids(&whole) {
+            self.events += 1;
+            self.last_event_id = Some(id);
+        }
+        Next::Events(whole)
+    }
+
+    /// Goes on at another upstream; returns whether one answers.
+    async fn resume(&mut self) -> bool {
+        if !self.job.route.kind.is_repeatable() {
+            return false;
+        }
+        self.partial.clear();
+        while self.sent < self.job.route.max_attempts
+            && self.gateway.clock.now_ms() < self.job.deadline_ms
+            && self.gateway.take_repeat(&self.job.pool)
+        {
+            let job = self.job.clone();
+            let Some(choice) = choose(&self.gateway, &job, &self.tried, self.model) else {
+                return false;
+            };
+            let left_ms = job.deadline_ms.saturating_sub(self.gateway.clock.now_ms());
+            let sending = Sending {
+                model: self.model,
+                resume_after: self.last_event_id,
+                wait_ms: left_ms,
+            };
+            let upstream = &choice.upstream;
+            let sent = attempt::send(&self.gateway, &job, upstream, sending, &mut self.trace).await;
+            if !matches!(sent, Sent::NotRun { arrived: false }) {
+                self.sent += 1;
+            }
+            self.tried.push(upstream.id.clone());
+            if let Sent::Answered(reply) = sent
+                && reply.response.status().is_success()
+            {
+                let detail = json!({"upstream": upstream.id, "behind_event": self.last_event_id});
+                self.trace.step("resumed", detail);
+                self.source = Source {
+                    body: reply.response.into_body(),
+                    lease: reply.lease,
+                    keep_ms: reply.keep_ms,
+                };
+                return true;
+            }
+        }
+        false
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        self.source.lease.keep_channel(self.source.keep_ms);
+        let upstream = self.source.lease.upstream.clone();
+        self.gateway
+            .remember_session(self.job.envelope.session, &upstream.version);
+        let span_ms = self.last_event_ms.saturating_sub(self.first_event_ms);
+        let pace_ms = (self.events > PACE_EVENTS)
+            .then(|| span_ms as f64 / f64::from(self.events.saturating_sub(1)));
+        let evidence = Evidence {
+            failed: false,
+            model: self.model,
+            pace_ms,
+        };
+        weigh(&self.gateway, &self.job, &upstream, &evidence);
+        let detail = json!({
+            "upstream": upstream.id, "events": self.events, "pace_ms": pace_ms,
+            "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
+        });
+        self.trace.step("stream_ended", detail);
+    }
+
+    fn break_off(&mut self, why: &'static str) -> io::Error {
+        self.ended = true;
+        let detail = json!({"reason": why, "behind_event": self.last_event_id});
+        self.trace.fail("stream_broken_off", detail);
+        io::Error::other(why)
+    }
+}
+
+/// Where the last whole event ends: behind an empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let at = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
+    Some(at + 2)
+}
+
+/// Ids of events, in order.
+fn event_ids(events: &[u8]) -> impl Iterator<Item = u64> {
+    events.split(|byte| *byte == b'\n').filter_map(|line| {
+        let id = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(id).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -0,0 +1,130 @@
+//! Listens for callers, the balancer and readers of metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::sleep;
+
+use crate::pipeline;
+use crate::refusal::{AnswerBody, whole};
+use crate::state::Gateway;
+
+/// Idle time of a caller's connection before a configuration tells it.
+const IDLE_DEFAULT_MS: u64 = 15_000;
+/// Bytes of a connection's read buffer; heads are at most this long.
+const MAX_BUF_BYTES: usize = 32 << 10;
+/// Descriptors kept for files, connections to upstreams and the store.
+const RESERVED_FDS: u64 = 1_200;
+const MIN_CONNECTIONS: u64 = 256;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Accepts callers until told to stop, then lets their requests end.
+pub async fn serve_callers(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    let room = gateway.settings.machine.max_fds.saturating_sub(RESERVED_FDS);
+    let connections = Arc::new(Semaphore::new(room.max(MIN_CONNECTIONS) as usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.changed() => break,
+        };
+        let Some((stream, permit)) = take(accepted, &connections).await else {
+            continue;
+        };
+        let limits = gateway.site().and_then(|site| site.site().limits);
+        let idle_ms = limits.map_or(IDLE_DEFAULT_MS, |l| l.idle_timeout_ms);
+        let gateway = gateway.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let gateway = gateway.clone();
+            async move { Ok::<_, Infallible>(pipeline::handle(gateway, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(idle_ms))
+            .max_buf_size(MAX_BUF_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A caller that leaves ends its own request; there is nobody to tell.
+            let _caller_left = watched.await;
+            drop(permit);
+        });
+    }
+    graceful.shutdown().await;
+}
+
+async fn take(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    connections: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let stream = match accepted {
+        Ok((stream, _)) => stream,
+        Err(_) => {
+            sleep(ACCEPT_PAUSE).await;
+            return None;
+        }
+    };
+    let permit = connections.clone().try_acquire_owned().ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some((stream, permit))
+}
+
+/// Answers the balancer, and readers of metrics, one short answer a request.
+pub async fn serve_plain(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (status, text) = answer(request.uri().path());
+            async move { Ok::<_, Infallible>(plain(status, text)) }
+        });
+        let connection =
+            http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            let _reader_left = connection.await;
+        });
+    }
+}
+
+fn plain(status: StatusCode, text: String) -> Response<AnswerBody> {
+    let mut answer = Response::new(whole(Bytes::from(text)));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Binds an address so that a process that is started again gets it at once.
+///
+/// # Errors
+///
+/// When the address is taken or not this machine's.
+pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -0,0 +1,169 @@
+//! The gateway's settings file: strict JSON whose errors name the field.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::repeat::RepeatLimits;
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Settings that cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{file}: cannot be read: {source}"))]
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not JSON of the expected form.
+    #[snafu(display("{file}: {source}"))]
+    Parse {
+        /// The file.
+        file: String,
+        /// Field, line and what was expected.
+        source: serde_json::Error,
+    },
+    /// A value is out of its range.
+    #[snafu(display("{field}: {found}, expected {expected}"))]
+    Range {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        found: String,
+        /// What was expected.
+        expected: &'static str,
+    },
+}
+
+/// What a gateway process is told at its start.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The box's name.
+    pub box_name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where the balancer asks.
+    pub ready_addr: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_addr: SocketAddr,
+    /// Where the store is.
+    pub store_addr: SocketAddr,
+    /// What the machine gives.
+    pub machine: Machine,
+    /// What the operators promise.
+    pub bounds: Bounds,
+}
+
+/// What the machine gives a process.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// Memory over which the process is killed.
+    pub memory_mb: u64,
+    /// File descriptors, sockets among them.
+    pub max_fds: u64,
+}
+
+/// Bounds that the operators promise their users.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time after which an upstream that leaves gets no more work.
+    pub leaving_ms: u64,
+    /// Time after which a configuration is in force.
+    pub config_ms: u64,
+    /// Time after which a withdrawn key is not honoured by any box.
+    pub revoke_ms: u64,
+    /// Time between the order to stop and the end of the process.
+    pub stop_grace_s: f64,
+    /// Repeats allowed for each request, over all boxes.
+    pub repeat_ratio: f64,
+    /// Repeats allowed beyond that, over all boxes.
+    pub repeat_slack: f64,
+    /// Span over which repeats are counted.
+    pub repeat_window_s: f64,
+    /// Pause after which requests of a session no longer belong together.
+    pub session_s: f64,
+}
+
+/// Part of the ratio that a box uses, since boxes count windows that do not coincide.
+const REPEAT_RATIO_USED: f64 = 0.85;
+/// Part of the fleet's slack that one box uses, so that any number of boxes up to twenty stays within it.
+const REPEAT_SLACK_USED: f64 = 0.05;
+
+impl Bounds {
+    /// This box's own part of the fleet's bounds on repeats.
+    pub fn repeat_limits(&self) -> RepeatLimits {
+        RepeatLimits {
+            ratio: self.repeat_ratio * REPEAT_RATIO_USED,
+            slack: self.repeat_slack * REPEAT_SLACK_USED,
+            window_ms: (self.repeat_window_s * 1_000.0) as u64,
+        }
+    }
+
+    /// Time between the order to stop and the end of the process.
+    pub fn stop_grace_ms(&self) -> u64 {
+        (self.stop_grace_s * 1_000.0) as u64
+    }
+
+    /// Pause after which requests of a session no longer belong together.
+    pub fn session_ms(&self) -> u64 {
+        (self.session_s * 1_000.0) as u64
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be read, has an unknown or missing field, or a value out of range.
+    pub fn from_file(file: &Path) -> Result<Self, SettingsError> {
+        let name = file.display().to_string();
+        let text = fs::read_to_string(file).context(ReadSnafu { file: &name })?;
+        Self::from_json(&text, &name)
+    }
+
+    /// Checks settings; `name` stands in errors.
+    ///
+    /// # Errors
+    ///
+    /// As for [`from_file`](Self::from_file).
+    pub fn from_json(text: &str, name: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_json::from_str(text).context(ParseSnafu { file: name })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let bounds = &self.bounds;
+        let positive = [
+            ("bounds.leaving_ms", bounds.leaving_ms as f64),
+            ("bounds.config_ms", bounds.config_ms as f64),
+            ("bounds.revoke_ms", bounds.revoke_ms as f64),
+            ("bounds.stop_grace_s", bounds.stop_grace_s),
+            ("bounds.repeat_window_s", bounds.repeat_window_s),
+            ("machine.memory_mb", self.machine.memory_mb as f64),
+            ("machine.max_fds", self.machine.max_fds as f64),
+        ];
+        for (field, value) in positive {
+            ensure!(
+                value > 0.0,
+                RangeSnafu {
+                    field,
+                    found: value.to_string(),
+                    expected: "more than 0",
+                }
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/store.rs
@@ -0,0 +1,106 @@
+//! Calls to the store on one kept connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use crate::channel::{Channel, SendError};
+
+/// Bytes of the largest answer: a page is about a megabyte at most.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// A call to the store that brought nothing to use.
+#[derive(Debug, Snafu)]
+pub enum StoreError {
+    /// It could not be reached.
+    #[snafu(display("no connection to the store: {source}"))]
+    Unreachable {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// No whole answer came; a write may have been done.
+    #[snafu(display("the store's answer was lost: {detail}"))]
+    Lost {
+        /// What happened.
+        detail: String,
+    },
+    /// It answered that it did nothing.
+    #[snafu(display("the store refused with status {status}"))]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+    /// The answer cannot be read.
+    #[snafu(display("the store's answer cannot be read: {detail}"))]
+    Unreadable {
+        /// What was expected.
+        detail: String,
+    },
+}
+
+/// An answer of the store.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// One caller of the store; its calls go one after the other.
+#[derive(Debug)]
+pub struct StoreClient {
+    addr: SocketAddr,
+    channel: Option<Channel>,
+}
+
+impl StoreClient {
+    /// A client of the store at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            channel: None,
+        }
+    }
+
+    /// Makes a call.
+    ///
+    /// # Errors
+    ///
+    /// When there is no whole answer within `limit`. The connection is then given up: after a lost answer
+    /// it may say nothing further.
+    pub async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<StoreAnswer, StoreError> {
+        let mut channel = match self.channel.take().filter(Channel::is_ready) {
+            Some(channel) => channel,
+            None => Channel::open(self.addr)
+                .await
+                .map_err(|source| StoreError::Unreachable { source })?,
+        };
+        let lost = |detail: String| StoreError::Lost { detail };
+        let whole = async {
+            let answer = channel.send(request.map(Full::new)).await;
+            let answer = answer.map_err(|e| match e {
+                SendError::NotSent => lost("the connection closed before".into()),
+                SendError::Lost(e) => lost(e.to_string()),
+            })?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
+            let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            Ok(StoreAnswer { status, body })
+        };
+        let answer = timeout(limit, whole)
+            .await
+            .map_err(|_| lost(format!("nothing within {} ms", limit.as_millis())))??;
+        self.channel = Some(channel);
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -0,0 +1,270 @@
+//! Follows the store: lists each topic once, then watches it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState, RolloutTrack};
+use ivyweir_policy::gateway::site::{Site, SiteIndex};
+use rand::Rng;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::dialect::{Change, Entry, Item, Topic};
+use crate::state::Gateway;
+use crate::store::{StoreClient, StoreError};
+
+/// How long a watch of the configuration waits: each empty answer renews the proof that it is the newest,
+/// which must stay well below the bound on withdrawn keys.
+const SITE_WAIT_MS: u64 = 1_000;
+/// How long other watches wait; dead connections are noticed sooner by the kernel.
+const OTHER_WAIT_MS: u64 = 15_000;
+/// Time for the store to answer, beyond the wait. A slow store takes some hundred milliseconds.
+const ANSWER_LIMIT_MS: u64 = 1_500;
+/// Pauses after a failed call.
+const PAUSE_FIRST_MS: u64 = 100;
+const PAUSE_MAX_MS: u64 = 600;
+
+/// Follows one topic for the life of the process.
+pub async fn follow(gateway: Arc<Gateway>, topic: Topic) {
+    let mut follower = Follower {
+        client: StoreClient::new(gateway.settings.store_addr),
+        gateway,
+        topic,
+        failures: 0,
+    };
+    loop {
+        let Some(mut since) = follower.list().await else {
+            follower.pause().await;
+            continue;
+        };
+        loop {
+            match follower.watch(since).await {
+                Ok(Some(next)) => since = next,
+                Ok(None) => break,
+                Err(()) => follower.pause().await,
+            }
+        }
+    }
+}
+
+struct Follower {
+    client: StoreClient,
+    gateway: Arc<Gateway>,
+    topic: Topic,
+    failures: u32,
+}
+
+impl Follower {
+    /// Lists the topic; returns the revision to watch from.
+    async fn list(&mut self) -> Option<u64> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let mut entries = Vec::new();
+        let mut after: Option<String> = None;
+        let mut revision = None;
+        loop {
+            let request = self.gateway.codec.list(self.topic, after.as_deref());
+            let answer = self.client.call(request, Duration::from_millis(ANSWER_LIMIT_MS));
+            let body = match answer.await {
+                Ok(answer) if answer.status == StatusCode::OK => answer.body,
+                Ok(answer) => {
+                    self.failed(&StoreError::Refused {
+                        status: answer.status.as_u16(),
+                    });
+                    return None;
+                }
+                Err(e) => {
+                    self.failed(&e);
+                    return None;
+                }
+            };
+            match self.gateway.codec.page(self.topic, &body) {
+                Ok(page) => {
+                    // What changes while pages are read is told by the watch from the first page on.
+                    revision.get_or_insert(page.revision);
+                    entries.extend(page.entries);
+                    after = page.next_after;
+                }
+                Err(e) => {
+                    self.failed(&StoreError::Unreadable {
+                        detail: e.to_string(),
+                    });
+                    return None;
+                }
+            }
+            if after.is_none() {
+                break;
+            }
+        }
+        self.succeeded();
+        self.adopt_all(entries);
+        if self.topic == Topic::Site {
+            self.gateway.renew_proof(asked_at_ms);
+        }
+        self.gateway.set_synced(self.topic);
+        revision
+    }
+
+    /// Watches once; returns where to go on, or none if the topic is to be listed again.
+    async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let wait_ms = if self.topic == Topic::Site {
+            SITE_WAIT_MS
+        } else {
+            OTHER_WAIT_MS
+        };
+        let request = self.gateway.codec.watch(self.topic, since, wait_ms);
+        let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
+        let answer = match self.client.call(request, limit).await {
+            Ok(answer) => answer,
+            Err(e) => {
+                self.failed(&e);
+                return Err(());
+            }
+        };
+        if answer.status == StatusCode::GONE {
+            self.succeeded();
+            let detail = json!({"topic": self.topic.name(), "since": since});
+            self.gateway.log.line("store_history_gone", detail);
+            return Ok(None);
+        }
+        if answer.status != StatusCode::OK {
+            self.failed(&StoreError::Refused {
+                status: answer.status.as_u16(),
+            });
+            return Err(());
+        }
+        match self.gateway.codec.changes(self.topic, &answer.body) {
+            Ok(changes) => {
+                self.succeeded();
+                for change in changes.changes {
+                    match change {
+                        Change::Put(entry) => self.adopt(entry),
+                        Change::Gone(name) => self.remove(&name),
+                    }
+                }
+                if self.topic == Topic::Site {
+                    self.gateway.renew_proof(asked_at_ms);
+                }
+                Ok(Some(changes.revision))
+            }
+            Err(e) => {
+                self.failed(&StoreError::Unreadable {
+                    detail: e.to_string(),
+                });
+                Err(())
+            }
+        }
+    }
+
+    fn adopt_all(&self, entries: Vec<Entry>) {
+        if self.topic != Topic::Upstreams {
+            entries.into_iter().for_each(|entry| self.adopt(entry));
+            return;
+        }
+        let records: Vec<UpstreamRecord> = entries
+            .into_iter()
+            .filter_map(|entry| match self.readable(entry) {
+                Some(Item::Upstream(record)) => Some(record),
+                _ => None,
+            })
+            .collect();
+        self.gateway
+            .change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
+    }
+
+    fn adopt(&self, entry: Entry) {
+        match self.readable(entry) {
+            Some(Item::Site(site)) => self.adopt_site(*site),
+            Some(Item::Upstream(record)) => self.gateway.change_upstream(|fleet, _| {
+                let id = record.id.clone();
+                vec![(id, fleet.put(record))]
+            }),
+            Some(Item::Rollout(order)) => adopt_rollout(&self.gateway, order),
+            None => {}
+        }
+    }
+
+    fn adopt_site(&self, site: Site) {
+        let (version, routes) = (site.version, site.routes.len());
+        let adopted = self.gateway.adopt_site(SiteIndex::from(site));
+        let detail = json!({"version": version, "routes": routes, "adopted": adopted});
+        self.gateway.log.line("site_seen", detail);
+    }
+
+    fn remove(&self, name: &Name) {
+        match self.topic {
+            Topic::Upstreams => self.gateway.change_upstream(|fleet, now_ms| {
+                let change = fleet.lapse(name, now_ms);
+                vec![(name.clone(), change)]
+            }),
+            Topic::Rollouts => {
+                self.gateway.with_rollouts(|rollouts, _| rollouts.remove(name));
+                self.gateway.log.line("rollout_withdrawn", json!({"pool": name}));
+            }
+            // A configuration is replaced, never taken away.
+            Topic::Site => self.gateway.log.line("site_removed", json!({"name": name})),
+        }
+    }
+
+    fn readable(&self, entry: Entry) -> Option<Item> {
+        match entry {
+            Ok(item) => Some(item),
+            Err(e) => {
+                let detail = json!({"topic": self.topic.name(), "error": e.to_string()});
+                self.gateway.log.line("record_unreadable", detail);
+                None
+            }
+        }
+    }
+
+    fn succeeded(&mut self) {
+        self.count("ok");
+        if self.failures > 0 {
+            let detail = json!({"topic": self.topic.name(), "after_failures": self.failures});
+            self.gateway.log.line("store_regained", detail);
+        }
+        self.failures = 0;
+    }
+
+    fn failed(&mut self, error: &StoreError) {
+        self.count("failed");
+        if self.failures == 0 {
+            let detail = json!({"topic": self.topic.name(), "error": error.to_string()});
+            self.gateway.log.line("store_lost", detail);
+        }
+        self.failures += 1;
+    }
+
+    fn count(&self, outcome: &str) {
+        let calls = &self.gateway.metrics.store_calls;
+        calls.with_label_values(&[self.topic.name(), outcome]).inc();
+    }
+
+    async fn pause(&self) {
+        let doublings = self.failures.saturating_sub(1).min(4);
+        let pause_ms = (PAUSE_FIRST_MS << doublings).min(PAUSE_MAX_MS);
+        let spread_ms = rand::rng().random_range(0..=pause_ms / 2);
+        sleep(Duration::from_millis(pause_ms / 2 + spread_ms)).await;
+    }
+}
+
+/// Takes in a roll-out's record.
+pub fn adopt_rollout(gateway: &Gateway, order: RolloutOrder) {
+    let detail = json!({
+        "pool": order.pool, "target_version": order.target_version,
+        "state": order.state, "revision": order.revision,
+    });
+    gateway.log.line("rollout_seen", detail);
+    if order.state == RolloutState::Completed {
+        gateway.settle(&order.pool, &order.target_version);
+    }
+    gateway.with_rollouts(|rollouts, now_ms| match rollouts.get_mut(&order.pool) {
+        Some(track) => track.update(order, now_ms),
+        None => {
+            rollouts.insert(order.pool.clone(), RolloutTrack::new(order, now_ms));
+        }
+    });
+}
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -0,0 +1,11 @@
+//! Decisions of the request gateway: routes, upstreams, models, repeats and roll-outs.
+//!
+//! Each type is plain data that is handed the time; the gateway's I/O lives in `ivyweir-gateway`.
+
+pub mod cascade;
+pub mod fleet;
+pub mod place;
+pub mod proof;
+pub mod repeat;
+pub mod rollout;
+pub mod site;
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/proof.rs
@@ -0,0 +1,28 @@
+//! How long ago the configuration in force was last shown to be the newest.
+//!
+//! A key that was withdrawn must not be honoured for long, also by a box that no longer reaches the
+//! store. So a keyed request is sent on only while the last proof is younger than the bound. The proof
+//! dates from when the question was *asked*: what the answer shows held at some time after that.
+
+/// Keeps the time of the newest proof, in milliseconds of a steady clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Proof {
+    asked_at_ms: Option<u64>,
+}
+
+impl Proof {
+    /// Takes in an answer of the store to a question asked at `asked_at_ms`.
+    pub fn renew(&mut self, asked_at_ms: u64) {
+        self.asked_at_ms = self.asked_at_ms.max(Some(asked_at_ms));
+    }
+
+    /// Age of the proof; none if there never was one.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(now_ms.saturating_sub(self.asked_at_ms?))
+    }
+
+    /// Whether the proof is younger than `bound_ms`.
+    pub fn is_younger_than(&self, bound_ms: u64, now_ms: u64) -> bool {
+        self.age_ms(now_ms).is_some_and(|age_ms| age_ms < bound_ms)
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -0,0 +1,299 @@
+//! A pool's move to another version: how much of it a version gets, and when it is judged bad.
+//!
+//! During the first half of its time the new version gets a small, constant share of sessions, chosen by
+//! a hash that all boxes agree on; a session that was on the old version stays there. Then the share
+//! grows in steps. Any box that sees the new version fail returns all work to the old one.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+use crate::rank::mix;
+
+/// A step of a roll-out: from which part of its time on, and which share the new version gets.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    from: f64,
+    share: f64,
+}
+
+/// The bound on exposure is 15 % of requests over the whole time; the first half stays well below, so
+/// that what a late fault reaches during the growth fits too.
+const STEPS: [Step; 4] = [
+    Step { from: 0.0, share: 0.06 },
+    Step { from: 0.5, share: 0.3 },
+    Step { from: 0.6, share: 0.65 },
+    Step { from: 0.7, share: 1.0 },
+];
+/// Part of the time after which the move is declared complete; answers of the old version that began
+/// before the last step have ended by then.
+const COMPLETE_FROM: f64 = 0.9;
+/// Newest answers of a version that are judged.
+const JUDGED: usize = 12;
+/// Bad answers among these that condemn the new version.
+const BAD_LIMIT: usize = 3;
+/// How many times as often as the old version the new one must fail.
+const BAD_RATIO: f64 = 3.0;
+/// How many times the old version's pause between events makes an answer a bad one.
+const SLOW_RATIO: f64 = 3.5;
+/// Answers of the old version, of one model, needed to tell a slow one.
+const PACE_SAMPLES: u32 = 5;
+/// Weight of the newest pace.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// How far a roll-out is, as the store says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RolloutState {
+    /// Nobody took it up.
+    Ordered,
+    /// Under way.
+    Running {
+        /// Time that had passed when this was written.
+        elapsed_ms: u64,
+    },
+    /// All work goes to the new version.
+    Completed,
+    /// All work stays with the old version.
+    RolledBack,
+}
+
+/// An order to move a pool to another version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// The pool.
+    pub pool: Name,
+    /// The version that is to serve it.
+    pub target_version: Name,
+    /// Time in which to do so.
+    pub duration_ms: u64,
+    /// How far it is.
+    pub state: RolloutState,
+    /// Revision of the record.
+    pub revision: u64,
+}
+
+/// Which side of a roll-out serves a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// Versions other than the target.
+    Old,
+    /// The target.
+    New,
+}
+
+/// What an answer says about the version that gave it.
+#[derive(Debug, Clone, Copy)]
+pub struct Evidence {
+    /// The upstream itself answered with a failure.
+    pub failed: bool,
+    /// The model, by its place from the smallest.
+    pub model: usize,
+    /// Mean pause between events, where there were enough.
+    pub pace_ms: Option<f64>,
+}
+
+#[derive(Debug, Default)]
+struct Judged {
+    newest: VecDeque<bool>,
+}
+
+impl Judged {
+    fn push(&mut self, bad: bool) {
+        self.newest.push_back(bad);
+        if self.newest.len() > JUDGED {
+            self.newest.pop_front();
+        }
+    }
+
+    fn bad(&self) -> usize {
+        self.newest.iter().filter(|bad| **bad).count()
+    }
+
+    fn bad_rate(&self) -> f64 {
+        self.bad() as f64 / self.newest.len().max(1) as f64
+    }
+}
+
+/// A pause between events, averaged.
+#[derive(Debug, Default, Clone, Copy)]
+struct Pace {
+    mean_ms: f64,
+    samples: u32,
+}
+
+/// A box's view of a roll-out.
+#[derive(Debug)]
+pub struct RolloutTrack {
+    order: RolloutOrder,
+    started_ms: u64,
+    old: Judged,
+    new: Judged,
+    old_pace: HashMap<usize, Pace>,
+    condemned: bool,
+}
+
+/// What a box should write to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutDuty {
+    /// Nothing for now.
+    None,
+    /// That it is under way.
+    Start,
+    /// That it is complete.
+    Complete,
+    /// That it was undone.
+    RollBack,
+}
+
+impl RolloutTrack {
+    /// Follows an order from now on.
+    pub fn new(order: RolloutOrder, now_ms: u64) -> Self {
+        let elapsed_ms = match order.state {
+            RolloutState::Running { elapsed_ms } => elapsed_ms,
+            _ => 0,
+        };
+        Self {
+            started_ms: now_ms.saturating_sub(elapsed_ms),
+            order,
+            old: Judged::default(),
+            new: Judged::default(),
+            old_pace: HashMap::new(),
+            condemned: false,
+        }
+    }
+
+    /// Takes in the order's record; an order for another version starts anew.
+    pub fn update(&mut self, order: RolloutOrder, now_ms: u64) {
+        if order.revision <= self.order.revision {
+            return;
+        }
+        let same = order.target_version == self.order.target_version
+            && order.duration_ms == self.order.duration_ms
+            && !(self.is_over() && order.state == RolloutState::Ordered);
+        if same {
+            self.order = order;
+        } else {
+            *self = Self::new(order, now_ms);
+        }
+    }
+
+    /// The order.
+    pub fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// Whether nothing more is to be done.
+    pub fn is_over(&self) -> bool {
+        matches!(
+            self.order.state,
+            RolloutState::Completed | RolloutState::RolledBack
+        )
+    }
+
+    /// Time since the order.
+    pub fn elapsed_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.started_ms)
+    }
+
+    /// Share of sessions that the new version gets.
+    pub fn share(&self, now_ms: u64) -> f64 {
+        match self.order.state {
+            RolloutState::Completed => return 1.0,
+            RolloutState::RolledBack => return 0.0,
+            _ if self.condemned => return 0.0,
+            _ => {}
+        }
+        let part = self.part(now_ms);
+        let step = STEPS.iter().rev().find(|step| part >= step.from);
+        step.map_or(0.0, |step| step.share)
+    }
+
+    /// The side that serves a request of the session with this hash.
+    ///
+    /// `last` is the side that served the session's previous request, if that was a short time ago.
+    pub fn side(&self, session: u64, last: Option<Side>, now_ms: u64) -> Side {
+        let share = self.share(now_ms);
+        if share <= 0.0 {
+            return Side::Old;
+        }
+        if share >= 1.0 {
+            return Side::New;
+        }
+        match last {
+            // A move back is never owed while the new version is in use, a move on not before half time.
+            Some(Side::New) => Side::New,
+            Some(Side::Old) if self.part(now_ms) < STEPS[1].from => Side::Old,
+            _ => {
+                let drawn = mix(session, SESSION_SALT) >> 11;
+                let unit = drawn as f64 / (1u64 << 53) as f64;
+                if unit < share { Side::New } else { Side::Old }
+            }
+        }
+    }
+
+    /// The side a version is on.
+    pub fn side_of(&self, version: &str) -> Side {
+        if version == &*self.order.target_version {
+            Side::New
+        } else {
+            Side::Old
+        }
+    }
+
+    /// Takes in an answer; returns whether it condemned the new version just now.
+    pub fn judge(&mut self, side: Side, evidence: &Evidence) -> bool {
+        let pace = self.old_pace.entry(evidence.model).or_default();
+        let slow = evidence.pace_ms.is_some_and(|pace_ms| {
+            pace.samples >= PACE_SAMPLES && pace_ms > pace.mean_ms * SLOW_RATIO
+        });
+        let bad = evidence.failed || slow;
+        match side {
+            Side::Old => {
+                self.old.push(bad);
+                if let Some(pace_ms) = evidence.pace_ms {
+                    pace.add(pace_ms);
+                }
+            }
+            Side::New => self.new.push(bad),
+        }
+        let was = self.condemned;
+        let worse = self.new.bad_rate() > self.old.bad_rate() * BAD_RATIO;
+        if !self.is_over() && self.new.bad() >= BAD_LIMIT && worse {
+            self.condemned = true;
+        }
+        self.condemned && !was
+    }
+
+    /// Bad and all answers among those judged last, of the new version and of the old one.
+    pub fn tally(&self) -> [(usize, usize); 2] {
+        [&self.new, &self.old].map(|judged| (judged.bad(), judged.newest.len()))
+    }
+
+    /// What is to be written now.
+    pub fn duty(&self, now_ms: u64) -> RolloutDuty {
+        match self.order.state {
+            RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
+            _ if self.condemned => RolloutDuty::RollBack,
+            _ if self.part(now_ms) >= COMPLETE_FROM => RolloutDuty::Complete,
+            RolloutState::Ordered => RolloutDuty::Start,
+            RolloutState::Running { .. } => RolloutDuty::None,
+        }
+    }
+
+    fn part(&self, now_ms: u64) -> f64 {
+        self.elapsed_ms(now_ms) as f64 / self.order.duration_ms.max(1) as f64
+    }
+}
+
+/// Keeps this draw apart from others that use the same session.
+const SESSION_SALT: u64 = 0x726f_6c6c_6f75_7421;
+
+impl Pace {
+    fn add(&mut self, pace_ms: f64) {
+        self.samples += 1;
+        let weight = PACE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.mean_ms += weight * (pace_ms - self.mean_ms);
+    }
+}
--- a/crates/ivyweir-policy/src/lib.rs
+++ b/crates/ivyweir-policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod choose;
 pub mod claim;
 mod error;
+pub mod gateway;
 pub mod guard;
 mod intent;
 pub mod ledger;
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -1,9 +1,12 @@
-//! The ivyweir daemon: `ivyweird --settings FILE`.
+//! The ivyweir daemon: `ivyweird --settings FILE`, or `ivyweird --gateway FILE` on the users' platform.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use gumdrop::Options;
+use ivyweir_adapter::{ObjectCodec, PlatformDialect};
+use ivyweir_gateway::Settings as GatewaySettings;
 use ivyweird::Settings;
 
 /// Exit code for settings that cannot be used.
@@ -17,6 +20,8 @@
     help: bool,
     #[options(help = "settings file (JSON)", meta = "FILE")]
     settings: Option<PathBuf>,
+    #[options(help = "run as a gateway, with this settings file (JSON)", meta = "FILE")]
+    gateway: Option<PathBuf>,
     #[options(help = "check the settings file and exit", no_short)]
     check: bool,
     #[options(help = "print the version", no_short)]
@@ -29,8 +34,11 @@
         println!("ivyweird {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if let Some(file) = args.gateway {
+        return run_gateway(&file, args.check);
+    }
     let Some(file) = args.settings else {
-        eprintln!("ivyweird: --settings FILE is missing; --help tells more");
+        eprintln!("ivyweird: --settings FILE or --gateway FILE is missing; --help tells more");
         return ExitCode::from(EXIT_SETTINGS);
     };
     let settings = match Settings::from_file(&file) {
@@ -52,3 +60,25 @@
         }
     }
 }
+
+fn run_gateway(file: &Path, check: bool) -> ExitCode {
+    let settings = match GatewaySettings::from_file(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("ivyweird: {e}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if check {
+        println!("{}: ok", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let codec = ObjectCodec::new(settings.store_addr);
+    match ivyweir_gateway::run(settings, Arc::new(PlatformDialect), Arc::new(codec)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("ivyweird: {e}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
