Roll-outs: boxes that learn of an order late catch up at each step

Three boxes were cut off when the order came, saw it 11 s later with the elapsed time of its start, and kept sessions on the old version while the others had moved on. Second cause found by the test: a box started during a roll-out clipped its start to the start of its own clock. Ruled out: lost session memory (the boxes had not restarted), a fallback for want of upstreams. Change: the elapsed time is written again at each step; a box takes the earlier of the two starts; starts may lie before the clock's own.

--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -54,7 +54,7 @@
                 order.state = match due {
                     RolloutDuty::Complete => RolloutState::Completed,
                     RolloutDuty::RollBack => RolloutState::RolledBack,
-                    RolloutDuty::Start | RolloutDuty::None => RolloutState::Running { elapsed_ms },
+                    RolloutDuty::Tell | RolloutDuty::None => RolloutState::Running { elapsed_ms },
                 };
                 Some((order, due))
             })
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -127,7 +127,8 @@
 #[derive(Debug)]
 pub struct RolloutTrack {
     order: RolloutOrder,
-    started_ms: u64,
+    /// May lie before the start of the box's clock.
+    started_ms: i64,
     old: Judged,
     new: Judged,
     old_pace: HashMap<usize, Pace>,
@@ -139,8 +140,8 @@
 pub enum RolloutDuty {
     /// Nothing for now.
     None,
-    /// That it is under way.
-    Start,
+    /// How much time has passed: at the start, and at each step for boxes that learned of it late.
+    Tell,
     /// That it is complete.
     Complete,
     /// That it was undone.
@@ -155,7 +156,7 @@
             _ => 0,
         };
         Self {
-            started_ms: now_ms.saturating_sub(elapsed_ms),
+            started_ms: start_of(elapsed_ms, now_ms),
             order,
             old: Judged::default(),
             new: Judged::default(),
@@ -173,6 +174,10 @@
             && order.duration_ms == self.order.duration_ms
             && !(self.is_over() && order.state == RolloutState::Ordered);
         if same {
+            if let RolloutState::Running { elapsed_ms } = order.state {
+                // A box that learned of the order late counts from too late until another one tells it.
+                self.started_ms = self.started_ms.min(start_of(elapsed_ms, now_ms));
+            }
             self.order = order;
         } else {
             *self = Self::new(order, now_ms);
@@ -194,7 +199,7 @@
 
     /// Time since the order.
     pub fn elapsed_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.started_ms)
+        u64::try_from(now_ms as i64 - self.started_ms).unwrap_or(0)
     }
 
     /// Share of sessions that the new version gets.
@@ -205,9 +210,7 @@
             _ if self.condemned => return 0.0,
             _ => {}
         }
-        let part = self.part(now_ms);
-        let step = STEPS.iter().rev().find(|step| part >= step.from);
-        step.map_or(0.0, |step| step.share)
+        STEPS[step_at(self.part(now_ms))].share
     }
 
     /// The side that serves a request of the session with this hash.
@@ -277,8 +280,15 @@
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
             _ if self.condemned => RolloutDuty::RollBack,
             _ if self.part(now_ms) >= COMPLETE_FROM => RolloutDuty::Complete,
-            RolloutState::Ordered => RolloutDuty::Start,
-            RolloutState::Running { .. } => RolloutDuty::None,
+            RolloutState::Ordered => RolloutDuty::Tell,
+            RolloutState::Running { elapsed_ms } => {
+                let told = elapsed_ms as f64 / self.order.duration_ms.max(1) as f64;
+                if step_at(told) < step_at(self.part(now_ms)) {
+                    RolloutDuty::Tell
+                } else {
+                    RolloutDuty::None
+                }
+            }
         }
     }
 
@@ -287,6 +297,16 @@
     }
 }
 
+fn start_of(elapsed_ms: u64, now_ms: u64) -> i64 {
+    now_ms as i64 - elapsed_ms as i64
+}
+
+/// The step that holds at a part of the time, by its place.
+fn step_at(part: f64) -> usize {
+    let later = STEPS.iter().rposition(|step| part >= step.from);
+    later.unwrap_or(0)
+}
+
 /// Keeps this draw apart from others that use the same session.
 const SESSION_SALT: u64 = 0x726f_6c6c_6f75_7421;
 
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -0,0 +1,175 @@
+//! Roll-outs of a pool: shares, sessions, verdicts, and what boxes tell each other.
+
+use ivyweir_policy::gateway::rollout::{
+    Evidence, RolloutDuty, RolloutOrder, RolloutState, RolloutTrack, Side,
+};
+
+const DURATION_MS: u64 = 24_000;
+
+fn order(state: RolloutState, revision: u64) -> RolloutOrder {
+    RolloutOrder {
+        pool: "writers".into(),
+        target_version: "v2".into(),
+        duration_ms: DURATION_MS,
+        state,
+        revision,
+    }
+}
+
+fn running(elapsed_ms: u64) -> RolloutState {
+    RolloutState::Running { elapsed_ms }
+}
+
+fn evidence(failed: bool, pace_ms: Option<f64>) -> Evidence {
+    Evidence {
+        failed,
+        model: 0,
+        pace_ms,
+    }
+}
+
+fn sessions_on_new(track: &RolloutTrack, now_ms: u64) -> usize {
+    let on_new = |session: &u64| track.side(*session, None, now_ms) == Side::New;
+    (0..1_000).filter(on_new).count()
+}
+
+macro_rules! shares {
+    ($($name:ident: at $at_ms:expr => $low:expr, $high:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let track = RolloutTrack::new(order(RolloutState::Ordered, 1), 0);
+            let on_new = sessions_on_new(&track, $at_ms);
+            assert!(($low..=$high).contains(&on_new), "{on_new} of 1000 sessions");
+        }
+    )*};
+}
+
+shares! {
+    few_sessions_try_a_new_version: at 0 => 30, 100;
+    few_still_do_before_half_time: at 11_900 => 30, 100;
+    a_third_does_after_half_time: at 12_100 => 240, 360;
+    all_do_before_the_end: at 17_000 => 1_000, 1_000;
+}
+
+macro_rules! sticky {
+    ($($name:ident: $last:expr, at $at_ms:expr => $side:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let track = RolloutTrack::new(order(RolloutState::Ordered, 1), 0);
+            for session in 0..200 {
+                assert_eq!(track.side(session, $last, $at_ms), $side, "session {session}");
+            }
+        }
+    )*};
+}
+
+sticky! {
+    a_session_stays_on_the_old_version_in_the_first_half: Some(Side::Old), at 11_000 => Side::Old;
+    a_session_never_goes_back: Some(Side::New), at 1_000 => Side::New;
+    a_session_moves_on_in_the_end: Some(Side::Old), at 20_000 => Side::New;
+}
+
+#[test]
+fn a_box_that_learns_late_catches_up_at_the_next_step() {
+    let at_half_ms = DURATION_MS / 2;
+    let mut late = RolloutTrack::new(order(running(115), 2), 11_500);
+    assert_eq!(late.elapsed_ms(11_500), 115, "nothing tells it better yet");
+    late.update(order(running(at_half_ms), 3), at_half_ms + 10);
+    assert_eq!(late.elapsed_ms(at_half_ms + 10), at_half_ms);
+    let punctual = RolloutTrack::new(order(RolloutState::Ordered, 1), 0);
+    for session in 0..1_000 {
+        let now_ms = at_half_ms + 20;
+        let sides = [&late, &punctual].map(|t| t.side(session, None, now_ms));
+        assert_eq!(sides[0], sides[1], "session {session}");
+    }
+}
+
+#[test]
+fn a_later_word_never_sets_a_box_back() {
+    let mut track = RolloutTrack::new(order(RolloutState::Ordered, 1), 0);
+    track.update(order(running(100), 2), 5_000);
+    assert_eq!(track.elapsed_ms(5_000), 5_000);
+}
+
+macro_rules! duties {
+    ($($name:ident: $state:expr, at $at_ms:expr => $duty:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let track = RolloutTrack::new(order($state, 1), 0);
+            let started_ms = match $state {
+                RolloutState::Running { elapsed_ms } => elapsed_ms,
+                _ => 0,
+            };
+            assert_eq!(track.duty($at_ms - started_ms), $duty);
+        }
+    )*};
+}
+
+#[test]
+fn a_box_that_just_started_counts_from_before_its_start() {
+    let track = RolloutTrack::new(order(running(17_000), 1), 5);
+    assert_eq!(track.elapsed_ms(1_005), 18_000);
+}
+
+duties! {
+    an_order_is_taken_up: RolloutState::Ordered, at 0 => RolloutDuty::Tell;
+    nothing_is_told_within_a_step: running(100), at 11_000 => RolloutDuty::None;
+    each_step_is_told: running(100), at 12_000 => RolloutDuty::Tell;
+    a_told_step_is_not_told_again: running(12_000), at 12_500 => RolloutDuty::None;
+    the_end_is_told: running(17_000), at 22_000 => RolloutDuty::Complete;
+    a_completed_one_has_no_duties: RolloutState::Completed, at 22_000 => RolloutDuty::None;
+    a_rolled_back_one_has_no_duties: RolloutState::RolledBack, at 22_000 => RolloutDuty::None;
+}
+
+/// Answers of both versions, as `(side, failed, pace_ms)`.
+fn judged(answers: &[(Side, bool, Option<f64>)]) -> RolloutTrack {
+    let mut track = RolloutTrack::new(order(running(0), 1), 0);
+    for (side, failed, pace_ms) in answers {
+        track.judge(*side, &evidence(*failed, *pace_ms));
+    }
+    track
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $answers:expr => $duty:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(judged(&$answers).duty(100), $duty);
+        }
+    )*};
+}
+
+const OLD_WELL: (Side, bool, Option<f64>) = (Side::Old, false, Some(20.0));
+const OLD_FAILS: (Side, bool, Option<f64>) = (Side::Old, true, None);
+const NEW_WELL: (Side, bool, Option<f64>) = (Side::New, false, Some(20.0));
+const NEW_FAILS: (Side, bool, Option<f64>) = (Side::New, true, None);
+const NEW_SLOW: (Side, bool, Option<f64>) = (Side::New, false, Some(160.0));
+
+verdicts! {
+    two_failures_do_not_condemn: [OLD_WELL, NEW_FAILS, NEW_FAILS] => RolloutDuty::None;
+    three_failures_do: [OLD_WELL, NEW_FAILS, NEW_WELL, NEW_FAILS, NEW_FAILS] => RolloutDuty::RollBack;
+    not_where_the_old_version_fails_as_often:
+        [OLD_FAILS, OLD_WELL, NEW_FAILS, NEW_FAILS, NEW_FAILS] => RolloutDuty::None;
+    slow_answers_are_bad_ones:
+        [OLD_WELL, OLD_WELL, OLD_WELL, OLD_WELL, OLD_WELL, NEW_SLOW, NEW_SLOW, NEW_SLOW]
+        => RolloutDuty::RollBack;
+    slowness_is_told_only_against_enough_old_answers:
+        [OLD_WELL, NEW_SLOW, NEW_SLOW, NEW_SLOW] => RolloutDuty::None;
+}
+
+#[test]
+fn a_condemned_version_gets_no_session_at_once() {
+    let track = judged(&[OLD_WELL, NEW_FAILS, NEW_FAILS, NEW_FAILS]);
+    assert_eq!(sessions_on_new(&track, 20_000), 0);
+}
+
+#[test]
+fn a_new_order_is_judged_afresh() {
+    let mut track = judged(&[OLD_WELL, NEW_FAILS, NEW_FAILS, NEW_FAILS]);
+    track.update(order(RolloutState::RolledBack, 2), 500);
+    let mut next = order(RolloutState::Ordered, 3);
+    next.target_version = "v3".into();
+    track.update(next, 40_000);
+    assert_eq!(track.duty(40_000), RolloutDuty::Tell);
+    assert!(sessions_on_new(&track, 60_000) > 900);
+}
