Roll-outs give the new version nothing before half time; sessions by hash alone

A box's own memory of sessions cannot keep them together, and made boxes disagree. Ruled out: a smaller share in the first half (with several hundred subjects asked within 5 s, 1 % moves 3). Change: no share before 52 % of the time, then 10, 30, 65, 100 %; the memory of sessions is gone; two upstreams must fail before a version is condemned; proofs count from the end of a quiet watch less 1 s.

--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -267,7 +267,6 @@
         match attempt::send(gateway, job, &choice.upstream, sending, trace).await {
             Sent::Answered(reply) => {
                 tries.sent += 1;
-                gateway.remember_session(job.envelope.session, &choice.upstream.version);
                 return Ok(reply);
             }
             Sent::NotRun { arrived: false } => {
@@ -355,6 +354,7 @@
     reply.lease.outcome(failed);
     if failed {
         let evidence = Evidence {
+            upstream: &reply.lease.upstream.id,
             failed,
             model,
             pace_ms: None,
--- a/crates/ivyweir-gateway/src/relay.rs
+++ b/crates/ivyweir-gateway/src/relay.rs
@@ -218,12 +218,11 @@
         self.ended = true;
         self.source.lease.keep_channel(self.source.keep_ms);
         let upstream = self.source.lease.upstream.clone();
-        self.gateway
-            .remember_session(self.job.envelope.session, &upstream.version);
         let span_ms = self.last_event_ms.saturating_sub(self.first_event_ms);
         let pace_ms = (self.events > PACE_EVENTS)
             .then(|| span_ms as f64 / f64::from(self.events.saturating_sub(1)));
         let evidence = Evidence {
+            upstream: &upstream.id,
             failed: false,
             model: self.model,
             pace_ms,
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -90,8 +90,6 @@
     pub repeat_slack: f64,
     /// Span over which repeats are counted.
     pub repeat_window_s: f64,
-    /// Pause after which requests of a session no longer belong together.
-    pub session_s: f64,
 }
 
 /// Part of the ratio that a box uses, since boxes count windows that do not coincide.
@@ -113,11 +111,6 @@
     pub fn stop_grace_ms(&self) -> u64 {
         (self.stop_grace_s * 1_000.0) as u64
     }
-
-    /// Pause after which requests of a session no longer belong together.
-    pub fn session_ms(&self) -> u64 {
-        (self.session_s * 1_000.0) as u64
-    }
 }
 
 impl Settings {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -24,14 +24,11 @@
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
 const PROOF_MARGIN_MS: u64 = 300;
 /// Age of the proof from which a box asks the balancer for no new connections.
-const READY_PROOF_AGE_MS: u64 = 2_900;
+const READY_PROOF_AGE_MS: u64 = 3_000;
 /// Age of the proof from which this box does not trust its own "no such route".
-const DENY_PROOF_AGE_MS: u64 = 2_500;
+const DENY_PROOF_AGE_MS: u64 = 3_000;
 /// Part of the time for a leaving upstream's last work that is left for the way there.
 const LEAVING_MARGIN_MS: u64 = 700;
-/// Time beyond a session's pause for which its version is remembered.
-const SESSION_MARGIN_MS: u64 = 1_500;
-
 /// A box's state; every part has its own lock, and none is held across a wait.
 pub struct Gateway {
     /// The settings it started with.
@@ -53,7 +50,6 @@
     upstreams: Mutex<Upstreams>,
     rollouts: Mutex<HashMap<Name, RolloutTrack>>,
     budgets: Mutex<HashMap<Name, RepeatBudget>>,
-    sessions: Mutex<HashMap<u64, SessionMark>>,
     synced: Mutex<Vec<Topic>>,
     stopping_since_ms: AtomicU64,
     active: AtomicU64,
@@ -74,12 +70,6 @@
     id_hash: u64,
 }
 
-#[derive(Debug, Clone)]
-struct SessionMark {
-    version: Name,
-    at_ms: u64,
-}
-
 /// An upstream that was chosen, and why.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -124,7 +114,6 @@
             upstreams: Mutex::default(),
             rollouts: Mutex::default(),
             budgets: Mutex::default(),
-            sessions: Mutex::default(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
             active: AtomicU64::new(0),
@@ -242,8 +231,6 @@
         for id in forgotten {
             self.log.line("upstream_forgotten", json!({"upstream": id}));
         }
-        let kept_ms = self.settings.bounds.session_ms() + SESSION_MARGIN_MS;
-        lock(&self.sessions).retain(|_, mark| mark.at_ms + kept_ms > now_ms);
     }
 
     /// Chooses an upstream; none where the pool has none left.
@@ -307,19 +294,7 @@
         let now_ms = self.clock.now_ms();
         let rollouts = lock(&self.rollouts);
         let track = rollouts.get(pool).filter(|track| !track.is_over())?;
-        let last = session.and_then(|session| self.last_version(session, now_ms));
-        let last_side = last.map(|version| track.side_of(&version));
-        Some(track.side(session.unwrap_or(seed), last_side, now_ms))
-    }
-
-    /// Remembers which version served a session.
-    pub fn remember_session(&self, session: Option<u64>, version: &Name) {
-        let Some(session) = session else { return };
-        let mark = SessionMark {
-            version: version.clone(),
-            at_ms: self.clock.now_ms(),
-        };
-        lock(&self.sessions).insert(session, mark);
+        Some(track.side(session.unwrap_or(seed), now_ms))
     }
 
     /// Works on the roll-outs.
@@ -332,13 +307,6 @@
         lock(&self.upstreams).settled.insert(pool.clone(), version.clone());
     }
 
-    fn last_version(&self, session: u64, now_ms: u64) -> Option<Name> {
-        let kept_ms = self.settings.bounds.session_ms() + SESSION_MARGIN_MS;
-        let sessions = lock(&self.sessions);
-        let mark = sessions.get(&session)?;
-        (mark.at_ms + kept_ms > now_ms).then(|| mark.version.clone())
-    }
-
     fn rollout_target(&self, pool: &Name) -> Option<Target> {
         let rollouts = lock(&self.rollouts);
         let order = rollouts.get(pool)?.order();
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -16,9 +16,17 @@
 use crate::state::Gateway;
 use crate::store::{StoreClient, StoreError};
 
-/// How long a watch of the configuration waits: each empty answer renews the proof that it is the newest,
-/// which must stay well below the bound on withdrawn keys.
-const SITE_WAIT_MS: u64 = 1_000;
+/// How long a watch of the configuration waits. Each empty answer renews the proof that it is the newest,
+/// which must stay younger than the bound on withdrawn keys until the next one.
+const SITE_WAIT_MS: u64 = 1_200;
+/// Age at which the next proof must be there; it leaves a slow store some hundred milliseconds.
+const PROOF_DUE_MS: u64 = 2_300;
+const SITE_MIN_WAIT_MS: u64 = 200;
+/// How far a watch may lag behind what the store has acknowledged.
+const HEARD_LAG_MS: u64 = 1_000;
+/// Pause between a watch that saw changes and the next, so that changes in a row cost one call. The bounds
+/// on a configuration and on a leaving upstream are two seconds or more.
+const GATHER_MS: u64 = 300;
 /// How long other watches wait; dead connections are noticed sooner by the kernel.
 const OTHER_WAIT_MS: u64 = 15_000;
 /// Time for the store to answer, beyond the wait. A slow store takes some hundred milliseconds.
@@ -110,11 +118,7 @@
     /// Watches once; returns where to go on, or none if the topic is to be listed again.
     async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
-        let wait_ms = if self.topic == Topic::Site {
-            SITE_WAIT_MS
-        } else {
-            OTHER_WAIT_MS
-        };
+        let wait_ms = self.wait_ms();
         let request = self.gateway.codec.watch(self.topic, since, wait_ms);
         let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
         let answer = match self.client.call(request, limit).await {
@@ -139,6 +143,7 @@
         match self.gateway.codec.changes(self.topic, &answer.body) {
             Ok(changes) => {
                 self.succeeded();
+                let quiet = changes.changes.is_empty();
                 for change in changes.changes {
                     match change {
                         Change::Put(entry) => self.adopt(entry),
@@ -146,7 +151,12 @@
                     }
                 }
                 if self.topic == Topic::Site {
-                    self.gateway.renew_proof(asked_at_ms);
+                    let answered_at_ms = self.gateway.clock.now_ms();
+                    let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
+                    self.gateway.renew_proof(proven_at_ms);
+                }
+                if !quiet {
+                    sleep(Duration::from_millis(GATHER_MS)).await;
                 }
                 Ok(Some(changes.revision))
             }
@@ -159,6 +169,15 @@
         }
     }
 
+    fn wait_ms(&self) -> u64 {
+        if self.topic != Topic::Site {
+            return OTHER_WAIT_MS;
+        }
+        let age_ms = self.gateway.proof_age_ms().unwrap_or(PROOF_DUE_MS);
+        let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
+        left_ms.clamp(SITE_MIN_WAIT_MS, SITE_WAIT_MS)
+    }
+
     fn adopt_all(&self, entries: Vec<Entry>) {
         if self.topic != Topic::Upstreams {
             entries.into_iter().for_each(|entry| self.adopt(entry));
@@ -251,6 +270,19 @@
     }
 }
 
+/// Until when an answer to a watch shows that nothing newer was acknowledged.
+///
+/// One that came empty after its whole wait was made at the end of the wait; any other one shows only what
+/// held when it was asked for.
+fn proven_at(asked_at_ms: u64, answered_at_ms: u64, wait_ms: u64, quiet: bool) -> u64 {
+    let waited = answered_at_ms.saturating_sub(asked_at_ms) >= wait_ms;
+    if quiet && waited {
+        asked_at_ms + wait_ms.saturating_sub(HEARD_LAG_MS)
+    } else {
+        asked_at_ms
+    }
+}
+
 /// Takes in a roll-out's record.
 pub fn adopt_rollout(gateway: &Gateway, order: RolloutOrder) {
     let detail = json!({
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -1,10 +1,11 @@
 //! A pool's move to another version: how much of it a version gets, and when it is judged bad.
 //!
-//! During the first half of its time the new version gets a small, constant share of sessions, chosen by
-//! a hash that all boxes agree on; a session that was on the old version stays there. Then the share
-//! grows in steps. Any box that sees the new version fail returns all work to the old one.
+//! A session must not move to the new version in the first half of its time, and sessions are served by
+//! many boxes. So the new version gets nothing in that half. Then its share of sessions grows in steps,
+//! chosen by a hash that all boxes agree on, which also keeps a session from going back. Any box that sees
+//! the new version fail returns all work to the old one.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -18,21 +19,24 @@
     share: f64,
 }
 
-/// The bound on exposure is 15 % of requests over the whole time; the first half stays well below, so
-/// that what a late fault reaches during the growth fits too.
-const STEPS: [Step; 4] = [
-    Step { from: 0.0, share: 0.06 },
-    Step { from: 0.5, share: 0.3 },
-    Step { from: 0.6, share: 0.65 },
-    Step { from: 0.7, share: 1.0 },
+/// The bound on exposure is 15 % of requests over the whole time; with these steps a bad version that no
+/// box notices before the last one has had about a tenth.
+const STEPS: [Step; 5] = [
+    Step { from: 0.0, share: 0.0 },
+    Step { from: 0.52, share: 0.1 },
+    Step { from: 0.63, share: 0.3 },
+    Step { from: 0.72, share: 0.65 },
+    Step { from: 0.8, share: 1.0 },
 ];
 /// Part of the time after which the move is declared complete; answers of the old version that began
-/// before the last step have ended by then.
-const COMPLETE_FROM: f64 = 0.9;
+/// before the last step have ended by then, or are resumed.
+const COMPLETE_FROM: f64 = 0.93;
 /// Newest answers of a version that are judged.
 const JUDGED: usize = 12;
 /// Bad answers among these that condemn the new version.
 const BAD_LIMIT: usize = 3;
+/// Upstreams that must have given them: a single failing one says nothing of its version.
+const BAD_UPSTREAMS: usize = 2;
 /// How many times as often as the old version the new one must fail.
 const BAD_RATIO: f64 = 3.0;
 /// How many times the old version's pause between events makes an answer a bad one.
@@ -85,7 +89,9 @@
 
 /// What an answer says about the version that gave it.
 #[derive(Debug, Clone, Copy)]
-pub struct Evidence {
+pub struct Evidence<'a> {
+    /// The upstream that gave it.
+    pub upstream: &'a Name,
     /// The upstream itself answered with a failure.
     pub failed: bool,
     /// The model, by its place from the smallest.
@@ -96,11 +102,12 @@
 
 #[derive(Debug, Default)]
 struct Judged {
-    newest: VecDeque<bool>,
+    /// For each answer, the upstream if it was a bad one.
+    newest: VecDeque<Option<Name>>,
 }
 
 impl Judged {
-    fn push(&mut self, bad: bool) {
+    fn push(&mut self, bad: Option<Name>) {
         self.newest.push_back(bad);
         if self.newest.len() > JUDGED {
             self.newest.pop_front();
@@ -108,7 +115,11 @@
     }
 
     fn bad(&self) -> usize {
-        self.newest.iter().filter(|bad| **bad).count()
+        self.newest.iter().flatten().count()
+    }
+
+    fn bad_upstreams(&self) -> usize {
+        self.newest.iter().flatten().collect::<HashSet<_>>().len()
     }
 
     fn bad_rate(&self) -> f64 {
@@ -214,26 +225,10 @@
     }
 
     /// The side that serves a request of the session with this hash.
-    ///
-    /// `last` is the side that served the session's previous request, if that was a short time ago.
-    pub fn side(&self, session: u64, last: Option<Side>, now_ms: u64) -> Side {
-        let share = self.share(now_ms);
-        if share <= 0.0 {
-            return Side::Old;
-        }
-        if share >= 1.0 {
-            return Side::New;
-        }
-        match last {
-            // A move back is never owed while the new version is in use, a move on not before half time.
-            Some(Side::New) => Side::New,
-            Some(Side::Old) if self.part(now_ms) < STEPS[1].from => Side::Old,
-            _ => {
-                let drawn = mix(session, SESSION_SALT) >> 11;
-                let unit = drawn as f64 / (1u64 << 53) as f64;
-                if unit < share { Side::New } else { Side::Old }
-            }
-        }
+    pub fn side(&self, session: u64, now_ms: u64) -> Side {
+        let drawn = mix(session, SESSION_SALT) >> 11;
+        let unit = drawn as f64 / (1u64 << 53) as f64;
+        if unit < self.share(now_ms) { Side::New } else { Side::Old }
     }
 
     /// The side a version is on.
@@ -251,7 +246,7 @@
         let slow = evidence.pace_ms.is_some_and(|pace_ms| {
             pace.samples >= PACE_SAMPLES && pace_ms > pace.mean_ms * SLOW_RATIO
         });
-        let bad = evidence.failed || slow;
+        let bad = (evidence.failed || slow).then(|| evidence.upstream.clone());
         match side {
             Side::Old => {
                 self.old.push(bad);
@@ -263,7 +258,8 @@
         }
         let was = self.condemned;
         let worse = self.new.bad_rate() > self.old.bad_rate() * BAD_RATIO;
-        if !self.is_over() && self.new.bad() >= BAD_LIMIT && worse {
+        let enough = self.new.bad() >= BAD_LIMIT && self.new.bad_upstreams() >= BAD_UPSTREAMS;
+        if !self.is_over() && enough && worse {
             self.condemned = true;
         }
         self.condemned && !was
