--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -22,15 +23,35 @@
     /// The upstream.
     pub upstream: Arc<UpstreamRecord>,
     channel: Option<Channel>,
+    estimate: Estimate,
+    is_read: bool,
 }
 
 impl Lease {
-    fn new(gateway: Arc<Gateway>, upstream: Arc<UpstreamRecord>) -> Self {
-        gateway.with_load(&upstream.id, |load, _| load.begin());
+    fn new(gateway: Arc<Gateway>, upstream: Arc<UpstreamRecord>, estimate: Estimate) -> Self {
+        gateway.with_load(&upstream.id, |load, _| load.begin(estimate.total_ms()));
         Self {
             gateway,
             upstream,
             channel: None,
+            estimate,
+            is_read: false,
+        }
+    }
+
+    /// The upstream has read the request: its answer has begun.
+    fn read(&mut self) {
+        self.is_read = true;
+        let done_ms = self.estimate.read_ms;
+        let id = &self.upstream.id;
+        self.gateway.with_load(id, |load, _| load.progress(done_ms));
+    }
+
+    fn work_left_ms(&self) -> f64 {
+        if self.is_read {
+            self.estimate.write_ms
+        } else {
+            self.estimate.total_ms()
         }
     }
 
@@ -46,19 +67,23 @@
     /// Takes in how the answer ended.
     pub fn outcome(&self, failed: bool) {
         let id = &self.upstream.id;
-        self.gateway.with_load(id, |load, now_ms| load.outcome(failed, now_ms));
+        self.gateway
+            .with_load(id, |load, now_ms| load.outcome(failed, now_ms));
     }
 
     /// Takes in that the connection broke.
     pub fn broke(&self) {
         let id = &self.upstream.id;
-        self.gateway.with_load(id, |load, now_ms| load.outcome(true, now_ms));
+        self.gateway
+            .with_load(id, |load, now_ms| load.outcome(true, now_ms));
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.gateway.with_load(&self.upstream.id, |load, _| load.end());
+        let left_ms = self.work_left_ms();
+        self.gateway
+            .with_load(&self.upstream.id, |load, _| load.end(left_ms));
     }
 }
 
@@ -106,7 +131,8 @@
     sending: Sending,
     trace: &mut Trace,
 ) -> Sent {
-    let mut lease = Lease::new(gateway.clone(), upstream.clone());
+    let estimate = job.estimate(sending.model);
+    let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate);
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
     let mut kept = gateway.channels.take(&upstream.id, gateway.clock.now_ms());
     loop {
@@ -125,11 +151,18 @@
             },
         };
         if job.is_keyed && !gateway.keys_are_current() {
-            trace.fail("keys_not_current", json!({"proof_age_ms": gateway.proof_age_ms()}));
+            trace.fail(
+                "keys_not_current",
+                json!({"proof_age_ms": gateway.proof_age_ms()}),
+            );
             return Sent::NotRun { arrived: false };
         }
         let request = job.request(&*gateway.dialect, &forward(gateway, job, upstream, sending));
-        let waited = timeout(Duration::from_millis(sending.wait_ms), channel.send(request)).await;
+        let waited = timeout(
+            Duration::from_millis(sending.wait_ms),
+            channel.send(request),
+        )
+        .await;
         match waited {
             Ok(Ok(response)) => {
                 lease.channel = Some(channel);
@@ -170,6 +203,7 @@
     let status = response.status().as_u16();
     let marks = gateway.dialect.answer(status, response.headers());
     let keep_ms = keep_time_ms(response.headers());
+    lease.read();
     let upstream: &Name = &lease.upstream.id;
     if let Some(load) = marks.load {
         gateway.report_load(upstream, load);
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -4,6 +4,7 @@
 //! that callers, upstreams and the store use. It holds no state and decides nothing.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Request};
@@ -11,6 +12,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
+use serde::{Deserialize, Serialize};
 
 /// A part of a prompt that may stand in other prompts too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +34,8 @@
     pub key: Option<Name>,
     /// Whether the caller leaves the model to the system.
     pub any_model: bool,
+    /// Tokens that the caller expects to come out, by its guess or else by its limit.
+    pub out_tokens: Option<u32>,
     /// Parts of the prompt in order; the last belongs to this request or its session.
     pub parts: Vec<PromptPart>,
     /// The event behind which the caller wants a stream to go on.
@@ -92,6 +96,8 @@
     Upstreams,
     /// Roll-outs.
     Rollouts,
+    /// Boxes, the system's own records.
+    Boxes,
 }
 
 impl Topic {
@@ -101,12 +107,31 @@
             Self::Site => "site",
             Self::Upstreams => "upstreams",
             Self::Rollouts => "rollouts",
+            Self::Boxes => "boxes",
         }
     }
+
+    /// The topic of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        let all = [Self::Site, Self::Upstreams, Self::Rollouts, Self::Boxes];
+        all.into_iter().find(|topic| topic.name() == name)
+    }
+}
+
+/// Where a box is found by others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoxRecord {
+    /// Its name.
+    pub name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Where it listens for other boxes.
+    pub peer_addr: SocketAddr,
 }
 
 /// A record of the store.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Item {
     /// A configuration.
     Site(Box<Site>),
@@ -114,6 +139,8 @@
     Upstream(UpstreamRecord),
     /// A roll-out.
     Rollout(RolloutOrder),
+    /// A box.
+    Box(BoxRecord),
 }
 
 /// A record, or why it cannot be read.
@@ -214,6 +241,12 @@
     /// When the body is no answer to a watch.
     fn changes(&self, topic: Topic, body: &[u8]) -> Result<Changes, DialectError>;
 
+    /// Adds a box's record, unless there is one.
+    fn add_box(&self, record: &BoxRecord) -> Request<Bytes>;
+
+    /// Removes a box's record.
+    fn remove_box(&self, name: &str) -> Request<Bytes>;
+
     /// Reads a roll-out's record as it stands after a write, or in place of one.
     ///
     /// # Errors
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -75,7 +75,12 @@
             match gateway.codec.rollout(&answer.body) {
                 Ok(now) => {
                     adopt_rollout(gateway, now);
-                    if answer.status == StatusCode::OK { "written" } else { "conflict" }.to_owned()
+                    if answer.status == StatusCode::OK {
+                        "written"
+                    } else {
+                        "conflict"
+                    }
+                    .to_owned()
                 }
                 Err(e) => e.to_string(),
             }
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -11,6 +11,7 @@
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::rollout::Side;
 use ivyweir_policy::gateway::site::{Route, Workspace};
+use ivyweir_policy::gateway::work::{self, Estimate, Tokens};
 use ivyweir_policy::rank::{hash64, mix};
 
 use crate::dialect::{Dialect, Envelope, Forward, PromptPart};
@@ -67,18 +68,31 @@
         self.envelope.any_model && !self.route.models.is_empty()
     }
 
+    /// What the request takes of an upstream with the model in this place.
+    pub fn estimate(&self, model: usize) -> Estimate {
+        work::estimate(self.tokens(), model, self.route.models.len())
+    }
+
     /// What is asked of an upstream for the model in this place.
     pub fn ask<'a>(&self, model: usize, hall: &'a str) -> Ask<'a> {
         let shared = self.shared_parts();
-        let prefix = shared.last().map(|part| mix(part.id_hash, model as u64));
         Ask {
-            prefix,
-            prefix_tokens: shared.iter().map(|part| part.tokens).sum(),
+            prefix: shared.last().map(|part| mix(part.id_hash, model as u64)),
+            engine: self.tokens().map(|_| self.estimate(model)),
             hall,
             seed: self.seed,
         }
     }
 
+    fn tokens(&self) -> Option<Tokens> {
+        let (own, shared) = self.envelope.parts.split_last()?;
+        Some(Tokens {
+            shared: shared.iter().map(|part| part.tokens).sum(),
+            own: own.tokens,
+            out: self.envelope.out_tokens.unwrap_or(0),
+        })
+    }
+
     /// The request as it is sent to an upstream.
     pub fn request(&self, dialect: &dyn Dialect, forward: &Forward) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -25,9 +25,11 @@
 mod job;
 mod log;
 mod metrics;
+mod peers;
 mod pipeline;
 mod refusal;
 mod relay;
+mod relay_source;
 mod server;
 mod settings;
 mod state;
@@ -73,7 +75,9 @@
     let clock = Clock::start();
     let log = Log::start(clock)?;
     let gateway = Gateway::new(settings, clock, dialect, codec, log.clone());
-    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     let ended = runtime.block_on(serve(Arc::new(gateway)));
     log.finish();
     ended
@@ -84,6 +88,7 @@
     let callers = server::bind(settings.caller_addr)?;
     let balancer = server::bind(settings.ready_addr)?;
     let metrics = server::bind(settings.metrics_addr)?;
+    let peers = server::bind(settings.peer_addr)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     gateway.log.line(
@@ -97,6 +102,9 @@
         tokio::spawn(sync::follow(gateway.clone(), topic));
     }
     tokio::spawn(drive::run(gateway.clone()));
+    tokio::spawn(peers::keep_listed(gateway.clone()));
+    tokio::spawn(peers::exchange_work(gateway.clone()));
+    tokio::spawn(server::serve_peers(gateway.clone(), peers));
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(server::serve_plain(balancer, answer_balancer(&gateway)));
     tokio::spawn(server::serve_plain(metrics, answer_metrics(&gateway)));
@@ -110,17 +118,23 @@
     }
     drain(&gateway, &stop).await;
     server.abort();
-    gateway.log.line("stopped", json!({"requests_left": gateway.active()}));
+    gateway
+        .log
+        .line("stopped", json!({"requests_left": gateway.active()}));
     Ok(())
 }
 
 /// Waits until the balancer has noticed and the last request has ended, within the grace.
 async fn drain(gateway: &Arc<Gateway>, stop: &watch::Sender<bool>) {
     gateway.stop();
-    gateway.log.line("stopping", json!({"requests": gateway.active()}));
+    gateway
+        .log
+        .line("stopping", json!({"requests": gateway.active()}));
     let grace_ms = gateway.settings.bounds.stop_grace_ms();
     let end = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
     let notice = Duration::from_millis(pipeline::STOP_NOTICE_MS);
+    let unlisting = gateway.clone();
+    tokio::spawn(async move { peers::unlist(&unlisting).await });
     sleep_until(end.min(Instant::now() + notice)).await;
     // The receiver lives as long as the server's task.
     let _server_gone = stop.send(true);
--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -106,7 +106,11 @@
         if let Value::Object(detail) = detail {
             line.extend(detail);
         }
-        if self.queue.try_send(Value::Object(line).to_string()).is_err() {
+        if self
+            .queue
+            .try_send(Value::Object(line).to_string())
+            .is_err()
+        {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -143,7 +147,9 @@
         let now = dropped.load(Ordering::Relaxed);
         if now > told {
             let lost = now - told;
-            text.push_str(&format!("{{\"event\":\"log_lines_dropped\",\"lines\":{lost}}}\n"));
+            text.push_str(&format!(
+                "{{\"event\":\"log_lines_dropped\",\"lines\":{lost}}}\n"
+            ));
             told = now;
         }
         // A reader that is gone ends the log, not the process.
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -50,9 +50,8 @@
             &["topic", "outcome"],
         );
         let opts = HistogramOpts::new("ivyweir_head_latency_s", "time to the head of an answer");
-        let head_latency =
-            HistogramVec::new(opts.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])
-                .expect("invariant: the name is valid");
+        let head_latency = HistogramVec::new(opts.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])
+            .expect("invariant: the name is valid");
         let beliefs = IntGaugeVec::new(
             Opts::new("ivyweir_belief", "what the box believes"),
             &["what"],
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -99,7 +99,10 @@
     let site = gateway.site();
     // The body is read before any answer: a connection with unread bytes is reset when it closes.
     let body = read_body(body, site.as_deref()).await?;
-    if gateway.stopping_for_ms().is_some_and(|ms| ms > STOP_NOTICE_MS) {
+    if gateway
+        .stopping_for_ms()
+        .is_some_and(|ms| ms > STOP_NOTICE_MS)
+    {
         return Err(Reason::Stopping);
     }
     let site = site.ok_or(Reason::NotCurrent)?;
@@ -107,7 +110,11 @@
         return Err(Reason::NotCurrent);
     }
     let deny = |reason| {
-        if gateway.may_deny() { reason } else { Reason::NotCurrent }
+        if gateway.may_deny() {
+            reason
+        } else {
+            Reason::NotCurrent
+        }
     };
     let host = host_of(&head).ok_or(Reason::BadRequest)?;
     let route = site
@@ -199,7 +206,10 @@
         let reply = match next_reply(gateway, &job, &mut tries, &mut trace).await {
             Ok(reply) => reply,
             Err(reason) => {
-                trace.fail("refused", json!({"reason": reason.name(), "sends": tries.sent}));
+                trace.fail(
+                    "refused",
+                    json!({"reason": reason.name(), "sends": tries.sent}),
+                );
                 return Err(reason);
             }
         };
@@ -212,15 +222,27 @@
             continue;
         }
         if let Some(larger) = larger_model(gateway, &job, &tries, &reply) {
-            let detail = json!({"confidence": reply.marks.confidence, "from": tries.model, "to": larger});
+            let detail =
+                json!({"confidence": reply.marks.confidence, "from": tries.model, "to": larger});
             trace.step("larger_model", detail);
             tries.model = larger;
             tries.may_have_run = true;
             continue;
         }
         if job.route.kind.is_stream() && status.is_success() {
-            trace.step("relaying", json!({"upstream": reply.lease.upstream.id, "model": tries.model}));
-            return Ok(relay::start(gateway, job, *reply, tries.model, tries.sent, trace, active));
+            trace.step(
+                "relaying",
+                json!({"upstream": reply.lease.upstream.id, "model": tries.model}),
+            );
+            return Ok(relay::start(
+                gateway,
+                job,
+                *reply,
+                tries.model,
+                tries.sent,
+                trace,
+                active,
+            ));
         }
         match gather(&job, gateway, *reply, &mut trace).await {
             Ok(answer) => return Ok(answer),
@@ -255,7 +277,7 @@
             "chosen",
             json!({
                 "upstream": choice.upstream.id, "version": choice.upstream.version,
-                "hall": choice.upstream.hall, "pressure": choice.pressure,
+                "hall": choice.upstream.hall, "mean_work_ms": choice.mean_work_ms,
                 "candidates": choice.candidates, "model": tries.model,
             }),
         );
@@ -290,7 +312,11 @@
                 tries.tried.push(choice.upstream.id.clone());
                 if !may_repeat(gateway, job, tries) {
                     let late = gateway.clock.now_ms() >= job.deadline_ms;
-                    return Err(if late { Reason::Late } else { Reason::AnswerLost });
+                    return Err(if late {
+                        Reason::Late
+                    } else {
+                        Reason::AnswerLost
+                    });
                 }
             }
         }
@@ -309,7 +335,11 @@
 
 /// The reason to give up with, by whether the request may have run.
 fn gave_up(tries: &Tries, not_run: Reason, may_have_run: Reason) -> Reason {
-    if tries.may_have_run { may_have_run } else { not_run }
+    if tries.may_have_run {
+        may_have_run
+    } else {
+        not_run
+    }
 }
 
 fn has_attempt(gateway: &Gateway, job: &Job, tries: &Tries) -> bool {
@@ -338,12 +368,12 @@
     if !job.chooses_model() || !reply.response.status().is_success() {
         return None;
     }
-    let pressure = choose(gateway, job, &[], tries.model)?.pressure;
+    let mean_work_ms = choose(gateway, job, &[], tries.model)?.mean_work_ms;
     let larger = cascade::escalate(&Doubt {
         confidence: reply.marks.confidence,
         model: tries.model,
         models: job.route.models.len(),
-        pressure,
+        mean_work_ms,
     })?;
     may_repeat(gateway, job, tries).then_some(larger)
 }
@@ -404,7 +434,10 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) => {
             lease.broke();
-            trace.fail("answer_broke_off", json!({"upstream": upstream, "error": e.to_string()}));
+            trace.fail(
+                "answer_broke_off",
+                json!({"upstream": upstream, "error": e.to_string()}),
+            );
             return Err(upstream);
         }
         Err(_) => {
@@ -415,7 +448,8 @@
     lease.keep_channel(keep_ms);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let detail = json!({"upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len()});
+    let detail =
+        json!({"upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len()});
     if head.status.is_server_error() {
         trace.fail("answered", detail);
     } else {
--- a/crates/ivyweir-gateway/src/refusal.rs
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -104,5 +104,7 @@
 
 /// A body that is known as a whole.
 pub fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
--- /dev/null
+++ b/crates/ivyweir-gateway/src/relay_source.rs
@@ -0,0 +1,217 @@
+//! The store's topics as one box passes them on to others of its hall.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use ivyweir_policy::Name;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::dialect::{Item, Topic};
+use crate::peers::{json_answer, status};
+use crate::refusal::AnswerBody;
+use crate::state::Gateway;
+
+/// Changes of a topic that are kept; who is further behind gets everything.
+const CHANGES_KEPT: usize = 128;
+/// Longest wait of a question.
+const MAX_WAIT_MS: u64 = 20_000;
+
+/// A change as it is passed on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PassedChange {
+    /// A record was written.
+    Put(Item),
+    /// The record of this name is gone.
+    Gone(Name),
+}
+
+/// What changed behind a revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FollowAnswer {
+    /// The store's revision up to which this holds.
+    pub revision: u64,
+    /// All records, for who is too far behind.
+    pub whole: Option<Vec<Item>>,
+    /// Changes in order.
+    pub changes: Vec<PassedChange>,
+    /// Time between the question and this answer.
+    pub held_ms: u64,
+    /// Age of the proof that the configuration is the newest.
+    pub proof_age_ms: Option<u64>,
+}
+
+/// What a box can pass on of one topic.
+#[derive(Debug, Default)]
+struct History {
+    revision: u64,
+    /// Who asks from before this needs everything.
+    floor: u64,
+    changes: VecDeque<(u64, PassedChange)>,
+    /// Whether this box hears it from the store itself, and the store answers.
+    is_sound: bool,
+}
+
+/// What a box can pass on.
+#[derive(Debug)]
+pub struct Histories {
+    topics: Mutex<HashMap<Topic, History>>,
+    news: watch::Sender<u64>,
+}
+
+impl Default for Histories {
+    fn default() -> Self {
+        Self {
+            topics: Mutex::default(),
+            news: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Histories {
+    /// Takes in that a topic was read as a whole.
+    pub fn restart(&self, topic: Topic, revision: u64) {
+        let history = History {
+            revision,
+            floor: revision,
+            changes: VecDeque::new(),
+            is_sound: false,
+        };
+        self.topics().insert(topic, history);
+        self.tell();
+    }
+
+    /// Takes in changes of a topic.
+    pub fn push(&self, topic: Topic, revision: u64, changes: Vec<PassedChange>) {
+        let mut topics = self.topics();
+        let history = topics.entry(topic).or_default();
+        history.revision = revision;
+        let any = !changes.is_empty();
+        history
+            .changes
+            .extend(changes.into_iter().map(|c| (revision, c)));
+        while history.changes.len() > CHANGES_KEPT {
+            if let Some((revision, _)) = history.changes.pop_front() {
+                history.floor = revision;
+            }
+        }
+        drop(topics);
+        if any {
+            self.tell();
+        }
+    }
+
+    /// Takes in whether this box hears a topic from the store itself.
+    pub fn set_sound(&self, topic: Topic, is_sound: bool) {
+        let mut topics = self.topics();
+        let history = topics.entry(topic).or_default();
+        if history.is_sound != is_sound {
+            history.is_sound = is_sound;
+            drop(topics);
+            self.tell();
+        }
+    }
+
+    /// Wakes who waits: something changed, or the proof is newer.
+    pub fn tell(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    fn topics(&self) -> MutexGuard<'_, HashMap<Topic, History>> {
+        self.topics.lock().expect("invariant: no holder panics")
+    }
+
+    /// Changes behind `since`; none if there are none, an error if this box is no source.
+    fn behind(&self, topic: Topic, since: u64) -> Result<Option<Behind>, NoSource> {
+        let topics = self.topics();
+        let history = topics.get(&topic).filter(|h| h.is_sound).ok_or(NoSource)?;
+        if since < history.floor {
+            return Ok(Some(Behind::Whole(history.revision)));
+        }
+        let newer = history
+            .changes
+            .iter()
+            .filter(|(revision, _)| *revision > since);
+        let changes: Vec<PassedChange> = newer.map(|(_, change)| change.clone()).collect();
+        let none = changes.is_empty();
+        Ok((!none).then_some(Behind::Changes(history.revision, changes)))
+    }
+}
+
+enum Behind {
+    Whole(u64),
+    Changes(u64, Vec<PassedChange>),
+}
+
+struct NoSource;
+
+/// Answers a box that follows a topic here.
+pub async fn answer(gateway: &Arc<Gateway>, query: Option<&str>) -> Response<AnswerBody> {
+    let Some(question) = query.and_then(Question::parse) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let asked_at_ms = gateway.clock.now_ms();
+    let until_ms = asked_at_ms + question.wait_ms;
+    let mut news = gateway.histories.news.subscribe();
+    let proof_asked_at = gateway.proof_at_ms();
+    loop {
+        let behind = match gateway.histories.behind(question.topic, question.since) {
+            Ok(behind) => behind,
+            Err(NoSource) => return status(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        let now_ms = gateway.clock.now_ms();
+        let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_asked_at;
+        if behind.is_some() || renewed || now_ms >= until_ms {
+            let (revision, whole, changes) = match behind {
+                None => (question.since, None, Vec::new()),
+                Some(Behind::Whole(revision)) => {
+                    (revision, Some(gateway.items(question.topic)), Vec::new())
+                }
+                Some(Behind::Changes(revision, changes)) => (revision, None, changes),
+            };
+            return json_answer(&FollowAnswer {
+                revision,
+                whole,
+                changes,
+                held_ms: now_ms - asked_at_ms,
+                proof_age_ms: gateway.proof_age_ms(),
+            });
+        }
+        let left = Duration::from_millis(until_ms - now_ms);
+        // Woken or not, the state itself is looked at again.
+        let _woken = timeout(left, news.changed()).await;
+    }
+}
+
+/// What a box asks for.
+struct Question {
+    topic: Topic,
+    since: u64,
+    wait_ms: u64,
+}
+
+impl Question {
+    /// Reads `topic=NAME&since=REVISION&wait_ms=N`.
+    fn parse(query: &str) -> Option<Self> {
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let wait_ms: u64 = field("wait_ms")?.parse().ok()?;
+        Some(Self {
+            topic: Topic::from_name(field("topic")?)?,
+            since: field("since")?.parse().ok()?,
+            wait_ms: wait_ms.min(MAX_WAIT_MS),
+        })
+    }
+}
+
+/// The path at which a topic is followed.
+pub fn follow_path(topic: Topic, since: u64, wait_ms: u64) -> String {
+    let topic = topic.name();
+    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}")
+}
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -17,9 +17,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
-use crate::pipeline;
 use crate::refusal::{AnswerBody, whole};
 use crate::state::Gateway;
+use crate::{peers, pipeline};
 
 /// Idle time of a caller's connection before a configuration tells it.
 const IDLE_DEFAULT_MS: u64 = 15_000;
@@ -40,7 +40,11 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
-    let room = gateway.settings.machine.max_fds.saturating_sub(RESERVED_FDS);
+    let room = gateway
+        .settings
+        .machine
+        .max_fds
+        .saturating_sub(RESERVED_FDS);
     let connections = Arc::new(Semaphore::new(room.max(MIN_CONNECTIONS) as usize));
     loop {
         let accepted = tokio::select! {
@@ -88,6 +92,26 @@
     Some((stream, permit))
 }
 
+/// Answers other boxes.
+pub async fn serve_peers(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let gateway = gateway.clone();
+            async move { Ok::<_, Infallible>(peers::handle(gateway, request).await) }
+        });
+        let _best_effort = stream.set_nodelay(true);
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            let _box_left = connection.await;
+        });
+    }
+}
+
 /// Answers the balancer, and readers of metrics, one short answer a request.
 pub async fn serve_plain(
     listener: TcpListener,
@@ -103,8 +127,7 @@
             let (status, text) = answer(request.uri().path());
             async move { Ok::<_, Infallible>(plain(status, text)) }
         });
-        let connection =
-            http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
             let _reader_left = connection.await;
         });
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub ready_addr: SocketAddr,
     /// Where metrics are served.
     pub metrics_addr: SocketAddr,
+    /// Where other boxes connect.
+    pub peer_addr: SocketAddr,
     /// Where the store is.
     pub store_addr: SocketAddr,
     /// What the machine gives.
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, UpstreamRecord};
+use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
 use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
+use ivyweir_policy::gateway::relay::Work;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
 use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
@@ -16,9 +17,11 @@
 
 use crate::channel::Channels;
 use crate::clock::Clock;
-use crate::dialect::{Dialect, ReportedLoad, StoreCodec, Topic};
+use crate::dialect::{Dialect, Item, ReportedLoad, StoreCodec, Topic};
 use crate::log::Log;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::relay_source::Histories;
 use crate::settings::Settings;
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
@@ -45,6 +48,10 @@
     pub metrics: Metrics,
     /// Kept connections to upstreams.
     pub channels: Channels,
+    /// Other boxes.
+    pub peers: Peers,
+    /// What this box passes on to others.
+    pub histories: Histories,
     site: Mutex<Option<Arc<SiteIndex>>>,
     proof: Mutex<Proof>,
     upstreams: Mutex<Upstreams>,
@@ -75,8 +82,8 @@
 pub struct Choice {
     /// The upstream.
     pub upstream: Arc<UpstreamRecord>,
-    /// Share of the pool's slots taken.
-    pub pressure: f64,
+    /// Mean work of the pool's upstreams.
+    pub mean_work_ms: f64,
     /// Number of upstreams that were weighed.
     pub candidates: usize,
 }
@@ -109,6 +116,8 @@
             log,
             metrics: Metrics::default(),
             channels: Channels::default(),
+            peers: Peers::default(),
+            histories: Histories::default(),
             site: Mutex::default(),
             proof: Mutex::default(),
             upstreams: Mutex::default(),
@@ -139,6 +148,63 @@
     /// Takes in that the store answered a question about the configuration asked at `asked_at_ms`.
     pub fn renew_proof(&self, asked_at_ms: u64) {
         lock(&self.proof).renew(asked_at_ms);
+        self.histories.tell();
+    }
+
+    /// When the proof dates from; 0 if there is none.
+    pub fn proof_at_ms(&self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        self.proof_age_ms()
+            .map_or(0, |age_ms| now_ms.saturating_sub(age_ms))
+    }
+
+    /// The records of a topic as this box knows them.
+    pub fn items(&self, topic: Topic) -> Vec<Item> {
+        match topic {
+            Topic::Site => {
+                let site = self.site();
+                let site = site.map(|site| Item::Site(Box::new(site.site().clone())));
+                site.into_iter().collect()
+            }
+            Topic::Upstreams => {
+                let upstreams = lock(&self.upstreams);
+                let ready = upstreams.fleet.members();
+                let ready = ready.filter(|m| m.standing == Standing::Ready);
+                ready.map(|m| Item::Upstream((*m.record).clone())).collect()
+            }
+            Topic::Rollouts => self.with_rollouts(|rollouts, _| {
+                let orders = rollouts.values().map(|track| track.order().clone());
+                orders.map(Item::Rollout).collect()
+            }),
+            Topic::Boxes => Vec::new(),
+        }
+    }
+
+    /// Work of this box's own requests, by upstream.
+    pub fn own_work(&self) -> Work {
+        let upstreams = lock(&self.upstreams);
+        let own = upstreams.loads.iter();
+        own.map(|(id, known)| (id.clone(), known.load.own_work_ms()))
+            .filter(|(_, work_ms)| *work_ms > 0.0)
+            .collect()
+    }
+
+    /// Takes in other boxes' work.
+    pub fn take_others_work(&self, work: &Work) {
+        if work.is_empty() {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let mut upstreams = lock(&self.upstreams);
+        let ids: Vec<Name> = upstreams
+            .fleet
+            .members()
+            .map(|m| m.record.id.clone())
+            .collect();
+        for id in ids {
+            let work_ms = work.get(&id).copied().unwrap_or(0.0);
+            upstreams.known(&id).load.others(work_ms, now_ms);
+        }
     }
 
     /// Age of the proof that the configuration is the newest.
@@ -148,7 +214,11 @@
 
     /// Whether a keyed request may be sent now.
     pub fn keys_are_current(&self) -> bool {
-        let bound_ms = self.settings.bounds.revoke_ms.saturating_sub(PROOF_MARGIN_MS);
+        let bound_ms = self
+            .settings
+            .bounds
+            .revoke_ms
+            .saturating_sub(PROOF_MARGIN_MS);
         lock(&self.proof).is_younger_than(bound_ms, self.clock.now_ms())
     }
 
@@ -180,7 +250,8 @@
 
     /// Begins the stop.
     pub fn stop(&self) {
-        self.stopping_since_ms.store(self.clock.now_ms().max(1), Ordering::Relaxed);
+        self.stopping_since_ms
+            .store(self.clock.now_ms().max(1), Ordering::Relaxed);
     }
 
     /// Time since the order to stop, if there was one.
@@ -203,7 +274,10 @@
     }
 
     /// Takes in a change of one upstream.
-    pub fn change_upstream(&self, change: impl FnOnce(&mut Fleet, u64) -> Vec<(Name, FleetChange)>) {
+    pub fn change_upstream(
+        &self,
+        change: impl FnOnce(&mut Fleet, u64) -> Vec<(Name, FleetChange)>,
+    ) {
         let now_ms = self.clock.now_ms();
         let mut upstreams = lock(&self.upstreams);
         let changes = change(&mut upstreams.fleet, now_ms);
@@ -219,7 +293,11 @@
     /// Forgets what lapsed long ago, and closes connections that nobody will use.
     pub fn sweep(&self) {
         let now_ms = self.clock.now_ms();
-        let grace_ms = self.settings.bounds.leaving_ms.saturating_sub(LEAVING_MARGIN_MS);
+        let grace_ms = self
+            .settings
+            .bounds
+            .leaving_ms
+            .saturating_sub(LEAVING_MARGIN_MS);
         let mut upstreams = lock(&self.upstreams);
         let forgotten = upstreams.fleet.forget_lapsed(grace_ms, now_ms);
         let Upstreams { fleet, loads, .. } = &mut *upstreams;
@@ -249,7 +327,7 @@
         let chosen = place::choose(&candidates, ask, now_ms)?;
         Some(Choice {
             upstream: records[chosen].clone(),
-            pressure: place::pressure(&candidates, now_ms),
+            mean_work_ms: place::mean_work_ms(&candidates, now_ms),
             candidates: candidates.len(),
         })
     }
@@ -298,13 +376,18 @@
     }
 
     /// Works on the roll-outs.
-    pub fn with_rollouts<T>(&self, work: impl FnOnce(&mut HashMap<Name, RolloutTrack>, u64) -> T) -> T {
+    pub fn with_rollouts<T>(
+        &self,
+        work: impl FnOnce(&mut HashMap<Name, RolloutTrack>, u64) -> T,
+    ) -> T {
         work(&mut lock(&self.rollouts), self.clock.now_ms())
     }
 
     /// Takes in a pool's version that serves what no roll-out moves.
     pub fn settle(&self, pool: &Name, version: &Name) {
-        lock(&self.upstreams).settled.insert(pool.clone(), version.clone());
+        lock(&self.upstreams)
+            .settled
+            .insert(pool.clone(), version.clone());
     }
 
     fn rollout_target(&self, pool: &Name) -> Option<Target> {
@@ -343,7 +426,8 @@
             }
         }
         let completed = target.is_some_and(|t| t.state == RolloutState::Completed);
-        self.fleet.usable(scope.pool, |v| completed || !is_target(v))
+        self.fleet
+            .usable(scope.pool, |v| completed || !is_target(v))
     }
 
     /// The version that serves what no roll-out moves: the first one seen, until a roll-out completes.
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -1,9 +1,10 @@
-//! Follows the store: lists each topic once, then watches it.
+//! Follows the store: lists each topic once, then watches it, or asks the hall's relay to.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::StatusCode;
+use bytes::Bytes;
+use hyper::{Request, StatusCode, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState, RolloutTrack};
@@ -12,7 +13,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::dialect::{Change, Entry, Item, Topic};
+use crate::dialect::{BoxRecord, Change, Entry, Item, Topic};
+use crate::relay_source::{FollowAnswer, PassedChange, follow_path};
 use crate::state::Gateway;
 use crate::store::{StoreClient, StoreError};
 
@@ -29,6 +31,13 @@
 const GATHER_MS: u64 = 300;
 /// How long other watches wait; dead connections are noticed sooner by the kernel.
 const OTHER_WAIT_MS: u64 = 15_000;
+/// How long a question about the configuration waits at a relay, which answers as soon as its own proof is
+/// renewed.
+const RELAY_SITE_WAIT_MS: u64 = 1_500;
+/// Time for a relay to answer, beyond the wait.
+const RELAY_ANSWER_LIMIT_MS: u64 = 500;
+/// Age of the proof from which the relay is taken to have lost the store.
+const RELAY_PROOF_MAX_MS: u64 = 2_700;
 /// Time for the store to answer, beyond the wait. A slow store takes some hundred milliseconds.
 const ANSWER_LIMIT_MS: u64 = 1_500;
 /// Pauses after a failed call.
@@ -39,6 +48,7 @@
 pub async fn follow(gateway: Arc<Gateway>, topic: Topic) {
     let mut follower = Follower {
         client: StoreClient::new(gateway.settings.store_addr),
+        relay: None,
         gateway,
         topic,
         failures: 0,
@@ -49,17 +59,27 @@
             continue;
         };
         loop {
-            match follower.watch(since).await {
+            match follower.follow(since).await {
                 Ok(Some(next)) => since = next,
                 Ok(None) => break,
-                Err(()) => follower.pause().await,
+                Err(Failed::Store) => follower.pause().await,
+                // The next question goes to another box, or to the store.
+                Err(Failed::Relay) => {}
             }
         }
     }
 }
 
+/// Who gave no answer.
+enum Failed {
+    Store,
+    Relay,
+}
+
 struct Follower {
     client: StoreClient,
+    /// The connection to the hall's relay.
+    relay: Option<(BoxRecord, StoreClient)>,
     gateway: Arc<Gateway>,
     topic: Topic,
     failures: u32,
@@ -74,7 +94,9 @@
         let mut revision = None;
         loop {
             let request = self.gateway.codec.list(self.topic, after.as_deref());
-            let answer = self.client.call(request, Duration::from_millis(ANSWER_LIMIT_MS));
+            let answer = self
+                .client
+                .call(request, Duration::from_millis(ANSWER_LIMIT_MS));
             let body = match answer.await {
                 Ok(answer) if answer.status == StatusCode::OK => answer.body,
                 Ok(answer) => {
@@ -108,6 +130,9 @@
         }
         self.succeeded();
         self.adopt_all(entries);
+        if let Some(revision) = revision {
+            self.gateway.histories.restart(self.topic, revision);
+        }
         if self.topic == Topic::Site {
             self.gateway.renew_proof(asked_at_ms);
         }
@@ -115,6 +140,103 @@
         revision
     }
 
+    /// Hears of changes once; returns where to go on, or none if the topic is to be listed again.
+    async fn follow(&mut self, since: u64) -> Result<Option<u64>, Failed> {
+        let gateway = self.gateway.clone();
+        let settings = &gateway.settings;
+        let now_ms = gateway.clock.now_ms();
+        let relay = gateway
+            .peers
+            .relay(&settings.hall, &settings.box_name, now_ms);
+        match relay {
+            Some(relay) => {
+                gateway.histories.set_sound(self.topic, false);
+                self.ask_relay(since, relay).await.map(Some)
+            }
+            None => {
+                self.relay = None;
+                let watched = self.watch(since).await;
+                gateway.histories.set_sound(self.topic, watched.is_ok());
+                watched.map_err(|()| Failed::Store)
+            }
+        }
+    }
+
+    /// Asks the hall's relay; returns where to go on.
+    async fn ask_relay(&mut self, since: u64, relay: BoxRecord) -> Result<u64, Failed> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let wait_ms = if self.topic == Topic::Site {
+            RELAY_SITE_WAIT_MS
+        } else {
+            OTHER_WAIT_MS
+        };
+        let request = Request::builder()
+            .uri(follow_path(self.topic, since, wait_ms))
+            .header(header::HOST, relay.peer_addr.to_string())
+            .body(Bytes::new())
+            .expect("invariant: all parts are valid");
+        let client = match &mut self.relay {
+            Some((known, client)) if *known == relay => client,
+            other => {
+                &mut other
+                    .insert((relay.clone(), StoreClient::new(relay.peer_addr)))
+                    .1
+            }
+        };
+        let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
+        let answer = match client.call(request, limit).await {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                let read = serde_json::from_slice::<FollowAnswer>(&answer.body);
+                read.map_err(|e| e.to_string())
+            }
+            Ok(answer) => Err(format!("status {}", answer.status.as_u16())),
+            Err(e) => Err(e.to_string()),
+        };
+        let now_ms = self.gateway.clock.now_ms();
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.relay = None;
+                self.gateway.peers.failed(&relay.name, now_ms);
+                let detail =
+                    json!({"peer": relay.name, "about": self.topic.name(), "error": error});
+                self.gateway.log.line("peer_lost", detail);
+                return Err(Failed::Relay);
+            }
+        };
+        self.take_from_relay(asked_at_ms, &answer);
+        let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
+        if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
+            self.gateway.peers.failed(&relay.name, now_ms);
+            let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
+            self.gateway.log.line("peer_lost", detail);
+        }
+        Ok(answer.revision.max(since))
+    }
+
+    fn take_from_relay(&self, asked_at_ms: u64, answer: &FollowAnswer) {
+        if let Some(items) = &answer.whole {
+            self.adopt_all(items.iter().cloned().map(Ok).collect());
+            self.gateway.histories.restart(self.topic, answer.revision);
+        }
+        for change in answer.changes.iter().cloned() {
+            match change {
+                PassedChange::Put(item) => self.adopt(Ok(item)),
+                PassedChange::Gone(name) => self.remove(&name),
+            }
+        }
+        self.gateway
+            .histories
+            .push(self.topic, answer.revision, answer.changes.clone());
+        if let Some(proof_age_ms) = answer.proof_age_ms
+            && self.topic == Topic::Site
+        {
+            // The relay answered no sooner than it says, so its proof is no older than this.
+            let proven_at_ms = (asked_at_ms + answer.held_ms).saturating_sub(proof_age_ms);
+            self.gateway.renew_proof(proven_at_ms);
+        }
+    }
+
     /// Watches once; returns where to go on, or none if the topic is to be listed again.
     async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
@@ -144,12 +266,21 @@
             Ok(changes) => {
                 self.succeeded();
                 let quiet = changes.changes.is_empty();
+                let mut passed = Vec::new();
                 for change in changes.changes {
                     match change {
-                        Change::Put(entry) => self.adopt(entry),
-                        Change::Gone(name) => self.remove(&name),
+                        Change::Put(entry) => {
+                            passed.extend(entry.clone().ok().map(PassedChange::Put));
+                            self.adopt(entry);
+                        }
+                        Change::Gone(name) => {
+                            self.remove(&name);
+                            passed.push(PassedChange::Gone(name));
+                        }
                     }
                 }
+                let revision = changes.revision;
+                self.gateway.histories.push(self.topic, revision, passed);
                 if self.topic == Topic::Site {
                     let answered_at_ms = self.gateway.clock.now_ms();
                     let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
@@ -202,7 +333,7 @@
                 vec![(id, fleet.put(record))]
             }),
             Some(Item::Rollout(order)) => adopt_rollout(&self.gateway, order),
-            None => {}
+            Some(Item::Box(_)) | None => {}
         }
     }
 
@@ -220,11 +351,16 @@
                 vec![(name.clone(), change)]
             }),
             Topic::Rollouts => {
-                self.gateway.with_rollouts(|rollouts, _| rollouts.remove(name));
-                self.gateway.log.line("rollout_withdrawn", json!({"pool": name}));
+                self.gateway
+                    .with_rollouts(|rollouts, _| rollouts.remove(name));
+                self.gateway
+                    .log
+                    .line("rollout_withdrawn", json!({"pool": name}));
+            }
+            // A configuration is replaced, never taken away; boxes are listed elsewhere.
+            Topic::Site | Topic::Boxes => {
+                self.gateway.log.line("site_removed", json!({"name": name}))
             }
-            // A configuration is replaced, never taken away.
-            Topic::Site => self.gateway.log.line("site_removed", json!({"name": name})),
         }
     }
 
--- a/crates/ivyweir-policy/src/gateway/cascade.rs
+++ b/crates/ivyweir-policy/src/gateway/cascade.rs
@@ -13,25 +13,25 @@
     pub model: usize,
     /// Number of models.
     pub models: usize,
-    /// Share of the pool's slots that are taken, 0 to 1 and above.
-    pub pressure: f64,
+    /// Mean work of the pool's upstreams.
+    pub mean_work_ms: f64,
 }
 
 /// The model to ask again, if the answer is better dropped.
 pub fn escalate(doubt: &Doubt) -> Option<usize> {
     let largest = doubt.models.checked_sub(1)?;
     let confidence = doubt.confidence?;
-    if doubt.model >= largest || confidence >= floor_at(doubt.pressure) {
+    if doubt.model >= largest || confidence >= floor_at(doubt.mean_work_ms) {
         return None;
     }
     Some(largest)
 }
 
-/// Pressure from which the floor sinks, and at which no answer is asked again.
-const PRESSURE_FROM: f64 = 0.6;
-const PRESSURE_FULL: f64 = 1.2;
+/// Mean work from which the floor sinks, and at which no answer is asked again.
+const WORK_FROM_MS: f64 = 1_500.0;
+const WORK_FULL_MS: f64 = 5_000.0;
 
-fn floor_at(pressure: f64) -> u8 {
-    let room = (PRESSURE_FULL - pressure) / (PRESSURE_FULL - PRESSURE_FROM);
+fn floor_at(mean_work_ms: f64) -> u8 {
+    let room = (WORK_FULL_MS - mean_work_ms) / (WORK_FULL_MS - WORK_FROM_MS);
     (f64::from(CONFIDENCE_FLOOR) * room.clamp(0.0, 1.0)) as u8
 }
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -166,7 +166,11 @@
     /// Upstreams of a pool: the ready ones, or the lapsed ones where none is ready.
     ///
     /// When a whole pool lapses at once, the registry is the likelier cause than the upstreams.
-    pub fn usable(&self, pool: &str, version_ok: impl Fn(&str) -> bool) -> Vec<Arc<UpstreamRecord>> {
+    pub fn usable(
+        &self,
+        pool: &str,
+        version_ok: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<UpstreamRecord>> {
         let of_standing = |ready: bool| -> Vec<Arc<UpstreamRecord>> {
             let members = self.members.values();
             members
@@ -176,7 +180,11 @@
                 .collect()
         };
         let ready = of_standing(true);
-        if ready.is_empty() { of_standing(false) } else { ready }
+        if ready.is_empty() {
+            of_standing(false)
+        } else {
+            ready
+        }
     }
 
     /// All members.
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -6,6 +6,8 @@
 pub mod fleet;
 pub mod place;
 pub mod proof;
+pub mod relay;
 pub mod repeat;
 pub mod rollout;
 pub mod site;
+pub mod work;
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -1,10 +1,12 @@
 //! Which upstream of a pool takes a request.
 //!
-//! A request goes where its shared prompt part was read before, by rendezvous hashing with a bound on
-//! load: all boxes agree on the order of upstreams without a message, and one that is fuller than its
-//! neighbours is passed over. Requests without a shared part go to the least loaded, own hall first.
+//! Upstreams are compared by the work that is under way there. A request with a shared prompt part is drawn
+//! to the upstream that read the part before, found by rendezvous hashing: all boxes agree on it without a
+//! message. The draw is worth what reading again would cost, so a busy upstream is passed over. Besides,
+//! only a few upstreams drawn at random are weighed, so that boxes do not all send to the same idle one.
 
 use crate::gateway::fleet::UpstreamRecord;
+use crate::gateway::work::Estimate;
 use crate::rank::mix;
 
 /// First pause after a failed connection; doubles with each further one.
@@ -17,23 +19,29 @@
 const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
 /// Failure rate from which others are preferred.
 const FAILURE_LIMIT: f64 = 0.3;
-/// Age at which a reported load says nothing any more.
-const REPORT_MAX_AGE_MS: u64 = 2_000;
-/// How much fuller than the mean a preferred upstream may be.
-const LOAD_BOUND: f64 = 1.3;
-/// Requests that do not yet count as load worth avoiding.
-const LOAD_FREE: f64 = 4.0;
-/// Shared tokens from which a read prefix is worth leaving the hall for.
-const FAR_PREFIX_TOKENS: u32 = 600;
-/// Load, as share of slots, that another hall must save.
-const HALL_BIAS: f64 = 0.25;
+/// Age at which a reported load, or other boxes' work, says nothing any more.
+const REPORT_MAX_AGE_MS: u64 = 1_500;
+/// Work of a request that is known only by number.
+const UNKNOWN_WORK_MS: f64 = 40.0;
+/// Upstreams drawn at random.
+const DRAWN: usize = 4;
+/// What reading a shared part again costs, relative to the time it takes: others wait for it too.
+const SAVED_WEIGHT: f64 = 2.0;
+/// The same at the upstream that is second for the part.
+const SAVED_SECOND: f64 = 0.3;
+/// Work that an engine in another hall must save.
+const FAR_ENGINE_MS: f64 = 5.0;
+/// The same for plain services, as share of their slots.
+const FAR_PLAIN: f64 = 0.25;
 
 /// What this box knows of an upstream's load and health.
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamLoad {
     in_flight: u32,
+    work_ms: f64,
+    others_ms: f64,
+    others_at_ms: Option<u64>,
     reported_by_others: f64,
-    reported_waiting: u32,
     reported_at_ms: u64,
     connect_failures: u32,
     shunned_until_ms: u64,
@@ -42,21 +50,41 @@
 }
 
 impl UpstreamLoad {
-    /// A request goes there.
-    pub fn begin(&mut self) {
+    /// A request that takes this time goes there.
+    pub fn begin(&mut self, work_ms: f64) {
         self.in_flight += 1;
+        self.work_ms += work_ms;
     }
 
-    /// A request is over there.
-    pub fn end(&mut self) {
+    /// Part of a request's work is done.
+    pub fn progress(&mut self, done_ms: f64) {
+        self.work_ms = (self.work_ms - done_ms).max(0.0);
+    }
+
+    /// A request is over there, with this work left in the books.
+    pub fn end(&mut self, work_ms: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.progress(work_ms);
+        if self.in_flight == 0 {
+            self.work_ms = 0.0;
+        }
+    }
+
+    /// Takes in other boxes' work there.
+    pub fn others(&mut self, work_ms: f64, now_ms: u64) {
+        self.others_ms = work_ms;
+        self.others_at_ms = Some(now_ms);
+    }
+
+    /// Work of this box's own requests there.
+    pub fn own_work_ms(&self) -> f64 {
+        self.work_ms
     }
 
     /// Takes in the load told with an answer.
     pub fn report(&mut self, running: u32, waiting: u32, now_ms: u64) {
         let others = (running + waiting).saturating_sub(self.in_flight);
         self.reported_by_others = f64::from(others);
-        self.reported_waiting = waiting;
         self.reported_at_ms = now_ms;
     }
 
@@ -84,20 +112,24 @@
         self.in_flight
     }
 
-    /// Requests there by the best guess.
-    pub fn load(&self, now_ms: u64) -> f64 {
+    /// Work there by the best guess: other boxes' word on it, or else what the upstream reported.
+    pub fn load_ms(&self, now_ms: u64) -> f64 {
+        let told_lately = self
+            .others_at_ms
+            .is_some_and(|at_ms| at_ms + REPORT_MAX_AGE_MS > now_ms);
+        if told_lately {
+            return self.work_ms + self.others_ms;
+        }
         let age_ms = now_ms.saturating_sub(self.reported_at_ms);
         let trust = 1.0 - age_ms.min(REPORT_MAX_AGE_MS) as f64 / REPORT_MAX_AGE_MS as f64;
-        f64::from(self.in_flight) + self.reported_by_others * trust
+        self.work_ms + self.reported_by_others * trust * UNKNOWN_WORK_MS
     }
 
-    /// Requests that were waiting there, while the report is young.
-    pub fn waiting(&self, now_ms: u64) -> u32 {
-        if now_ms.saturating_sub(self.reported_at_ms) < REPORT_MAX_AGE_MS {
-            self.reported_waiting
-        } else {
-            0
-        }
+    /// Requests there by the best guess.
+    pub fn requests(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.reported_at_ms);
+        let trust = 1.0 - age_ms.min(REPORT_MAX_AGE_MS) as f64 / REPORT_MAX_AGE_MS as f64;
+        f64::from(self.in_flight) + self.reported_by_others * trust
     }
 
     /// Whether it is left alone for now.
@@ -131,11 +163,11 @@
 pub struct Ask<'a> {
     /// Hash of the shared prompt part and the model, if there is one.
     pub prefix: Option<u64>,
-    /// Tokens of the prompt that are shared.
-    pub prefix_tokens: u32,
+    /// What the request takes, if it goes to an engine.
+    pub engine: Option<Estimate>,
     /// This box's hall.
     pub hall: &'a str,
-    /// Breaks ties; differs between requests.
+    /// Differs between requests.
     pub seed: u64,
 }
 
@@ -144,17 +176,16 @@
     let all: Vec<usize> = (0..candidates.len()).collect();
     let open = keep_some(&all, |i| !candidates[i].load.is_shunned(now_ms));
     let sound = keep_some(&open, |i| !candidates[i].load.is_failing(now_ms));
-    match ask.prefix {
-        Some(prefix) => by_prefix(candidates, &sound, prefix, ask, now_ms),
-        None => least_loaded(candidates, &sound, ask, now_ms),
+    match ask.engine {
+        Some(estimate) => least_work(candidates, &sound, &estimate, ask, now_ms),
+        None => least_requests(candidates, &sound, ask, now_ms),
     }
 }
 
-/// Share of a pool's slots that are taken.
-pub fn pressure(candidates: &[Candidate], now_ms: u64) -> f64 {
-    let slots: f64 = candidates.iter().map(|c| f64::from(c.record.slots)).sum();
-    let load: f64 = candidates.iter().map(|c| c.load.load(now_ms)).sum();
-    if slots == 0.0 { 0.0 } else { load / slots }
+/// Mean work of a pool's upstreams.
+pub fn mean_work_ms(candidates: &[Candidate], now_ms: u64) -> f64 {
+    let work: f64 = candidates.iter().map(|c| c.load.load_ms(now_ms)).sum();
+    work / candidates.len().max(1) as f64
 }
 
 fn keep_some(from: &[usize], keep: impl Fn(usize) -> bool) -> Vec<usize> {
@@ -162,28 +193,31 @@
     if kept.is_empty() { from.to_vec() } else { kept }
 }
 
-fn by_prefix(
+fn least_work(
     candidates: &[Candidate],
     among: &[usize],
-    prefix: u64,
+    estimate: &Estimate,
     ask: &Ask,
     now_ms: u64,
 ) -> Option<usize> {
-    let near = if ask.prefix_tokens < FAR_PREFIX_TOKENS {
-        keep_some(among, |i| &*candidates[i].record.hall == ask.hall)
-    } else {
-        among.to_vec()
+    let by_prefix = ask.prefix.map_or_else(Vec::new, |prefix| {
+        highest(among, 2, |i| mix(prefix, candidates[i].id_hash))
+    });
+    let drawn = highest(among, DRAWN, |i| mix(ask.seed, candidates[i].id_hash));
+    let cost = |i: usize| {
+        let far = &*candidates[i].record.hall != ask.hall;
+        let saved = match by_prefix.iter().position(|&preferred| preferred == i) {
+            Some(0) => SAVED_WEIGHT * estimate.saved_ms,
+            Some(_) => SAVED_SECOND * estimate.saved_ms,
+            None => 0.0,
+        };
+        candidates[i].load.load_ms(now_ms) + if far { FAR_ENGINE_MS } else { 0.0 } - saved
     };
-    let load = |i: usize| candidates[i].load.load(now_ms);
-    let mean = near.iter().map(|&i| load(i)).sum::<f64>() / near.len().max(1) as f64;
-    let bound = (mean * LOAD_BOUND).max(LOAD_FREE);
-    let fits = |i: &&usize| load(**i) < bound && candidates[**i].load.waiting(now_ms) == 0;
-    let rank = |i: &&usize| mix(prefix, candidates[**i].id_hash);
-    let preferred = near.iter().filter(fits).max_by_key(rank).copied();
-    preferred.or_else(|| least_loaded(candidates, among, ask, now_ms))
+    let weighed = by_prefix.iter().chain(&drawn).copied();
+    weighed.min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
 }
 
-fn least_loaded(
+fn least_requests(
     candidates: &[Candidate],
     among: &[usize],
     ask: &Ask,
@@ -193,8 +227,7 @@
         let candidate = &candidates[i];
         let slots = f64::from(candidate.record.slots.max(1));
         let far = &*candidate.record.hall != ask.hall;
-        let bias = if far { HALL_BIAS } else { 0.0 };
-        candidate.load.load(now_ms) / slots + bias
+        candidate.load.requests(now_ms) / slots + if far { FAR_PLAIN } else { 0.0 }
     };
     let tie = |i: usize| mix(ask.seed, candidates[i].id_hash);
     among.iter().copied().min_by(|&a, &b| {
@@ -202,3 +235,10 @@
         by_cost.then_with(|| tie(a).cmp(&tie(b)))
     })
 }
+
+/// The `count` of `among` with the highest scores, highest first.
+fn highest(among: &[usize], count: usize, score: impl Fn(usize) -> u64) -> Vec<usize> {
+    let mut scored: Vec<(u64, usize)> = among.iter().map(|&i| (score(i), i)).collect();
+    scored.sort_unstable_by(|a, b| b.cmp(a));
+    scored.into_iter().take(count).map(|(_, i)| i).collect()
+}
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -22,11 +22,26 @@
 /// The bound on exposure is 15 % of requests over the whole time; with these steps a bad version that no
 /// box notices before the last one has had about a tenth.
 const STEPS: [Step; 5] = [
-    Step { from: 0.0, share: 0.0 },
-    Step { from: 0.52, share: 0.1 },
-    Step { from: 0.63, share: 0.3 },
-    Step { from: 0.72, share: 0.65 },
-    Step { from: 0.8, share: 1.0 },
+    Step {
+        from: 0.0,
+        share: 0.0,
+    },
+    Step {
+        from: 0.52,
+        share: 0.1,
+    },
+    Step {
+        from: 0.63,
+        share: 0.3,
+    },
+    Step {
+        from: 0.72,
+        share: 0.65,
+    },
+    Step {
+        from: 0.8,
+        share: 1.0,
+    },
 ];
 /// Part of the time after which the move is declared complete; answers of the old version that began
 /// before the last step have ended by then, or are resumed.
@@ -228,7 +243,11 @@
     pub fn side(&self, session: u64, now_ms: u64) -> Side {
         let drawn = mix(session, SESSION_SALT) >> 11;
         let unit = drawn as f64 / (1u64 << 53) as f64;
-        if unit < self.share(now_ms) { Side::New } else { Side::Old }
+        if unit < self.share(now_ms) {
+            Side::New
+        } else {
+            Side::Old
+        }
     }
 
     /// The side a version is on.
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -1,9 +1,9 @@
 //! Roll-outs of a pool: shares, sessions, verdicts, and what boxes tell each other.
 
+use ivyweir_policy::Name;
 use ivyweir_policy::gateway::rollout::{
     Evidence, RolloutDuty, RolloutOrder, RolloutState, RolloutTrack, Side,
 };
-use ivyweir_policy::Name;
 
 const DURATION_MS: u64 = 24_000;
 
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -20,7 +20,10 @@
     help: bool,
     #[options(help = "settings file (JSON)", meta = "FILE")]
     settings: Option<PathBuf>,
-    #[options(help = "run as a gateway, with this settings file (JSON)", meta = "FILE")]
+    #[options(
+        help = "run as a gateway, with this settings file (JSON)",
+        meta = "FILE"
+    )]
     gateway: Option<PathBuf>,
     #[options(help = "check the settings file and exit", no_short)]
     check: bool,
