Boxes leave a relay within a second of its loss

Ruled out: the pause that gathers changes (300 ms); late records of the store. Change: whoever notices that a box does not answer (work is exchanged each 250 ms) ends all questions to it; a relay asks the store each 600 ms and turns followers away when an answer is half a second overdue.

--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -15,9 +15,11 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::relay::{OthersWork, Shunned, Work, WorkMessage, add, relay_of};
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::dialect::{BoxRecord, Topic};
+use crate::clock::Clock;
+use crate::dialect::{BoxRecord, Item, Topic};
 use crate::refusal::{AnswerBody, whole};
 use crate::relay_source;
 use crate::state::Gateway;
@@ -36,13 +38,25 @@
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
 /// What a box knows of others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    losses: watch::Sender<u64>,
     boxes: Mutex<HashMap<Name, BoxRecord>>,
     shunned: Mutex<Shunned>,
     others_work: Mutex<OthersWork>,
 }
 
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            losses: watch::Sender::new(0),
+            boxes: Mutex::default(),
+            shunned: Mutex::default(),
+            others_work: Mutex::default(),
+        }
+    }
+}
+
 impl Peers {
     /// Takes in the boxes that the store lists.
     pub fn replace(&self, records: Vec<BoxRecord>) {
@@ -53,6 +67,16 @@
     /// Takes in that a box did not answer as it should.
     pub fn failed(&self, name: &Name, now_ms: u64) {
         lock(&self.shunned).failed(name, now_ms);
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until a box is left alone because it did not answer somebody.
+    pub async fn lost(&self, name: &Name, clock: Clock) {
+        let mut losses = self.losses.subscribe();
+        while !lock(&self.shunned).contains(name, clock.now_ms()) {
+            // The sender lives as long as the box's state.
+            let _changed = losses.changed().await;
+        }
     }
 
     /// Takes in that a box answered.
@@ -147,7 +171,6 @@
 }
 
 async fn list(gateway: &Gateway, client: &mut StoreClient) -> Option<Vec<BoxRecord>> {
-    use crate::dialect::Item;
     let mut records = Vec::new();
     let mut after: Option<String> = None;
     loop {
--- a/crates/ivyweir-gateway/src/relay_source.rs
+++ b/crates/ivyweir-gateway/src/relay_source.rs
@@ -1,6 +1,7 @@
 //! The store's topics as one box passes them on to others of its hall.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 
 /// Changes of a topic that are kept; who is further behind gets everything.
 const CHANGES_KEPT: usize = 128;
+/// Time for which a question shows that this box is a relay.
+const FOLLOWED_MS: u64 = 4_000;
 /// Longest wait of a question.
 const MAX_WAIT_MS: u64 = 20_000;
 
@@ -52,14 +55,18 @@
     /// Who asks from before this needs everything.
     floor: u64,
     changes: VecDeque<(u64, PassedChange)>,
-    /// Whether this box hears it from the store itself, and the store answers.
-    is_sound: bool,
+    /// Whether this box hears it from the store itself.
+    is_direct: bool,
 }
 
 /// What a box can pass on.
 #[derive(Debug)]
 pub struct Histories {
     topics: Mutex<HashMap<Topic, History>>,
+    /// Whether the store answers this box in time.
+    store_answers: AtomicBool,
+    /// When a box last asked here.
+    asked_at_ms: AtomicU64,
     news: watch::Sender<u64>,
 }
 
@@ -67,6 +74,8 @@
     fn default() -> Self {
         Self {
             topics: Mutex::default(),
+            store_answers: AtomicBool::new(false),
+            asked_at_ms: AtomicU64::new(0),
             news: watch::Sender::new(0),
         }
     }
@@ -79,7 +88,7 @@
             revision,
             floor: revision,
             changes: VecDeque::new(),
-            is_sound: false,
+            is_direct: false,
         };
         self.topics().insert(topic, history);
         self.tell();
@@ -106,16 +115,29 @@
     }
 
     /// Takes in whether this box hears a topic from the store itself.
-    pub fn set_sound(&self, topic: Topic, is_sound: bool) {
+    pub fn set_direct(&self, topic: Topic, is_direct: bool) {
         let mut topics = self.topics();
         let history = topics.entry(topic).or_default();
-        if history.is_sound != is_sound {
-            history.is_sound = is_sound;
+        if history.is_direct != is_direct {
+            history.is_direct = is_direct;
             drop(topics);
             self.tell();
         }
     }
 
+    /// Takes in whether the store answers this box in time; boxes that follow here must not be held up.
+    pub fn set_store_answers(&self, answers: bool) {
+        if self.store_answers.swap(answers, Ordering::Relaxed) != answers {
+            self.tell();
+        }
+    }
+
+    /// Whether another box asked here lately.
+    pub fn is_followed(&self, now_ms: u64) -> bool {
+        let asked_at_ms = self.asked_at_ms.load(Ordering::Relaxed);
+        asked_at_ms > 0 && now_ms < asked_at_ms + FOLLOWED_MS
+    }
+
     /// Wakes who waits: something changed, or the proof is newer.
     pub fn tell(&self) {
         self.news.send_modify(|count| *count += 1);
@@ -128,7 +150,10 @@
     /// Changes behind `since`; none if there are none, an error if this box is no source.
     fn behind(&self, topic: Topic, since: u64) -> Result<Option<Behind>, NoSource> {
         let topics = self.topics();
-        let history = topics.get(&topic).filter(|h| h.is_sound).ok_or(NoSource)?;
+        if !self.store_answers.load(Ordering::Relaxed) {
+            return Err(NoSource);
+        }
+        let history = topics.get(&topic).filter(|h| h.is_direct).ok_or(NoSource)?;
         if since < history.floor {
             return Ok(Some(Behind::Whole(history.revision)));
         }
@@ -155,11 +180,13 @@
         return status(StatusCode::BAD_REQUEST);
     };
     let asked_at_ms = gateway.clock.now_ms();
+    let histories = &gateway.histories;
+    histories.asked_at_ms.store(asked_at_ms, Ordering::Relaxed);
     let until_ms = asked_at_ms + question.wait_ms;
-    let mut news = gateway.histories.news.subscribe();
+    let mut news = histories.news.subscribe();
     let proof_asked_at = gateway.proof_at_ms();
     loop {
-        let behind = match gateway.histories.behind(question.topic, question.since) {
+        let behind = match histories.behind(question.topic, question.since) {
             Ok(behind) => behind,
             Err(NoSource) => return status(StatusCode::SERVICE_UNAVAILABLE),
         };
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -1,5 +1,6 @@
 //! Follows the store: lists each topic once, then watches it, or asks the hall's relay to.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,16 +12,21 @@
 use ivyweir_policy::gateway::site::{Site, SiteIndex};
 use rand::Rng;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::dialect::{BoxRecord, Change, Entry, Item, Topic};
 use crate::relay_source::{FollowAnswer, PassedChange, follow_path};
 use crate::state::Gateway;
-use crate::store::{StoreClient, StoreError};
+use crate::store::{StoreAnswer, StoreClient, StoreError};
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the newest,
 /// which must stay younger than the bound on withdrawn keys until the next one.
 const SITE_WAIT_MS: u64 = 1_200;
+/// The same on a relay: the boxes that follow it must hear within a second and a half that it lost the store,
+/// since an upstream that leaves gets no work two seconds later.
+const RELAY_WATCH_MS: u64 = 600;
+/// Time beyond the wait after which a relay takes the store to be lost; a slow store takes 300 ms.
+const OVERDUE_MS: u64 = 500;
 /// Age at which the next proof must be there; it leaves a slow store some hundred milliseconds.
 const PROOF_DUE_MS: u64 = 2_300;
 const SITE_MIN_WAIT_MS: u64 = 200;
@@ -150,13 +156,16 @@
             .relay(&settings.hall, &settings.box_name, now_ms);
         match relay {
             Some(relay) => {
-                gateway.histories.set_sound(self.topic, false);
+                gateway.histories.set_direct(self.topic, false);
                 self.ask_relay(since, relay).await.map(Some)
             }
             None => {
                 self.relay = None;
+                gateway.histories.set_direct(self.topic, true);
                 let watched = self.watch(since).await;
-                gateway.histories.set_sound(self.topic, watched.is_ok());
+                if self.topic == Topic::Site {
+                    gateway.histories.set_store_answers(watched.is_ok());
+                }
                 watched.map_err(|()| Failed::Store)
             }
         }
@@ -184,7 +193,14 @@
             }
         };
         let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
-        let answer = match client.call(request, limit).await {
+        let answer = tokio::select! {
+            answer = client.call(request, limit) => answer,
+            () = self.gateway.peers.lost(&relay.name, self.gateway.clock) => {
+                self.relay = None;
+                return Err(Failed::Relay);
+            }
+        };
+        let answer = match answer {
             Ok(answer) if answer.status == StatusCode::OK => {
                 let read = serde_json::from_slice::<FollowAnswer>(&answer.body);
                 read.map_err(|e| e.to_string())
@@ -242,8 +258,8 @@
         let asked_at_ms = self.gateway.clock.now_ms();
         let wait_ms = self.wait_ms();
         let request = self.gateway.codec.watch(self.topic, since, wait_ms);
-        let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
-        let answer = match self.client.call(request, limit).await {
+        let answer = self.call_store(request, wait_ms).await;
+        let answer = match answer {
             Ok(answer) => answer,
             Err(e) => {
                 self.failed(&e);
@@ -300,13 +316,37 @@
         }
     }
 
+    /// Calls the store; one that is overdue is waited for, but no box should follow here meanwhile.
+    async fn call_store(
+        &mut self,
+        request: Request<Bytes>,
+        wait_ms: u64,
+    ) -> Result<StoreAnswer, StoreError> {
+        let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
+        let mut call = pin!(self.client.call(request, limit));
+        let in_time = Duration::from_millis(wait_ms + OVERDUE_MS);
+        if let Ok(answer) = timeout(in_time, call.as_mut()).await {
+            return answer;
+        }
+        if self.topic == Topic::Site {
+            self.gateway.histories.set_store_answers(false);
+        }
+        call.await
+    }
+
     fn wait_ms(&self) -> u64 {
         if self.topic != Topic::Site {
             return OTHER_WAIT_MS;
         }
         let age_ms = self.gateway.proof_age_ms().unwrap_or(PROOF_DUE_MS);
         let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
-        left_ms.clamp(SITE_MIN_WAIT_MS, SITE_WAIT_MS)
+        let now_ms = self.gateway.clock.now_ms();
+        let most_ms = if self.gateway.histories.is_followed(now_ms) {
+            RELAY_WATCH_MS
+        } else {
+            SITE_WAIT_MS
+        };
+        left_ms.clamp(SITE_MIN_WAIT_MS, most_ms)
     }
 
     fn adopt_all(&self, entries: Vec<Entry>) {
