--- /dev/null
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -0,0 +1,178 @@
+//! A dialect that differs from others in its header names only.
+//!
+//! Values have the same forms everywhere: whole numbers, lists with commas, `ID:TOKENS` pairs.
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName, HeaderValue};
+use ivyweir_policy::Name;
+use ivyweir_policy::rank::hash64;
+
+use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart, ReportedLoad};
+
+/// Header names of a dialect.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Path at which the balancer asks.
+    pub ready_path: &'static str,
+    /// Id of a try, on requests and answers.
+    pub request_id: HeaderName,
+    /// Time for which the caller waits, in milliseconds.
+    pub budget_ms: HeaderName,
+    /// The incarnation that is to run a request.
+    pub upstream_id: HeaderName,
+    /// Whose request it is.
+    pub workspace: HeaderName,
+    /// The model; `*` leaves it to the system.
+    pub model: HeaderName,
+    /// `PROMPT,MOST_OUT`, in tokens.
+    pub token_counts: HeaderName,
+    /// The caller's guess of tokens that come out.
+    pub out_guess: HeaderName,
+    /// Parts of the prompt, `ID:TOKENS` each.
+    pub prompt_parts: HeaderName,
+    /// Requests of one session carry the same.
+    pub session: HeaderName,
+    /// Rank at the engine, 0 first.
+    pub urgency: HeaderName,
+    /// The upstream's signature of its answer.
+    pub signature: HeaderName,
+    /// `RUNNING,WAITING,SLOTS` of the upstream.
+    pub load: HeaderName,
+    /// The model's opinion of its answer, 0 to 100.
+    pub confidence: HeaderName,
+    /// Says that the request did not run and will not.
+    pub not_run: HeaderName,
+    /// Further headers that only the system may set.
+    pub system_only: Vec<HeaderName>,
+}
+
+/// In place of a model: the system chooses.
+const ANY_MODEL: &str = "*";
+/// Status of an upstream that is not the incarnation meant.
+const MISDIRECTED: u16 = 421;
+const BEARER: &str = "Bearer ";
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
+/// A dialect with these header names.
+#[derive(Debug, Clone)]
+pub struct HeaderDialect {
+    names: HeaderNames,
+}
+
+impl HeaderDialect {
+    /// The dialect with these names.
+    pub fn new(names: HeaderNames) -> Self {
+        Self { names }
+    }
+}
+
+impl Dialect for HeaderDialect {
+    fn ready_path(&self) -> &str {
+        self.names.ready_path
+    }
+
+    fn envelope(&self, headers: &HeaderMap) -> Envelope {
+        let names = &self.names;
+        let session = text(headers, &names.session);
+        Envelope {
+            request_id: text(headers, &names.request_id).map(Name::from),
+            budget_ms: text(headers, &names.budget_ms).and_then(whole_ms),
+            key: text(headers, &header::AUTHORIZATION)
+                .and_then(|value| value.strip_prefix(BEARER))
+                .map(Name::from),
+            any_model: text(headers, &names.model) == Some(ANY_MODEL),
+            out_tokens: self.out_tokens(headers),
+            parts: text(headers, &names.prompt_parts).map_or_else(Vec::new, prompt_parts),
+            last_event_id: text(headers, &LAST_EVENT_ID).and_then(|id| id.parse().ok()),
+            session: session.map(|session| hash64(&[session.as_bytes()])),
+        }
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        let names = &self.names;
+        for name in [
+            &names.workspace,
+            &names.upstream_id,
+            &names.urgency,
+            &names.budget_ms,
+        ] {
+            headers.remove(name);
+        }
+        for name in &names.system_only {
+            headers.remove(name);
+        }
+        headers.remove(header::AUTHORIZATION);
+    }
+
+    fn mark(&self, headers: &mut HeaderMap, forward: &Forward) {
+        let names = &self.names;
+        headers.insert(&names.budget_ms, HeaderValue::from(forward.budget_ms));
+        set(headers, &names.upstream_id, Some(forward.upstream_id));
+        set(headers, &names.workspace, forward.workspace);
+        set(headers, &names.model, forward.model);
+        if let Some(id) = forward.resume_after {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+        }
+        if let Some(urgency) = forward.urgency {
+            headers.insert(&names.urgency, HeaderValue::from(u16::from(urgency)));
+        }
+    }
+
+    fn answer(&self, status: u16, headers: &HeaderMap) -> AnswerMarks {
+        let names = &self.names;
+        AnswerMarks {
+            request_id: text(headers, &names.request_id).map(Name::from),
+            is_signed: headers.contains_key(&names.signature),
+            not_run: headers.contains_key(&names.not_run),
+            is_other_incarnation: status == MISDIRECTED,
+            load: text(headers, &names.load).and_then(reported_load),
+            confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
+        }
+    }
+}
+
+impl HeaderDialect {
+    /// The caller's guess, or else the limit behind the comma of `PROMPT,MOST_OUT`.
+    fn out_tokens(&self, headers: &HeaderMap) -> Option<u32> {
+        let guess = text(headers, &self.names.out_guess).and_then(|value| value.parse().ok());
+        let limit = || {
+            let (_, most) = text(headers, &self.names.token_counts)?.split_once(',')?;
+            most.trim().parse().ok()
+        };
+        guess.or_else(limit)
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: &HeaderName, value: Option<&str>) {
+    if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
+        headers.insert(name, value);
+    }
+}
+
+fn whole_ms(value: &str) -> Option<u64> {
+    let ms: f64 = value.parse().ok()?;
+    (ms >= 0.0).then_some(ms as u64)
+}
+
+fn prompt_parts(value: &str) -> Vec<PromptPart> {
+    let part = |part: &str| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(PromptPart {
+            id_hash: hash64(&[id.as_bytes()]),
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    value.split(',').filter_map(part).collect()
+}
+
+fn reported_load(value: &str) -> Option<ReportedLoad> {
+    let mut counts = value.split(',').map(|count| count.trim().parse().ok());
+    Some(ReportedLoad {
+        running: counts.next()??,
+        waiting: counts.next()??,
+    })
+}
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -22,9 +22,11 @@
 mod clock;
 pub mod dialect;
 mod drive;
+pub mod headers;
 mod job;
 mod log;
 mod metrics;
+pub mod native;
 mod peers;
 mod pipeline;
 mod refusal;
@@ -37,11 +39,13 @@
 mod sync;
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use serde_json::json;
+use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -53,7 +57,7 @@
 use state::Gateway;
 
 pub use dialect::{Dialect, StoreCodec};
-pub use settings::{Bounds, Machine, Settings, SettingsError};
+pub use settings::{Bounds, DialectChoice, Machine, Settings, SettingsError};
 
 /// How often what is past its time is swept up.
 const SWEEP: Duration = Duration::from_millis(250);
@@ -74,30 +78,63 @@
 ) -> io::Result<()> {
     let clock = Clock::start();
     let log = Log::start(clock)?;
-    let gateway = Gateway::new(settings, clock, dialect, codec, log.clone());
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let ended = runtime.block_on(serve(Arc::new(gateway)));
+    let ended = runtime.block_on(async {
+        let (settings, listeners) = Listeners::bind(settings)?;
+        let gateway = Gateway::new(settings, clock, dialect, codec, log.clone());
+        serve(Arc::new(gateway), listeners).await
+    });
     log.finish();
     ended
 }
 
-async fn serve(gateway: Arc<Gateway>) -> io::Result<()> {
+/// Everything a box listens on.
+struct Listeners {
+    callers: TcpListener,
+    balancer: TcpListener,
+    metrics: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    /// Binds all addresses; the settings returned name the ports that port 0 stood for.
+    fn bind(mut settings: Settings) -> io::Result<(Settings, Self)> {
+        let bind = |addr: &mut SocketAddr| {
+            let listener = server::bind(*addr)?;
+            *addr = listener.local_addr()?;
+            io::Result::Ok(listener)
+        };
+        let listeners = Self {
+            callers: bind(&mut settings.caller_addr)?,
+            balancer: bind(&mut settings.ready_addr)?,
+            metrics: bind(&mut settings.metrics_addr)?,
+            peers: bind(&mut settings.peer_addr)?,
+        };
+        Ok((settings, listeners))
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, listeners: Listeners) -> io::Result<()> {
     let settings = &gateway.settings;
-    let callers = server::bind(settings.caller_addr)?;
-    let balancer = server::bind(settings.ready_addr)?;
-    let metrics = server::bind(settings.metrics_addr)?;
-    let peers = server::bind(settings.peer_addr)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     gateway.log.line(
         "started",
         json!({
             "box": settings.box_name, "hall": settings.hall, "version": env!("CARGO_PKG_VERSION"),
-            "caller_addr": settings.caller_addr, "store_addr": settings.store_addr,
+            "caller_addr": settings.caller_addr, "ready_addr": settings.ready_addr,
+            "metrics_addr": settings.metrics_addr, "peer_addr": settings.peer_addr,
+            "store_addr": settings.store_addr,
         }),
     );
+    let Listeners {
+        callers,
+        balancer,
+        metrics,
+        peers,
+    } = listeners;
     for topic in [Topic::Site, Topic::Upstreams, Topic::Rollouts] {
         tokio::spawn(sync::follow(gateway.clone(), topic));
     }
--- /dev/null
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -0,0 +1,143 @@
+//! The gateway's own interface: header names and store messages where no other dialect is asked for.
+
+use bytes::Bytes;
+use hyper::header::{self, HeaderName};
+use hyper::{Method, Request};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::rollout::RolloutOrder;
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::{BoxRecord, Change, Changes, DialectError, Item, Page, StoreCodec, Topic};
+use crate::headers::{HeaderDialect, HeaderNames};
+
+/// The gateway's own names on requests and answers.
+pub fn dialect() -> HeaderDialect {
+    HeaderDialect::new(HeaderNames {
+        ready_path: "/readyz",
+        request_id: HeaderName::from_static("ivyweir-request-id"),
+        budget_ms: HeaderName::from_static("ivyweir-budget-ms"),
+        upstream_id: HeaderName::from_static("ivyweir-upstream-id"),
+        workspace: HeaderName::from_static("ivyweir-workspace"),
+        model: HeaderName::from_static("ivyweir-model"),
+        token_counts: HeaderName::from_static("ivyweir-token-counts"),
+        out_guess: HeaderName::from_static("ivyweir-out-guess"),
+        prompt_parts: HeaderName::from_static("ivyweir-prompt-parts"),
+        session: HeaderName::from_static("ivyweir-session"),
+        urgency: HeaderName::from_static("ivyweir-urgency"),
+        signature: HeaderName::from_static("ivyweir-signature"),
+        load: HeaderName::from_static("ivyweir-load"),
+        confidence: HeaderName::from_static("ivyweir-confidence"),
+        not_run: HeaderName::from_static("ivyweir-not-run"),
+        system_only: Vec::new(),
+    })
+}
+
+/// The gateway's own messages to and from a store: records as JSON under `/v1/records/TOPIC`.
+#[derive(Debug, Clone, Default)]
+pub struct NativeCodec;
+
+/// A page of records.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RecordPage {
+    /// The records.
+    pub records: Vec<Item>,
+    /// Where the next page starts, if there is one.
+    pub next_after: Option<String>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// Changes of records.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RecordChanges {
+    /// In order.
+    pub changes: Vec<RecordChange>,
+    /// Where to go on.
+    pub revision: u64,
+}
+
+/// A change of a record.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RecordChange {
+    /// It was written.
+    Put(Item),
+    /// It is gone.
+    Gone(Name),
+}
+
+impl StoreCodec for NativeCodec {
+    fn list(&self, topic: Topic, after: Option<&str>) -> Request<Bytes> {
+        let topic = topic.name();
+        let query = after.map_or_else(String::new, |after| format!("?after={after}"));
+        request(
+            Method::GET,
+            format!("/v1/records/{topic}{query}"),
+            Bytes::new(),
+        )
+    }
+
+    fn watch(&self, topic: Topic, since: u64, wait_ms: u64) -> Request<Bytes> {
+        let topic = topic.name();
+        let path = format!("/v1/records/{topic}/changes?since={since}&wait_ms={wait_ms}");
+        request(Method::GET, path, Bytes::new())
+    }
+
+    fn write_rollout(&self, order: &RolloutOrder) -> Request<Bytes> {
+        let path = format!("/v1/records/rollouts/{}", order.pool);
+        request(Method::PUT, path, json(order))
+    }
+
+    fn add_box(&self, record: &BoxRecord) -> Request<Bytes> {
+        let path = format!("/v1/records/boxes/{}", record.name);
+        request(Method::POST, path, json(record))
+    }
+
+    fn remove_box(&self, name: &str) -> Request<Bytes> {
+        let path = format!("/v1/records/boxes/{name}");
+        request(Method::DELETE, path, Bytes::new())
+    }
+
+    fn page(&self, _topic: Topic, body: &[u8]) -> Result<Page, DialectError> {
+        let page: RecordPage = read("a page of records", body)?;
+        Ok(Page {
+            entries: page.records.into_iter().map(Ok).collect(),
+            next_after: page.next_after,
+            revision: page.revision,
+        })
+    }
+
+    fn changes(&self, _topic: Topic, body: &[u8]) -> Result<Changes, DialectError> {
+        let changes: RecordChanges = read("changes of records", body)?;
+        let revision = changes.revision;
+        let changes = changes.changes.into_iter().map(|change| match change {
+            RecordChange::Put(item) => Change::Put(Ok(item)),
+            RecordChange::Gone(name) => Change::Gone(name),
+        });
+        Ok(Changes {
+            changes: changes.collect(),
+            revision,
+        })
+    }
+
+    fn rollout(&self, body: &[u8]) -> Result<RolloutOrder, DialectError> {
+        read("a roll-out", body)
+    }
+}
+
+fn request(method: Method, path: String, body: Bytes) -> Request<Bytes> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, "store")
+        .body(body)
+        .expect("invariant: paths are made of valid parts")
+}
+
+fn json(value: &impl Serialize) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).expect("invariant: records are valid JSON"))
+}
+
+fn read<T: serde::de::DeserializeOwned>(what: &str, body: &[u8]) -> Result<T, DialectError> {
+    serde_json::from_slice(body).map_err(|e| DialectError::new(format!("{what}: {e}")))
+}
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -323,14 +323,18 @@
     }
 }
 
-/// Chooses an upstream for a job.
+/// Chooses an upstream for a job: one that was not tried, or else any but the last that was.
 pub fn choose(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> Option<Choice> {
-    let scope = Scope {
-        pool: &job.pool,
-        side: job.side,
-        tried,
+    let ask = job.ask(model, &gateway.settings.hall);
+    let among = |tried: &[Name]| {
+        let scope = Scope {
+            pool: &job.pool,
+            side: job.side,
+            tried,
+        };
+        gateway.choose(&scope, &ask)
     };
-    gateway.choose(&scope, &job.ask(model, &gateway.settings.hall))
+    among(tried).or_else(|| among(tried.last().map_or(&[], std::slice::from_ref)))
 }
 
 /// The reason to give up with, by whether the request may have run.
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -40,6 +40,17 @@
     },
 }
 
+/// Whose names callers, upstreams and the store use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DialectChoice {
+    /// The gateway's own.
+    #[default]
+    Native,
+    /// Those of the users' platform.
+    Platform,
+}
+
 /// What a gateway process is told at its start.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -48,6 +59,9 @@
     pub box_name: Name,
     /// Its hall.
     pub hall: Name,
+    /// Whose names are used.
+    #[serde(default)]
+    pub dialect: DialectChoice,
     /// Where callers connect.
     pub caller_addr: SocketAddr,
     /// Where the balancer asks.
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -0,0 +1,15 @@
+//! Stand-ins around the request gateway: a store of records, scripted upstreams, and boxes as processes.
+//!
+//! They speak the gateway's own interface.
+
+mod process;
+mod record_store;
+mod scripted;
+mod town;
+
+pub use process::GatewayProcess;
+pub use record_store::{RecordStore, StoreFault};
+pub use scripted::{Act, ScriptedUpstream, Seen};
+pub use town::{
+    HOST, KEY, Reply, Town, WORKSPACE, call, event_ids, eventually, get, post_stream, site,
+};
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -0,0 +1,147 @@
+//! A box of the gateway as a process of its own.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Time for a box to say where it listens.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// A running box.
+pub struct GatewayProcess {
+    child: Child,
+    log_file: PathBuf,
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where the balancer asks.
+    pub ready_addr: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_addr: SocketAddr,
+}
+
+impl GatewayProcess {
+    /// Starts a box of this name in a hall, which reaches its store at `store_addr`.
+    pub fn start(binary: &Path, folder: &Path, name: &str, hall: &str, store_addr: &str) -> Self {
+        let settings = json!({
+            "box_name": name, "hall": hall,
+            "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
+            "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
+            "store_addr": store_addr,
+            "machine": {"memory_mb": 110, "max_fds": 4100},
+            "bounds": {
+                "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
+                "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
+            }
+        });
+        let file = folder.join(format!("{name}.json"));
+        fs::write(&file, settings.to_string()).expect("the folder can be written");
+        let log_file = folder.join(format!("{name}.log"));
+        let log = fs::File::create(&log_file).expect("the folder can be written");
+        let child = Command::new(binary)
+            .arg("--gateway")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("the log can be shared"))
+            .stderr(log)
+            .spawn()
+            .expect("the daemon can be started");
+        let mut process = Self {
+            child,
+            log_file,
+            name: name.to_owned(),
+            caller_addr: store_addr.parse().expect("an address"),
+            ready_addr: store_addr.parse().expect("an address"),
+            metrics_addr: store_addr.parse().expect("an address"),
+        };
+        process.read_addresses();
+        process
+    }
+
+    fn read_addresses(&mut self) {
+        let deadline = Instant::now() + START_LIMIT;
+        while Instant::now() < deadline {
+            if let Some(line) = self.lines_of("started").first() {
+                let read = |field: &str| {
+                    let addr = line[field].as_str().expect("an address");
+                    addr.parse().expect("an address")
+                };
+                self.caller_addr = read("caller_addr");
+                self.ready_addr = read("ready_addr");
+                self.metrics_addr = read("metrics_addr");
+                return;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("{} did not start: {}", self.name, self.log());
+    }
+
+    /// All it has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+
+    /// The log lines of an event.
+    pub fn lines_of(&self, event: &str) -> Vec<Value> {
+        let log = self.log();
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &Value| line["event"] == event)
+            .collect()
+    }
+
+    /// The log lines of a request.
+    pub fn lines_about(&self, request_id: &str) -> Vec<Value> {
+        let log = self.log();
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str(line).ok());
+        lines
+            .filter(|line: &Value| line["request_id"] == request_id)
+            .collect()
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(
+            sent.is_ok_and(|s| s.success()),
+            "signal {name} was not sent"
+        );
+    }
+
+    /// Its exit code, once it has ended; none if that takes over `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _already_gone = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -0,0 +1,326 @@
+//! A store of records with watches, and the ways in which it fails.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use ivyweir_gateway::dialect::{BoxRecord, Item, Topic};
+use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState};
+use ivyweir_policy::gateway::site::Site;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use super::town::serve_on_thread;
+
+/// How the store fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// It answers nothing.
+    Silent,
+    /// It refuses every call.
+    Refuse,
+}
+
+/// A running store.
+#[derive(Clone)]
+pub struct RecordStore {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    news: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    /// Watches from before this are told that history is gone.
+    history_from: u64,
+    records: BTreeMap<(&'static str, Name), Item>,
+    log: Vec<(u64, Topic, RecordChange)>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+impl RecordStore {
+    /// Starts an empty store on a free port.
+    pub fn start() -> Self {
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            news: watch::Sender::new(0),
+        });
+        let serving = shared.clone();
+        let addr = serve_on_thread(move |request| {
+            let shared = serving.clone();
+            async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+        });
+        Self { addr, shared }
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets how it fails.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.state().fault = fault;
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
+    /// Forgets all history: watches must list again.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.history_from = state.revision;
+        state.log.clear();
+        drop(state);
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
+    /// Writes a configuration.
+    pub fn put_site(&self, site: &Site) {
+        self.put(
+            Topic::Site,
+            "main".into(),
+            Item::Site(Box::new(site.clone())),
+        );
+    }
+
+    /// Writes an upstream's record.
+    pub fn put_upstream(&self, record: &UpstreamRecord) {
+        self.put(
+            Topic::Upstreams,
+            record.id.clone(),
+            Item::Upstream(record.clone()),
+        );
+    }
+
+    /// Removes an upstream's record.
+    pub fn remove_upstream(&self, id: &Name) {
+        self.remove(Topic::Upstreams, id);
+    }
+
+    /// Orders a roll-out.
+    pub fn order_rollout(&self, pool: &str, target_version: &str, duration_ms: u64) {
+        let order = RolloutOrder {
+            pool: pool.into(),
+            target_version: target_version.into(),
+            duration_ms,
+            state: RolloutState::Ordered,
+            revision: 0,
+        };
+        self.put(Topic::Rollouts, pool.into(), Item::Rollout(order));
+    }
+
+    /// How far the roll-out of a pool is.
+    pub fn rollout_state(&self, pool: &str) -> Option<RolloutState> {
+        let state = self.state();
+        match state.records.get(&(Topic::Rollouts.name(), pool.into())) {
+            Some(Item::Rollout(order)) => Some(order.state),
+            _ => None,
+        }
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.state()
+    }
+
+    fn put(&self, topic: Topic, name: Name, item: Item) {
+        self.state().put(topic, name, item);
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
+    fn remove(&self, topic: Topic, name: &Name) {
+        self.state().remove(topic, name);
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl State {
+    fn put(&mut self, topic: Topic, name: Name, mut item: Item) {
+        self.revision += 1;
+        if let Item::Rollout(order) = &mut item {
+            order.revision = self.revision;
+        }
+        self.records.insert((topic.name(), name), item.clone());
+        self.log
+            .push((self.revision, topic, RecordChange::Put(item)));
+    }
+
+    fn remove(&mut self, topic: Topic, name: &Name) {
+        if self.records.remove(&(topic.name(), name.clone())).is_some() {
+            self.revision += 1;
+            let change = RecordChange::Gone(name.clone());
+            self.log.push((self.revision, topic, change));
+        }
+    }
+
+    fn page(&self, topic: Topic) -> RecordPage {
+        let records = self.records.iter();
+        let records = records.filter(|((of, _), _)| *of == topic.name());
+        RecordPage {
+            records: records.map(|(_, item)| item.clone()).collect(),
+            next_after: None,
+            revision: self.revision,
+        }
+    }
+
+    fn changes(&self, topic: Topic, since: u64) -> RecordChanges {
+        let newer = self
+            .log
+            .iter()
+            .filter(|(at, of, _)| *at > since && *of == topic);
+        RecordChanges {
+            changes: newer.map(|(_, _, change)| change.clone()).collect(),
+            revision: self.revision,
+        }
+    }
+
+    /// Writes a roll-out's state under the revision that the writer saw.
+    fn write_rollout(&mut self, order: RolloutOrder) -> (StatusCode, Option<Item>) {
+        let key = (Topic::Rollouts.name(), order.pool.clone());
+        let Some(Item::Rollout(now)) = self.records.get(&key) else {
+            return (StatusCode::NOT_FOUND, None);
+        };
+        if now.revision != order.revision {
+            return (StatusCode::CONFLICT, self.records.get(&key).cloned());
+        }
+        let pool = order.pool.clone();
+        self.put(Topic::Rollouts, pool, Item::Rollout(order));
+        (StatusCode::OK, self.records.get(&key).cloned())
+    }
+}
+
+async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let fault = {
+        let mut state = shared.state();
+        state.calls += 1;
+        state.fault
+    };
+    match fault {
+        StoreFault::None => {}
+        StoreFault::Refuse => return status(StatusCode::SERVICE_UNAVAILABLE),
+        StoreFault::Silent => std::future::pending().await,
+    }
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = body.to_bytes();
+    let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+    let ["v1", "records", topic, rest @ ..] = path.as_slice() else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let Some(topic) = Topic::from_name(topic) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let query = head.uri.query().unwrap_or_default();
+    match (&head.method, rest) {
+        (&Method::GET, []) => json(&shared.state().page(topic)),
+        (&Method::GET, ["changes"]) => watch_topic(shared, topic, query).await,
+        (&Method::PUT, [_]) => write_rollout(shared, &body),
+        (&Method::POST, [name]) => add_box(shared, name, &body),
+        (&Method::DELETE, [name]) => {
+            shared.state().remove(topic, &Name::from(*name));
+            shared.news.send_modify(|count| *count += 1);
+            status(StatusCode::OK)
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn watch_topic(shared: &Shared, topic: Topic, query: &str) -> Response<Full<Bytes>> {
+    let field = |name: &str| -> u64 {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(key, _)| *key == name);
+        value.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
+    };
+    let since = field("since");
+    let until = Instant::now() + Duration::from_millis(field("wait_ms"));
+    let mut news = shared.news.subscribe();
+    loop {
+        let (gone, fault, changes) = {
+            let state = shared.state();
+            let gone = since < state.history_from;
+            (gone, state.fault, state.changes(topic, since))
+        };
+        match fault {
+            StoreFault::None => {}
+            StoreFault::Refuse => return status(StatusCode::SERVICE_UNAVAILABLE),
+            StoreFault::Silent => std::future::pending().await,
+        }
+        if gone {
+            return status(StatusCode::GONE);
+        }
+        if !changes.changes.is_empty() || Instant::now() >= until {
+            return json(&changes);
+        }
+        let _woken = timeout_at(until, news.changed()).await;
+    }
+}
+
+fn write_rollout(shared: &Shared, body: &[u8]) -> Response<Full<Bytes>> {
+    let Ok(order) = serde_json::from_slice::<RolloutOrder>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let (code, item) = shared.state().write_rollout(order);
+    shared.news.send_modify(|count| *count += 1);
+    let mut answer = match item {
+        Some(Item::Rollout(order)) => json(&order),
+        _ => status(code),
+    };
+    *answer.status_mut() = code;
+    answer
+}
+
+fn add_box(shared: &Shared, name: &str, body: &[u8]) -> Response<Full<Bytes>> {
+    let Ok(record) = serde_json::from_slice::<BoxRecord>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut state = shared.state();
+    if state
+        .records
+        .contains_key(&(Topic::Boxes.name(), name.into()))
+    {
+        return status(StatusCode::CONFLICT);
+    }
+    state.put(Topic::Boxes, name.into(), Item::Box(record));
+    status(StatusCode::CREATED)
+}
+
+fn json(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).expect("records are valid JSON");
+    Response::new(Full::new(Bytes::from(body)))
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = code;
+    answer
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -0,0 +1,280 @@
+//! An upstream that does with each request what a test says, and remembers what reached it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use tokio::time::sleep;
+
+use super::town::serve_on_thread;
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// What an upstream does with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Act {
+    /// Answers with this status, signed.
+    Answer(u16),
+    /// Answers a success without a signature.
+    Unsigned,
+    /// Answers under another request's id.
+    WrongId,
+    /// Says that it did not run the request.
+    NotRun,
+    /// Says that another incarnation has the address.
+    OtherIncarnation,
+    /// Closes the connection without an answer.
+    Close,
+    /// Breaks its body off.
+    BreakOff,
+    /// Never answers.
+    Hang,
+    /// Answers with so many events.
+    Stream {
+        /// Number of events.
+        events: u64,
+        /// Pause between them.
+        gap_ms: u64,
+        /// Events after which it breaks off, in the middle of the next one.
+        break_after: Option<u64>,
+        /// The model's opinion of its answer.
+        confidence: Option<u8>,
+    },
+}
+
+/// A request as it reached an upstream.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Method and path.
+    pub line: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Seen {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A running upstream.
+#[derive(Clone)]
+pub struct ScriptedUpstream {
+    record: UpstreamRecord,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    act: Mutex<Act>,
+    /// For the requests to come, before `act` holds again.
+    next: Mutex<Vec<Act>>,
+    seen: Mutex<Vec<Seen>>,
+    active: AtomicU64,
+}
+
+impl ScriptedUpstream {
+    /// Starts an upstream on a free port.
+    pub fn start(id: &str, pool: &str, version: &str) -> Self {
+        let shared = Arc::new(Shared {
+            act: Mutex::new(Act::Answer(200)),
+            next: Mutex::default(),
+            seen: Mutex::default(),
+            active: AtomicU64::new(0),
+        });
+        let serving = shared.clone();
+        let addr = serve_on_thread(move |request| {
+            let shared = serving.clone();
+            async move { answer(shared, request).await }
+        });
+        Self {
+            record: record(id, pool, version, addr),
+            shared,
+        }
+    }
+
+    /// Its record in the registry.
+    pub fn record(&self) -> UpstreamRecord {
+        self.record.clone()
+    }
+
+    /// Its record once it leaves.
+    pub fn leaving(&self) -> UpstreamRecord {
+        UpstreamRecord {
+            is_leaving: true,
+            ..self.record()
+        }
+    }
+
+    /// Its id.
+    pub fn id(&self) -> Name {
+        self.record.id.clone()
+    }
+
+    /// Sets what it does from now on.
+    pub fn set(&self, act: Act) {
+        *lock(&self.shared.act) = act;
+    }
+
+    /// Sets what it does with the next requests, first to last.
+    pub fn set_next(&self, mut acts: Vec<Act>) {
+        acts.reverse();
+        *lock(&self.shared.next) = acts;
+    }
+
+    /// What reached it.
+    pub fn seen(&self) -> Vec<Seen> {
+        lock(&self.shared.seen).clone()
+    }
+
+    /// Requests that it works on.
+    pub fn active(&self) -> u64 {
+        self.shared.active.load(Ordering::SeqCst)
+    }
+}
+
+fn record(id: &str, pool: &str, version: &str, addr: SocketAddr) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        pool: pool.into(),
+        addr,
+        hall: "hall-a".into(),
+        version: version.into(),
+        slots: 8,
+        is_leaving: false,
+    }
+}
+
+/// Counts a request while it is worked on.
+struct Active(Arc<Shared>);
+
+impl Active {
+    fn begin(shared: &Arc<Shared>) -> Self {
+        shared.active.fetch_add(1, Ordering::SeqCst);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let active = Active::begin(&shared);
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    lock(&shared.seen).push(Seen {
+        line: format!("{} {}", head.method, head.uri),
+        headers: head.headers.clone(),
+        body: body.clone(),
+    });
+    let next = lock(&shared.next).pop();
+    let act = next.unwrap_or_else(|| lock(&shared.act).clone());
+    let echo = format!("echo of {} bytes", body.len());
+    let mut answer = Response::new(whole(echo.clone()));
+    let headers = answer.headers_mut();
+    if let Some(id) = head.headers.get("ivyweir-request-id") {
+        headers.insert("ivyweir-request-id", id.clone());
+    }
+    headers.insert(
+        "ivyweir-signature",
+        "signed".parse().expect("a valid value"),
+    );
+    headers.insert("ivyweir-load", "1,0,8".parse().expect("a valid value"));
+    match act {
+        Act::Answer(status) => *answer.status_mut() = StatusCode::from_u16(status).expect("valid"),
+        Act::Unsigned => drop(headers.remove("ivyweir-signature")),
+        Act::WrongId => {
+            let other = "another-request".parse().expect("a valid value");
+            headers.insert("ivyweir-request-id", other);
+        }
+        Act::NotRun => {
+            headers.insert("ivyweir-not-run", "1".parse().expect("a valid value"));
+            headers.remove("ivyweir-signature");
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        Act::OtherIncarnation => *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST,
+        Act::Close => return Err(io::Error::other("closes without an answer")),
+        Act::BreakOff => {
+            let frames = [Ok(Bytes::from(echo)), Err(io::Error::other("breaks off"))];
+            let frames = frames.map(|frame| frame.map(Frame::data));
+            *answer.body_mut() = StreamBody::new(stream::iter(frames)).boxed_unsync();
+        }
+        Act::Hang => std::future::pending().await,
+        Act::Stream {
+            events,
+            gap_ms,
+            break_after,
+            confidence,
+        } => {
+            if let Some(confidence) = confidence {
+                headers.insert("ivyweir-confidence", u16::from(confidence).into());
+            }
+            let last = head.headers.get("last-event-id");
+            let last: u64 = last
+                .and_then(|id| id.to_str().ok()?.parse().ok())
+                .unwrap_or(0);
+            *answer.body_mut() = event_stream(active, last, events, gap_ms, break_after);
+            return Ok(answer);
+        }
+    }
+    Ok(answer)
+}
+
+/// Events behind `last` up to `events`; an event's text says its number and who made it.
+fn event_stream(
+    active: Active,
+    last: u64,
+    events: u64,
+    gap_ms: u64,
+    break_after: Option<u64>,
+) -> Body {
+    let frames = stream::unfold((last, active), move |(last, active)| async move {
+        let id = last + 1;
+        if id > events {
+            return None;
+        }
+        sleep(Duration::from_millis(gap_ms)).await;
+        match break_after {
+            Some(limit) if last == limit => {
+                let torn = Frame::data(Bytes::from(format!("id: {id}\ndata: to")));
+                Some((Ok(torn), (events, active)))
+            }
+            _ => {
+                let event = format!("id: {id}\ndata: token {id}\n\n");
+                Some((Ok(Frame::data(Bytes::from(event))), (id, active)))
+            }
+        }
+    });
+    let frames = stream::StreamExt::chain(frames, break_off(break_after));
+    StreamBody::new(Box::pin(frames)).boxed_unsync()
+}
+
+fn break_off(break_after: Option<u64>) -> impl stream::Stream<Item = io::Result<Frame<Bytes>>> {
+    let error = break_after.map(|_| Err(io::Error::other("breaks off")));
+    stream::iter(error)
+}
+
+fn whole(text: String) -> Body {
+    Full::new(Bytes::from(text))
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
+}
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -0,0 +1,323 @@
+//! A store, upstreams and boxes together, and callers of the boxes.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use ivyweir_policy::gateway::site::{
+    CallerLimits, PoolShare, PoolSpec, Route, RouteKind, Site, Workspace,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+
+use super::process::GatewayProcess;
+use super::record_store::RecordStore;
+use super::scripted::ScriptedUpstream;
+
+/// The host of all routes.
+pub const HOST: &str = "studio.example";
+/// The workspace of every town.
+pub const WORKSPACE: &str = "studio";
+/// Its key.
+pub const KEY: &str = "key-of-the-studio";
+/// Time for a condition to come true.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A store, upstreams and boxes.
+pub struct Town {
+    /// The store.
+    pub store: RecordStore,
+    /// Upstreams of the pool `engines`.
+    pub engines: Vec<ScriptedUpstream>,
+    /// Upstreams of the pool `services`.
+    pub services: Vec<ScriptedUpstream>,
+    /// The boxes.
+    pub boxes: Vec<GatewayProcess>,
+    binary: PathBuf,
+    folder: PathBuf,
+}
+
+impl Town {
+    /// Starts a store, two upstreams a pool, and no box yet.
+    pub fn start(binary: impl Into<PathBuf>) -> Self {
+        static TOWNS: AtomicU64 = AtomicU64::new(0);
+        let number = TOWNS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("ivyweir-town-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+        let store = RecordStore::start();
+        let upstream = |pool: &str, n: usize| {
+            let upstream = ScriptedUpstream::start(&format!("{pool}-{n}"), pool, "v1");
+            store.put_upstream(&upstream.record());
+            upstream
+        };
+        let engines = (0..2).map(|n| upstream("engines", n)).collect();
+        let services = (0..2).map(|n| upstream("services", n)).collect();
+        store.put_site(&site(1, &[KEY]));
+        Self {
+            store,
+            engines,
+            services,
+            boxes: Vec::new(),
+            binary: binary.into(),
+            folder,
+        }
+    }
+
+    /// Starts a box that reaches the store directly, and waits until it is ready.
+    pub fn add_box(&mut self, hall: &str) -> usize {
+        let store_addr = self.store.addr().to_string();
+        self.add_box_behind(hall, &store_addr)
+    }
+
+    /// Starts a box that reaches the store at `store_addr`, and waits until it is ready.
+    pub fn add_box_behind(&mut self, hall: &str, store_addr: &str) -> usize {
+        let number = self.boxes.len();
+        let name = format!("box-{number}");
+        let started = GatewayProcess::start(&self.binary, &self.folder, &name, hall, store_addr);
+        self.boxes.push(started);
+        eventually("the box is ready", || self.is_ready(number));
+        number
+    }
+
+    /// Whether a box tells the balancer that it takes connections.
+    pub fn is_ready(&self, number: usize) -> bool {
+        let asked = get(self.boxes[number].ready_addr, "/readyz", &[]);
+        asked.is_ok_and(|reply| reply.status == 200)
+    }
+
+    /// Where callers reach a box.
+    pub fn addr(&self, number: usize) -> SocketAddr {
+        self.boxes[number].caller_addr
+    }
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        self.boxes.clear();
+        let _left_behind = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+///
+/// When it does not within half a minute.
+pub fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what} did not come true");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A configuration with a route of each kind, and a workspace with these keys.
+pub fn site(version: u64, keys: &[&str]) -> Site {
+    let route = |name: &str, kind: RouteKind, pool: &str, max_attempts: u32| {
+        Arc::new(Route {
+            name: name.into(),
+            host: HOST.into(),
+            path_prefix: format!("/{name}/").into(),
+            kind,
+            timeout_ms: 4_000,
+            latency_aim_ms: 500,
+            priority: 1,
+            models: Vec::new(),
+            pools: vec![PoolShare {
+                pool: pool.into(),
+                weight: 1,
+            }],
+            max_attempts,
+            anonymous: false,
+        })
+    };
+    let stream = RouteKind::Stream {
+        resumable: true,
+        gap_aim_ms: 1_000,
+    };
+    let mut sized = (*route("sized", stream, "engines", 3)).clone();
+    sized.models = vec!["small".into(), "large".into()];
+    let pool = |name: &str, is_engine: bool| PoolSpec {
+        name: name.into(),
+        max_connections: 100,
+        is_engine,
+    };
+    Site {
+        version,
+        routes: vec![
+            route("safe", RouteKind::Safe, "services", 2),
+            route("unsafe", RouteKind::Unsafe, "services", 1),
+            route("stream", stream, "engines", 3),
+            Arc::new(sized),
+        ],
+        pools: vec![pool("engines", true), pool("services", false)],
+        limits: Some(CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 65_536,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }),
+        workspaces: vec![Arc::new(Workspace {
+            name: WORKSPACE.into(),
+            keys: keys.iter().map(|key| (*key).into()).collect(),
+            priority: None,
+        })],
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, as far as it came.
+    pub body: Bytes,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl Reply {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Ids of events in a body, in order.
+pub fn event_ids(body: &str) -> Vec<u64> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// Asks for a path without a body.
+///
+/// # Errors
+///
+/// When no head of an answer came.
+pub fn get(addr: SocketAddr, path: &str, headers: &[(&str, &str)]) -> io::Result<Reply> {
+    call(addr, "GET", path, headers, Bytes::new())
+}
+
+/// Posts to a path of a stream with the studio's key.
+///
+/// # Errors
+///
+/// When no head of an answer came.
+pub fn post_stream(addr: SocketAddr, path: &str, request_id: &str) -> io::Result<Reply> {
+    let headers = [
+        ("ivyweir-request-id", request_id),
+        ("authorization", "Bearer key-of-the-studio"),
+        ("ivyweir-model", "*"),
+    ];
+    call(addr, "POST", path, &headers, Bytes::from_static(b"prompt"))
+}
+
+/// Makes a call on a connection of its own.
+///
+/// # Errors
+///
+/// When no head of an answer came.
+pub fn call(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> io::Result<Reply> {
+    let mut request = Request::builder().method(method).uri(path);
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", HOST);
+    }
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body)).map_err(io::Error::other)?;
+    runtime().block_on(async {
+        let stream = TcpStream::connect(addr).await?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        let answer = sender
+            .send_request(request)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(read(answer).await)
+    })
+}
+
+async fn read(answer: Response<Incoming>) -> Reply {
+    let (head, mut incoming) = answer.into_parts();
+    let mut body = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => body.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Reply {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: Bytes::from(body),
+        is_whole,
+    }
+}
+
+fn runtime() -> Runtime {
+    let mut builder = Builder::new_current_thread();
+    builder.enable_all().build().expect("a runtime can be made")
+}
+
+/// Serves HTTP on a free port of loopback, on a thread that lives as long as the process.
+pub fn serve_on_thread<F, A, B, E>(answer: F) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
+{
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port can be bound");
+    listener.set_nonblocking(true).expect("a socket can be set");
+    let addr = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        runtime().block_on(async move {
+            let listener = TcpListener::from_std(listener).expect("it listens");
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    continue;
+                };
+                let answer = answer.clone();
+                let service = service_fn(move |request| answer(request));
+                let connection =
+                    server::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move {
+                    let _caller_left = connection.await;
+                });
+            }
+        });
+        Ok::<(), Infallible>(())
+    });
+    addr
+}
--- a/crates/ivyweir-standins/src/lib.rs
+++ b/crates/ivyweir-standins/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod caller;
+pub mod edge;
 mod engine;
 mod fleet;
 mod gateway;
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use gumdrop::Options;
-use ivyweir_adapter::{ObjectCodec, PlatformDialect};
-use ivyweir_gateway::Settings as GatewaySettings;
+use ivyweir_adapter::ObjectCodec;
+use ivyweir_gateway::native::{self, NativeCodec};
+use ivyweir_gateway::{DialectChoice, Settings as GatewaySettings};
 use ivyweird::Settings;
 
 /// Exit code for settings that cannot be used.
@@ -76,8 +77,17 @@
         println!("{}: ok", file.display());
         return ExitCode::SUCCESS;
     }
-    let codec = ObjectCodec::new(settings.store_addr);
-    match ivyweir_gateway::run(settings, Arc::new(PlatformDialect), Arc::new(codec)) {
+    let ran = match settings.dialect {
+        DialectChoice::Native => {
+            let dialect = Arc::new(native::dialect());
+            ivyweir_gateway::run(settings, dialect, Arc::new(NativeCodec))
+        }
+        DialectChoice::Platform => {
+            let codec = Arc::new(ObjectCodec::new(settings.store_addr));
+            ivyweir_gateway::run(settings, Arc::new(ivyweir_adapter::dialect()), codec)
+        }
+    };
+    match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("ivyweird: {e}");
--- /dev/null
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -0,0 +1,282 @@
+//! The gateway's request path, with real boxes: what is passed on, what is repeated, what is refused.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use ivyweir_standins::edge::{Act, Reply, Town, call, event_ids, eventually, get, post_stream};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+const AUTH: (&str, &str) = ("authorization", "Bearer key-of-the-studio");
+
+fn town() -> Town {
+    let mut town = Town::start(Path::new(BINARY));
+    town.add_box("hall-a");
+    town
+}
+
+fn stream(events: u64, break_after: Option<u64>, confidence: Option<u8>) -> Act {
+    Act::Stream {
+        events,
+        gap_ms: 5,
+        break_after,
+        confidence,
+    }
+}
+
+fn ask(town: &Town, path: &str) -> Reply {
+    let headers = [("ivyweir-request-id", "r1"), AUTH];
+    get(town.addr(0), path, &headers).expect("an answer")
+}
+
+fn sends(town: &Town) -> usize {
+    let all = town.services.iter().chain(&town.engines);
+    all.map(|upstream| upstream.seen().len()).sum()
+}
+
+#[test]
+fn a_request_reaches_its_upstream_unaltered_but_for_what_is_the_systems() {
+    let town = town();
+    let headers = [
+        ("ivyweir-request-id", "r1"),
+        ("ivyweir-budget-ms", "900"),
+        AUTH,
+        ("ivyweir-workspace", "somebody-else"),
+        ("x-own", "kept"),
+        ("connection", "x-hop"),
+        ("x-hop", "dropped"),
+    ];
+    let body = bytes::Bytes::from_static(b"the body");
+    let reply = call(town.addr(0), "POST", "/safe/a/b?c=d", &headers, body).expect("an answer");
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.text(), "echo of 8 bytes");
+    assert!(reply.headers.contains_key("ivyweir-signature"));
+    let seen: Vec<_> = town.services.iter().flat_map(|s| s.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "POST /safe/a/b?c=d");
+    assert_eq!(&seen[0].body[..], b"the body");
+    assert_eq!(seen[0].header("ivyweir-workspace"), Some("studio"));
+    assert_eq!(seen[0].header("x-own"), Some("kept"));
+    assert_eq!(seen[0].header("x-hop"), None);
+    assert_eq!(seen[0].header("authorization"), None);
+    assert_eq!(seen[0].header("ivyweir-request-id"), Some("r1"));
+    let left_ms: u64 = seen[0]
+        .header("ivyweir-budget-ms")
+        .expect("a budget")
+        .parse()
+        .expect("ms");
+    assert!((1..=900).contains(&left_ms), "{left_ms} ms left of 900");
+}
+
+macro_rules! statuses {
+    ($($name:ident: $path:expr, acts $acts:expr => $status:expr, sends $sends:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town();
+            for upstream in town.services.iter().chain(&town.engines) {
+                upstream.set($acts);
+            }
+            let reply = ask(&town, $path);
+            assert_eq!((reply.status, sends(&town)), ($status, $sends));
+        }
+    )*};
+}
+
+statuses! {
+    a_failure_of_an_unsafe_request_is_passed_on: "/unsafe/x", acts Act::Answer(500) => 500, sends 1;
+    a_failure_of_a_safe_request_is_tried_once_more: "/safe/x", acts Act::Answer(500) => 500, sends 2;
+    an_unsafe_request_whose_answer_is_lost_is_not_repeated: "/unsafe/x", acts Act::Close => 502, sends 1;
+    an_answer_that_breaks_off_does_not_look_whole: "/unsafe/x", acts Act::BreakOff => 502, sends 1;
+    an_unsigned_success_is_none: "/unsafe/x", acts Act::Unsigned => 502, sends 1;
+    another_requests_answer_is_none: "/unsafe/x", acts Act::WrongId => 502, sends 1;
+    an_unsafe_request_is_refused_only_if_it_did_not_run: "/unsafe/x", acts Act::NotRun => 503, sends 1;
+    an_upstreams_bare_503_promises_nothing: "/unsafe/x", acts Act::Answer(503) => 502, sends 1;
+    an_unsafe_request_that_nobody_answers_is_late: "/unsafe/x", acts Act::Hang => 504, sends 1;
+    a_path_without_a_route_is_not_found: "/elsewhere/x", acts Act::Answer(200) => 404, sends 0;
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let town = town();
+    for upstream in &town.services {
+        upstream.set(Act::NotRun);
+    }
+    let reply = ask(&town, "/unsafe/x");
+    let after = reply.headers.get("retry-after").expect("a time");
+    let after_s: f64 = after.to_str().expect("text").parse().expect("seconds");
+    assert!(after_s > 0.0 && after_s <= 1.0, "{after_s} s");
+}
+
+#[test]
+fn an_unknown_key_is_denied_without_a_send() {
+    let town = town();
+    let headers = [
+        ("ivyweir-request-id", "r1"),
+        ("authorization", "Bearer guess"),
+    ];
+    let reply = get(town.addr(0), "/safe/x", &headers).expect("an answer");
+    assert_eq!((reply.status, sends(&town)), (401, 0));
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    let town = town();
+    let body = bytes::Bytes::from(vec![b'x'; 70_000]);
+    let headers = [("ivyweir-request-id", "r1"), AUTH];
+    let reply = call(town.addr(0), "POST", "/safe/x", &headers, body).expect("an answer");
+    assert_eq!((reply.status, sends(&town)), (413, 0));
+}
+
+#[test]
+fn another_incarnation_at_an_address_is_never_asked_again() {
+    let town = town();
+    town.services[0].set(Act::OtherIncarnation);
+    for n in 0..20 {
+        let headers = [("ivyweir-request-id", format!("r{n}"))];
+        let headers = [(headers[0].0, headers[0].1.as_str()), AUTH];
+        let reply = get(town.addr(0), "/safe/x", &headers).expect("an answer");
+        assert_eq!(reply.status, 200);
+    }
+    assert!(town.services[0].seen().len() <= 1);
+}
+
+#[test]
+fn a_stream_arrives_whole_and_in_order() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set(stream(10, None, None));
+    }
+    let reply = post_stream(town.addr(0), "/stream/x", "r1").expect("an answer");
+    assert!(reply.is_whole);
+    assert_eq!(event_ids(&reply.text()), (1..=10).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_stream_that_breaks_goes_on_behind_its_last_whole_event() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set(stream(10, None, None));
+        engine.set_next(vec![stream(10, Some(4), None)]);
+    }
+    // Whichever engine is asked first breaks off; the other may break off further on.
+    let reply = post_stream(town.addr(0), "/stream/x", "r1").expect("an answer");
+    assert!(reply.is_whole, "{}", reply.text());
+    assert_eq!(event_ids(&reply.text()), (1..=10).collect::<Vec<_>>());
+    assert!(
+        !reply.text().contains("data: to\n"),
+        "no torn event is passed on"
+    );
+    let resumed = town.engines.iter().flat_map(|e| e.seen());
+    let resumed: Vec<_> = resumed
+        .filter(|s| s.header("last-event-id").is_some())
+        .collect();
+    assert!(
+        resumed
+            .iter()
+            .any(|s| s.header("last-event-id") == Some("4"))
+    );
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_does_not_look_whole() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set(stream(10, Some(0), None));
+    }
+    let reply = post_stream(town.addr(0), "/stream/x", "r1").expect("a head");
+    assert!(!reply.is_whole);
+}
+
+macro_rules! models {
+    ($($name:ident: $confidence:expr => $asked:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town();
+            for engine in &town.engines {
+                engine.set(stream(3, None, Some($confidence)));
+            }
+            // The budget on repeats allows a larger model only beside other requests.
+            for n in 0..3 {
+                post_stream(town.addr(0), "/stream/x", &format!("before-{n}")).expect("an answer");
+            }
+            let reply = post_stream(town.addr(0), "/sized/x", "r1").expect("an answer");
+            assert_eq!(event_ids(&reply.text()), [1, 2, 3]);
+            let seen = town.engines.iter().flat_map(|e| e.seen());
+            let mut asked: Vec<String> = seen
+                .filter(|s| s.header("ivyweir-request-id") == Some("r1"))
+                .map(|s| s.header("ivyweir-model").unwrap_or("-").to_owned())
+                .collect();
+            asked.sort();
+            assert_eq!(asked, $asked);
+        }
+    )*};
+}
+
+models! {
+    a_sure_small_model_answers: 90 => ["small"];
+    an_unsure_one_is_dropped_for_the_largest: 10 => ["large", "small"];
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set(Act::Stream {
+            events: 1_000,
+            gap_ms: 20,
+            break_after: None,
+            confidence: None,
+        });
+    }
+    let addr = town.addr(0);
+    let caller = std::net::TcpStream::connect(addr).expect("a connection");
+    let request = "POST /stream/x HTTP/1.1\r\nhost: studio.example\r\nivyweir-request-id: r1\r\n\
+                   authorization: Bearer key-of-the-studio\r\ncontent-length: 0\r\n\r\n";
+    std::io::Write::write_all(&mut (&caller), request.as_bytes()).expect("it is sent");
+    let active = || town.engines.iter().map(|e| e.active()).sum::<u64>();
+    eventually("the engine works", || active() == 1);
+    drop(caller);
+    eventually("the engine stops", || active() == 0);
+}
+
+#[test]
+fn a_planned_stop_lets_a_stream_end() {
+    let mut town = town();
+    for engine in &town.engines {
+        engine.set(Act::Stream {
+            events: 60,
+            gap_ms: 20,
+            break_after: None,
+            confidence: None,
+        });
+    }
+    let addr = town.addr(0);
+    let caller = thread::spawn(move || post_stream(addr, "/stream/x", "r1"));
+    eventually("the stream runs", || {
+        town.engines.iter().any(|e| e.active() > 0)
+    });
+    town.boxes[0].signal("TERM");
+    eventually("the balancer is told", || !town.is_ready(0));
+    let reply = caller.join().expect("the caller ends").expect("an answer");
+    assert!(reply.is_whole);
+    assert_eq!(event_ids(&reply.text()).len(), 60);
+    assert_eq!(town.boxes[0].wait_exit(Duration::from_secs(20)), Some(0));
+}
+
+#[test]
+fn a_failed_request_is_explained_by_its_lines() {
+    let town = town();
+    for service in &town.services {
+        service.set(Act::Close);
+    }
+    ask(&town, "/unsafe/x");
+    eventually("the lines are written", || {
+        let lines = town.boxes[0].lines_about("r1");
+        let events: Vec<_> = lines.iter().filter_map(|l| l["event"].as_str()).collect();
+        events == ["admitted", "chosen", "answer_lost", "refused"]
+    });
+    assert!(
+        !town.boxes[0].log().contains("key-of-the-studio"),
+        "no key is logged"
+    );
+}
--- /dev/null
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -0,0 +1,213 @@
+//! The gateway and its store: configurations, keys, upstreams that leave, outages, relays, roll-outs.
+
+use std::path::Path;
+
+use ivyweir_policy::gateway::rollout::RolloutState;
+use ivyweir_standins::edge::{Act, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site};
+use ivyweir_standins::{Fault, Gateway};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+
+fn town(halls: &[&str]) -> Town {
+    let mut town = Town::start(Path::new(BINARY));
+    for hall in halls {
+        town.add_box(hall);
+    }
+    town
+}
+
+fn status(town: &Town, number: usize, key: &str, id: &str) -> u16 {
+    let auth = format!("Bearer {key}");
+    let headers = [("ivyweir-request-id", id), ("authorization", auth.as_str())];
+    let reply = get(town.addr(number), "/safe/x", &headers);
+    reply.map_or(0, |reply| reply.status)
+}
+
+/// A status that is not of a box that is catching up.
+fn settled_status(town: &Town, number: usize, key: &str) -> u16 {
+    status(town, number, key, "r1")
+}
+
+#[test]
+fn a_new_key_works_and_a_withdrawn_one_does_not() {
+    let town = town(&["hall-a"]);
+    assert_eq!(settled_status(&town, 0, "second"), 401);
+    town.store.put_site(&site(2, &["second"]));
+    eventually("the new key works", || {
+        settled_status(&town, 0, "second") == 200
+    });
+    assert_eq!(settled_status(&town, 0, KEY), 401);
+}
+
+#[test]
+fn an_older_configuration_is_never_adopted() {
+    let town = town(&["hall-a"]);
+    town.store.put_site(&site(5, &["second"]));
+    eventually("the new key works", || {
+        settled_status(&town, 0, "second") == 200
+    });
+    town.store.put_site(&site(4, &[KEY]));
+    eventually("the box has seen it", || {
+        let seen = town.boxes[0].lines_of("site_seen");
+        seen.iter().any(|line| line["version"] == 4)
+    });
+    assert_eq!(settled_status(&town, 0, KEY), 401);
+}
+
+#[test]
+fn a_box_that_cannot_tell_whether_a_key_was_withdrawn_refuses_it() {
+    let town = town(&["hall-a"]);
+    assert_eq!(settled_status(&town, 0, KEY), 200);
+    town.store.set_fault(StoreFault::Silent);
+    eventually("the key is refused", || {
+        settled_status(&town, 0, KEY) == 503
+    });
+    assert!(!town.is_ready(0));
+    let sent = town.services.iter().map(|s| s.seen().len()).sum::<usize>();
+    assert_eq!(settled_status(&town, 0, KEY), 503);
+    let sent_then = town.services.iter().map(|s| s.seen().len()).sum::<usize>();
+    assert_eq!(sent, sent_then);
+    town.store.set_fault(StoreFault::None);
+    eventually("the key works again", || {
+        settled_status(&town, 0, KEY) == 200
+    });
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_more_work() {
+    let town = town(&["hall-a"]);
+    town.store.put_upstream(&town.services[0].leaving());
+    eventually("the box has seen it", || {
+        let seen = town.boxes[0].lines_of("upstream_changed");
+        seen.iter().any(|line| line["change"] == "Leaving")
+    });
+    let before = town.services[0].seen().len();
+    // Its record going, or coming back as ready, changes nothing.
+    town.store.put_upstream(&town.services[0].record());
+    for n in 0..20 {
+        assert_eq!(status(&town, 0, KEY, &format!("r{n}")), 200);
+    }
+    assert_eq!(town.services[0].seen().len(), before);
+}
+
+#[test]
+fn a_box_lists_again_when_the_store_has_lost_its_history() {
+    let town = town(&["hall-a"]);
+    town.store.put_upstream(&town.services[0].leaving());
+    town.store.forget_history();
+    let third = ScriptedUpstream::start("services-third", "services", "v1");
+    town.store.put_upstream(&third.record());
+    let mut n = 0;
+    eventually("the new upstream is used", || {
+        n += 1;
+        status(&town, 0, KEY, &format!("r{n}"));
+        !third.seen().is_empty()
+    });
+}
+
+#[test]
+fn boxes_of_a_hall_share_one_watch() {
+    let town = town(&["hall-a", "hall-a", "hall-a"]);
+    eventually("all but one follow another box", || {
+        let direct = town.store.calls();
+        std::thread::sleep(std::time::Duration::from_millis(1_500));
+        // One relay watches three topics; three boxes on their own would need three times as many.
+        town.store.calls() - direct <= 8
+    });
+    town.store.put_site(&site(2, &["second"]));
+    for number in 0..3 {
+        eventually("the new key works", || {
+            settled_status(&town, number, "second") == 200
+        });
+    }
+}
+
+#[test]
+fn boxes_of_a_hall_outlive_their_relay() {
+    let mut town = town(&["hall-a", "hall-a", "hall-a"]);
+    for killed in 0..2 {
+        town.boxes[killed].kill();
+        let version = 2 + killed as u64;
+        let key = format!("key-{version}");
+        town.store.put_site(&site(version, &[&key]));
+        eventually("the last box has the key", || {
+            settled_status(&town, 2, &key) == 200
+        });
+    }
+}
+
+#[test]
+fn boxes_of_a_hall_leave_a_relay_that_lost_the_store() {
+    let mut town = Town::start(Path::new(BINARY));
+    let paths: Vec<Gateway> = (0..3)
+        .map(|_| Gateway::start(&town.store.addr().to_string()).expect("a port"))
+        .collect();
+    for path in &paths {
+        town.add_box_behind("hall-a", &path.addr());
+    }
+    // Whichever box is the relay loses the store in one of the rounds.
+    for (round, path) in paths.iter().enumerate() {
+        path.set(Fault::HalfOpen);
+        let version = 2 + round as u64;
+        let key = format!("key-{version}");
+        town.store.put_site(&site(version, &[&key]));
+        for number in (0..3).filter(|number| *number != round) {
+            eventually("a box with the store has the key", || {
+                settled_status(&town, number, &key) == 200
+            });
+        }
+        path.set(Fault::Cut);
+        path.set(Fault::None);
+        eventually("the box is back", || {
+            settled_status(&town, round, &key) == 200
+        });
+    }
+}
+
+/// A town whose pool of services is being moved to `v2`, served by two more upstreams.
+fn rolling(act: Act, duration_ms: u64) -> (Town, Vec<ScriptedUpstream>) {
+    let town = town(&["hall-a"]);
+    let new: Vec<ScriptedUpstream> = (0..2)
+        .map(|n| ScriptedUpstream::start(&format!("services-new-{n}"), "services", "v2"))
+        .collect();
+    for upstream in &new {
+        upstream.set(act.clone());
+        town.store.put_upstream(&upstream.record());
+    }
+    town.store.order_rollout("services", "v2", duration_ms);
+    (town, new)
+}
+
+#[test]
+fn a_good_version_takes_all_work_in_the_end() {
+    let (town, new) = rolling(Act::Answer(200), 1_500);
+    let mut n = 0;
+    eventually("the roll-out is complete", || {
+        n += 1;
+        assert_eq!(status(&town, 0, KEY, &format!("r{n}")), 200);
+        town.store.rollout_state("services") == Some(RolloutState::Completed)
+    });
+    let old_before = town.services.iter().map(|s| s.seen().len()).sum::<usize>();
+    for n in 0..20 {
+        assert_eq!(status(&town, 0, KEY, &format!("after-{n}")), 200);
+    }
+    let old_then = town.services.iter().map(|s| s.seen().len()).sum::<usize>();
+    assert_eq!(old_before, old_then, "the old version gets nothing more");
+    assert!(new.iter().all(|s| !s.seen().is_empty()));
+}
+
+#[test]
+fn a_bad_version_is_rolled_back() {
+    let (town, new) = rolling(Act::Answer(500), 6_000);
+    let mut n = 0;
+    eventually("it is rolled back", || {
+        n += 1;
+        status(&town, 0, KEY, &format!("r{n}"));
+        town.store.rollout_state("services") == Some(RolloutState::RolledBack)
+    });
+    let bad = new.iter().map(|s| s.seen().len()).sum::<usize>();
+    for n in 0..50 {
+        assert_eq!(status(&town, 0, KEY, &format!("after-{n}")), 200);
+    }
+    assert_eq!(new.iter().map(|s| s.seen().len()).sum::<usize>(), bad);
+}
