Versions are judged by lane, on plain answers too, against chance

Change: every plain answer is judged, with its time; windows by route and model beside one for all; the new version is condemned where chance explains its bad answers less than once in 2000, given the old rate.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -97,6 +97,8 @@
     pub lease: Lease,
     /// How long its connection may be kept afterwards.
     pub keep_ms: Option<u64>,
+    /// Time from sending the request to the head of its answer.
+    pub head_after_ms: u64,
 }
 
 /// What became of a send.
@@ -158,6 +160,7 @@
             return Sent::NotRun { arrived: false };
         }
         let request = job.request(&*gateway.dialect, &forward(gateway, job, upstream, sending));
+        let sent_at_ms = gateway.clock.now_ms();
         let waited = timeout(
             Duration::from_millis(sending.wait_ms),
             channel.send(request),
@@ -166,7 +169,8 @@
         match waited {
             Ok(Ok(response)) => {
                 lease.channel = Some(channel);
-                return answered(gateway, job, lease, response, trace);
+                let head_after_ms = gateway.clock.now_ms() - sent_at_ms;
+                return answered(gateway, job, lease, response, head_after_ms, trace);
             }
             Ok(Err(SendError::NotSent)) if is_kept => continue,
             Ok(Err(SendError::NotSent)) => {
@@ -198,6 +202,7 @@
     job: &Job,
     mut lease: Lease,
     response: Response<Incoming>,
+    head_after_ms: u64,
     trace: &mut Trace,
 ) -> Sent {
     let status = response.status().as_u16();
@@ -236,6 +241,7 @@
         marks,
         lease,
         keep_ms,
+        head_after_ms,
     }))
 }
 
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -68,6 +68,11 @@
         self.envelope.any_model && !self.route.models.is_empty()
     }
 
+    /// Answers that are alike: those of the same route and model.
+    pub fn lane(&self, model: usize) -> u64 {
+        mix(hash64(&[self.route.name.as_bytes()]), model as u64)
+    }
+
     /// What the request takes of an upstream with the model in this place.
     pub fn estimate(&self, model: usize) -> Estimate {
         work::estimate(self.tokens(), model, self.route.models.len())
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -382,16 +382,16 @@
     may_repeat(gateway, job, tries).then_some(larger)
 }
 
-/// Takes in what the head of an answer says about its version.
+/// Takes in what the head of an answer says about its upstream and version; a stream is judged at its end.
 fn judge(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
     let failed = reply.response.status().is_server_error();
     reply.lease.outcome(failed);
-    if failed {
+    if failed || !job.route.kind.is_stream() {
         let evidence = Evidence {
             upstream: &reply.lease.upstream.id,
             failed,
-            model,
-            pace_ms: None,
+            lane: job.lane(model),
+            pace_ms: (!failed).then_some(reply.head_after_ms as f64),
         };
         weigh(gateway, job, &reply.lease.upstream, &evidence);
     }
--- a/crates/ivyweir-gateway/src/relay.rs
+++ b/crates/ivyweir-gateway/src/relay.rs
@@ -224,7 +224,7 @@
         let evidence = Evidence {
             upstream: &upstream.id,
             failed: false,
-            model: self.model,
+            lane: self.job.lane(self.model),
             pace_ms,
         };
         weigh(&self.gateway, &self.job, &upstream, &evidence);
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -46,17 +46,23 @@
 /// Part of the time after which the move is declared complete; answers of the old version that began
 /// before the last step have ended by then, or are resumed.
 const COMPLETE_FROM: f64 = 0.93;
-/// Newest answers of a version that are judged.
-const JUDGED: usize = 12;
+/// Newest answers of the new version that are judged.
+const JUDGED_NEW: usize = 12;
+/// Newest answers of the old version that it is judged against.
+const JUDGED_OLD: usize = 64;
 /// Bad answers among these that condemn the new version.
 const BAD_LIMIT: usize = 3;
 /// Upstreams that must have given them: a single failing one says nothing of its version.
 const BAD_UPSTREAMS: usize = 2;
-/// How many times as often as the old version the new one must fail.
-const BAD_RATIO: f64 = 3.0;
-/// How many times the old version's pause between events makes an answer a bad one.
+/// Chance at which as many bad answers would come of a version as good as the old one. Boxes judge after
+/// each answer, so it is small.
+const CHANCE_LIMIT: f64 = 5e-4;
+/// What is taken to be known of the old version before it has answered: one bad answer in twenty.
+const PRIOR_BAD: f64 = 1.0;
+const PRIOR_ALL: f64 = 20.0;
+/// How many times the old version's time makes an answer a bad one.
 const SLOW_RATIO: f64 = 3.5;
-/// Answers of the old version, of one model, needed to tell a slow one.
+/// Answers of the old version, of one lane, needed to tell a slow one.
 const PACE_SAMPLES: u32 = 5;
 /// Weight of the newest pace.
 const PACE_WEIGHT: f64 = 0.1;
@@ -109,12 +115,13 @@
     pub upstream: &'a Name,
     /// The upstream itself answered with a failure.
     pub failed: bool,
-    /// The model, by its place from the smallest.
-    pub model: usize,
-    /// Mean pause between events, where there were enough.
+    /// Answers that are alike: hash of route and model.
+    pub lane: u64,
+    /// Mean pause between events, or the time to a plain answer; none where it says nothing.
     pub pace_ms: Option<f64>,
 }
 
+/// Newest answers of one version.
 #[derive(Debug, Default)]
 struct Judged {
     /// For each answer, the upstream if it was a bad one.
@@ -122,9 +129,9 @@
 }
 
 impl Judged {
-    fn push(&mut self, bad: Option<Name>) {
+    fn push(&mut self, bad: Option<Name>, kept: usize) {
         self.newest.push_back(bad);
-        if self.newest.len() > JUDGED {
+        if self.newest.len() > kept {
             self.newest.pop_front();
         }
     }
@@ -137,11 +144,50 @@
         self.newest.iter().flatten().collect::<HashSet<_>>().len()
     }
 
+    /// The rate of bad answers, held towards what is taken to be known before.
     fn bad_rate(&self) -> f64 {
-        self.bad() as f64 / self.newest.len().max(1) as f64
+        (self.bad() as f64 + PRIOR_BAD) / (self.newest.len() as f64 + PRIOR_ALL)
     }
 }
 
+/// Answers of both versions that are alike.
+#[derive(Debug, Default)]
+struct Pair {
+    old: Judged,
+    new: Judged,
+}
+
+impl Pair {
+    fn push(&mut self, side: Side, bad: Option<Name>) {
+        match side {
+            Side::Old => self.old.push(bad, JUDGED_OLD),
+            Side::New => self.new.push(bad, JUDGED_NEW),
+        }
+    }
+
+    /// Whether the new version is worse than chance explains.
+    fn condemns(&self) -> bool {
+        let bad = self.new.bad();
+        let enough = bad >= BAD_LIMIT && self.new.bad_upstreams() >= BAD_UPSTREAMS;
+        enough && tail(bad, self.new.newest.len(), self.old.bad_rate()) < CHANCE_LIMIT
+    }
+}
+
+/// Chance of at least `bad` in `all` where each is bad with chance `rate`.
+fn tail(bad: usize, all: usize, rate: f64) -> f64 {
+    let mut chance = 0.0;
+    let mut choices = 1.0;
+    for k in 0..=all {
+        if k > 0 {
+            choices *= (all - k + 1) as f64 / k as f64;
+        }
+        if k >= bad {
+            chance += choices * rate.powi(k as i32) * (1.0 - rate).powi((all - k) as i32);
+        }
+    }
+    chance
+}
+
 /// A pause between events, averaged.
 #[derive(Debug, Default, Clone, Copy)]
 struct Pace {
@@ -155,9 +201,9 @@
     order: RolloutOrder,
     /// May lie before the start of the box's clock.
     started_ms: i64,
-    old: Judged,
-    new: Judged,
-    old_pace: HashMap<usize, Pace>,
+    all: Pair,
+    lanes: HashMap<u64, Pair>,
+    old_pace: HashMap<u64, Pace>,
     condemned: bool,
 }
 
@@ -184,8 +230,8 @@
         Self {
             started_ms: start_of(elapsed_ms, now_ms),
             order,
-            old: Judged::default(),
-            new: Judged::default(),
+            all: Pair::default(),
+            lanes: HashMap::new(),
             old_pace: HashMap::new(),
             condemned: false,
         }
@@ -261,32 +307,26 @@
 
     /// Takes in an answer; returns whether it condemned the new version just now.
     pub fn judge(&mut self, side: Side, evidence: &Evidence) -> bool {
-        let pace = self.old_pace.entry(evidence.model).or_default();
+        let pace = self.old_pace.entry(evidence.lane).or_default();
         let slow = evidence.pace_ms.is_some_and(|pace_ms| {
             pace.samples >= PACE_SAMPLES && pace_ms > pace.mean_ms * SLOW_RATIO
         });
-        let bad = (evidence.failed || slow).then(|| evidence.upstream.clone());
-        match side {
-            Side::Old => {
-                self.old.push(bad);
-                if let Some(pace_ms) = evidence.pace_ms {
-                    pace.add(pace_ms);
-                }
-            }
-            Side::New => self.new.push(bad),
+        if let (Side::Old, Some(pace_ms)) = (side, evidence.pace_ms) {
+            pace.add(pace_ms);
         }
+        let bad = (evidence.failed || slow).then(|| evidence.upstream.clone());
+        let lane = self.lanes.entry(evidence.lane).or_default();
+        lane.push(side, bad.clone());
+        self.all.push(side, bad);
+        let condemned = lane.condemns() || self.all.condemns();
         let was = self.condemned;
-        let worse = self.new.bad_rate() > self.old.bad_rate() * BAD_RATIO;
-        let enough = self.new.bad() >= BAD_LIMIT && self.new.bad_upstreams() >= BAD_UPSTREAMS;
-        if !self.is_over() && enough && worse {
-            self.condemned = true;
-        }
+        self.condemned |= condemned && !self.is_over();
         self.condemned && !was
     }
 
     /// Bad and all answers among those judged last, of the new version and of the old one.
     pub fn tally(&self) -> [(usize, usize); 2] {
-        [&self.new, &self.old].map(|judged| (judged.bad(), judged.newest.len()))
+        [&self.all.new, &self.all.old].map(|judged| (judged.bad(), judged.newest.len()))
     }
 
     /// What is to be written now.
