Boxes add up what they see of a new version; its share stays small until shortly before the end

A version that is bad under load only shows nothing at a small share, yet counts as exposed; slow streams had not ended when the shares grew (judged at their end). Ruled out: smaller windows of one box (three bad answers of a seventh of 5 % take longer than the time). Change: counts of both versions by fault and lane travel with the boxes' work and are added up; a stream's pace is judged at its seventh event; shares 5, 12, 100 % from 52, 75, 91.5 % of the time (12 % of all).

--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -16,7 +16,7 @@
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
 /// Boxes act one after the other within this time, so that the first one's write spares the others'.
-const SPREAD_MS: u64 = 900;
+const SPREAD_MS: u64 = 500;
 /// Time for the store to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a write that failed.
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -140,7 +140,7 @@
     }
     tokio::spawn(drive::run(gateway.clone()));
     tokio::spawn(peers::keep_listed(gateway.clone()));
-    tokio::spawn(peers::exchange_work(gateway.clone()));
+    tokio::spawn(peers::exchange_words(gateway.clone()));
     tokio::spawn(server::serve_peers(gateway.clone(), peers));
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(server::serve_plain(balancer, answer_balancer(&gateway)));
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -390,6 +390,7 @@
         let evidence = Evidence {
             upstream: &reply.lease.upstream.id,
             failed,
+            is_final: true,
             lane: job.lane(model),
             pace_ms: (!failed).then_some(reply.head_after_ms as f64),
         };
@@ -402,14 +403,10 @@
     let condemned = gateway.with_rollouts(|rollouts, _| {
         let track = rollouts.get_mut(&job.pool)?;
         let side = track.side_of(&upstream.version);
-        track.judge(side, evidence).then(|| track.tally())
+        track.judge(side, evidence).then(|| track.sum())
     });
-    if let Some([new, old]) = condemned {
-        let detail = json!({
-            "pool": job.pool, "version": upstream.version,
-            "bad_of_new": [new.0, new.1], "bad_of_old": [old.0, old.1],
-        });
-        gateway.log.line("version_condemned", detail);
+    if let Some(sum) = condemned {
+        gateway.log_condemned(&job.pool, &sum);
     }
 }
 
--- a/crates/ivyweir-gateway/src/relay.rs
+++ b/crates/ivyweir-gateway/src/relay.rs
@@ -20,8 +20,10 @@
 use crate::refusal::AnswerBody;
 use crate::state::{Active, Gateway};
 
-/// Events after which the pause between them says something.
-const PACE_EVENTS: u32 = 3;
+/// Pauses between events from which their mean says something.
+const PACE_PAUSES: u32 = 3;
+/// Event at which a stream's pace is judged: a slow stream takes long to end.
+const JUDGED_AT_EVENTS: u32 = 7;
 
 /// Starts to relay.
 pub fn start(
@@ -168,6 +170,9 @@
         for id in event_ids(&whole) {
             self.events += 1;
             self.last_event_id = Some(id);
+            if self.events == JUDGED_AT_EVENTS {
+                self.weigh(false, self.pace_ms());
+            }
         }
         Next::Events(whole)
     }
@@ -218,21 +223,34 @@
         self.ended = true;
         self.source.lease.keep_channel(self.source.keep_ms);
         let upstream = self.source.lease.upstream.clone();
+        let pace_ms = self.pace_ms();
+        // The pace of a longer stream was judged on its way.
+        let is_timed = self.events < JUDGED_AT_EVENTS;
+        self.weigh(true, pace_ms.filter(|_| is_timed));
+        let detail = json!({
+            "upstream": upstream.id, "events": self.events, "pace_ms": pace_ms,
+            "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
+        });
+        self.trace.step("stream_ended", detail);
+    }
+
+    /// Mean pause between events so far, where there were enough.
+    fn pace_ms(&self) -> Option<f64> {
         let span_ms = self.last_event_ms.saturating_sub(self.first_event_ms);
-        let pace_ms = (self.events > PACE_EVENTS)
-            .then(|| span_ms as f64 / f64::from(self.events.saturating_sub(1)));
+        let pauses = self.events.saturating_sub(1);
+        (pauses >= PACE_PAUSES).then(|| span_ms as f64 / f64::from(pauses))
+    }
+
+    fn weigh(&self, is_final: bool, pace_ms: Option<f64>) {
+        let upstream = &self.source.lease.upstream;
         let evidence = Evidence {
             upstream: &upstream.id,
             failed: false,
+            is_final,
             lane: self.job.lane(self.model),
             pace_ms,
         };
-        weigh(&self.gateway, &self.job, &upstream, &evidence);
-        let detail = json!({
-            "upstream": upstream.id, "events": self.events, "pace_ms": pace_ms,
-            "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
-        });
-        self.trace.step("stream_ended", detail);
+        weigh(&self.gateway, &self.job, upstream, &evidence);
     }
 
     fn break_off(&mut self, why: &'static str) -> io::Error {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -8,9 +8,9 @@
 use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
 use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
-use ivyweir_policy::gateway::relay::Work;
+use ivyweir_policy::gateway::relay::Word;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
-use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
+use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side, Tally};
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::rank::hash64;
 use serde_json::json;
@@ -180,18 +180,34 @@
         }
     }
 
-    /// Work of this box's own requests, by upstream.
-    pub fn own_work(&self) -> Work {
+    /// What this box has to tell others.
+    pub fn own_word(&self) -> Word {
+        let tallies = self.with_rollouts(|rollouts, _| {
+            let under_way = rollouts.iter().filter(|(_, track)| !track.is_over());
+            let tallies = under_way.map(|(pool, track)| (pool.clone(), track.tally()));
+            tallies.collect()
+        });
         let upstreams = lock(&self.upstreams);
         let own = upstreams.loads.iter();
-        own.map(|(id, known)| (id.clone(), known.load.own_work_ms()))
-            .filter(|(_, work_ms)| *work_ms > 0.0)
-            .collect()
+        let own = own.map(|(id, known)| (id.clone(), known.load.own_work_ms()));
+        Word {
+            work: own.filter(|(_, work_ms)| *work_ms > 0.0).collect(),
+            tallies,
+        }
     }
 
-    /// Takes in other boxes' work.
-    pub fn take_others_work(&self, work: &Work) {
-        if work.is_empty() {
+    /// Takes in what others told.
+    pub fn take_others_word(&self, word: Word) {
+        for (pool, tally) in word.tallies {
+            let condemned = self.with_rollouts(|rollouts, _| {
+                let track = rollouts.get_mut(&pool)?;
+                track.hear(tally).then(|| track.sum())
+            });
+            if let Some(sum) = condemned {
+                self.log_condemned(&pool, &sum);
+            }
+        }
+        if word.work.is_empty() {
             return;
         }
         let now_ms = self.clock.now_ms();
@@ -202,11 +218,26 @@
             .map(|m| m.record.id.clone())
             .collect();
         for id in ids {
-            let work_ms = work.get(&id).copied().unwrap_or(0.0);
+            let work_ms = word.work.get(&id).copied().unwrap_or(0.0);
             upstreams.known(&id).load.others(work_ms, now_ms);
         }
     }
 
+    /// Writes down why a version was condemned.
+    pub fn log_condemned(&self, pool: &Name, sum: &Tally) {
+        let groups: Vec<_> = sum
+            .iter()
+            .map(|(group, c)| {
+                json!({
+                    "fault": group.fault, "lane": group.lane,
+                    "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
+                })
+            })
+            .collect();
+        let detail = json!({"pool": pool, "bad_of_all": groups});
+        self.log.line("version_condemned", detail);
+    }
+
     /// Age of the proof that the configuration is the newest.
     pub fn proof_age_ms(&self) -> Option<u64> {
         lock(&self.proof).age_ms(self.clock.now_ms())
--- a/crates/ivyweir-policy/src/gateway/relay.rs
+++ b/crates/ivyweir-policy/src/gateway/relay.rs
@@ -1,10 +1,11 @@
-//! Which box of a hall follows the store for the others, and what boxes tell each other of their load.
+//! Which box of a hall follows the store for the others, and what boxes tell each other.
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::rollout::{Tally, add_tally};
 use crate::rank::hash64;
 
 /// First pause after a box did not answer; doubles with each further time.
@@ -57,28 +58,49 @@
 /// Work under way, by upstream.
 pub type Work = HashMap<Name, f64>;
 
-/// What a box knows of others' work, by who told it.
+/// What a box, or several together, have to tell.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Word {
+    /// Work under way, in milliseconds of an upstream's time.
+    pub work: Work,
+    /// Counts of answers, by the pool whose roll-out is under way.
+    pub tallies: HashMap<Name, Tally>,
+}
+
+impl Word {
+    /// Adds another's.
+    pub fn add(&mut self, more: &Self) {
+        for (upstream, work) in &more.work {
+            *self.work.entry(upstream.clone()).or_default() += work;
+        }
+        for (pool, tally) in &more.tallies {
+            add_tally(self.tallies.entry(pool.clone()).or_default(), tally);
+        }
+    }
+}
+
+/// What a box was told by others, by who told it.
 #[derive(Debug, Default)]
-pub struct OthersWork {
+pub struct OthersWords {
     told: HashMap<Name, Told>,
 }
 
 #[derive(Debug)]
 struct Told {
-    work: Work,
+    word: Word,
     at_ms: u64,
 }
 
 /// Age at which what was told says nothing any more.
 const TOLD_MAX_AGE_MS: u64 = 1_200;
 
-impl OthersWork {
+impl OthersWords {
     /// Takes in what a box, or a relay for several boxes, told.
-    pub fn put(&mut self, from: &Name, work: Work, now_ms: u64) {
+    pub fn put(&mut self, from: &Name, word: Word, now_ms: u64) {
         self.told.insert(
             from.clone(),
             Told {
-                work,
+                word,
                 at_ms: now_ms,
             },
         );
@@ -87,33 +109,24 @@
     }
 
     /// The sum of what others than `except` told lately.
-    pub fn sum_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Work {
-        let mut sum = Work::new();
+    pub fn sum_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Word {
+        let mut sum = Word::default();
         let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
         let told = self.told.iter().filter(|(from, _)| !except(from));
         for told in told.map(|(_, told)| told).filter(fresh) {
-            for (upstream, work) in &told.work {
-                *sum.entry(upstream.clone()).or_default() += work;
-            }
+            sum.add(&told.word);
         }
         sum
     }
 }
 
-/// A box's word on work, to its relay or between relays.
+/// A message from a box to its relay, or between relays.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct WorkMessage {
+pub struct WordMessage {
     /// The sender.
     pub from: Name,
     /// Whether it speaks for its whole hall.
     pub for_hall: bool,
-    /// Work under way, in thousandths of a second of an upstream's time.
-    pub work: HashMap<Name, f64>,
-}
-
-/// Adds work to other work.
-pub fn add(to: &mut Work, more: &Work) {
-    for (upstream, work) in more {
-        *to.entry(upstream.clone()).or_default() += work;
-    }
+    /// What it has to tell.
+    pub word: Word,
 }
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -2,10 +2,11 @@
 //!
 //! A session must not move to the new version in the first half of its time, and sessions are served by
 //! many boxes. So the new version gets nothing in that half. Then its share of sessions grows in steps,
-//! chosen by a hash that all boxes agree on, which also keeps a session from going back. Any box that sees
-//! the new version fail returns all work to the old one.
+//! chosen by a hash that all boxes agree on, which also keeps a session from going back. A version may be
+//! bad without showing it yet, so the steps are small until shortly before the end. Boxes add up what they
+//! see of both versions; the first that sees the new one fail returns all work to the old one.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -19,39 +20,31 @@
     share: f64,
 }
 
-/// The bound on exposure is 15 % of requests over the whole time; with these steps a bad version that no
-/// box notices before the last one has had about a tenth.
-const STEPS: [Step; 5] = [
+/// The bound on exposure is 15 % of requests over the whole time, also for a version whose faults nobody
+/// saw; with these steps it gets 12 %.
+const STEPS: [Step; 4] = [
     Step {
         from: 0.0,
         share: 0.0,
     },
     Step {
         from: 0.52,
-        share: 0.1,
+        share: 0.05,
     },
     Step {
-        from: 0.63,
-        share: 0.3,
+        from: 0.75,
+        share: 0.12,
     },
     Step {
-        from: 0.72,
-        share: 0.65,
-    },
-    Step {
-        from: 0.8,
+        from: 0.915,
         share: 1.0,
     },
 ];
-/// Part of the time after which the move is declared complete; answers of the old version that began
-/// before the last step have ended by then, or are resumed.
-const COMPLETE_FROM: f64 = 0.93;
-/// Newest answers of the new version that are judged.
-const JUDGED_NEW: usize = 12;
-/// Newest answers of the old version that it is judged against.
-const JUDGED_OLD: usize = 64;
-/// Bad answers among these that condemn the new version.
-const BAD_LIMIT: usize = 3;
+/// Part of the time after which the move is declared complete: streams of the old version that have not
+/// ended by then are resumed. It leaves the store's answer some hundred milliseconds.
+const COMPLETE_FROM: f64 = 0.96;
+/// Bad answers that condemn the new version.
+const BAD_LIMIT: u32 = 3;
 /// Upstreams that must have given them: a single failing one says nothing of its version.
 const BAD_UPSTREAMS: usize = 2;
 /// Chance at which as many bad answers would come of a version as good as the old one. Boxes judge after
@@ -60,8 +53,8 @@
 /// What is taken to be known of the old version before it has answered: one bad answer in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
-/// How many times the old version's time makes an answer a bad one.
-const SLOW_RATIO: f64 = 3.5;
+/// How many times the old version's time makes an answer a slow one. One in ten of its own is.
+const SLOW_RATIO: f64 = 2.0;
 /// Answers of the old version, of one lane, needed to tell a slow one.
 const PACE_SAMPLES: u32 = 5;
 /// Weight of the newest pace.
@@ -115,61 +108,112 @@
     pub upstream: &'a Name,
     /// The upstream itself answered with a failure.
     pub failed: bool,
+    /// Whether the answer has ended; before, only its pace is judged.
+    pub is_final: bool,
     /// Answers that are alike: hash of route and model.
     pub lane: u64,
     /// Mean pause between events, or the time to a plain answer; none where it says nothing.
     pub pace_ms: Option<f64>,
 }
 
-/// Newest answers of one version.
-#[derive(Debug, Default)]
-struct Judged {
-    /// For each answer, the upstream if it was a bad one.
-    newest: VecDeque<Option<Name>>,
+/// What an answer was judged for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// Whether it was a failure.
+    Failure,
+    /// Whether it was slow.
+    Slowness,
+}
+
+/// Answers that are judged together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Group {
+    /// What for.
+    pub fault: Fault,
+    /// Those of one lane; none for all.
+    pub lane: Option<u64>,
+}
+
+/// Numbers of answers of one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// Bad ones.
+    pub bad: u32,
+    /// All of them.
+    pub all: u32,
+    /// Some of the upstreams that gave bad ones.
+    pub bad_upstreams: BTreeSet<Name>,
 }
 
-impl Judged {
-    fn push(&mut self, bad: Option<Name>, kept: usize) {
-        self.newest.push_back(bad);
-        if self.newest.len() > kept {
-            self.newest.pop_front();
+impl Count {
+    fn push(&mut self, upstream: Option<&Name>) {
+        self.all += 1;
+        if let Some(upstream) = upstream {
+            self.bad += 1;
+            self.name_bad(upstream);
         }
     }
 
-    fn bad(&self) -> usize {
-        self.newest.iter().flatten().count()
+    fn add(&mut self, more: &Self) {
+        self.bad += more.bad;
+        self.all += more.all;
+        more.bad_upstreams.iter().for_each(|u| self.name_bad(u));
     }
 
-    fn bad_upstreams(&self) -> usize {
-        self.newest.iter().flatten().collect::<HashSet<_>>().len()
+    fn name_bad(&mut self, upstream: &Name) {
+        if self.bad_upstreams.len() < BAD_UPSTREAMS {
+            self.bad_upstreams.insert(upstream.clone());
+        }
     }
 
     /// The rate of bad answers, held towards what is taken to be known before.
     fn bad_rate(&self) -> f64 {
-        (self.bad() as f64 + PRIOR_BAD) / (self.newest.len() as f64 + PRIOR_ALL)
+        (f64::from(self.bad) + PRIOR_BAD) / (f64::from(self.all) + PRIOR_ALL)
     }
 }
 
-/// Answers of both versions that are alike.
-#[derive(Debug, Default)]
-struct Pair {
-    old: Judged,
-    new: Judged,
+/// Numbers of answers of both versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Of the old one.
+    pub old: Count,
+    /// Of the new one.
+    pub new: Count,
 }
 
-impl Pair {
-    fn push(&mut self, side: Side, bad: Option<Name>) {
+impl Counts {
+    fn push(&mut self, side: Side, upstream: Option<&Name>) {
         match side {
-            Side::Old => self.old.push(bad, JUDGED_OLD),
-            Side::New => self.new.push(bad, JUDGED_NEW),
+            Side::Old => self.old.push(upstream),
+            Side::New => self.new.push(upstream),
         }
     }
 
+    /// Adds another box's.
+    pub fn add(&mut self, more: &Self) {
+        self.old.add(&more.old);
+        self.new.add(&more.new);
+    }
+
     /// Whether the new version is worse than chance explains.
     fn condemns(&self) -> bool {
-        let bad = self.new.bad();
-        let enough = bad >= BAD_LIMIT && self.new.bad_upstreams() >= BAD_UPSTREAMS;
-        enough && tail(bad, self.new.newest.len(), self.old.bad_rate()) < CHANCE_LIMIT
+        let new = &self.new;
+        let enough = new.bad >= BAD_LIMIT && new.bad_upstreams.len() >= BAD_UPSTREAMS;
+        enough && tail(new.bad as usize, new.all as usize, self.old.bad_rate()) < CHANCE_LIMIT
+    }
+}
+
+/// What boxes tell each other of a roll-out: their counts, by group.
+pub type Tally = Vec<(Group, Counts)>;
+
+/// Adds a tally to another.
+pub fn add_tally(to: &mut Tally, more: &Tally) {
+    for (group, counts) in more {
+        match to.iter_mut().find(|(known, _)| known == group) {
+            Some((_, sum)) => sum.add(counts),
+            None => to.push((*group, counts.clone())),
+        }
     }
 }
 
@@ -201,8 +245,8 @@
     order: RolloutOrder,
     /// May lie before the start of the box's clock.
     started_ms: i64,
-    all: Pair,
-    lanes: HashMap<u64, Pair>,
+    own: BTreeMap<Group, Counts>,
+    others: Tally,
     old_pace: HashMap<u64, Pace>,
     condemned: bool,
 }
@@ -230,8 +274,8 @@
         Self {
             started_ms: start_of(elapsed_ms, now_ms),
             order,
-            all: Pair::default(),
-            lanes: HashMap::new(),
+            own: BTreeMap::new(),
+            others: Tally::new(),
             old_pace: HashMap::new(),
             condemned: false,
         }
@@ -314,19 +358,47 @@
         if let (Side::Old, Some(pace_ms)) = (side, evidence.pace_ms) {
             pace.add(pace_ms);
         }
-        let bad = (evidence.failed || slow).then(|| evidence.upstream.clone());
-        let lane = self.lanes.entry(evidence.lane).or_default();
-        lane.push(side, bad.clone());
-        self.all.push(side, bad);
-        let condemned = lane.condemns() || self.all.condemns();
-        let was = self.condemned;
-        self.condemned |= condemned && !self.is_over();
-        self.condemned && !was
+        let lane = Some(evidence.lane);
+        let failures = [None, lane].map(|lane| (Fault::Failure, lane, evidence.failed));
+        let slowness = [None, lane].map(|lane| (Fault::Slowness, lane, slow));
+        let timed = evidence.pace_ms.is_some();
+        // An answer may be weighed twice: for its time on the way, and for its end.
+        let judged = failures.iter().filter(|_| evidence.is_final);
+        for (fault, lane, bad) in judged.chain(slowness.iter().filter(|_| timed)) {
+            let group = Group {
+                fault: *fault,
+                lane: *lane,
+            };
+            let counts = self.own.entry(group).or_default();
+            counts.push(side, bad.then_some(evidence.upstream));
+        }
+        self.condemn_if_bad()
+    }
+
+    /// Takes in what other boxes counted; returns whether it condemned the new version just now.
+    pub fn hear(&mut self, others: Tally) -> bool {
+        self.others = others;
+        self.condemn_if_bad()
     }
 
-    /// Bad and all answers among those judged last, of the new version and of the old one.
-    pub fn tally(&self) -> [(usize, usize); 2] {
-        [&self.all.new, &self.all.old].map(|judged| (judged.bad(), judged.newest.len()))
+    /// What this box counted.
+    pub fn tally(&self) -> Tally {
+        self.own.iter().map(|(g, c)| (*g, c.clone())).collect()
+    }
+
+    /// What all boxes counted.
+    pub fn sum(&self) -> Tally {
+        let mut sum = self.tally();
+        add_tally(&mut sum, &self.others);
+        sum
+    }
+
+    fn condemn_if_bad(&mut self) -> bool {
+        if self.condemned || self.is_over() {
+            return false;
+        }
+        self.condemned = self.sum().iter().any(|(_, counts)| counts.condemns());
+        self.condemned
     }
 
     /// What is to be written now.
