Slow answers are told against the old version's lower quartile

Ruled out: lost words between boxes (counts agree), the steps. Change: a lower quartile a lane, limit 2.5 of it; counts are logged at each step of a roll-out.

--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::state::Gateway;
+use crate::state::{Gateway, counts_of};
 use crate::store::StoreClient;
 use crate::sync::adopt_rollout;
 
@@ -88,10 +88,15 @@
         Ok(answer) => format!("status {}", answer.status.as_u16()),
         Err(e) => e.to_string(),
     };
+    let counts = gateway.with_rollouts(|rollouts, _| {
+        let track = rollouts.get(&order.pool);
+        track.map(|track| counts_of(&track.sum()))
+    });
     let wrote = outcome == "written" || outcome == "conflict";
     let detail = json!({
         "pool": order.pool, "target_version": order.target_version,
         "duty": format!("{duty:?}"), "outcome": outcome, "revision": order.revision,
+        "bad_of_all": counts,
     });
     gateway.log.line("rollout_step", detail);
     if !wrote {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -13,7 +13,7 @@
 use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side, Tally};
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::rank::hash64;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::channel::Channels;
 use crate::clock::Clock;
@@ -225,16 +225,7 @@
 
     /// Writes down why a version was condemned.
     pub fn log_condemned(&self, pool: &Name, sum: &Tally) {
-        let groups: Vec<_> = sum
-            .iter()
-            .map(|(group, c)| {
-                json!({
-                    "fault": group.fault, "lane": group.lane,
-                    "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
-                })
-            })
-            .collect();
-        let detail = json!({"pool": pool, "bad_of_all": groups});
+        let detail = json!({"pool": pool, "bad_of_all": counts_of(sum)});
         self.log.line("version_condemned", detail);
     }
 
@@ -431,6 +422,17 @@
     }
 }
 
+/// Counts of a roll-out's answers, for the log.
+pub fn counts_of(sum: &Tally) -> Value {
+    let rows = sum.iter().map(|(group, c)| {
+        json!({
+            "fault": group.fault, "lane": group.lane,
+            "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
+        })
+    });
+    rows.collect()
+}
+
 /// A roll-out's version and how far it is.
 struct Target {
     version: Name,
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -53,13 +53,13 @@
 /// What is taken to be known of the old version before it has answered: one bad answer in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
-/// How many times the old version's time makes an answer a slow one. A sixth of its own is; a version that
-/// is eight times as slow runs on engines that are nearly empty, and seems twice as slow only.
-const SLOW_RATIO: f64 = 1.6;
+/// How many times the old version's lower quartile makes an answer a slow one. A sixth of its own is, when
+/// its engines are busy; a version that is eight times as slow has nearly empty ones, and is still slow.
+const SLOW_RATIO: f64 = 2.5;
 /// Answers of the old version, of one lane, needed to tell a slow one.
 const PACE_SAMPLES: u32 = 5;
-/// Weight of the newest pace.
-const PACE_WEIGHT: f64 = 0.1;
+/// Step by which an answer moves the lower quartile.
+const PACE_STEP: f64 = 0.1;
 
 /// How far a roll-out is, as the store says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -233,10 +233,10 @@
     chance
 }
 
-/// A pause between events, averaged.
+/// Lower quartile of the time between events. Unlike the mean it hardly moves with load.
 #[derive(Debug, Default, Clone, Copy)]
 struct Pace {
-    mean_ms: f64,
+    low_ms: f64,
     samples: u32,
 }
 
@@ -354,7 +354,7 @@
     pub fn judge(&mut self, side: Side, evidence: &Evidence, now_ms: u64) -> bool {
         let pace = self.old_pace.entry(evidence.lane).or_default();
         let slow = evidence.pace_ms.is_some_and(|pace_ms| {
-            pace.samples >= PACE_SAMPLES && pace_ms > pace.mean_ms * SLOW_RATIO
+            pace.samples >= PACE_SAMPLES && pace_ms > pace.low_ms * SLOW_RATIO
         });
         if let (Side::Old, Some(pace_ms)) = (side, evidence.pace_ms) {
             pace.add(pace_ms);
@@ -441,8 +441,14 @@
 
 impl Pace {
     fn add(&mut self, pace_ms: f64) {
+        const QUARTILE: f64 = 0.25;
         self.samples += 1;
-        let weight = PACE_WEIGHT.max(1.0 / f64::from(self.samples));
-        self.mean_ms += weight * (pace_ms - self.mean_ms);
+        if self.samples == 1 {
+            self.low_ms = pace_ms;
+        } else if pace_ms < self.low_ms {
+            self.low_ms *= 1.0 - PACE_STEP * (1.0 - QUARTILE);
+        } else {
+            self.low_ms *= 1.0 + PACE_STEP * QUARTILE;
+        }
     }
 }
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -162,7 +162,7 @@
 const OLD_FAILS: (Side, bool, Option<f64>) = (Side::Old, true, None);
 const NEW_WELL: (Side, bool, Option<f64>) = (Side::New, false, Some(20.0));
 const NEW_FAILS: (Side, bool, Option<f64>) = (Side::New, true, None);
-const NEW_SLOW: (Side, bool, Option<f64>) = (Side::New, false, Some(42.0));
+const NEW_SLOW: (Side, bool, Option<f64>) = (Side::New, false, Some(60.0));
 
 verdicts! {
     two_failures_do_not_condemn: [OLD_WELL, NEW_FAILS, NEW_FAILS] => RolloutDuty::None;
