--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -97,7 +97,9 @@
 
     fn write(&self, at_ms: u64, event: &str, request_id: Option<&str>, detail: Value) {
         let mut line = Map::new();
-        line.insert("epoch_ms".into(), epoch_ms().into());
+        // Lines of a request are written when it ends; each tells when its step was.
+        let ago_ms = self.clock.now_ms().saturating_sub(at_ms);
+        line.insert("epoch_ms".into(), epoch_ms().saturating_sub(ago_ms).into());
         line.insert("at_ms".into(), at_ms.into());
         line.insert("event".into(), event.into());
         if let Some(id) = request_id {
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -44,6 +44,7 @@
     let envelope = gateway.dialect.envelope(&head.headers);
     let id = envelope.request_id.clone().unwrap_or_else(|| "-".into());
     let mut trace = Trace::new(gateway.log.clone(), id);
+    let path = head.uri.path().to_owned();
     let admitted = admit(&gateway, head, body, arrived_ms, &mut trace).await;
     let close = gateway.stopping_for_ms().is_some();
     let (route, answer) = match admitted {
@@ -52,7 +53,12 @@
             (route, serve(&gateway, Arc::new(job), trace, active).await)
         }
         Err(reason) => {
-            trace.fail("refused", json!({"reason": reason.name()}));
+            let site = gateway.site();
+            let detail = json!({
+                "reason": reason.name(), "path": path, "proof_age_ms": gateway.proof_age_ms(),
+                "site_version": site.map(|site| site.site().version),
+            });
+            trace.fail("refused", detail);
             ("-".into(), Err(reason))
         }
     };
