--- a/crates/ivyweir/src/args.rs
+++ b/crates/ivyweir/src/args.rs
@@ -12,9 +12,10 @@
     #[options(
         help = "base URL of any box's operator address (or IVYWEIR_BOX)",
         meta = "URL",
-        short = "b"
+        short = "b",
+        long = "box"
     )]
-    pub r#box: Option<String>,
+    pub box_url: Option<String>,
     #[options(
         help = "operator key (or IVYWEIR_KEY, which keeps it out of process lists)",
         meta = "KEY",
@@ -49,7 +50,9 @@
     #[options(help = "what each workspace owes")]
     Bill(Plain),
     #[options(help = "check a settings file of ivyweird: `check box.json`")]
-    Check(PlanFile),
+    Check(CheckArgs),
+    #[options(help = "a request's story from log files: `explain ID box-*.log`")]
+    Explain(ExplainArgs),
     #[options(help = "hash a key for a workspace or operator: `hash KEY`")]
     Hash(HashArgs),
 }
@@ -93,6 +96,28 @@
     pub key: String,
 }
 
+/// Arguments of `check`.
+#[derive(Debug, Options)]
+pub struct CheckArgs {
+    #[options(help = "print this text")]
+    pub help: bool,
+    #[options(help = "the file is for `ivyweird --gateway`", no_short)]
+    pub gateway: bool,
+    #[options(free, required, help = "the file")]
+    pub file: String,
+}
+
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub struct ExplainArgs {
+    #[options(help = "print this text")]
+    pub help: bool,
+    #[options(free, required, help = "the request's id")]
+    pub request_id: String,
+    #[options(free, help = "log files of boxes; - is standard input, as is none")]
+    pub files: Vec<String>,
+}
+
 /// Arguments of `plan`.
 #[derive(Debug, Options)]
 pub struct PlanArgs {
--- a/crates/ivyweir/src/main.rs
+++ b/crates/ivyweir/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: `ivyweir COMMAND`.
 
 mod args;
+mod explain;
 mod run;
 mod show;
 mod time;
--- a/crates/ivyweir/src/run.rs
+++ b/crates/ivyweir/src/run.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::path::Path;
 
+use ivyweir_gateway::Settings as GatewaySettings;
 use ivyweir_operator::{Client, ConfirmReply};
 use ivyweir_policy::{
     Guard, Intent, Name, Operator, Plan, Pool, PoolKind, Role, VersionRef, Workspace,
@@ -12,9 +13,10 @@
 use serde::de::DeserializeOwned;
 
 use crate::args::{
-    Args, Command, ConfirmArgs, EventArgs, IntentArgs, PlanArgs, RollArgs, WorkspaceArgs,
+    Args, CheckArgs, Command, ConfirmArgs, EventArgs, ExplainArgs, IntentArgs, PlanArgs, RollArgs,
+    WorkspaceArgs,
 };
-use crate::{show, time};
+use crate::{explain, show, time};
 
 /// Why a command did not do what it was asked.
 #[derive(Debug)]
@@ -89,11 +91,23 @@
         Command::Plan(plan) => draw(args, plan),
         Command::Show(file) => show_plan(args, &file.file),
         Command::Confirm(confirm) => self::confirm(args, confirm),
-        Command::Check(file) => check(&file.file),
+        Command::Check(args) => check(args),
+        Command::Explain(request) => explain_request(args, request),
         Command::Hash(hash) => Ok(format!("{}\n", blake3::hash(hash.key.as_bytes()).to_hex())),
     }
 }
 
+fn explain_request(args: &Args, request: &ExplainArgs) -> Result<String> {
+    let standard_input = ["-".to_owned()];
+    let files = if request.files.is_empty() {
+        &standard_input[..]
+    } else {
+        &request.files
+    };
+    let story = explain::story(&request.request_id, files).map_err(Failure::Usage)?;
+    out(args, &story, explain::table)
+}
+
 fn out<T: Serialize>(args: &Args, value: &T, table: impl Fn(&T) -> String) -> Result<String> {
     if !args.json {
         return Ok(table(value));
@@ -109,7 +123,7 @@
             .or_else(|| std::env::var(variable).ok())
             .ok_or_else(|| Failure::Usage(format!("{what} or {variable} is missing")))
     };
-    let base_url = setting(&args.r#box, "IVYWEIR_BOX", "--box")?;
+    let base_url = setting(&args.box_url, "IVYWEIR_BOX", "--box")?;
     let key = setting(&args.key, "IVYWEIR_KEY", "--key")?;
     Ok(Client::new(base_url.trim_end_matches('/'), key))
 }
@@ -169,11 +183,19 @@
     }
 }
 
-fn check(path: &str) -> Result<String> {
-    match ivyweird::Settings::from_file(Path::new(path)) {
-        Ok(_) => Ok(format!("{path}: ok\n")),
-        Err(e) => Err(Failure::Usage(e.to_string())),
-    }
+fn check(args: &CheckArgs) -> Result<String> {
+    let path = Path::new(&args.file);
+    let checked = if args.gateway {
+        GatewaySettings::from_file(path)
+            .map(drop)
+            .map_err(|e| e.to_string())
+    } else {
+        ivyweird::Settings::from_file(path)
+            .map(drop)
+            .map_err(|e| e.to_string())
+    };
+    checked.map_err(Failure::Usage)?;
+    Ok(format!("{}: ok\n", args.file))
 }
 
 fn version(text: &str) -> Result<VersionRef> {
--- /dev/null
+++ b/crates/ivyweir/tests/cli.rs
@@ -0,0 +1,111 @@
+//! The command line as its users type it.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn ivyweir(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivyweir"));
+    command.env_remove("IVYWEIR_BOX").env_remove("IVYWEIR_KEY");
+    command.args(args).output().expect("it runs")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+/// A file of its own in the temporary folder.
+fn file(name: &str, content: &str) -> PathBuf {
+    let name = format!("ivyweir-cli-{}-{name}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    fs::write(&path, content).expect("the temporary folder can be written");
+    path
+}
+
+#[test]
+fn every_option_of_the_help_is_taken() {
+    let output = ivyweir(&["--help"]);
+    let help = text(&output) + &String::from_utf8_lossy(&output.stderr);
+    let (own, _commands) = help.split_once("Available commands").expect("two parts");
+    let options = own.lines().filter_map(|line| {
+        let option = line
+            .split_whitespace()
+            .find(|word| word.starts_with("--"))?;
+        let (_, rest) = line.split_once(option)?;
+        // The name of a value stands one space behind the option, its text further off.
+        let takes_value = rest.starts_with(' ') && !rest.starts_with("  ");
+        Some((option.to_owned(), takes_value))
+    });
+    let options: Vec<(String, bool)> = options.collect();
+    assert!(
+        options.iter().any(|(option, _)| option == "--box"),
+        "{help}"
+    );
+    for (option, takes_value) in options {
+        let value = takes_value.then_some("http://127.0.0.1:1");
+        let args: Vec<&str> = [Some(option.as_str()), value]
+            .into_iter()
+            .flatten()
+            .collect();
+        let output = ivyweir(&args);
+        let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!errors.contains("unrecognized"), "{option}: {errors}");
+    }
+}
+
+const LOG: &str = r#"
+{"epoch_ms":1000,"at_ms":1,"event":"store_lost","topic":"site"}
+{"epoch_ms":2500,"at_ms":9,"event":"refused","request_id":"r1","reason":"not_current"}
+{"epoch_ms":2000,"at_ms":8,"event":"admitted","request_id":"r1","route":"notes"}
+{"epoch_ms":2100,"at_ms":8,"event":"admitted","request_id":"r2","route":"tags"}
+{"epoch_ms":9000,"at_ms":99,"event":"store_regained","topic":"site"}
+"#;
+
+#[test]
+fn a_requests_story_is_told_in_order_with_what_the_box_believed() {
+    let log = file("story.log", LOG);
+    let output = ivyweir(&["--json", "explain", "r1", &log.display().to_string()]);
+    let story: Vec<serde_json::Value> = serde_json::from_str(&text(&output)).expect("JSON");
+    let events: Vec<&str> = story
+        .iter()
+        .filter_map(|step| step["event"].as_str())
+        .collect();
+    assert_eq!(events, ["store_lost", "admitted", "refused"]);
+    let _left_behind = fs::remove_file(log);
+}
+
+#[test]
+fn a_request_without_lines_is_said_so() {
+    let log = file("none.log", LOG);
+    let output = ivyweir(&["explain", "r9", &log.display().to_string()]);
+    assert!(text(&output).starts_with("no line of that request"));
+    let _left_behind = fs::remove_file(log);
+}
+
+const GATEWAY: &str = r#"{
+  "box_name": "b1", "hall": "h1", "caller_addr": "127.0.0.1:1", "ready_addr": "127.0.0.1:2",
+  "metrics_addr": "127.0.0.1:3", "peer_addr": "127.0.0.1:4", "store_addr": "127.0.0.1:5",
+  "machine": {"memory_mb": 110, "max_fds": 4100},
+  "bounds": {"leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
+             "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10}
+}"#;
+
+macro_rules! settings {
+    ($($name:ident: $from:expr => $to:expr, says $says:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let path = file(stringify!($name), &GATEWAY.replace($from, $to));
+            let output = ivyweir(&["check", "--gateway", &path.display().to_string()]);
+            let said = text(&output) + &String::from_utf8_lossy(&output.stderr);
+            assert!(said.contains($says), "{said}");
+            let _left_behind = fs::remove_file(path);
+        }
+    )*};
+}
+
+settings! {
+    good_settings_are_said_so: "b1" => "b2", says ": ok";
+    an_unknown_field_is_named: "\"hall\"" => "\"hal\"", says "hal";
+    a_missing_field_is_named: "\"memory_mb\": 110," => "", says "memory_mb";
+    a_bound_of_nothing_is_named: "\"leaving_ms\": 2000" => "\"leaving_ms\": 0", says "bounds.leaving_ms";
+}
