--- a/crates/ivyweir-gateway/src/relay_source.rs
+++ b/crates/ivyweir-gateway/src/relay_source.rs
@@ -143,6 +143,13 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Waits until something changes, or `limit` has passed.
+    pub async fn until_news(&self, limit: Duration) {
+        let mut news = self.news.subscribe();
+        // Either way the caller looks at the state itself.
+        let _woken = timeout(limit, news.changed()).await;
+    }
+
     fn topics(&self) -> MutexGuard<'_, HashMap<Topic, History>> {
         self.topics.lock().expect("invariant: no holder panics")
     }
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -46,9 +46,13 @@
 const RELAY_PROOF_MAX_MS: u64 = 2_700;
 /// Time for the store to answer, beyond the wait. A slow store takes some hundred milliseconds.
 const ANSWER_LIMIT_MS: u64 = 1_500;
-/// Pauses after a failed call.
+/// Pauses after a failed call: the first, and the longest, of a relay and of other boxes. A box that asks for
+/// itself alone can wait longer, as each call is paid for.
 const PAUSE_FIRST_MS: u64 = 100;
-const PAUSE_MAX_MS: u64 = 600;
+const PAUSE_RELAY_MS: u64 = 600;
+const PAUSE_MAX_MS: u64 = 1_500;
+/// Longest wait for news after a failed call about anything but the configuration.
+const PAUSE_OTHERS_MS: u64 = 2_500;
 
 /// Follows one topic for the life of the process.
 pub async fn follow(gateway: Arc<Gateway>, topic: Topic) {
@@ -438,9 +442,24 @@
         calls.with_label_values(&[self.topic.name(), outcome]).inc();
     }
 
+    /// Waits after a failure. Only the configuration's follower tries the store again and again; the others
+    /// wait for news, which its success is.
     async fn pause(&self) {
+        let histories = &self.gateway.histories;
+        if self.topic != Topic::Site {
+            histories
+                .until_news(Duration::from_millis(PAUSE_OTHERS_MS))
+                .await;
+            return;
+        }
+        let is_relay = histories.is_followed(self.gateway.clock.now_ms());
+        let most_ms = if is_relay {
+            PAUSE_RELAY_MS
+        } else {
+            PAUSE_MAX_MS
+        };
         let doublings = self.failures.saturating_sub(1).min(4);
-        let pause_ms = (PAUSE_FIRST_MS << doublings).min(PAUSE_MAX_MS);
+        let pause_ms = (PAUSE_FIRST_MS << doublings).min(most_ms);
         let spread_ms = rand::rng().random_range(0..=pause_ms / 2);
         sleep(Duration::from_millis(pause_ms / 2 + spread_ms)).await;
     }
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -61,6 +61,10 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
+    /// Whether it was run; only a refusal says that it was not.
+    pub ran: bool,
 }
 
 impl Seen {
@@ -177,13 +181,15 @@
     let active = Active::begin(&shared);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let next = lock(&shared.next).pop();
+    let act = next.unwrap_or_else(|| lock(&shared.act).clone());
     lock(&shared.seen).push(Seen {
         line: format!("{} {}", head.method, head.uri),
         headers: head.headers.clone(),
         body: body.clone(),
+        at: Instant::now(),
+        ran: !matches!(act, Act::NotRun | Act::OtherIncarnation),
     });
-    let next = lock(&shared.next).pop();
-    let act = next.unwrap_or_else(|| lock(&shared.act).clone());
     let echo = format!("echo of {} bytes", body.len());
     let mut answer = Response::new(whole(echo.clone()));
     let headers = answer.headers_mut();
