No watch outlasts the loss of the store that the configuration's follower notices

The store had been silent; the call that it took then was never answered, and the watch of upstreams waited out its 16 s while the configuration's was long back. Ruled out: relays (the boxes asked the store directly), lapsed records as a last resort. Change: a lost question about the configuration ends the long waits of the other topics.

--- a/crates/ivyweir-gateway/src/relay_source.rs
+++ b/crates/ivyweir-gateway/src/relay_source.rs
@@ -68,6 +68,7 @@
     /// When a box last asked here.
     asked_at_ms: AtomicU64,
     news: watch::Sender<u64>,
+    losses: watch::Sender<u64>,
 }
 
 impl Default for Histories {
@@ -77,6 +78,7 @@
             store_answers: AtomicBool::new(false),
             asked_at_ms: AtomicU64::new(0),
             news: watch::Sender::new(0),
+            losses: watch::Sender::new(0),
         }
     }
 }
@@ -132,6 +134,20 @@
         }
     }
 
+    /// Takes in that the store did not answer a question about the configuration.
+    pub fn store_lost(&self) {
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until the store does not answer such a question.
+    pub async fn until_store_lost(&self) {
+        let mut losses = self.losses.subscribe();
+        if losses.changed().await.is_err() {
+            // The sender is gone with the box.
+            std::future::pending().await
+        }
+    }
+
     /// Whether another box asked here lately.
     pub fn is_followed(&self, now_ms: u64) -> bool {
         let asked_at_ms = self.asked_at_ms.load(Ordering::Relaxed);
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -169,6 +169,9 @@
                 let watched = self.watch(since).await;
                 if self.topic == Topic::Site {
                     gateway.histories.set_store_answers(watched.is_ok());
+                    if watched.is_err() {
+                        gateway.histories.store_lost();
+                    }
                 }
                 watched.map_err(|()| Failed::Store)
             }
@@ -327,14 +330,23 @@
         wait_ms: u64,
     ) -> Result<StoreAnswer, StoreError> {
         let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
+        let histories = &self.gateway.histories;
         let mut call = pin!(self.client.call(request, limit));
+        if self.topic != Topic::Site {
+            // A store that was silent for a while never answers what it took then, so no long wait
+            // outlasts the loss that the short ones notice.
+            return tokio::select! {
+                answer = call => answer,
+                () = histories.until_store_lost() => Err(StoreError::Lost {
+                    detail: "questions about the configuration got no answer".into(),
+                }),
+            };
+        }
         let in_time = Duration::from_millis(wait_ms + OVERDUE_MS);
         if let Ok(answer) = timeout(in_time, call.as_mut()).await {
             return answer;
         }
-        if self.topic == Topic::Site {
-            self.gateway.histories.set_store_answers(false);
-        }
+        histories.set_store_answers(false);
         call.await
     }
 
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -22,7 +22,8 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 /// Seeds that failed once, each with its cause.
-const KEPT_SEEDS: [u64; 0] = [];
+/// 18: a silent store left the watch of upstreams hanging for 16 s after it was back.
+const KEPT_SEEDS: [u64; 1] = [18];
 const CI_SEED: u64 = 20_261_202;
 const CI_STEPS: u32 = 24;
 const CALLERS: u64 = 4;
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -105,6 +105,28 @@
     });
 }
 
+#[test]
+fn no_watch_is_left_hanging_when_the_store_was_silent() {
+    let town = town(&["hall-a"]);
+    assert_eq!(settled_status(&town, 0, KEY), 200);
+    town.store.set_fault(StoreFault::Silent);
+    eventually("the key is refused", || {
+        settled_status(&town, 0, KEY) == 503
+    });
+    town.store.set_fault(StoreFault::None);
+    eventually("the key works again", || {
+        settled_status(&town, 0, KEY) == 200
+    });
+    // Calls that the silent store took are never answered; each topic must have given its own up.
+    let lost = town.boxes[0].lines_of("store_lost");
+    for topic in ["site", "upstreams", "rollouts"] {
+        assert!(
+            lost.iter().any(|line| line["topic"] == topic),
+            "{topic}: {lost:?}"
+        );
+    }
+}
+
 #[test]
 fn boxes_of_a_hall_share_one_watch() {
     let town = town(&["hall-a", "hall-a", "hall-a"]);
