After a loss the proof waits for word of the upstreams; no watch hangs for long

Cause: soak seeds 34, 35, 38 (3 to 66 requests ran at upstreams that had left). The proof was renewed before the upstreams were heard of; and a retry that a silent store took, begun after the configuration's last failure, hung for 16 s. Ruled out: relays (box-0 was its hall's relay itself), missed wake-ups (waits end after 2.5 s). Change: after a loss the configuration's follower waits for an answer about upstreams before it renews the proof; the first watches after a failure wait 50 ms, those of upstreams 4 s.

--- a/crates/ivyweir-gateway/src/relay_source.rs
+++ b/crates/ivyweir-gateway/src/relay_source.rs
@@ -69,6 +69,7 @@
     asked_at_ms: AtomicU64,
     news: watch::Sender<u64>,
     losses: watch::Sender<u64>,
+    upstreams_heard: watch::Sender<u64>,
 }
 
 impl Default for Histories {
@@ -79,6 +80,7 @@
             asked_at_ms: AtomicU64::new(0),
             news: watch::Sender::new(0),
             losses: watch::Sender::new(0),
+            upstreams_heard: watch::Sender::new(0),
         }
     }
 }
@@ -148,6 +150,20 @@
         }
     }
 
+    /// Takes in that an answer about upstreams was adopted.
+    pub fn upstreams_heard(&self) {
+        self.upstreams_heard.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return. Returns whether
+    /// one was.
+    pub async fn until_upstreams_heard(&self, limit: Duration) -> bool {
+        let mut heard = self.upstreams_heard.subscribe();
+        self.set_store_answers(true);
+        self.tell();
+        matches!(timeout(limit, heard.changed()).await, Ok(Ok(())))
+    }
+
     /// Whether another box asked here lately.
     pub fn is_followed(&self, now_ms: u64) -> bool {
         let asked_at_ms = self.asked_at_ms.load(Ordering::Relaxed);
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -27,6 +27,8 @@
 const RELAY_WATCH_MS: u64 = 600;
 /// Time beyond the wait after which a relay takes the store to be lost; a slow store takes 300 ms.
 const OVERDUE_MS: u64 = 500;
+/// How often upstreams are waited for after a loss before the proof is renewed without them.
+const MAX_VAIN_WAITS: u32 = 4;
 /// Age at which the next proof must be there; it leaves a slow store some hundred milliseconds.
 const PROOF_DUE_MS: u64 = 2_300;
 const SITE_MIN_WAIT_MS: u64 = 200;
@@ -35,6 +37,11 @@
 /// Pause between a watch that saw changes and the next, so that changes in a row cost one call. The bounds
 /// on a configuration and on a leaving upstream are two seconds or more.
 const GATHER_MS: u64 = 300;
+/// How long a watch of upstreams waits. A call that a silent store took is never answered, and until it is
+/// given up a box does not hear who leaves.
+const UPSTREAMS_WAIT_MS: u64 = 4_000;
+/// How long the first watches after a failure wait.
+const AFTER_FAILURE_WAIT_MS: u64 = 50;
 /// How long other watches wait; dead connections are noticed sooner by the kernel.
 const OTHER_WAIT_MS: u64 = 15_000;
 /// How long a question about the configuration waits at a relay, which answers as soon as its own proof is
@@ -62,6 +69,8 @@
         gateway,
         topic,
         failures: 0,
+        is_unconfirmed: false,
+        vain_waits: 0,
     };
     loop {
         let Some(mut since) = follower.list().await else {
@@ -93,6 +102,10 @@
     gateway: Arc<Gateway>,
     topic: Topic,
     failures: u32,
+    /// Whether a loss has not been followed yet by an answer about upstreams.
+    is_unconfirmed: bool,
+    /// How often such an answer was waited for in vain.
+    vain_waits: u32,
 }
 
 impl Follower {
@@ -143,7 +156,7 @@
         if let Some(revision) = revision {
             self.gateway.histories.restart(self.topic, revision);
         }
-        if self.topic == Topic::Site {
+        if self.confirmed().await {
             self.gateway.renew_proof(asked_at_ms);
         }
         self.gateway.set_synced(self.topic);
@@ -227,7 +240,8 @@
                 return Err(Failed::Relay);
             }
         };
-        self.take_from_relay(asked_at_ms, &answer);
+        self.failures = 0;
+        self.take_from_relay(asked_at_ms, &answer).await;
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
         if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
             self.gateway.peers.failed(&relay.name, now_ms);
@@ -237,7 +251,7 @@
         Ok(answer.revision.max(since))
     }
 
-    fn take_from_relay(&self, asked_at_ms: u64, answer: &FollowAnswer) {
+    async fn take_from_relay(&mut self, asked_at_ms: u64, answer: &FollowAnswer) {
         if let Some(items) = &answer.whole {
             self.adopt_all(items.iter().cloned().map(Ok).collect());
             self.gateway.histories.restart(self.topic, answer.revision);
@@ -251,8 +265,8 @@
         self.gateway
             .histories
             .push(self.topic, answer.revision, answer.changes.clone());
-        if let Some(proof_age_ms) = answer.proof_age_ms
-            && self.topic == Topic::Site
+        if self.confirmed().await
+            && let Some(proof_age_ms) = answer.proof_age_ms
         {
             // The relay answered no sooner than it says, so its proof is no older than this.
             let proven_at_ms = (asked_at_ms + answer.held_ms).saturating_sub(proof_age_ms);
@@ -304,7 +318,7 @@
                 }
                 let revision = changes.revision;
                 self.gateway.histories.push(self.topic, revision, passed);
-                if self.topic == Topic::Site {
+                if self.confirmed().await {
                     let answered_at_ms = self.gateway.clock.now_ms();
                     let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
                     self.gateway.renew_proof(proven_at_ms);
@@ -351,8 +365,12 @@
     }
 
     fn wait_ms(&self) -> u64 {
-        if self.topic != Topic::Site {
-            return OTHER_WAIT_MS;
+        match self.topic {
+            // After a failure the answer itself is news, so it must not wait for changes.
+            _ if self.failures > 0 && self.topic != Topic::Site => return AFTER_FAILURE_WAIT_MS,
+            Topic::Upstreams => return UPSTREAMS_WAIT_MS,
+            Topic::Rollouts | Topic::Boxes => return OTHER_WAIT_MS,
+            Topic::Site => {}
         }
         let age_ms = self.gateway.proof_age_ms().unwrap_or(PROOF_DUE_MS);
         let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
@@ -440,6 +458,29 @@
         self.failures = 0;
     }
 
+    /// Follows the adoption of an answer; returns whether it may renew the proof.
+    ///
+    /// After a loss it may only once the upstreams were heard of too: those that left meanwhile must get
+    /// no work from a box that is current otherwise.
+    async fn confirmed(&mut self) -> bool {
+        let histories = &self.gateway.histories;
+        if self.topic != Topic::Site {
+            if self.topic == Topic::Upstreams {
+                histories.upstreams_heard();
+            }
+            return false;
+        }
+        if !self.is_unconfirmed {
+            return true;
+        }
+        let limit = Duration::from_millis(ANSWER_LIMIT_MS);
+        let heard = histories.until_upstreams_heard(limit).await;
+        self.vain_waits = if heard { 0 } else { self.vain_waits + 1 };
+        // A store that answers about one thing for so long and not about the other is left to itself.
+        self.is_unconfirmed = !heard && self.vain_waits < MAX_VAIN_WAITS;
+        !self.is_unconfirmed
+    }
+
     fn failed(&mut self, error: &StoreError) {
         self.count("failed");
         if self.failures == 0 {
@@ -447,6 +488,7 @@
             self.gateway.log.line("store_lost", detail);
         }
         self.failures += 1;
+        self.is_unconfirmed = true;
     }
 
     fn count(&self, outcome: &str) {
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -23,7 +23,9 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 /// Seeds that failed once, each with its cause.
 /// 18: a silent store left the watch of upstreams hanging for 16 s after it was back.
-const KEPT_SEEDS: [u64; 1] = [18];
+/// 34, 35: the proof was renewed before the upstreams were heard of again.
+/// 38: as 18, by a call that began after the configuration's last failure.
+const KEPT_SEEDS: [u64; 4] = [18, 34, 35, 38];
 const CI_SEED: u64 = 20_261_202;
 const CI_STEPS: u32 = 24;
 const CALLERS: u64 = 4;
