--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -266,7 +266,11 @@
             .chooses_model()
             .then(|| &*job.route.models[sending.model]),
         resume_after: sending.resume_after,
-        urgency: job.route.kind.is_stream().then(|| job.urgency()),
+        urgency: job
+            .route
+            .kind
+            .is_stream()
+            .then(|| job.estimate(sending.model).rank()),
     }
 }
 
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -57,12 +57,6 @@
 }
 
 impl Job {
-    /// Rank at the engine: the workspace's, or else the route's.
-    pub fn urgency(&self) -> u8 {
-        let own = self.workspace.as_ref().and_then(|w| w.priority);
-        own.unwrap_or(self.route.priority)
-    }
-
     /// Whether the system chooses the model.
     pub fn chooses_model(&self) -> bool {
         self.envelope.any_model && !self.route.models.is_empty()
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -26,7 +26,7 @@
 /// Upstreams drawn at random.
 const DRAWN: usize = 4;
 /// What reading a shared part again costs, relative to the time it takes: others wait for it too.
-const SAVED_WEIGHT: f64 = 2.0;
+const SAVED_WEIGHT: f64 = 4.0;
 /// The same at the upstream that is second for the part.
 const SAVED_SECOND: f64 = 0.3;
 /// Work that an engine in another hall must save.
--- a/crates/ivyweir-policy/src/gateway/work.rs
+++ b/crates/ivyweir-policy/src/gateway/work.rs
@@ -37,7 +37,17 @@
     pub saved_ms: f64,
 }
 
+/// Lowest rank at an engine.
+const LAST_RANK: u8 = 9;
+
 impl Estimate {
+    /// Rank at the engine, 0 first: a request whose reading takes twice as long stands one behind. So a long
+    /// prompt holds up few others, and a short one is held up by few.
+    pub fn rank(&self) -> u8 {
+        let doublings = self.read_ms.max(1.0).log2();
+        (doublings as u8).min(LAST_RANK)
+    }
+
     /// All of it.
     pub fn total_ms(&self) -> f64 {
         self.read_ms + self.write_ms
