Tests of the gateway's decisions

Cause: routes, keys, fleet, placing, repeats, models and proof were tested through boxes only. Change: 25 cases without I/O.

--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -0,0 +1,322 @@
+//! Decisions of the gateway: routes and keys, upstreams, placing, repeats, model sizes, proof.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::cascade::{Doubt, escalate};
+use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, UpstreamRecord};
+use ivyweir_policy::gateway::place::{Ask, Candidate, UpstreamLoad, choose};
+use ivyweir_policy::gateway::proof::Proof;
+use ivyweir_policy::gateway::repeat::{RepeatBudget, RepeatLimits};
+use ivyweir_policy::gateway::site::{
+    Access, PoolShare, Route, RouteKind, Site, SiteIndex, Workspace,
+};
+use ivyweir_policy::gateway::work::{Tokens, estimate};
+
+fn route(prefix: &str, anonymous: bool) -> Arc<Route> {
+    Arc::new(Route {
+        name: prefix.into(),
+        host: "h".into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        latency_aim_ms: 100,
+        priority: 1,
+        models: Vec::new(),
+        pools: vec![share("p1", 90), share("p2", 10)],
+        max_attempts: 2,
+        anonymous,
+    })
+}
+
+fn share(pool: &str, weight: u32) -> PoolShare {
+    PoolShare {
+        pool: pool.into(),
+        weight,
+    }
+}
+
+fn index() -> SiteIndex {
+    let workspace = Workspace {
+        name: "w".into(),
+        keys: vec!["k".into()],
+        priority: None,
+    };
+    SiteIndex::from(Site {
+        version: 1,
+        routes: vec![route("/", false), route("/a/", true), route("/a/b/", false)],
+        workspaces: vec![Arc::new(workspace)],
+        ..Site::default()
+    })
+}
+
+macro_rules! routes {
+    ($($name:ident: $host:expr, $path:expr => $route:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let index = index();
+            let found = index.route($host, $path).map(|route| &*route.name);
+            assert_eq!(found, $route);
+        }
+    )*};
+}
+
+routes! {
+    the_longest_prefix_wins: "h", "/a/b/c" => Some("/a/b/");
+    a_shorter_one_serves_the_rest: "h", "/a/c" => Some("/a/");
+    a_prefix_ends_with_its_slash: "h", "/a" => Some("/");
+    another_host_has_no_routes: "other", "/a/" => None;
+}
+
+macro_rules! access {
+    ($($name:ident: $path:expr, $key:expr => $who:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let index = index();
+            let route = index.route("h", $path).expect("a route");
+            let who = match index.access(route, $key) {
+                Access::Workspace(workspace) => workspace.name.to_string(),
+                Access::Anonymous => "nobody".into(),
+                Access::Denied => "denied".into(),
+            };
+            assert_eq!(who, $who);
+        }
+    )*};
+}
+
+access! {
+    a_known_key_names_its_workspace: "/x", Some("k") => "w";
+    an_unknown_key_is_denied: "/x", Some("guess") => "denied";
+    no_key_is_denied: "/x", None => "denied";
+    no_key_is_fine_where_none_is_asked_for: "/a/x", None => "nobody";
+    an_unknown_key_is_denied_there_too: "/a/x", Some("guess") => "denied";
+}
+
+#[test]
+fn pools_get_their_weights() {
+    let route = route("/", true);
+    let first = (0..1_000).filter(|n| route.pool(*n).is_some_and(|pool| &**pool == "p1"));
+    assert_eq!(first.count(), 900);
+}
+
+fn record(id: &str, hall: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        id: id.into(),
+        pool: "p".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: hall.into(),
+        version: "v1".into(),
+        slots: 8,
+        is_leaving: false,
+    }
+}
+
+fn leaving(id: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        is_leaving: true,
+        ..record(id, "a")
+    }
+}
+
+fn usable(fleet: &Fleet) -> Vec<Name> {
+    let mut ids: Vec<Name> = fleet
+        .usable("p", |_| true)
+        .iter()
+        .map(|r| r.id.clone())
+        .collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn an_upstream_that_left_never_comes_back() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("u1", "a"));
+    assert_eq!(fleet.put(leaving("u1")), FleetChange::Leaving);
+    assert_eq!(fleet.put(record("u1", "a")), FleetChange::Nothing);
+    assert!(usable(&fleet).is_empty());
+}
+
+#[test]
+fn a_lapsed_upstream_is_used_only_where_no_other_is_left() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("u1", "a"));
+    fleet.put(record("u2", "a"));
+    fleet.lapse("u1", 100);
+    assert_eq!(usable(&fleet), ["u2".into()]);
+    fleet.lapse("u2", 200);
+    assert_eq!(usable(&fleet), ["u1".into(), "u2".into()]);
+    fleet.forget_lapsed(1_000, 1_150);
+    assert_eq!(usable(&fleet), ["u2".into()]);
+    assert_eq!(fleet.put(record("u2", "a")), FleetChange::Returned);
+}
+
+#[test]
+fn a_listing_lapses_what_it_lacks() {
+    let mut fleet = Fleet::default();
+    fleet.put(record("u1", "a"));
+    let changes = fleet.replace(vec![record("u2", "a"), leaving("u3")], 5);
+    let expected = [
+        ("u1".into(), FleetChange::Lapsed),
+        ("u2".into(), FleetChange::Joined),
+        ("u3".into(), FleetChange::Leaving),
+    ];
+    assert_eq!(changes, expected);
+}
+
+fn candidate(record: &UpstreamRecord, number: u64, load: UpstreamLoad) -> Candidate<'_> {
+    Candidate {
+        record,
+        id_hash: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        load,
+    }
+}
+
+const LONG: Tokens = Tokens {
+    shared: 5_000,
+    own: 6_000,
+    out: 300,
+};
+
+fn ask(prefix: Option<u64>, tokens: Option<Tokens>, seed: u64) -> Ask<'static> {
+    Ask {
+        prefix,
+        engine: tokens.map(|tokens| estimate(Some(tokens), 0, 3)),
+        hall: "a",
+        seed,
+    }
+}
+
+#[test]
+fn requests_with_the_same_part_go_to_the_same_idle_engine() {
+    let records: Vec<_> = (0..8).map(|n| record(&format!("u{n}"), "a")).collect();
+    let chosen = |seed| {
+        let idle = |(n, record)| candidate(record, n as u64, UpstreamLoad::default());
+        let candidates: Vec<_> = records.iter().enumerate().map(idle).collect();
+        choose(&candidates, &ask(Some(7), Some(LONG), seed), 0)
+    };
+    let first = chosen(0);
+    assert!((0..50).all(|seed| chosen(seed) == first));
+}
+
+#[test]
+fn a_busy_engine_is_passed_over_in_spite_of_its_memory() {
+    let records: Vec<_> = (0..8).map(|n| record(&format!("u{n}"), "a")).collect();
+    let chosen = |busy: Option<usize>, seed| {
+        let loaded = |(n, record)| {
+            let mut load = UpstreamLoad::default();
+            if Some(n) == busy {
+                load.begin(10_000.0);
+            }
+            candidate(record, n as u64, load)
+        };
+        let candidates: Vec<_> = records.iter().enumerate().map(loaded).collect();
+        choose(&candidates, &ask(Some(7), Some(LONG), seed), 0)
+    };
+    let preferred = chosen(None, 0);
+    assert!((0..50).all(|seed| chosen(preferred, seed) != preferred));
+}
+
+#[test]
+fn a_plain_request_stays_in_its_hall_until_that_is_fuller() {
+    let records = [record("near", "a"), record("far", "b")];
+    let chosen = |near_requests: u32| {
+        let mut near = UpstreamLoad::default();
+        (0..near_requests).for_each(|_| near.begin(1.0));
+        let far = UpstreamLoad::default();
+        let candidates = [
+            candidate(&records[0], 1, near),
+            candidate(&records[1], 2, far),
+        ];
+        choose(&candidates, &ask(None, None, 0), 0)
+    };
+    assert_eq!(chosen(0), Some(0));
+    assert_eq!(chosen(1), Some(0));
+    assert_eq!(chosen(4), Some(1));
+}
+
+#[test]
+fn an_upstream_that_cannot_be_reached_is_left_alone_for_a_while() {
+    let records = [record("near", "a"), record("far", "b")];
+    let mut near = UpstreamLoad::default();
+    near.connection_failed(0);
+    let chosen = |now_ms| {
+        let far = UpstreamLoad::default();
+        let near = candidate(&records[0], 1, near.clone());
+        choose(
+            &[near, candidate(&records[1], 2, far)],
+            &ask(None, None, 0),
+            now_ms,
+        )
+    };
+    assert_eq!(chosen(10), Some(1));
+    assert_eq!(chosen(500), Some(0));
+}
+
+macro_rules! doubts {
+    ($($name:ident: $confidence:expr, from $model:expr, work $work_ms:expr => $larger:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let doubt = Doubt {
+                confidence: $confidence,
+                model: $model,
+                models: 3,
+                mean_work_ms: $work_ms,
+            };
+            assert_eq!(escalate(&doubt), $larger);
+        }
+    )*};
+}
+
+doubts! {
+    an_unsure_small_model_gives_way_to_the_largest: Some(20), from 0, work 0.0 => Some(2);
+    a_sure_one_does_not: Some(80), from 0, work 0.0 => None;
+    the_largest_has_the_last_word: Some(0), from 2, work 0.0 => None;
+    a_model_that_tells_nothing_is_believed: None, from 0, work 0.0 => None;
+    a_busy_pool_takes_what_it_has: Some(20), from 0, work 6_000.0 => None;
+}
+
+const LIMITS: RepeatLimits = RepeatLimits {
+    ratio: 0.5,
+    slack: 1.0,
+    window_ms: 10_000,
+};
+
+fn taken(budget: &mut RepeatBudget, now_ms: u64) -> usize {
+    (0..100).filter(|_| budget.take(&LIMITS, now_ms)).count()
+}
+
+#[test]
+fn repeats_keep_to_their_share_of_a_sliding_window() {
+    let mut budget = RepeatBudget::default();
+    assert_eq!(taken(&mut budget, 0), 1, "the slack");
+    (0..10).for_each(|_| budget.count_request(&LIMITS, 100));
+    assert_eq!(taken(&mut budget, 200), 5, "half of ten requests");
+    assert_eq!(taken(&mut budget, 9_000), 0, "still in the window");
+    assert_eq!(taken(&mut budget, 25_000), 1, "the slack again");
+}
+
+#[test]
+fn a_proof_never_grows_older_by_an_older_answer() {
+    let mut proof = Proof::default();
+    assert!(!proof.is_younger_than(1_000, 0), "no proof is none");
+    proof.renew(5_000);
+    proof.renew(3_000);
+    assert_eq!(proof.age_ms(6_000), Some(1_000));
+    assert!(proof.is_younger_than(1_001, 6_000));
+    assert!(!proof.is_younger_than(1_000, 6_000));
+}
+
+#[test]
+fn long_prompts_and_large_models_rank_behind() {
+    let short = Tokens {
+        shared: 100,
+        own: 600,
+        out: 100,
+    };
+    let rank = |tokens, model| estimate(Some(tokens), model, 3).rank();
+    assert!(rank(short, 0) < rank(LONG, 0));
+    assert!(rank(LONG, 0) < rank(LONG, 2));
+    assert!(rank(LONG, 2) <= 9);
+}
