The judging of versions is a module of its own

Cause: gateway/rollout.rs did two jobs, the share that a version gets and the judging of answers. Change: evidence, counts and the test against chance are in gateway/verdict.rs, held by Findings; RolloutTrack keeps the order, its time and whether the version is condemned. Constants are the same. Tests import what moved from its new place, and are otherwise unchanged. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -11,8 +11,8 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::cascade::{self, Doubt};
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::rollout::Evidence;
 use ivyweir_policy::gateway::site::{Access, SiteIndex};
+use ivyweir_policy::gateway::verdict::Evidence;
 use serde_json::json;
 use tokio::time::timeout;
 
--- a/crates/ivyweir-gateway/src/relay.rs
+++ b/crates/ivyweir-gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, header};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::rollout::Evidence;
+use ivyweir_policy::gateway::verdict::Evidence;
 use serde_json::json;
 use tokio::time::timeout_at;
 
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -10,8 +10,9 @@
 use ivyweir_policy::gateway::proof::Proof;
 use ivyweir_policy::gateway::relay::Word;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
-use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side, Tally};
+use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
+use ivyweir_policy::gateway::verdict::Tally;
 use ivyweir_policy::rank::hash64;
 use serde_json::{Value, json};
 
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -10,4 +10,5 @@
 pub mod repeat;
 pub mod rollout;
 pub mod site;
+pub mod verdict;
 pub mod work;
--- a/crates/ivyweir-policy/src/gateway/relay.rs
+++ b/crates/ivyweir-policy/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::gateway::rollout::{Tally, add_tally};
+use crate::gateway::verdict::{Tally, add_tally};
 use crate::rank::hash64;
 
 /// First pause after a box did not answer; doubles with each further time.
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -0,0 +1,244 @@
+//! Judging a roll-out's new version: what its answers say beside those of the old one.
+//!
+//! Answers are counted by what they are judged for, failure or slowness, and by lane, since a
+//! version may be bad at one kind of request only. Boxes add up what they see of both versions, and
+//! the new one is condemned once it has more bad answers than chance explains.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+use crate::gateway::rollout::Side;
+
+/// Bad answers that condemn the new version.
+const BAD_LIMIT: u32 = 3;
+/// Upstreams that must have given them: a single failing one says nothing of its version.
+const BAD_UPSTREAMS: usize = 2;
+/// Chance at which as many bad answers would come of a version as good as the old one. Boxes judge
+/// after each answer, so it is small.
+const CHANCE_LIMIT: f64 = 5e-4;
+/// What is taken to be known of the old version before it has answered: one bad answer in twenty.
+const PRIOR_BAD: f64 = 1.0;
+const PRIOR_ALL: f64 = 20.0;
+/// How many times the old version's lower quartile makes an answer a slow one. A sixth of its own
+/// is, when its engines are busy; a version that is eight times as slow has nearly empty ones, and
+/// is still slow.
+const SLOW_RATIO: f64 = 2.5;
+/// Answers of the old version, of one lane, needed to tell a slow one.
+const PACE_SAMPLES: u32 = 5;
+/// Step by which an answer moves the lower quartile.
+const PACE_STEP: f64 = 0.1;
+
+/// What an answer says about the version that gave it.
+#[derive(Debug, Clone, Copy)]
+pub struct Evidence<'a> {
+    /// The upstream that gave it.
+    pub upstream: &'a Name,
+    /// The upstream itself answered with a failure.
+    pub failed: bool,
+    /// Whether the answer has ended; before, only its pace is judged.
+    pub is_final: bool,
+    /// Answers that are alike: hash of route and model.
+    pub lane: u64,
+    /// Mean pause between events, or the time to a plain answer; none where it says nothing.
+    pub pace_ms: Option<f64>,
+}
+
+/// What an answer was judged for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// Whether it was a failure.
+    Failure,
+    /// Whether it was slow.
+    Slowness,
+}
+
+/// Answers that are judged together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Group {
+    /// What for.
+    pub fault: Fault,
+    /// Those of one lane; none for all.
+    pub lane: Option<u64>,
+}
+
+/// Numbers of answers of one version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// Bad ones.
+    pub bad: u32,
+    /// All of them.
+    pub all: u32,
+    /// Some of the upstreams that gave bad ones.
+    pub bad_upstreams: BTreeSet<Name>,
+}
+
+impl Count {
+    fn push(&mut self, upstream: Option<&Name>) {
+        self.all += 1;
+        if let Some(upstream) = upstream {
+            self.bad += 1;
+            self.name_bad(upstream);
+        }
+    }
+
+    fn add(&mut self, more: &Self) {
+        self.bad += more.bad;
+        self.all += more.all;
+        more.bad_upstreams.iter().for_each(|u| self.name_bad(u));
+    }
+
+    fn name_bad(&mut self, upstream: &Name) {
+        if self.bad_upstreams.len() < BAD_UPSTREAMS {
+            self.bad_upstreams.insert(upstream.clone());
+        }
+    }
+
+    /// The rate of bad answers, held towards what is taken to be known before.
+    fn bad_rate(&self) -> f64 {
+        (f64::from(self.bad) + PRIOR_BAD) / (f64::from(self.all) + PRIOR_ALL)
+    }
+}
+
+/// Numbers of answers of both versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Of the old one.
+    pub old: Count,
+    /// Of the new one.
+    pub new: Count,
+}
+
+impl Counts {
+    fn push(&mut self, side: Side, upstream: Option<&Name>) {
+        match side {
+            Side::Old => self.old.push(upstream),
+            Side::New => self.new.push(upstream),
+        }
+    }
+
+    /// Adds another box's.
+    fn add(&mut self, more: &Self) {
+        self.old.add(&more.old);
+        self.new.add(&more.new);
+    }
+
+    /// Whether the new version is worse than chance explains.
+    fn condemns(&self) -> bool {
+        let new = &self.new;
+        let enough = new.bad >= BAD_LIMIT && new.bad_upstreams.len() >= BAD_UPSTREAMS;
+        enough && tail(new.bad as usize, new.all as usize, self.old.bad_rate()) < CHANCE_LIMIT
+    }
+}
+
+/// What boxes tell each other of a roll-out: their counts, by group.
+pub type Tally = Vec<(Group, Counts)>;
+
+/// Adds a tally to another.
+pub fn add_tally(to: &mut Tally, more: &Tally) {
+    for (group, counts) in more {
+        match to.iter_mut().find(|(known, _)| known == group) {
+            Some((_, sum)) => sum.add(counts),
+            None => to.push((*group, counts.clone())),
+        }
+    }
+}
+
+/// What a box knows of both versions' answers.
+#[derive(Debug, Default)]
+pub struct Findings {
+    own: BTreeMap<Group, Counts>,
+    others: Tally,
+    old_pace: HashMap<u64, Pace>,
+}
+
+impl Findings {
+    /// Takes in an answer; `is_timed` says whether slowness counts now.
+    pub fn weigh(&mut self, side: Side, evidence: &Evidence, is_timed: bool) {
+        let pace = self.old_pace.entry(evidence.lane).or_default();
+        let is_slow = evidence.pace_ms.is_some_and(|ms| pace.is_slow(ms));
+        if let (Side::Old, Some(pace_ms)) = (side, evidence.pace_ms) {
+            pace.add(pace_ms);
+        }
+        // An answer may be weighed twice: for its time on the way, and for its end.
+        if evidence.is_final {
+            self.count(Fault::Failure, side, evidence, evidence.failed);
+        }
+        if is_timed && evidence.pace_ms.is_some() {
+            self.count(Fault::Slowness, side, evidence, is_slow);
+        }
+    }
+
+    /// Counts an answer among all and among those of its lane.
+    fn count(&mut self, fault: Fault, side: Side, evidence: &Evidence, is_bad: bool) {
+        for lane in [None, Some(evidence.lane)] {
+            let counts = self.own.entry(Group { fault, lane }).or_default();
+            counts.push(side, is_bad.then_some(evidence.upstream));
+        }
+    }
+
+    /// Takes in what other boxes counted, in place of what they did before.
+    pub fn hear(&mut self, others: Tally) {
+        self.others = others;
+    }
+
+    /// What this box counted.
+    pub fn tally(&self) -> Tally {
+        self.own.iter().map(|(g, c)| (*g, c.clone())).collect()
+    }
+
+    /// What all boxes counted.
+    pub fn sum(&self) -> Tally {
+        let mut sum = self.tally();
+        add_tally(&mut sum, &self.others);
+        sum
+    }
+
+    /// Whether the new version is worse than chance explains, in any group.
+    pub fn condemns(&self) -> bool {
+        self.sum().iter().any(|(_, counts)| counts.condemns())
+    }
+}
+
+/// Chance of at least `bad` in `all` where each is bad with chance `rate`.
+fn tail(bad: usize, all: usize, rate: f64) -> f64 {
+    let mut chance = 0.0;
+    let mut choices = 1.0;
+    for k in 0..=all {
+        if k > 0 {
+            choices *= (all - k + 1) as f64 / k as f64;
+        }
+        if k >= bad {
+            chance += choices * rate.powi(k as i32) * (1.0 - rate).powi((all - k) as i32);
+        }
+    }
+    chance
+}
+
+/// Lower quartile of the time between events. Unlike the mean it hardly moves with load.
+#[derive(Debug, Default, Clone, Copy)]
+struct Pace {
+    low_ms: f64,
+    samples: u32,
+}
+
+impl Pace {
+    /// Whether a time between events is long beside the old version's.
+    fn is_slow(&self, pace_ms: f64) -> bool {
+        self.samples >= PACE_SAMPLES && pace_ms > self.low_ms * SLOW_RATIO
+    }
+
+    fn add(&mut self, pace_ms: f64) {
+        const QUARTILE: f64 = 0.25;
+        self.samples += 1;
+        if self.samples == 1 {
+            self.low_ms = pace_ms;
+        } else if pace_ms < self.low_ms {
+            self.low_ms *= 1.0 - PACE_STEP * (1.0 - QUARTILE);
+        } else {
+            self.low_ms *= 1.0 + PACE_STEP * QUARTILE;
+        }
+    }
+}
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -2,8 +2,9 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::rollout::{
-    Evidence, RolloutDuty, RolloutOrder, RolloutState, RolloutTrack, Side, Tally, add_tally,
+    RolloutDuty, RolloutOrder, RolloutState, RolloutTrack, Side,
 };
+use ivyweir_policy::gateway::verdict::{Evidence, Tally, add_tally};
 
 const DURATION_MS: u64 = 24_000;
 
