Following the store, following a relay and adopting are apart

Change: sync.rs keeps the loop and the follower's state, sync/watch.rs follows the store, sync/relay.rs the hall's relay, and adopt.rs takes in records. store.rs holds the reading of a page and the store's answer limit. Constants are the same. Behaviour is the same: order of awaits, log lines and counters.

--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -9,16 +9,14 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::adopt::adopt_rollout;
 use crate::state::{Gateway, counts_of};
-use crate::store::StoreClient;
-use crate::sync::adopt_rollout;
+use crate::store::{ANSWER_LIMIT, StoreClient};
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
 /// Boxes act one after the other within this time, so that the first one's write spares the others'.
 const SPREAD_MS: u64 = 500;
-/// Time for the store to answer.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a write that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! # }
 //! ```
 
+mod adopt;
 mod attempt;
 mod channel;
 mod clock;
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -23,7 +23,7 @@
 use crate::refusal::{AnswerBody, whole};
 use crate::relay_source;
 use crate::state::Gateway;
-use crate::store::StoreClient;
+use crate::store::{ANSWER_LIMIT, StoreClient, read_page};
 
 /// How often boxes tell each other; requests come and go within some hundred milliseconds.
 const WORD_ROUND: Duration = Duration::from_millis(250);
@@ -32,8 +32,6 @@
 /// Pauses before the boxes are listed again: soon after the start, when all others start too, then seldom.
 const LIST_PAUSES_S: [u64; 3] = [1, 3, 8];
 const LIST_PAUSE_S: u64 = 15;
-/// Time for the store to answer.
-const STORE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Largest message between boxes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
@@ -130,7 +128,7 @@
             listed = records.iter().any(|r| *r == own_record(&gateway));
             if !listed && records.iter().any(|r| r.name == *me) {
                 let request = gateway.codec.remove_box(me);
-                let _tried_again_next_time = client.call(request, STORE_LIMIT).await;
+                let _tried_again_next_time = client.call(request, ANSWER_LIMIT).await;
             }
             gateway.peers.replace(records);
         }
@@ -141,7 +139,7 @@
 pub async fn unlist(gateway: &Gateway) {
     let mut client = StoreClient::new(gateway.settings.store_addr);
     let request = gateway.codec.remove_box(&gateway.settings.box_name);
-    if let Err(e) = client.call(request, STORE_LIMIT).await {
+    if let Err(e) = client.call(request, ANSWER_LIMIT).await {
         gateway
             .log
             .line("box_not_unlisted", json!({"error": e.to_string()}));
@@ -159,7 +157,7 @@
 
 async fn add_self(gateway: &Gateway, client: &mut StoreClient) -> bool {
     let request = gateway.codec.add_box(&own_record(gateway));
-    match client.call(request, STORE_LIMIT).await {
+    match client.call(request, ANSWER_LIMIT).await {
         Ok(answer) => answer.status.is_success() || answer.status == StatusCode::CONFLICT,
         Err(e) => {
             gateway
@@ -174,12 +172,8 @@
     let mut records = Vec::new();
     let mut after: Option<String> = None;
     loop {
-        let request = gateway.codec.list(Topic::Boxes, after.as_deref());
-        let answer = client.call(request, STORE_LIMIT).await.ok()?;
-        if answer.status != StatusCode::OK {
-            return None;
-        }
-        let page = gateway.codec.page(Topic::Boxes, &answer.body).ok()?;
+        let page = read_page(client, &*gateway.codec, Topic::Boxes, after.as_deref()).await;
+        let page = page.ok()?;
         for entry in page.entries {
             match entry {
                 Ok(Item::Box(record)) => records.push(record),
--- a/crates/ivyweir-gateway/src/store.rs
+++ b/crates/ivyweir-gateway/src/store.rs
@@ -10,7 +10,11 @@
 use tokio::time::timeout;
 
 use crate::channel::{Channel, SendError};
+use crate::dialect::{DialectError, Page, StoreCodec, Topic};
 
+/// Time for the store to answer, beyond what it was asked to wait. A slow store takes some hundred
+/// milliseconds.
+pub const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Bytes of the largest answer: a page is about a megabyte at most.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
@@ -43,6 +47,22 @@
     },
 }
 
+impl StoreError {
+    /// It answered with a status that says it did nothing.
+    pub fn refused(status: StatusCode) -> Self {
+        Self::Refused {
+            status: status.as_u16(),
+        }
+    }
+
+    /// Its answer does not have the form expected.
+    pub fn unreadable(error: DialectError) -> Self {
+        Self::Unreadable {
+            detail: error.to_string(),
+        }
+    }
+}
+
 /// An answer of the store.
 #[derive(Debug)]
 pub struct StoreAnswer {
@@ -104,3 +124,24 @@
         Ok(answer)
     }
 }
+
+/// Reads the page of a topic's records that starts behind `after`, or the first one.
+///
+/// # Errors
+///
+/// When there is no answer in time, or it is no page.
+pub async fn read_page(
+    client: &mut StoreClient,
+    codec: &dyn StoreCodec,
+    topic: Topic,
+    after: Option<&str>,
+) -> Result<Page, StoreError> {
+    let request = codec.list(topic, after);
+    let answer = client.call(request, ANSWER_LIMIT).await?;
+    if answer.status != StatusCode::OK {
+        return Err(StoreError::refused(answer.status));
+    }
+    codec
+        .page(topic, &answer.body)
+        .map_err(StoreError::unreadable)
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -0,0 +1,116 @@
+//! Following a topic at the hall's relay.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode, header};
+use serde_json::json;
+
+use super::{Failed, Follower, QUIET_WAIT_MS};
+use crate::adopt::{adopt, adopt_all, remove};
+use crate::dialect::{BoxRecord, Topic};
+use crate::relay_source::{FollowAnswer, PassedChange, follow_path};
+use crate::store::{StoreAnswer, StoreClient, StoreError};
+
+/// How long a question about the configuration waits at a relay, which answers as soon as its own
+/// proof is renewed.
+const SITE_WAIT_MS: u64 = 1_500;
+/// Time for a relay to answer, beyond the wait.
+const ANSWER_LIMIT_MS: u64 = 500;
+/// Age of the proof from which the relay is taken to have lost the store.
+const PROOF_MAX_MS: u64 = 2_700;
+
+impl Follower {
+    /// Asks the hall's relay; returns where to go on.
+    pub(super) async fn ask_relay(&mut self, since: u64, relay: BoxRecord) -> Result<u64, Failed> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let answer = self.call_relay(since, &relay).await?;
+        let answer = answer.map_err(|e| e.to_string()).and_then(read);
+        let now_ms = self.gateway.clock.now_ms();
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.relay = None;
+                self.gateway.peers.failed(&relay.name, now_ms);
+                let detail =
+                    json!({"peer": relay.name, "about": self.topic.name(), "error": error});
+                self.gateway.log.line("peer_lost", detail);
+                return Err(Failed::Relay);
+            }
+        };
+        self.failures = 0;
+        self.take_in(asked_at_ms, &answer).await;
+        let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
+        if self.topic == Topic::Site && age_ms > PROOF_MAX_MS {
+            self.gateway.peers.failed(&relay.name, now_ms);
+            let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
+            self.gateway.log.line("peer_lost", detail);
+        }
+        Ok(answer.revision.max(since))
+    }
+
+    /// Asks what changed behind `since`; gives up where another follower finds the relay lost.
+    async fn call_relay(
+        &mut self,
+        since: u64,
+        relay: &BoxRecord,
+    ) -> Result<Result<StoreAnswer, StoreError>, Failed> {
+        let wait_ms = if self.topic == Topic::Site {
+            SITE_WAIT_MS
+        } else {
+            QUIET_WAIT_MS
+        };
+        let request = Request::builder()
+            .uri(follow_path(self.topic, since, wait_ms))
+            .header(header::HOST, relay.peer_addr.to_string())
+            .body(Bytes::new())
+            .expect("invariant: all parts are valid");
+        let client = match &mut self.relay {
+            Some((known, client)) if known == relay => client,
+            other => {
+                let client = StoreClient::new(relay.peer_addr);
+                &mut other.insert((relay.clone(), client)).1
+            }
+        };
+        let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
+        tokio::select! {
+            answer = client.call(request, limit) => Ok(answer),
+            () = self.gateway.peers.lost(&relay.name, self.gateway.clock) => {
+                self.relay = None;
+                Err(Failed::Relay)
+            }
+        }
+    }
+
+    async fn take_in(&mut self, asked_at_ms: u64, answer: &FollowAnswer) {
+        let gateway = self.gateway.clone();
+        if let Some(items) = &answer.whole {
+            let entries = items.iter().cloned().map(Ok).collect();
+            adopt_all(&gateway, self.topic, entries);
+            gateway.histories.restart(self.topic, answer.revision);
+        }
+        for change in answer.changes.iter().cloned() {
+            match change {
+                PassedChange::Put(item) => adopt(&gateway, self.topic, Ok(item)),
+                PassedChange::Gone(name) => remove(&gateway, self.topic, &name),
+            }
+        }
+        let changes = answer.changes.clone();
+        gateway.histories.push(self.topic, answer.revision, changes);
+        if self.confirmed().await
+            && let Some(proof_age_ms) = answer.proof_age_ms
+        {
+            // The relay answered no sooner than it says, so its proof is no older than this.
+            let proven_at_ms = (asked_at_ms + answer.held_ms).saturating_sub(proof_age_ms);
+            gateway.renew_proof(proven_at_ms);
+        }
+    }
+}
+
+/// Reads a relay's answer, or says what is wrong with it.
+fn read(answer: StoreAnswer) -> Result<FollowAnswer, String> {
+    if answer.status != StatusCode::OK {
+        return Err(format!("status {}", answer.status.as_u16()));
+    }
+    serde_json::from_slice(&answer.body).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -0,0 +1,214 @@
+//! Following a topic at the store itself.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use super::{Follower, QUIET_WAIT_MS};
+use crate::adopt::{adopt, adopt_all, remove};
+use crate::dialect::{Change, Changes, Entry, Topic};
+use crate::relay_source::PassedChange;
+use crate::store::{ANSWER_LIMIT, StoreAnswer, StoreError, read_page};
+
+/// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
+/// newest, which must stay younger than the bound on withdrawn keys until the next one.
+const SITE_WAIT_MS: u64 = 1_200;
+/// The same on a relay: the boxes that follow it must hear within a second and a half that it lost
+/// the store, since an upstream that leaves gets no work two seconds later.
+const RELAY_SITE_WAIT_MS: u64 = 600;
+const SITE_MIN_WAIT_MS: u64 = 200;
+/// Time beyond the wait after which a relay takes the store to be lost; a slow store takes 300 ms.
+const OVERDUE_MS: u64 = 500;
+/// Age at which the next proof must be there; it leaves a slow store some hundred milliseconds.
+const PROOF_DUE_MS: u64 = 2_300;
+/// How far a watch may lag behind what the store has acknowledged.
+const HEARD_LAG_MS: u64 = 1_000;
+/// Pause between a watch that saw changes and the next, so that changes in a row cost one call. The
+/// bounds on a configuration and on a leaving upstream are two seconds or more.
+const GATHER_MS: u64 = 300;
+/// How long a watch of upstreams waits. A call that a silent store took is never answered, and until
+/// it is given up a box does not hear who leaves.
+const UPSTREAMS_WAIT_MS: u64 = 4_000;
+/// How long the first watches after a failure wait.
+const AFTER_FAILURE_WAIT_MS: u64 = 50;
+
+impl Follower {
+    /// Lists the topic; returns the revision to watch from.
+    pub(super) async fn list(&mut self) -> Option<u64> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let (entries, revision) = match self.read_pages().await {
+            Ok(listing) => listing,
+            Err(e) => {
+                self.failed(&e);
+                return None;
+            }
+        };
+        self.succeeded();
+        adopt_all(&self.gateway, self.topic, entries);
+        self.gateway.histories.restart(self.topic, revision);
+        if self.confirmed().await {
+            self.gateway.renew_proof(asked_at_ms);
+        }
+        self.gateway.set_synced(self.topic);
+        Some(revision)
+    }
+
+    /// All records of the topic, and the revision behind which the watch tells the rest.
+    async fn read_pages(&mut self) -> Result<(Vec<Entry>, u64), StoreError> {
+        let codec = &*self.gateway.codec;
+        let first = read_page(&mut self.client, codec, self.topic, None).await?;
+        // What changes while pages are read is told by the watch from the first page on.
+        let revision = first.revision;
+        let mut entries = first.entries;
+        let mut after = first.next_after;
+        while let Some(last) = after {
+            let page = read_page(&mut self.client, codec, self.topic, Some(&last)).await?;
+            entries.extend(page.entries);
+            after = page.next_after;
+        }
+        Ok((entries, revision))
+    }
+
+    /// Watches once; returns where to go on, or none if the topic is to be listed again.
+    pub(super) async fn ask_store(&mut self, since: u64) -> Result<Option<u64>, ()> {
+        let watched = self.watch(since).await;
+        if self.topic == Topic::Site {
+            let histories = &self.gateway.histories;
+            histories.set_store_answers(watched.is_ok());
+            if watched.is_err() {
+                histories.store_lost();
+            }
+        }
+        watched
+    }
+
+    async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
+        let asked_at_ms = self.gateway.clock.now_ms();
+        let wait_ms = self.wait_ms();
+        let request = self.gateway.codec.watch(self.topic, since, wait_ms);
+        let answer = self.call_store(request, wait_ms).await;
+        let changes = match answer.and_then(|answer| self.read(&answer)) {
+            Ok(changes) => changes,
+            Err(e) => {
+                self.failed(&e);
+                return Err(());
+            }
+        };
+        self.succeeded();
+        let Some(changes) = changes else {
+            let detail = json!({"topic": self.topic.name(), "since": since});
+            self.gateway.log.line("store_history_gone", detail);
+            return Ok(None);
+        };
+        let revision = changes.revision;
+        let quiet = changes.changes.is_empty();
+        self.take_changes(changes);
+        if self.confirmed().await {
+            let answered_at_ms = self.gateway.clock.now_ms();
+            let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
+            self.gateway.renew_proof(proven_at_ms);
+        }
+        if !quiet {
+            sleep(Duration::from_millis(GATHER_MS)).await;
+        }
+        Ok(Some(revision))
+    }
+
+    /// Calls the store; one that is overdue is waited for, but no box should follow here meanwhile.
+    async fn call_store(
+        &mut self,
+        request: Request<Bytes>,
+        wait_ms: u64,
+    ) -> Result<StoreAnswer, StoreError> {
+        let limit = Duration::from_millis(wait_ms) + ANSWER_LIMIT;
+        let histories = &self.gateway.histories;
+        let mut call = pin!(self.client.call(request, limit));
+        if self.topic != Topic::Site {
+            // A store that was silent for a while never answers what it took then, so no long wait
+            // outlasts the loss that the short ones notice.
+            return tokio::select! {
+                answer = call => answer,
+                () = histories.until_store_lost() => Err(StoreError::Lost {
+                    detail: "questions about the configuration got no answer".into(),
+                }),
+            };
+        }
+        let in_time = Duration::from_millis(wait_ms + OVERDUE_MS);
+        if let Ok(answer) = timeout(in_time, call.as_mut()).await {
+            return answer;
+        }
+        histories.set_store_answers(false);
+        call.await
+    }
+
+    /// Reads the answer to a watch; none if the store no longer knows what was asked for.
+    fn read(&self, answer: &StoreAnswer) -> Result<Option<Changes>, StoreError> {
+        match answer.status {
+            StatusCode::GONE => Ok(None),
+            StatusCode::OK => {
+                let changes = self.gateway.codec.changes(self.topic, &answer.body);
+                changes.map(Some).map_err(StoreError::unreadable)
+            }
+            status => Err(StoreError::refused(status)),
+        }
+    }
+
+    /// Adopts changes and keeps them for boxes that follow here.
+    fn take_changes(&self, changes: Changes) {
+        let gateway = &self.gateway;
+        let mut passed = Vec::new();
+        for change in changes.changes {
+            match change {
+                Change::Put(entry) => {
+                    passed.extend(entry.clone().ok().map(PassedChange::Put));
+                    adopt(gateway, self.topic, entry);
+                }
+                Change::Gone(name) => {
+                    remove(gateway, self.topic, &name);
+                    passed.push(PassedChange::Gone(name));
+                }
+            }
+        }
+        gateway.histories.push(self.topic, changes.revision, passed);
+    }
+
+    fn wait_ms(&self) -> u64 {
+        match self.topic {
+            // After a failure the answer itself is news, so it must not wait for changes.
+            _ if self.failures > 0 && self.topic != Topic::Site => AFTER_FAILURE_WAIT_MS,
+            Topic::Upstreams => UPSTREAMS_WAIT_MS,
+            Topic::Rollouts | Topic::Boxes => QUIET_WAIT_MS,
+            Topic::Site => self.site_wait_ms(),
+        }
+    }
+
+    /// How long a watch of the configuration waits: its answer must come before the proof is due.
+    fn site_wait_ms(&self) -> u64 {
+        let age_ms = self.gateway.proof_age_ms().unwrap_or(PROOF_DUE_MS);
+        let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
+        let now_ms = self.gateway.clock.now_ms();
+        let most_ms = if self.gateway.histories.is_followed(now_ms) {
+            RELAY_SITE_WAIT_MS
+        } else {
+            SITE_WAIT_MS
+        };
+        left_ms.clamp(SITE_MIN_WAIT_MS, most_ms)
+    }
+}
+
+/// Until when an answer to a watch shows that nothing newer was acknowledged.
+///
+/// One that came empty after its whole wait was made at the end of the wait; any other one shows only
+/// what held when it was asked for.
+fn proven_at(asked_at_ms: u64, answered_at_ms: u64, wait_ms: u64, quiet: bool) -> u64 {
+    let waited = answered_at_ms.saturating_sub(asked_at_ms) >= wait_ms;
+    if quiet && waited {
+        asked_at_ms + wait_ms.saturating_sub(HEARD_LAG_MS)
+    } else {
+        asked_at_ms
+    }
+}
