Names in the gateway that say what they hold; peers.rs does one job

Cause: StoreClient also called other boxes; relay.rs passed streams on, while relay_source.rs and the policy's relay.rs were about a hall's relay; peers.rs kept the list, exchanged words and answered. Change: gateway: store.rs is client.rs (Client, Answer, CallError), relay.rs is stream.rs, relay_source.rs is history.rs (what a box can pass on) and follow.rs (answers to boxes that follow); peers.rs keeps who the boxes are, listing.rs their records in the store, words.rs what they tell each other. Policy: relay.rs is hall.rs (which box follows the store) and word.rs (what boxes tell). Texts of errors, log lines and messages are the same. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/store.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -1,4 +1,4 @@
-//! Calls to the store on one kept connection.
+//! Calls to the store, or to another box, on one kept connection.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,9 +18,9 @@
 /// Bytes of the largest answer: a page is about a megabyte at most.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
-/// A call to the store that brought nothing to use.
+/// A call that brought nothing to use.
 #[derive(Debug, Snafu)]
-pub enum StoreError {
+pub enum CallError {
     /// It could not be reached.
     #[snafu(display("no connection to the store: {source}"))]
     Unreachable {
@@ -47,7 +47,7 @@
     },
 }
 
-impl StoreError {
+impl CallError {
     /// It answered with a status that says it did nothing.
     pub fn refused(status: StatusCode) -> Self {
         Self::Refused {
@@ -63,24 +63,24 @@
     }
 }
 
-/// An answer of the store.
+/// An answer with its whole body.
 #[derive(Debug)]
-pub struct StoreAnswer {
+pub struct Answer {
     /// The status.
     pub status: StatusCode,
     /// The whole body.
     pub body: Bytes,
 }
 
-/// One caller of the store; its calls go one after the other.
+/// One caller; its calls go one after the other.
 #[derive(Debug)]
-pub struct StoreClient {
+pub struct Client {
     addr: SocketAddr,
     channel: Option<Channel>,
 }
 
-impl StoreClient {
-    /// A client of the store at `addr`.
+impl Client {
+    /// A client of the store or box at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
         Self {
             addr,
@@ -98,14 +98,14 @@
         &mut self,
         request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Answer, CallError> {
         let mut channel = match self.channel.take().filter(Channel::is_ready) {
             Some(channel) => channel,
             None => Channel::open(self.addr)
                 .await
-                .map_err(|source| StoreError::Unreachable { source })?,
+                .map_err(|source| CallError::Unreachable { source })?,
         };
-        let lost = |detail: String| StoreError::Lost { detail };
+        let lost = |detail: String| CallError::Lost { detail };
         let whole = async {
             let answer = channel.send(request.map(Full::new)).await;
             let answer = answer.map_err(|e| match e {
@@ -115,7 +115,7 @@
             let status = answer.status();
             let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
             let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
-            Ok(StoreAnswer { status, body })
+            Ok(Answer { status, body })
         };
         let answer = timeout(limit, whole)
             .await
@@ -131,17 +131,17 @@
 ///
 /// When there is no answer in time, or it is no page.
 pub async fn read_page(
-    client: &mut StoreClient,
+    client: &mut Client,
     codec: &dyn StoreCodec,
     topic: Topic,
     after: Option<&str>,
-) -> Result<Page, StoreError> {
+) -> Result<Page, CallError> {
     let request = codec.list(topic, after);
     let answer = client.call(request, ANSWER_LIMIT).await?;
     if answer.status != StatusCode::OK {
-        return Err(StoreError::refused(answer.status));
+        return Err(CallError::refused(answer.status));
     }
     codec
         .page(topic, &answer.body)
-        .map_err(StoreError::unreadable)
+        .map_err(CallError::unreadable)
 }
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -10,8 +10,8 @@
 use tokio::time::sleep;
 
 use crate::adopt::adopt_rollout;
+use crate::client::{ANSWER_LIMIT, Client};
 use crate::state::{Gateway, counts_of};
-use crate::store::{ANSWER_LIMIT, StoreClient};
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
@@ -22,7 +22,7 @@
 
 /// Does the duties of roll-outs for the life of the process.
 pub async fn run(gateway: Arc<Gateway>) {
-    let mut client = StoreClient::new(gateway.settings.store_addr);
+    let mut client = Client::new(gateway.settings.store_addr);
     let box_hash = hash64(&[gateway.settings.box_name.as_bytes()]);
     let own_delay_ms = box_hash % SPREAD_MS;
     loop {
@@ -62,7 +62,7 @@
 
 async fn write(
     gateway: &Arc<Gateway>,
-    client: &mut StoreClient,
+    client: &mut Client,
     order: RolloutOrder,
     duty: RolloutDuty,
 ) {
--- /dev/null
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -0,0 +1,113 @@
+//! Answers boxes that follow a topic here: this box is their hall's relay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::dialect::{Item, Topic};
+use crate::history::{Behind, NoSource, PassedChange};
+use crate::peers::{json_answer, status};
+use crate::refusal::AnswerBody;
+use crate::state::Gateway;
+
+/// Longest wait of a question.
+const MAX_WAIT_MS: u64 = 20_000;
+
+/// What changed behind a revision.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FollowAnswer {
+    /// The store's revision up to which this holds.
+    pub revision: u64,
+    /// All records, for who is too far behind.
+    pub whole: Option<Vec<Item>>,
+    /// Changes in order.
+    pub changes: Vec<PassedChange>,
+    /// Time between the question and this answer.
+    pub held_ms: u64,
+    /// Age of the proof that the configuration is the newest.
+    pub proof_age_ms: Option<u64>,
+}
+
+/// Answers a box that follows a topic here.
+pub async fn answer(gateway: &Arc<Gateway>, query: Option<&str>) -> Response<AnswerBody> {
+    let Some(question) = query.and_then(Question::parse) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let asked_at_ms = gateway.clock.now_ms();
+    let histories = &gateway.histories;
+    histories.asked(asked_at_ms);
+    let until_ms = asked_at_ms + question.wait_ms;
+    let mut news = histories.news();
+    let proof_at_ms = gateway.proof_at_ms();
+    loop {
+        let behind = match histories.behind(question.topic, question.since) {
+            Ok(behind) => behind,
+            Err(NoSource) => return status(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        let now_ms = gateway.clock.now_ms();
+        let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
+        if behind.is_some() || renewed || now_ms >= until_ms {
+            let held_ms = now_ms - asked_at_ms;
+            return json_answer(&told(gateway, &question, behind, held_ms));
+        }
+        let left = Duration::from_millis(until_ms - now_ms);
+        // Woken or not, the state itself is looked at again.
+        let _woken = timeout(left, news.changed()).await;
+    }
+}
+
+/// The answer to a question about a topic.
+fn told(
+    gateway: &Gateway,
+    question: &Question,
+    behind: Option<Behind>,
+    held_ms: u64,
+) -> FollowAnswer {
+    let (revision, whole, changes) = match behind {
+        None => (question.since, None, Vec::new()),
+        Some(Behind::Whole(revision)) => {
+            let items = gateway.items(question.topic);
+            (revision, Some(items), Vec::new())
+        }
+        Some(Behind::Changes(revision, changes)) => (revision, None, changes),
+    };
+    FollowAnswer {
+        revision,
+        whole,
+        changes,
+        held_ms,
+        proof_age_ms: gateway.proof_age_ms(),
+    }
+}
+
+/// What a box asks for.
+struct Question {
+    topic: Topic,
+    since: u64,
+    wait_ms: u64,
+}
+
+impl Question {
+    /// Reads `topic=NAME&since=REVISION&wait_ms=N`.
+    fn parse(query: &str) -> Option<Self> {
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let wait_ms: u64 = field("wait_ms")?.parse().ok()?;
+        Some(Self {
+            topic: Topic::from_name(field("topic")?)?,
+            since: field("since")?.parse().ok()?,
+            wait_ms: wait_ms.min(MAX_WAIT_MS),
+        })
+    }
+}
+
+/// The path at which a topic is followed.
+pub fn follow_path(topic: Topic, since: u64, wait_ms: u64) -> String {
+    let topic = topic.name();
+    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}")
+}
--- a/crates/ivyweir-gateway/src/relay_source.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -1,27 +1,21 @@
-//! The store's topics as one box passes them on to others of its hall.
+//! What a box can pass on of the store's topics, and news of the store for its own tasks.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use hyper::{Response, StatusCode};
 use ivyweir_policy::Name;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
 
 use crate::dialect::{Item, Topic};
-use crate::peers::{json_answer, status};
-use crate::refusal::AnswerBody;
-use crate::state::Gateway;
 
 /// Changes of a topic that are kept; who is further behind gets everything.
 const CHANGES_KEPT: usize = 128;
 /// Time for which a question shows that this box is a relay.
 const FOLLOWED_MS: u64 = 4_000;
-/// Longest wait of a question.
-const MAX_WAIT_MS: u64 = 20_000;
 
 /// A change as it is passed on.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -33,21 +27,6 @@
     Gone(Name),
 }
 
-/// What changed behind a revision.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct FollowAnswer {
-    /// The store's revision up to which this holds.
-    pub revision: u64,
-    /// All records, for who is too far behind.
-    pub whole: Option<Vec<Item>>,
-    /// Changes in order.
-    pub changes: Vec<PassedChange>,
-    /// Time between the question and this answer.
-    pub held_ms: u64,
-    /// Age of the proof that the configuration is the newest.
-    pub proof_age_ms: Option<u64>,
-}
-
 /// What a box can pass on of one topic.
 #[derive(Debug, Default)]
 struct History {
@@ -155,8 +134,8 @@
         self.upstreams_heard.send_modify(|count| *count += 1);
     }
 
-    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return. Returns whether
-    /// one was.
+    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return. Returns
+    /// whether one was.
     pub async fn until_upstreams_heard(&self, limit: Duration) -> bool {
         let mut heard = self.upstreams_heard.subscribe();
         self.set_store_answers(true);
@@ -164,6 +143,11 @@
         matches!(timeout(limit, heard.changed()).await, Ok(Ok(())))
     }
 
+    /// Takes in that another box asks here.
+    pub fn asked(&self, now_ms: u64) {
+        self.asked_at_ms.store(now_ms, Ordering::Relaxed);
+    }
+
     /// Whether another box asked here lately.
     pub fn is_followed(&self, now_ms: u64) -> bool {
         let asked_at_ms = self.asked_at_ms.load(Ordering::Relaxed);
@@ -175,6 +159,11 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Tells from now on whenever something changes, or the proof is newer.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
     /// Waits until something changes, or `limit` has passed.
     pub async fn until_news(&self, limit: Duration) {
         let mut news = self.news.subscribe();
@@ -187,7 +176,7 @@
     }
 
     /// Changes behind `since`; none if there are none, an error if this box is no source.
-    fn behind(&self, topic: Topic, since: u64) -> Result<Option<Behind>, NoSource> {
+    pub fn behind(&self, topic: Topic, since: u64) -> Result<Option<Behind>, NoSource> {
         let topics = self.topics();
         if !self.store_answers.load(Ordering::Relaxed) {
             return Err(NoSource);
@@ -206,78 +195,13 @@
     }
 }
 
-enum Behind {
+/// What a box that asks does not know yet.
+pub enum Behind {
+    /// More than is kept; the revision of everything.
     Whole(u64),
+    /// The changes, up to this revision.
     Changes(u64, Vec<PassedChange>),
 }
 
-struct NoSource;
-
-/// Answers a box that follows a topic here.
-pub async fn answer(gateway: &Arc<Gateway>, query: Option<&str>) -> Response<AnswerBody> {
-    let Some(question) = query.and_then(Question::parse) else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    let asked_at_ms = gateway.clock.now_ms();
-    let histories = &gateway.histories;
-    histories.asked_at_ms.store(asked_at_ms, Ordering::Relaxed);
-    let until_ms = asked_at_ms + question.wait_ms;
-    let mut news = histories.news.subscribe();
-    let proof_asked_at = gateway.proof_at_ms();
-    loop {
-        let behind = match histories.behind(question.topic, question.since) {
-            Ok(behind) => behind,
-            Err(NoSource) => return status(StatusCode::SERVICE_UNAVAILABLE),
-        };
-        let now_ms = gateway.clock.now_ms();
-        let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_asked_at;
-        if behind.is_some() || renewed || now_ms >= until_ms {
-            let (revision, whole, changes) = match behind {
-                None => (question.since, None, Vec::new()),
-                Some(Behind::Whole(revision)) => {
-                    (revision, Some(gateway.items(question.topic)), Vec::new())
-                }
-                Some(Behind::Changes(revision, changes)) => (revision, None, changes),
-            };
-            return json_answer(&FollowAnswer {
-                revision,
-                whole,
-                changes,
-                held_ms: now_ms - asked_at_ms,
-                proof_age_ms: gateway.proof_age_ms(),
-            });
-        }
-        let left = Duration::from_millis(until_ms - now_ms);
-        // Woken or not, the state itself is looked at again.
-        let _woken = timeout(left, news.changed()).await;
-    }
-}
-
-/// What a box asks for.
-struct Question {
-    topic: Topic,
-    since: u64,
-    wait_ms: u64,
-}
-
-impl Question {
-    /// Reads `topic=NAME&since=REVISION&wait_ms=N`.
-    fn parse(query: &str) -> Option<Self> {
-        let field = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-        };
-        let wait_ms: u64 = field("wait_ms")?.parse().ok()?;
-        Some(Self {
-            topic: Topic::from_name(field("topic")?)?,
-            since: field("since")?.parse().ok()?,
-            wait_ms: wait_ms.min(MAX_WAIT_MS),
-        })
-    }
-}
-
-/// The path at which a topic is followed.
-pub fn follow_path(topic: Topic, since: u64, wait_ms: u64) -> String {
-    let topic = topic.name();
-    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}")
-}
+/// This box does not hear the topic from the store itself, or the store does not answer it.
+pub struct NoSource;
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -20,24 +20,27 @@
 mod adopt;
 mod attempt;
 mod channel;
+mod client;
 mod clock;
 pub mod dialect;
 mod drive;
+mod follow;
 pub mod headers;
+mod history;
 mod job;
+mod listing;
 mod log;
 mod metrics;
 pub mod native;
 mod peers;
 mod pipeline;
 mod refusal;
-mod relay;
-mod relay_source;
 mod server;
 mod settings;
 mod state;
-mod store;
+mod stream;
 mod sync;
+mod words;
 
 use std::io;
 use std::net::SocketAddr;
@@ -140,8 +143,8 @@
         tokio::spawn(sync::follow(gateway.clone(), topic));
     }
     tokio::spawn(drive::run(gateway.clone()));
-    tokio::spawn(peers::keep_listed(gateway.clone()));
-    tokio::spawn(peers::exchange_words(gateway.clone()));
+    tokio::spawn(listing::keep_listed(gateway.clone()));
+    tokio::spawn(words::exchange(gateway.clone()));
     tokio::spawn(server::serve_peers(gateway.clone(), peers));
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(server::serve_plain(balancer, answer_balancer(&gateway)));
@@ -172,7 +175,7 @@
     let end = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
     let notice = Duration::from_millis(pipeline::STOP_NOTICE_MS);
     let unlisting = gateway.clone();
-    tokio::spawn(async move { peers::unlist(&unlisting).await });
+    tokio::spawn(async move { listing::unlist(&unlisting).await });
     sleep_until(end.min(Instant::now() + notice)).await;
     // The receiver lives as long as the server's task.
     let _server_gone = stop.send(true);
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -1,4 +1,4 @@
-//! The way of a request: read, route, admit, choose, send, relay.
+//! The way of a request: read, route, admit, choose, send, pass on.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,8 +20,8 @@
 use crate::job::{self, Job, strip_hop_by_hop};
 use crate::log::Trace;
 use crate::refusal::{AnswerBody, Reason, whole};
-use crate::relay;
 use crate::state::{Active, Choice, Gateway, Scope};
+use crate::stream;
 
 /// Time for a body to arrive where the caller names none.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -240,7 +240,7 @@
                 "relaying",
                 json!({"upstream": reply.lease.upstream.id, "model": tries.model}),
             );
-            return Ok(relay::start(
+            return Ok(stream::start(
                 gateway,
                 job,
                 *reply,
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -8,21 +8,21 @@
 use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
 use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
-use ivyweir_policy::gateway::relay::Word;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
 use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::gateway::verdict::Tally;
+use ivyweir_policy::gateway::word::Word;
 use ivyweir_policy::rank::hash64;
 use serde_json::{Value, json};
 
 use crate::channel::Channels;
 use crate::clock::Clock;
 use crate::dialect::{Dialect, Item, ReportedLoad, StoreCodec, Topic};
+use crate::history::Histories;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::relay_source::Histories;
 use crate::settings::Settings;
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
--- a/crates/ivyweir-gateway/src/relay.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
+use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, header};
@@ -25,7 +25,7 @@
 /// Event at which a stream's pace is judged: a slow stream takes long to end.
 const JUDGED_AT_EVENTS: u32 = 7;
 
-/// Starts to relay.
+/// Starts to pass a stream on.
 pub fn start(
     gateway: &Arc<Gateway>,
     job: Arc<Job>,
@@ -45,7 +45,7 @@
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let last_event_id = job.envelope.last_event_id;
-    let relay = Relay {
+    let stream = Stream {
         gateway: gateway.clone(),
         job,
         source: Source {
@@ -65,20 +65,22 @@
         ended: false,
         _active: active,
     };
-    let frames = stream::unfold(relay, |mut relay| async move {
-        let frame = relay.next().await?;
-        Some((frame, relay))
+    let frames = unfold(stream, |mut stream| async move {
+        let frame = stream.next().await?;
+        Some((frame, stream))
     });
     Response::from_parts(head, StreamBody::new(Box::pin(frames)).boxed_unsync())
 }
 
+/// Where the stream comes from for now.
 struct Source {
     body: Incoming,
     lease: Lease,
     keep_ms: Option<u64>,
 }
 
-struct Relay {
+/// A stream on its way to the caller.
+struct Stream {
     gateway: Arc<Gateway>,
     job: Arc<Job>,
     source: Source,
@@ -105,7 +107,7 @@
     Late,
 }
 
-impl Relay {
+impl Stream {
     /// The next bytes for the caller; none at the end, an error where the answer breaks off.
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, io::Error>> {
         if self.ended {
@@ -123,11 +125,7 @@
                     return Some(Ok(Frame::data(self.partial.split().freeze())));
                 }
                 Next::Broke(error) => {
-                    let upstream = self.source.lease.upstream.id.clone();
-                    let detail = json!({"upstream": upstream, "error": error, "behind_event": self.last_event_id});
-                    self.trace.fail("stream_broke", detail);
-                    self.source.lease.broke();
-                    self.tried.push(upstream);
+                    self.broke(&error);
                     if !self.resume().await {
                         return Some(Err(self.break_off("stream broke off")));
                     }
@@ -137,6 +135,7 @@
         }
     }
 
+    /// Waits for what the upstream sends next.
     async fn read(&mut self) -> Next {
         let until = self.gateway.clock.instant(self.job.deadline_ms);
         match timeout_at(until, self.source.body.frame()).await {
@@ -177,6 +176,17 @@
         Next::Events(whole)
     }
 
+    /// Takes in that the source broke off.
+    fn broke(&mut self, error: &str) {
+        let upstream = self.source.lease.upstream.id.clone();
+        let detail = json!({
+            "upstream": upstream, "error": error, "behind_event": self.last_event_id,
+        });
+        self.trace.fail("stream_broke", detail);
+        self.source.lease.broke();
+        self.tried.push(upstream);
+    }
+
     /// Goes on at another upstream; returns whether one answers.
     async fn resume(&mut self) -> bool {
         if !self.job.route.kind.is_repeatable() {
@@ -219,6 +229,7 @@
         false
     }
 
+    /// Takes in that the stream ended as it should.
     fn finish(&mut self) {
         self.ended = true;
         self.source.lease.keep_channel(self.source.keep_ms);
@@ -241,6 +252,7 @@
         (pauses >= PACE_PAUSES).then(|| span_ms as f64 / f64::from(pauses))
     }
 
+    /// Adds what was seen of the stream to what is known of its version.
     fn weigh(&self, is_final: bool, pace_ms: Option<f64>) {
         let upstream = &self.source.lease.upstream;
         let evidence = Evidence {
@@ -253,6 +265,7 @@
         weigh(&self.gateway, &self.job, upstream, &evidence);
     }
 
+    /// Gives the stream up; the caller sees it break off.
     fn break_off(&mut self, why: &'static str) -> io::Error {
         self.ended = true;
         let detail = json!({"reason": why, "behind_event": self.last_event_id});
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -10,9 +10,9 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::client::{ANSWER_LIMIT, CallError, Client};
 use crate::dialect::{BoxRecord, Topic};
 use crate::state::Gateway;
-use crate::store::{ANSWER_LIMIT, StoreClient, StoreError};
 
 /// How often upstreams are waited for after a loss before the proof is renewed without them.
 const MAX_VAIN_WAITS: u32 = 4;
@@ -44,9 +44,9 @@
 }
 
 struct Follower {
-    client: StoreClient,
+    client: Client,
     /// The connection to the hall's relay.
-    relay: Option<(BoxRecord, StoreClient)>,
+    relay: Option<(BoxRecord, Client)>,
     gateway: Arc<Gateway>,
     topic: Topic,
     failures: u32,
@@ -59,7 +59,7 @@
 impl Follower {
     fn new(gateway: Arc<Gateway>, topic: Topic) -> Self {
         Self {
-            client: StoreClient::new(gateway.settings.store_addr),
+            client: Client::new(gateway.settings.store_addr),
             relay: None,
             gateway,
             topic,
@@ -131,7 +131,7 @@
         self.failures = 0;
     }
 
-    fn failed(&mut self, error: &StoreError) {
+    fn failed(&mut self, error: &CallError) {
         self.count("failed");
         if self.failures == 0 {
             let detail = json!({"topic": self.topic.name(), "error": error.to_string()});
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -8,9 +8,10 @@
 
 use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt, adopt_all, remove};
+use crate::client::{Answer, CallError, Client};
 use crate::dialect::{BoxRecord, Topic};
-use crate::relay_source::{FollowAnswer, PassedChange, follow_path};
-use crate::store::{StoreAnswer, StoreClient, StoreError};
+use crate::follow::{FollowAnswer, follow_path};
+use crate::history::PassedChange;
 
 /// How long a question about the configuration waits at a relay, which answers as soon as its own
 /// proof is renewed.
@@ -54,7 +55,7 @@
         &mut self,
         since: u64,
         relay: &BoxRecord,
-    ) -> Result<Result<StoreAnswer, StoreError>, Failed> {
+    ) -> Result<Result<Answer, CallError>, Failed> {
         let wait_ms = if self.topic == Topic::Site {
             SITE_WAIT_MS
         } else {
@@ -68,7 +69,7 @@
         let client = match &mut self.relay {
             Some((known, client)) if known == relay => client,
             other => {
-                let client = StoreClient::new(relay.peer_addr);
+                let client = Client::new(relay.peer_addr);
                 &mut other.insert((relay.clone(), client)).1
             }
         };
@@ -108,7 +109,7 @@
 }
 
 /// Reads a relay's answer, or says what is wrong with it.
-fn read(answer: StoreAnswer) -> Result<FollowAnswer, String> {
+fn read(answer: Answer) -> Result<FollowAnswer, String> {
     if answer.status != StatusCode::OK {
         return Err(format!("status {}", answer.status.as_u16()));
     }
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -10,9 +10,9 @@
 
 use super::{Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt, adopt_all, remove};
+use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
 use crate::dialect::{Change, Changes, Entry, Topic};
-use crate::relay_source::PassedChange;
-use crate::store::{ANSWER_LIMIT, StoreAnswer, StoreError, read_page};
+use crate::history::PassedChange;
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
 /// newest, which must stay younger than the bound on withdrawn keys until the next one.
@@ -58,7 +58,7 @@
     }
 
     /// All records of the topic, and the revision behind which the watch tells the rest.
-    async fn read_pages(&mut self) -> Result<(Vec<Entry>, u64), StoreError> {
+    async fn read_pages(&mut self) -> Result<(Vec<Entry>, u64), CallError> {
         let codec = &*self.gateway.codec;
         let first = read_page(&mut self.client, codec, self.topic, None).await?;
         // What changes while pages are read is told by the watch from the first page on.
@@ -123,7 +123,7 @@
         &mut self,
         request: Request<Bytes>,
         wait_ms: u64,
-    ) -> Result<StoreAnswer, StoreError> {
+    ) -> Result<Answer, CallError> {
         let limit = Duration::from_millis(wait_ms) + ANSWER_LIMIT;
         let histories = &self.gateway.histories;
         let mut call = pin!(self.client.call(request, limit));
@@ -132,7 +132,7 @@
             // outlasts the loss that the short ones notice.
             return tokio::select! {
                 answer = call => answer,
-                () = histories.until_store_lost() => Err(StoreError::Lost {
+                () = histories.until_store_lost() => Err(CallError::Lost {
                     detail: "questions about the configuration got no answer".into(),
                 }),
             };
@@ -146,14 +146,14 @@
     }
 
     /// Reads the answer to a watch; none if the store no longer knows what was asked for.
-    fn read(&self, answer: &StoreAnswer) -> Result<Option<Changes>, StoreError> {
+    fn read(&self, answer: &Answer) -> Result<Option<Changes>, CallError> {
         match answer.status {
             StatusCode::GONE => Ok(None),
             StatusCode::OK => {
                 let changes = self.gateway.codec.changes(self.topic, &answer.body);
-                changes.map(Some).map_err(StoreError::unreadable)
+                changes.map(Some).map_err(CallError::unreadable)
             }
-            status => Err(StoreError::refused(status)),
+            status => Err(CallError::refused(status)),
         }
     }
 
--- /dev/null
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -0,0 +1,152 @@
+//! What boxes tell each other, a few times a second: their words.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::word::{Word, WordMessage};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::client::Client;
+use crate::dialect::BoxRecord;
+use crate::peers::{json_answer, status};
+use crate::refusal::AnswerBody;
+use crate::state::Gateway;
+
+/// How often boxes tell each other; requests come and go within some hundred milliseconds.
+const WORD_ROUND: Duration = Duration::from_millis(250);
+/// Time for another box to answer.
+const WORD_ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Largest message between boxes.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+
+/// Tells other boxes this box's word and takes in theirs, for the life of the process.
+pub async fn exchange(gateway: Arc<Gateway>) {
+    let mut clients: HashMap<Name, Client> = HashMap::new();
+    loop {
+        sleep(WORD_ROUND).await;
+        let me = &gateway.settings.box_name;
+        let hall = &gateway.settings.hall;
+        let now_ms = gateway.clock.now_ms();
+        match gateway.peers.relay(hall, me, now_ms) {
+            Some(relay) => {
+                let message = own_message(&gateway, false, gateway.own_word());
+                tell(&gateway, &mut clients, &relay, &message).await;
+            }
+            None => tell_other_halls(&gateway, &mut clients).await,
+        }
+        let word = others_word(&gateway, |_| false);
+        gateway.take_others_word(word);
+    }
+}
+
+/// Tells relays of other halls this hall's word.
+async fn tell_other_halls(gateway: &Gateway, clients: &mut HashMap<Name, Client>) {
+    let me = &gateway.settings.box_name;
+    for hall in gateway.peers.halls() {
+        if hall == gateway.settings.hall {
+            continue;
+        }
+        let now_ms = gateway.clock.now_ms();
+        let Some(relay) = gateway.peers.relay(&hall, me, now_ms) else {
+            continue;
+        };
+        // Each pair of relays talks once a round: the first by name asks.
+        if *me < relay.name {
+            let message = own_message(gateway, true, hall_word(gateway));
+            tell(gateway, clients, &relay, &message).await;
+        }
+    }
+}
+
+/// Tells a box a message and takes in what it answers.
+async fn tell(
+    gateway: &Gateway,
+    clients: &mut HashMap<Name, Client>,
+    to: &BoxRecord,
+    message: &WordMessage,
+) {
+    let request = request(to, message);
+    let client = clients
+        .entry(to.name.clone())
+        .or_insert_with(|| Client::new(to.peer_addr));
+    let answer = client.call(request, WORD_ANSWER_LIMIT).await;
+    let told: Option<WordMessage> = match answer {
+        Ok(answer) if answer.status == StatusCode::OK => serde_json::from_slice(&answer.body).ok(),
+        _ => None,
+    };
+    let now_ms = gateway.clock.now_ms();
+    match told {
+        Some(told) => {
+            gateway.peers.answered(&to.name);
+            gateway.peers.told(&told.from, told.word, now_ms);
+        }
+        None => {
+            clients.remove(&to.name);
+            gateway.peers.failed(&to.name, now_ms);
+            gateway
+                .log
+                .line("peer_lost", json!({"peer": to.name, "about": "word"}));
+        }
+    }
+}
+
+/// What boxes other than `except` told.
+fn others_word(gateway: &Gateway, except: impl Fn(&str) -> bool) -> Word {
+    let now_ms = gateway.clock.now_ms();
+    gateway.peers.words_except(except, now_ms)
+}
+
+/// What this box and those of its hall that tell it have to say.
+fn hall_word(gateway: &Gateway) -> Word {
+    let hall = &gateway.settings.hall;
+    let mut word = others_word(gateway, |from| !gateway.peers.is_of_hall(from, hall));
+    word.add(&gateway.own_word());
+    word
+}
+
+/// This box's message.
+fn own_message(gateway: &Gateway, for_hall: bool, word: Word) -> WordMessage {
+    WordMessage {
+        from: gateway.settings.box_name.clone(),
+        for_hall,
+        word,
+    }
+}
+
+fn request(to: &BoxRecord, message: &WordMessage) -> Request<Bytes> {
+    let body = serde_json::to_vec(message).expect("invariant: messages are valid JSON");
+    Request::builder()
+        .method(Method::POST)
+        .uri("/peer/word")
+        .header(header::HOST, to.peer_addr.to_string())
+        .body(Bytes::from(body))
+        .expect("invariant: all parts are valid")
+}
+
+/// Answers a box that tells its word with what it should know of the others.
+pub async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    let Ok(body) = body.await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let Ok(message) = serde_json::from_slice::<WordMessage>(&body.to_bytes()) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let now_ms = gateway.clock.now_ms();
+    let word = if message.for_hall {
+        hall_word(gateway)
+    } else {
+        let mut word = others_word(gateway, |from| *from == *message.from);
+        word.add(&gateway.own_word());
+        word
+    };
+    gateway.peers.told(&message.from, message.word, now_ms);
+    json_answer(&own_message(gateway, message.for_hall, word))
+}
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -4,11 +4,12 @@
 
 pub mod cascade;
 pub mod fleet;
+pub mod hall;
 pub mod place;
 pub mod proof;
-pub mod relay;
 pub mod repeat;
 pub mod rollout;
 pub mod site;
 pub mod verdict;
+pub mod word;
 pub mod work;
