The request path in modules of one job each

Change: admit.rs finds out whether a request is served, tries.rs sends it until one answers, gather.rs reads plain answers, judge.rs adds answers to what is known of versions and writes verdicts down; pipeline.rs leads through them. Long functions are cut into steps; checks stay in their order. Behaviour is the same.

--- /dev/null
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -0,0 +1,128 @@
+//! Reads a request and finds out whether, and how, it is served.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::http::request::Parts;
+use ivyweir_policy::gateway::site::{Access, Route, SiteIndex, Workspace};
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::dialect::Envelope;
+use crate::job::{self, Job};
+use crate::log::Trace;
+use crate::refusal::Reason;
+use crate::state::Gateway;
+
+/// Time for a body to arrive where the caller names none.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest body before a configuration tells the limit.
+const BODY_DEFAULT_BYTES: usize = 1 << 20;
+/// Time after the order to stop in which the balancer may still send work here.
+pub const STOP_NOTICE_MS: u64 = 2_400;
+
+/// Reads a request and finds out whether and how it is served.
+pub async fn admit(
+    gateway: &Arc<Gateway>,
+    head: Parts,
+    body: Incoming,
+    arrived_ms: u64,
+    trace: &mut Trace,
+) -> Result<Job, Reason> {
+    let site = gateway.site();
+    // The body is read before any answer: a connection with unread bytes is reset when it closes.
+    let body = read_body(body, site.as_deref()).await?;
+    if is_past_notice(gateway) {
+        return Err(Reason::Stopping);
+    }
+    let site = site.ok_or(Reason::NotCurrent)?;
+    if !gateway.is_synced() {
+        return Err(Reason::NotCurrent);
+    }
+    let host = host_of(&head).ok_or(Reason::BadRequest)?;
+    let route = site
+        .route(host, head.uri.path())
+        .ok_or_else(|| deny(gateway, Reason::NoRoute))?
+        .clone();
+    let envelope = gateway.dialect.envelope(&head.headers);
+    let workspace = workspace_of(gateway, &site, &route, &envelope)?;
+    let seed = job::seed_of(&envelope);
+    let pool = route.pool(seed).ok_or(Reason::NoUpstream)?.clone();
+    let side = gateway.side(&pool, envelope.session, seed);
+    let budget_ms = envelope.budget_ms.unwrap_or(route.timeout_ms);
+    let deadline_ms = arrived_ms + budget_ms.min(route.timeout_ms);
+    trace.step(
+        "admitted",
+        json!({
+            "route": route.name, "pool": pool, "site_version": site.site().version,
+            "proof_age_ms": gateway.proof_age_ms(), "budget_ms": budget_ms,
+            "side": side.map(|s| format!("{s:?}")),
+        }),
+    );
+    Ok(Job {
+        head: job::passed_on(head, &*gateway.dialect),
+        body,
+        is_keyed: workspace.is_some(),
+        envelope,
+        route,
+        pool,
+        workspace,
+        arrived_ms,
+        deadline_ms,
+        side,
+        seed,
+    })
+}
+
+/// Whose request it is; none where nobody needs a key.
+fn workspace_of(
+    gateway: &Gateway,
+    site: &SiteIndex,
+    route: &Route,
+    envelope: &Envelope,
+) -> Result<Option<Arc<Workspace>>, Reason> {
+    match site.access(route, envelope.key.as_deref()) {
+        Access::Anonymous => Ok(None),
+        Access::Denied => Err(deny(gateway, Reason::NoAccess)),
+        Access::Workspace(_) if !gateway.keys_are_current() => Err(Reason::NotCurrent),
+        Access::Workspace(workspace) => Ok(Some(workspace)),
+    }
+}
+
+/// A refusal of what does not exist, as far as this box may say so.
+fn deny(gateway: &Gateway, reason: Reason) -> Reason {
+    if gateway.may_deny() {
+        reason
+    } else {
+        Reason::NotCurrent
+    }
+}
+
+/// Whether a request came too late for the balancer not to have noticed the stop.
+fn is_past_notice(gateway: &Gateway) -> bool {
+    let stopping_ms = gateway.stopping_for_ms();
+    stopping_ms.is_some_and(|ms| ms > STOP_NOTICE_MS)
+}
+
+async fn read_body(body: Incoming, site: Option<&SiteIndex>) -> Result<Bytes, Reason> {
+    let limits = site.and_then(|site| site.site().limits);
+    let max_bytes = limits.map_or(BODY_DEFAULT_BYTES, |l| l.max_body_bytes);
+    let gathered = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
+    match gathered {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Reason::TooLarge),
+        Ok(Err(_)) => Err(Reason::BadRequest),
+        Err(_) => Err(Reason::BodyLate),
+    }
+}
+
+fn host_of(head: &Parts) -> Option<&str> {
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| head.uri.authority().map(|a| a.as_str()))?;
+    Some(host.split(':').next().unwrap_or(host))
+}
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -11,7 +11,8 @@
 
 use crate::adopt::adopt_rollout;
 use crate::client::{ANSWER_LIMIT, Client};
-use crate::state::{Gateway, counts_of};
+use crate::judge::counts_of;
+use crate::state::Gateway;
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -0,0 +1,55 @@
+//! Adds answers to what is known of the versions that gave them, and writes down verdicts.
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::verdict::{Evidence, Tally};
+use serde_json::{Value, json};
+
+use crate::attempt::Reply;
+use crate::job::Job;
+use crate::state::Gateway;
+
+/// Takes in what the head of an answer says about its upstream and version; a stream is judged later.
+pub fn judge_head(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
+    let failed = reply.response.status().is_server_error();
+    reply.lease.outcome(failed);
+    if failed || !job.route.kind.is_stream() {
+        let evidence = Evidence {
+            upstream: &reply.lease.upstream.id,
+            failed,
+            is_final: true,
+            lane: job.lane(model),
+            pace_ms: (!failed).then_some(reply.head_after_ms as f64),
+        };
+        weigh(gateway, job, &reply.lease.upstream, &evidence);
+    }
+}
+
+/// Adds an answer to what is known about its version.
+pub fn weigh(gateway: &Gateway, job: &Job, upstream: &UpstreamRecord, evidence: &Evidence) {
+    let condemned = gateway.with_rollouts(|rollouts, now_ms| {
+        let track = rollouts.get_mut(&job.pool)?;
+        let side = track.side_of(&upstream.version);
+        track.judge(side, evidence, now_ms).then(|| track.sum())
+    });
+    if let Some(sum) = condemned {
+        log_condemned(gateway, &job.pool, &sum);
+    }
+}
+
+/// Writes down why a version was condemned.
+pub fn log_condemned(gateway: &Gateway, pool: &Name, sum: &Tally) {
+    let detail = json!({"pool": pool, "bad_of_all": counts_of(sum)});
+    gateway.log.line("version_condemned", detail);
+}
+
+/// Counts of a roll-out's answers, for the log.
+pub fn counts_of(sum: &Tally) -> Value {
+    let rows = sum.iter().map(|(group, c)| {
+        json!({
+            "fault": group.fault, "lane": group.lane,
+            "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
+        })
+    });
+    rows.collect()
+}
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! # }
 //! ```
 
+mod admit;
 mod adopt;
 mod attempt;
 mod channel;
@@ -25,9 +26,11 @@
 pub mod dialect;
 mod drive;
 mod follow;
+mod gather;
 pub mod headers;
 mod history;
 mod job;
+mod judge;
 mod listing;
 mod log;
 mod metrics;
@@ -40,6 +43,7 @@
 mod state;
 mod stream;
 mod sync;
+mod tries;
 mod words;
 
 use std::io;
@@ -173,7 +177,7 @@
         .line("stopping", json!({"requests": gateway.active()}));
     let grace_ms = gateway.settings.bounds.stop_grace_ms();
     let end = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
-    let notice = Duration::from_millis(pipeline::STOP_NOTICE_MS);
+    let notice = Duration::from_millis(admit::STOP_NOTICE_MS);
     let unlisting = gateway.clone();
     tokio::spawn(async move { listing::unlist(&unlisting).await });
     sleep_until(end.min(Instant::now() + notice)).await;
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -11,15 +11,15 @@
 use ivyweir_policy::gateway::repeat::RepeatBudget;
 use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
-use ivyweir_policy::gateway::verdict::Tally;
 use ivyweir_policy::gateway::word::Word;
 use ivyweir_policy::rank::hash64;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::channel::Channels;
 use crate::clock::Clock;
 use crate::dialect::{Dialect, Item, ReportedLoad, StoreCodec, Topic};
 use crate::history::Histories;
+use crate::judge::log_condemned;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -205,7 +205,7 @@
                 track.hear(tally).then(|| track.sum())
             });
             if let Some(sum) = condemned {
-                self.log_condemned(&pool, &sum);
+                log_condemned(self, &pool, &sum);
             }
         }
         if word.work.is_empty() {
@@ -224,12 +224,6 @@
         }
     }
 
-    /// Writes down why a version was condemned.
-    pub fn log_condemned(&self, pool: &Name, sum: &Tally) {
-        let detail = json!({"pool": pool, "bad_of_all": counts_of(sum)});
-        self.log.line("version_condemned", detail);
-    }
-
     /// Age of the proof that the configuration is the newest.
     pub fn proof_age_ms(&self) -> Option<u64> {
         lock(&self.proof).age_ms(self.clock.now_ms())
@@ -423,17 +417,6 @@
     }
 }
 
-/// Counts of a roll-out's answers, for the log.
-pub fn counts_of(sum: &Tally) -> Value {
-    let rows = sum.iter().map(|(group, c)| {
-        json!({
-            "fault": group.fault, "lane": group.lane,
-            "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
-        })
-    });
-    rows.collect()
-}
-
 /// A roll-out's version and how far it is.
 struct Target {
     version: Name,
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -15,10 +15,11 @@
 
 use crate::attempt::{self, Lease, Reply, Sending, Sent};
 use crate::job::{Job, strip_hop_by_hop};
+use crate::judge::weigh;
 use crate::log::Trace;
-use crate::pipeline::{choose, weigh};
 use crate::refusal::AnswerBody;
 use crate::state::{Active, Gateway};
+use crate::tries::choose;
 
 /// Pauses between events from which their mean says something.
 const PACE_PAUSES: u32 = 3;
--- /dev/null
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -0,0 +1,153 @@
+//! Sends a job to one upstream after the other until one answers.
+
+use std::sync::Arc;
+
+use ivyweir_policy::Name;
+use serde_json::json;
+
+use crate::attempt::{self, Reply, Sending, Sent};
+use crate::job::Job;
+use crate::log::Trace;
+use crate::refusal::Reason;
+use crate::state::{Choice, Gateway, Scope};
+
+/// Upstreams that could not be reached, after which a request is refused.
+const MAX_UNREACHED: u32 = 4;
+/// How many times the latency aim one send of a safe request may take while another is left.
+const SAFE_WAIT_AIMS: u64 = 4;
+
+/// The tries of one request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Upstreams that are not asked again while there are others.
+    pub tried: Vec<Name>,
+    /// Upstreams that were sent the request.
+    pub sent: u32,
+    /// Upstreams that could not be reached.
+    unreached: u32,
+    /// Whether an upstream may have run it.
+    pub may_have_run: bool,
+    /// The model, by its place from the smallest.
+    pub model: usize,
+}
+
+/// Sends until an upstream answers.
+pub async fn next_reply(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    tries: &mut Tries,
+    trace: &mut Trace,
+) -> Result<Box<Reply>, Reason> {
+    loop {
+        let now_ms = gateway.clock.now_ms();
+        if now_ms >= job.deadline_ms {
+            return Err(gave_up(tries, Reason::LateNotRun, Reason::Late));
+        }
+        let Some(choice) = choose(gateway, job, &tries.tried, tries.model) else {
+            return Err(gave_up(tries, Reason::NoUpstream, Reason::AnswerLost));
+        };
+        trace.step(
+            "chosen",
+            json!({
+                "upstream": choice.upstream.id, "version": choice.upstream.version,
+                "hall": choice.upstream.hall, "mean_work_ms": choice.mean_work_ms,
+                "candidates": choice.candidates, "model": tries.model,
+            }),
+        );
+        let sending = Sending {
+            model: tries.model,
+            resume_after: None,
+            wait_ms: wait_ms(job, tries, now_ms),
+        };
+        match attempt::send(gateway, job, &choice.upstream, sending, trace).await {
+            Sent::Answered(reply) => {
+                tries.sent += 1;
+                return Ok(reply);
+            }
+            Sent::NotRun { arrived } => {
+                tries.tried.push(choice.upstream.id.clone());
+                not_run(gateway, job, tries, arrived)?;
+            }
+            Sent::Lost => {
+                tries.tried.push(choice.upstream.id.clone());
+                lost(gateway, job, tries)?;
+            }
+        }
+    }
+}
+
+/// Takes in that an upstream did not run the job; an error where no other is to be tried.
+fn not_run(gateway: &Gateway, job: &Job, tries: &mut Tries, arrived: bool) -> Result<(), Reason> {
+    let goes_on = if arrived {
+        tries.sent += 1;
+        has_attempt(gateway, job, tries)
+    } else {
+        tries.unreached += 1;
+        tries.unreached < MAX_UNREACHED && (!job.is_keyed || gateway.keys_are_current())
+    };
+    if goes_on {
+        Ok(())
+    } else {
+        Err(gave_up(tries, Reason::NoUpstream, Reason::AnswerLost))
+    }
+}
+
+/// Takes in that an upstream may have run the job; an error where it may not run again.
+fn lost(gateway: &Gateway, job: &Job, tries: &mut Tries) -> Result<(), Reason> {
+    tries.sent += 1;
+    tries.may_have_run = true;
+    if may_repeat(gateway, job, tries) {
+        return Ok(());
+    }
+    if gateway.clock.now_ms() >= job.deadline_ms {
+        Err(Reason::Late)
+    } else {
+        Err(Reason::AnswerLost)
+    }
+}
+
+/// Chooses an upstream for a job: one that was not tried, or else any but the last that was.
+pub fn choose(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> Option<Choice> {
+    let ask = job.ask(model, &gateway.settings.hall);
+    let among = |tried: &[Name]| {
+        let scope = Scope {
+            pool: &job.pool,
+            side: job.side,
+            tried,
+        };
+        gateway.choose(&scope, &ask)
+    };
+    among(tried).or_else(|| among(tried.last().map_or(&[], std::slice::from_ref)))
+}
+
+/// The reason to give up with, by whether the request may have run.
+fn gave_up(tries: &Tries, not_run: Reason, may_have_run: Reason) -> Reason {
+    if tries.may_have_run {
+        may_have_run
+    } else {
+        not_run
+    }
+}
+
+/// Takes one of the job's attempts, and a repeat of the pool's budget, if there are both.
+fn has_attempt(gateway: &Gateway, job: &Job, tries: &Tries) -> bool {
+    tries.sent < job.route.max_attempts
+        && gateway.clock.now_ms() < job.deadline_ms
+        && gateway.take_repeat(&job.pool)
+}
+
+/// Whether a request that may have run may run again, and there is an attempt left for it.
+pub fn may_repeat(gateway: &Gateway, job: &Job, tries: &Tries) -> bool {
+    job.route.kind.is_repeatable() && has_attempt(gateway, job, tries)
+}
+
+/// How long the head of the answer is waited for: less than all the time only where a repeat is left.
+fn wait_ms(job: &Job, tries: &Tries, now_ms: u64) -> u64 {
+    let left_ms = job.deadline_ms.saturating_sub(now_ms);
+    let is_plain_safe = !job.route.kind.is_stream() && job.route.kind.is_repeatable();
+    if is_plain_safe && tries.sent + 1 < job.route.max_attempts {
+        left_ms.min(job.route.latency_aim_ms * SAFE_WAIT_AIMS)
+    } else {
+        left_ms
+    }
+}
