What a box knows of upstreams is a module of its own

Change: upstreams.rs keeps the fleet, the loads and the versions that serve, and chooses; state.rs holds the locks and hands on. Locks are taken in the same order. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod stream;
 mod sync;
 mod tries;
+mod upstreams;
 mod words;
 
 use std::io;
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -5,14 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
-use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
+use ivyweir_policy::gateway::fleet::{Fleet, FleetChange};
+use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
-use ivyweir_policy::gateway::rollout::{RolloutState, RolloutTrack, Side};
+use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::gateway::word::Word;
-use ivyweir_policy::rank::hash64;
 use serde_json::json;
 
 use crate::channel::Channels;
@@ -24,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::upstreams::{Choice, Scope, Target, Upstreams};
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
 const PROOF_MARGIN_MS: u64 = 300;
@@ -33,6 +33,7 @@
 const DENY_PROOF_AGE_MS: u64 = 3_000;
 /// Part of the time for a leaving upstream's last work that is left for the way there.
 const LEAVING_MARGIN_MS: u64 = 700;
+
 /// A box's state; every part has its own lock, and none is held across a wait.
 pub struct Gateway {
     /// The settings it started with.
@@ -63,43 +64,6 @@
     active: AtomicU64,
 }
 
-/// The upstreams and what this box knows of their load.
-#[derive(Debug, Default)]
-struct Upstreams {
-    fleet: Fleet,
-    loads: HashMap<Name, Known>,
-    /// The version of each pool that serves what no roll-out moves.
-    settled: HashMap<Name, Name>,
-}
-
-#[derive(Debug)]
-struct Known {
-    load: UpstreamLoad,
-    id_hash: u64,
-}
-
-/// An upstream that was chosen, and why.
-#[derive(Debug, Clone)]
-pub struct Choice {
-    /// The upstream.
-    pub upstream: Arc<UpstreamRecord>,
-    /// Mean work of the pool's upstreams.
-    pub mean_work_ms: f64,
-    /// Number of upstreams that were weighed.
-    pub candidates: usize,
-}
-
-/// Which upstreams of a pool may serve a request.
-#[derive(Debug, Clone, Copy)]
-pub struct Scope<'a> {
-    /// The pool.
-    pub pool: &'a Name,
-    /// The side of a roll-out that serves it; none where none is under way.
-    pub side: Option<Side>,
-    /// Upstreams that were tried.
-    pub tried: &'a [Name],
-}
-
 impl Gateway {
     /// A box that knows nothing yet.
     pub fn new(
@@ -168,10 +132,8 @@
                 site.into_iter().collect()
             }
             Topic::Upstreams => {
-                let upstreams = lock(&self.upstreams);
-                let ready = upstreams.fleet.members();
-                let ready = ready.filter(|m| m.standing == Standing::Ready);
-                ready.map(|m| Item::Upstream((*m.record).clone())).collect()
+                let ready = lock(&self.upstreams).ready();
+                ready.into_iter().map(Item::Upstream).collect()
             }
             Topic::Rollouts => self.with_rollouts(|rollouts, _| {
                 let orders = rollouts.values().map(|track| track.order().clone());
@@ -188,13 +150,8 @@
             let tallies = under_way.map(|(pool, track)| (pool.clone(), track.tally()));
             tallies.collect()
         });
-        let upstreams = lock(&self.upstreams);
-        let own = upstreams.loads.iter();
-        let own = own.map(|(id, known)| (id.clone(), known.load.own_work_ms()));
-        Word {
-            work: own.filter(|(_, work_ms)| *work_ms > 0.0).collect(),
-            tallies,
-        }
+        let work = lock(&self.upstreams).own_work();
+        Word { work, tallies }
     }
 
     /// Takes in what others told.
@@ -212,16 +169,7 @@
             return;
         }
         let now_ms = self.clock.now_ms();
-        let mut upstreams = lock(&self.upstreams);
-        let ids: Vec<Name> = upstreams
-            .fleet
-            .members()
-            .map(|m| m.record.id.clone())
-            .collect();
-        for id in ids {
-            let work_ms = word.work.get(&id).copied().unwrap_or(0.0);
-            upstreams.known(&id).load.others(work_ms, now_ms);
-        }
+        lock(&self.upstreams).take_others_work(&word.work, now_ms);
     }
 
     /// Age of the proof that the configuration is the newest.
@@ -297,7 +245,7 @@
     ) {
         let now_ms = self.clock.now_ms();
         let mut upstreams = lock(&self.upstreams);
-        let changes = change(&mut upstreams.fleet, now_ms);
+        let changes = change(upstreams.fleet(), now_ms);
         drop(upstreams);
         for (id, change) in changes {
             if change != FleetChange::Nothing {
@@ -315,13 +263,7 @@
             .bounds
             .leaving_ms
             .saturating_sub(LEAVING_MARGIN_MS);
-        let mut upstreams = lock(&self.upstreams);
-        let forgotten = upstreams.fleet.forget_lapsed(grace_ms, now_ms);
-        let Upstreams { fleet, loads, .. } = &mut *upstreams;
-        let known: std::collections::HashSet<Name> =
-            fleet.members().map(|m| m.record.id.clone()).collect();
-        loads.retain(|id, known_load| known.contains(id) || known_load.load.in_flight() > 0);
-        drop(upstreams);
+        let (forgotten, known) = lock(&self.upstreams).sweep(grace_ms, now_ms);
         self.channels.sweep(|id| known.contains(id), now_ms);
         for id in forgotten {
             self.log.line("upstream_forgotten", json!({"upstream": id}));
@@ -332,28 +274,15 @@
     pub fn choose(&self, scope: &Scope, ask: &Ask) -> Option<Choice> {
         let now_ms = self.clock.now_ms();
         let mut upstreams = lock(&self.upstreams);
-        let usable = upstreams.usable(scope, self.rollout_target(scope.pool).as_ref());
-        let records: Vec<Arc<UpstreamRecord>> = usable
-            .into_iter()
-            .filter(|record| !scope.tried.contains(&record.id))
-            .collect();
-        let candidates: Vec<Candidate> = records
-            .iter()
-            .map(|record| upstreams.candidate(record))
-            .collect();
-        let chosen = place::choose(&candidates, ask, now_ms)?;
-        Some(Choice {
-            upstream: records[chosen].clone(),
-            mean_work_ms: place::mean_work_ms(&candidates, now_ms),
-            candidates: candidates.len(),
-        })
+        let target = self.rollout_target(scope.pool);
+        upstreams.choose(scope, ask, target.as_ref(), now_ms)
     }
 
     /// Changes what is known of an upstream's load.
     pub fn with_load(&self, id: &Name, change: impl FnOnce(&mut UpstreamLoad, u64)) {
         let now_ms = self.clock.now_ms();
         let mut upstreams = lock(&self.upstreams);
-        change(&mut upstreams.known(id).load, now_ms);
+        change(upstreams.load(id), now_ms);
     }
 
     /// Takes in a load told with an answer.
@@ -402,9 +331,7 @@
 
     /// Takes in a pool's version that serves what no roll-out moves.
     pub fn settle(&self, pool: &Name, version: &Name) {
-        lock(&self.upstreams)
-            .settled
-            .insert(pool.clone(), version.clone());
+        lock(&self.upstreams).settle(pool, version);
     }
 
     fn rollout_target(&self, pool: &Name) -> Option<Target> {
@@ -417,77 +344,6 @@
     }
 }
 
-/// A roll-out's version and how far it is.
-struct Target {
-    version: Name,
-    state: RolloutState,
-}
-
-impl Upstreams {
-    fn usable(&mut self, scope: &Scope, target: Option<&Target>) -> Vec<Arc<UpstreamRecord>> {
-        let settled = self.settled_version(scope.pool, target);
-        let of_version = |version: &Name| self.fleet.usable(scope.pool, |v| v == &**version);
-        let is_target = |v: &str| target.is_some_and(|t| v == &*t.version);
-        if scope.side == Some(Side::New)
-            && let Some(target) = target
-        {
-            let new = of_version(&target.version);
-            if !new.is_empty() {
-                return new;
-            }
-        }
-        if let Some(settled) = settled {
-            let old = of_version(&settled);
-            if !old.is_empty() {
-                return old;
-            }
-        }
-        let completed = target.is_some_and(|t| t.state == RolloutState::Completed);
-        self.fleet
-            .usable(scope.pool, |v| completed || !is_target(v))
-    }
-
-    /// The version that serves what no roll-out moves: the first one seen, until a roll-out completes.
-    fn settled_version(&mut self, pool: &Name, target: Option<&Target>) -> Option<Name> {
-        if let Some(target) = target
-            && target.state == RolloutState::Completed
-        {
-            return Some(target.version.clone());
-        }
-        if let Some(settled) = self.settled.get(pool)
-            && target.is_none_or(|t| t.version != *settled)
-        {
-            return Some(settled.clone());
-        }
-        let mut counts: HashMap<Name, usize> = HashMap::new();
-        for member in self.fleet.members().filter(|m| m.record.pool == *pool) {
-            let version = &member.record.version;
-            if target.is_none_or(|t| t.version != *version) {
-                *counts.entry(version.clone()).or_default() += 1;
-            }
-        }
-        let (version, _) = counts.into_iter().max_by_key(|(_, count)| *count)?;
-        self.settled.insert(pool.clone(), version.clone());
-        Some(version)
-    }
-
-    fn known(&mut self, id: &Name) -> &mut Known {
-        self.loads.entry(id.clone()).or_insert_with(|| Known {
-            load: UpstreamLoad::default(),
-            id_hash: hash64(&[id.as_bytes()]),
-        })
-    }
-
-    fn candidate<'a>(&mut self, record: &'a UpstreamRecord) -> Candidate<'a> {
-        let known = self.known(&record.id);
-        Candidate {
-            record,
-            id_hash: known.id_hash,
-            load: known.load.clone(),
-        }
-    }
-}
-
 /// Counts a request while it lives.
 pub struct Active(Arc<Gateway>);
 
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -9,7 +9,8 @@
 use crate::job::Job;
 use crate::log::Trace;
 use crate::refusal::Reason;
-use crate::state::{Choice, Gateway, Scope};
+use crate::state::Gateway;
+use crate::upstreams::{Choice, Scope};
 
 /// Upstreams that could not be reached, after which a request is refused.
 const MAX_UNREACHED: u32 = 4;
