Leftovers of the gateway are gone; a send is cut into steps

Cause: Fleet::ready_count was never called, a trait served one call, Lease::broke repeated outcome, two readers of log lines differed in a field's name, and attempt::send was long. Change: these are removed or made one; opening a connection is a function of its own. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::Response;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::work::Estimate;
@@ -39,7 +39,7 @@
         }
     }
 
-    /// The upstream has read the request: its answer has begun.
+    /// Takes in that the upstream has read the request: its answer has begun.
     fn read(&mut self) {
         self.is_read = true;
         let done_ms = self.estimate.read_ms;
@@ -73,9 +73,7 @@
 
     /// Takes in that the connection broke.
     pub fn broke(&self) {
-        let id = &self.upstream.id;
-        self.gateway
-            .with_load(id, |load, now_ms| load.outcome(true, now_ms));
+        self.outcome(true);
     }
 }
 
@@ -141,15 +139,9 @@
         let is_kept = kept.is_some();
         let mut channel = match kept.take() {
             Some(channel) => channel,
-            None => match Channel::open(upstream.addr).await {
-                Ok(channel) => channel,
-                Err(e) => {
-                    let detail = json!({"upstream": upstream.id, "error": e.to_string()});
-                    trace.fail("connect_failed", detail);
-                    gateway.with_load(&upstream.id, |load, now_ms| load.connection_failed(now_ms));
-                    count(gateway, job, "connect_failed");
-                    return Sent::NotRun { arrived: false };
-                }
+            None => match connect(gateway, job, upstream, trace).await {
+                Some(channel) => channel,
+                None => return Sent::NotRun { arrived: false },
             },
         };
         if job.is_keyed && !gateway.keys_are_current() {
@@ -161,12 +153,8 @@
         }
         let request = job.request(&*gateway.dialect, &forward(gateway, job, upstream, sending));
         let sent_at_ms = gateway.clock.now_ms();
-        let waited = timeout(
-            Duration::from_millis(sending.wait_ms),
-            channel.send(request),
-        )
-        .await;
-        match waited {
+        let limit = Duration::from_millis(sending.wait_ms);
+        match timeout(limit, channel.send(request)).await {
             Ok(Ok(response)) => {
                 lease.channel = Some(channel);
                 let head_after_ms = gateway.clock.now_ms() - sent_at_ms;
@@ -197,6 +185,26 @@
     }
 }
 
+/// Opens a connection, or takes in that there is none.
+async fn connect(
+    gateway: &Gateway,
+    job: &Job,
+    upstream: &UpstreamRecord,
+    trace: &mut Trace,
+) -> Option<Channel> {
+    match Channel::open(upstream.addr).await {
+        Ok(channel) => Some(channel),
+        Err(e) => {
+            let detail = json!({"upstream": upstream.id, "error": e.to_string()});
+            trace.fail("connect_failed", detail);
+            gateway.with_load(&upstream.id, |load, now_ms| load.connection_failed(now_ms));
+            count(gateway, job, "connect_failed");
+            None
+        }
+    }
+}
+
+/// Takes in the head of an answer; tells whether the answer is to be used.
 fn answered(
     gateway: &Arc<Gateway>,
     job: &Job,
@@ -223,7 +231,7 @@
     if marks.not_run {
         trace.fail("upstream_refused", detail);
         lease.outcome(true);
-        if response.body().size_hint_is_empty() {
+        if response.body().is_end_stream() {
             lease.keep_channel(keep_ms);
         }
         count(gateway, job, "refused");
@@ -251,6 +259,7 @@
     marks.request_id == job.envelope.request_id && (marks.is_signed || !is_success)
 }
 
+/// What the system says to this upstream.
 fn forward<'a>(
     gateway: &Gateway,
     job: &'a Job,
@@ -278,13 +287,3 @@
     let sends = &gateway.metrics.sends;
     sends.with_label_values(&[&*job.pool, outcome]).inc();
 }
-
-trait SizeHintExt {
-    fn size_hint_is_empty(&self) -> bool;
-}
-
-impl SizeHintExt for Incoming {
-    fn size_hint_is_empty(&self) -> bool {
-        hyper::body::Body::is_end_stream(self)
-    }
-}
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -191,10 +191,4 @@
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
     }
-
-    /// Number of ready members.
-    pub fn ready_count(&self) -> usize {
-        let ready = |m: &&Member| m.standing == Standing::Ready;
-        self.members.values().filter(ready).count()
-    }
 }
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -89,24 +89,19 @@
 
     /// The log lines of an event.
     pub fn lines_of(&self, event: &str) -> Vec<Value> {
-        let log = self.log();
-        let lines = log
-            .lines()
-            .filter_map(|line| serde_json::from_str(line).ok());
-        lines
-            .filter(|line: &Value| line["event"] == event)
-            .collect()
+        self.lines_where("event", event)
     }
 
     /// The log lines of a request.
     pub fn lines_about(&self, request_id: &str) -> Vec<Value> {
+        self.lines_where("request_id", request_id)
+    }
+
+    fn lines_where(&self, field: &str, value: &str) -> Vec<Value> {
         let log = self.log();
-        let lines = log
-            .lines()
-            .filter_map(|line| serde_json::from_str(line).ok());
-        lines
-            .filter(|line: &Value| line["request_id"] == request_id)
-            .collect()
+        let lines = log.lines().map(serde_json::from_str);
+        let lines = lines.filter_map(|line| line.ok());
+        lines.filter(|line: &Value| line[field] == value).collect()
     }
 
     /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
