Comments fit the line; a box's start is cut into steps

Cause: many comments ran over 100 characters, which rustfmt leaves alone; serve() in lib.rs did all in one; the topics that a box follows stood in two places, once as a bare 3. Change: comments are wrapped, log_start and spawn_tasks are functions, sync::TOPICS is the one list. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -169,7 +169,9 @@
             }
             Ok(Err(SendError::Lost(e))) => {
                 lease.broke();
-                let detail = json!({"upstream": upstream.id, "error": e.to_string(), "kept_connection": is_kept});
+                let detail = json!({
+                    "upstream": upstream.id, "error": e.to_string(), "kept_connection": is_kept,
+                });
                 trace.fail("answer_lost", detail);
                 count(gateway, job, "lost");
                 return Sent::Lost;
@@ -221,7 +223,10 @@
     if let Some(load) = marks.load {
         gateway.report_load(upstream, load);
     }
-    let detail = json!({"upstream": upstream, "status": status, "load": marks.load.map(|l| [l.running, l.waiting])});
+    let detail = json!({
+        "upstream": upstream, "status": status,
+        "load": marks.load.map(|l| [l.running, l.waiting]),
+    });
     if marks.is_other_incarnation {
         trace.fail("other_incarnation", detail);
         gateway.upstream_left(upstream);
--- a/crates/ivyweir-gateway/src/channel.rs
+++ b/crates/ivyweir-gateway/src/channel.rs
@@ -17,12 +17,13 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time for a connection to come up; a lost opening packet is sent again after a second, so a new try is
-/// sooner.
+/// Time for a connection to come up; a lost opening packet is sent again after a second, so a new
+/// try is sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which unacknowledged bytes end a connection.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Silence after which the other end is asked whether it lives, and the pause between such questions.
+/// Silence after which the other end is asked whether it lives, and the pause between such
+/// questions.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Time for which a connection is kept where the upstream names none.
--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -92,8 +92,8 @@
     ///
     /// # Errors
     ///
-    /// When there is no whole answer within `limit`. The connection is then given up: after a lost answer
-    /// it may say nothing further.
+    /// When there is no whole answer within `limit`. The connection is then given up: after a lost
+    /// answer it may say nothing further.
     pub async fn call(
         &mut self,
         request: Request<Bytes>,
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -1,7 +1,7 @@
 //! What a dialect translates: headers of requests and answers, and the store's messages.
 //!
-//! The gateway decides with the types below. A dialect reads them from, and writes them to, the names
-//! that callers, upstreams and the store use. It holds no state and decides nothing.
+//! The gateway decides with the types below. A dialect reads them from, and writes them to, the
+//! names that callers, upstreams and the store use. It holds no state and decides nothing.
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -16,7 +16,8 @@
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
-/// Boxes act one after the other within this time, so that the first one's write spares the others'.
+/// Boxes act one after the other within this time, so that the first one's write spares the
+/// others'.
 const SPREAD_MS: u64 = 500;
 /// Pause after a write that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -108,7 +108,8 @@
         }
     }
 
-    /// Takes in whether the store answers this box in time; boxes that follow here must not be held up.
+    /// Takes in whether the store answers this box in time; boxes that follow here must not be held
+    /// up.
     pub fn set_store_answers(&self, answers: bool) {
         if self.store_answers.swap(answers, Ordering::Relaxed) != answers {
             self.tell();
@@ -134,8 +135,8 @@
         self.upstreams_heard.send_modify(|count| *count += 1);
     }
 
-    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return. Returns
-    /// whether one was.
+    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return.
+    /// Returns whether one was.
     pub async fn until_upstreams_heard(&self, limit: Duration) -> bool {
         let mut heard = self.upstreams_heard.subscribe();
         self.set_store_answers(true);
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -110,7 +110,7 @@
     }
 }
 
-/// The head as it is passed on: origin form, without what concerns one connection or is the system's.
+/// The head as it is passed on: origin form, without what is the connection's or the system's.
 pub fn passed_on(mut head: Parts, dialect: &dyn Dialect) -> Parts {
     if let Some(path) = head.uri.path_and_query() {
         head.uri = Uri::from(path.clone());
--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -9,7 +9,7 @@
 use crate::job::Job;
 use crate::state::Gateway;
 
-/// Takes in what the head of an answer says about its upstream and version; a stream is judged later.
+/// Takes in what the head of an answer says of its upstream and version; a stream is judged later.
 pub fn judge_head(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
     let failed = reply.response.status().is_server_error();
     reply.lease.outcome(failed);
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -1,9 +1,9 @@
 //! The request path of ivyweir for opaque requests and streams of events.
 //!
-//! A gateway takes requests from callers, finds their route in the configuration, and sends them to an
-//! upstream of the route's pool. It passes bodies on unaltered and streams event by event. What callers,
-//! upstreams and the store call things is the business of a [`Dialect`] and a [`StoreCodec`]; decisions
-//! are in `ivyweir_policy::gateway`.
+//! A gateway takes requests from callers, finds their route in the configuration, and sends them to
+//! an upstream of the route's pool. It passes bodies on unaltered and streams event by event. What
+//! callers, upstreams and the store call things is the business of a [`Dialect`] and a
+//! [`StoreCodec`]; decisions are in `ivyweir_policy::gateway`.
 //!
 //! ```no_run
 //! use std::path::Path;
@@ -58,10 +58,10 @@
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use clock::Clock;
-use dialect::Topic;
 use log::Log;
 use state::Gateway;
 
@@ -125,37 +125,13 @@
     }
 }
 
+/// Serves until a signal says to stop, and then until the last request has ended.
 async fn serve(gateway: Arc<Gateway>, listeners: Listeners) -> io::Result<()> {
-    let settings = &gateway.settings;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    gateway.log.line(
-        "started",
-        json!({
-            "box": settings.box_name, "hall": settings.hall, "version": env!("CARGO_PKG_VERSION"),
-            "caller_addr": settings.caller_addr, "ready_addr": settings.ready_addr,
-            "metrics_addr": settings.metrics_addr, "peer_addr": settings.peer_addr,
-            "store_addr": settings.store_addr,
-        }),
-    );
-    let Listeners {
-        callers,
-        balancer,
-        metrics,
-        peers,
-    } = listeners;
-    for topic in [Topic::Site, Topic::Upstreams, Topic::Rollouts] {
-        tokio::spawn(sync::follow(gateway.clone(), topic));
-    }
-    tokio::spawn(drive::run(gateway.clone()));
-    tokio::spawn(listing::keep_listed(gateway.clone()));
-    tokio::spawn(words::exchange(gateway.clone()));
-    tokio::spawn(server::serve_peers(gateway.clone(), peers));
-    tokio::spawn(sweep(gateway.clone()));
-    tokio::spawn(server::serve_plain(balancer, answer_balancer(&gateway)));
-    tokio::spawn(server::serve_plain(metrics, answer_metrics(&gateway)));
+    log_start(&gateway);
     let (stop, stopped) = watch::channel(false);
-    let server = tokio::spawn(server::serve_callers(gateway.clone(), callers, stopped));
+    let server = spawn_tasks(&gateway, listeners, stopped);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -164,12 +140,43 @@
     }
     drain(&gateway, &stop).await;
     server.abort();
-    gateway
-        .log
-        .line("stopped", json!({"requests_left": gateway.active()}));
+    let detail = json!({"requests_left": gateway.active()});
+    gateway.log.line("stopped", detail);
     Ok(())
 }
 
+fn log_start(gateway: &Gateway) {
+    let settings = &gateway.settings;
+    let detail = json!({
+        "box": settings.box_name, "hall": settings.hall, "version": env!("CARGO_PKG_VERSION"),
+        "caller_addr": settings.caller_addr, "ready_addr": settings.ready_addr,
+        "metrics_addr": settings.metrics_addr, "peer_addr": settings.peer_addr,
+        "store_addr": settings.store_addr,
+    });
+    gateway.log.line("started", detail);
+}
+
+/// Starts all that a box does; returns the task that serves callers.
+fn spawn_tasks(
+    gateway: &Arc<Gateway>,
+    listeners: Listeners,
+    stopped: watch::Receiver<bool>,
+) -> JoinHandle<()> {
+    for topic in sync::TOPICS {
+        tokio::spawn(sync::follow(gateway.clone(), topic));
+    }
+    tokio::spawn(drive::run(gateway.clone()));
+    tokio::spawn(listing::keep_listed(gateway.clone()));
+    tokio::spawn(words::exchange(gateway.clone()));
+    tokio::spawn(server::serve_peers(gateway.clone(), listeners.peers));
+    tokio::spawn(sweep(gateway.clone()));
+    let (balancer, metrics) = (listeners.balancer, listeners.metrics);
+    tokio::spawn(server::serve_plain(balancer, answer_balancer(gateway)));
+    tokio::spawn(server::serve_plain(metrics, answer_metrics(gateway)));
+    let callers = server::serve_callers(gateway.clone(), listeners.callers, stopped);
+    tokio::spawn(callers)
+}
+
 /// Waits until the balancer has noticed and the last request has ended, within the grace.
 async fn drain(gateway: &Arc<Gateway>, stop: &watch::Sender<bool>) {
     gateway.stop();
@@ -192,6 +199,7 @@
     sleep(POLL).await;
 }
 
+/// Sweeps now and then, and tells when readiness changes.
 async fn sweep(gateway: Arc<Gateway>) {
     let mut was_ready = false;
     loop {
--- a/crates/ivyweir-gateway/src/listing.rs
+++ b/crates/ivyweir-gateway/src/listing.rs
@@ -11,7 +11,8 @@
 use crate::dialect::{BoxRecord, Item, Topic};
 use crate::state::Gateway;
 
-/// Pauses before the boxes are listed again: soon after the start, when all others start too, then seldom.
+/// Pauses before the boxes are listed again: soon after the start, when all others start too, then
+/// seldom.
 const LIST_PAUSES_S: [u64; 3] = [1, 3, 8];
 const LIST_PAUSE_S: u64 = 15;
 
--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -1,8 +1,9 @@
 //! The decision log: JSON lines on standard output, bounded and never waited for.
 //!
-//! Lines go through a bounded queue to one writer thread. What does not fit is dropped, counted, and told
-//! in the log itself. The lines of a request are gathered and written when it ends: always for a request
-//! that failed, and for others up to a number a second. So a request has either all its lines or none.
+//! Lines go through a bounded queue to one writer thread. What does not fit is dropped, counted,
+//! and told in the log itself. The lines of a request are gathered and written when it ends: always
+//! for a request that failed, and for others up to a number a second. So a request has either all
+//! its lines or none.
 
 use std::io::Write;
 use std::sync::Arc;
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -1,4 +1,4 @@
-//! The gateway's own interface: header names and store messages where no other dialect is asked for.
+//! The gateway's own interface: header names and store messages, where no other is asked for.
 
 use bytes::Bytes;
 use hyper::header::{self, HeaderName};
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -2,8 +2,8 @@
 //!
 //! One box of each hall, its relay, watches the store; the others of the hall ask the relay. So the
 //! calls to the store grow with halls, not with boxes. Every box tells its relay its work under way
-//! and its counts of a roll-out's answers, and hears the fleet's; relays tell each other the sums of
-//! their halls. A box whose relay fails asks the store itself.
+//! and its counts of a roll-out's answers, and hears the fleet's; relays tell each other the sums
+//! of their halls. A box whose relay fails asks the store itself.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -144,7 +144,7 @@
 ///
 /// # Errors
 ///
-/// When the address is taken or not this machine's.
+/// When the address is taken or not this host's.
 pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -110,7 +110,8 @@
 
 /// Part of the ratio that a box uses, since boxes count windows that do not coincide.
 const REPEAT_RATIO_USED: f64 = 0.85;
-/// Part of the fleet's slack that one box uses, so that any number of boxes up to twenty stays within it.
+/// Part of the fleet's slack that one box uses, so that any number of boxes up to twenty stays
+/// within it.
 const REPEAT_SLACK_USED: f64 = 0.05;
 
 impl Bounds {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::sync;
 use crate::upstreams::{Choice, Scope, Target, Upstreams};
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
@@ -202,8 +203,7 @@
 
     /// Whether this box knows enough to serve.
     pub fn is_synced(&self) -> bool {
-        const TOPICS: usize = 3;
-        lock(&self.synced).len() == TOPICS && lock(&self.site).is_some()
+        lock(&self.synced).len() == sync::TOPICS.len() && lock(&self.site).is_some()
     }
 
     /// Whether the balancer should send new connections.
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -1,4 +1,4 @@
-//! Keeps a topic in step with the store: lists it once, then watches it, or asks the hall's relay to.
+//! Keeps a topic in step with the store: lists it, then watches it or asks the hall's relay.
 
 mod relay;
 mod watch;
@@ -16,8 +16,8 @@
 
 /// How often upstreams are waited for after a loss before the proof is renewed without them.
 const MAX_VAIN_WAITS: u32 = 4;
-/// Pauses after a failed call: the first, and the longest, of a relay and of other boxes. A box that
-/// asks for itself alone can wait longer, as each call is paid for.
+/// Pauses after a failed call: the first, and the longest, of a relay and of other boxes. A box
+/// that asks for itself alone can wait longer, as each call is paid for.
 const PAUSE_FIRST_MS: u64 = 100;
 const PAUSE_RELAY_MS: u64 = 600;
 const PAUSE_MAX_MS: u64 = 1_500;
@@ -26,6 +26,9 @@
 /// How long quiet topics are waited for; dead connections are noticed sooner by the kernel.
 const QUIET_WAIT_MS: u64 = 15_000;
 
+/// What every box follows; it serves once it has read all of it.
+pub const TOPICS: [Topic; 3] = [Topic::Site, Topic::Upstreams, Topic::Rollouts];
+
 /// Follows one topic for the life of the process.
 pub async fn follow(gateway: Arc<Gateway>, topic: Topic) {
     let mut follower = Follower::new(gateway, topic);
@@ -102,8 +105,8 @@
 
     /// Follows the adoption of an answer; returns whether it may renew the proof.
     ///
-    /// After a loss it may only once the upstreams were heard of too: those that left meanwhile must
-    /// get no work from a box that is current otherwise.
+    /// After a loss it may only once the upstreams were heard of too: those that left meanwhile
+    /// must get no work from a box that is current otherwise.
     async fn confirmed(&mut self) -> bool {
         let histories = &self.gateway.histories;
         if self.topic != Topic::Site {
@@ -117,7 +120,7 @@
         }
         let heard = histories.until_upstreams_heard(ANSWER_LIMIT).await;
         self.vain_waits = if heard { 0 } else { self.vain_waits + 1 };
-        // A store that answers about one thing for so long and not about the other is left to itself.
+        // A store that goes on answering about one thing and not the other is left to itself.
         self.is_unconfirmed = !heard && self.vain_waits < MAX_VAIN_WAITS;
         !self.is_unconfirmed
     }
@@ -146,8 +149,8 @@
         calls.with_label_values(&[self.topic.name(), outcome]).inc();
     }
 
-    /// Waits after a failure. Only the configuration's follower tries the store again and again; the
-    /// others wait for news, which its success is.
+    /// Waits after a failure. Only the configuration's follower tries the store again and again;
+    /// the others wait for news, which its success is.
     async fn pause(&self) {
         let histories = &self.gateway.histories;
         if self.topic != Topic::Site {
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -30,8 +30,8 @@
 /// Pause between a watch that saw changes and the next, so that changes in a row cost one call. The
 /// bounds on a configuration and on a leaving upstream are two seconds or more.
 const GATHER_MS: u64 = 300;
-/// How long a watch of upstreams waits. A call that a silent store took is never answered, and until
-/// it is given up a box does not hear who leaves.
+/// How long a watch of upstreams waits. A call that a silent store took is never answered, and
+/// until it is given up a box does not hear who leaves.
 const UPSTREAMS_WAIT_MS: u64 = 4_000;
 /// How long the first watches after a failure wait.
 const AFTER_FAILURE_WAIT_MS: u64 = 50;
@@ -202,8 +202,8 @@
 
 /// Until when an answer to a watch shows that nothing newer was acknowledged.
 ///
-/// One that came empty after its whole wait was made at the end of the wait; any other one shows only
-/// what held when it was asked for.
+/// One that came empty after its whole wait was made at the end of the wait; any other one shows
+/// only what held when it was asked for.
 fn proven_at(asked_at_ms: u64, answered_at_ms: u64, wait_ms: u64, quiet: bool) -> u64 {
     let waited = answered_at_ms.saturating_sub(asked_at_ms) >= wait_ms;
     if quiet && waited {
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -142,7 +142,7 @@
     job.route.kind.is_repeatable() && has_attempt(gateway, job, tries)
 }
 
-/// How long the head of the answer is waited for: less than all the time only where a repeat is left.
+/// How long the head of the answer is waited for: all the time, unless a repeat is left.
 fn wait_ms(job: &Job, tries: &Tries, now_ms: u64) -> u64 {
     let left_ms = job.deadline_ms.saturating_sub(now_ms);
     let is_plain_safe = !job.route.kind.is_stream() && job.route.kind.is_repeatable();
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-gateway/src/upstreams.rs
@@ -153,7 +153,7 @@
             .usable(scope.pool, |v| completed || !is_target(v))
     }
 
-    /// The version that serves what no roll-out moves: the first one seen, until a roll-out completes.
+    /// The version that serves what no roll-out moves: the first seen, until a roll-out completes.
     fn settled_version(&mut self, pool: &Name, target: Option<&Target>) -> Option<Name> {
         if let Some(target) = target
             && target.state == RolloutState::Completed
--- a/crates/ivyweir-policy/src/gateway/cascade.rs
+++ b/crates/ivyweir-policy/src/gateway/cascade.rs
@@ -1,7 +1,7 @@
 //! Which size of model is asked first, and when a larger one is asked again.
 
-/// Confidence under which the largest model is asked again while there is room. Measured on quiet days
-/// of both sites: 50 beat 30 and 70.
+/// Confidence under which the largest model is asked again while there is room. Measured on quiet
+/// days of both sites: 50 beat 30 and 70.
 pub const CONFIDENCE_FLOOR: u8 = 50;
 
 /// What a choice between models depends on.
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -150,7 +150,10 @@
 
     /// Forgets upstreams that lapsed `grace_ms` ago or earlier; returns their ids.
     pub fn forget_lapsed(&mut self, grace_ms: u64, now_ms: u64) -> Vec<Name> {
-        let gone = |m: &Member| matches!(m.standing, Standing::Lapsed { since_ms } if now_ms >= since_ms + grace_ms);
+        let gone = |member: &Member| match member.standing {
+            Standing::Lapsed { since_ms } => now_ms >= since_ms + grace_ms,
+            Standing::Ready => false,
+        };
         let ids: Vec<Name> = self
             .members
             .iter()
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -1,9 +1,10 @@
 //! Which upstream of a pool takes a request.
 //!
-//! Upstreams are compared by the work that is under way there. A request with a shared prompt part is drawn
-//! to the upstream that read the part before, found by rendezvous hashing: all boxes agree on it without a
-//! message. The draw is worth what reading again would cost, so a busy upstream is passed over. Besides,
-//! only a few upstreams drawn at random are weighed, so that boxes do not all send to the same idle one.
+//! Upstreams are compared by the work that is under way there. A request with a shared prompt part
+//! is drawn to the upstream that read the part before, found by rendezvous hashing: all boxes agree
+//! on it without a message. The draw is worth what reading again would cost, so a busy upstream is
+//! passed over. Besides, only a few upstreams drawn at random are weighed, so that boxes do not all
+//! send to the same idle one.
 
 use crate::gateway::fleet::UpstreamRecord;
 use crate::gateway::work::Estimate;
--- a/crates/ivyweir-policy/src/gateway/proof.rs
+++ b/crates/ivyweir-policy/src/gateway/proof.rs
@@ -1,8 +1,9 @@
 //! How long ago the configuration in force was last shown to be the newest.
 //!
 //! A key that was withdrawn must not be honoured for long, also by a box that no longer reaches the
-//! store. So a keyed request is sent on only while the last proof is younger than the bound. The proof
-//! dates from when the question was *asked*: what the answer shows held at some time after that.
+//! store. So a keyed request is sent on only while the last proof is younger than the bound. The
+//! proof dates from when the question was *asked*: what the answer shows held at some time after
+//! that.
 
 /// Keeps the time of the newest proof, in milliseconds of a steady clock.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/ivyweir-policy/src/gateway/repeat.rs
+++ b/crates/ivyweir-policy/src/gateway/repeat.rs
@@ -1,7 +1,7 @@
 //! Repeats held to a share of the requests of the last seconds.
 //!
-//! The fleet's bound is on a sum over all boxes. A box that keeps its own repeats under the ratio of its
-//! own requests keeps the sum under it, with no message between boxes.
+//! The fleet's bound is on a sum over all boxes. A box that keeps its own repeats under the ratio
+//! of its own requests keeps the sum under it, with no message between boxes.
 
 use std::collections::VecDeque;
 
--- a/crates/ivyweir-policy/src/gateway/work.rs
+++ b/crates/ivyweir-policy/src/gateway/work.rs
@@ -1,12 +1,14 @@
 //! How much of an upstream's time a request takes, estimated before it runs.
 //!
-//! Model engines read prompts one after the other, and every stream beside a long prompt waits for it. So
-//! engines are compared by the time that their requests still need, not by how many there are.
+//! Model engines read prompts one after the other, and every stream beside a long prompt waits for
+//! it. So engines are compared by the time that their requests still need, not by how many there
+//! are.
 
-/// Time of the largest model for a token, relative to the smallest; sizes between lie on a geometric
-/// scale. The sites' engines take 0.3, 0.8 and 3.0.
+/// Time of the largest model for a token, relative to the smallest; sizes between lie on a
+/// geometric scale. The sites' engines take 0.3, 0.8 and 3.0.
 const LARGEST_TO_SMALLEST: f64 = 10.0;
-/// Prompt tokens that the smallest model reads in a millisecond; both sites' engines read 200 to 230.
+/// Prompt tokens that the smallest model reads in a millisecond; both sites' engines read 200 to
+/// 230.
 const PROMPT_TOKENS_PER_MS: f64 = 200.0;
 /// Time that a generated token of the smallest model takes, beside some others in the same batch.
 const TOKEN_MS: f64 = 0.13;
@@ -41,8 +43,8 @@
 const LAST_RANK: u8 = 9;
 
 impl Estimate {
-    /// Rank at the engine, 0 first: a request whose reading takes twice as long stands one behind. So a long
-    /// prompt holds up few others, and a short one is held up by few.
+    /// Rank at the engine, 0 first: a request whose reading takes twice as long stands one behind.
+    /// So a long prompt holds up few others, and a short one is held up by few.
     pub fn rank(&self) -> u8 {
         let doublings = self.read_ms.max(1.0).log2();
         (doublings as u8).min(LAST_RANK)
--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -1,4 +1,5 @@
-//! Stand-ins around the request gateway: a store of records, scripted upstreams, and boxes as processes.
+//! Stand-ins around the request gateway: a store of records, scripted upstreams, and boxes as
+//! processes.
 //!
 //! They speak the gateway's own interface.
 
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -1,4 +1,5 @@
-//! The ivyweir daemon: `ivyweird --settings FILE`, or `ivyweird --gateway FILE` on the users' platform.
+//! The ivyweir daemon: `ivyweird --settings FILE`, or `ivyweird --gateway FILE` on the users'
+//! platform.
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -1,4 +1,5 @@
-//! The gateway's request path, with real boxes: what is passed on, what is repeated, what is refused.
+//! The gateway's request path, with real boxes: what is passed on, what is repeated, what is
+//! refused.
 
 use std::path::Path;
 use std::thread;
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -1,7 +1,9 @@
-//! A random soak of the gateway: real boxes, a store and upstreams behind proxies that fail, signals.
+//! A random soak of the gateway: real boxes, a store and upstreams behind proxies that fail,
+//! signals.
 //!
-//! `IVYWEIR_SOAK_SEED` chooses the faults and `IVYWEIR_SOAK_STEPS` how many; callers' timing is not replayed.
-//! What callers got is held against what upstreams ran. Seeds that ever failed stand in [`KEPT_SEEDS`].
+//! `IVYWEIR_SOAK_SEED` chooses the faults and `IVYWEIR_SOAK_STEPS` how many; callers' timing is not
+//! replayed. What callers got is held against what upstreams ran. Seeds that ever failed stand in
+//! [`KEPT_SEEDS`].
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -33,8 +35,9 @@
 /// Pause of a caller that was not served, so that refusals do not crowd out the rest.
 const FAILED_PAUSE: Duration = Duration::from_millis(20);
 const BOXES: usize = 3;
-/// Bound on withdrawn keys, and on the last work of an upstream that left, as in the boxes' settings; the
-/// second is longer here, since a box that is cut off from the store notices only by the age of its proof.
+/// Bound on withdrawn keys, and on the last work of an upstream that left, as in the boxes'
+/// settings; the second is longer here, since a box that is cut off from the store notices only by
+/// the age of its proof.
 const REVOKE: Duration = Duration::from_millis(5_000);
 const LEFT: Duration = Duration::from_millis(7_500);
 
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -1,4 +1,5 @@
-//! The gateway and its store: configurations, keys, upstreams that leave, outages, relays, roll-outs.
+//! The gateway and its store: configurations, keys, upstreams that leave, outages, relays,
+//! roll-outs.
 
 use std::path::Path;
 
