Resuming a stream and writing a roll-out's state are cut into steps

Cause: both were long, and the rule for a further attempt stood in tries.rs and in stream.rs. Change: tries::has_attempt is the one rule; stream.rs has send_to and go_on_at, drive.rs take_answer. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::adopt::adopt_rollout;
-use crate::client::{ANSWER_LIMIT, Client};
+use crate::client::{ANSWER_LIMIT, Answer, Client};
 use crate::judge::counts_of;
 use crate::state::Gateway;
 
@@ -62,6 +62,7 @@
     })
 }
 
+/// Writes a roll-out's state to the store, and what came of it to the log.
 async fn write(
     gateway: &Arc<Gateway>,
     client: &mut Client,
@@ -69,37 +70,37 @@
     duty: RolloutDuty,
 ) {
     let request = gateway.codec.write_rollout(&order);
-    let answer = client.call(request, ANSWER_LIMIT).await;
-    let outcome = match answer {
-        Ok(answer) if answer.status == StatusCode::OK || answer.status == StatusCode::CONFLICT => {
-            match gateway.codec.rollout(&answer.body) {
-                Ok(now) => {
-                    adopt_rollout(gateway, now);
-                    if answer.status == StatusCode::OK {
-                        "written"
-                    } else {
-                        "conflict"
-                    }
-                    .to_owned()
-                }
-                Err(e) => e.to_string(),
-            }
-        }
-        Ok(answer) => format!("status {}", answer.status.as_u16()),
-        Err(e) => e.to_string(),
+    let outcome = match client.call(request, ANSWER_LIMIT).await {
+        Ok(answer) => take_answer(gateway, &answer),
+        Err(e) => Err(e.to_string()),
     };
     let counts = gateway.with_rollouts(|rollouts, _| {
         let track = rollouts.get(&order.pool);
         track.map(|track| counts_of(&track.sum()))
     });
-    let wrote = outcome == "written" || outcome == "conflict";
+    let told = match &outcome {
+        Ok(outcome) => outcome,
+        Err(e) => e.as_str(),
+    };
     let detail = json!({
         "pool": order.pool, "target_version": order.target_version,
-        "duty": format!("{duty:?}"), "outcome": outcome, "revision": order.revision,
+        "duty": format!("{duty:?}"), "outcome": told, "revision": order.revision,
         "bad_of_all": counts,
     });
     gateway.log.line("rollout_step", detail);
-    if !wrote {
+    if outcome.is_err() {
         sleep(FAILED_PAUSE).await;
     }
 }
+
+/// Takes in the record as it is now; returns whose write it is, or why it is not known.
+fn take_answer(gateway: &Gateway, answer: &Answer) -> Result<&'static str, String> {
+    let outcome = match answer.status {
+        StatusCode::OK => "written",
+        StatusCode::CONFLICT => "conflict",
+        status => return Err(format!("status {}", status.as_u16())),
+    };
+    let now = gateway.codec.rollout(&answer.body);
+    adopt_rollout(gateway, now.map_err(|e| e.to_string())?);
+    Ok(outcome)
+}
--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -32,11 +32,8 @@
     } = reply;
     let (mut head, body) = response.into_parts();
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
-    let body = timeout(
-        Duration::from_millis(left_ms),
-        Limited::new(body, WHOLE_ANSWER_BYTES).collect(),
-    )
-    .await;
+    let limit = Duration::from_millis(left_ms);
+    let body = timeout(limit, Limited::new(body, WHOLE_ANSWER_BYTES).collect()).await;
     let upstream = lease.upstream.id.clone();
     let bytes = match body {
         Ok(Ok(body)) => body.to_bytes(),
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::verdict::Evidence;
 use serde_json::json;
 use tokio::time::timeout_at;
@@ -19,7 +20,7 @@
 use crate::log::Trace;
 use crate::refusal::AnswerBody;
 use crate::state::{Active, Gateway};
-use crate::tries::choose;
+use crate::tries::{choose, has_attempt};
 
 /// Pauses between events from which their mean says something.
 const PACE_PAUSES: u32 = 3;
@@ -194,42 +195,49 @@
             return false;
         }
         self.partial.clear();
-        while self.sent < self.job.route.max_attempts
-            && self.gateway.clock.now_ms() < self.job.deadline_ms
-            && self.gateway.take_repeat(&self.job.pool)
-        {
-            let job = self.job.clone();
-            let Some(choice) = choose(&self.gateway, &job, &self.tried, self.model) else {
+        while has_attempt(&self.gateway, &self.job, self.sent) {
+            let Some(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
                 return false;
             };
-            let left_ms = job.deadline_ms.saturating_sub(self.gateway.clock.now_ms());
-            let sending = Sending {
-                model: self.model,
-                resume_after: self.last_event_id,
-                wait_ms: left_ms,
-            };
-            let upstream = &choice.upstream;
-            let sent = attempt::send(&self.gateway, &job, upstream, sending, &mut self.trace).await;
+            let sent = self.send_to(&choice.upstream).await;
             if !matches!(sent, Sent::NotRun { arrived: false }) {
                 self.sent += 1;
             }
-            self.tried.push(upstream.id.clone());
+            self.tried.push(choice.upstream.id.clone());
             if let Sent::Answered(reply) = sent
                 && reply.response.status().is_success()
             {
-                let detail = json!({"upstream": upstream.id, "behind_event": self.last_event_id});
-                self.trace.step("resumed", detail);
-                self.source = Source {
-                    body: reply.response.into_body(),
-                    lease: reply.lease,
-                    keep_ms: reply.keep_ms,
-                };
+                self.go_on_at(*reply);
                 return true;
             }
         }
         false
     }
 
+    /// Asks an upstream for the events behind the last one.
+    async fn send_to(&mut self, upstream: &Arc<UpstreamRecord>) -> Sent {
+        let now_ms = self.gateway.clock.now_ms();
+        let sending = Sending {
+            model: self.model,
+            resume_after: self.last_event_id,
+            wait_ms: self.job.deadline_ms.saturating_sub(now_ms),
+        };
+        let trace = &mut self.trace;
+        attempt::send(&self.gateway, &self.job, upstream, sending, trace).await
+    }
+
+    /// Takes an upstream's answer as the source from now on.
+    fn go_on_at(&mut self, reply: Reply) {
+        let upstream = &reply.lease.upstream.id;
+        let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
+        self.trace.step("resumed", detail);
+        self.source = Source {
+            body: reply.response.into_body(),
+            lease: reply.lease,
+            keep_ms: reply.keep_ms,
+        };
+    }
+
     /// Takes in that the stream ended as it should.
     fn finish(&mut self) {
         self.ended = true;
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -81,7 +81,7 @@
 fn not_run(gateway: &Gateway, job: &Job, tries: &mut Tries, arrived: bool) -> Result<(), Reason> {
     let goes_on = if arrived {
         tries.sent += 1;
-        has_attempt(gateway, job, tries)
+        has_attempt(gateway, job, tries.sent)
     } else {
         tries.unreached += 1;
         tries.unreached < MAX_UNREACHED && (!job.is_keyed || gateway.keys_are_current())
@@ -130,16 +130,16 @@
     }
 }
 
-/// Takes one of the job's attempts, and a repeat of the pool's budget, if there are both.
-fn has_attempt(gateway: &Gateway, job: &Job, tries: &Tries) -> bool {
-    tries.sent < job.route.max_attempts
+/// Takes a repeat of the pool's budget, if one of the job's attempts is left after those `sent`.
+pub fn has_attempt(gateway: &Gateway, job: &Job, sent: u32) -> bool {
+    sent < job.route.max_attempts
         && gateway.clock.now_ms() < job.deadline_ms
         && gateway.take_repeat(&job.pool)
 }
 
 /// Whether a request that may have run may run again, and there is an attempt left for it.
 pub fn may_repeat(gateway: &Gateway, job: &Job, tries: &Tries) -> bool {
-    job.route.kind.is_repeatable() && has_attempt(gateway, job, tries)
+    job.route.kind.is_repeatable() && has_attempt(gateway, job, tries.sent)
 }
 
 /// How long the head of the answer is waited for: all the time, unless a repeat is left.
