Forms of answers and news of the store have modules of their own

Change: answer.rs holds the forms, store_news.rs the news that followers have for each other, server.rs answers other boxes, peers.rs is state only. Wakes and waits are in the same order. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -7,10 +7,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use crate::answer::{AnswerBody, bare, json};
 use crate::dialect::{Item, Topic};
 use crate::history::{Behind, NoSource, PassedChange};
-use crate::peers::{json_answer, status};
-use crate::refusal::AnswerBody;
 use crate::state::Gateway;
 
 /// Longest wait of a question.
@@ -34,7 +33,7 @@
 /// Answers a box that follows a topic here.
 pub async fn answer(gateway: &Arc<Gateway>, query: Option<&str>) -> Response<AnswerBody> {
     let Some(question) = query.and_then(Question::parse) else {
-        return status(StatusCode::BAD_REQUEST);
+        return bare(StatusCode::BAD_REQUEST);
     };
     let asked_at_ms = gateway.clock.now_ms();
     let histories = &gateway.histories;
@@ -45,13 +44,13 @@
     loop {
         let behind = match histories.behind(question.topic, question.since) {
             Ok(behind) => behind,
-            Err(NoSource) => return status(StatusCode::SERVICE_UNAVAILABLE),
+            Err(NoSource) => return bare(StatusCode::SERVICE_UNAVAILABLE),
         };
         let now_ms = gateway.clock.now_ms();
         let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
         if behind.is_some() || renewed || now_ms >= until_ms {
             let held_ms = now_ms - asked_at_ms;
-            return json_answer(&told(gateway, &question, behind, held_ms));
+            return json(&told(gateway, &question, behind, held_ms));
         }
         let left = Duration::from_millis(until_ms - now_ms);
         // Woken or not, the state itself is looked at again.
--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -8,10 +8,11 @@
 use serde_json::json;
 use tokio::time::timeout;
 
+use crate::answer::{AnswerBody, whole};
 use crate::attempt::Reply;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
-use crate::refusal::{AnswerBody, Reason, whole};
+use crate::refusal::Reason;
 use crate::state::Gateway;
 
 /// Largest answer that is gathered before it is passed on.
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -1,4 +1,4 @@
-//! What a box can pass on of the store's topics, and news of the store for its own tasks.
+//! What a box can pass on of the store's topics.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -39,7 +39,7 @@
 }
 
 /// What a box can pass on.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Histories {
     topics: Mutex<HashMap<Topic, History>>,
     /// Whether the store answers this box in time.
@@ -47,21 +47,6 @@
     /// When a box last asked here.
     asked_at_ms: AtomicU64,
     news: watch::Sender<u64>,
-    losses: watch::Sender<u64>,
-    upstreams_heard: watch::Sender<u64>,
-}
-
-impl Default for Histories {
-    fn default() -> Self {
-        Self {
-            topics: Mutex::default(),
-            store_answers: AtomicBool::new(false),
-            asked_at_ms: AtomicU64::new(0),
-            news: watch::Sender::new(0),
-            losses: watch::Sender::new(0),
-            upstreams_heard: watch::Sender::new(0),
-        }
-    }
 }
 
 impl Histories {
@@ -116,34 +101,6 @@
         }
     }
 
-    /// Takes in that the store did not answer a question about the configuration.
-    pub fn store_lost(&self) {
-        self.losses.send_modify(|count| *count += 1);
-    }
-
-    /// Waits until the store does not answer such a question.
-    pub async fn until_store_lost(&self) {
-        let mut losses = self.losses.subscribe();
-        if losses.changed().await.is_err() {
-            // The sender is gone with the box.
-            std::future::pending().await
-        }
-    }
-
-    /// Takes in that an answer about upstreams was adopted.
-    pub fn upstreams_heard(&self) {
-        self.upstreams_heard.send_modify(|count| *count += 1);
-    }
-
-    /// Waits until one is, or `limit` has passed; wakes whoever waits for the store's return.
-    /// Returns whether one was.
-    pub async fn until_upstreams_heard(&self, limit: Duration) -> bool {
-        let mut heard = self.upstreams_heard.subscribe();
-        self.set_store_answers(true);
-        self.tell();
-        matches!(timeout(limit, heard.changed()).await, Ok(Ok(())))
-    }
-
     /// Takes in that another box asks here.
     pub fn asked(&self, now_ms: u64) {
         self.asked_at_ms.store(now_ms, Ordering::Relaxed);
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod admit;
 mod adopt;
+mod answer;
 mod attempt;
 mod channel;
 mod client;
@@ -41,6 +42,7 @@
 mod server;
 mod settings;
 mod state;
+mod store_news;
 mod stream;
 mod sync;
 mod tries;
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -1,4 +1,4 @@
-//! Boxes among themselves: who they are, and who answers.
+//! Boxes among themselves: who they are, who is their hall's relay, and what they told.
 //!
 //! One box of each hall, its relay, watches the store; the others of the hall ask the relay. So the
 //! calls to the store grow with halls, not with boxes. Every box tells its relay its work under way
@@ -6,11 +6,8 @@
 //! of their halls. A box whose relay fails asks the store itself.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 
-use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{Shunned, relay_of};
 use ivyweir_policy::gateway::word::{OthersWords, Word};
@@ -18,12 +15,9 @@
 
 use crate::clock::Clock;
 use crate::dialect::BoxRecord;
-use crate::refusal::{AnswerBody, whole};
-use crate::state::Gateway;
-use crate::{follow, words};
 
 /// What a box knows of others.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Peers {
     losses: watch::Sender<u64>,
     boxes: Mutex<HashMap<Name, BoxRecord>>,
@@ -31,17 +25,6 @@
     others_words: Mutex<OthersWords>,
 }
 
-impl Default for Peers {
-    fn default() -> Self {
-        Self {
-            losses: watch::Sender::new(0),
-            boxes: Mutex::default(),
-            shunned: Mutex::default(),
-            others_words: Mutex::default(),
-        }
-    }
-}
-
 impl Peers {
     /// Takes in the boxes that the store lists.
     pub fn replace(&self, records: Vec<BoxRecord>) {
@@ -109,32 +92,6 @@
     }
 }
 
-/// Answers other boxes.
-pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-    if gateway.stopping_for_ms().is_some() {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
-    }
-    let path = request.uri().path().to_owned();
-    match path.as_str() {
-        "/peer/word" => words::answer(&gateway, request).await,
-        "/peer/follow" => follow::answer(&gateway, request.uri().query()).await,
-        _ => status(StatusCode::NOT_FOUND),
-    }
-}
-
-/// An answer to another box.
-pub fn json_answer(answer: &impl serde::Serialize) -> Response<AnswerBody> {
-    let body = serde_json::to_vec(answer).expect("invariant: messages are valid JSON");
-    Response::new(whole(Bytes::from(body)))
-}
-
-/// An answer that is only a status.
-pub fn status(status: StatusCode) -> Response<AnswerBody> {
-    let mut answer = Response::new(whole(Bytes::new()));
-    *answer.status_mut() = status;
-    answer
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("invariant: no holder panics")
 }
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -9,12 +9,13 @@
 use serde_json::json;
 
 use crate::admit::admit;
+use crate::answer::AnswerBody;
 use crate::attempt::Reply;
 use crate::gather::gather;
 use crate::job::Job;
 use crate::judge::judge_head;
 use crate::log::Trace;
-use crate::refusal::{AnswerBody, Reason};
+use crate::refusal::Reason;
 use crate::state::{Active, Gateway};
 use crate::stream;
 use crate::tries::{Tries, choose, may_repeat, next_reply};
--- a/crates/ivyweir-gateway/src/refusal.rs
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -1,14 +1,9 @@
 //! Answers of the gateway's own: refusals and failures.
 
-use std::io;
-
 use bytes::Bytes;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 use hyper::{Response, StatusCode, header};
 
-/// The body of every answer.
-pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
+use crate::answer::{AnswerBody, whole};
 
 /// Why the gateway itself answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,10 +96,3 @@
             .expect("invariant: all parts are valid")
     }
 }
-
-/// A body that is known as a whole.
-pub fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -1,4 +1,4 @@
-//! Listens for callers, the balancer and readers of metrics.
+//! Listens for callers, other boxes, the balancer and readers of metrics.
 
 use std::convert::Infallible;
 use std::io;
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,9 +16,9 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
-use crate::refusal::{AnswerBody, whole};
+use crate::answer::{AnswerBody, bare, plain};
 use crate::state::Gateway;
-use crate::{peers, pipeline};
+use crate::{follow, pipeline, words};
 
 /// Idle time of a caller's connection before a configuration tells it.
 const IDLE_DEFAULT_MS: u64 = 15_000;
@@ -102,7 +101,7 @@
         let gateway = gateway.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
-            async move { Ok::<_, Infallible>(peers::handle(gateway, request).await) }
+            async move { Ok::<_, Infallible>(answer_box(gateway, request).await) }
         });
         let _best_effort = stream.set_nodelay(true);
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -112,6 +111,18 @@
     }
 }
 
+async fn answer_box(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    if gateway.stopping_for_ms().is_some() {
+        return bare(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        "/peer/word" => words::answer(&gateway, request).await,
+        "/peer/follow" => follow::answer(&gateway, request.uri().query()).await,
+        _ => bare(StatusCode::NOT_FOUND),
+    }
+}
+
 /// Answers the balancer, and readers of metrics, one short answer a request.
 pub async fn serve_plain(
     listener: TcpListener,
@@ -134,12 +145,6 @@
     }
 }
 
-fn plain(status: StatusCode, text: String) -> Response<AnswerBody> {
-    let mut answer = Response::new(whole(Bytes::from(text)));
-    *answer.status_mut() = status;
-    answer
-}
-
 /// Binds an address so that a process that is started again gets it at once.
 ///
 /// # Errors
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::store_news::StoreNews;
 use crate::sync;
 use crate::upstreams::{Choice, Scope, Target, Upstreams};
 
@@ -55,6 +56,8 @@
     pub peers: Peers,
     /// What this box passes on to others.
     pub histories: Histories,
+    /// What followers of topics tell each other of the store.
+    pub store_news: StoreNews,
     site: Mutex<Option<Arc<SiteIndex>>>,
     proof: Mutex<Proof>,
     upstreams: Mutex<Upstreams>,
@@ -84,6 +87,7 @@
             channels: Channels::default(),
             peers: Peers::default(),
             histories: Histories::default(),
+            store_news: StoreNews::default(),
             site: Mutex::default(),
             proof: Mutex::default(),
             upstreams: Mutex::default(),
--- /dev/null
+++ b/crates/ivyweir-gateway/src/store_news.rs
@@ -0,0 +1,36 @@
+//! News of the store that the followers of topics have for each other.
+
+use tokio::sync::watch;
+
+/// Counts of what happened; followers wait for the next time.
+#[derive(Debug, Default)]
+pub struct StoreNews {
+    losses: watch::Sender<u64>,
+    upstreams_heard: watch::Sender<u64>,
+}
+
+impl StoreNews {
+    /// Takes in that the store did not answer a question about the configuration.
+    pub fn store_lost(&self) {
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until the store does not answer such a question.
+    pub async fn until_store_lost(&self) {
+        let mut losses = self.losses.subscribe();
+        if losses.changed().await.is_err() {
+            // The sender is gone with the box.
+            std::future::pending().await
+        }
+    }
+
+    /// Takes in that an answer about upstreams was adopted.
+    pub fn upstreams_heard(&self) {
+        self.upstreams_heard.send_modify(|count| *count += 1);
+    }
+
+    /// Tells from now on of each answer about upstreams that was adopted.
+    pub fn upstreams(&self) -> watch::Receiver<u64> {
+        self.upstreams_heard.subscribe()
+    }
+}
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -14,11 +14,11 @@
 use serde_json::json;
 use tokio::time::timeout_at;
 
+use crate::answer::AnswerBody;
 use crate::attempt::{self, Lease, Reply, Sending, Sent};
 use crate::job::{Job, strip_hop_by_hop};
 use crate::judge::weigh;
 use crate::log::Trace;
-use crate::refusal::AnswerBody;
 use crate::state::{Active, Gateway};
 use crate::tries::{choose, has_attempt};
 
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -8,7 +8,7 @@
 
 use rand::Rng;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::client::{ANSWER_LIMIT, CallError, Client};
 use crate::dialect::{BoxRecord, Topic};
@@ -108,23 +108,31 @@
     /// After a loss it may only once the upstreams were heard of too: those that left meanwhile
     /// must get no work from a box that is current otherwise.
     async fn confirmed(&mut self) -> bool {
-        let histories = &self.gateway.histories;
         if self.topic != Topic::Site {
             if self.topic == Topic::Upstreams {
-                histories.upstreams_heard();
+                self.gateway.store_news.upstreams_heard();
             }
             return false;
         }
         if !self.is_unconfirmed {
             return true;
         }
-        let heard = histories.until_upstreams_heard(ANSWER_LIMIT).await;
+        let heard = self.until_upstreams_heard().await;
         self.vain_waits = if heard { 0 } else { self.vain_waits + 1 };
         // A store that goes on answering about one thing and not the other is left to itself.
         self.is_unconfirmed = !heard && self.vain_waits < MAX_VAIN_WAITS;
         !self.is_unconfirmed
     }
 
+    /// Waits until the upstreams are heard of, for a while; wakes whoever waits for the store's
+    /// return. Returns whether they were.
+    async fn until_upstreams_heard(&self) -> bool {
+        let mut heard = self.gateway.store_news.upstreams();
+        self.gateway.histories.set_store_answers(true);
+        self.gateway.histories.tell();
+        matches!(timeout(ANSWER_LIMIT, heard.changed()).await, Ok(Ok(())))
+    }
+
     fn succeeded(&mut self) {
         self.count("ok");
         if self.failures > 0 {
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -13,6 +13,7 @@
 use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
 use crate::dialect::{Change, Changes, Entry, Topic};
 use crate::history::PassedChange;
+use crate::state::Gateway;
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
 /// newest, which must stay younger than the bound on withdrawn keys until the next one.
@@ -80,7 +81,7 @@
             let histories = &self.gateway.histories;
             histories.set_store_answers(watched.is_ok());
             if watched.is_err() {
-                histories.store_lost();
+                self.gateway.store_news.store_lost();
             }
         }
         watched
@@ -125,14 +126,18 @@
         wait_ms: u64,
     ) -> Result<Answer, CallError> {
         let limit = Duration::from_millis(wait_ms) + ANSWER_LIMIT;
-        let histories = &self.gateway.histories;
+        let Gateway {
+            histories,
+            store_news,
+            ..
+        } = &*self.gateway;
         let mut call = pin!(self.client.call(request, limit));
         if self.topic != Topic::Site {
             // A store that was silent for a while never answers what it took then, so no long wait
             // outlasts the loss that the short ones notice.
             return tokio::select! {
                 answer = call => answer,
-                () = histories.until_store_lost() => Err(CallError::Lost {
+                () = store_news.until_store_lost() => Err(CallError::Lost {
                     detail: "questions about the configuration got no answer".into(),
                 }),
             };
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -13,10 +13,9 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::answer::{self, AnswerBody, bare};
 use crate::client::Client;
 use crate::dialect::BoxRecord;
-use crate::peers::{json_answer, status};
-use crate::refusal::AnswerBody;
 use crate::state::Gateway;
 
 /// How often boxes tell each other; requests come and go within some hundred milliseconds.
@@ -134,10 +133,10 @@
 pub async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
     let Ok(body) = body.await else {
-        return status(StatusCode::BAD_REQUEST);
+        return bare(StatusCode::BAD_REQUEST);
     };
     let Ok(message) = serde_json::from_slice::<WordMessage>(&body.to_bytes()) else {
-        return status(StatusCode::BAD_REQUEST);
+        return bare(StatusCode::BAD_REQUEST);
     };
     let now_ms = gateway.clock.now_ms();
     let word = if message.for_hall {
@@ -148,5 +147,5 @@
         word
     };
     gateway.peers.told(&message.from, message.word, now_ms);
-    json_answer(&own_message(gateway, message.for_hall, word))
+    answer::json(&own_message(gateway, message.for_hall, word))
 }
