Waits at a relay and of a relay keep their names

Change: the constants have the names that they had before the split; values are the same. Behaviour is the same.

--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -15,11 +15,11 @@
 
 /// How long a question about the configuration waits at a relay, which answers as soon as its own
 /// proof is renewed.
-const SITE_WAIT_MS: u64 = 1_500;
+const RELAY_SITE_WAIT_MS: u64 = 1_500;
 /// Time for a relay to answer, beyond the wait.
-const ANSWER_LIMIT_MS: u64 = 500;
+const RELAY_ANSWER_LIMIT_MS: u64 = 500;
 /// Age of the proof from which the relay is taken to have lost the store.
-const PROOF_MAX_MS: u64 = 2_700;
+const RELAY_PROOF_MAX_MS: u64 = 2_700;
 
 impl Follower {
     /// Asks the hall's relay; returns where to go on.
@@ -42,7 +42,7 @@
         self.failures = 0;
         self.take_in(asked_at_ms, &answer).await;
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
-        if self.topic == Topic::Site && age_ms > PROOF_MAX_MS {
+        if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
             self.gateway.peers.failed(&relay.name, now_ms);
             let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
             self.gateway.log.line("peer_lost", detail);
@@ -57,7 +57,7 @@
         relay: &BoxRecord,
     ) -> Result<Result<Answer, CallError>, Failed> {
         let wait_ms = if self.topic == Topic::Site {
-            SITE_WAIT_MS
+            RELAY_SITE_WAIT_MS
         } else {
             QUIET_WAIT_MS
         };
@@ -73,7 +73,7 @@
                 &mut other.insert((relay.clone(), client)).1
             }
         };
-        let limit = Duration::from_millis(wait_ms + ANSWER_LIMIT_MS);
+        let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
         tokio::select! {
             answer = client.call(request, limit) => Ok(answer),
             () = self.gateway.peers.lost(&relay.name, self.gateway.clock) => {
