--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -8,10 +8,11 @@
 use serde_json::json;
 use tokio::time::timeout;
 
+use crate::answer::{AnswerBody, whole};
 use crate::attempt::Reply;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
-use crate::refusal::{AnswerBody, Reason, whole};
+use crate::refusal::Reason;
 use crate::state::Gateway;
 
 /// Largest answer that is gathered before it is passed on.
@@ -32,11 +33,8 @@
     } = reply;
     let (mut head, body) = response.into_parts();
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
-    let body = timeout(
-        Duration::from_millis(left_ms),
-        Limited::new(body, WHOLE_ANSWER_BYTES).collect(),
-    )
-    .await;
+    let limit = Duration::from_millis(left_ms);
+    let body = timeout(limit, Limited::new(body, WHOLE_ANSWER_BYTES).collect()).await;
     let upstream = lease.upstream.id.clone();
     let bytes = match body {
         Ok(Ok(body)) => body.to_bytes(),
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -23,6 +23,8 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::store_news::StoreNews;
+use crate::sync;
 use crate::upstreams::{Choice, Scope, Target, Upstreams};
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
@@ -54,6 +56,8 @@
     pub peers: Peers,
     /// What this box passes on to others.
     pub histories: Histories,
+    /// What followers of topics tell each other of the store.
+    pub store_news: StoreNews,
     site: Mutex<Option<Arc<SiteIndex>>>,
     proof: Mutex<Proof>,
     upstreams: Mutex<Upstreams>,
@@ -83,6 +87,7 @@
             channels: Channels::default(),
             peers: Peers::default(),
             histories: Histories::default(),
+            store_news: StoreNews::default(),
             site: Mutex::default(),
             proof: Mutex::default(),
             upstreams: Mutex::default(),
@@ -202,8 +207,7 @@
 
     /// Whether this box knows enough to serve.
     pub fn is_synced(&self) -> bool {
-        const TOPICS: usize = 3;
-        lock(&self.synced).len() == TOPICS && lock(&self.site).is_some()
+        lock(&self.synced).len() == sync::TOPICS.len() && lock(&self.site).is_some()
     }
 
     /// Whether the balancer should send new connections.
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -13,13 +13,14 @@
 use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
 use crate::dialect::{Change, Changes, Entry, Topic};
 use crate::history::PassedChange;
+use crate::state::Gateway;
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
 /// newest, which must stay younger than the bound on withdrawn keys until the next one.
 const SITE_WAIT_MS: u64 = 1_200;
 /// The same on a relay: the boxes that follow it must hear within a second and a half that it lost
 /// the store, since an upstream that leaves gets no work two seconds later.
-const RELAY_SITE_WAIT_MS: u64 = 600;
+const RELAY_WATCH_MS: u64 = 600;
 const SITE_MIN_WAIT_MS: u64 = 200;
 /// Time beyond the wait after which a relay takes the store to be lost; a slow store takes 300 ms.
 const OVERDUE_MS: u64 = 500;
@@ -30,8 +31,8 @@
 /// Pause between a watch that saw changes and the next, so that changes in a row cost one call. The
 /// bounds on a configuration and on a leaving upstream are two seconds or more.
 const GATHER_MS: u64 = 300;
-/// How long a watch of upstreams waits. A call that a silent store took is never answered, and until
-/// it is given up a box does not hear who leaves.
+/// How long a watch of upstreams waits. A call that a silent store took is never answered, and
+/// until it is given up a box does not hear who leaves.
 const UPSTREAMS_WAIT_MS: u64 = 4_000;
 /// How long the first watches after a failure wait.
 const AFTER_FAILURE_WAIT_MS: u64 = 50;
@@ -80,7 +81,7 @@
             let histories = &self.gateway.histories;
             histories.set_store_answers(watched.is_ok());
             if watched.is_err() {
-                histories.store_lost();
+                self.gateway.store_news.store_lost();
             }
         }
         watched
@@ -125,14 +126,18 @@
         wait_ms: u64,
     ) -> Result<Answer, CallError> {
         let limit = Duration::from_millis(wait_ms) + ANSWER_LIMIT;
-        let histories = &self.gateway.histories;
+        let Gateway {
+            histories,
+            store_news,
+            ..
+        } = &*self.gateway;
         let mut call = pin!(self.client.call(request, limit));
         if self.topic != Topic::Site {
             // A store that was silent for a while never answers what it took then, so no long wait
             // outlasts the loss that the short ones notice.
             return tokio::select! {
                 answer = call => answer,
-                () = histories.until_store_lost() => Err(CallError::Lost {
+                () = store_news.until_store_lost() => Err(CallError::Lost {
                     detail: "questions about the configuration got no answer".into(),
                 }),
             };
@@ -192,7 +197,7 @@
         let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
         let now_ms = self.gateway.clock.now_ms();
         let most_ms = if self.gateway.histories.is_followed(now_ms) {
-            RELAY_SITE_WAIT_MS
+            RELAY_WATCH_MS
         } else {
             SITE_WAIT_MS
         };
@@ -202,8 +207,8 @@
 
 /// Until when an answer to a watch shows that nothing newer was acknowledged.
 ///
-/// One that came empty after its whole wait was made at the end of the wait; any other one shows only
-/// what held when it was asked for.
+/// One that came empty after its whole wait was made at the end of the wait; any other one shows
+/// only what held when it was asked for.
 fn proven_at(asked_at_ms: u64, answered_at_ms: u64, wait_ms: u64, quiet: bool) -> u64 {
     let waited = answered_at_ms.saturating_sub(asked_at_ms) >= wait_ms;
     if quiet && waited {
