Verdicts hold beyond a thousand answers; roll-outs withdrawn unheard are forgotten; ties settle alike

The chance of so many bad answers became NaN from 1,030 answers on, and a bad version was never condemned then; a whole listing only added roll-outs; with equally many upstreams of two versions boxes could settle on different ones (order of a hash map). Ruled out: a cap on the counts (late faults would be judged on old answers). Change: the chance is summed from its first term, computed by logarithms, and ends where terms are negligible; listings withdraw what they lack; ties go to the smaller name. Figures: tests a_version_that_turns_bad_is_told_after_thousands_of_answers and a_rollout_that_was_withdrawn_unheard_is_forgotten red before, green after.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -11,32 +11,54 @@
 
 /// Takes in all records of a topic.
 pub fn adopt_all(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
-    if topic != Topic::Upstreams {
-        for entry in entries {
-            adopt(gateway, topic, entry);
-        }
-        return;
-    }
-    let records: Vec<UpstreamRecord> = entries
+    let listed = entries.len();
+    let items: Vec<Item> = entries
         .into_iter()
-        .filter_map(|entry| match readable(gateway, topic, entry) {
-            Some(Item::Upstream(record)) => Some(record),
-            _ => None,
-        })
+        .filter_map(|entry| readable(gateway, topic, entry))
         .collect();
-    gateway.change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
+    if topic == Topic::Upstreams {
+        let records: Vec<UpstreamRecord> = items.into_iter().filter_map(Item::upstream).collect();
+        gateway.change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
+        return;
+    }
+    if topic == Topic::Rollouts && items.len() == listed {
+        withdraw_all_but(gateway, &items);
+    }
+    items.into_iter().for_each(|item| adopt_item(gateway, item));
+}
+
+/// Forgets roll-outs that a whole listing lacks: they were withdrawn unheard.
+fn withdraw_all_but(gateway: &Gateway, listed: &[Item]) {
+    let is_listed = |pool: &Name| {
+        listed
+            .iter()
+            .any(|item| matches!(item, Item::Rollout(order) if order.pool == *pool))
+    };
+    let gone: Vec<Name> = gateway.with_rollouts(|rollouts, _| {
+        let pools = rollouts.keys().filter(|pool| !is_listed(pool));
+        pools.cloned().collect()
+    });
+    for pool in gone {
+        remove(gateway, Topic::Rollouts, &pool);
+    }
 }
 
 /// Takes in a record that was written.
 pub fn adopt(gateway: &Gateway, topic: Topic, entry: Entry) {
-    match readable(gateway, topic, entry) {
-        Some(Item::Site(site)) => adopt_site(gateway, *site),
-        Some(Item::Upstream(record)) => gateway.change_upstream(|fleet, _| {
+    if let Some(item) = readable(gateway, topic, entry) {
+        adopt_item(gateway, item);
+    }
+}
+
+fn adopt_item(gateway: &Gateway, item: Item) {
+    match item {
+        Item::Site(site) => adopt_site(gateway, *site),
+        Item::Upstream(record) => gateway.change_upstream(|fleet, _| {
             let id = record.id.clone();
             vec![(id, fleet.put(record))]
         }),
-        Some(Item::Rollout(order)) => adopt_rollout(gateway, order),
-        Some(Item::Box(_)) | None => {}
+        Item::Rollout(order) => adopt_rollout(gateway, order),
+        Item::Box(_) => {}
     }
 }
 
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -143,6 +143,16 @@
     Box(BoxRecord),
 }
 
+impl Item {
+    /// The record of an upstream, if it is one.
+    pub fn upstream(self) -> Option<UpstreamRecord> {
+        match self {
+            Self::Upstream(record) => Some(record),
+            _ => None,
+        }
+    }
+}
+
 /// A record, or why it cannot be read.
 pub type Entry = std::result::Result<Item, DialectError>;
 
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-gateway/src/upstreams.rs
@@ -172,7 +172,9 @@
                 *counts.entry(version.clone()).or_default() += 1;
             }
         }
-        let (version, _) = counts.into_iter().max_by_key(|(_, count)| *count)?;
+        // Equal counts must not make boxes settle on different versions.
+        let by_count = |a: &(Name, usize), b: &(Name, usize)| a.1.cmp(&b.1).then(b.0.cmp(&a.0));
+        let (version, _) = counts.into_iter().max_by(by_count)?;
         self.settled.insert(pool.clone(), version.clone());
         Some(version)
     }
--- a/crates/ivyweir-policy/src/gateway/verdict.rs
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -202,16 +202,27 @@
     }
 }
 
-/// Chance of at least `bad` in `all` where each is bad with chance `rate`.
+/// Chance of at least `bad` in `all` where each is bad with chance `rate`; 1 where that is no surprise.
+///
+/// The terms are summed from the first one on, which is computed by logarithms: their factors leave the
+/// range of numbers at about a thousand answers.
 fn tail(bad: usize, all: usize, rate: f64) -> f64 {
-    let mut chance = 0.0;
-    let mut choices = 1.0;
-    for k in 0..=all {
-        if k > 0 {
-            choices *= (all - k + 1) as f64 / k as f64;
-        }
-        if k >= bad {
-            chance += choices * rate.powi(k as i32) * (1.0 - rate).powi((all - k) as i32);
+    /// Part of the sum below which a further term adds nothing that matters.
+    const NEGLIGIBLE: f64 = 1e-9;
+    if bad as f64 <= all as f64 * rate {
+        return 1.0;
+    }
+    let choices: f64 = (0..bad)
+        .map(|k| ((all - k) as f64 / (k + 1) as f64).ln())
+        .sum();
+    let first = choices + bad as f64 * rate.ln() + (all - bad) as f64 * (1.0 - rate).ln();
+    let mut term = first.exp();
+    let mut chance = term;
+    for k in bad + 1..=all {
+        term *= (all - k + 1) as f64 / k as f64 * rate / (1.0 - rate);
+        chance += term;
+        if term < chance * NEGLIGIBLE {
+            break;
         }
     }
     chance
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -214,6 +214,14 @@
     assert_eq!(track.duty(100), RolloutDuty::RollBack);
 }
 
+#[test]
+fn a_version_that_turns_bad_is_told_after_thousands_of_answers() {
+    let mut answers = vec![OLD_WELL; 100];
+    answers.extend(vec![NEW_WELL; 1_500]);
+    answers.extend(vec![NEW_FAILS; 600]);
+    assert_eq!(judged(&answers).duty(100), RolloutDuty::RollBack);
+}
+
 #[test]
 fn one_failing_upstream_does_not_condemn_its_version() {
     let mut track = RolloutTrack::new(order(running(0), 1), 0);
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -127,6 +127,11 @@
         self.put(Topic::Rollouts, pool.into(), Item::Rollout(order));
     }
 
+    /// Withdraws the roll-out of a pool.
+    pub fn withdraw_rollout(&self, pool: &str) {
+        self.remove(Topic::Rollouts, &Name::from(pool));
+    }
+
     /// How far the roll-out of a pool is.
     pub fn rollout_state(&self, pool: &str) -> Option<RolloutState> {
         let state = self.state();
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -234,3 +234,19 @@
     }
     assert_eq!(new.iter().map(|s| s.seen().len()).sum::<usize>(), bad);
 }
+
+#[test]
+fn a_rollout_that_was_withdrawn_unheard_is_forgotten() {
+    let (town, _new) = rolling(Act::Answer(200), 600_000);
+    eventually("the box has seen the order", || {
+        !town.boxes[0].lines_of("rollout_seen").is_empty()
+    });
+    // The box lists again and finds no roll-out, without having heard that it went.
+    town.store.set_fault(StoreFault::Refuse);
+    town.store.withdraw_rollout("services");
+    town.store.forget_history();
+    town.store.set_fault(StoreFault::None);
+    eventually("the box has forgotten it", || {
+        !town.boxes[0].lines_of("rollout_withdrawn").is_empty()
+    });
+}
