Tests: a log that nobody reads holds no request up; requests have all their lines or none

Cause: the log's bounds were promised, not tested. Change: a box whose standard output is a full pipe answers 3,000 failed requests; kept requests are whole and within their number a second.

--- /dev/null
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -0,0 +1,145 @@
+//! The gateway's log: nothing waits for it, and its volume is bounded.
+
+use std::collections::{BTreeSet, HashMap};
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use ivyweir_standins::edge::{Act, KEY, Town, eventually, get};
+use serde_json::{Value, json};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+/// Requests whose lines are more than a pipe and the log's own queue hold.
+const REQUESTS: usize = 3_000;
+/// Requests without failure whose lines are kept, a second.
+const ROUTINE_PER_S: usize = 20;
+
+/// A box whose standard output is read as far as a test likes.
+struct Piped {
+    child: Child,
+    out: BufReader<ChildStdout>,
+    file: PathBuf,
+    caller_addr: SocketAddr,
+    ready_addr: SocketAddr,
+}
+
+impl Piped {
+    fn start(name: &str, store_addr: SocketAddr) -> Self {
+        let settings = json!({
+            "box_name": name, "hall": "hall-a",
+            "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
+            "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
+            "store_addr": store_addr,
+            "machine": {"memory_mb": 110, "max_fds": 4100},
+            "bounds": {
+                "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
+                "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
+            }
+        });
+        let name = format!("ivyweir-log-{}-{name}.json", std::process::id());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, settings.to_string()).expect("the file can be written");
+        let mut child = Command::new(Path::new(BINARY))
+            .arg("--gateway")
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the daemon can be started");
+        let mut out = BufReader::new(child.stdout.take().expect("a pipe"));
+        let mut line = String::new();
+        out.read_line(&mut line).expect("a first line");
+        let started: Value = serde_json::from_str(&line).expect("JSON");
+        let addr = |field: &str| {
+            let addr = started[field].as_str().expect("an address");
+            addr.parse().expect("an address")
+        };
+        Self {
+            caller_addr: addr("caller_addr"),
+            ready_addr: addr("ready_addr"),
+            child,
+            out,
+            file,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        get(self.ready_addr, "/readyz", &[]).is_ok_and(|reply| reply.status == 200)
+    }
+
+    fn status(&self, id: &str) -> Option<u16> {
+        let auth = format!("Bearer {KEY}");
+        let headers = [("ivyweir-request-id", id), ("authorization", auth.as_str())];
+        get(self.caller_addr, "/unsafe/x", &headers)
+            .ok()
+            .map(|reply| reply.status)
+    }
+
+    /// Ends the box and gives the rest of its log.
+    fn finish(mut self) -> String {
+        self.child.kill().expect("it runs");
+        self.child.wait().expect("it ends");
+        let mut rest = String::new();
+        self.out.read_to_string(&mut rest).expect("text");
+        let _left_behind = std::fs::remove_file(&self.file);
+        rest
+    }
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_no_request_up() {
+    let town = Town::start(Path::new(BINARY));
+    for service in &town.services {
+        service.set(Act::Answer(500));
+    }
+    let piped = Piped::start("stalled", town.store.addr());
+    eventually("the box is ready", || piped.is_ready());
+    // Failed requests are those whose lines are always kept.
+    for n in 0..REQUESTS {
+        assert_eq!(piped.status(&format!("r{n}")), Some(500), "request {n}");
+    }
+    piped.finish();
+}
+
+#[test]
+fn a_request_has_all_its_lines_or_none() {
+    let town = Town::start(Path::new(BINARY));
+    let piped = Piped::start("thinned", town.store.addr());
+    eventually("the box is ready", || piped.is_ready());
+    for n in 0..200 {
+        assert_eq!(piped.status(&format!("r{n}")), Some(200), "request {n}");
+    }
+    let log = piped.finish();
+    let lines = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let mut events: HashMap<String, Vec<String>> = HashMap::new();
+    let mut seconds = BTreeSet::new();
+    for line in lines {
+        if line["event"] == "answered" {
+            seconds.insert(line["at_ms"].as_u64().expect("a time") / 1_000);
+        }
+        if let (Some(id), Some(event)) = (line["request_id"].as_str(), line["event"].as_str()) {
+            events
+                .entry(id.to_owned())
+                .or_default()
+                .push(event.to_owned());
+        }
+    }
+    assert!(!log.contains(KEY), "no key is logged");
+    let mut whole = 0;
+    for (id, events) in &events {
+        if events.iter().any(|event| event == "answered") {
+            assert_eq!(events, &["admitted", "chosen", "answered"], "{id}");
+            whole += 1;
+        }
+    }
+    assert!(whole > 0, "some requests are kept");
+    // A request's lines count for the second in which they are written, which may be the next one.
+    let bound = ROUTINE_PER_S * (seconds.len() + 1);
+    assert!(
+        whole <= bound,
+        "{whole} requests are kept in {} seconds",
+        seconds.len()
+    );
+}
