--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -8,7 +8,7 @@
 mod scripted;
 mod town;
 
-pub use process::GatewayProcess;
+pub use process::{GatewayProcess, gateway_settings};
 pub use record_store::{RecordStore, StoreFault};
 pub use scripted::{Act, ScriptedUpstream, Seen};
 pub use town::{
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -26,20 +26,25 @@
     pub metrics_addr: SocketAddr,
 }
 
+/// Settings of a box on any free ports, with the bounds that tests go by.
+pub fn gateway_settings(name: &str, hall: &str, store_addr: &str) -> Value {
+    json!({
+        "box_name": name, "hall": hall,
+        "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
+        "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
+        "store_addr": store_addr,
+        "machine": {"memory_mb": 110, "max_fds": 4100},
+        "bounds": {
+            "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
+            "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
+        }
+    })
+}
+
 impl GatewayProcess {
     /// Starts a box of this name in a hall, which reaches its store at `store_addr`.
     pub fn start(binary: &Path, folder: &Path, name: &str, hall: &str, store_addr: &str) -> Self {
-        let settings = json!({
-            "box_name": name, "hall": hall,
-            "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
-            "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
-            "store_addr": store_addr,
-            "machine": {"memory_mb": 110, "max_fds": 4100},
-            "bounds": {
-                "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
-                "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
-            }
-        });
+        let settings = gateway_settings(name, hall, store_addr);
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("the folder can be written");
         let log_file = folder.join(format!("{name}.log"));
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -6,8 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
-use ivyweir_standins::edge::{Act, KEY, Town, eventually, get};
-use serde_json::{Value, json};
+use ivyweir_standins::edge::{Act, KEY, Town, eventually, gateway_settings, get};
+use serde_json::Value;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 /// Requests whose lines are more than a pipe and the log's own queue hold.
@@ -26,17 +26,7 @@
 
 impl Piped {
     fn start(name: &str, store_addr: SocketAddr) -> Self {
-        let settings = json!({
-            "box_name": name, "hall": "hall-a",
-            "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
-            "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
-            "store_addr": store_addr,
-            "machine": {"memory_mb": 110, "max_fds": 4100},
-            "bounds": {
-                "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
-                "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
-            }
-        });
+        let settings = gateway_settings(name, "hall-a", &store_addr.to_string());
         let name = format!("ivyweir-log-{}-{name}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, settings.to_string()).expect("the file can be written");
