--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -10,7 +10,7 @@
 use hyper::http::request::Parts;
 use ivyweir_policy::gateway::site::{Access, Route, SiteIndex, Workspace};
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::dialect::Envelope;
 use crate::job::{self, Job};
@@ -22,6 +22,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest body before a configuration tells the limit.
 const BODY_DEFAULT_BYTES: usize = 1 << 20;
+/// Longest wait of a request for a box that has just started to know its configuration: a third of
+/// the shortest aim of the sites' streams. Boxes that start together take 0.1 to 0.5 s.
+const START_WAIT: Duration = Duration::from_millis(500);
 /// Time after the order to stop in which the balancer may still send work here.
 pub const STOP_NOTICE_MS: u64 = 2_400;
 
@@ -33,16 +36,12 @@
     arrived_ms: u64,
     trace: &mut Trace,
 ) -> Result<Job, Reason> {
-    let site = gateway.site();
     // The body is read before any answer: a connection with unread bytes is reset when it closes.
-    let body = read_body(body, site.as_deref()).await?;
+    let body = read_body(body, gateway.site().as_deref()).await?;
     if is_past_notice(gateway) {
         return Err(Reason::Stopping);
     }
-    let site = site.ok_or(Reason::NotCurrent)?;
-    if !gateway.is_synced() {
-        return Err(Reason::NotCurrent);
-    }
+    let site = site_once_synced(gateway).await?;
     let host = host_of(&head).ok_or(Reason::BadRequest)?;
     let route = site
         .route(host, head.uri.path())
@@ -78,6 +77,25 @@
     })
 }
 
+/// The configuration; a box that has just started soon knows it, so a request waits for that.
+async fn site_once_synced(gateway: &Gateway) -> Result<Arc<SiteIndex>, Reason> {
+    let until = Instant::now() + START_WAIT;
+    let mut news = gateway.histories.news();
+    loop {
+        match gateway.site() {
+            Some(site) if gateway.is_synced() => return Ok(site),
+            _ => {}
+        }
+        if timeout_at(until, news.changed()).await.is_err() {
+            return Err(if gateway.peers.is_young() {
+                Reason::Starting
+            } else {
+                Reason::NotCurrent
+            });
+        }
+    }
+}
+
 /// Whose request it is; none where nobody needs a key.
 fn workspace_of(
     gateway: &Gateway,
--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -58,7 +58,6 @@
             vec![(id, fleet.put(record))]
         }),
         Item::Rollout(order) => adopt_rollout(gateway, order),
-        Item::Box(_) => {}
     }
 }
 
@@ -74,8 +73,8 @@
             let detail = json!({"pool": name});
             gateway.log.line("rollout_withdrawn", detail);
         }
-        // A configuration is replaced, never taken away; boxes are listed elsewhere.
-        Topic::Site | Topic::Boxes => gateway.log.line("site_removed", json!({"name": name})),
+        // A configuration is replaced, never taken away.
+        Topic::Site => gateway.log.line("site_removed", json!({"name": name})),
     }
 }
 
--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -33,6 +33,12 @@
         /// What happened.
         detail: String,
     },
+    /// The answer was not waited for any longer.
+    #[snafu(display("the answer was given up: {detail}"))]
+    GivenUp {
+        /// Why.
+        detail: String,
+    },
     /// It answered that it did nothing.
     #[snafu(display("the store refused with status {status}"))]
     Refused {
@@ -119,7 +125,9 @@
         };
         let answer = timeout(limit, whole)
             .await
-            .map_err(|_| lost(format!("nothing within {} ms", limit.as_millis())))??;
+            .map_err(|_| CallError::GivenUp {
+                detail: format!("nothing came within {} ms", limit.as_millis()),
+            })??;
         self.channel = Some(channel);
         Ok(answer)
     }
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -4,7 +4,6 @@
 //! names that callers, upstreams and the store use. It holds no state and decides nothing.
 
 use std::fmt;
-use std::net::SocketAddr;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Request};
@@ -96,8 +95,6 @@
     Upstreams,
     /// Roll-outs.
     Rollouts,
-    /// Boxes, the system's own records.
-    Boxes,
 }
 
 impl Topic {
@@ -107,28 +104,16 @@
             Self::Site => "site",
             Self::Upstreams => "upstreams",
             Self::Rollouts => "rollouts",
-            Self::Boxes => "boxes",
         }
     }
 
     /// The topic of this name.
     pub fn from_name(name: &str) -> Option<Self> {
-        let all = [Self::Site, Self::Upstreams, Self::Rollouts, Self::Boxes];
+        let all = [Self::Site, Self::Upstreams, Self::Rollouts];
         all.into_iter().find(|topic| topic.name() == name)
     }
 }
 
-/// Where a box is found by others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BoxRecord {
-    /// Its name.
-    pub name: Name,
-    /// Its hall.
-    pub hall: Name,
-    /// Where it listens for other boxes.
-    pub peer_addr: SocketAddr,
-}
-
 /// A record of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -139,8 +124,6 @@
     Upstream(UpstreamRecord),
     /// A roll-out.
     Rollout(RolloutOrder),
-    /// A box.
-    Box(BoxRecord),
 }
 
 impl Item {
@@ -251,12 +234,6 @@
     /// When the body is no answer to a watch.
     fn changes(&self, topic: Topic, body: &[u8]) -> Result<Changes, DialectError>;
 
-    /// Adds a box's record, unless there is one.
-    fn add_box(&self, record: &BoxRecord) -> Request<Bytes>;
-
-    /// Removes a box's record.
-    fn remove_box(&self, name: &str) -> Request<Bytes>;
-
     /// Reads a roll-out's record as it stands after a write, or in place of one.
     ///
     /// # Errors
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -16,36 +16,55 @@
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
-/// Boxes act one after the other within this time, so that the first one's write spares the
-/// others'.
-const SPREAD_MS: u64 = 500;
+/// Boxes act one after the other, so that the first one's write spares the others': the root at
+/// once, then the relays that hear from it, then all others, spread over some time. The first of
+/// each is in time for the last step of a roll-out.
+const RELAY_DELAY_MS: u64 = 300;
+const OTHERS_DELAY_MS: u64 = 500;
+const SPREAD_MS: u64 = 1_500;
+/// Age of the proof from which a box does not write: nobody it hears from reaches the store.
+const PROOF_MAX_MS: u64 = 2_500;
 /// Pause after a write that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
 /// Does the duties of roll-outs for the life of the process.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut client = Client::new(gateway.settings.store_addr);
-    let box_hash = hash64(&[gateway.settings.box_name.as_bytes()]);
-    let own_delay_ms = box_hash % SPREAD_MS;
     loop {
         sleep(ROUND).await;
+        let Some(own_delay_ms) = own_delay_ms(&gateway) else {
+            continue;
+        };
         for (order, duty) in duties(&gateway, own_delay_ms) {
             write(&gateway, &mut client, order, duty).await;
         }
     }
 }
 
-/// What is to be written; a roll-back at once, the rest when it is this box's turn.
+/// How long this box leaves a duty to others; none while the store is out of reach.
+fn own_delay_ms(gateway: &Gateway) -> Option<u64> {
+    let histories = &gateway.histories;
+    if histories.is_root() {
+        return Some(0);
+    }
+    let proof_age_ms = gateway.proof_age_ms()?;
+    if proof_age_ms > PROOF_MAX_MS {
+        return None;
+    }
+    if gateway.peers.root().is_some() {
+        return Some(RELAY_DELAY_MS);
+    }
+    let own_hash = hash64(&[gateway.settings.box_name.as_bytes()]);
+    Some(OTHERS_DELAY_MS + own_hash % SPREAD_MS)
+}
+
+/// What is to be written now that it is this box's turn.
 fn duties(gateway: &Gateway, own_delay_ms: u64) -> Vec<(RolloutOrder, RolloutDuty)> {
     gateway.with_rollouts(|rollouts, now_ms| {
         rollouts
             .values()
             .filter_map(|track| {
-                let due = match track.duty(now_ms) {
-                    RolloutDuty::None => return None,
-                    RolloutDuty::RollBack => RolloutDuty::RollBack,
-                    _ => track.duty(now_ms.saturating_sub(own_delay_ms)),
-                };
+                let due = track.duty(now_ms.saturating_sub(own_delay_ms));
                 let elapsed_ms = track.elapsed_ms(now_ms);
                 if due == RolloutDuty::None || elapsed_ms < own_delay_ms {
                     return None;
--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -1,4 +1,4 @@
-//! Answers boxes that follow a topic here: this box is their hall's relay.
+//! Answers boxes that follow a topic here: this box is their hall's relay, or the root.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,11 +9,16 @@
 
 use crate::answer::{AnswerBody, bare, json};
 use crate::dialect::{Item, Topic};
-use crate::history::{Behind, NoSource, PassedChange};
+use crate::history::{Asker, Behind, NoSource, PassedChange};
 use crate::state::Gateway;
 
 /// Longest wait of a question.
 const MAX_WAIT_MS: u64 = 20_000;
+/// Time for which a follower's question waits while this box looks for another source.
+const SOURCE_CHANGE_MS: u64 = 400;
+/// The same for a relay that takes this box for the root: it may soon be, but another one may be it
+/// already.
+const ROOT_CHANGE_MS: u64 = 150;
 
 /// What changed behind a revision.
 #[derive(Debug, Serialize, Deserialize)]
@@ -41,18 +46,35 @@
     let until_ms = asked_at_ms + question.wait_ms;
     let mut news = histories.news();
     let proof_at_ms = gateway.proof_at_ms();
+    let mut sourceless_until_ms = None;
     loop {
-        let behind = match histories.behind(question.topic, question.since) {
-            Ok(behind) => behind,
-            Err(NoSource) => return bare(StatusCode::SERVICE_UNAVAILABLE),
-        };
         let now_ms = gateway.clock.now_ms();
-        let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
-        if behind.is_some() || renewed || now_ms >= until_ms {
-            let held_ms = now_ms - asked_at_ms;
-            return json(&told(gateway, &question, behind, held_ms));
-        }
-        let left = Duration::from_millis(until_ms - now_ms);
+        let wake_ms = match histories.behind(question.topic, question.since, question.asker) {
+            Ok(behind) => {
+                sourceless_until_ms = None;
+                let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
+                if behind.is_some() || renewed || now_ms >= until_ms {
+                    return json(&told(gateway, &question, behind, now_ms - asked_at_ms));
+                }
+                until_ms
+            }
+            Err(NoSource::AtAll) => return bare(StatusCode::SERVICE_UNAVAILABLE),
+            Err(NoSource::ForNow) => {
+                if !gateway.peers.is_settled() {
+                    sourceless_until_ms = None;
+                }
+                let change_ms = match question.asker {
+                    Asker::Follower => SOURCE_CHANGE_MS,
+                    Asker::Relay => ROOT_CHANGE_MS,
+                };
+                let limit_ms = *sourceless_until_ms.get_or_insert(now_ms + change_ms);
+                if now_ms >= limit_ms {
+                    return bare(StatusCode::SERVICE_UNAVAILABLE);
+                }
+                limit_ms
+            }
+        };
+        let left = Duration::from_millis(wake_ms - now_ms);
         // Woken or not, the state itself is looked at again.
         let _woken = timeout(left, news.changed()).await;
     }
@@ -85,28 +107,43 @@
 /// What a box asks for.
 struct Question {
     topic: Topic,
+    asker: Asker,
     since: u64,
     wait_ms: u64,
 }
 
 impl Question {
-    /// Reads `topic=NAME&since=REVISION&wait_ms=N`.
+    /// Reads `topic=NAME&since=REVISION&wait_ms=N&asker=relay`, or another asker.
     fn parse(query: &str) -> Option<Self> {
         let field = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
         let wait_ms: u64 = field("wait_ms")?.parse().ok()?;
+        let is_relay = field("asker") == Some(RELAY);
         Some(Self {
             topic: Topic::from_name(field("topic")?)?,
+            asker: if is_relay {
+                Asker::Relay
+            } else {
+                Asker::Follower
+            },
             since: field("since")?.parse().ok()?,
             wait_ms: wait_ms.min(MAX_WAIT_MS),
         })
     }
 }
 
+/// How a relay names itself in a question.
+const RELAY: &str = "relay";
+const FOLLOWER: &str = "follower";
+
 /// The path at which a topic is followed.
-pub fn follow_path(topic: Topic, since: u64, wait_ms: u64) -> String {
+pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker) -> String {
     let topic = topic.name();
-    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}")
+    let asker = match asker {
+        Asker::Relay => RELAY,
+        Asker::Follower => FOLLOWER,
+    };
+    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
 }
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -34,8 +34,30 @@
     /// Who asks from before this needs everything.
     floor: u64,
     changes: VecDeque<(u64, PassedChange)>,
-    /// Whether this box hears it from the store itself.
-    is_direct: bool,
+    from: HeardFrom,
+}
+
+/// From whom this box hears a topic.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HeardFrom {
+    /// From nobody.
+    #[default]
+    Nobody,
+    /// From the store.
+    Store,
+    /// From the root: this box is its hall's relay.
+    Root,
+    /// From its hall's relay.
+    Relay,
+}
+
+/// Who asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asker {
+    /// A box of this hall, of the hall's relay.
+    Follower,
+    /// A relay, of the root.
+    Relay,
 }
 
 /// What a box can pass on.
@@ -52,13 +74,12 @@
 impl Histories {
     /// Takes in that a topic was read as a whole.
     pub fn restart(&self, topic: Topic, revision: u64) {
-        let history = History {
-            revision,
-            floor: revision,
-            changes: VecDeque::new(),
-            is_direct: false,
-        };
-        self.topics().insert(topic, history);
+        let mut topics = self.topics();
+        let history = topics.entry(topic).or_default();
+        history.revision = revision;
+        history.floor = revision;
+        history.changes.clear();
+        drop(topics);
         self.tell();
     }
 
@@ -82,12 +103,12 @@
         }
     }
 
-    /// Takes in whether this box hears a topic from the store itself.
-    pub fn set_direct(&self, topic: Topic, is_direct: bool) {
+    /// Takes in from whom this box hears a topic.
+    pub fn set_from(&self, topic: Topic, from: HeardFrom) {
         let mut topics = self.topics();
         let history = topics.entry(topic).or_default();
-        if history.is_direct != is_direct {
-            history.is_direct = is_direct;
+        if history.from != from {
+            history.from = from;
             drop(topics);
             self.tell();
         }
@@ -101,6 +122,13 @@
         }
     }
 
+    /// Whether this box hears the configuration from the store, and that answers.
+    pub fn is_root(&self) -> bool {
+        let topics = self.topics();
+        let from = topics.get(&Topic::Site).map(|history| history.from);
+        from == Some(HeardFrom::Store) && self.store_answers.load(Ordering::Relaxed)
+    }
+
     /// Takes in that another box asks here.
     pub fn asked(&self, now_ms: u64) {
         self.asked_at_ms.store(now_ms, Ordering::Relaxed);
@@ -133,13 +161,20 @@
         self.topics.lock().expect("invariant: no holder panics")
     }
 
-    /// Changes behind `since`; none if there are none, an error if this box is no source.
-    pub fn behind(&self, topic: Topic, since: u64) -> Result<Option<Behind>, NoSource> {
+    /// Changes behind `since`; none if there are none, an error if this box does not hear of them.
+    pub fn behind(
+        &self,
+        topic: Topic,
+        since: u64,
+        asker: Asker,
+    ) -> Result<Option<Behind>, NoSource> {
         let topics = self.topics();
-        if !self.store_answers.load(Ordering::Relaxed) {
-            return Err(NoSource);
+        let history = topics.get(&topic).ok_or(NoSource::ForNow)?;
+        // Who knows nothing yet is better off with what was last heard; its proof tells the age.
+        let knows_nothing = since == 0 && history.floor > 0;
+        if !knows_nothing {
+            self.check_source(history.from, asker)?;
         }
-        let history = topics.get(&topic).filter(|h| h.is_direct).ok_or(NoSource)?;
         if since < history.floor {
             return Ok(Some(Behind::Whole(history.revision)));
         }
@@ -151,6 +186,17 @@
         let none = changes.is_empty();
         Ok((!none).then_some(Behind::Changes(history.revision, changes)))
     }
+
+    /// Whether this box is a source for who asks.
+    fn check_source(&self, from: HeardFrom, asker: Asker) -> Result<(), NoSource> {
+        let store_answers = self.store_answers.load(Ordering::Relaxed);
+        match (from, asker) {
+            (HeardFrom::Store, _) if store_answers => Ok(()),
+            (HeardFrom::Root, Asker::Follower) => Ok(()),
+            (HeardFrom::Relay, _) => Err(NoSource::AtAll),
+            _ => Err(NoSource::ForNow),
+        }
+    }
 }
 
 /// What a box that asks does not know yet.
@@ -161,5 +207,11 @@
     Changes(u64, Vec<PassedChange>),
 }
 
-/// This box does not hear the topic from the store itself, or the store does not answer it.
-pub struct NoSource;
+/// Why this box does not tell of a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSource {
+    /// It is looking for another source.
+    ForNow,
+    /// It follows another box itself.
+    AtAll,
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -0,0 +1,172 @@
+//! Joins the other boxes: tells a seed of this box, again and again, and hears of the others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use ivyweir_policy::gateway::hall::BoxRecord;
+use ivyweir_policy::gateway::joined::digest;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::answer::{self, AnswerBody, bare};
+use crate::client::Client;
+use crate::state::Gateway;
+
+/// Pauses between the first rounds: all boxes may start within 0.3 s of each other.
+const FIRST_PAUSES_MS: [u64; 7] = [40, 40, 60, 150, 300, 500, 1_000];
+/// Pause between later rounds.
+const PAUSE_MS: u64 = 2_000;
+/// Time for a seed to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Time since its start from which a seed has heard of all others.
+const SETTLED_SEED_MS: u64 = 3_000;
+/// Time since this box's start after which it takes what a young seed tells as it is: of boxes that
+/// start together nearly all have joined. A wrong relay costs some calls more, waiting costs callers.
+const SETTLED_MS: u64 = 130;
+/// Time since this box's start after which it goes on without any seed.
+const ALONE_MS: u64 = 300;
+/// Largest message.
+const MAX_MESSAGE_BYTES: usize = 64 << 10;
+
+/// A box that joins, to a seed.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct JoinMessage {
+    from: BoxRecord,
+    /// Digest of what the seed told last.
+    digest: u64,
+}
+
+/// A seed's answer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct JoinAnswer {
+    /// Boxes that joined, where the list is not the one told last.
+    boxes: Option<Vec<BoxRecord>>,
+    /// Time since the seed's start.
+    up_ms: u64,
+}
+
+/// Joins again and again for the life of the process.
+pub async fn keep_joined(gateway: Arc<Gateway>) {
+    let mut joiner = Joiner {
+        gateway,
+        clients: HashMap::new(),
+        round: rand::random_range(0..FIRST_PAUSES_MS.len()),
+    };
+    let mut pauses = FIRST_PAUSES_MS.iter();
+    while joiner.gateway.stopping_for_ms().is_none() {
+        let up_ms = joiner.join_one().await;
+        joiner.settle(up_ms);
+        let pause_ms = pauses.next().copied().unwrap_or(PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+struct Joiner {
+    gateway: Arc<Gateway>,
+    clients: HashMap<SocketAddr, Client>,
+    round: usize,
+}
+
+impl Joiner {
+    /// Joins at the seed whose turn it is, or at another box if that does not answer; returns how
+    /// long the one that answered has been up.
+    async fn join_one(&mut self) -> Option<u64> {
+        let seeds = self.gateway.peers.seeds();
+        self.round += 1;
+        for turn in 0..seeds.len() {
+            let seed = seeds[(self.round + turn) % seeds.len()];
+            if let Some(up_ms) = self.join_at(seed).await {
+                return Some(up_ms);
+            }
+        }
+        self.gateway.reload_seeds();
+        let other = self.gateway.peers.any_other()?;
+        self.join_at(other).await
+    }
+
+    async fn join_at(&mut self, seed: SocketAddr) -> Option<u64> {
+        let gateway = &self.gateway;
+        let request = request(seed, &own_message(gateway, seed));
+        let client = self
+            .clients
+            .entry(seed)
+            .or_insert_with(|| Client::new(seed));
+        let answer = client.call(request, ANSWER_LIMIT).await;
+        let told: Option<JoinAnswer> = match answer {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                serde_json::from_slice(&answer.body).ok()
+            }
+            _ => None,
+        };
+        let Some(told) = told else {
+            self.clients.remove(&seed);
+            return None;
+        };
+        let now_ms = gateway.clock.now_ms();
+        if let Some(boxes) = &told.boxes {
+            let detail = json!({"seed": seed, "boxes": boxes.len()});
+            gateway.log.line("boxes_heard", detail);
+        }
+        gateway.peers.heard(seed, told.boxes, now_ms);
+        Some(told.up_ms)
+    }
+
+    /// Decides whether the list of boxes is good enough to choose a relay by.
+    fn settle(&self, seed_up_ms: Option<u64>) {
+        let now_ms = self.gateway.clock.now_ms();
+        let is_young = seed_up_ms.is_none_or(|up_ms| up_ms < SETTLED_SEED_MS);
+        self.gateway.peers.set_young(is_young);
+        let is_settled = match seed_up_ms {
+            Some(up_ms) => up_ms >= SETTLED_SEED_MS || now_ms >= SETTLED_MS,
+            None => now_ms >= ALONE_MS,
+        };
+        if is_settled || self.gateway.peers.is_only_seed() {
+            self.gateway.peers.settle();
+            self.gateway.histories.tell();
+        }
+    }
+}
+
+fn own_message(gateway: &Gateway, seed: SocketAddr) -> JoinMessage {
+    JoinMessage {
+        from: gateway.peers.me().clone(),
+        digest: gateway.peers.told_digest(seed),
+    }
+}
+
+fn request(seed: SocketAddr, message: &JoinMessage) -> Request<Bytes> {
+    let body = serde_json::to_vec(message).expect("invariant: messages are valid JSON");
+    Request::builder()
+        .method(Method::POST)
+        .uri("/peer/join")
+        .header(header::HOST, seed.to_string())
+        .body(Bytes::from(body))
+        .expect("invariant: all parts are valid")
+}
+
+/// Answers a box that joins here.
+pub async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
+    let Ok(body) = body.await else {
+        return bare(StatusCode::BAD_REQUEST);
+    };
+    let Ok(message) = serde_json::from_slice::<JoinMessage>(&body.to_bytes()) else {
+        return bare(StatusCode::BAD_REQUEST);
+    };
+    let now_ms = gateway.clock.now_ms();
+    let hall = message.from.hall.clone();
+    gateway.peers.joined(message.from, now_ms);
+    let boxes = gateway.peers.told_to(&hall, now_ms);
+    let is_news = digest(&boxes) != message.digest;
+    answer::json(&JoinAnswer {
+        boxes: is_news.then_some(boxes),
+        up_ms: now_ms,
+    })
+}
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -31,8 +31,8 @@
 pub mod headers;
 mod history;
 mod job;
+mod join;
 mod judge;
-mod listing;
 mod log;
 mod metrics;
 pub mod native;
@@ -137,7 +137,10 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => gateway.log.line("reload_asked", json!({})),
+            _ = hangup.recv() => {
+                gateway.log.line("reload_asked", json!({}));
+                gateway.reload_seeds();
+            }
         }
     }
     drain(&gateway, &stop).await;
@@ -168,7 +171,7 @@
         tokio::spawn(sync::follow(gateway.clone(), topic));
     }
     tokio::spawn(drive::run(gateway.clone()));
-    tokio::spawn(listing::keep_listed(gateway.clone()));
+    tokio::spawn(join::keep_joined(gateway.clone()));
     tokio::spawn(words::exchange(gateway.clone()));
     tokio::spawn(server::serve_peers(gateway.clone(), listeners.peers));
     tokio::spawn(sweep(gateway.clone()));
@@ -188,8 +191,6 @@
     let grace_ms = gateway.settings.bounds.stop_grace_ms();
     let end = Instant::now() + Duration::from_millis(grace_ms.saturating_sub(END_MARGIN_MS));
     let notice = Duration::from_millis(admit::STOP_NOTICE_MS);
-    let unlisting = gateway.clone();
-    tokio::spawn(async move { listing::unlist(&unlisting).await });
     sleep_until(end.min(Instant::now() + notice)).await;
     // The receiver lives as long as the server's task.
     let _server_gone = stop.send(true);
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -7,7 +7,7 @@
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use serde::{Deserialize, Serialize};
 
-use crate::dialect::{BoxRecord, Change, Changes, DialectError, Item, Page, StoreCodec, Topic};
+use crate::dialect::{Change, Changes, DialectError, Item, Page, StoreCodec, Topic};
 use crate::headers::{HeaderDialect, HeaderNames};
 
 /// The gateway's own names on requests and answers.
@@ -88,16 +88,6 @@
         request(Method::PUT, path, json(order))
     }
 
-    fn add_box(&self, record: &BoxRecord) -> Request<Bytes> {
-        let path = format!("/v1/records/boxes/{}", record.name);
-        request(Method::POST, path, json(record))
-    }
-
-    fn remove_box(&self, name: &str) -> Request<Bytes> {
-        let path = format!("/v1/records/boxes/{name}");
-        request(Method::DELETE, path, Bytes::new())
-    }
-
     fn page(&self, _topic: Topic, body: &[u8]) -> Result<Page, DialectError> {
         let page: RecordPage = read("a page of records", body)?;
         Ok(Page {
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -1,47 +1,231 @@
-//! Boxes among themselves: who they are, who is their hall's relay, and what they told.
+//! Boxes among themselves: who they are, from whom this one hears the store, and what they told.
 //!
-//! One box of each hall, its relay, watches the store; the others of the hall ask the relay. So the
-//! calls to the store grow with halls, not with boxes. Every box tells its relay its work under way
-//! and its counts of a roll-out's answers, and hears the fleet's; relays tell each other the sums
-//! of their halls. A box whose relay fails asks the store itself.
+//! One box of each hall, its relay, hears the store's records for the others of the hall, and the
+//! relays hear them from one of them, the root, which watches the store. Every box tells its relay
+//! its work under way and its counts of a roll-out's answers, and hears the fleet's; relays tell
+//! each other the sums of their halls.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::hall::{Shunned, relay_of};
+use ivyweir_policy::gateway::hall::{BoxRecord, ShunPauses, Shunned, Source, View, relay_of};
+use ivyweir_policy::gateway::joined::{Joined, Told};
 use ivyweir_policy::gateway::word::{OthersWords, Word};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
-use crate::dialect::BoxRecord;
+
+/// Pauses for a box that does not answer.
+const SILENT_PAUSES: ShunPauses = ShunPauses {
+    first_ms: 1_500,
+    most_ms: 12_000,
+};
+/// Pauses for a box that answers but does not hear the store, this one included.
+const UNHEARING_PAUSES: ShunPauses = ShunPauses {
+    first_ms: 600,
+    most_ms: 3_000,
+};
+
+/// Time for which a relay keeps to its root though another one comes first: boxes that start
+/// together do not know each other yet, and one that lost the store should not try it too often.
+const ROOT_KEPT_MS: u64 = 10_000;
 
 /// What a box knows of others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    me: BoxRecord,
+    seeds: Mutex<Vec<SocketAddr>>,
+    joined: Mutex<Joined>,
+    told: Mutex<Told>,
+    /// Other boxes, by what was told and who joined here.
+    others: Mutex<HashMap<Name, BoxRecord>>,
+    is_settled: AtomicBool,
+    /// Whether the boxes at which this one joined were young: all may have started together.
+    is_young: AtomicBool,
     losses: watch::Sender<u64>,
-    boxes: Mutex<HashMap<Name, BoxRecord>>,
-    shunned: Mutex<Shunned>,
-    others_words: Mutex<OthersWords>,
+    silent: Mutex<Shunned>,
+    unhearing: Mutex<Shunned>,
+    /// The root that this box hears from, if it is a relay; its own name if it is the root.
+    root: Mutex<Option<KnownRoot>>,
+    words: Mutex<OthersWords>,
+}
+
+/// A root, and since when it is one for this box.
+#[derive(Debug)]
+struct KnownRoot {
+    name: Name,
+    since_ms: u64,
 }
 
 impl Peers {
-    /// Takes in the boxes that the store lists.
-    pub fn replace(&self, records: Vec<BoxRecord>) {
-        let by_name = records.into_iter().map(|r| (r.name.clone(), r));
-        *lock(&self.boxes) = by_name.collect();
+    /// This box, and the addresses at which it joins the others.
+    pub fn new(me: BoxRecord, seeds: Vec<SocketAddr>) -> Self {
+        let peers = Self {
+            me,
+            seeds: Mutex::default(),
+            joined: Mutex::default(),
+            told: Mutex::default(),
+            others: Mutex::default(),
+            is_settled: AtomicBool::new(false),
+            is_young: AtomicBool::new(true),
+            losses: watch::Sender::default(),
+            silent: Mutex::new(Shunned::new(SILENT_PAUSES)),
+            unhearing: Mutex::new(Shunned::new(UNHEARING_PAUSES)),
+            root: Mutex::default(),
+            words: Mutex::default(),
+        };
+        peers.set_seeds(seeds);
+        peers
+    }
+
+    /// This box.
+    pub fn me(&self) -> &BoxRecord {
+        &self.me
+    }
+
+    /// Takes in the addresses at which boxes join; returns whether they are others than before.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) -> bool {
+        let others = seeds.into_iter().filter(|seed| *seed != self.me.peer_addr);
+        let others: Vec<SocketAddr> = others.collect();
+        let mut known = lock(&self.seeds);
+        let is_change = *known != others;
+        *known = others;
+        is_change
+    }
+
+    /// Addresses at which this box joins.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        lock(&self.seeds).clone()
+    }
+
+    /// Whether there is no seed but this box.
+    pub fn is_only_seed(&self) -> bool {
+        lock(&self.seeds).is_empty()
+    }
+
+    /// The address of some other box.
+    pub fn any_other(&self) -> Option<SocketAddr> {
+        let others = lock(&self.others);
+        let count = others.len();
+        let at = (count > 0).then(|| rand::random_range(0..count))?;
+        others.values().nth(at).map(|record| record.peer_addr)
+    }
+
+    /// Takes in what a seed told of other boxes: none where that has not changed.
+    pub fn heard(&self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
+        let is_news = list.is_some();
+        lock(&self.told).take(seed, list, now_ms);
+        if is_news {
+            self.merge(now_ms);
+        }
+    }
+
+    /// Digest of what a seed told last.
+    pub fn told_digest(&self, seed: SocketAddr) -> u64 {
+        lock(&self.told).digest(seed)
+    }
+
+    /// Takes in that a box joins here.
+    pub fn joined(&self, record: BoxRecord, now_ms: u64) {
+        if lock(&self.joined).join(record, now_ms) {
+            self.merge(now_ms);
+        }
+    }
+
+    /// What a box of this hall is told of the others.
+    pub fn told_to(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
+        let mut joined = lock(&self.joined);
+        joined.join(self.me.clone(), now_ms);
+        joined.told_to(hall, now_ms)
+    }
+
+    fn merge(&self, now_ms: u64) {
+        let mut others = lock(&self.told).boxes();
+        let joined = lock(&self.joined).told_to(&self.me.hall, now_ms);
+        others.extend(joined.into_iter().map(|r| (r.name.clone(), r)));
+        others.remove(&self.me.name);
+        *lock(&self.others) = others;
+    }
+
+    /// Takes in that the list of boxes is good enough to choose a relay by.
+    pub fn settle(&self) {
+        self.is_settled.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it is.
+    pub fn is_settled(&self) -> bool {
+        self.is_settled.load(Ordering::Relaxed)
+    }
+
+    /// Takes in whether the boxes at which this one joins started lately.
+    pub fn set_young(&self, is_young: bool) {
+        self.is_young.store(is_young, Ordering::Relaxed);
+    }
+
+    /// Whether they did, as far as is known.
+    pub fn is_young(&self) -> bool {
+        self.is_young.load(Ordering::Relaxed)
+    }
+
+    /// From whom this box is to hear the store's records next.
+    pub fn source(&self, now_ms: u64) -> Source {
+        let others = lock(&self.others);
+        let silent = lock(&self.silent);
+        let unhearing = lock(&self.unhearing);
+        let mut root = lock(&self.root);
+        let view = View {
+            me: &self.me,
+            others: &others,
+            is_out: |name: &str| silent.contains(name, now_ms) || unhearing.contains(name, now_ms),
+            root: root
+                .as_ref()
+                .filter(|known| now_ms < known.since_ms + ROOT_KEPT_MS)
+                .map(|known| &known.name),
+        };
+        let source = view.source();
+        let name = match &source {
+            Source::Store => Some(&self.me.name),
+            Source::Root(record) => Some(&record.name),
+            Source::Relay(_) | Source::Nobody => None,
+        };
+        let is_kept = root.as_ref().map(|known| &known.name) == name;
+        if !is_kept {
+            *root = name.cloned().map(|name| KnownRoot {
+                name,
+                since_ms: now_ms,
+            });
+        }
+        source
+    }
+
+    /// Takes in that a box, or the store if it is this one, does not tell of the store's records.
+    pub fn hears_nothing(&self, name: &Name, now_ms: u64) {
+        lock(&self.unhearing).failed(name, now_ms);
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    /// Takes in that a box, or the store if it is this one, told of the store's records.
+    pub fn hears(&self, name: &str) {
+        lock(&self.unhearing).answered(name);
     }
 
     /// Takes in that a box did not answer as it should.
     pub fn failed(&self, name: &Name, now_ms: u64) {
-        lock(&self.shunned).failed(name, now_ms);
+        lock(&self.silent).failed(name, now_ms);
         self.losses.send_modify(|count| *count += 1);
     }
 
-    /// Waits until a box is left alone because it did not answer somebody.
+    /// Waits until a box is left alone because of what it did, or did not, answer somebody.
     pub async fn lost(&self, name: &Name, clock: Clock) {
         let mut losses = self.losses.subscribe();
-        while !lock(&self.shunned).contains(name, clock.now_ms()) {
+        let is_out = |now_ms| {
+            lock(&self.silent).contains(name, now_ms)
+                || lock(&self.unhearing).contains(name, now_ms)
+        };
+        while !is_out(clock.now_ms()) {
             // The sender lives as long as the box's state.
             let _changed = losses.changed().await;
         }
@@ -49,46 +233,56 @@
 
     /// Takes in that a box answered.
     pub fn answered(&self, name: &Name) {
-        lock(&self.shunned).answered(name);
+        lock(&self.silent).answered(name);
+    }
+
+    /// The relay of a hall, unless it is this box itself.
+    pub fn relay(&self, hall: &str, now_ms: u64) -> Option<BoxRecord> {
+        let others = lock(&self.others);
+        let silent = lock(&self.silent);
+        let in_hall = others.values().filter(|record| &*record.hall == hall);
+        let usable = in_hall.filter(|record| !silent.contains(&record.name, now_ms));
+        let me = (*self.me.hall == *hall).then_some(&self.me);
+        let relay = relay_of(usable.chain(me))?;
+        (relay.name != self.me.name).then(|| relay.clone())
     }
 
-    /// The relay of a hall, unless it is the box `me` itself.
-    pub fn relay(&self, hall: &str, me: &Name, now_ms: u64) -> Option<BoxRecord> {
-        let boxes = lock(&self.boxes);
-        let shunned = lock(&self.shunned);
-        let usable = boxes
-            .values()
-            .filter(|b| &*b.hall == hall)
-            .map(|b| &b.name)
-            .filter(|name| *name == me || !shunned.contains(name, now_ms));
-        let relay = relay_of(hall, usable)?;
-        (relay != me).then(|| boxes[relay].clone())
+    /// The root that this box hears from as its hall's relay, unless it is the root itself.
+    pub fn root(&self) -> Option<BoxRecord> {
+        let root = lock(&self.root);
+        lock(&self.others).get(&root.as_ref()?.name).cloned()
     }
 
     /// Halls that have boxes.
     pub fn halls(&self) -> Vec<Name> {
-        let boxes = lock(&self.boxes);
-        let mut halls: Vec<Name> = boxes.values().map(|b| b.hall.clone()).collect();
+        let others = lock(&self.others);
+        let mut halls: Vec<Name> = others.values().map(|record| record.hall.clone()).collect();
+        halls.push(self.me.hall.clone());
         halls.sort();
         halls.dedup();
         halls
     }
 
+    /// Number of other boxes that this one knows.
+    pub fn known(&self) -> usize {
+        lock(&self.others).len()
+    }
+
     /// Takes in what a box, or a relay for several boxes, told.
     pub fn told(&self, from: &Name, word: Word, now_ms: u64) {
-        lock(&self.others_words).put(from, word, now_ms);
+        lock(&self.words).put(from, word, now_ms);
     }
 
     /// What boxes other than `except` told lately.
     pub fn words_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Word {
-        lock(&self.others_words).sum_except(except, now_ms)
+        lock(&self.words).sum_except(except, now_ms)
     }
 
     /// Whether a box is of this hall, as far as is known.
     pub fn is_of_hall(&self, name: &str, hall: &str) -> bool {
-        lock(&self.boxes)
+        lock(&self.others)
             .get(name)
-            .is_some_and(|b| &*b.hall == hall)
+            .is_some_and(|record| &*record.hall == hall)
     }
 }
 
--- a/crates/ivyweir-gateway/src/refusal.rs
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -20,6 +20,8 @@
     NoAccess,
     /// The box does not know its configuration yet, or not whether it is the newest.
     NotCurrent,
+    /// The same, while other boxes are starting too.
+    Starting,
     /// The box is stopping.
     Stopping,
     /// No upstream could take the request; it did not run.
@@ -36,6 +38,9 @@
 const COME_BACK_MS: u64 = 250;
 /// The same where the box itself leaves or lags: another box may take the request at once.
 const COME_BACK_ELSEWHERE_MS: u64 = 50;
+/// The same where all boxes started a moment ago: they know their configuration within half a second
+/// of the first answer, and callers honour a third of a second and a half at most.
+const COME_BACK_STARTED_MS: u64 = 480;
 
 impl Reason {
     /// The status: 503, 429 and 408 are said only where the request did not run.
@@ -46,9 +51,11 @@
             Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoAccess => StatusCode::UNAUTHORIZED,
-            Self::NotCurrent | Self::Stopping | Self::NoUpstream | Self::LateNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotCurrent
+            | Self::Starting
+            | Self::Stopping
+            | Self::NoUpstream
+            | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
         }
@@ -63,6 +70,7 @@
             Self::NoRoute => "no_route",
             Self::NoAccess => "no_access",
             Self::NotCurrent => "not_current",
+            Self::Starting => "starting",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
             Self::LateNotRun => "late_not_run",
@@ -74,6 +82,7 @@
     fn come_back_ms(self) -> Option<u64> {
         match self {
             Self::NotCurrent | Self::Stopping => Some(COME_BACK_ELSEWHERE_MS),
+            Self::Starting => Some(COME_BACK_STARTED_MS),
             Self::NoUpstream | Self::LateNotRun => Some(COME_BACK_MS),
             _ => None,
         }
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::answer::{AnswerBody, bare, plain};
 use crate::state::Gateway;
-use crate::{follow, pipeline, words};
+use crate::{follow, join, pipeline, words};
 
 /// Idle time of a caller's connection before a configuration tells it.
 const IDLE_DEFAULT_MS: u64 = 15_000;
@@ -118,6 +118,7 @@
     let path = request.uri().path().to_owned();
     match path.as_str() {
         "/peer/word" => words::answer(&gateway, request).await,
+        "/peer/join" => join::answer(&gateway, request).await,
         "/peer/follow" => follow::answer(&gateway, request.uri().query()).await,
         _ => bare(StatusCode::NOT_FOUND),
     }
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::repeat::RepeatLimits;
@@ -70,12 +70,18 @@
     pub metrics_addr: SocketAddr,
     /// Where other boxes connect.
     pub peer_addr: SocketAddr,
+    /// Where some boxes, the seeds, are found by others; this box may be one of them.
+    #[serde(default)]
+    pub seed_addrs: Vec<SocketAddr>,
     /// Where the store is.
     pub store_addr: SocketAddr,
     /// What the machine gives.
     pub machine: Machine,
     /// What the operators promise.
     pub bounds: Bounds,
+    /// The file that this was read from, if there is one.
+    #[serde(skip)]
+    pub file: Option<PathBuf>,
 }
 
 /// What the machine gives a process.
@@ -86,6 +92,13 @@
     pub memory_mb: u64,
     /// File descriptors, sockets among them.
     pub max_fds: u64,
+    /// Share of a processor core.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
+}
+
+fn whole_core() -> f64 {
+    1.0
 }
 
 /// Bounds that the operators promise their users.
@@ -139,7 +152,9 @@
     pub fn from_file(file: &Path) -> Result<Self, SettingsError> {
         let name = file.display().to_string();
         let text = fs::read_to_string(file).context(ReadSnafu { file: &name })?;
-        Self::from_json(&text, &name)
+        let mut settings = Self::from_json(&text, &name)?;
+        settings.file = Some(file.to_owned());
+        Ok(settings)
     }
 
     /// Checks settings; `name` stands in errors.
@@ -162,6 +177,7 @@
             ("bounds.stop_grace_s", bounds.stop_grace_s),
             ("bounds.repeat_window_s", bounds.repeat_window_s),
             ("machine.memory_mb", self.machine.memory_mb as f64),
+            ("machine.cpu_share", self.machine.cpu_share),
             ("machine.max_fds", self.machine.max_fds as f64),
         ];
         for (field, value) in positive {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -6,6 +6,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::{Fleet, FleetChange};
+use ivyweir_policy::gateway::hall::BoxRecord;
 use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
@@ -77,6 +78,13 @@
         codec: Arc<dyn StoreCodec>,
         log: Log,
     ) -> Self {
+        let me = BoxRecord {
+            name: settings.box_name.clone(),
+            hall: settings.hall.clone(),
+            peer_addr: settings.peer_addr,
+            cpu_milli: (settings.machine.cpu_share * 1_000.0) as u32,
+        };
+        let peers = Peers::new(me, settings.seed_addrs.clone());
         Self {
             settings,
             clock,
@@ -85,7 +93,7 @@
             log,
             metrics: Metrics::default(),
             channels: Channels::default(),
-            peers: Peers::default(),
+            peers,
             histories: Histories::default(),
             store_news: StoreNews::default(),
             site: Mutex::default(),
@@ -144,7 +152,6 @@
                 let orders = rollouts.values().map(|track| track.order().clone());
                 orders.map(Item::Rollout).collect()
             }),
-            Topic::Boxes => Vec::new(),
         }
     }
 
@@ -162,9 +169,9 @@
     /// Takes in what others told.
     pub fn take_others_word(&self, word: Word) {
         for (pool, tally) in word.tallies {
-            let condemned = self.with_rollouts(|rollouts, _| {
+            let condemned = self.with_rollouts(|rollouts, now_ms| {
                 let track = rollouts.get_mut(&pool)?;
-                track.hear(tally).then(|| track.sum())
+                track.hear(tally, now_ms).then(|| track.sum())
             });
             if let Some(sum) = condemned {
                 log_condemned(self, &pool, &sum);
@@ -202,6 +209,7 @@
         let mut synced = lock(&self.synced);
         if !synced.contains(&topic) {
             synced.push(topic);
+            self.histories.tell();
         }
     }
 
@@ -231,6 +239,25 @@
         }
     }
 
+    /// Reads the seeds from the settings file again: which boxes there are may have changed.
+    pub fn reload_seeds(&self) {
+        let Some(file) = &self.settings.file else {
+            return;
+        };
+        match Settings::from_file(file) {
+            Ok(settings) => {
+                if self.peers.set_seeds(settings.seed_addrs) {
+                    let detail = json!({"seed_addrs": self.peers.seeds()});
+                    self.log.line("seeds_changed", detail);
+                }
+            }
+            Err(e) => {
+                let detail = json!({"error": e.to_string()});
+                self.log.line("settings_unreadable", detail);
+            }
+        }
+    }
+
     /// Counts a request until the returned guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> Active {
         self.active.fetch_add(1, Ordering::Relaxed);
--- a/crates/ivyweir-gateway/src/store_news.rs
+++ b/crates/ivyweir-gateway/src/store_news.rs
@@ -7,6 +7,7 @@
 pub struct StoreNews {
     losses: watch::Sender<u64>,
     upstreams_heard: watch::Sender<u64>,
+    polls: watch::Sender<u64>,
 }
 
 impl StoreNews {
@@ -33,4 +34,23 @@
     pub fn upstreams(&self) -> watch::Receiver<u64> {
         self.upstreams_heard.subscribe()
     }
+
+    /// Asks the other topics' followers to hear the store once.
+    pub fn ask_poll(&self) {
+        self.polls.send_modify(|count| *count += 1);
+    }
+
+    /// How often that was asked.
+    pub fn polls(&self) -> u64 {
+        *self.polls.borrow()
+    }
+
+    /// Waits until it is asked.
+    pub async fn until_poll_asked(&self) {
+        let mut polls = self.polls.subscribe();
+        if polls.changed().await.is_err() {
+            // The sender is gone with the box.
+            std::future::pending().await
+        }
+    }
 }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -1,31 +1,40 @@
-//! Following a topic at the hall's relay.
+//! Following a topic at another box: the hall's relay, or the root.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode, header};
+use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
-use super::{Failed, Follower, QUIET_WAIT_MS};
+use super::{Failed, Follower, QUIET_WAIT_MS, UNRENEWED_MS};
 use crate::adopt::{adopt, adopt_all, remove};
 use crate::client::{Answer, CallError, Client};
-use crate::dialect::{BoxRecord, Topic};
+use crate::dialect::Topic;
 use crate::follow::{FollowAnswer, follow_path};
-use crate::history::PassedChange;
+use crate::history::{Asker, PassedChange};
 
-/// How long a question about the configuration waits at a relay, which answers as soon as its own
-/// proof is renewed.
-const RELAY_SITE_WAIT_MS: u64 = 1_500;
+/// Shortest wait of a question about the configuration; the relay answers as soon as its own proof
+/// is renewed.
+const RELAY_SITE_MIN_WAIT_MS: u64 = 100;
 /// Time for a relay to answer, beyond the wait.
 const RELAY_ANSWER_LIMIT_MS: u64 = 500;
 /// Age of the proof from which the relay is taken to have lost the store.
 const RELAY_PROOF_MAX_MS: u64 = 2_700;
 
 impl Follower {
-    /// Asks the hall's relay; returns where to go on.
-    pub(super) async fn ask_relay(&mut self, since: u64, relay: BoxRecord) -> Result<u64, Failed> {
+    /// Asks another box; returns where to go on.
+    pub(super) async fn ask_box(
+        &mut self,
+        since: u64,
+        relay: BoxRecord,
+        asker: Asker,
+    ) -> Result<u64, Failed> {
         let asked_at_ms = self.gateway.clock.now_ms();
-        let answer = self.call_relay(since, &relay).await?;
+        let answer = self.call_box(since, &relay, asker).await?;
+        if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
+            return Err(self.unhearing(&relay));
+        }
         let answer = answer.map_err(|e| e.to_string()).and_then(read);
         let now_ms = self.gateway.clock.now_ms();
         let answer = match answer {
@@ -41,28 +50,40 @@
         };
         self.failures = 0;
         self.take_in(asked_at_ms, &answer).await;
+        self.gateway.set_synced(self.topic);
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
         if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
-            self.gateway.peers.failed(&relay.name, now_ms);
+            self.gateway.peers.hears_nothing(&relay.name, now_ms);
             let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
-            self.gateway.log.line("peer_lost", detail);
+            self.gateway.log.line("peer_unhearing", detail);
+        } else if self.topic == Topic::Site {
+            self.gateway.peers.hears(&relay.name);
         }
         Ok(answer.revision.max(since))
     }
 
-    /// Asks what changed behind `since`; gives up where another follower finds the relay lost.
-    async fn call_relay(
+    /// Takes in that the box that was asked does not hear of the store's records itself.
+    fn unhearing(&self, relay: &BoxRecord) -> Failed {
+        if self.topic != Topic::Site {
+            return Failed::Unhearing;
+        }
+        let now_ms = self.gateway.clock.now_ms();
+        self.gateway.peers.hears_nothing(&relay.name, now_ms);
+        let detail = json!({"peer": relay.name, "about": self.topic.name()});
+        self.gateway.log.line("peer_unhearing", detail);
+        Failed::Relay
+    }
+
+    /// Asks what changed behind `since`; gives up where another follower finds the box lost.
+    async fn call_box(
         &mut self,
         since: u64,
         relay: &BoxRecord,
+        asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
-        let wait_ms = if self.topic == Topic::Site {
-            RELAY_SITE_WAIT_MS
-        } else {
-            QUIET_WAIT_MS
-        };
+        let wait_ms = self.box_wait_ms();
         let request = Request::builder()
-            .uri(follow_path(self.topic, since, wait_ms))
+            .uri(follow_path(self.topic, since, wait_ms, asker))
             .header(header::HOST, relay.peer_addr.to_string())
             .body(Bytes::new())
             .expect("invariant: all parts are valid");
@@ -80,9 +101,24 @@
                 self.relay = None;
                 Err(Failed::Relay)
             }
+            () = self.gateway.store_news.until_poll_asked(), if self.topic != Topic::Site => {
+                self.relay = None;
+                Err(Failed::Relay)
+            }
         }
     }
 
+    /// How long a question waits: one about the configuration no longer than until this box is to
+    /// try the store.
+    fn box_wait_ms(&self) -> u64 {
+        if self.topic != Topic::Site {
+            return QUIET_WAIT_MS;
+        }
+        let now_ms = self.gateway.clock.now_ms();
+        let left_ms = (self.renewed_at_ms + UNRENEWED_MS).saturating_sub(now_ms);
+        left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, UNRENEWED_MS)
+    }
+
     async fn take_in(&mut self, asked_at_ms: u64, answer: &FollowAnswer) {
         let gateway = self.gateway.clone();
         if let Some(items) = &answer.whole {
@@ -100,9 +136,10 @@
         gateway.histories.push(self.topic, answer.revision, changes);
         if self.confirmed().await
             && let Some(proof_age_ms) = answer.proof_age_ms
+            // A proof from before this box's start is too old for its clock.
+            && let Some(proven_at_ms) = (asked_at_ms + answer.held_ms).checked_sub(proof_age_ms)
         {
             // The relay answered no sooner than it says, so its proof is no older than this.
-            let proven_at_ms = (asked_at_ms + answer.held_ms).saturating_sub(proof_age_ms);
             gateway.renew_proof(proven_at_ms);
         }
     }
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -34,20 +34,24 @@
 /// How long a watch of upstreams waits. A call that a silent store took is never answered, and
 /// until it is given up a box does not hear who leaves.
 const UPSTREAMS_WAIT_MS: u64 = 4_000;
-/// How long the first watches after a failure wait.
+/// How long the first watches after a failure, or after another box was asked, wait.
 const AFTER_FAILURE_WAIT_MS: u64 = 50;
+/// Time for the store to answer a try; a slow one takes 300 ms.
+const PROBE_LIMIT: Duration = Duration::from_millis(700);
 
 impl Follower {
     /// Lists the topic; returns the revision to watch from.
-    pub(super) async fn list(&mut self) -> Option<u64> {
+    pub(super) async fn list(&mut self) -> Result<u64, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
         let (entries, revision) = match self.read_pages().await {
             Ok(listing) => listing,
             Err(e) => {
+                self.tell_store_answers(false);
                 self.failed(&e);
-                return None;
+                return Err(());
             }
         };
+        self.tell_store_answers(true);
         self.succeeded();
         adopt_all(&self.gateway, self.topic, entries);
         self.gateway.histories.restart(self.topic, revision);
@@ -55,7 +59,7 @@
             self.gateway.renew_proof(asked_at_ms);
         }
         self.gateway.set_synced(self.topic);
-        Some(revision)
+        Ok(revision)
     }
 
     /// All records of the topic, and the revision behind which the watch tells the rest.
@@ -77,21 +81,34 @@
     /// Watches once; returns where to go on, or none if the topic is to be listed again.
     pub(super) async fn ask_store(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let watched = self.watch(since).await;
-        if self.topic == Topic::Site {
-            let histories = &self.gateway.histories;
-            histories.set_store_answers(watched.is_ok());
-            if watched.is_err() {
-                self.gateway.store_news.store_lost();
-            }
-        }
+        self.tell_store_answers(watched.is_ok());
         watched
     }
 
+    /// Tells boxes that follow here, and the other topics' followers, whether the store answers.
+    fn tell_store_answers(&self, answers: bool) {
+        if self.topic != Topic::Site {
+            return;
+        }
+        self.gateway.histories.set_store_answers(answers);
+        if !answers {
+            self.gateway.store_news.store_lost();
+        }
+    }
+
     async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
         let wait_ms = self.wait_ms();
         let request = self.gateway.codec.watch(self.topic, since, wait_ms);
-        let answer = self.call_store(request, wait_ms).await;
+        let mut answer = self.call_store(request, wait_ms).await;
+        if self.failures == 0 && matches!(answer, Err(CallError::Lost { .. })) {
+            // The store may cut a watch at any time; it is lost only if it does not answer then.
+            let request = self
+                .gateway
+                .codec
+                .watch(self.topic, since, AFTER_FAILURE_WAIT_MS);
+            answer = self.call_store(request, AFTER_FAILURE_WAIT_MS).await;
+        }
         let changes = match answer.and_then(|answer| self.read(&answer)) {
             Ok(changes) => changes,
             Err(e) => {
@@ -107,9 +124,9 @@
         };
         let revision = changes.revision;
         let quiet = changes.changes.is_empty();
+        let answered_at_ms = self.gateway.clock.now_ms();
         self.take_changes(changes);
         if self.confirmed().await {
-            let answered_at_ms = self.gateway.clock.now_ms();
             let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
             self.gateway.renew_proof(proven_at_ms);
         }
@@ -125,7 +142,12 @@
         request: Request<Bytes>,
         wait_ms: u64,
     ) -> Result<Answer, CallError> {
-        let limit = Duration::from_millis(wait_ms) + ANSWER_LIMIT;
+        let limit = if self.is_probing {
+            PROBE_LIMIT
+        } else {
+            ANSWER_LIMIT
+        };
+        let limit = Duration::from_millis(wait_ms) + limit;
         let Gateway {
             histories,
             store_news,
@@ -137,7 +159,7 @@
             // outlasts the loss that the short ones notice.
             return tokio::select! {
                 answer = call => answer,
-                () = store_news.until_store_lost() => Err(CallError::Lost {
+                () = store_news.until_store_lost() => Err(CallError::GivenUp {
                     detail: "questions about the configuration got no answer".into(),
                 }),
             };
@@ -185,8 +207,9 @@
         match self.topic {
             // After a failure the answer itself is news, so it must not wait for changes.
             _ if self.failures > 0 && self.topic != Topic::Site => AFTER_FAILURE_WAIT_MS,
+            _ if self.is_probing || self.is_catching_up => AFTER_FAILURE_WAIT_MS,
             Topic::Upstreams => UPSTREAMS_WAIT_MS,
-            Topic::Rollouts | Topic::Boxes => QUIET_WAIT_MS,
+            Topic::Rollouts => QUIET_WAIT_MS,
             Topic::Site => self.site_wait_ms(),
         }
     }
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -9,13 +9,13 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::hall::{BoxRecord, asks};
 use ivyweir_policy::gateway::word::{Word, WordMessage};
 use serde_json::json;
 use tokio::time::sleep;
 
 use crate::answer::{self, AnswerBody, bare};
 use crate::client::Client;
-use crate::dialect::BoxRecord;
 use crate::state::Gateway;
 
 /// How often boxes tell each other; requests come and go within some hundred milliseconds.
@@ -30,10 +30,8 @@
     let mut clients: HashMap<Name, Client> = HashMap::new();
     loop {
         sleep(WORD_ROUND).await;
-        let me = &gateway.settings.box_name;
-        let hall = &gateway.settings.hall;
         let now_ms = gateway.clock.now_ms();
-        match gateway.peers.relay(hall, me, now_ms) {
+        match gateway.peers.relay(&gateway.settings.hall, now_ms) {
             Some(relay) => {
                 let message = own_message(&gateway, false, gateway.own_word());
                 tell(&gateway, &mut clients, &relay, &message).await;
@@ -47,17 +45,17 @@
 
 /// Tells relays of other halls this hall's word.
 async fn tell_other_halls(gateway: &Gateway, clients: &mut HashMap<Name, Client>) {
-    let me = &gateway.settings.box_name;
+    let own_hall = &gateway.settings.hall;
+    let root = gateway.peers.root();
     for hall in gateway.peers.halls() {
-        if hall == gateway.settings.hall {
+        if hall == *own_hall {
             continue;
         }
-        let now_ms = gateway.clock.now_ms();
-        let Some(relay) = gateway.peers.relay(&hall, me, now_ms) else {
+        let Some(relay) = gateway.peers.relay(&hall, gateway.clock.now_ms()) else {
             continue;
         };
-        // Each pair of relays talks once a round: the first by name asks.
-        if *me < relay.name {
+        // Each pair of relays talks once a round; whoever hears from the other must notice its loss.
+        if asks(own_hall, &hall) || root.as_ref() == Some(&relay) {
             let message = own_message(gateway, true, hall_word(gateway));
             tell(gateway, clients, &relay, &message).await;
         }
--- a/crates/ivyweir-policy/src/gateway/hall.rs
+++ b/crates/ivyweir-policy/src/gateway/hall.rs
@@ -1,18 +1,56 @@
-//! Which box of a hall, its relay, follows the store for the others.
+//! From whom a box hears of the store's records.
+//!
+//! One box of each hall, its relay, hears them for the others of the hall. One of the relays, the
+//! root, watches the store; the relays of other halls ask it. So calls to the store grow neither
+//! with boxes nor with halls. All boxes compute the same order of relays and roots, by rendezvous
+//! hashing, and pass over those that did not answer lately.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
 
 use crate::Name;
 use crate::rank::hash64;
 
-/// First pause after a box did not answer; doubles with each further time.
-const SHUN_FIRST_MS: u64 = 1_500;
-/// Longest such pause.
-const SHUN_MAX_MS: u64 = 12_000;
+/// Halls whose relays may be the root. Few, as each that tries a store that is out is paid for, and
+/// more than one, as the store may turn single boxes away.
+const ROOT_HALLS: usize = 3;
+
+/// Where a box is found by others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoxRecord {
+    /// Its name.
+    pub name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Where it listens for other boxes.
+    pub peer_addr: SocketAddr,
+    /// Its share of a processor core, in thousandths: relays are taken from the largest boxes.
+    pub cpu_milli: u32,
+}
+
+impl BoxRecord {
+    /// Its place in the order of its hall's relays, highest first; all boxes agree on it.
+    pub fn rank(&self) -> (u32, u64) {
+        let hash = hash64(&[self.hall.as_bytes(), self.name.as_bytes()]);
+        (self.cpu_milli, hash)
+    }
+}
+
+/// How long boxes are left alone after a failure.
+#[derive(Debug, Clone, Copy)]
+pub struct ShunPauses {
+    /// The first pause; it doubles with each further failure.
+    pub first_ms: u64,
+    /// The longest.
+    pub most_ms: u64,
+}
 
-/// Boxes that did not answer.
-#[derive(Debug, Default)]
+/// Boxes that are left alone for a while.
+#[derive(Debug)]
 pub struct Shunned {
+    pauses: ShunPauses,
     boxes: HashMap<Name, Shun>,
 }
 
@@ -23,19 +61,27 @@
 }
 
 impl Shunned {
+    /// Nobody yet.
+    pub fn new(pauses: ShunPauses) -> Self {
+        Self {
+            pauses,
+            boxes: HashMap::new(),
+        }
+    }
+
     /// Takes in that a box did not answer as it should.
     pub fn failed(&mut self, name: &Name, now_ms: u64) {
         let shun = self.boxes.entry(name.clone()).or_insert(Shun {
             failures: 0,
             until_ms: 0,
         });
-        let pause_ms = (SHUN_FIRST_MS << shun.failures.min(8)).min(SHUN_MAX_MS);
+        let pause_ms = self.pauses.first_ms << shun.failures.min(8);
         shun.failures += 1;
-        shun.until_ms = now_ms + pause_ms;
+        shun.until_ms = now_ms + pause_ms.min(self.pauses.most_ms);
     }
 
     /// Takes in that a box answered.
-    pub fn answered(&mut self, name: &Name) {
+    pub fn answered(&mut self, name: &str) {
         self.boxes.remove(name);
     }
 
@@ -47,7 +93,98 @@
     }
 }
 
-/// The box among `names` that follows the store for `hall`; all boxes of the hall agree.
-pub fn relay_of<'a>(hall: &str, names: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
-    names.max_by_key(|name| hash64(&[hall.as_bytes(), name.as_bytes()]))
+/// From whom a box hears of the store's records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From another box of its hall.
+    Relay(BoxRecord),
+    /// From the root, a relay of another hall.
+    Root(BoxRecord),
+    /// From nobody: whoever could tell it hears nothing either.
+    Nobody,
+}
+
+/// What a box chooses its source by.
+#[derive(Debug)]
+pub struct View<'a, F> {
+    /// The box itself.
+    pub me: &'a BoxRecord,
+    /// The other boxes.
+    pub others: &'a HashMap<Name, BoxRecord>,
+    /// Boxes that are passed over; for the box itself, whether the store does not answer it.
+    pub is_out: F,
+    /// The root that it hears from, which it leaves only if that is out.
+    pub root: Option<&'a Name>,
+}
+
+impl<F: Fn(&str) -> bool> View<'_, F> {
+    /// The source to ask next.
+    pub fn source(&self) -> Source {
+        let hall = &self.me.hall;
+        if let Some(relay) = relay_of(self.usable(hall).chain([self.me]))
+            && relay.name != self.me.name
+        {
+            return Source::Relay(relay.clone());
+        }
+        let halls = self.root_halls();
+        let kept = self.root.and_then(|name| self.as_root(name));
+        let next = || halls.iter().find_map(|hall| self.root_in(hall));
+        if let Some(root) = kept.or_else(next) {
+            return root;
+        }
+        match relay_of(self.usable(hall)) {
+            Some(other) => Source::Relay(other.clone()),
+            None if halls.contains(&hall) => Source::Store,
+            None => Source::Nobody,
+        }
+    }
+
+    /// The halls whose relays may be the root, in the order in which they are asked.
+    fn root_halls(&self) -> Vec<&Name> {
+        let mut halls: Vec<&Name> = self.others.values().map(|record| &record.hall).collect();
+        halls.push(&self.me.hall);
+        halls.sort();
+        halls.dedup();
+        halls.sort_by_key(|hall| std::cmp::Reverse(hash64(&[b"root", hall.as_bytes()])));
+        halls.truncate(ROOT_HALLS);
+        halls
+    }
+
+    /// The relay of a hall as the root, if it is not out.
+    fn root_in(&self, hall: &Name) -> Option<Source> {
+        if *hall == self.me.hall {
+            return self.as_root(&self.me.name);
+        }
+        self.as_root(&relay_of(self.usable(hall))?.name)
+    }
+
+    fn as_root(&self, name: &Name) -> Option<Source> {
+        if (self.is_out)(name) {
+            return None;
+        }
+        if *name == self.me.name {
+            return Some(Source::Store);
+        }
+        self.others.get(name).cloned().map(Source::Root)
+    }
+
+    /// Other boxes of a hall that are not passed over.
+    fn usable(&self, hall: &str) -> impl Iterator<Item = &BoxRecord> {
+        let in_hall = self.others.values().filter(move |r| &*r.hall == hall);
+        in_hall.filter(|record| !(self.is_out)(&record.name))
+    }
+}
+
+/// The box of a hall that hears the store for the others.
+pub fn relay_of<'a>(hall: impl Iterator<Item = &'a BoxRecord>) -> Option<&'a BoxRecord> {
+    hall.max_by_key(|record| record.rank())
+}
+
+/// Whether the relay of the first hall asks that of the second when the two talk: the one that
+/// comes later as root asks, since it must notice the loss of the other.
+pub fn asks(hall: &str, of: &str) -> bool {
+    let rank = |hall: &str| (hash64(&[b"root", hall.as_bytes()]), hall.to_owned());
+    rank(hall) < rank(of)
 }
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -0,0 +1,93 @@
+//! Which boxes there are: each joins again and again at a few of them, the seeds, which tell it of
+//! the others.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use crate::Name;
+use crate::gateway::hall::BoxRecord;
+use crate::rank::hash64;
+
+/// Time without a word after which a box that joined is taken to be gone. A box joins every two
+/// seconds, at each of three seeds in turn.
+const JOINED_MS: u64 = 20_000;
+/// Time for which what a seed told is believed when that seed answers no more, while others do.
+const TOLD_MS: u64 = 30_000;
+/// Boxes of each other hall that a box is told of: those first in the order of its relays.
+const TOLD_OF_OTHER_HALLS: usize = 3;
+
+/// Boxes that joined here.
+#[derive(Debug, Default)]
+pub struct Joined {
+    boxes: BTreeMap<Name, (BoxRecord, u64)>,
+}
+
+impl Joined {
+    /// Takes in that a box joins; returns whether it is new here.
+    pub fn join(&mut self, record: BoxRecord, now_ms: u64) -> bool {
+        self.boxes
+            .retain(|_, (_, at_ms)| *at_ms + JOINED_MS > now_ms);
+        let name = record.name.clone();
+        let before = self.boxes.insert(name, (record.clone(), now_ms));
+        before.is_none_or(|(known, _)| known != record)
+    }
+
+    /// What a box of this hall is told: the boxes of its hall, and some of each other one.
+    pub fn told_to(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
+        let lives = |at_ms: u64| at_ms + JOINED_MS > now_ms;
+        let live = self.boxes.values().filter(|(_, at_ms)| lives(*at_ms));
+        let mut by_hall: BTreeMap<&Name, Vec<&BoxRecord>> = BTreeMap::new();
+        for (record, _) in live {
+            by_hall.entry(&record.hall).or_default().push(record);
+        }
+        let mut told = Vec::new();
+        for (of, mut records) in by_hall {
+            if **of != *hall {
+                records.sort_by_key(|record| std::cmp::Reverse(record.rank()));
+                records.truncate(TOLD_OF_OTHER_HALLS);
+            }
+            told.extend(records.into_iter().cloned());
+        }
+        told
+    }
+}
+
+/// A number that differs between lists of boxes.
+pub fn digest(boxes: &[BoxRecord]) -> u64 {
+    boxes.iter().fold(0, |sum: u64, record| {
+        let addr = record.peer_addr.to_string();
+        sum.wrapping_add(hash64(&[record.name.as_bytes(), addr.as_bytes()]))
+    })
+}
+
+/// What a box was told of the others, by the seed that told it.
+#[derive(Debug, Default)]
+pub struct Told {
+    by_seed: HashMap<SocketAddr, (Vec<BoxRecord>, u64)>,
+}
+
+impl Told {
+    /// Digest of what a seed told last; 0 if it told nothing.
+    pub fn digest(&self, seed: SocketAddr) -> u64 {
+        self.by_seed.get(&seed).map_or(0, |(told, _)| digest(told))
+    }
+
+    /// Takes in a seed's answer: its list, or none where that has not changed.
+    pub fn take(&mut self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
+        let known = self.by_seed.entry(seed).or_default();
+        known.1 = now_ms;
+        if let Some(list) = list {
+            known.0 = list;
+        }
+        self.by_seed
+            .retain(|_, (_, at_ms)| *at_ms + TOLD_MS > now_ms);
+    }
+
+    /// All boxes that were told of; the newest word on a box counts.
+    pub fn boxes(&self) -> HashMap<Name, BoxRecord> {
+        let mut lists: Vec<&(Vec<BoxRecord>, u64)> = self.by_seed.values().collect();
+        lists.sort_by_key(|(_, at_ms)| *at_ms);
+        let records = lists.into_iter().flat_map(|(list, _)| list);
+        records.map(|r| (r.name.clone(), r.clone())).collect()
+    }
+}
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -94,7 +94,8 @@
     /// May lie before the start of the box's clock.
     started_ms: i64,
     findings: Findings,
-    condemned: bool,
+    /// When the new version was found bad.
+    condemned_at_ms: Option<u64>,
 }
 
 /// What a box should write to the store.
@@ -121,7 +122,7 @@
             started_ms: start_of(elapsed_ms, now_ms),
             order,
             findings: Findings::default(),
-            condemned: false,
+            condemned_at_ms: None,
         }
     }
 
@@ -168,7 +169,7 @@
         match self.order.state {
             RolloutState::Completed => return 1.0,
             RolloutState::RolledBack => return 0.0,
-            _ if self.condemned => return 0.0,
+            _ if self.condemned_at_ms.is_some() => return 0.0,
             _ => {}
         }
         STEPS[step_at(self.part(now_ms))].share
@@ -199,13 +200,13 @@
         // Once all work moves at a stroke, engines that have read nothing yet are slow for a while.
         let is_timed = self.share(now_ms) < 1.0;
         self.findings.weigh(side, evidence, is_timed);
-        self.condemn_if_bad()
+        self.condemn_if_bad(now_ms)
     }
 
     /// Takes in what other boxes counted; returns whether it condemned the new version just now.
-    pub fn hear(&mut self, others: Tally) -> bool {
+    pub fn hear(&mut self, others: Tally, now_ms: u64) -> bool {
         self.findings.hear(others);
-        self.condemn_if_bad()
+        self.condemn_if_bad(now_ms)
     }
 
     /// What this box counted.
@@ -218,19 +219,22 @@
         self.findings.sum()
     }
 
-    fn condemn_if_bad(&mut self) -> bool {
-        if self.condemned || self.is_over() {
+    fn condemn_if_bad(&mut self, now_ms: u64) -> bool {
+        if self.condemned_at_ms.is_some() || self.is_over() {
             return false;
         }
-        self.condemned = self.findings.condemns();
-        self.condemned
+        let is_bad = self.findings.condemns();
+        self.condemned_at_ms = is_bad.then_some(now_ms);
+        is_bad
     }
 
-    /// What is to be written now.
+    /// What is to be written at this time, which may lie in the past: who leaves it to others for a
+    /// while asks for what was due then.
     pub fn duty(&self, now_ms: u64) -> RolloutDuty {
         match self.order.state {
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
-            _ if self.condemned => RolloutDuty::RollBack,
+            _ if self.condemned_at_ms.is_some_and(|at_ms| at_ms <= now_ms) => RolloutDuty::RollBack,
+            _ if self.condemned_at_ms.is_some() => RolloutDuty::None,
             _ if self.part(now_ms) >= COMPLETE_FROM => RolloutDuty::Complete,
             RolloutState::Ordered => RolloutDuty::Tell,
             RolloutState::Running { elapsed_ms } => {
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -74,8 +74,9 @@
     for track in &tracks[1..] {
         add_tally(&mut others, &track.tally());
     }
-    assert!(tracks[0].hear(others));
-    assert_eq!(tracks[0].duty(100), RolloutDuty::RollBack);
+    assert!(tracks[0].hear(others, 13_100));
+    assert_eq!(tracks[0].duty(13_099), RolloutDuty::None);
+    assert_eq!(tracks[0].duty(13_100), RolloutDuty::RollBack);
 }
 
 #[test]
--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -8,9 +8,10 @@
 mod scripted;
 mod town;
 
-pub use process::{GatewayProcess, gateway_settings};
+pub use process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use record_store::{RecordStore, StoreFault};
 pub use scripted::{Act, ScriptedUpstream, Seen};
 pub use town::{
-    HOST, KEY, Reply, Town, WORKSPACE, call, event_ids, eventually, get, post_stream, site,
+    HOST, KEY, Reply, Town, WORKSPACE, any_port, call, event_ids, eventually, get, post_stream,
+    site,
 };
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -24,15 +24,32 @@
     pub ready_addr: SocketAddr,
     /// Where metrics are served.
     pub metrics_addr: SocketAddr,
+    /// Where other boxes connect.
+    pub peer_addr: SocketAddr,
 }
 
-/// Settings of a box on any free ports, with the bounds that tests go by.
-pub fn gateway_settings(name: &str, hall: &str, store_addr: &str) -> Value {
+/// What differs between boxes that tests start.
+#[derive(Debug, Clone, Copy)]
+pub struct BoxSpec<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its hall.
+    pub hall: &'a str,
+    /// Where it reaches the store.
+    pub store_addr: &'a str,
+    /// Where it listens for other boxes; port 0 for any.
+    pub peer_addr: SocketAddr,
+    /// Where it joins them.
+    pub seed_addrs: &'a [SocketAddr],
+}
+
+/// Settings of a box with its other listeners on any free ports, and the bounds that tests go by.
+pub fn gateway_settings(spec: &BoxSpec) -> Value {
     json!({
-        "box_name": name, "hall": hall,
+        "box_name": spec.name, "hall": spec.hall,
         "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
-        "metrics_addr": "127.0.0.1:0", "peer_addr": "127.0.0.1:0",
-        "store_addr": store_addr,
+        "metrics_addr": "127.0.0.1:0", "peer_addr": spec.peer_addr,
+        "seed_addrs": spec.seed_addrs, "store_addr": spec.store_addr,
         "machine": {"memory_mb": 110, "max_fds": 4100},
         "bounds": {
             "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
@@ -42,9 +59,12 @@
 }
 
 impl GatewayProcess {
-    /// Starts a box of this name in a hall, which reaches its store at `store_addr`.
-    pub fn start(binary: &Path, folder: &Path, name: &str, hall: &str, store_addr: &str) -> Self {
-        let settings = gateway_settings(name, hall, store_addr);
+    /// Starts a box.
+    pub fn start(binary: &Path, folder: &Path, spec: &BoxSpec) -> Self {
+        let BoxSpec {
+            name, store_addr, ..
+        } = spec;
+        let settings = gateway_settings(spec);
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("the folder can be written");
         let log_file = folder.join(format!("{name}.log"));
@@ -60,10 +80,11 @@
         let mut process = Self {
             child,
             log_file,
-            name: name.to_owned(),
+            name: (*name).to_owned(),
             caller_addr: store_addr.parse().expect("an address"),
             ready_addr: store_addr.parse().expect("an address"),
             metrics_addr: store_addr.parse().expect("an address"),
+            peer_addr: spec.peer_addr,
         };
         process.read_addresses();
         process
@@ -80,6 +101,7 @@
                 self.caller_addr = read("caller_addr");
                 self.ready_addr = read("ready_addr");
                 self.metrics_addr = read("metrics_addr");
+                self.peer_addr = read("peer_addr");
                 return;
             }
             thread::sleep(Duration::from_millis(5));
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use ivyweir_gateway::dialect::{BoxRecord, Item, Topic};
+use ivyweir_gateway::dialect::{Item, Topic};
 use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -250,12 +250,6 @@
         (&Method::GET, []) => json(&shared.state().page(topic)),
         (&Method::GET, ["changes"]) => watch_topic(shared, topic, query).await,
         (&Method::PUT, [_]) => write_rollout(shared, &body),
-        (&Method::POST, [name]) => add_box(shared, name, &body),
-        (&Method::DELETE, [name]) => {
-            shared.state().remove(topic, &Name::from(*name));
-            shared.news.send_modify(|count| *count += 1);
-            status(StatusCode::OK)
-        }
         _ => status(StatusCode::NOT_FOUND),
     }
 }
@@ -304,21 +298,6 @@
     answer
 }
 
-fn add_box(shared: &Shared, name: &str, body: &[u8]) -> Response<Full<Bytes>> {
-    let Ok(record) = serde_json::from_slice::<BoxRecord>(body) else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    let mut state = shared.state();
-    if state
-        .records
-        .contains_key(&(Topic::Boxes.name(), name.into()))
-    {
-        return status(StatusCode::CONFLICT);
-    }
-    state.put(Topic::Boxes, name.into(), Item::Box(record));
-    status(StatusCode::CREATED)
-}
-
 fn json(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(value).expect("records are valid JSON");
     Response::new(Full::new(Bytes::from(body)))
--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -23,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 
-use super::process::GatewayProcess;
+use super::process::{BoxSpec, GatewayProcess};
 use super::record_store::RecordStore;
 use super::scripted::ScriptedUpstream;
 
@@ -33,6 +33,8 @@
 pub const WORKSPACE: &str = "studio";
 /// Its key.
 pub const KEY: &str = "key-of-the-studio";
+/// Boxes at which others join.
+const SEEDS: usize = 3;
 /// Time for a condition to come true.
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -87,12 +89,26 @@
     pub fn add_box_behind(&mut self, hall: &str, store_addr: &str) -> usize {
         let number = self.boxes.len();
         let name = format!("box-{number}");
-        let started = GatewayProcess::start(&self.binary, &self.folder, &name, hall, store_addr);
+        let seed_addrs = self.seed_addrs();
+        let spec = BoxSpec {
+            name: &name,
+            hall,
+            store_addr,
+            peer_addr: any_port(),
+            seed_addrs: &seed_addrs,
+        };
+        let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
         self.boxes.push(started);
         eventually("the box is ready", || self.is_ready(number));
         number
     }
 
+    /// Addresses at which a box that starts now joins the others.
+    pub fn seed_addrs(&self) -> Vec<SocketAddr> {
+        let first = self.boxes.iter().take(SEEDS);
+        first.map(|running| running.peer_addr).collect()
+    }
+
     /// Whether a box tells the balancer that it takes connections.
     pub fn is_ready(&self, number: usize) -> bool {
         let asked = get(self.boxes[number].ready_addr, "/readyz", &[]);
@@ -112,6 +128,11 @@
     }
 }
 
+/// Any free port of loopback.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 /// Waits until `condition` holds.
 ///
 /// # Panics
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -6,7 +6,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
-use ivyweir_standins::edge::{Act, KEY, Town, eventually, gateway_settings, get};
+use ivyweir_standins::edge::{
+    Act, BoxSpec, KEY, Town, any_port, eventually, gateway_settings, get,
+};
 use serde_json::Value;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -26,7 +28,13 @@
 
 impl Piped {
     fn start(name: &str, store_addr: SocketAddr) -> Self {
-        let settings = gateway_settings(name, "hall-a", &store_addr.to_string());
+        let settings = gateway_settings(&BoxSpec {
+            name,
+            hall: "hall-a",
+            store_addr: &store_addr.to_string(),
+            peer_addr: any_port(),
+            seed_addrs: &[],
+        });
         let name = format!("ivyweir-log-{}-{name}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, settings.to_string()).expect("the file can be written");
@@ -65,12 +73,14 @@
             .map(|reply| reply.status)
     }
 
-    /// Ends the box and gives the rest of its log.
+    /// Stops the box and gives the rest of its log, which a planned stop writes out whole.
     fn finish(mut self) -> String {
-        self.child.kill().expect("it runs");
-        self.child.wait().expect("it ends");
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "no signal");
         let mut rest = String::new();
         self.out.read_to_string(&mut rest).expect("text");
+        self.child.wait().expect("it ends");
         let _left_behind = std::fs::remove_file(&self.file);
         rest
     }
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -15,8 +15,8 @@
 
 use bytes::Bytes;
 use ivyweir_standins::edge::{
-    Act, GatewayProcess, KEY, Reply, ScriptedUpstream, StoreFault, Town, call, event_ids,
-    eventually, get, site,
+    Act, BoxSpec, GatewayProcess, KEY, Reply, ScriptedUpstream, StoreFault, Town, any_port, call,
+    event_ids, eventually, get, site,
 };
 use ivyweir_standins::{Fault, Gateway};
 use rand::rngs::StdRng;
@@ -139,8 +139,15 @@
         let hall = ["hall-a", "hall-a", "hall-b"][number];
         let name = format!("box-{number}");
         let store_addr = self.store_paths[number].addr();
-        let started =
-            GatewayProcess::start(Path::new(BINARY), &self.folder, &name, hall, &store_addr);
+        let seed_addrs = self.town.seed_addrs();
+        let spec = BoxSpec {
+            name: &name,
+            hall,
+            store_addr: &store_addr,
+            peer_addr: any_port(),
+            seed_addrs: &seed_addrs,
+        };
+        let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
         self.shared.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
         if number < self.town.boxes.len() {
             self.town.boxes[number] = started;
