--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -87,6 +87,13 @@
 
     /// Starts a box that reaches the store at `store_addr`, and waits until it is ready.
     pub fn add_box_behind(&mut self, hall: &str, store_addr: &str) -> usize {
+        let number = self.start_box(hall, store_addr);
+        eventually("the box is ready", || self.is_ready(number));
+        number
+    }
+
+    /// Starts a box that reaches the store at `store_addr`, whether it becomes ready or not.
+    pub fn start_box(&mut self, hall: &str, store_addr: &str) -> usize {
         let number = self.boxes.len();
         let name = format!("box-{number}");
         let seed_addrs = self.seed_addrs();
@@ -99,7 +106,6 @@
         };
         let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
         self.boxes.push(started);
-        eventually("the box is ready", || self.is_ready(number));
         number
     }
 
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -187,6 +187,113 @@
     }
 }
 
+#[test]
+fn relays_of_all_halls_share_one_watch() {
+    let town = town(&["hall-a", "hall-a", "hall-b", "hall-c"]);
+    eventually("all but one follow another box", || {
+        let before = town.store.calls();
+        std::thread::sleep(std::time::Duration::from_millis(1_500));
+        // As many as one box makes; a relay a hall would make three times as many.
+        town.store.calls() - before <= 8
+    });
+    town.store.put_site(&site(2, &["second"]));
+    for number in 0..4 {
+        eventually("the new key works", || {
+            settled_status(&town, number, "second") == 200
+        });
+    }
+}
+
+#[test]
+fn halls_outlive_the_root() {
+    let mut town = town(&["hall-a", "hall-b", "hall-c"]);
+    for killed in 0..2 {
+        town.boxes[killed].kill();
+        let version = 2 + killed as u64;
+        let key = format!("key-{version}");
+        town.store.put_site(&site(version, &[&key]));
+        eventually("the last box has the key", || {
+            settled_status(&town, 2, &key) == 200
+        });
+    }
+}
+
+#[test]
+fn halls_leave_a_root_that_lost_the_store() {
+    let mut town = Town::start(Path::new(BINARY));
+    let halls = ["hall-a", "hall-b", "hall-c"];
+    let paths: Vec<Gateway> = halls
+        .iter()
+        .map(|_| Gateway::start(&town.store.addr().to_string()).expect("a port"))
+        .collect();
+    for (hall, path) in halls.iter().zip(&paths) {
+        town.add_box_behind(hall, &path.addr());
+    }
+    // Whichever box is the root loses the store in one of the rounds; it hears from the next one.
+    for (round, path) in paths.iter().enumerate() {
+        path.set(Fault::HalfOpen);
+        let version = 2 + round as u64;
+        let key = format!("key-{version}");
+        town.store.put_site(&site(version, &[&key]));
+        for number in 0..3 {
+            eventually("every box has the key", || {
+                settled_status(&town, number, &key) == 200
+            });
+        }
+        path.set(Fault::Cut);
+        path.set(Fault::None);
+    }
+}
+
+/// Starts a box that joins the town's, without waiting until it is ready.
+fn start_late(town: &mut Town) -> usize {
+    let store_addr = town.store.addr().to_string();
+    town.start_box("hall-a", &store_addr)
+}
+
+#[test]
+fn a_box_that_starts_learns_from_others_what_the_store_does_not_tell() {
+    let mut town = town(&["hall-a"]);
+    town.store.set_fault(StoreFault::Silent);
+    let late = start_late(&mut town);
+    eventually("it knows the configuration", || {
+        !town.boxes[late].lines_of("site_seen").is_empty()
+    });
+}
+
+#[test]
+fn a_box_that_starts_takes_no_stale_proof_for_a_fresh_one() {
+    let mut town = town(&["hall-a"]);
+    town.store.set_fault(StoreFault::Silent);
+    eventually("the first box refuses the key", || {
+        settled_status(&town, 0, KEY) == 503
+    });
+    let late = start_late(&mut town);
+    eventually("it knows the configuration", || {
+        !town.boxes[late].lines_of("site_seen").is_empty()
+    });
+    for _ in 0..20 {
+        assert_eq!(settled_status(&town, late, KEY), 503);
+    }
+    town.store.set_fault(StoreFault::None);
+    eventually("the key works again", || {
+        settled_status(&town, late, KEY) == 200
+    });
+}
+
+#[test]
+fn a_box_that_knows_nothing_yet_says_when_to_come_back() {
+    let mut town = Town::start(Path::new(BINARY));
+    town.store.set_fault(StoreFault::Silent);
+    let late = start_late(&mut town);
+    let reply = get(town.addr(late), "/safe/x", &[]).expect("an answer");
+    assert_eq!(reply.status, 503);
+    assert!(reply.text().contains("starting"), "{}", reply.text());
+    assert_eq!(reply.headers["retry-after"], "0.480");
+    town.store.set_fault(StoreFault::None);
+    eventually("it is ready", || town.is_ready(late));
+}
+
 /// A town whose pool of services is being moved to `v2`, served by two more upstreams.
 fn rolling(act: Act, duration_ms: u64) -> (Town, Vec<ScriptedUpstream>) {
     let town = town(&["hall-a"]);
