Plain services are timed to the end of a roll-out

The exemption was made for engines that have read no prompt yet; a plain service reads none.

Change: the time to a whole plain answer counts at any time. Test fails first without it.

--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -20,7 +20,7 @@
             is_final: true,
             lane: job.lane(model),
             pace_ms: (!failed).then_some(reply.head_after_ms as f64),
-            span: Span::Start,
+            span: Span::Whole,
         };
         weigh(gateway, job, &reply.lease.upstream, &evidence);
     }
--- a/crates/ivyweir-policy/src/gateway/verdict.rs
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -47,10 +47,12 @@
     pub span: Span,
 }
 
-/// A part of an answer whose pace is judged by itself.
+/// The part of an answer whose pace is judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Span {
-    /// Its first events, or all of a short one: told soon.
+    /// All of an answer that is no stream.
+    Whole,
+    /// Its first events, or all of a short stream: told soon.
     Start,
     /// Many events, which the prompts of others hardly move: told for certain.
     Long,
@@ -182,7 +184,7 @@
         }
         if is_timed && evidence.pace_ms.is_some() {
             let fault = match evidence.span {
-                Span::Start => Fault::Slowness,
+                Span::Whole | Span::Start => Fault::Slowness,
                 Span::Long => Fault::LongSlowness,
             };
             self.count(fault, side, evidence, is_slow);
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -265,6 +265,34 @@
     assert_eq!(track.duty(100), RolloutDuty::RollBack);
 }
 
+/// Whether slow answers of this part condemn a version that has got all work already.
+fn is_condemned_after_the_move(span: Span) -> bool {
+    let now_ms = DURATION_MS * 93 / 100;
+    let mut track = RolloutTrack::new(order(running(0), 1), 0);
+    for (side, pace_ms) in [(Side::Old, 20.0), (Side::New, 160.0)] {
+        for n in 0..20 {
+            let upstream: Name = format!("u{}", n % 5).into();
+            let evidence = Evidence {
+                span,
+                ..evidence(&upstream, false, Some(pace_ms))
+            };
+            track.judge(side, &evidence, now_ms);
+        }
+    }
+    track.duty(now_ms) == RolloutDuty::RollBack
+}
+
+#[test]
+fn a_plain_service_is_timed_to_the_end() {
+    assert!(is_condemned_after_the_move(Span::Whole));
+}
+
+#[test]
+fn engines_that_have_read_nothing_yet_are_not_timed() {
+    assert!(!is_condemned_after_the_move(Span::Start));
+    assert!(!is_condemned_after_the_move(Span::Long));
+}
+
 #[test]
 fn one_failing_upstream_does_not_condemn_its_version() {
     let mut track = RolloutTrack::new(order(running(0), 1), 0);
