One module makes the calls between boxes

Joins, words and follows each built their requests and read JSON by themselves, the first two line for line. The paths stand once, where the answers are given. Messages, limits and log texts are as before.

--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Whom it calls.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Makes a call.
     ///
     /// # Errors
--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -12,6 +12,8 @@
 use crate::history::{Asker, Behind, NoSource, PassedChange};
 use crate::state::Gateway;
 
+/// Where a topic is followed.
+pub const FOLLOW_PATH: &str = "/peer/follow";
 /// Longest wait of a question.
 const MAX_WAIT_MS: u64 = 20_000;
 /// Time for which a follower's question waits while this box looks for another source.
@@ -138,12 +140,12 @@
 const RELAY: &str = "relay";
 const FOLLOWER: &str = "follower";
 
-/// The path at which a topic is followed.
+/// The path and query at which a topic is followed.
 pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker) -> String {
     let topic = topic.name();
     let asker = match asker {
         Asker::Relay => RELAY,
         Asker::Follower => FOLLOWER,
     };
-    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
+    format!("{FOLLOW_PATH}?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
 }
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -5,10 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode, header};
+use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::gateway::hall::BoxRecord;
 use ivyweir_policy::gateway::joined::digest;
 use serde::{Deserialize, Serialize};
@@ -16,9 +14,12 @@
 use tokio::time::sleep;
 
 use crate::answer::{self, AnswerBody, bare};
+use crate::box_call;
 use crate::client::Client;
 use crate::state::Gateway;
 
+/// Where boxes join.
+pub const JOIN_PATH: &str = "/peer/join";
 /// Pauses between the first rounds: all boxes may start within 0.3 s of each other.
 const FIRST_PAUSES_MS: [u64; 7] = [40, 40, 60, 150, 300, 500, 1_000];
 /// Pause between later rounds.
@@ -93,29 +94,26 @@
 
     async fn join_at(&mut self, seed: SocketAddr) -> Option<u64> {
         let gateway = &self.gateway;
-        let request = request(seed, &own_message(gateway, seed));
+        let message = own_message(gateway, seed);
         let client = self
             .clients
             .entry(seed)
             .or_insert_with(|| Client::new(seed));
-        let answer = client.call(request, ANSWER_LIMIT).await;
-        let told: Option<JoinAnswer> = match answer {
-            Ok(answer) if answer.status == StatusCode::OK => {
-                serde_json::from_slice(&answer.body).ok()
+        let answer = box_call::post(client, JOIN_PATH, &message, ANSWER_LIMIT).await;
+        let answer: JoinAnswer = match answer {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.clients.remove(&seed);
+                return None;
             }
-            _ => None,
-        };
-        let Some(told) = told else {
-            self.clients.remove(&seed);
-            return None;
         };
         let now_ms = gateway.clock.now_ms();
-        if let Some(boxes) = &told.boxes {
+        if let Some(boxes) = &answer.boxes {
             let detail = json!({"seed": seed, "boxes": boxes.len()});
             gateway.log.line("boxes_heard", detail);
         }
-        gateway.peers.heard(seed, told.boxes, now_ms);
-        Some(told.up_ms)
+        gateway.peers.heard(seed, answer.boxes, now_ms);
+        Some(answer.up_ms)
     }
 
     /// Decides whether the list of boxes is good enough to choose a relay by.
@@ -141,23 +139,10 @@
     }
 }
 
-fn request(seed: SocketAddr, message: &JoinMessage) -> Request<Bytes> {
-    let body = serde_json::to_vec(message).expect("invariant: messages are valid JSON");
-    Request::builder()
-        .method(Method::POST)
-        .uri("/peer/join")
-        .header(header::HOST, seed.to_string())
-        .body(Bytes::from(body))
-        .expect("invariant: all parts are valid")
-}
-
 /// Answers a box that joins here.
 pub async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
-    let Ok(body) = body.await else {
-        return bare(StatusCode::BAD_REQUEST);
-    };
-    let Ok(message) = serde_json::from_slice::<JoinMessage>(&body.to_bytes()) else {
+    let message = box_call::read_message::<JoinMessage>(request, MAX_MESSAGE_BYTES);
+    let Some(message) = message.await else {
         return bare(StatusCode::BAD_REQUEST);
     };
     let now_ms = gateway.clock.now_ms();
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod adopt;
 mod answer;
 mod attempt;
+mod box_call;
 mod channel;
 mod client;
 mod clock;
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -117,9 +117,9 @@
     }
     let path = request.uri().path().to_owned();
     match path.as_str() {
-        "/peer/word" => words::answer(&gateway, request).await,
-        "/peer/join" => join::answer(&gateway, request).await,
-        "/peer/follow" => follow::answer(&gateway, request.uri().query()).await,
+        words::WORD_PATH => words::answer(&gateway, request).await,
+        join::JOIN_PATH => join::answer(&gateway, request).await,
+        follow::FOLLOW_PATH => follow::answer(&gateway, request.uri().query()).await,
         _ => bare(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Request, StatusCode, header};
+use hyper::StatusCode;
 use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
 use super::{Failed, Follower, QUIET_WAIT_MS, UNRENEWED_MS};
 use crate::adopt::{adopt, adopt_all, remove};
+use crate::box_call::{question, read_answer};
 use crate::client::{Answer, CallError, Client};
 use crate::dialect::Topic;
 use crate::follow::{FollowAnswer, follow_path};
@@ -35,13 +35,14 @@
         if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
             return Err(self.unhearing(&relay));
         }
-        let answer = answer.map_err(|e| e.to_string()).and_then(read);
+        let answer = read_answer::<FollowAnswer>(answer);
         let now_ms = self.gateway.clock.now_ms();
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
                 self.relay = None;
                 self.gateway.peers.failed(&relay.name, now_ms);
+                let error = error.to_string();
                 let detail =
                     json!({"peer": relay.name, "about": self.topic.name(), "error": error});
                 self.gateway.log.line("peer_lost", detail);
@@ -82,11 +83,8 @@
         asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
         let wait_ms = self.box_wait_ms();
-        let request = Request::builder()
-            .uri(follow_path(self.topic, since, wait_ms, asker))
-            .header(header::HOST, relay.peer_addr.to_string())
-            .body(Bytes::new())
-            .expect("invariant: all parts are valid");
+        let path = follow_path(self.topic, since, wait_ms, asker);
+        let request = question(relay.peer_addr, &path);
         let client = match &mut self.relay {
             Some((known, client)) if known == relay => client,
             other => {
@@ -144,11 +142,3 @@
         }
     }
 }
-
-/// Reads a relay's answer, or says what is wrong with it.
-fn read(answer: Answer) -> Result<FollowAnswer, String> {
-    if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status.as_u16()));
-    }
-    serde_json::from_slice(&answer.body).map_err(|e| e.to_string())
-}
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -4,10 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode, header};
+use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
 use ivyweir_policy::gateway::word::{Word, WordMessage};
@@ -15,9 +13,12 @@
 use tokio::time::sleep;
 
 use crate::answer::{self, AnswerBody, bare};
+use crate::box_call;
 use crate::client::Client;
 use crate::state::Gateway;
 
+/// Where boxes tell their word.
+pub const WORD_PATH: &str = "/peer/word";
 /// How often boxes tell each other; requests come and go within some hundred milliseconds.
 const WORD_ROUND: Duration = Duration::from_millis(250);
 /// Time for another box to answer.
@@ -69,22 +70,17 @@
     to: &BoxRecord,
     message: &WordMessage,
 ) {
-    let request = request(to, message);
     let client = clients
         .entry(to.name.clone())
         .or_insert_with(|| Client::new(to.peer_addr));
-    let answer = client.call(request, WORD_ANSWER_LIMIT).await;
-    let told: Option<WordMessage> = match answer {
-        Ok(answer) if answer.status == StatusCode::OK => serde_json::from_slice(&answer.body).ok(),
-        _ => None,
-    };
+    let answer = box_call::post::<WordMessage>(client, WORD_PATH, message, WORD_ANSWER_LIMIT).await;
     let now_ms = gateway.clock.now_ms();
-    match told {
-        Some(told) => {
+    match answer {
+        Ok(answer) => {
             gateway.peers.answered(&to.name);
-            gateway.peers.told(&told.from, told.word, now_ms);
+            gateway.peers.told(&answer.from, answer.word, now_ms);
         }
-        None => {
+        Err(_) => {
             clients.remove(&to.name);
             gateway.peers.failed(&to.name, now_ms);
             gateway
@@ -117,23 +113,10 @@
     }
 }
 
-fn request(to: &BoxRecord, message: &WordMessage) -> Request<Bytes> {
-    let body = serde_json::to_vec(message).expect("invariant: messages are valid JSON");
-    Request::builder()
-        .method(Method::POST)
-        .uri("/peer/word")
-        .header(header::HOST, to.peer_addr.to_string())
-        .body(Bytes::from(body))
-        .expect("invariant: all parts are valid")
-}
-
 /// Answers a box that tells its word with what it should know of the others.
 pub async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect();
-    let Ok(body) = body.await else {
-        return bare(StatusCode::BAD_REQUEST);
-    };
-    let Ok(message) = serde_json::from_slice::<WordMessage>(&body.to_bytes()) else {
+    let message = box_call::read_message::<WordMessage>(request, MAX_MESSAGE_BYTES);
+    let Some(message) = message.await else {
         return bare(StatusCode::BAD_REQUEST);
     };
     let now_ms = gateway.clock.now_ms();
