Probes and the proof's renewal have modules of their own

The comment that a box stays with the store after a try was wrong: it goes on with whoever it follows.

--- /dev/null
+++ b/crates/ivyweir-gateway/src/sync/confirm.rs
@@ -0,0 +1,42 @@
+//! Renewing the proof after a loss: only once the upstreams were heard of too.
+
+use tokio::time::timeout;
+
+use super::Follower;
+use crate::client::ANSWER_LIMIT;
+use crate::dialect::Topic;
+
+/// How often upstreams are waited for after a loss before the proof is renewed without them.
+const MAX_VAIN_WAITS: u32 = 4;
+
+impl Follower {
+    /// Follows the adoption of an answer; returns whether it may renew the proof.
+    ///
+    /// After a loss it may only once the upstreams were heard of too: those that left meanwhile
+    /// must get no work from a box that is current otherwise.
+    pub(super) async fn confirmed(&mut self) -> bool {
+        if self.topic != Topic::Site {
+            if self.topic == Topic::Upstreams {
+                self.gateway.store_news.upstreams_heard();
+            }
+            return false;
+        }
+        if !self.is_unconfirmed {
+            return true;
+        }
+        let heard = self.until_upstreams_heard().await;
+        self.vain_waits = if heard { 0 } else { self.vain_waits + 1 };
+        // A store that goes on answering about one thing and not the other is left to itself.
+        self.is_unconfirmed = !heard && self.vain_waits < MAX_VAIN_WAITS;
+        !self.is_unconfirmed
+    }
+
+    /// Waits until the upstreams are heard of, for a while; wakes whoever waits for the store's
+    /// return. Returns whether they were.
+    async fn until_upstreams_heard(&self) -> bool {
+        let mut heard = self.gateway.store_news.upstreams();
+        self.gateway.histories.set_store_answers(true);
+        self.gateway.histories.tell();
+        matches!(timeout(ANSWER_LIMIT, heard.changed()).await, Ok(Ok(())))
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/sync/probe.rs
@@ -0,0 +1,122 @@
+//! Trying the store from a box that follows another, where that does not renew the proof.
+
+use rand::Rng;
+use serde_json::json;
+
+use super::{Failed, Follower};
+use crate::dialect::Topic;
+
+/// Time without a newer proof after which a box tries the store itself, whoever it follows: the
+/// bound on a leaving upstream's last work is two seconds, and a root that is well renews its proof
+/// within 1.2 s.
+pub(super) const UNRENEWED_MS: u64 = 1_400;
+/// Pause before its second try, so that a box that is back in touch knows it within the three
+/// seconds that the users' pages leave it.
+const SECOND_PROBE_PAUSE_MS: u64 = 2_500;
+/// Mean pause between further tries: the first part, and that for each box known, as each call is
+/// paid for.
+const PROBE_PAUSE_MS: u64 = 2_000;
+const PROBE_PAUSE_A_BOX_MS: u64 = 100;
+
+/// Tries of the store since the proof was last renewed.
+pub(super) struct Probes {
+    /// When the proof was last seen to be newer than before, and what it was then.
+    renewed_at_ms: u64,
+    proven_at_ms: u64,
+    /// Tries since then.
+    count: u32,
+    /// When the next of them is due.
+    next_at_ms: u64,
+}
+
+impl Probes {
+    /// None yet, on a box that starts now.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            renewed_at_ms: now_ms,
+            proven_at_ms: 0,
+            count: 0,
+            next_at_ms: 0,
+        }
+    }
+
+    /// Takes in the time of the proof; one that is newer ends the tries.
+    fn note_proof(&mut self, proven_at_ms: u64, now_ms: u64) {
+        // The time of the proof is computed from its age, which may be off by one.
+        if proven_at_ms > self.proven_at_ms + 1 {
+            self.proven_at_ms = proven_at_ms;
+            self.renewed_at_ms = now_ms;
+            self.count = 0;
+        }
+    }
+
+    /// Whether the next try is due.
+    fn is_due(&self, now_ms: u64) -> bool {
+        if now_ms < self.renewed_at_ms + UNRENEWED_MS {
+            return false;
+        }
+        self.count == 0 || now_ms >= self.next_at_ms
+    }
+
+    /// Counts a try, and sets the time of the next by the number of other boxes known.
+    fn begin(&mut self, boxes: u64, now_ms: u64) {
+        self.count += 1;
+        let pause_ms = if self.count == 1 {
+            SECOND_PROBE_PAUSE_MS
+        } else {
+            let mean_ms = PROBE_PAUSE_MS + PROBE_PAUSE_A_BOX_MS * boxes;
+            rand::rng().random_range(mean_ms / 2..=mean_ms * 3 / 2)
+        };
+        self.next_at_ms = now_ms + pause_ms;
+    }
+
+    /// Time left until the first try is due, unless the proof is renewed before.
+    pub fn first_in_ms(&self, now_ms: u64) -> u64 {
+        (self.renewed_at_ms + UNRENEWED_MS).saturating_sub(now_ms)
+    }
+}
+
+impl Follower {
+    /// Whether this box is to try the store, since whoever it follows does not renew its proof. Only
+    /// the configuration's follower does; the others come after its success.
+    pub(super) fn is_probe_due(&mut self) -> bool {
+        if self.topic != Topic::Site {
+            return false;
+        }
+        let now_ms = self.gateway.clock.now_ms();
+        let proven_at_ms = self.gateway.proof_at_ms();
+        self.probes.note_proof(proven_at_ms, now_ms);
+        self.probes.is_due(now_ms)
+    }
+
+    /// Tries the store; a box that it answers stays with whoever it follows.
+    pub(super) async fn probe(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+        let now_ms = self.gateway.clock.now_ms();
+        let boxes = self.gateway.peers.known() as u64;
+        self.probes.begin(boxes, now_ms);
+        let detail = json!({
+            "unrenewed_ms": now_ms - self.probes.renewed_at_ms,
+            "probes": self.probes.count,
+        });
+        self.gateway.log.line("store_probed", detail);
+        // Upstreams that left meanwhile must be known before the proof is renewed.
+        self.is_unconfirmed = true;
+        self.poll(since).await
+    }
+
+    /// Whether the configuration's follower found that the store answers, and wants the other
+    /// topics to hear it once too.
+    pub(super) fn is_poll_asked(&mut self) -> bool {
+        let asked = self.gateway.store_news.polls();
+        std::mem::replace(&mut self.polls, asked) != asked && self.topic != Topic::Site
+    }
+
+    /// Hears of changes from the store once, without waiting for any.
+    pub(super) async fn poll(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+        self.is_probing = true;
+        let heard = self.hear_store(since).await;
+        self.is_probing = false;
+        // Whoever it follows is asked next, as before.
+        heard.map_err(|_| Failed::Relay)
+    }
+}
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -6,7 +6,8 @@
 use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
-use super::{Failed, Follower, QUIET_WAIT_MS, UNRENEWED_MS};
+use super::probe::UNRENEWED_MS;
+use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt, adopt_all, remove};
 use crate::box_call::{question, read_answer};
 use crate::client::{Answer, CallError, Client};
@@ -113,7 +114,7 @@
             return QUIET_WAIT_MS;
         }
         let now_ms = self.gateway.clock.now_ms();
-        let left_ms = (self.renewed_at_ms + UNRENEWED_MS).saturating_sub(now_ms);
+        let left_ms = self.probes.first_in_ms(now_ms);
         left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, UNRENEWED_MS)
     }
 
