Names say whether a box is silent, sourceless or sends a list

`told`, `heard` and `hears` stood for lists of seeds, words of boxes and sources of records alike. Now seeds send lists, boxes tell words, and a box is silent or sourceless; the header of peers.rs says what both mean. Log events and messages keep their names.

--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -1,4 +1,5 @@
-//! Joins the other boxes: tells a seed of this box, again and again, and hears of the others.
+//! Joins the other boxes: sends this box's record to a seed, again and again, and gets its list of
+//! the others.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,9 +27,9 @@
 const PAUSE_MS: u64 = 2_000;
 /// Time for a seed to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-/// Time since its start from which a seed has heard of all others.
+/// Time since its start from which a seed's list has all others.
 const SETTLED_SEED_MS: u64 = 3_000;
-/// Time since this box's start after which it takes what a young seed tells as it is: of boxes that
+/// Time since this box's start after which it takes a young seed's list as it is: of boxes that
 /// start together nearly all have joined. A wrong relay costs some calls more, waiting costs callers.
 const SETTLED_MS: u64 = 130;
 /// Time since this box's start after which it goes on without any seed.
@@ -40,14 +41,14 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct JoinMessage {
     from: BoxRecord,
-    /// Digest of what the seed told last.
+    /// Digest of the seed's last list.
     digest: u64,
 }
 
 /// A seed's answer.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct JoinAnswer {
-    /// Boxes that joined, where the list is not the one told last.
+    /// Boxes that joined, where the list is not the last one.
     boxes: Option<Vec<BoxRecord>>,
     /// Time since the seed's start.
     up_ms: u64,
@@ -112,7 +113,7 @@
             let detail = json!({"seed": seed, "boxes": boxes.len()});
             gateway.log.line("boxes_heard", detail);
         }
-        gateway.peers.heard(seed, answer.boxes, now_ms);
+        gateway.peers.take_seed_list(seed, answer.boxes, now_ms);
         Some(answer.up_ms)
     }
 
@@ -135,7 +136,7 @@
 fn own_message(gateway: &Gateway, seed: SocketAddr) -> JoinMessage {
     JoinMessage {
         from: gateway.peers.me().clone(),
-        digest: gateway.peers.told_digest(seed),
+        digest: gateway.peers.seed_list_digest(seed),
     }
 }
 
@@ -147,8 +148,8 @@
     };
     let now_ms = gateway.clock.now_ms();
     let hall = message.from.hall.clone();
-    gateway.peers.joined(message.from, now_ms);
-    let boxes = gateway.peers.told_to(&hall, now_ms);
+    gateway.peers.take_join(message.from, now_ms);
+    let boxes = gateway.peers.list_for(&hall, now_ms);
     let is_news = digest(&boxes) != message.digest;
     answer::json(&JoinAnswer {
         boxes: is_news.then_some(boxes),
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -4,6 +4,9 @@
 //! relays hear them from one of them, the root, which watches the store. Every box tells its relay
 //! its work under way and its counts of a roll-out's answers, and hears the fleet's; relays tell
 //! each other the sums of their halls.
+//!
+//! A box is silent if it does not answer as it should, and sourceless if it answers but hears the
+//! records from nobody; either is left alone, or shunned, for a while.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,7 +15,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, ShunPauses, Shunned, Source, View, relay_of};
-use ivyweir_policy::gateway::joined::{Joined, Told};
+use ivyweir_policy::gateway::joined::{Joined, SeedLists};
 use ivyweir_policy::gateway::word::{OthersWords, Word};
 use tokio::sync::watch;
 
@@ -23,8 +26,8 @@
     first_ms: 1_500,
     most_ms: 12_000,
 };
-/// Pauses for a box that answers but does not hear the store, this one included.
-const UNHEARING_PAUSES: ShunPauses = ShunPauses {
+/// Pauses for a box that answers but has no source of the records, this one included.
+const SOURCELESS_PAUSES: ShunPauses = ShunPauses {
     first_ms: 600,
     most_ms: 3_000,
 };
@@ -39,15 +42,16 @@
     me: BoxRecord,
     seeds: Mutex<Vec<SocketAddr>>,
     joined: Mutex<Joined>,
-    told: Mutex<Told>,
-    /// Other boxes, by what was told and who joined here.
+    seed_lists: Mutex<SeedLists>,
+    /// Other boxes, by the seeds' lists and who joined here.
     others: Mutex<HashMap<Name, BoxRecord>>,
     is_settled: AtomicBool,
     /// Whether the boxes at which this one joined were young: all may have started together.
     is_young: AtomicBool,
-    losses: watch::Sender<u64>,
+    /// Counts how often boxes were found silent or sourceless.
+    shuns: watch::Sender<u64>,
     silent: Mutex<Shunned>,
-    unhearing: Mutex<Shunned>,
+    sourceless: Mutex<Shunned>,
     /// The root that this box hears from, if it is a relay; its own name if it is the root.
     root: Mutex<Option<KnownRoot>>,
     words: Mutex<OthersWords>,
@@ -67,13 +71,13 @@
             me,
             seeds: Mutex::default(),
             joined: Mutex::default(),
-            told: Mutex::default(),
+            seed_lists: Mutex::default(),
             others: Mutex::default(),
             is_settled: AtomicBool::new(false),
             is_young: AtomicBool::new(true),
-            losses: watch::Sender::default(),
+            shuns: watch::Sender::default(),
             silent: Mutex::new(Shunned::new(SILENT_PAUSES)),
-            unhearing: Mutex::new(Shunned::new(UNHEARING_PAUSES)),
+            sourceless: Mutex::new(Shunned::new(SOURCELESS_PAUSES)),
             root: Mutex::default(),
             words: Mutex::default(),
         };
@@ -114,37 +118,38 @@
         others.values().nth(at).map(|record| record.peer_addr)
     }
 
-    /// Takes in what a seed told of other boxes: none where that has not changed.
-    pub fn heard(&self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
+    /// Takes in a seed's list of other boxes: none where that has not changed.
+    pub fn take_seed_list(&self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
         let is_news = list.is_some();
-        lock(&self.told).take(seed, list, now_ms);
+        lock(&self.seed_lists).take(seed, list, now_ms);
         if is_news {
             self.merge(now_ms);
         }
     }
 
-    /// Digest of what a seed told last.
-    pub fn told_digest(&self, seed: SocketAddr) -> u64 {
-        lock(&self.told).digest(seed)
+    /// Digest of a seed's last list.
+    pub fn seed_list_digest(&self, seed: SocketAddr) -> u64 {
+        lock(&self.seed_lists).digest(seed)
     }
 
     /// Takes in that a box joins here.
-    pub fn joined(&self, record: BoxRecord, now_ms: u64) {
+    pub fn take_join(&self, record: BoxRecord, now_ms: u64) {
         if lock(&self.joined).join(record, now_ms) {
             self.merge(now_ms);
         }
     }
 
-    /// What a box of this hall is told of the others.
-    pub fn told_to(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
+    /// The list that this box, as a seed, has for a box of this hall.
+    pub fn list_for(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
         let mut joined = lock(&self.joined);
         joined.join(self.me.clone(), now_ms);
-        joined.told_to(hall, now_ms)
+        joined.list_for(hall, now_ms)
     }
 
+    /// Computes the other boxes anew.
     fn merge(&self, now_ms: u64) {
-        let mut others = lock(&self.told).boxes();
-        let joined = lock(&self.joined).told_to(&self.me.hall, now_ms);
+        let mut others = lock(&self.seed_lists).boxes();
+        let joined = lock(&self.joined).list_for(&self.me.hall, now_ms);
         others.extend(joined.into_iter().map(|r| (r.name.clone(), r)));
         others.remove(&self.me.name);
         *lock(&self.others) = others;
@@ -174,12 +179,12 @@
     pub fn source(&self, now_ms: u64) -> Source {
         let others = lock(&self.others);
         let silent = lock(&self.silent);
-        let unhearing = lock(&self.unhearing);
+        let sourceless = lock(&self.sourceless);
         let mut root = lock(&self.root);
         let view = View {
             me: &self.me,
             others: &others,
-            is_out: |name: &str| silent.contains(name, now_ms) || unhearing.contains(name, now_ms),
+            is_out: |name: &str| silent.contains(name, now_ms) || sourceless.contains(name, now_ms),
             root: root
                 .as_ref()
                 .filter(|known| now_ms < known.since_ms + ROOT_KEPT_MS)
@@ -201,38 +206,39 @@
         source
     }
 
-    /// Takes in that a box, or the store if it is this one, does not tell of the store's records.
-    pub fn hears_nothing(&self, name: &Name, now_ms: u64) {
-        lock(&self.unhearing).failed(name, now_ms);
-        self.losses.send_modify(|count| *count += 1);
+    /// Takes in that a box has no source of the store's records; of this one, that the store does not
+    /// answer it.
+    pub fn note_sourceless(&self, name: &Name, now_ms: u64) {
+        lock(&self.sourceless).failed(name, now_ms);
+        self.shuns.send_modify(|count| *count += 1);
     }
 
-    /// Takes in that a box, or the store if it is this one, told of the store's records.
-    pub fn hears(&self, name: &str) {
-        lock(&self.unhearing).answered(name);
+    /// Takes in that a box has a source of the store's records; of this one, that the store answers.
+    pub fn note_source(&self, name: &str) {
+        lock(&self.sourceless).answered(name);
     }
 
     /// Takes in that a box did not answer as it should.
-    pub fn failed(&self, name: &Name, now_ms: u64) {
+    pub fn note_silent(&self, name: &Name, now_ms: u64) {
         lock(&self.silent).failed(name, now_ms);
-        self.losses.send_modify(|count| *count += 1);
+        self.shuns.send_modify(|count| *count += 1);
     }
 
-    /// Waits until a box is left alone because of what it did, or did not, answer somebody.
-    pub async fn lost(&self, name: &Name, clock: Clock) {
-        let mut losses = self.losses.subscribe();
+    /// Waits until a box is left alone, whichever follower or task found it silent or sourceless.
+    pub async fn until_shunned(&self, name: &Name, clock: Clock) {
+        let mut shuns = self.shuns.subscribe();
         let is_out = |now_ms| {
             lock(&self.silent).contains(name, now_ms)
-                || lock(&self.unhearing).contains(name, now_ms)
+                || lock(&self.sourceless).contains(name, now_ms)
         };
         while !is_out(clock.now_ms()) {
             // The sender lives as long as the box's state.
-            let _changed = losses.changed().await;
+            let _changed = shuns.changed().await;
         }
     }
 
     /// Takes in that a box answered.
-    pub fn answered(&self, name: &Name) {
+    pub fn note_answered(&self, name: &Name) {
         lock(&self.silent).answered(name);
     }
 
@@ -264,16 +270,16 @@
     }
 
     /// Number of other boxes that this one knows.
-    pub fn known(&self) -> usize {
+    pub fn others_count(&self) -> usize {
         lock(&self.others).len()
     }
 
-    /// Takes in what a box, or a relay for several boxes, told.
-    pub fn told(&self, from: &Name, word: Word, now_ms: u64) {
+    /// Takes in the word of a box, or of a relay for several boxes.
+    pub fn take_word(&self, from: &Name, word: Word, now_ms: u64) {
         lock(&self.words).put(from, word, now_ms);
     }
 
-    /// What boxes other than `except` told lately.
+    /// The sum of the latest words of boxes other than `except`.
     pub fn words_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Word {
         lock(&self.words).sum_except(except, now_ms)
     }
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -47,7 +47,7 @@
             Ok(next) => since = next,
             Err(Failed::Store) => follower.pause().await,
             Err(Failed::Relay) => {}
-            Err(Failed::Unhearing) => follower.wait_for_source().await,
+            Err(Failed::NoSource) => follower.wait_for_source().await,
         }
     }
 }
@@ -59,7 +59,7 @@
     /// Another box; the next question goes elsewhere at once.
     Relay,
     /// Nobody hears of the topic now.
-    Unhearing,
+    NoSource,
 }
 
 struct Follower {
@@ -118,7 +118,7 @@
             Source::Root(root) => (Some((root, Asker::Relay)), HeardFrom::Root),
             Source::Nobody => {
                 gateway.histories.set_from(self.topic, HeardFrom::Nobody);
-                return Err(Failed::Unhearing);
+                return Err(Failed::NoSource);
             }
         };
         gateway.histories.set_from(self.topic, from);
@@ -144,7 +144,9 @@
     /// Takes in that the store answered.
     fn succeeded(&mut self) {
         self.count("ok");
-        self.gateway.peers.hears(&self.gateway.settings.box_name);
+        self.gateway
+            .peers
+            .note_source(&self.gateway.settings.box_name);
         if self.is_probing && self.topic == Topic::Site {
             self.gateway.store_news.ask_poll();
         }
@@ -161,7 +163,7 @@
         if self.topic == Topic::Site {
             let now_ms = self.gateway.clock.now_ms();
             let me = &self.gateway.settings.box_name;
-            self.gateway.peers.hears_nothing(me, now_ms);
+            self.gateway.peers.note_sourceless(me, now_ms);
         }
         if self.failures == 0 {
             let detail = json!({"topic": self.topic.name(), "error": error.to_string()});
--- a/crates/ivyweir-gateway/src/sync/probe.rs
+++ b/crates/ivyweir-gateway/src/sync/probe.rs
@@ -92,7 +92,7 @@
     /// Tries the store; a box that it answers stays with whoever it follows.
     pub(super) async fn probe(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
         let now_ms = self.gateway.clock.now_ms();
-        let boxes = self.gateway.peers.known() as u64;
+        let boxes = self.gateway.peers.others_count() as u64;
         self.probes.begin(boxes, now_ms);
         let detail = json!({
             "unrenewed_ms": now_ms - self.probes.renewed_at_ms,
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -34,7 +34,7 @@
         let asked_at_ms = self.gateway.clock.now_ms();
         let answer = self.call_box(since, &relay, asker).await?;
         if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
-            return Err(self.unhearing(&relay));
+            return Err(self.found_sourceless(&relay));
         }
         let answer = read_answer::<FollowAnswer>(answer);
         let now_ms = self.gateway.clock.now_ms();
@@ -42,7 +42,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.relay = None;
-                self.gateway.peers.failed(&relay.name, now_ms);
+                self.gateway.peers.note_silent(&relay.name, now_ms);
                 let error = error.to_string();
                 let detail =
                     json!({"peer": relay.name, "about": self.topic.name(), "error": error});
@@ -55,22 +55,22 @@
         self.gateway.set_synced(self.topic);
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
         if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
-            self.gateway.peers.hears_nothing(&relay.name, now_ms);
+            self.gateway.peers.note_sourceless(&relay.name, now_ms);
             let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
             self.gateway.log.line("peer_unhearing", detail);
         } else if self.topic == Topic::Site {
-            self.gateway.peers.hears(&relay.name);
+            self.gateway.peers.note_source(&relay.name);
         }
         Ok(answer.revision.max(since))
     }
 
     /// Takes in that the box that was asked does not hear of the store's records itself.
-    fn unhearing(&self, relay: &BoxRecord) -> Failed {
+    fn found_sourceless(&self, relay: &BoxRecord) -> Failed {
         if self.topic != Topic::Site {
-            return Failed::Unhearing;
+            return Failed::NoSource;
         }
         let now_ms = self.gateway.clock.now_ms();
-        self.gateway.peers.hears_nothing(&relay.name, now_ms);
+        self.gateway.peers.note_sourceless(&relay.name, now_ms);
         let detail = json!({"peer": relay.name, "about": self.topic.name()});
         self.gateway.log.line("peer_unhearing", detail);
         Failed::Relay
@@ -96,7 +96,7 @@
         let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
         tokio::select! {
             answer = client.call(request, limit) => Ok(answer),
-            () = self.gateway.peers.lost(&relay.name, self.gateway.clock) => {
+            () = self.gateway.peers.until_shunned(&relay.name, self.gateway.clock) => {
                 self.relay = None;
                 Err(Failed::Relay)
             }
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -77,12 +77,12 @@
     let now_ms = gateway.clock.now_ms();
     match answer {
         Ok(answer) => {
-            gateway.peers.answered(&to.name);
-            gateway.peers.told(&answer.from, answer.word, now_ms);
+            gateway.peers.note_answered(&to.name);
+            gateway.peers.take_word(&answer.from, answer.word, now_ms);
         }
         Err(_) => {
             clients.remove(&to.name);
-            gateway.peers.failed(&to.name, now_ms);
+            gateway.peers.note_silent(&to.name, now_ms);
             gateway
                 .log
                 .line("peer_lost", json!({"peer": to.name, "about": "word"}));
@@ -127,6 +127,6 @@
         word.add(&gateway.own_word());
         word
     };
-    gateway.peers.told(&message.from, message.word, now_ms);
+    gateway.peers.take_word(&message.from, message.word, now_ms);
     answer::json(&own_message(gateway, message.for_hall, word))
 }
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -11,10 +11,10 @@
 /// Time without a word after which a box that joined is taken to be gone. A box joins every two
 /// seconds, at each of three seeds in turn.
 const JOINED_MS: u64 = 20_000;
-/// Time for which what a seed told is believed when that seed answers no more, while others do.
-const TOLD_MS: u64 = 30_000;
-/// Boxes of each other hall that a box is told of: those first in the order of its relays.
-const TOLD_OF_OTHER_HALLS: usize = 3;
+/// Time for which a seed's list is kept when that seed answers no more, while others do.
+const SEED_LIST_MS: u64 = 30_000;
+/// Boxes of each other hall on a list: those first in the order of its relays.
+const LISTED_OF_OTHER_HALLS: usize = 3;
 
 /// Boxes that joined here.
 #[derive(Debug, Default)]
@@ -32,23 +32,23 @@
         before.is_none_or(|(known, _)| known != record)
     }
 
-    /// What a box of this hall is told: the boxes of its hall, and some of each other one.
-    pub fn told_to(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
+    /// The list for a box of this hall: the boxes of its hall, and some of each other one.
+    pub fn list_for(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
         let lives = |at_ms: u64| at_ms + JOINED_MS > now_ms;
         let live = self.boxes.values().filter(|(_, at_ms)| lives(*at_ms));
         let mut by_hall: BTreeMap<&Name, Vec<&BoxRecord>> = BTreeMap::new();
         for (record, _) in live {
             by_hall.entry(&record.hall).or_default().push(record);
         }
-        let mut told = Vec::new();
+        let mut list = Vec::new();
         for (of, mut records) in by_hall {
             if **of != *hall {
                 records.sort_by_key(|record| std::cmp::Reverse(record.rank()));
-                records.truncate(TOLD_OF_OTHER_HALLS);
+                records.truncate(LISTED_OF_OTHER_HALLS);
             }
-            told.extend(records.into_iter().cloned());
+            list.extend(records.into_iter().cloned());
         }
-        told
+        list
     }
 }
 
@@ -60,16 +60,16 @@
     })
 }
 
-/// What a box was told of the others, by the seed that told it.
+/// Lists of the other boxes that a box got, by the seed that sent each.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct SeedLists {
     by_seed: HashMap<SocketAddr, (Vec<BoxRecord>, u64)>,
 }
 
-impl Told {
-    /// Digest of what a seed told last; 0 if it told nothing.
+impl SeedLists {
+    /// Digest of a seed's last list; 0 if there is none.
     pub fn digest(&self, seed: SocketAddr) -> u64 {
-        self.by_seed.get(&seed).map_or(0, |(told, _)| digest(told))
+        self.by_seed.get(&seed).map_or(0, |(list, _)| digest(list))
     }
 
     /// Takes in a seed's answer: its list, or none where that has not changed.
@@ -80,10 +80,10 @@
             known.0 = list;
         }
         self.by_seed
-            .retain(|_, (_, at_ms)| *at_ms + TOLD_MS > now_ms);
+            .retain(|_, (_, at_ms)| *at_ms + SEED_LIST_MS > now_ms);
     }
 
-    /// All boxes that were told of; the newest word on a box counts.
+    /// All boxes on the lists; the newest list that names a box counts.
     pub fn boxes(&self) -> HashMap<Name, BoxRecord> {
         let mut lists: Vec<&(Vec<BoxRecord>, u64)> = self.by_seed.values().collect();
         lists.sort_by_key(|(_, at_ms)| *at_ms);
--- a/crates/ivyweir-policy/tests/gateway_peers.rs
+++ b/crates/ivyweir-policy/tests/gateway_peers.rs
@@ -5,7 +5,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, ShunPauses, Shunned, Source, View, asks};
-use ivyweir_policy::gateway::joined::{Joined, Told, digest};
+use ivyweir_policy::gateway::joined::{Joined, SeedLists, digest};
 
 const HALLS: [&str; 4] = ["hall-a", "hall-b", "hall-c", "hall-d"];
 
@@ -147,7 +147,7 @@
         joined.join(record(&format!("a{n}"), "hall-a", n), 0);
         joined.join(record(&format!("b{n}"), "hall-b", 100 + n), 0);
     }
-    let told = joined.told_to("hall-a", 1);
+    let told = joined.list_for("hall-a", 1);
     let of = |hall: &str| told.iter().filter(|r| *r.hall == *hall).count();
     assert_eq!((of("hall-a"), of("hall-b")), (20, 3));
 }
@@ -158,23 +158,23 @@
     assert!(joined.join(record("gone", "hall-a", 1), 0));
     assert!(joined.join(record("stays", "hall-a", 2), 0));
     assert!(!joined.join(record("stays", "hall-a", 2), 15_000));
-    let told = joined.told_to("hall-a", 21_000);
+    let told = joined.list_for("hall-a", 21_000);
     assert_eq!(told, [record("stays", "hall-a", 2)]);
 }
 
 #[test]
 fn lists_of_seeds_are_added_up_and_the_newest_word_on_a_box_counts() {
     let seeds: [SocketAddr; 2] = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
-    let mut told = Told::default();
+    let mut lists = SeedLists::default();
     let first = vec![record("moved", "hall-a", 10), record("one", "hall-a", 11)];
-    assert_eq!(told.digest(seeds[0]), 0);
-    told.take(seeds[0], Some(first.clone()), 0);
-    assert_eq!(told.digest(seeds[0]), digest(&first));
-    told.take(seeds[1], Some(vec![record("moved", "hall-a", 20)]), 1_000);
-    let boxes = told.boxes();
+    assert_eq!(lists.digest(seeds[0]), 0);
+    lists.take(seeds[0], Some(first.clone()), 0);
+    assert_eq!(lists.digest(seeds[0]), digest(&first));
+    lists.take(seeds[1], Some(vec![record("moved", "hall-a", 20)]), 1_000);
+    let boxes = lists.boxes();
     assert_eq!(boxes["moved"].peer_addr.port(), 20);
     assert_eq!(boxes.keys().cloned().collect::<BTreeSet<Name>>().len(), 2);
     // The second seed goes on answering, without news; the first one is silent.
-    told.take(seeds[1], None, 31_500);
-    assert_eq!(told.boxes().len(), 1);
+    lists.take(seeds[1], None, 31_500);
+    assert_eq!(lists.boxes().len(), 1);
 }
