Following a box: one step a function

What comes of a box's answer (silent, or judged by the age of its proof) and how long a question waits without a source are steps of their own; the types of a history stand before what uses them.

--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -56,7 +56,8 @@
                 sourceless_until_ms = None;
                 let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
                 if behind.is_some() || renewed || now_ms >= until_ms {
-                    return json(&told(gateway, &question, behind, now_ms - asked_at_ms));
+                    let held_ms = now_ms - asked_at_ms;
+                    return json(&follow_answer(gateway, &question, behind, held_ms));
                 }
                 until_ms
             }
@@ -65,10 +66,7 @@
                 if !gateway.peers.is_settled() {
                     sourceless_until_ms = None;
                 }
-                let change_ms = match question.asker {
-                    Asker::Follower => SOURCE_CHANGE_MS,
-                    Asker::Relay => ROOT_CHANGE_MS,
-                };
+                let change_ms = source_change_ms(question.asker);
                 let limit_ms = *sourceless_until_ms.get_or_insert(now_ms + change_ms);
                 if now_ms >= limit_ms {
                     return bare(StatusCode::SERVICE_UNAVAILABLE);
@@ -82,8 +80,16 @@
     }
 }
 
+/// Time for which a question waits while this box has no source.
+fn source_change_ms(asker: Asker) -> u64 {
+    match asker {
+        Asker::Follower => SOURCE_CHANGE_MS,
+        Asker::Relay => ROOT_CHANGE_MS,
+    }
+}
+
 /// The answer to a question about a topic.
-fn told(
+fn follow_answer(
     gateway: &Gateway,
     question: &Question,
     behind: Option<Behind>,
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -60,6 +60,23 @@
     Relay,
 }
 
+/// What a box that asks does not know yet.
+pub enum Behind {
+    /// More than is kept; the revision of everything.
+    Whole(u64),
+    /// The changes, up to this revision.
+    Changes(u64, Vec<PassedChange>),
+}
+
+/// Why this box does not tell of a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSource {
+    /// It is looking for another source.
+    ForNow,
+    /// It follows another box itself.
+    AtAll,
+}
+
 /// What a box can pass on.
 #[derive(Debug, Default)]
 pub struct Histories {
@@ -198,20 +215,3 @@
         }
     }
 }
-
-/// What a box that asks does not know yet.
-pub enum Behind {
-    /// More than is kept; the revision of everything.
-    Whole(u64),
-    /// The changes, up to this revision.
-    Changes(u64, Vec<PassedChange>),
-}
-
-/// Why this box does not tell of a topic.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoSource {
-    /// It is looking for another source.
-    ForNow,
-    /// It follows another box itself.
-    AtAll,
-}
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -9,7 +9,7 @@
 use super::probe::UNRENEWED_MS;
 use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt, adopt_all, remove};
-use crate::box_call::{question, read_answer};
+use crate::box_call::{BoxCallError, question, read_answer};
 use crate::client::{Answer, CallError, Client};
 use crate::dialect::Topic;
 use crate::follow::{FollowAnswer, follow_path};
@@ -40,28 +40,37 @@
         let now_ms = self.gateway.clock.now_ms();
         let answer = match answer {
             Ok(answer) => answer,
-            Err(error) => {
-                self.relay = None;
-                self.gateway.peers.note_silent(&relay.name, now_ms);
-                let error = error.to_string();
-                let detail =
-                    json!({"peer": relay.name, "about": self.topic.name(), "error": error});
-                self.gateway.log.line("peer_lost", detail);
-                return Err(Failed::Relay);
-            }
+            Err(error) => return Err(self.found_silent(&relay, &error, now_ms)),
         };
         self.failures = 0;
         self.take_in(asked_at_ms, &answer).await;
         self.gateway.set_synced(self.topic);
+        if self.topic == Topic::Site {
+            self.judge_source(&relay, now_ms);
+        }
+        Ok(answer.revision.max(since))
+    }
+
+    /// Takes in that the box that was asked did not answer as it should.
+    fn found_silent(&mut self, relay: &BoxRecord, error: &BoxCallError, now_ms: u64) -> Failed {
+        self.relay = None;
+        self.gateway.peers.note_silent(&relay.name, now_ms);
+        let error = error.to_string();
+        let detail = json!({"peer": relay.name, "about": self.topic.name(), "error": error});
+        self.gateway.log.line("peer_lost", detail);
+        Failed::Relay
+    }
+
+    /// Judges by the age of the proof whether the box that answered has a source itself.
+    fn judge_source(&self, relay: &BoxRecord, now_ms: u64) {
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
-        if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
-            self.gateway.peers.note_sourceless(&relay.name, now_ms);
-            let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
-            self.gateway.log.line("peer_unhearing", detail);
-        } else if self.topic == Topic::Site {
+        if age_ms <= RELAY_PROOF_MAX_MS {
             self.gateway.peers.note_source(&relay.name);
+            return;
         }
-        Ok(answer.revision.max(since))
+        self.gateway.peers.note_sourceless(&relay.name, now_ms);
+        let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
+        self.gateway.log.line("peer_unhearing", detail);
     }
 
     /// Takes in that the box that was asked does not hear of the store's records itself.
