Texts of failed calls no longer name the store

The same client calls other boxes, so a lost box was logged with "no connection to the store". The event (store_lost, peer_lost) says who it was.

--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -22,13 +22,13 @@
 #[derive(Debug, Snafu)]
 pub enum CallError {
     /// It could not be reached.
-    #[snafu(display("no connection to the store: {source}"))]
+    #[snafu(display("no connection: {source}"))]
     Unreachable {
         /// Why.
         source: std::io::Error,
     },
     /// No whole answer came; a write may have been done.
-    #[snafu(display("the store's answer was lost: {detail}"))]
+    #[snafu(display("the answer was lost: {detail}"))]
     Lost {
         /// What happened.
         detail: String,
@@ -40,13 +40,13 @@
         detail: String,
     },
     /// It answered that it did nothing.
-    #[snafu(display("the store refused with status {status}"))]
+    #[snafu(display("refused with status {status}"))]
     Refused {
         /// The status.
         status: u16,
     },
     /// The answer cannot be read.
-    #[snafu(display("the store's answer cannot be read: {detail}"))]
+    #[snafu(display("the answer cannot be read: {detail}"))]
     Unreadable {
         /// What was expected.
         detail: String,
