One call for each source, and one rule for shunned boxes

The choice of a source was taken apart and put together again before the call; who is shunned was written down twice. The headers say what the modules do now.

--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::hall::Source;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -51,6 +52,18 @@
     Relay,
 }
 
+impl HeardFrom {
+    /// Whom a source stands for.
+    pub fn of(source: &Source) -> Self {
+        match source {
+            Source::Store => Self::Store,
+            Source::Root(_) => Self::Root,
+            Source::Relay(_) => Self::Relay,
+            Source::Nobody => Self::Nobody,
+        }
+    }
+}
+
 /// Who asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asker {
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -178,13 +178,11 @@
     /// From whom this box is to hear the store's records next.
     pub fn source(&self, now_ms: u64) -> Source {
         let others = lock(&self.others);
-        let silent = lock(&self.silent);
-        let sourceless = lock(&self.sourceless);
         let mut root = lock(&self.root);
         let view = View {
             me: &self.me,
             others: &others,
-            is_out: |name: &str| silent.contains(name, now_ms) || sourceless.contains(name, now_ms),
+            is_out: |name: &str| self.is_shunned(name, now_ms),
             root: root
                 .as_ref()
                 .filter(|known| now_ms < known.since_ms + ROOT_KEPT_MS)
@@ -206,6 +204,11 @@
         source
     }
 
+    /// Whether a box is left alone for now, as it was silent or sourceless.
+    fn is_shunned(&self, name: &str, now_ms: u64) -> bool {
+        lock(&self.silent).contains(name, now_ms) || lock(&self.sourceless).contains(name, now_ms)
+    }
+
     /// Takes in that a box has no source of the store's records; of this one, that the store does not
     /// answer it.
     pub fn note_sourceless(&self, name: &Name, now_ms: u64) {
@@ -227,11 +230,7 @@
     /// Waits until a box is left alone, whichever follower or task found it silent or sourceless.
     pub async fn until_shunned(&self, name: &Name, clock: Clock) {
         let mut shuns = self.shuns.subscribe();
-        let is_out = |now_ms| {
-            lock(&self.silent).contains(name, now_ms)
-                || lock(&self.sourceless).contains(name, now_ms)
-        };
-        while !is_out(clock.now_ms()) {
+        while !self.is_shunned(name, clock.now_ms()) {
             // The sender lives as long as the box's state.
             let _changed = shuns.changed().await;
         }
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -1,4 +1,5 @@
-//! Keeps a topic in step with the store: lists and watches it, or asks the box that does.
+//! Keeps a topic in step with the store: lists and watches it, or asks the box that does, and tries
+//! the store where that box does not renew the proof.
 
 mod confirm;
 mod probe;
@@ -112,25 +113,28 @@
                 return self.poll(since).await;
             }
         }
-        let (other, from) = match source {
-            Source::Store => (None, HeardFrom::Store),
-            Source::Relay(relay) => (Some((relay, Asker::Follower)), HeardFrom::Relay),
-            Source::Root(root) => (Some((root, Asker::Relay)), HeardFrom::Root),
-            Source::Nobody => {
-                gateway.histories.set_from(self.topic, HeardFrom::Nobody);
-                return Err(Failed::NoSource);
-            }
-        };
-        gateway.histories.set_from(self.topic, from);
-        match other {
-            Some((other, asker)) => self
-                .ask_box(since.unwrap_or(0), other, asker)
-                .await
-                .map(Some),
-            None => self.hear_store(since).await,
+        gateway
+            .histories
+            .set_from(self.topic, HeardFrom::of(&source));
+        match source {
+            Source::Store => self.hear_store(since).await,
+            Source::Relay(relay) => self.hear_box(since, relay, Asker::Follower).await,
+            Source::Root(root) => self.hear_box(since, root, Asker::Relay).await,
+            Source::Nobody => Err(Failed::NoSource),
         }
     }
 
+    /// Hears of changes from another box.
+    async fn hear_box(
+        &mut self,
+        since: Option<u64>,
+        other: BoxRecord,
+        asker: Asker,
+    ) -> Result<Option<u64>, Failed> {
+        let next = self.ask_box(since.unwrap_or(0), other, asker).await?;
+        Ok(Some(next))
+    }
+
     /// Hears of changes from the store.
     async fn hear_store(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
         self.is_catching_up = self.relay.take().is_some();
