--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -97,13 +97,13 @@
         let track = rollouts.get(&order.pool);
         track.map(|track| counts_of(&track.sum()))
     });
-    let told = match &outcome {
+    let outcome_text = match &outcome {
         Ok(outcome) => outcome,
         Err(e) => e.as_str(),
     };
     let detail = json!({
         "pool": order.pool, "target_version": order.target_version,
-        "duty": format!("{duty:?}"), "outcome": told, "revision": order.revision,
+        "duty": format!("{duty:?}"), "outcome": outcome_text, "revision": order.revision,
         "bad_of_all": counts,
     });
     gateway.log.line("rollout_step", detail);
--- a/crates/ivyweir-gateway/src/store_news.rs
+++ b/crates/ivyweir-gateway/src/store_news.rs
@@ -18,11 +18,7 @@
 
     /// Waits until the store does not answer such a question.
     pub async fn until_store_lost(&self) {
-        let mut losses = self.losses.subscribe();
-        if losses.changed().await.is_err() {
-            // The sender is gone with the box.
-            std::future::pending().await
-        }
+        until_next(&self.losses).await;
     }
 
     /// Takes in that an answer about upstreams was adopted.
@@ -47,10 +43,13 @@
 
     /// Waits until it is asked.
     pub async fn until_poll_asked(&self) {
-        let mut polls = self.polls.subscribe();
-        if polls.changed().await.is_err() {
-            // The sender is gone with the box.
-            std::future::pending().await
-        }
+        until_next(&self.polls).await;
     }
 }
+
+/// Waits until a count goes up.
+async fn until_next(count: &watch::Sender<u64>) {
+    let mut counts = count.subscribe();
+    // The sender is borrowed for the wait, so it cannot be gone.
+    let _changed = counts.changed().await;
+}
