--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -12,6 +12,8 @@
 use crate::history::{Asker, Behind, NoSource, PassedChange};
 use crate::state::Gateway;
 
+/// Where a topic is followed.
+pub const FOLLOW_PATH: &str = "/peer/follow";
 /// Longest wait of a question.
 const MAX_WAIT_MS: u64 = 20_000;
 /// Time for which a follower's question waits while this box looks for another source.
@@ -54,7 +56,8 @@
                 sourceless_until_ms = None;
                 let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
                 if behind.is_some() || renewed || now_ms >= until_ms {
-                    return json(&told(gateway, &question, behind, now_ms - asked_at_ms));
+                    let held_ms = now_ms - asked_at_ms;
+                    return json(&follow_answer(gateway, &question, behind, held_ms));
                 }
                 until_ms
             }
@@ -63,10 +66,7 @@
                 if !gateway.peers.is_settled() {
                     sourceless_until_ms = None;
                 }
-                let change_ms = match question.asker {
-                    Asker::Follower => SOURCE_CHANGE_MS,
-                    Asker::Relay => ROOT_CHANGE_MS,
-                };
+                let change_ms = source_change_ms(question.asker);
                 let limit_ms = *sourceless_until_ms.get_or_insert(now_ms + change_ms);
                 if now_ms >= limit_ms {
                     return bare(StatusCode::SERVICE_UNAVAILABLE);
@@ -80,8 +80,16 @@
     }
 }
 
+/// Time for which a question waits while this box has no source.
+fn source_change_ms(asker: Asker) -> u64 {
+    match asker {
+        Asker::Follower => SOURCE_CHANGE_MS,
+        Asker::Relay => ROOT_CHANGE_MS,
+    }
+}
+
 /// The answer to a question about a topic.
-fn told(
+fn follow_answer(
     gateway: &Gateway,
     question: &Question,
     behind: Option<Behind>,
@@ -138,12 +146,12 @@
 const RELAY: &str = "relay";
 const FOLLOWER: &str = "follower";
 
-/// The path at which a topic is followed.
+/// The path and query at which a topic is followed.
 pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker) -> String {
     let topic = topic.name();
     let asker = match asker {
         Asker::Relay => RELAY,
         Asker::Follower => FOLLOWER,
     };
-    format!("/peer/follow?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
+    format!("{FOLLOW_PATH}?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
 }
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::hall::Source;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -51,6 +52,18 @@
     Relay,
 }
 
+impl HeardFrom {
+    /// Whom a source stands for.
+    pub fn of(source: &Source) -> Self {
+        match source {
+            Source::Store => Self::Store,
+            Source::Root(_) => Self::Root,
+            Source::Relay(_) => Self::Relay,
+            Source::Nobody => Self::Nobody,
+        }
+    }
+}
+
 /// Who asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asker {
@@ -60,6 +73,23 @@
     Relay,
 }
 
+/// What a box that asks does not know yet.
+pub enum Behind {
+    /// More than is kept; the revision of everything.
+    Whole(u64),
+    /// The changes, up to this revision.
+    Changes(u64, Vec<PassedChange>),
+}
+
+/// Why this box does not tell of a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSource {
+    /// It is looking for another source.
+    ForNow,
+    /// It follows another box itself.
+    AtAll,
+}
+
 /// What a box can pass on.
 #[derive(Debug, Default)]
 pub struct Histories {
@@ -198,20 +228,3 @@
         }
     }
 }
-
-/// What a box that asks does not know yet.
-pub enum Behind {
-    /// More than is kept; the revision of everything.
-    Whole(u64),
-    /// The changes, up to this revision.
-    Changes(u64, Vec<PassedChange>),
-}
-
-/// Why this box does not tell of a topic.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoSource {
-    /// It is looking for another source.
-    ForNow,
-    /// It follows another box itself.
-    AtAll,
-}
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::{Request, StatusCode, header};
+use hyper::StatusCode;
 use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
-use super::{Failed, Follower, QUIET_WAIT_MS, UNRENEWED_MS};
+use super::probe::UNRENEWED_MS;
+use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt, adopt_all, remove};
+use crate::box_call::{BoxCallError, question, read_answer};
 use crate::client::{Answer, CallError, Client};
 use crate::dialect::Topic;
 use crate::follow::{FollowAnswer, follow_path};
@@ -33,42 +34,52 @@
         let asked_at_ms = self.gateway.clock.now_ms();
         let answer = self.call_box(since, &relay, asker).await?;
         if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
-            return Err(self.unhearing(&relay));
+            return Err(self.found_sourceless(&relay));
         }
-        let answer = answer.map_err(|e| e.to_string()).and_then(read);
+        let answer = read_answer::<FollowAnswer>(answer);
         let now_ms = self.gateway.clock.now_ms();
         let answer = match answer {
             Ok(answer) => answer,
-            Err(error) => {
-                self.relay = None;
-                self.gateway.peers.failed(&relay.name, now_ms);
-                let detail =
-                    json!({"peer": relay.name, "about": self.topic.name(), "error": error});
-                self.gateway.log.line("peer_lost", detail);
-                return Err(Failed::Relay);
-            }
+            Err(error) => return Err(self.found_silent(&relay, &error, now_ms)),
         };
         self.failures = 0;
         self.take_in(asked_at_ms, &answer).await;
         self.gateway.set_synced(self.topic);
-        let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
-        if self.topic == Topic::Site && age_ms > RELAY_PROOF_MAX_MS {
-            self.gateway.peers.hears_nothing(&relay.name, now_ms);
-            let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
-            self.gateway.log.line("peer_unhearing", detail);
-        } else if self.topic == Topic::Site {
-            self.gateway.peers.hears(&relay.name);
+        if self.topic == Topic::Site {
+            self.judge_source(&relay, now_ms);
         }
         Ok(answer.revision.max(since))
     }
 
+    /// Takes in that the box that was asked did not answer as it should.
+    fn found_silent(&mut self, relay: &BoxRecord, error: &BoxCallError, now_ms: u64) -> Failed {
+        self.relay = None;
+        self.gateway.peers.note_silent(&relay.name, now_ms);
+        let error = error.to_string();
+        let detail = json!({"peer": relay.name, "about": self.topic.name(), "error": error});
+        self.gateway.log.line("peer_lost", detail);
+        Failed::Relay
+    }
+
+    /// Judges by the age of the proof whether the box that answered has a source itself.
+    fn judge_source(&self, relay: &BoxRecord, now_ms: u64) {
+        let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
+        if age_ms <= RELAY_PROOF_MAX_MS {
+            self.gateway.peers.note_source(&relay.name);
+            return;
+        }
+        self.gateway.peers.note_sourceless(&relay.name, now_ms);
+        let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
+        self.gateway.log.line("peer_unhearing", detail);
+    }
+
     /// Takes in that the box that was asked does not hear of the store's records itself.
-    fn unhearing(&self, relay: &BoxRecord) -> Failed {
+    fn found_sourceless(&self, relay: &BoxRecord) -> Failed {
         if self.topic != Topic::Site {
-            return Failed::Unhearing;
+            return Failed::NoSource;
         }
         let now_ms = self.gateway.clock.now_ms();
-        self.gateway.peers.hears_nothing(&relay.name, now_ms);
+        self.gateway.peers.note_sourceless(&relay.name, now_ms);
         let detail = json!({"peer": relay.name, "about": self.topic.name()});
         self.gateway.log.line("peer_unhearing", detail);
         Failed::Relay
@@ -82,11 +93,8 @@
         asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
         let wait_ms = self.box_wait_ms();
-        let request = Request::builder()
-            .uri(follow_path(self.topic, since, wait_ms, asker))
-            .header(header::HOST, relay.peer_addr.to_string())
-            .body(Bytes::new())
-            .expect("invariant: all parts are valid");
+        let path = follow_path(self.topic, since, wait_ms, asker);
+        let request = question(relay.peer_addr, &path);
         let client = match &mut self.relay {
             Some((known, client)) if known == relay => client,
             other => {
@@ -97,7 +105,7 @@
         let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
         tokio::select! {
             answer = client.call(request, limit) => Ok(answer),
-            () = self.gateway.peers.lost(&relay.name, self.gateway.clock) => {
+            () = self.gateway.peers.until_shunned(&relay.name, self.gateway.clock) => {
                 self.relay = None;
                 Err(Failed::Relay)
             }
@@ -115,7 +123,7 @@
             return QUIET_WAIT_MS;
         }
         let now_ms = self.gateway.clock.now_ms();
-        let left_ms = (self.renewed_at_ms + UNRENEWED_MS).saturating_sub(now_ms);
+        let left_ms = self.probes.first_in_ms(now_ms);
         left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, UNRENEWED_MS)
     }
 
@@ -144,11 +152,3 @@
         }
     }
 }
-
-/// Reads a relay's answer, or says what is wrong with it.
-fn read(answer: Answer) -> Result<FollowAnswer, String> {
-    if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status.as_u16()));
-    }
-    serde_json::from_slice(&answer.body).map_err(|e| e.to_string())
-}
