--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -156,7 +156,12 @@
     pub fn is_root(&self) -> bool {
         let topics = self.topics();
         let from = topics.get(&Topic::Site).map(|history| history.from);
-        from == Some(HeardFrom::Store) && self.store_answers.load(Ordering::Relaxed)
+        from == Some(HeardFrom::Store) && self.store_answers()
+    }
+
+    /// Whether the store answered this box when it was last asked about the configuration.
+    pub fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
     }
 
     /// Takes in that another box asks here.
@@ -219,7 +224,7 @@
 
     /// Whether this box is a source for who asks.
     fn check_source(&self, from: HeardFrom, asker: Asker) -> Result<(), NoSource> {
-        let store_answers = self.store_answers.load(Ordering::Relaxed);
+        let store_answers = self.store_answers();
         match (from, asker) {
             (HeardFrom::Store, _) if store_answers => Ok(()),
             (HeardFrom::Root, Asker::Follower) => Ok(()),
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -64,6 +64,8 @@
     let mut pauses = FIRST_PAUSES_MS.iter();
     while joiner.gateway.stopping_for_ms().is_none() {
         let up_ms = joiner.join_one().await;
+        let now_ms = joiner.gateway.clock.now_ms();
+        joiner.gateway.peers.merge(now_ms);
         joiner.settle(up_ms);
         let pause_ms = pauses.next().copied().unwrap_or(PAUSE_MS);
         sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -146,8 +146,8 @@
         joined.list_for(hall, now_ms)
     }
 
-    /// Computes the other boxes anew.
-    fn merge(&self, now_ms: u64) {
+    /// Computes the other boxes anew: some may have joined, or not joined any more.
+    pub fn merge(&self, now_ms: u64) {
         let mut others = lock(&self.seed_lists).boxes();
         let joined = lock(&self.joined).list_for(&self.me.hall, now_ms);
         others.extend(joined.into_iter().map(|r| (r.name.clone(), r)));
@@ -254,8 +254,9 @@
 
     /// The root that this box hears from as its hall's relay, unless it is the root itself.
     pub fn root(&self) -> Option<BoxRecord> {
-        let root = lock(&self.root);
-        lock(&self.others).get(&root.as_ref()?.name).cloned()
+        // Both locks at once would be taken in the opposite order of `source`.
+        let name = lock(&self.root).as_ref()?.name.clone();
+        lock(&self.others).get(&name).cloned()
     }
 
     /// Halls that have boxes.
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -117,6 +117,7 @@
             .histories
             .set_from(self.topic, HeardFrom::of(&source));
         match source {
+            Source::Store if self.waits_for_site() => Err(Failed::NoSource),
             Source::Store => self.hear_store(since).await,
             Source::Relay(relay) => self.hear_box(since, relay, Asker::Follower).await,
             Source::Root(root) => self.hear_box(since, root, Asker::Relay).await,
@@ -124,6 +125,12 @@
         }
     }
 
+    /// Whether the configuration's follower is to find that the store answers first: each call to a
+    /// store that is out is paid for.
+    fn waits_for_site(&self) -> bool {
+        self.topic != Topic::Site && !self.gateway.histories.store_answers()
+    }
+
     /// Hears of changes from another box.
     async fn hear_box(
         &mut self,
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -17,7 +17,7 @@
 
 /// Shortest wait of a question about the configuration; the relay answers as soon as its own proof
 /// is renewed.
-const RELAY_SITE_MIN_WAIT_MS: u64 = 100;
+const RELAY_SITE_MIN_WAIT_MS: u64 = 250;
 /// Time for a relay to answer, beyond the wait.
 const RELAY_ANSWER_LIMIT_MS: u64 = 500;
 /// Age of the proof from which the relay is taken to have lost the store.
@@ -36,24 +36,23 @@
         if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
             return Err(self.found_sourceless(&relay));
         }
-        let answer = read_answer::<FollowAnswer>(answer);
-        let now_ms = self.gateway.clock.now_ms();
-        let answer = match answer {
+        let answer = match read_answer::<FollowAnswer>(answer) {
             Ok(answer) => answer,
-            Err(error) => return Err(self.found_silent(&relay, &error, now_ms)),
+            Err(error) => return Err(self.found_silent(&relay, &error)),
         };
         self.failures = 0;
         self.take_in(asked_at_ms, &answer).await;
         self.gateway.set_synced(self.topic);
         if self.topic == Topic::Site {
-            self.judge_source(&relay, now_ms);
+            self.judge_source(&relay);
         }
         Ok(answer.revision.max(since))
     }
 
     /// Takes in that the box that was asked did not answer as it should.
-    fn found_silent(&mut self, relay: &BoxRecord, error: &BoxCallError, now_ms: u64) -> Failed {
+    fn found_silent(&mut self, relay: &BoxRecord, error: &BoxCallError) -> Failed {
         self.relay = None;
+        let now_ms = self.gateway.clock.now_ms();
         self.gateway.peers.note_silent(&relay.name, now_ms);
         let error = error.to_string();
         let detail = json!({"peer": relay.name, "about": self.topic.name(), "error": error});
@@ -62,12 +61,13 @@
     }
 
     /// Judges by the age of the proof whether the box that answered has a source itself.
-    fn judge_source(&self, relay: &BoxRecord, now_ms: u64) {
+    fn judge_source(&self, relay: &BoxRecord) {
         let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
         if age_ms <= RELAY_PROOF_MAX_MS {
             self.gateway.peers.note_source(&relay.name);
             return;
         }
+        let now_ms = self.gateway.clock.now_ms();
         self.gateway.peers.note_sourceless(&relay.name, now_ms);
         let detail = json!({"peer": relay.name, "about": "proof", "proof_age_ms": age_ms});
         self.gateway.log.line("peer_unhearing", detail);
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -142,7 +142,7 @@
         request: Request<Bytes>,
         wait_ms: u64,
     ) -> Result<Answer, CallError> {
-        let limit = if self.is_probing {
+        let limit = if self.is_probing || self.failures > 0 {
             PROBE_LIMIT
         } else {
             ANSWER_LIMIT
@@ -206,7 +206,7 @@
     fn wait_ms(&self) -> u64 {
         match self.topic {
             // After a failure the answer itself is news, so it must not wait for changes.
-            _ if self.failures > 0 && self.topic != Topic::Site => AFTER_FAILURE_WAIT_MS,
+            _ if self.failures > 0 => AFTER_FAILURE_WAIT_MS,
             _ if self.is_probing || self.is_catching_up => AFTER_FAILURE_WAIT_MS,
             Topic::Upstreams => UPSTREAMS_WAIT_MS,
             Topic::Rollouts => QUIET_WAIT_MS,
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -1,12 +1,12 @@
 //! What boxes tell each other, a few times a second: their words.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
 use ivyweir_policy::gateway::word::{Word, WordMessage};
 use serde_json::json;
@@ -28,7 +28,7 @@
 
 /// Tells other boxes this box's word and takes in theirs, for the life of the process.
 pub async fn exchange(gateway: Arc<Gateway>) {
-    let mut clients: HashMap<Name, Client> = HashMap::new();
+    let mut clients: HashMap<SocketAddr, Client> = HashMap::new();
     loop {
         sleep(WORD_ROUND).await;
         let now_ms = gateway.clock.now_ms();
@@ -45,7 +45,7 @@
 }
 
 /// Tells relays of other halls this hall's word.
-async fn tell_other_halls(gateway: &Gateway, clients: &mut HashMap<Name, Client>) {
+async fn tell_other_halls(gateway: &Gateway, clients: &mut HashMap<SocketAddr, Client>) {
     let own_hall = &gateway.settings.hall;
     let root = gateway.peers.root();
     for hall in gateway.peers.halls() {
@@ -66,12 +66,12 @@
 /// Tells a box a message and takes in what it answers.
 async fn tell(
     gateway: &Gateway,
-    clients: &mut HashMap<Name, Client>,
+    clients: &mut HashMap<SocketAddr, Client>,
     to: &BoxRecord,
     message: &WordMessage,
 ) {
     let client = clients
-        .entry(to.name.clone())
+        .entry(to.peer_addr)
         .or_insert_with(|| Client::new(to.peer_addr));
     let answer = box_call::post::<WordMessage>(client, WORD_PATH, message, WORD_ANSWER_LIMIT).await;
     let now_ms = gateway.clock.now_ms();
@@ -81,7 +81,7 @@
             gateway.peers.take_word(&answer.from, answer.word, now_ms);
         }
         Err(_) => {
-            clients.remove(&to.name);
+            clients.remove(&to.peer_addr);
             gateway.peers.note_silent(&to.name, now_ms);
             gateway
                 .log
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -56,7 +56,14 @@
 pub fn digest(boxes: &[BoxRecord]) -> u64 {
     boxes.iter().fold(0, |sum: u64, record| {
         let addr = record.peer_addr.to_string();
-        sum.wrapping_add(hash64(&[record.name.as_bytes(), addr.as_bytes()]))
+        let cpu = record.cpu_milli.to_le_bytes();
+        let fields = [
+            record.name.as_bytes(),
+            record.hall.as_bytes(),
+            addr.as_bytes(),
+            &cpu,
+        ];
+        sum.wrapping_add(hash64(&fields))
     })
 }
 
--- a/crates/ivyweir-policy/tests/gateway_peers.rs
+++ b/crates/ivyweir-policy/tests/gateway_peers.rs
@@ -89,12 +89,13 @@
 }
 
 #[test]
-fn few_try_a_store_that_answers_nobody() {
+fn three_boxes_try_a_store_that_answers_nobody() {
     let fleet = fleet();
     let all: HashSet<Name> = fleet.iter().map(|r| r.name.clone()).collect();
     let sources = sources(&fleet, &all);
-    // Boxes of the three halls that may have the root try it, each for itself; others wait.
-    assert_eq!(names(&sources, |s| *s == Source::Nobody).len(), 3);
+    // The first box of each hall that may have the root; all others wait.
+    assert_eq!(names(&sources, |s| *s == Source::Store).len(), 3);
+    assert_eq!(names(&sources, |s| *s == Source::Nobody).len(), 9);
 }
 
 #[test]
@@ -178,3 +179,11 @@
     lists.take(seeds[1], None, 31_500);
     assert_eq!(lists.boxes().len(), 1);
 }
+
+#[test]
+fn a_box_that_changed_its_size_is_news() {
+    let before = record("one", "hall-a", 1);
+    let mut after = before.clone();
+    after.cpu_milli = 500;
+    assert_ne!(digest(&[before]), digest(&[after]));
+}
