--- a/crates/ivyweir-policy/src/gateway/hall.rs
+++ b/crates/ivyweir-policy/src/gateway/hall.rs
@@ -136,18 +136,11 @@
         }
         match relay_of(self.usable(hall)) {
             Some(other) => Source::Relay(other.clone()),
-            None if halls.contains(&hall) && self.is_first() => Source::Store,
+            None if halls.contains(&hall) => Source::Store,
             None => Source::Nobody,
         }
     }
 
-    /// Whether no box of the hall comes before this one, be it out or not.
-    fn is_first(&self) -> bool {
-        let in_hall = |record: &&BoxRecord| record.hall == self.me.hall;
-        let mut others = self.others.values().filter(in_hall);
-        others.all(|record| record.rank() < self.me.rank())
-    }
-
     /// The halls whose relays may be the root, in the order in which they are asked.
     fn root_halls(&self) -> Vec<&Name> {
         let mut halls: Vec<&Name> = self.others.values().map(|record| &record.hall).collect();
