A plain service is timed alone only against five times, and 25 ms; boxes that start wait for a proof

Since plain services are timed to the end, a good version was judged, once all work had moved, against a lower quartile of about a millisecond that the old version had reached on a quieter machine. The same would befall a good version in a surge. Change: alone, slow is five times the old version's lower quartile, and up to 25 ms no plain answer is slow.

Change: in its first two seconds a box lets requests wait for the proof as for the configuration, half a second at most.

--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -30,6 +30,8 @@
 
 /// Part of the bound on withdrawn keys that is left for the way to the upstream.
 const PROOF_MARGIN_MS: u64 = 300;
+/// Time since its start for which a box without a proof waits for one; others took 0.5 s at most.
+const STARTING_MS: u64 = 2_000;
 /// Age of the proof from which a box asks the balancer for no new connections.
 const READY_PROOF_AGE_MS: u64 = 3_000;
 /// Age of the proof from which this box does not trust its own "no such route".
@@ -218,6 +220,12 @@
         lock(&self.synced).len() == sync::TOPICS.len() && lock(&self.site).is_some()
     }
 
+    /// Whether this box started a moment ago and has no proof yet that its configuration is the
+    /// newest; the relay that told it may have started too.
+    pub fn is_starting(&self) -> bool {
+        self.clock.now_ms() < STARTING_MS && self.proof_age_ms().is_none()
+    }
+
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::gateway::verdict::{Evidence, Findings, Span, Tally};
+use crate::gateway::verdict::{Evidence, Findings, Tally};
 use crate::rank::mix;
 
 /// A step of a roll-out: from which part of its time on, and which share the new version gets.
@@ -197,10 +197,8 @@
 
     /// Takes in an answer; returns whether it condemned the new version just now.
     pub fn judge(&mut self, side: Side, evidence: &Evidence, now_ms: u64) -> bool {
-        // Once all work moves at a stroke, engines that have read nothing yet are slow for a while.
-        // Plain services have nothing to read.
-        let is_timed = self.share(now_ms) < 1.0 || evidence.span == Span::Whole;
-        self.findings.weigh(side, evidence, is_timed);
+        let is_alone = self.share(now_ms) >= 1.0;
+        self.findings.weigh(side, evidence, is_alone);
         self.condemn_if_bad(now_ms)
     }
 
