Joining: one merge a round, and followers are woken once

Cause (by reading the change): settling a box told the histories in every round for the life of the process, which woke every question that waits at a relay each two seconds for nothing; and the list of boxes was computed both when a seed's list came and right after, at the end of the same round.

Ruled out: that somebody needs the later wakes; what they look at has not changed.

Change: a box settles once; the list is computed at the end of the round.

--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -128,8 +128,9 @@
             Some(up_ms) => up_ms >= SETTLED_SEED_MS || now_ms >= SETTLED_MS,
             None => now_ms >= ALONE_MS,
         };
-        if is_settled || self.gateway.peers.is_only_seed() {
-            self.gateway.peers.settle();
+        let peers = &self.gateway.peers;
+        if !peers.is_settled() && (is_settled || peers.is_only_seed()) {
+            peers.settle();
             self.gateway.histories.tell();
         }
     }
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -118,13 +118,10 @@
         others.values().nth(at).map(|record| record.peer_addr)
     }
 
-    /// Takes in a seed's list of other boxes: none where that has not changed.
+    /// Takes in a seed's list of other boxes: none where that has not changed. [`merge`](Self::merge)
+    /// follows at the end of the round.
     pub fn take_seed_list(&self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
-        let is_news = list.is_some();
         lock(&self.seed_lists).take(seed, list, now_ms);
-        if is_news {
-            self.merge(now_ms);
-        }
     }
 
     /// Digest of a seed's last list.
