Changes of a topic are adopted in one place; connections accepted in one

Ruled out: one function for both answers: a proof is dated differently from a watch and from a box.

Change: `adopt_all` and `adopt_changes` also keep what they adopt for boxes that follow here; `readable_changes` drops, and logs, what cannot be read; `accept` passes over a connection that failed.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -1,4 +1,5 @@
-//! Takes in records that the store, or the hall's relay, told of.
+//! Takes in records that the store, or another box, told of, and keeps them for boxes that follow
+//! here.
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -6,11 +7,17 @@
 use ivyweir_policy::gateway::site::{Site, SiteIndex};
 use serde_json::json;
 
-use crate::dialect::{Entry, Item, Topic};
+use crate::dialect::{Change, Entry, Item, Topic};
+use crate::history::PassedChange;
 use crate::state::Gateway;
 
-/// Takes in all records of a topic.
-pub fn adopt_all(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
+/// Takes in all records of a topic, as of a revision.
+pub fn adopt_all(gateway: &Gateway, topic: Topic, revision: u64, entries: Vec<Entry>) {
+    adopt_entries(gateway, topic, entries);
+    gateway.histories.restart(topic, revision);
+}
+
+fn adopt_entries(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
     let listed = entries.len();
     let items: Vec<Item> = entries
         .into_iter()
@@ -43,11 +50,28 @@
     }
 }
 
-/// Takes in a record that was written.
-pub fn adopt(gateway: &Gateway, topic: Topic, entry: Entry) {
-    if let Some(item) = readable(gateway, topic, entry) {
-        adopt_item(gateway, item);
+/// The changes that can be read.
+pub fn readable_changes(
+    gateway: &Gateway,
+    topic: Topic,
+    changes: Vec<Change>,
+) -> Vec<PassedChange> {
+    let read = |change| match change {
+        Change::Put(entry) => readable(gateway, topic, entry).map(PassedChange::Put),
+        Change::Gone(name) => Some(PassedChange::Gone(name)),
+    };
+    changes.into_iter().filter_map(read).collect()
+}
+
+/// Takes in changes of a topic, up to a revision.
+pub fn adopt_changes(gateway: &Gateway, topic: Topic, revision: u64, changes: Vec<PassedChange>) {
+    for change in changes.iter().cloned() {
+        match change {
+            PassedChange::Put(item) => adopt_item(gateway, item),
+            PassedChange::Gone(name) => remove(gateway, topic, &name),
+        }
     }
+    gateway.histories.push(topic, revision, changes);
 }
 
 fn adopt_item(gateway: &Gateway, item: Item) {
@@ -62,7 +86,7 @@
 }
 
 /// Takes in that the record of this name is gone.
-pub fn remove(gateway: &Gateway, topic: Topic, name: &Name) {
+fn remove(gateway: &Gateway, topic: Topic, name: &Name) {
     match topic {
         Topic::Upstreams => gateway.change_upstream(|fleet, now_ms| {
             let change = fleet.lapse(name, now_ms);
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -46,13 +46,17 @@
         .saturating_sub(RESERVED_FDS);
     let connections = Arc::new(Semaphore::new(room.max(MIN_CONNECTIONS) as usize));
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
             _ = stop.changed() => break,
         };
-        let Some((stream, permit)) = take(accepted, &connections).await else {
+        // Where there is no room, or the caller has left already, the connection is closed.
+        let Ok(permit) = connections.clone().try_acquire_owned() else {
             continue;
         };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
         let limits = gateway.site().and_then(|site| site.site().limits);
         let idle_ms = limits.map_or(IDLE_DEFAULT_MS, |l| l.idle_timeout_ms);
         let gateway = gateway.clone();
@@ -75,29 +79,20 @@
     graceful.shutdown().await;
 }
 
-async fn take(
-    accepted: io::Result<(TcpStream, SocketAddr)>,
-    connections: &Arc<Semaphore>,
-) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let stream = match accepted {
-        Ok((stream, _)) => stream,
-        Err(_) => {
-            sleep(ACCEPT_PAUSE).await;
-            return None;
+/// The next connection; one that could not be accepted is passed over.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
-    };
-    let permit = connections.clone().try_acquire_owned().ok()?;
-    stream.set_nodelay(true).ok()?;
-    Some((stream, permit))
+    }
 }
 
 /// Answers other boxes.
 pub async fn serve_peers(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let gateway = gateway.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
@@ -130,10 +125,7 @@
     answer: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let answer = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = answer(request.uri().path());
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -8,12 +8,12 @@
 
 use super::probe::UNRENEWED_MS;
 use super::{Failed, Follower, QUIET_WAIT_MS};
-use crate::adopt::{adopt, adopt_all, remove};
+use crate::adopt::{adopt_all, adopt_changes};
 use crate::box_call::{BoxCallError, question, read_answer};
 use crate::client::{Answer, CallError, Client};
 use crate::dialect::Topic;
 use crate::follow::{FollowAnswer, follow_path};
-use crate::history::{Asker, PassedChange};
+use crate::history::Asker;
 
 /// Shortest wait of a question about the configuration; the relay answers as soon as its own proof
 /// is renewed.
@@ -41,12 +41,13 @@
             Err(error) => return Err(self.found_silent(&relay, &error)),
         };
         self.failures = 0;
-        self.take_in(asked_at_ms, &answer).await;
+        let revision = answer.revision.max(since);
+        self.take_in(asked_at_ms, answer).await;
         self.gateway.set_synced(self.topic);
         if self.topic == Topic::Site {
             self.judge_source(&relay);
         }
-        Ok(answer.revision.max(since))
+        Ok(revision)
     }
 
     /// Takes in that the box that was asked did not answer as it should.
@@ -127,21 +128,14 @@
         left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, UNRENEWED_MS)
     }
 
-    async fn take_in(&mut self, asked_at_ms: u64, answer: &FollowAnswer) {
+    /// Takes in an answer, and the proof that comes with it.
+    async fn take_in(&mut self, asked_at_ms: u64, answer: FollowAnswer) {
         let gateway = self.gateway.clone();
-        if let Some(items) = &answer.whole {
-            let entries = items.iter().cloned().map(Ok).collect();
-            adopt_all(&gateway, self.topic, entries);
-            gateway.histories.restart(self.topic, answer.revision);
+        if let Some(items) = answer.whole {
+            let entries = items.into_iter().map(Ok).collect();
+            adopt_all(&gateway, self.topic, answer.revision, entries);
         }
-        for change in answer.changes.iter().cloned() {
-            match change {
-                PassedChange::Put(item) => adopt(&gateway, self.topic, Ok(item)),
-                PassedChange::Gone(name) => remove(&gateway, self.topic, &name),
-            }
-        }
-        let changes = answer.changes.clone();
-        gateway.histories.push(self.topic, answer.revision, changes);
+        adopt_changes(&gateway, self.topic, answer.revision, answer.changes);
         if self.confirmed().await
             && let Some(proof_age_ms) = answer.proof_age_ms
             // A proof from before this box's start is too old for its clock.
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -9,10 +9,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::{Follower, QUIET_WAIT_MS};
-use crate::adopt::{adopt, adopt_all, remove};
+use crate::adopt::{adopt_all, adopt_changes, readable_changes};
 use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
-use crate::dialect::{Change, Changes, Entry, Topic};
-use crate::history::PassedChange;
+use crate::dialect::{Changes, Entry, Topic};
 use crate::state::Gateway;
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
@@ -53,8 +52,7 @@
         };
         self.tell_store_answers(true);
         self.succeeded();
-        adopt_all(&self.gateway, self.topic, entries);
-        self.gateway.histories.restart(self.topic, revision);
+        adopt_all(&self.gateway, self.topic, revision, entries);
         if self.confirmed().await {
             self.gateway.renew_proof(asked_at_ms);
         }
@@ -125,7 +123,8 @@
         let revision = changes.revision;
         let quiet = changes.changes.is_empty();
         let answered_at_ms = self.gateway.clock.now_ms();
-        self.take_changes(changes);
+        let changes = readable_changes(&self.gateway, self.topic, changes.changes);
+        adopt_changes(&self.gateway, self.topic, revision, changes);
         if self.confirmed().await {
             let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
             self.gateway.renew_proof(proven_at_ms);
@@ -184,25 +183,6 @@
         }
     }
 
-    /// Adopts changes and keeps them for boxes that follow here.
-    fn take_changes(&self, changes: Changes) {
-        let gateway = &self.gateway;
-        let mut passed = Vec::new();
-        for change in changes.changes {
-            match change {
-                Change::Put(entry) => {
-                    passed.extend(entry.clone().ok().map(PassedChange::Put));
-                    adopt(gateway, self.topic, entry);
-                }
-                Change::Gone(name) => {
-                    remove(gateway, self.topic, &name);
-                    passed.push(PassedChange::Gone(name));
-                }
-            }
-        }
-        gateway.histories.push(self.topic, changes.revision, passed);
-    }
-
     fn wait_ms(&self) -> u64 {
         match self.topic {
             // After a failure the answer itself is news, so it must not wait for changes.
