Both settings files are read by one module

Ruled out: a package of its own for 50 lines; moving it into the policy package, which does no I/O.

Change: `ivyweir_gateway::settings_file` holds the error and reads both files; the older settings quote the values they show themselves, so that all texts stay as they were.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod refusal;
 mod server;
 mod settings;
+pub mod settings_file;
 mod state;
 mod store_news;
 mod stream;
@@ -69,7 +70,8 @@
 use state::Gateway;
 
 pub use dialect::{Dialect, StoreCodec};
-pub use settings::{Bounds, DialectChoice, Machine, Settings, SettingsError};
+pub use settings::{Bounds, DialectChoice, Machine, Settings};
+pub use settings_file::SettingsError;
 
 /// How often what is past its time is swept up.
 const SWEEP: Duration = Duration::from_millis(250);
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -1,44 +1,14 @@
 //! The gateway's settings file: strict JSON whose errors name the field.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::repeat::RepeatLimits;
 use serde::Deserialize;
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::ensure;
 
-/// Settings that cannot be used.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[snafu(display("{file}: cannot be read: {source}"))]
-    Read {
-        /// The file.
-        file: String,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The file is not JSON of the expected form.
-    #[snafu(display("{file}: {source}"))]
-    Parse {
-        /// The file.
-        file: String,
-        /// Field, line and what was expected.
-        source: serde_json::Error,
-    },
-    /// A value is out of its range.
-    #[snafu(display("{field}: {found}, expected {expected}"))]
-    Range {
-        /// The field.
-        field: &'static str,
-        /// The value.
-        found: String,
-        /// What was expected.
-        expected: &'static str,
-    },
-}
+use crate::settings_file::{self, RangeSnafu, SettingsError};
 
 /// Whose names callers, upstreams and the store use.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
@@ -150,9 +120,8 @@
     ///
     /// When it cannot be read, has an unknown or missing field, or a value out of range.
     pub fn from_file(file: &Path) -> Result<Self, SettingsError> {
-        let name = file.display().to_string();
-        let text = fs::read_to_string(file).context(ReadSnafu { file: &name })?;
-        let mut settings = Self::from_json(&text, &name)?;
+        let mut settings: Self = settings_file::read(file)?;
+        settings.check()?;
         settings.file = Some(file.to_owned());
         Ok(settings)
     }
@@ -163,7 +132,7 @@
     ///
     /// As for [`from_file`](Self::from_file).
     pub fn from_json(text: &str, name: &str) -> Result<Self, SettingsError> {
-        let settings: Self = serde_json::from_str(text).context(ParseSnafu { file: name })?;
+        let settings: Self = settings_file::parse(text.as_bytes(), name)?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/ivyweird/src/lib.rs
+++ b/crates/ivyweird/src/lib.rs
@@ -62,7 +62,8 @@
 use operator_api::OperatorApi;
 use peer_api::PeerApi;
 
-pub use settings::{Settings, SettingsError};
+pub use ivyweir_gateway::SettingsError;
+pub use settings::Settings;
 
 const POLL: Duration = Duration::from_millis(20);
 const DUTY_STACK_BYTES: usize = 256 << 10;
--- a/crates/ivyweird/src/settings.rs
+++ b/crates/ivyweird/src/settings.rs
@@ -1,44 +1,13 @@
 //! The settings file: strict JSON whose errors name the field.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
+use ivyweir_gateway::settings_file::{self, RangeSnafu, SettingsError};
 use ivyweir_policy::Name;
 use ivyweir_policy::balance::Policy;
 use serde::Deserialize;
-use snafu::{ResultExt, Snafu, ensure};
-
-/// Settings that cannot be used.
-#[derive(Debug, Snafu)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[snafu(display("{file}: cannot be read: {source}"))]
-    Read {
-        /// The file.
-        file: String,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The file is not JSON of the expected form.
-    #[snafu(display("{file}: {source}"))]
-    Parse {
-        /// The file.
-        file: String,
-        /// Field, line and what was expected.
-        source: serde_json::Error,
-    },
-    /// A value is out of its range.
-    #[snafu(display("{field}: {found:?}, expected {expected}"))]
-    Range {
-        /// The field.
-        field: &'static str,
-        /// The value.
-        found: String,
-        /// What was expected.
-        expected: &'static str,
-    },
-}
+use snafu::ensure;
 
 /// What a box is told at its start.
 #[derive(Debug, Clone, Deserialize)]
@@ -190,9 +159,7 @@
     ///
     /// [`SettingsError`] that names the field.
     pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
-        let file = path.display().to_string();
-        let bytes = fs::read(path).context(ReadSnafu { file: file.clone() })?;
-        let settings: Self = serde_json::from_slice(&bytes).context(ParseSnafu { file })?;
+        let settings: Self = settings_file::read(path)?;
         settings.check()?;
         Ok(settings)
     }
@@ -218,7 +185,7 @@
             is_hex && self.fleet_key_hex.len() >= 64,
             RangeSnafu {
                 field: "fleet_key_hex",
-                found: "(hidden)",
+                found: "\"(hidden)\"",
                 expected: "64 hex digits or more",
             }
         );
@@ -245,7 +212,7 @@
                 value >= least,
                 RangeSnafu {
                     field,
-                    found: value.to_string(),
+                    found: format!("{:?}", value.to_string()),
                     expected,
                 }
             );
@@ -286,7 +253,7 @@
         (1..=63).contains(&name.len()) && name.bytes().all(is_plain),
         RangeSnafu {
             field,
-            found: name,
+            found: format!("{name:?}"),
             expected: "1 to 63 letters, digits, dots, dashes or underscores",
         }
     );
@@ -298,7 +265,7 @@
         addr.parse::<SocketAddr>().is_ok(),
         RangeSnafu {
             field,
-            found: addr,
+            found: format!("{addr:?}"),
             expected: "an IP address and port",
         }
     );
@@ -310,7 +277,7 @@
         url.starts_with("http://") && !url.ends_with('/'),
         RangeSnafu {
             field,
-            found: url,
+            found: format!("{url:?}"),
             expected: "http://ADDRESS:PORT without a slash at the end",
         }
     );
