Tests and stand-ins: one wait for a process's end, one test of a shared watch

Change: `child::wait_exit` and `child::kill`; `all_share_one_watch` with the halls as its table. The assertions are the same.

--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -9,6 +9,8 @@
 
 use serde_json::{Value, json};
 
+use crate::child;
+
 /// Time for a box to say where it listens.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -145,20 +147,12 @@
 
     /// Its exit code, once it has ended; none if that takes over `limit`.
     pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
-        let deadline = Instant::now() + limit;
-        while Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        None
+        child::wait_exit(&mut self.child, limit)
     }
 
     /// Kills it at once.
     pub fn kill(&mut self) {
-        let _already_gone = self.child.kill();
-        let _reaped = self.child.wait();
+        child::kill(&mut self.child);
     }
 }
 
--- a/crates/ivyweir-standins/src/fleet.rs
+++ b/crates/ivyweir-standins/src/fleet.rs
@@ -9,6 +9,8 @@
 
 use serde::Serialize;
 
+use crate::child;
+
 /// Builds the two binaries as this program was built and returns their folder.
 ///
 /// For examples, which cargo builds without the binaries of other packages.
@@ -190,20 +192,12 @@
 
     /// Kills it at once.
     pub fn kill(&mut self) {
-        let _already_gone = self.child.kill();
-        let _reaped = self.child.wait();
+        child::kill(&mut self.child);
     }
 
     /// Waits until it has ended and returns its exit code; none if that takes over `limit`.
     pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
-        let deadline = Instant::now() + limit;
-        while Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        None
+        child::wait_exit(&mut self.child, limit)
     }
 
     /// Whether it still runs.
--- a/crates/ivyweir-standins/src/lib.rs
+++ b/crates/ivyweir-standins/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod caller;
+mod child;
 pub mod edge;
 mod engine;
 mod fleet;
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -128,23 +128,33 @@
     }
 }
 
-#[test]
-fn boxes_of_a_hall_share_one_watch() {
-    let town = town(&["hall-a", "hall-a", "hall-a"]);
+/// Boxes in these halls together make as many calls to the store as one, and all hear of a change.
+fn all_share_one_watch(halls: &[&str]) {
+    let town = town(halls);
     eventually("all but one follow another box", || {
-        let direct = town.store.calls();
+        let before = town.store.calls();
         std::thread::sleep(std::time::Duration::from_millis(1_500));
-        // One relay watches three topics; three boxes on their own would need three times as many.
-        town.store.calls() - direct <= 8
+        // One box watches three topics; boxes or relays on their own would need as many times more.
+        town.store.calls() - before <= 8
     });
     town.store.put_site(&site(2, &["second"]));
-    for number in 0..3 {
+    for number in 0..halls.len() {
         eventually("the new key works", || {
             settled_status(&town, number, "second") == 200
         });
     }
 }
 
+#[test]
+fn boxes_of_a_hall_share_one_watch() {
+    all_share_one_watch(&["hall-a", "hall-a", "hall-a"]);
+}
+
+#[test]
+fn relays_of_all_halls_share_one_watch() {
+    all_share_one_watch(&["hall-a", "hall-a", "hall-b", "hall-c"]);
+}
+
 /// Two of three boxes are killed, also the one that the others hear the store from.
 fn the_last_of_three_goes_on(halls: [&str; 3]) {
     let mut town = town(&halls);
@@ -204,23 +214,6 @@
     each_loses_the_store_in_turn(&["hall-a", "hall-b", "hall-c"]);
 }
 
-#[test]
-fn relays_of_all_halls_share_one_watch() {
-    let town = town(&["hall-a", "hall-a", "hall-b", "hall-c"]);
-    eventually("all but one follow another box", || {
-        let before = town.store.calls();
-        std::thread::sleep(std::time::Duration::from_millis(1_500));
-        // As many as one box makes; a relay a hall would make three times as many.
-        town.store.calls() - before <= 8
-    });
-    town.store.put_site(&site(2, &["second"]));
-    for number in 0..4 {
-        eventually("the new key works", || {
-            settled_status(&town, number, "second") == 200
-        });
-    }
-}
-
 /// Starts a box that joins the town's, without waiting until it is ready.
 fn start_late(town: &mut Town) -> usize {
     let store_addr = town.store.addr().to_string();
