One order of root halls; members and lists have names in place of pairs

Cause (by reading the change): the order of the halls that may have the root was computed in two places, with a tie broken in one of them only; members and seeds' lists were kept as pairs whose second part a reader had to look up.

Ruled out: other orders; the order itself is the same but for equal hashes, where it now is total in both.

Change: `root_rank`, `Member`, `SeedList`.

--- a/crates/ivyweir-policy/src/gateway/hall.rs
+++ b/crates/ivyweir-policy/src/gateway/hall.rs
@@ -145,9 +145,8 @@
     fn root_halls(&self) -> Vec<&Name> {
         let mut halls: Vec<&Name> = self.others.values().map(|record| &record.hall).collect();
         halls.push(&self.me.hall);
-        halls.sort();
+        halls.sort_by_key(|hall| std::cmp::Reverse(root_rank(hall)));
         halls.dedup();
-        halls.sort_by_key(|hall| std::cmp::Reverse(hash64(&[b"root", hall.as_bytes()])));
         halls.truncate(ROOT_HALLS);
         halls
     }
@@ -183,9 +182,13 @@
     hall.max_by_key(|record| record.rank())
 }
 
+/// A hall's place in the order of those whose relays may be the root, highest first.
+fn root_rank(hall: &str) -> (u64, &str) {
+    (hash64(&[b"root", hall.as_bytes()]), hall)
+}
+
 /// Whether the relay of the first hall asks that of the second when the two talk: the one that
 /// comes later as root asks, since it must notice the loss of the other.
 pub fn asks(hall: &str, of: &str) -> bool {
-    let rank = |hall: &str| (hash64(&[b"root", hall.as_bytes()]), hall.to_owned());
-    rank(hall) < rank(of)
+    root_rank(hall) < root_rank(of)
 }
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -19,25 +19,43 @@
 /// Boxes that joined here.
 #[derive(Debug, Default)]
 pub struct Joined {
-    boxes: BTreeMap<Name, (BoxRecord, u64)>,
+    boxes: BTreeMap<Name, Member>,
+}
+
+/// A box, and when it last joined.
+#[derive(Debug)]
+struct Member {
+    record: BoxRecord,
+    joined_at_ms: u64,
+}
+
+impl Member {
+    fn lives(&self, now_ms: u64) -> bool {
+        self.joined_at_ms + JOINED_MS > now_ms
+    }
 }
 
 impl Joined {
     /// Takes in that a box joins; returns whether it is new here.
     pub fn join(&mut self, record: BoxRecord, now_ms: u64) -> bool {
-        self.boxes
-            .retain(|_, (_, at_ms)| *at_ms + JOINED_MS > now_ms);
-        let name = record.name.clone();
-        let before = self.boxes.insert(name, (record.clone(), now_ms));
-        before.is_none_or(|(known, _)| known != record)
+        self.boxes.retain(|_, member| member.lives(now_ms));
+        let is_new = self
+            .boxes
+            .get(&record.name)
+            .is_none_or(|known| known.record != record);
+        let member = Member {
+            record,
+            joined_at_ms: now_ms,
+        };
+        self.boxes.insert(member.record.name.clone(), member);
+        is_new
     }
 
     /// The list for a box of this hall: the boxes of its hall, and some of each other one.
     pub fn list_for(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
-        let lives = |at_ms: u64| at_ms + JOINED_MS > now_ms;
-        let live = self.boxes.values().filter(|(_, at_ms)| lives(*at_ms));
+        let live = self.boxes.values().filter(|member| member.lives(now_ms));
         let mut by_hall: BTreeMap<&Name, Vec<&BoxRecord>> = BTreeMap::new();
-        for (record, _) in live {
+        for record in live.map(|member| &member.record) {
             by_hall.entry(&record.hall).or_default().push(record);
         }
         let mut list = Vec::new();
@@ -70,31 +88,39 @@
 /// Lists of the other boxes that a box got, by the seed that sent each.
 #[derive(Debug, Default)]
 pub struct SeedLists {
-    by_seed: HashMap<SocketAddr, (Vec<BoxRecord>, u64)>,
+    by_seed: HashMap<SocketAddr, SeedList>,
+}
+
+/// A seed's last list, and when the seed last answered.
+#[derive(Debug, Default)]
+struct SeedList {
+    boxes: Vec<BoxRecord>,
+    answered_at_ms: u64,
 }
 
 impl SeedLists {
     /// Digest of a seed's last list; 0 if there is none.
     pub fn digest(&self, seed: SocketAddr) -> u64 {
-        self.by_seed.get(&seed).map_or(0, |(list, _)| digest(list))
+        let list = self.by_seed.get(&seed);
+        list.map_or(0, |list| digest(&list.boxes))
     }
 
     /// Takes in a seed's answer: its list, or none where that has not changed.
     pub fn take(&mut self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
         let known = self.by_seed.entry(seed).or_default();
-        known.1 = now_ms;
-        if let Some(list) = list {
-            known.0 = list;
+        known.answered_at_ms = now_ms;
+        if let Some(boxes) = list {
+            known.boxes = boxes;
         }
         self.by_seed
-            .retain(|_, (_, at_ms)| *at_ms + SEED_LIST_MS > now_ms);
+            .retain(|_, list| list.answered_at_ms + SEED_LIST_MS > now_ms);
     }
 
     /// All boxes on the lists; the newest list that names a box counts.
     pub fn boxes(&self) -> HashMap<Name, BoxRecord> {
-        let mut lists: Vec<&(Vec<BoxRecord>, u64)> = self.by_seed.values().collect();
-        lists.sort_by_key(|(_, at_ms)| *at_ms);
-        let records = lists.into_iter().flat_map(|(list, _)| list);
+        let mut lists: Vec<&SeedList> = self.by_seed.values().collect();
+        lists.sort_by_key(|list| list.answered_at_ms);
+        let records = lists.into_iter().flat_map(|list| &list.boxes);
         records.map(|r| (r.name.clone(), r.clone())).collect()
     }
 }
