A request on a box that is up subscribes to nothing

Cause (by reading the change): each request subscribed to the news of the topics before it looked whether the box knows its configuration, which only a box that starts needs.

Ruled out: waiting inside the look-up of the configuration: only the admission may wait.

Change: the look comes first; one loop waits.

--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -80,21 +80,15 @@
 /// The configuration; a box that has just started soon knows it, and that it is the newest, so a
 /// request waits for that.
 async fn site_once_synced(gateway: &Gateway) -> Result<Arc<SiteIndex>, Reason> {
-    let until = Instant::now() + START_WAIT;
-    let mut news = gateway.histories.news();
-    loop {
-        match gateway.site() {
-            Some(site) if gateway.is_synced() && !gateway.is_starting() => return Ok(site),
-            _ => {}
-        }
-        if timeout_at(until, news.changed()).await.is_err() {
-            // Without a proof it may still serve those that need no key.
-            return gateway
-                .site()
-                .filter(|_| gateway.is_synced())
-                .ok_or_else(|| unknown_site(gateway));
-        }
+    let waits = || !gateway.is_synced() || gateway.is_starting();
+    if waits() {
+        let until = Instant::now() + START_WAIT;
+        let mut news = gateway.histories.news();
+        while waits() && timeout_at(until, news.changed()).await.is_ok() {}
     }
+    // Without a proof it may still serve those that need no key.
+    let site = gateway.site().filter(|_| gateway.is_synced());
+    site.ok_or_else(|| unknown_site(gateway))
 }
 
 /// Why a box that knows no configuration refuses.
