Streams of a new version are judged beside old ones at the nearest load

The log shows why: the new version's engines run little, so all its pauses are 63 to 69 ms, four times those of an empty engine (14 to 17 ms), while a quarter of the busy old engines' are longer than that; and only 6 to 20 of its streams had ended when all work moved. Change: a stream is compared with the sixteen old ones whose upstreams ran about as many requests; steps 7 % and 12.5 % in place of 5 % and 12 %, the move at 0.92; streams sent before the move are timed after it; two pauses say something.

--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -21,6 +21,8 @@
             lane: job.lane(model),
             pace_ms: (!failed).then_some(reply.head_after_ms as f64),
             span: Span::Whole,
+            age_ms: reply.head_after_ms,
+            running: reply.marks.load.map_or(0, |load| load.running),
         };
         weigh(gateway, job, &reply.lease.upstream, &evidence);
     }
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -16,6 +16,7 @@
 
 use crate::answer::AnswerBody;
 use crate::attempt::{self, Lease, Reply, Sending, Sent};
+use crate::dialect::AnswerMarks;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::judge::weigh;
 use crate::log::Trace;
@@ -23,7 +24,7 @@
 use crate::tries::{choose, has_attempt};
 
 /// Pauses between events from which their mean says something.
-const PACE_PAUSES: u32 = 3;
+const PACE_PAUSES: u32 = 2;
 /// Event at which a stream's pace is judged: a slow stream takes long to end.
 const JUDGED_AT_EVENTS: u32 = 7;
 /// Event at which it is judged once more: over so many, a busy engine's other prompts count little.
@@ -45,6 +46,7 @@
         response,
         lease,
         keep_ms,
+        marks,
         ..
     } = reply;
     let (mut head, body) = response.into_parts();
@@ -58,6 +60,7 @@
             body,
             lease,
             keep_ms,
+            running: running(&marks),
         },
         partial: BytesMut::new(),
         last_event_id,
@@ -83,6 +86,12 @@
     body: Incoming,
     lease: Lease,
     keep_ms: Option<u64>,
+    /// Requests that it ran when its answer began.
+    running: u32,
+}
+
+fn running(marks: &AnswerMarks) -> u32 {
+    marks.load.map_or(0, |load| load.running)
 }
 
 /// A stream on its way to the caller.
@@ -238,6 +247,7 @@
         let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
         self.trace.step("resumed", detail);
         self.source = Source {
+            running: running(&reply.marks),
             body: reply.response.into_body(),
             lease: reply.lease,
             keep_ms: reply.keep_ms,
@@ -277,6 +287,12 @@
             lane: self.job.lane(self.model),
             pace_ms,
             span,
+            running: self.source.running,
+            age_ms: self
+                .gateway
+                .clock
+                .now_ms()
+                .saturating_sub(self.job.arrived_ms),
         };
         weigh(&self.gateway, &self.job, upstream, &evidence);
     }
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -21,7 +21,9 @@
 }
 
 /// The bound on exposure is 15 % of requests over the whole time, also for a version whose faults
-/// nobody saw; with these steps it gets 12 %.
+/// nobody saw; with these steps it gets 12 %. Of that, the steps before the last spend as much as the
+/// bound allows: 25 requests a second show about 30 streams of the new version, of which a dozen that
+/// are slow tell it.
 const STEPS: [Step; 4] = [
     Step {
         from: 0.0,
@@ -29,14 +31,14 @@
     },
     Step {
         from: 0.52,
-        share: 0.05,
+        share: 0.07,
     },
     Step {
-        from: 0.75,
-        share: 0.12,
+        from: 0.72,
+        share: 0.125,
     },
     Step {
-        from: 0.915,
+        from: 0.92,
         share: 1.0,
     },
 ];
@@ -197,7 +199,8 @@
 
     /// Takes in an answer; returns whether it condemned the new version just now.
     pub fn judge(&mut self, side: Side, evidence: &Evidence, now_ms: u64) -> bool {
-        let is_alone = self.share(now_ms) >= 1.0;
+        let began_ms = now_ms.saturating_sub(evidence.age_ms);
+        let is_alone = self.share(began_ms) >= 1.0;
         self.findings.weigh(side, evidence, is_alone);
         self.condemn_if_bad(now_ms)
     }
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -30,6 +30,8 @@
         lane: 0,
         pace_ms,
         span: Span::Start,
+        age_ms: 0,
+        running: 0,
     }
 }
 
@@ -214,6 +216,8 @@
             lane,
             pace_ms: None,
             span: Span::Start,
+            age_ms: 0,
+            running: 0,
         };
         track.judge(Side::New, &evidence, JUDGED_MS);
     }
@@ -265,9 +269,61 @@
     assert_eq!(track.duty(100), RolloutDuty::RollBack);
 }
 
+/// Streams of engines by their pauses, in milliseconds, and the requests that run beside them.
+const BUSY: [(f64, u32); 10] = [
+    (15.0, 1),
+    (17.0, 2),
+    (19.0, 2),
+    (34.0, 4),
+    (37.0, 6),
+    (66.0, 6),
+    (75.0, 7),
+    (84.0, 8),
+    (110.0, 9),
+    (129.0, 9),
+];
+
+/// Streams like these, ten of a lane after the other.
+fn streams_of_lanes(track: &mut RolloutTrack, side: Side, streams: &[(f64, u32)]) {
+    for (n, (pace_ms, running)) in streams.iter().enumerate() {
+        let upstream: Name = format!("u{}", n % 5).into();
+        let evidence = Evidence {
+            lane: n as u64 / 10,
+            running: *running,
+            ..evidence(&upstream, false, Some(*pace_ms))
+        };
+        track.judge(side, &evidence, JUDGED_MS);
+    }
+}
+
+/// Whether new streams like these condemn their version beside a busy old one.
+fn is_condemned_beside_busy_engines(new: &[(f64, u32)]) -> bool {
+    let mut track = RolloutTrack::new(order(running(0), 1), 0);
+    streams_of_lanes(&mut track, Side::Old, &BUSY.repeat(6));
+    streams_of_lanes(&mut track, Side::New, new);
+    track.duty(100) == RolloutDuty::RollBack
+}
+
+#[test]
+fn a_slow_version_on_empty_engines_is_told_beside_busy_ones() {
+    // Its engines run little else, so its pauses are even: four times those of an empty engine, and
+    // shorter than many of the busy ones.
+    assert!(is_condemned_beside_busy_engines(&[(63.0, 1); 14]));
+}
+
+#[test]
+fn a_version_as_slow_as_the_old_one_at_its_load_is_not_condemned() {
+    assert!(!is_condemned_beside_busy_engines(&BUSY.repeat(4)));
+}
+
 /// Whether answers of this part condemn a version that has got all work already, where the old one's
 /// took `old_ms` and its own take `new_ms`.
 fn is_condemned_after_the_move(span: Span, old_ms: f64, new_ms: f64) -> bool {
+    is_condemned_by_answers_of_age(0, span, old_ms, new_ms)
+}
+
+/// The same for answers whose requests were sent `age_ms` before.
+fn is_condemned_by_answers_of_age(age_ms: u64, span: Span, old_ms: f64, new_ms: f64) -> bool {
     let now_ms = DURATION_MS * 93 / 100;
     let mut track = RolloutTrack::new(order(running(0), 1), 0);
     for (side, pace_ms) in [(Side::Old, old_ms), (Side::New, new_ms)] {
@@ -275,6 +331,7 @@
             let upstream: Name = format!("u{}", n % 5).into();
             let evidence = Evidence {
                 span,
+                age_ms,
                 ..evidence(&upstream, false, Some(pace_ms))
             };
             track.judge(side, &evidence, now_ms);
@@ -304,6 +361,16 @@
     assert!(!is_condemned_after_the_move(Span::Long, 20.0, 160.0));
 }
 
+#[test]
+fn streams_sent_before_the_move_are_timed_after_it() {
+    assert!(is_condemned_by_answers_of_age(
+        1_000,
+        Span::Start,
+        20.0,
+        160.0
+    ));
+}
+
 #[test]
 fn one_failing_upstream_does_not_condemn_its_version() {
     let mut track = RolloutTrack::new(order(running(0), 1), 0);
