Operators choose whether keyed requests are served while the configuration is unproven

Ruled out: a proof by other boxes - none reaches the store then. With serve a box serves by the newest configuration it knows, also at its start; what it may deny stays as it was.

--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -110,7 +110,7 @@
     match site.access(route, envelope.key.as_deref()) {
         Access::Anonymous => Ok(None),
         Access::Denied => Err(deny(gateway, Reason::NoAccess)),
-        Access::Workspace(_) if !gateway.keys_are_current() => Err(Reason::NotCurrent),
+        Access::Workspace(_) if !gateway.may_serve_keys() => Err(Reason::NotCurrent),
         Access::Workspace(workspace) => Ok(Some(workspace)),
     }
 }
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -144,7 +144,7 @@
                 None => return Sent::NotRun { arrived: false },
             },
         };
-        if job.is_keyed && !gateway.keys_are_current() {
+        if job.is_keyed && !gateway.may_serve_keys() {
             trace.fail(
                 "keys_not_current",
                 json!({"proof_age_ms": gateway.proof_age_ms()}),
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -49,11 +49,35 @@
     pub machine: Machine,
     /// What the operators promise.
     pub bounds: Bounds,
+    /// What the operators choose.
+    #[serde(default)]
+    pub policy: Policy,
     /// The file that this was read from, if there is one.
     #[serde(skip)]
     pub file: Option<PathBuf>,
 }
 
+/// Choices of the operators.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// What becomes of keyed requests while the configuration is unproven.
+    pub unproven_keys: UnprovenKeys,
+}
+
+/// What a box does with a keyed request once it has not heard for `revoke_ms` that its configuration
+/// is the newest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UnprovenKeys {
+    /// Refuses it: no withdrawn key is honoured, and an outage of the store stops keyed work.
+    #[default]
+    Refuse,
+    /// Serves it by the newest configuration known: an outage stops nothing, and a key that was
+    /// withdrawn meanwhile works until the box hears of it.
+    Serve,
+}
+
 /// What the machine gives a process.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -23,7 +23,7 @@
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::settings::Settings;
+use crate::settings::{Settings, UnprovenKeys};
 use crate::store_news::StoreNews;
 use crate::sync;
 use crate::upstreams::{Choice, Scope, Target, Upstreams};
@@ -192,7 +192,17 @@
     }
 
     /// Whether a keyed request may be sent now.
-    pub fn keys_are_current(&self) -> bool {
+    pub fn may_serve_keys(&self) -> bool {
+        self.serves_unproven_keys() || self.keys_are_current()
+    }
+
+    /// Whether keyed requests are served however old the proof is.
+    fn serves_unproven_keys(&self) -> bool {
+        self.settings.policy.unproven_keys == UnprovenKeys::Serve
+    }
+
+    /// Whether the proof is younger than the bound on withdrawn keys.
+    fn keys_are_current(&self) -> bool {
         let bound_ms = self
             .settings
             .bounds
@@ -221,9 +231,11 @@
     }
 
     /// Whether this box started a moment ago and has no proof yet that its configuration is the
-    /// newest; the relay that told it may have started too.
+    /// newest, which it needs; the relay that told it may have started too.
     pub fn is_starting(&self) -> bool {
-        self.clock.now_ms() < STARTING_MS && self.proof_age_ms().is_none()
+        !self.serves_unproven_keys()
+            && self.clock.now_ms() < STARTING_MS
+            && self.proof_age_ms().is_none()
     }
 
     /// Whether the balancer should send new connections.
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -84,7 +84,7 @@
         has_attempt(gateway, job, tries.sent)
     } else {
         tries.unreached += 1;
-        tries.unreached < MAX_UNREACHED && (!job.is_keyed || gateway.keys_are_current())
+        tries.unreached < MAX_UNREACHED && (!job.is_keyed || gateway.may_serve_keys())
     };
     if goes_on {
         Ok(())
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -43,6 +43,8 @@
     pub peer_addr: SocketAddr,
     /// Where it joins them.
     pub seed_addrs: &'a [SocketAddr],
+    /// The `policy` section of its settings.
+    pub policy: &'a Value,
 }
 
 /// Settings of a box with its other listeners on any free ports, and the bounds that tests go by.
@@ -52,7 +54,7 @@
         "caller_addr": "127.0.0.1:0", "ready_addr": "127.0.0.1:0",
         "metrics_addr": "127.0.0.1:0", "peer_addr": spec.peer_addr,
         "seed_addrs": spec.seed_addrs, "store_addr": spec.store_addr,
-        "machine": {"memory_mb": 110, "max_fds": 4100},
+        "machine": {"memory_mb": 110, "max_fds": 4100}, "policy": spec.policy,
         "bounds": {
             "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
             "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -20,6 +20,7 @@
 use ivyweir_policy::gateway::site::{
     CallerLimits, PoolShare, PoolSpec, Route, RouteKind, Site, Workspace,
 };
+use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 
@@ -48,6 +49,8 @@
     pub services: Vec<ScriptedUpstream>,
     /// The boxes.
     pub boxes: Vec<GatewayProcess>,
+    /// The `policy` section in the settings of boxes that start from now on.
+    pub policy: Value,
     binary: PathBuf,
     folder: PathBuf,
 }
@@ -74,6 +77,7 @@
             engines,
             services,
             boxes: Vec::new(),
+            policy: json!({}),
             binary: binary.into(),
             folder,
         }
@@ -103,6 +107,7 @@
             store_addr,
             peer_addr: any_port(),
             seed_addrs: &seed_addrs,
+            policy: &self.policy,
         };
         let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
         self.boxes.push(started);
--- a/crates/ivyweir/tests/cli.rs
+++ b/crates/ivyweir/tests/cli.rs
@@ -107,5 +107,7 @@
     good_settings_are_said_so: "b1" => "b2", says ": ok";
     an_unknown_field_is_named: "\"hall\"" => "\"hal\"", says "hal";
     a_missing_field_is_named: "\"memory_mb\": 110," => "", says "memory_mb";
+    an_unknown_choice_is_named:
+        "\"machine\"" => "\"policy\": {\"unproven_keys\": \"drop\"}, \"machine\"", says "drop";
     a_bound_of_nothing_is_named: "\"leaving_ms\": 2000" => "\"leaving_ms\": 0", says "bounds.leaving_ms";
 }
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -9,7 +9,7 @@
 use ivyweir_standins::edge::{
     Act, BoxSpec, KEY, Town, any_port, eventually, gateway_settings, get,
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 /// Requests whose lines are more than a pipe and the log's own queue hold.
@@ -34,6 +34,7 @@
             store_addr: &store_addr.to_string(),
             peer_addr: any_port(),
             seed_addrs: &[],
+            policy: &json!({}),
         });
         let name = format!("ivyweir-log-{}-{name}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -146,6 +146,7 @@
             store_addr: &store_addr,
             peer_addr: any_port(),
             seed_addrs: &seed_addrs,
+            policy: &self.town.policy,
         };
         let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
         self.shared.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -6,6 +6,7 @@
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_standins::edge::{Act, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site};
 use ivyweir_standins::{Fault, Gateway};
+use serde_json::json;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 
@@ -74,6 +75,31 @@
     });
 }
 
+#[test]
+fn a_box_that_may_serve_unproven_keys_does_so_until_it_hears_of_a_change() {
+    let mut town = Town::start(Path::new(BINARY));
+    town.policy = json!({"unproven_keys": "serve"});
+    town.add_box("hall-a");
+    town.store.set_fault(StoreFault::Silent);
+    eventually("the box has lost its proof", || !town.is_ready(0));
+    // Longer than the bound on withdrawn keys, which the proof outlives by its margin at most.
+    eventually("the proof is older than the bound", || {
+        assert_eq!(settled_status(&town, 0, KEY), 200);
+        let admitted = town.boxes[0].lines_of("admitted");
+        let age_ms = admitted
+            .iter()
+            .filter_map(|line| line["proof_age_ms"].as_u64());
+        age_ms.max().is_some_and(|age_ms| age_ms > 5_200)
+    });
+    // What it never knew it does not judge.
+    assert_eq!(settled_status(&town, 0, "second"), 503);
+    town.store.set_fault(StoreFault::None);
+    town.store.put_site(&site(2, &["second"]));
+    eventually("the key is withdrawn", || {
+        settled_status(&town, 0, KEY) == 401
+    });
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_more_work() {
     let town = town(&["hall-a"]);
--- a/tools/rounds.py
+++ b/tools/rounds.py
@@ -65,8 +65,8 @@
     options = [] if args.cpu else ["--no-cpu"]
     template = TEMPLATE.read_text()
     if args.policy:
-        json.loads(args.policy)
-        TEMPLATE.write_text(template.replace('"machine":', f'"policy": {args.policy},\n  "machine":', 1))
+        fields = "".join(f'"{k}": {json.dumps(v)}, ' for k, v in json.loads(args.policy).items())
+        TEMPLATE.write_text(template.replace('"policy": {', '"policy": {' + fields, 1))
     try:
         build = subprocess.run([args.bench, "build"], capture_output=True, text=True)
         if build.returncode != 0:
