Engines' reading pace is learned, and another hall weighs what the operators set

Cause: work of a request was estimated with constants of two deployments (200 tokens a ms, a written token as 26 read ones); the new engines read 10 tokens a ms at the largest model and some 66 at the smallest once the steps of streams beside them count, and their streams share steps. Change: gateway::pace keeps the lower quartile of time by prompt token for each pool and model, over the newest 64 answers, from a prior; a written token counts 2.6 read ones; policy.far_engine_ms (400) and policy.learn_pace in the settings; the log tells load, read time and answers behind a choice.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::job::Job;
 use crate::log::Trace;
 use crate::state::Gateway;
+use crate::tries::estimate;
 
 /// Counts a request at an upstream while it lives, and holds its connection.
 pub struct Lease {
@@ -131,7 +132,7 @@
     sending: Sending,
     trace: &mut Trace,
 ) -> Sent {
-    let estimate = job.estimate(sending.model);
+    let estimate = estimate(gateway, job, sending.model);
     let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate);
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
     let mut kept = gateway.channels.take(&upstream.id, gateway.clock.now_ms());
@@ -284,7 +285,7 @@
             .route
             .kind
             .is_stream()
-            .then(|| job.estimate(sending.model).rank()),
+            .then(|| estimate(gateway, job, sending.model).rank()),
     }
 }
 
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -15,6 +15,7 @@
 use ivyweir_policy::rank::{hash64, mix};
 
 use crate::dialect::{Dialect, Envelope, Forward, PromptPart};
+use crate::settings::Settings;
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -67,23 +68,25 @@
         mix(hash64(&[self.route.name.as_bytes()]), model as u64)
     }
 
-    /// What the request takes of an upstream with the model in this place.
-    pub fn estimate(&self, model: usize) -> Estimate {
-        work::estimate(self.tokens(), model, self.route.models.len())
+    /// What the request takes of an upstream whose model reads a token in `ms_per_token`.
+    pub fn estimate(&self, ms_per_token: f64) -> Estimate {
+        work::estimate(self.tokens(), ms_per_token)
     }
 
     /// What is asked of an upstream for the model in this place.
-    pub fn ask<'a>(&self, model: usize, hall: &'a str) -> Ask<'a> {
+    pub fn ask<'a>(&self, model: usize, estimate: Estimate, settings: &'a Settings) -> Ask<'a> {
         let shared = self.shared_parts();
         Ask {
             prefix: shared.last().map(|part| mix(part.id_hash, model as u64)),
-            engine: self.tokens().map(|_| self.estimate(model)),
-            hall,
+            engine: self.tokens().map(|_| estimate),
+            hall: &settings.hall,
+            far_engine_ms: settings.policy.far_engine_ms,
             seed: self.seed,
         }
     }
 
-    fn tokens(&self) -> Option<Tokens> {
+    /// Its tokens, where the caller tells them.
+    pub fn tokens(&self) -> Option<Tokens> {
         let (own, shared) = self.envelope.parts.split_last()?;
         Some(Tokens {
             shared: shared.iter().map(|part| part.tokens).sum(),
--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -13,6 +13,9 @@
 pub fn judge_head(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
     let failed = reply.response.status().is_server_error();
     reply.lease.outcome(failed);
+    if !failed {
+        learn_pace(gateway, job, reply, model);
+    }
     if failed || !job.route.kind.is_stream() {
         let evidence = Evidence {
             upstream: &reply.lease.upstream.id,
@@ -28,6 +31,18 @@
     }
 }
 
+/// Takes in how long the upstream took to read the prompt.
+fn learn_pace(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
+    let Some(tokens) = job.tokens() else {
+        return;
+    };
+    if gateway.settings.policy.learn_pace {
+        gateway.with_pace(&job.pool, |pace| {
+            pace.learn(model, tokens.prompt(), reply.head_after_ms);
+        });
+    }
+}
+
 /// Adds an answer to what is known about its version.
 pub fn weigh(gateway: &Gateway, job: &Job, upstream: &UpstreamRecord, evidence: &Evidence) {
     let condemned = gateway.with_rollouts(|rollouts, now_ms| {
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -106,7 +106,10 @@
         if job.route.kind.is_stream() && reply.response.status().is_success() {
             trace.step(
                 "relaying",
-                json!({"upstream": reply.lease.upstream.id, "model": tries.model}),
+                json!({
+                    "upstream": reply.lease.upstream.id, "model": tries.model,
+                    "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
+                }),
             );
             return Ok(stream::start(
                 gateway,
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -58,11 +58,29 @@
 }
 
 /// Choices of the operators.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// What becomes of keyed requests while the configuration is unproven.
     pub unproven_keys: UnprovenKeys,
+    /// Time of an engine that is worth as much as sending a request to another hall.
+    pub far_engine_ms: f64,
+    /// Whether the pace of engines is learned from their answers.
+    pub learn_pace: bool,
+}
+
+/// Where bytes between halls are dear, 400 to 600 ms gain 0.01 to 0.02 of worth over 5 ms, and twice as
+/// much in a third of that price's place costs 0.005 (paired plays on three deployments).
+const FAR_ENGINE_MS: f64 = 400.0;
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            unproven_keys: UnprovenKeys::default(),
+            far_engine_ms: FAR_ENGINE_MS,
+            learn_pace: true,
+        }
+    }
 }
 
 /// What a box does with a keyed request once it has not heard for `revoke_ms` that its configuration
@@ -173,6 +191,15 @@
             ("machine.cpu_share", self.machine.cpu_share),
             ("machine.max_fds", self.machine.max_fds as f64),
         ];
+        let far_engine_ms = self.policy.far_engine_ms;
+        ensure!(
+            far_engine_ms >= 0.0,
+            RangeSnafu {
+                field: "policy.far_engine_ms",
+                found: far_engine_ms.to_string(),
+                expected: "0 or more",
+            }
+        );
         for (field, value) in positive {
             ensure!(
                 value > 0.0,
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::{Fleet, FleetChange};
 use ivyweir_policy::gateway::hall::BoxRecord;
+use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
 use ivyweir_policy::gateway::repeat::RepeatBudget;
@@ -66,6 +67,7 @@
     upstreams: Mutex<Upstreams>,
     rollouts: Mutex<HashMap<Name, RolloutTrack>>,
     budgets: Mutex<HashMap<Name, RepeatBudget>>,
+    paces: Mutex<HashMap<Name, ReadingPace>>,
     synced: Mutex<Vec<Topic>>,
     stopping_since_ms: AtomicU64,
     active: AtomicU64,
@@ -103,6 +105,7 @@
             upstreams: Mutex::default(),
             rollouts: Mutex::default(),
             budgets: Mutex::default(),
+            paces: Mutex::default(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
             active: AtomicU64::new(0),
@@ -364,6 +367,11 @@
         budget.take(&limits, self.clock.now_ms())
     }
 
+    /// Works on what is known of a pool's pace.
+    pub fn with_pace<T>(&self, pool: &Name, work: impl FnOnce(&mut ReadingPace) -> T) -> T {
+        work(lock(&self.paces).entry(pool.clone()).or_default())
+    }
+
     /// The side of a roll-out that serves a request; none where none is under way.
     pub fn side(&self, pool: &Name, session: Option<u64>, seed: u64) -> Option<Side> {
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -67,6 +67,7 @@
         events: 0,
         first_event_ms: 0,
         last_event_ms: 0,
+        longest_pause_ms: 0,
         model,
         sent,
         tried: Vec::new(),
@@ -105,6 +106,7 @@
     events: u32,
     first_event_ms: u64,
     last_event_ms: u64,
+    longest_pause_ms: u64,
     model: usize,
     sent: u32,
     tried: Vec<Name>,
@@ -179,6 +181,9 @@
         let now_ms = self.gateway.clock.now_ms();
         if self.events == 0 {
             self.first_event_ms = now_ms;
+        } else {
+            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
         }
         self.last_event_ms = now_ms;
         for id in event_ids(&whole) {
@@ -265,6 +270,7 @@
         self.weigh(true, pace_ms.filter(|_| is_timed), Span::Start);
         let detail = json!({
             "upstream": upstream.id, "events": self.events, "pace_ms": pace_ms,
+            "longest_pause_ms": self.longest_pause_ms,
             "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
         });
         self.trace.step("stream_ended", detail);
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
 use crate::attempt::{self, Reply, Sending, Sent};
@@ -53,6 +54,8 @@
                 "upstream": choice.upstream.id, "version": choice.upstream.version,
                 "hall": choice.upstream.hall, "mean_work_ms": choice.mean_work_ms,
                 "candidates": choice.candidates, "model": tries.model,
+                "load_ms": choice.load_ms, "read_ms": choice.read_ms, "kept_part_ms": choice.saved_ms,
+                "pace_answers": gateway.with_pace(&job.pool, |pace| pace.answers(tries.model)),
             }),
         );
         let sending = Sending {
@@ -107,9 +110,16 @@
     }
 }
 
+/// What a job takes of an upstream with the model in this place, by the pool's pace.
+pub fn estimate(gateway: &Gateway, job: &Job, model: usize) -> Estimate {
+    let models = job.route.models.len();
+    let ms_per_token = gateway.with_pace(&job.pool, |pace| pace.ms_per_token(model, models));
+    job.estimate(ms_per_token)
+}
+
 /// Chooses an upstream for a job: one that was not tried, or else any but the last that was.
 pub fn choose(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> Option<Choice> {
-    let ask = job.ask(model, &gateway.settings.hall);
+    let ask = job.ask(model, estimate(gateway, job, model), &gateway.settings);
     let among = |tried: &[Name]| {
         let scope = Scope {
             pool: &job.pool,
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-gateway/src/upstreams.rs
@@ -34,6 +34,12 @@
     pub mean_work_ms: f64,
     /// Number of upstreams that were weighed.
     pub candidates: usize,
+    /// Work under way at the one that was chosen.
+    pub load_ms: f64,
+    /// What the request itself takes until its first token.
+    pub read_ms: f64,
+    /// What of that is saved where its shared part is kept.
+    pub saved_ms: f64,
 }
 
 /// Which upstreams of a pool may serve a request.
@@ -121,6 +127,9 @@
             upstream: records[chosen].clone(),
             mean_work_ms: place::mean_work_ms(&candidates, now_ms),
             candidates: candidates.len(),
+            load_ms: candidates[chosen].load.load_ms(now_ms),
+            read_ms: ask.engine.map_or(0.0, |estimate| estimate.read_ms),
+            saved_ms: ask.engine.map_or(0.0, |estimate| estimate.saved_ms),
         })
     }
 
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod hall;
 pub mod joined;
+pub mod pace;
 pub mod place;
 pub mod proof;
 pub mod repeat;
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -30,9 +30,7 @@
 const SAVED_WEIGHT: f64 = 4.0;
 /// The same at the upstream that is second for the part.
 const SAVED_SECOND: f64 = 0.3;
-/// Work that an engine in another hall must save.
-const FAR_ENGINE_MS: f64 = 5.0;
-/// The same for plain services, as share of their slots.
+/// Share of its slots by which a plain service in another hall must be emptier.
 const FAR_PLAIN: f64 = 0.25;
 
 /// What this box knows of an upstream's load and health.
@@ -168,6 +166,8 @@
     pub engine: Option<Estimate>,
     /// This box's hall.
     pub hall: &'a str,
+    /// Time that an engine in another hall must save.
+    pub far_engine_ms: f64,
     /// Differs between requests.
     pub seed: u64,
 }
@@ -212,7 +212,8 @@
             Some(_) => SAVED_SECOND * estimate.saved_ms,
             None => 0.0,
         };
-        candidates[i].load.load_ms(now_ms) + if far { FAR_ENGINE_MS } else { 0.0 } - saved
+        let far_ms = if far { ask.far_engine_ms } else { 0.0 };
+        candidates[i].load.load_ms(now_ms) + far_ms - saved
     };
     let weighed = by_prefix.iter().chain(&drawn).copied();
     weighed.min_by(|&a, &b| cost(a).total_cmp(&cost(b)))
--- a/crates/ivyweir-policy/src/gateway/work.rs
+++ b/crates/ivyweir-policy/src/gateway/work.rs
@@ -4,14 +4,10 @@
 //! it. So engines are compared by the time that their requests still need, not by how many there
 //! are.
 
-/// Time of the largest model for a token, relative to the smallest; sizes between lie on a
-/// geometric scale. The sites' engines take 0.3, 0.8 and 3.0.
-const LARGEST_TO_SMALLEST: f64 = 10.0;
-/// Prompt tokens that the smallest model reads in a millisecond; both sites' engines read 200 to
-/// 230.
-const PROMPT_TOKENS_PER_MS: f64 = 200.0;
-/// Time that a generated token of the smallest model takes, beside some others in the same batch.
-const TOKEN_MS: f64 = 0.13;
+/// Time of a written token relative to a read one. Streams of a batch take their steps together, so one
+/// more adds little: 2.6 gave 0.013 to 0.015 of worth on three deployments over 26, which counts each
+/// stream as if it were alone (paired plays, 15 to 20 each).
+const WRITTEN_TO_READ: f64 = 2.6;
 /// Part of the shared prompt that is taken to be read again.
 const SHARED_READ: f64 = 0.3;
 /// Work of a request that names no tokens.
@@ -28,6 +24,13 @@
     pub out: u32,
 }
 
+impl Tokens {
+    /// Tokens of the whole prompt.
+    pub fn prompt(&self) -> u32 {
+        self.shared.saturating_add(self.own)
+    }
+}
+
 /// Estimated time, in milliseconds of one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Estimate {
@@ -56,21 +59,24 @@
     }
 }
 
-/// Estimates a request for the model in this place of `models`, smallest first.
-pub fn estimate(tokens: Option<Tokens>, model: usize, models: usize) -> Estimate {
+/// Estimates a request for a model that reads a token in `ms_per_token`.
+pub fn estimate(tokens: Option<Tokens>, ms_per_token: f64) -> Estimate {
     let Some(tokens) = tokens else {
         return Estimate {
             read_ms: PLAIN_MS,
             ..Estimate::default()
         };
     };
-    let steps = models.saturating_sub(1).max(1) as f64;
-    let pace = LARGEST_TO_SMALLEST.powf(model as f64 / steps);
-    let read = |tokens: f64| tokens / PROMPT_TOKENS_PER_MS * pace;
     let shared = f64::from(tokens.shared);
     Estimate {
-        read_ms: read(f64::from(tokens.own) + SHARED_READ * shared),
-        write_ms: f64::from(tokens.out) * TOKEN_MS * pace,
-        saved_ms: read(shared),
+        read_ms: (f64::from(tokens.own) + SHARED_READ * shared) * ms_per_token,
+        write_ms: f64::from(tokens.out) * WRITTEN_TO_READ * ms_per_token,
+        saved_ms: shared * ms_per_token,
     }
 }
+
+/// Where a model stands between the smallest, 0, and the largest, 1.
+pub fn place_of(model: usize, models: usize) -> f64 {
+    let steps = models.saturating_sub(1).max(1);
+    model as f64 / steps as f64
+}
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -14,6 +14,9 @@
 };
 use ivyweir_policy::gateway::work::{Tokens, estimate};
 
+/// Time by token of the models in these tests, in milliseconds.
+const MS_PER_TOKEN: [f64; 3] = [0.005, 0.016, 0.05];
+
 fn route(prefix: &str, anonymous: bool) -> Arc<Route> {
     Arc::new(Route {
         name: prefix.into(),
@@ -182,8 +185,9 @@
 fn ask(prefix: Option<u64>, tokens: Option<Tokens>, seed: u64) -> Ask<'static> {
     Ask {
         prefix,
-        engine: tokens.map(|tokens| estimate(Some(tokens), 0, 3)),
+        engine: tokens.map(|tokens| estimate(Some(tokens), MS_PER_TOKEN[0])),
         hall: "a",
+        far_engine_ms: 400.0,
         seed,
     }
 }
@@ -315,7 +319,7 @@
         own: 600,
         out: 100,
     };
-    let rank = |tokens, model| estimate(Some(tokens), model, 3).rank();
+    let rank = |tokens, model| estimate(Some(tokens), MS_PER_TOKEN[model]).rank();
     assert!(rank(short, 0) < rank(LONG, 0));
     assert!(rank(LONG, 0) < rank(LONG, 2));
     assert!(rank(LONG, 2) <= 9);
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_pace.rs
@@ -0,0 +1,66 @@
+//! What engines' paces are learned to be.
+
+use ivyweir_policy::gateway::pace::ReadingPace;
+
+/// Time by token of a pool's three models after answers of `model` to prompts of 2,000 tokens.
+fn after(model: usize, took_ms: &[u64]) -> [f64; 3] {
+    let mut pace = ReadingPace::default();
+    for ms in took_ms {
+        pace.learn(model, 2_000, *ms);
+    }
+    [0, 1, 2].map(|model| pace.ms_per_token(model, 3))
+}
+
+macro_rules! paces {
+    ($($name:ident: $model:expr, $took_ms:expr => $ms_per_token:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let learned = after($model, &$took_ms);
+            for (learned, expected) in learned.iter().zip::<[f64; 3]>($ms_per_token) {
+                assert!((learned / expected - 1.0).abs() < 0.01, "{learned} for {expected}");
+            }
+        }
+    )*};
+}
+
+paces! {
+    nothing_heard_is_the_prior: 0, [] => [0.005, 0.0158, 0.05];
+    a_few_answers_are_not_believed: 2, [400; 7] => [0.005, 0.0158, 0.05];
+    a_quicker_pool_is_believed_for_all_models: 2, [50; 8] => [0.0025, 0.0079, 0.025];
+    a_slower_one_too: 0, [20; 8] => [0.01, 0.0316, 0.1];
+    answers_that_waited_count_little: 0, [20, 20, 20, 20, 400, 900, 900, 4_000] => [0.01, 0.0316, 0.1];
+    answers_in_no_time_leave_a_bounded_pace: 0, [0; 8] => [0.0001, 0.000_316, 0.001];
+    answers_that_took_a_day_do_too: 0, [86_400_000; 8] => [0.25, 0.79, 2.5];
+}
+
+#[test]
+fn each_model_is_believed_by_its_own_answers() {
+    let mut pace = ReadingPace::default();
+    for _ in 0..20 {
+        pace.learn(0, 4_000, 60);
+        pace.learn(2, 4_000, 400);
+    }
+    assert!((pace.ms_per_token(0, 3) - 0.015).abs() < 1e-9);
+    assert!((pace.ms_per_token(2, 3) - 0.1).abs() < 1e-9);
+    assert_eq!([0, 1, 2].map(|model| pace.answers(model)), [20, 0, 20]);
+}
+
+#[test]
+fn a_pool_that_grew_slower_is_followed() {
+    let mut pace = ReadingPace::default();
+    (0..200).for_each(|_| pace.learn(0, 1_000, 10));
+    (0..64).for_each(|_| pace.learn(0, 1_000, 30));
+    assert!((pace.ms_per_token(0, 3) - 0.03).abs() < 1e-9);
+}
+
+#[test]
+fn short_prompts_tell_nothing() {
+    let mut pace = ReadingPace::default();
+    (0..50).for_each(|_| pace.learn(0, 100, 300));
+    assert_eq!(pace.answers(0), 0);
+}
+
+#[test]
+fn a_pool_without_models_has_a_pace() {
+    assert!(ReadingPace::default().ms_per_token(0, 0) > 0.0);
+}
