A smaller model's answer is kept until the larger one's has begun

Ruled out: asking the larger model beside the smaller one from the start (its cost is paid for good answers too). Change: the pipeline keeps the reply, and passes it on where no larger one comes. Three tests, red before.

--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -79,6 +79,22 @@
     }
 }
 
+/// A smaller model's answer that is kept until the larger one's has begun.
+struct Kept {
+    reply: Reply,
+    model: usize,
+}
+
+/// What becomes of a reply.
+enum Use {
+    /// It is the answer.
+    Answer,
+    /// The job runs again in its place.
+    Again,
+    /// A larger model is asked, by its place from the smallest.
+    Larger(usize),
+}
+
 /// Sends an admitted request until there is an answer to pass on.
 async fn serve(
     gateway: &Arc<Gateway>,
@@ -88,40 +104,49 @@
 ) -> Result<Response<AnswerBody>, Reason> {
     gateway.count_request(&job.pool);
     let mut tries = Tries::default();
+    let mut kept = None;
     loop {
         let reply = match next_reply(gateway, &job, &mut tries, &mut trace).await {
-            Ok(reply) => reply,
-            Err(reason) => {
-                trace.fail(
-                    "refused",
-                    json!({"reason": reason.name(), "sends": tries.sent}),
-                );
-                return Err(reason);
-            }
+            Ok(reply) => *reply,
+            Err(reason) => match kept.take() {
+                Some(smaller) => {
+                    return Ok(relay_kept(gateway, job, smaller, &tries, trace, active));
+                }
+                None => {
+                    trace.fail(
+                        "refused",
+                        json!({"reason": reason.name(), "sends": tries.sent}),
+                    );
+                    return Err(reason);
+                }
+            },
         };
         judge_head(gateway, &job, &reply, tries.model);
-        if is_sent_again(gateway, &job, &mut tries, &reply, &mut trace) {
-            continue;
+        match use_of(gateway, &job, &mut tries, &reply, &mut trace) {
+            Use::Answer => {}
+            Use::Again => continue,
+            Use::Larger(larger) => {
+                let model = std::mem::replace(&mut tries.model, larger);
+                kept = Some(Kept { reply, model });
+                continue;
+            }
+        }
+        let is_success = reply.response.status().is_success();
+        if !is_success && let Some(smaller) = kept.take() {
+            return Ok(relay_kept(gateway, job, smaller, &tries, trace, active));
         }
-        if job.route.kind.is_stream() && reply.response.status().is_success() {
-            trace.step(
-                "relaying",
-                json!({
-                    "upstream": reply.lease.upstream.id, "model": tries.model,
-                    "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
-                }),
-            );
-            return Ok(stream::start(
+        if job.route.kind.is_stream() && is_success {
+            return Ok(relay(
                 gateway,
                 job,
-                *reply,
+                reply,
                 tries.model,
-                tries.sent,
+                &tries,
                 trace,
                 active,
             ));
         }
-        match gather(gateway, &job, *reply, &mut trace).await {
+        match gather(gateway, &job, reply, &mut trace).await {
             Ok(answer) => return Ok(answer),
             Err(upstream) => {
                 tries.may_have_run = true;
@@ -135,29 +160,60 @@
     }
 }
 
-/// Whether the job runs again in place of its answer; if so, makes ready for it.
-fn is_sent_again(
+/// Passes a stream on.
+fn relay(
+    gateway: &Arc<Gateway>,
+    job: Arc<Job>,
+    reply: Reply,
+    model: usize,
+    tries: &Tries,
+    mut trace: Trace,
+    active: Active,
+) -> Response<AnswerBody> {
+    let detail = json!({
+        "upstream": reply.lease.upstream.id, "model": model,
+        "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
+    });
+    trace.step("relaying", detail);
+    stream::start(gateway, job, reply, model, tries.sent, trace, active)
+}
+
+/// Passes the smaller model's answer on after all: the larger one gave none.
+fn relay_kept(
+    gateway: &Arc<Gateway>,
+    job: Arc<Job>,
+    smaller: Kept,
+    tries: &Tries,
+    mut trace: Trace,
+    active: Active,
+) -> Response<AnswerBody> {
+    trace.step("larger_model_failed", json!({"from": tries.model}));
+    let Kept { reply, model } = smaller;
+    relay(gateway, job, reply, model, tries, trace, active)
+}
+
+/// Whether a reply is used, or what is asked in its place; makes ready for that.
+fn use_of(
     gateway: &Gateway,
     job: &Job,
     tries: &mut Tries,
     reply: &Reply,
     trace: &mut Trace,
-) -> bool {
+) -> Use {
     let status = reply.response.status();
     if status.is_server_error() && may_repeat(gateway, job, tries) {
         trace.step("sent_again", json!({"after_status": status.as_u16()}));
         tries.tried.push(reply.lease.upstream.id.clone());
         tries.may_have_run = true;
-        return true;
+        return Use::Again;
     }
     let Some(larger) = larger_model(gateway, job, tries, reply) else {
-        return false;
+        return Use::Answer;
     };
     let detail = json!({"confidence": reply.marks.confidence, "from": tries.model, "to": larger});
     trace.step("larger_model", detail);
-    tries.model = larger;
     tries.may_have_run = true;
-    true
+    Use::Larger(larger)
 }
 
 /// The larger model to ask, where the answer's confidence is low and a repeat is left.
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -218,6 +218,43 @@
     an_unsure_one_is_dropped_for_the_largest: 10 => ["large", "small"];
 }
 
+macro_rules! larger_models {
+    ($($name:ident: $acts:expr => $events:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town();
+            for engine in &town.engines {
+                engine.set(stream(3, None, Some(90)));
+            }
+            // The budget on repeats allows a larger model only beside other requests.
+            for n in 0..6 {
+                post_stream(town.addr(0), "/stream/x", &format!("before-{n}")).expect("an answer");
+            }
+            // One engine is left; it gives a doubtful answer, and no better one.
+            town.store.put_upstream(&town.engines[1].leaving());
+            eventually("the box has seen it", || {
+                let seen = town.boxes[0].lines_of("upstream_changed");
+                seen.iter().any(|line| line["change"] == "Leaving")
+            });
+            town.engines[0].set_next(vec![stream(4, None, Some(10))]);
+            town.engines[0].set($acts);
+            let reply = post_stream(town.addr(0), "/sized/x", "r1").expect("an answer");
+            assert_eq!(reply.status, 200);
+            assert!(reply.is_whole);
+            assert_eq!(event_ids(&reply.text()), $events);
+            let asked = town.engines[0].seen();
+            let large = asked.iter().filter(|s| s.header("ivyweir-model") == Some("large"));
+            assert!(large.count() > 0, "a larger model was asked");
+        }
+    )*};
+}
+
+larger_models! {
+    a_larger_model_that_fails_leaves_the_smaller_ones_answer: Act::Answer(500) => [1, 2, 3, 4];
+    a_larger_model_that_hangs_up_does_too: Act::Close => [1, 2, 3, 4];
+    a_larger_model_that_refuses_does_too: Act::NotRun => [1, 2, 3, 4];
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_work() {
     let town = town();
