--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -281,10 +281,7 @@
             .chooses_model()
             .then(|| &*job.route.models[sending.model]),
         resume_after: sending.resume_after,
-        urgency: job
-            .route
-            .kind
-            .is_stream()
+        urgency: (job.route.kind.is_stream() && gateway.settings.policy.rank_prompts)
             .then(|| estimate(gateway, job, sending.model).rank()),
     }
 }
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -75,12 +75,14 @@
 
     /// What is asked of an upstream for the model in this place.
     pub fn ask<'a>(&self, model: usize, estimate: Estimate, settings: &'a Settings) -> Ask<'a> {
-        let shared = self.shared_parts();
+        let policy = &settings.policy;
+        let drawing = self.shared_parts().last().filter(|_| policy.draw_shared);
         Ask {
-            prefix: shared.last().map(|part| mix(part.id_hash, model as u64)),
+            prefix: drawing.map(|part| mix(part.id_hash, model as u64)),
             engine: self.tokens().map(|_| estimate),
             hall: &settings.hall,
-            far_engine_ms: settings.policy.far_engine_ms,
+            far_engine_ms: policy.far_engine_ms,
+            avoid_failing: policy.avoid_failing,
             seed: self.seed,
         }
     }
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -70,6 +70,14 @@
     pub confidence_floor: u8,
     /// Whether the pace of engines is learned from their answers.
     pub learn_pace: bool,
+    /// Whether requests with a shared prompt part are drawn to an engine that keeps it.
+    pub draw_shared: bool,
+    /// Whether engines are told which prompts to read first.
+    pub rank_prompts: bool,
+    /// Whether other boxes' work counts in an engine's load.
+    pub hear_work: bool,
+    /// Whether upstreams that failed lately are passed over.
+    pub avoid_failing: bool,
 }
 
 /// Where bytes between halls are dear, 400 to 600 ms gain 0.01 to 0.02 of worth over 5 ms, and twice as
@@ -83,6 +91,10 @@
             far_engine_ms: FAR_ENGINE_MS,
             confidence_floor: CONFIDENCE_FLOOR,
             learn_pace: true,
+            draw_shared: true,
+            rank_prompts: true,
+            hear_work: true,
+            avoid_failing: true,
         }
     }
 }
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -182,7 +182,7 @@
                 log_condemned(self, &pool, &sum);
             }
         }
-        if word.work.is_empty() {
+        if word.work.is_empty() || !self.settings.policy.hear_work {
             return;
         }
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -168,6 +168,8 @@
     pub hall: &'a str,
     /// Time that an engine in another hall must save.
     pub far_engine_ms: f64,
+    /// Whether upstreams that failed lately are passed over.
+    pub avoid_failing: bool,
     /// Differs between requests.
     pub seed: u64,
 }
@@ -175,8 +177,12 @@
 /// Chooses an upstream by its place in `candidates`.
 pub fn choose(candidates: &[Candidate], ask: &Ask, now_ms: u64) -> Option<usize> {
     let all: Vec<usize> = (0..candidates.len()).collect();
-    let open = keep_some(&all, |i| !candidates[i].load.is_shunned(now_ms));
-    let sound = keep_some(&open, |i| !candidates[i].load.is_failing(now_ms));
+    let sound = if ask.avoid_failing {
+        let open = keep_some(&all, |i| !candidates[i].load.is_shunned(now_ms));
+        keep_some(&open, |i| !candidates[i].load.is_failing(now_ms))
+    } else {
+        all
+    };
     match ask.engine {
         Some(estimate) => least_work(candidates, &sound, &estimate, ask, now_ms),
         None => least_requests(candidates, &sound, ask, now_ms),
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -188,6 +188,7 @@
         engine: tokens.map(|tokens| estimate(Some(tokens), MS_PER_TOKEN[0])),
         hall: "a",
         far_engine_ms: 400.0,
+        avoid_failing: true,
         seed,
     }
 }
