Messages between boxes are deflated

Change: ivyweir-gateway::message deflates what is over 160 bytes (flate2), and reads both forms, bounded.

--- a/crates/ivyweir-gateway/src/answer.rs
+++ b/crates/ivyweir-gateway/src/answer.rs
@@ -8,6 +8,8 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
+use crate::message;
+
 /// The body of every answer.
 pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -30,8 +32,7 @@
     plain(status, String::new())
 }
 
-/// An answer of JSON, as boxes give each other.
-pub fn json(value: &impl Serialize) -> Response<AnswerBody> {
-    let body = serde_json::to_vec(value).expect("invariant: messages are valid JSON");
-    Response::new(whole(Bytes::from(body)))
+/// An answer that boxes give each other.
+pub fn message(value: &impl Serialize) -> Response<AnswerBody> {
+    Response::new(whole(message::encode(value)))
 }
--- a/crates/ivyweir-gateway/src/box_call.rs
+++ b/crates/ivyweir-gateway/src/box_call.rs
@@ -1,4 +1,4 @@
-//! Calls between boxes: a message as JSON in the request's body, and JSON in the answer's.
+//! Calls between boxes: a message in the request's body, and one in the answer's.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,7 +11,8 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
-use crate::client::{Answer, CallError, Client};
+use crate::client::{Answer, CallError, Client, MAX_ANSWER_BYTES};
+use crate::message;
 
 /// A call to another box that brought nothing to use.
 #[derive(Debug, Snafu)]
@@ -32,7 +33,7 @@
     #[snafu(display("{source}"))]
     Unreadable {
         /// What was expected.
-        source: serde_json::Error,
+        source: std::io::Error,
     },
 }
 
@@ -47,8 +48,8 @@
     message: &impl Serialize,
     limit: Duration,
 ) -> Result<A, BoxCallError> {
-    let body = serde_json::to_vec(message).expect("invariant: messages are valid JSON");
-    let request = request(Method::POST, client.addr(), path, Bytes::from(body));
+    let body = message::encode(message);
+    let request = request(Method::POST, client.addr(), path, body);
     read_answer(client.call(request, limit).await)
 }
 
@@ -81,7 +82,7 @@
         }
         .fail();
     }
-    serde_json::from_slice(&answer.body).context(UnreadableSnafu)
+    message::decode(&answer.body, MAX_ANSWER_BYTES).context(UnreadableSnafu)
 }
 
 /// Reads another box's message of at most `max_bytes`; none if it is larger or has another form.
@@ -90,5 +91,5 @@
     max_bytes: usize,
 ) -> Option<M> {
     let body = Limited::new(request.into_body(), max_bytes).collect().await;
-    serde_json::from_slice(&body.ok()?.to_bytes()).ok()
+    message::decode(&body.ok()?.to_bytes(), max_bytes).ok()
 }
--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -16,7 +16,7 @@
 /// milliseconds.
 pub const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Bytes of the largest answer: a page is about a megabyte at most.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+pub const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// A call that brought nothing to use.
 #[derive(Debug, Snafu)]
--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::answer::{AnswerBody, bare, json};
+use crate::answer::{AnswerBody, bare, message};
 use crate::dialect::{Item, Topic};
 use crate::history::{Asker, Behind, NoSource, PassedChange};
 use crate::state::Gateway;
@@ -57,7 +57,7 @@
                 let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
                 if behind.is_some() || renewed || now_ms >= until_ms {
                     let held_ms = now_ms - asked_at_ms;
-                    return json(&follow_answer(gateway, &question, behind, held_ms));
+                    return message(&follow_answer(gateway, &question, behind, held_ms));
                 }
                 until_ms
             }
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -154,7 +154,7 @@
     gateway.peers.take_join(message.from, now_ms);
     let boxes = gateway.peers.list_for(&hall, now_ms);
     let is_news = digest(&boxes) != message.digest;
-    answer::json(&JoinAnswer {
+    answer::message(&JoinAnswer {
         boxes: is_news.then_some(boxes),
         up_ms: now_ms,
     })
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod join;
 mod judge;
 mod log;
+pub mod message;
 mod metrics;
 pub mod native;
 mod peers;
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -128,5 +128,5 @@
         word
     };
     gateway.peers.take_word(&message.from, message.word, now_ms);
-    answer::json(&own_message(gateway, message.for_hall, word))
+    answer::message(&own_message(gateway, message.for_hall, word))
 }
