A stream that falls silent goes on at another upstream

Ruled out: keep-alives of the connection, which stands; cutting a send whose head is late, since an engine that is only busy would then work in vain. Change: after twice the longest pause that is in time, a resumable stream with an attempt left is asked for at another upstream; where none takes it, the old one goes on. The tries of a request go with its stream.

--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -175,7 +175,7 @@
         "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
     });
     trace.step("relaying", detail);
-    stream::start(gateway, job, reply, model, tries.sent, trace, active)
+    stream::start(gateway, job, reply, model, tries, trace, active)
 }
 
 /// Passes the smaller model's answer on after all: the larger one gave none.
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use hyper::{Response, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_policy::gateway::verdict::{Evidence, Span};
 use serde_json::json;
 use tokio::time::timeout_at;
@@ -18,10 +19,10 @@
 use crate::attempt::{self, Lease, Reply, Sending, Sent};
 use crate::dialect::AnswerMarks;
 use crate::job::{Job, strip_hop_by_hop};
-use crate::judge::weigh;
+use crate::judge::{judge_head, weigh};
 use crate::log::Trace;
 use crate::state::{Active, Gateway};
-use crate::tries::{choose, has_attempt};
+use crate::tries::{Tries, choose, has_attempt};
 
 /// Pauses between events from which their mean says something.
 const PACE_PAUSES: u32 = 2;
@@ -32,13 +33,18 @@
 /// the old one's.
 const JUDGED_LONG_AT_EVENTS: u32 = 24;
 
-/// Starts to pass a stream on.
+/// How many times the longest pause that is still in time a stream may be silent before another
+/// upstream is asked to go on. Its answer is late by then; of 4,000 streams beside busy engines none
+/// paused so long and went on.
+const SILENT_GAPS: u64 = 2;
+
+/// Starts to pass a stream on; `tries` are those of the request so far.
 pub fn start(
     gateway: &Arc<Gateway>,
     job: Arc<Job>,
     reply: Reply,
     model: usize,
-    sent: u32,
+    tries: &Tries,
     trace: Trace,
     active: Active,
 ) -> Response<AnswerBody> {
@@ -61,6 +67,8 @@
             lease,
             keep_ms,
             running: running(&marks),
+            heard_ms: gateway.clock.now_ms(),
+            may_be_silent: false,
         },
         partial: BytesMut::new(),
         last_event_id,
@@ -69,8 +77,8 @@
         last_event_ms: 0,
         longest_pause_ms: 0,
         model,
-        sent,
-        tried: Vec::new(),
+        sent: tries.sent,
+        tried: tries.tried.clone(),
         trace,
         ended: false,
         _active: active,
@@ -89,6 +97,10 @@
     keep_ms: Option<u64>,
     /// Requests that it ran when its answer began.
     running: u32,
+    /// When it last sent anything.
+    heard_ms: u64,
+    /// Whether its silence is borne: no other upstream took the stream over.
+    may_be_silent: bool,
 }
 
 fn running(marks: &AnswerMarks) -> u32 {
@@ -121,6 +133,7 @@
     Partial,
     End,
     Broke(String),
+    Silent,
     Late,
 }
 
@@ -147,6 +160,10 @@
                         return Some(Err(self.break_off("stream broke off")));
                     }
                 }
+                Next::Silent => {
+                    self.fell_silent();
+                    self.source.may_be_silent = !self.resume().await;
+                }
                 Next::Late => return Some(Err(self.break_off("time is up"))),
             }
         }
@@ -154,8 +171,15 @@
 
     /// Waits for what the upstream sends next.
     async fn read(&mut self) -> Next {
-        let until = self.gateway.clock.instant(self.job.deadline_ms);
-        match timeout_at(until, self.source.body.frame()).await {
+        let deadline_ms = self.job.deadline_ms;
+        let until_ms = self.silent_at_ms().unwrap_or(deadline_ms).min(deadline_ms);
+        let until = self.gateway.clock.instant(until_ms);
+        let read = timeout_at(until, self.source.body.frame()).await;
+        if read.is_ok() {
+            self.source.heard_ms = self.gateway.clock.now_ms();
+        }
+        match read {
+            Err(_) if until_ms < deadline_ms => Next::Silent,
             Err(_) => Next::Late,
             Ok(None) => Next::End,
             Ok(Some(Err(e))) => Next::Broke(e.to_string()),
@@ -167,6 +191,19 @@
         }
     }
 
+    /// When the source's silence is too long, where another upstream may go on in its place.
+    fn silent_at_ms(&self) -> Option<u64> {
+        let RouteKind::Stream {
+            resumable: true,
+            gap_aim_ms,
+        } = self.job.route.kind
+        else {
+            return None;
+        };
+        let has_another = !self.source.may_be_silent && self.sent < self.job.route.max_attempts;
+        has_another.then_some(self.source.heard_ms + SILENT_GAPS * gap_aim_ms)
+    }
+
     /// Cuts whole events off what arrived.
     fn take_events(&mut self, data: Bytes) -> Next {
         let whole = if self.partial.is_empty() && data.ends_with(b"\n\n") {
@@ -209,12 +246,23 @@
         self.tried.push(upstream);
     }
 
+    /// Takes in that the source sends nothing, though its connection stands.
+    fn fell_silent(&mut self) {
+        let upstream = self.source.lease.upstream.id.clone();
+        let silent_ms = self.gateway.clock.now_ms() - self.source.heard_ms;
+        let detail = json!({
+            "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.last_event_id,
+        });
+        self.trace.fail("stream_silent", detail);
+        self.source.lease.outcome(true);
+        self.tried.push(upstream);
+    }
+
     /// Goes on at another upstream; returns whether one answers.
     async fn resume(&mut self) -> bool {
         if !self.job.route.kind.is_repeatable() {
             return false;
         }
-        self.partial.clear();
         while has_attempt(&self.gateway, &self.job, self.sent) {
             let Some(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
                 return false;
@@ -224,11 +272,12 @@
                 self.sent += 1;
             }
             self.tried.push(choice.upstream.id.clone());
-            if let Sent::Answered(reply) = sent
-                && reply.response.status().is_success()
-            {
-                self.go_on_at(*reply);
-                return true;
+            if let Sent::Answered(reply) = sent {
+                judge_head(&self.gateway, &self.job, &reply, self.model);
+                if reply.response.status().is_success() {
+                    self.go_on_at(*reply);
+                    return true;
+                }
             }
         }
         false
@@ -251,11 +300,14 @@
         let upstream = &reply.lease.upstream.id;
         let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
         self.trace.step("resumed", detail);
+        self.partial.clear();
         self.source = Source {
             running: running(&reply.marks),
             body: reply.response.into_body(),
             lease: reply.lease,
             keep_ms: reply.keep_ms,
+            heard_ms: self.gateway.clock.now_ms(),
+            may_be_silent: false,
         };
     }
 
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -178,6 +178,57 @@
     );
 }
 
+/// A stream that sends an event in a minute.
+const SILENT: Act = Act::Stream {
+    events: 10,
+    gap_ms: 60_000,
+    break_after: None,
+    confidence: None,
+};
+
+#[test]
+fn a_stream_that_falls_silent_goes_on_elsewhere() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set(stream(10, None, None));
+        engine.set_next(vec![SILENT]);
+    }
+    let other = &town.engines[1];
+    other.set_next(vec![]);
+    // The silent engine may not be the first that is asked.
+    for n in 0..20 {
+        let reply = post_stream(town.addr(0), "/stream/x", &format!("r{n}")).expect("an answer");
+        assert!(reply.is_whole, "{}", reply.text());
+        assert_eq!(event_ids(&reply.text()), (1..=10).collect::<Vec<_>>());
+    }
+    assert_eq!(town.boxes[0].lines_of("stream_silent").len(), 1);
+    assert_eq!(town.boxes[0].lines_of("resumed").len(), 1);
+}
+
+#[test]
+fn a_slow_stream_goes_on_where_no_other_upstream_takes_it() {
+    let town = town();
+    let slow = Act::Stream {
+        events: 1,
+        gap_ms: 2_500,
+        break_after: None,
+        confidence: None,
+    };
+    for engine in &town.engines {
+        engine.set(Act::NotRun);
+        engine.set_next(vec![slow.clone()]);
+    }
+    town.store.put_upstream(&town.engines[1].leaving());
+    eventually("the box has seen it", || {
+        let seen = town.boxes[0].lines_of("upstream_changed");
+        seen.iter().any(|line| line["change"] == "Leaving")
+    });
+    let reply = post_stream(town.addr(0), "/stream/x", "r1").expect("an answer");
+    assert!(reply.is_whole, "{}", reply.text());
+    assert_eq!(event_ids(&reply.text()), [1]);
+    assert_eq!(town.boxes[0].lines_of("stream_silent").len(), 1);
+}
+
 #[test]
 fn a_stream_that_cannot_go_on_does_not_look_whole() {
     let town = town();
