--- a/tools/rounds.py
+++ b/tools/rounds.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Plays standard days of a site under several seeds and prints their mean worth.
 
-    tools/rounds.py BENCH SITE --why TEXT [--days a,b] [--seeds 1,2,3] [--jobs 4] [--policy JSON]
+    tools/rounds.py BENCH SITE --why TEXT [--days a,b] [--seeds 1,2,3] [--jobs 4] [--policy JSON] [--small]
 
 `--policy` puts settings of the gateway's `policy` section into the settings template for these
 plays, so that a mechanism can be switched off; the template is put back afterwards.
@@ -61,8 +61,9 @@
     parser.add_argument("--jobs", type=int, default=5)
     parser.add_argument("--policy", help="JSON object of policy settings")
     parser.add_argument("--cpu", action="store_true", help="count processor time")
+    parser.add_argument("--small", action="store_true", help="small twins of a large site's days")
     args = parser.parse_args()
-    options = [] if args.cpu else ["--no-cpu"]
+    options = ([] if args.cpu else ["--no-cpu"]) + (["--small"] if args.small else [])
     template = TEMPLATE.read_text()
     if args.policy:
         fields = "".join(f'"{k}": {json.dumps(v)}, ' for k, v in json.loads(args.policy).items())
