--- a/tools/rounds.py
+++ b/tools/rounds.py
@@ -31,6 +31,16 @@
     return day, seed, json.loads(report.read_text()), ""
 
 
+def with_policy(template, policy):
+    """The template with these fields in its policy section, in place of those of the same names."""
+    head, rest = template.split('"policy": {', 1)
+    section, tail = rest.split("\n  }", 1)
+    kept = [line for line in section.splitlines() if line.strip() and line.split('"')[1] not in policy]
+    kept = [line.rstrip(",") for line in kept]
+    fields = kept + [f'    "{name}": {json.dumps(value)}' for name, value in policy.items()]
+    return head + '"policy": {\n' + ",\n".join(fields) + "\n  }" + tail
+
+
 def price(report, name):
     return sum(row[2] for row in report["prices"] if row[0].startswith(name))
 
@@ -66,8 +76,7 @@
     options = ([] if args.cpu else ["--no-cpu"]) + (["--small"] if args.small else [])
     template = TEMPLATE.read_text()
     if args.policy:
-        fields = "".join(f'"{k}": {json.dumps(v)}, ' for k, v in json.loads(args.policy).items())
-        TEMPLATE.write_text(template.replace('"policy": {', '"policy": {' + fields, 1))
+        TEMPLATE.write_text(with_policy(template, json.loads(args.policy)))
     try:
         build = subprocess.run([args.bench, "build"], capture_output=True, text=True)
         if build.returncode != 0:
