--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -86,6 +86,13 @@
     pub confidence: Option<u8>,
 }
 
+impl AnswerMarks {
+    /// Requests that the upstream ran when it answered; 0 where it does not tell.
+    pub fn running(&self) -> u32 {
+        self.load.map_or(0, |load| load.running)
+    }
+}
+
 /// Which records of the store are meant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Topic {
--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -13,7 +13,7 @@
 pub fn judge_head(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
     let failed = reply.response.status().is_server_error();
     reply.lease.outcome(failed);
-    if !failed {
+    if reply.response.status().is_success() {
         learn_pace(gateway, job, reply, model);
     }
     if failed || !job.route.kind.is_stream() {
@@ -25,7 +25,7 @@
             pace_ms: (!failed).then_some(reply.head_after_ms as f64),
             span: Span::Whole,
             age_ms: reply.head_after_ms,
-            running: reply.marks.load.map_or(0, |load| load.running),
+            running: reply.marks.running(),
         };
         weigh(gateway, job, &reply.lease.upstream, &evidence);
     }
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -1,5 +1,7 @@
 //! Passes a stream on event by event, and goes on at another upstream where it breaks off.
 
+mod resume;
+
 use std::io;
 use std::sync::Arc;
 
@@ -9,20 +11,18 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, header};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_policy::gateway::verdict::{Evidence, Span};
 use serde_json::json;
 use tokio::time::timeout_at;
 
 use crate::answer::AnswerBody;
-use crate::attempt::{self, Lease, Reply, Sending, Sent};
-use crate::dialect::AnswerMarks;
+use crate::attempt::{Lease, Reply};
 use crate::job::{Job, strip_hop_by_hop};
-use crate::judge::{judge_head, weigh};
+use crate::judge::weigh;
 use crate::log::Trace;
 use crate::state::{Active, Gateway};
-use crate::tries::{Tries, choose, has_attempt};
+use crate::tries::Tries;
 
 /// Pauses between events from which their mean says something.
 const PACE_PAUSES: u32 = 2;
@@ -66,7 +66,7 @@
             body,
             lease,
             keep_ms,
-            running: running(&marks),
+            running: marks.running(),
             heard_ms: gateway.clock.now_ms(),
             may_be_silent: false,
         },
@@ -103,10 +103,6 @@
     may_be_silent: bool,
 }
 
-fn running(marks: &AnswerMarks) -> u32 {
-    marks.load.map_or(0, |load| load.running)
-}
-
 /// A stream on its way to the caller.
 struct Stream {
     gateway: Arc<Gateway>,
@@ -235,82 +231,6 @@
         Next::Events(whole)
     }
 
-    /// Takes in that the source broke off.
-    fn broke(&mut self, error: &str) {
-        let upstream = self.source.lease.upstream.id.clone();
-        let detail = json!({
-            "upstream": upstream, "error": error, "behind_event": self.last_event_id,
-        });
-        self.trace.fail("stream_broke", detail);
-        self.source.lease.broke();
-        self.tried.push(upstream);
-    }
-
-    /// Takes in that the source sends nothing, though its connection stands.
-    fn fell_silent(&mut self) {
-        let upstream = self.source.lease.upstream.id.clone();
-        let silent_ms = self.gateway.clock.now_ms() - self.source.heard_ms;
-        let detail = json!({
-            "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.last_event_id,
-        });
-        self.trace.fail("stream_silent", detail);
-        self.source.lease.outcome(true);
-        self.tried.push(upstream);
-    }
-
-    /// Goes on at another upstream; returns whether one answers.
-    async fn resume(&mut self) -> bool {
-        if !self.job.route.kind.is_repeatable() {
-            return false;
-        }
-        while has_attempt(&self.gateway, &self.job, self.sent) {
-            let Some(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
-                return false;
-            };
-            let sent = self.send_to(&choice.upstream).await;
-            if !matches!(sent, Sent::NotRun { arrived: false }) {
-                self.sent += 1;
-            }
-            self.tried.push(choice.upstream.id.clone());
-            if let Sent::Answered(reply) = sent {
-                judge_head(&self.gateway, &self.job, &reply, self.model);
-                if reply.response.status().is_success() {
-                    self.go_on_at(*reply);
-                    return true;
-                }
-            }
-        }
-        false
-    }
-
-    /// Asks an upstream for the events behind the last one.
-    async fn send_to(&mut self, upstream: &Arc<UpstreamRecord>) -> Sent {
-        let now_ms = self.gateway.clock.now_ms();
-        let sending = Sending {
-            model: self.model,
-            resume_after: self.last_event_id,
-            wait_ms: self.job.deadline_ms.saturating_sub(now_ms),
-        };
-        let trace = &mut self.trace;
-        attempt::send(&self.gateway, &self.job, upstream, sending, trace).await
-    }
-
-    /// Takes an upstream's answer as the source from now on.
-    fn go_on_at(&mut self, reply: Reply) {
-        let upstream = &reply.lease.upstream.id;
-        let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
-        self.trace.step("resumed", detail);
-        self.partial.clear();
-        self.source = Source {
-            running: running(&reply.marks),
-            body: reply.response.into_body(),
-            lease: reply.lease,
-            keep_ms: reply.keep_ms,
-            heard_ms: self.gateway.clock.now_ms(),
-            may_be_silent: false,
-        };
-    }
-
     /// Takes in that the stream ended as it should.
     fn finish(&mut self) {
         self.ended = true;
--- /dev/null
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -0,0 +1,89 @@
+//! Going on with a stream at another upstream.
+
+use std::sync::Arc;
+
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use serde_json::json;
+
+use super::{Source, Stream};
+use crate::attempt::{self, Reply, Sending, Sent};
+use crate::judge::judge_head;
+use crate::tries::{choose, has_attempt};
+
+impl Stream {
+    /// Takes in that the source broke off.
+    pub(super) fn broke(&mut self, error: &str) {
+        let upstream = self.source.lease.upstream.id.clone();
+        let detail = json!({
+            "upstream": upstream, "error": error, "behind_event": self.last_event_id,
+        });
+        self.trace.fail("stream_broke", detail);
+        self.source.lease.broke();
+        self.tried.push(upstream);
+    }
+
+    /// Takes in that the source sends nothing, though its connection stands.
+    pub(super) fn fell_silent(&mut self) {
+        let upstream = self.source.lease.upstream.id.clone();
+        let silent_ms = self.gateway.clock.now_ms() - self.source.heard_ms;
+        let detail = json!({
+            "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.last_event_id,
+        });
+        self.trace.fail("stream_silent", detail);
+        self.source.lease.outcome(true);
+        self.tried.push(upstream);
+    }
+
+    /// Goes on at another upstream; returns whether one answers.
+    pub(super) async fn resume(&mut self) -> bool {
+        if !self.job.route.kind.is_repeatable() {
+            return false;
+        }
+        while has_attempt(&self.gateway, &self.job, self.sent) {
+            let Some(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
+                return false;
+            };
+            let sent = self.send_to(&choice.upstream).await;
+            if !matches!(sent, Sent::NotRun { arrived: false }) {
+                self.sent += 1;
+            }
+            self.tried.push(choice.upstream.id.clone());
+            if let Sent::Answered(reply) = sent {
+                judge_head(&self.gateway, &self.job, &reply, self.model);
+                if reply.response.status().is_success() {
+                    self.go_on_at(*reply);
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Asks an upstream for the events behind the last one.
+    async fn send_to(&mut self, upstream: &Arc<UpstreamRecord>) -> Sent {
+        let now_ms = self.gateway.clock.now_ms();
+        let sending = Sending {
+            model: self.model,
+            resume_after: self.last_event_id,
+            wait_ms: self.job.deadline_ms.saturating_sub(now_ms),
+        };
+        let trace = &mut self.trace;
+        attempt::send(&self.gateway, &self.job, upstream, sending, trace).await
+    }
+
+    /// Takes an upstream's answer as the source from now on.
+    fn go_on_at(&mut self, reply: Reply) {
+        let upstream = &reply.lease.upstream.id;
+        let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
+        self.trace.step("resumed", detail);
+        self.partial.clear();
+        self.source = Source {
+            running: reply.marks.running(),
+            body: reply.response.into_body(),
+            lease: reply.lease,
+            keep_ms: reply.keep_ms,
+            heard_ms: self.gateway.clock.now_ms(),
+            may_be_silent: false,
+        };
+    }
+}
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod repeat;
 pub mod rollout;
 pub mod site;
+pub mod slowness;
 pub mod verdict;
 pub mod word;
 pub mod work;
--- a/crates/ivyweir-policy/src/gateway/verdict.rs
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -4,12 +4,15 @@
 //! version may be bad at one kind of request only. Boxes add up what they see of both versions, and
 //! the new one is condemned once it has more bad answers than chance explains.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
 use crate::gateway::rollout::Side;
+use crate::gateway::slowness::{OldAnswers, Timed};
+
+pub use crate::gateway::slowness::Span;
 
 /// Bad answers that condemn the new version.
 const BAD_LIMIT: u32 = 3;
@@ -21,25 +24,6 @@
 /// What is taken to be known of the old version before it has answered: one bad answer in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
-/// How many times the old version's quick answers make an answer a slow one, at the least.
-const SLOW_RATIO: f64 = 2.5;
-/// Time up to which no answer that is no stream counts as slow: it may be the machine's. The users'
-/// services take 15 ms and more.
-const SLOW_MIN_MS: f64 = 25.0;
-/// Answers of the old version, of one lane, needed to tell a slow one.
-const PACE_SAMPLES: u32 = 5;
-/// The lower quartile.
-const QUARTILE: f64 = 0.25;
-/// Step by which an answer moves the lower quartile.
-const PACE_STEP: f64 = 0.1;
-/// Of the old version's streams at the nearest load, the part that are quicker than a slow one.
-const SLOW_QUANTILE: f64 = 0.5;
-/// Old streams at the nearest load that a stream is compared with.
-const COMPARED: usize = 16;
-/// Newest streams of the old version that are kept to compare with: few enough to be of the same
-/// time of day, and four times as many as are compared, so that some are of any load.
-const STREAMS_KEPT: usize = 64;
-
 /// What an answer says about the version that gave it.
 #[derive(Debug, Clone, Copy)]
 pub struct Evidence<'a> {
@@ -61,17 +45,6 @@
     pub running: u32,
 }
 
-/// The part of an answer whose pace is judged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Span {
-    /// All of an answer that is no stream.
-    Whole,
-    /// Its first events, or all of a short stream: told soon.
-    Start,
-    /// Many events, which the prompts of others hardly move: told for certain.
-    Long,
-}
-
 /// What an answer was judged for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -180,10 +153,7 @@
 pub struct Findings {
     own: BTreeMap<Group, Counts>,
     others: Tally,
-    /// Of plain answers, by lane.
-    old_pace: HashMap<u64, Pace>,
-    /// Of streams, over all lanes: in an engine's batch all take the same steps.
-    old_streams: HashMap<Span, StreamPace>,
+    old: OldAnswers,
 }
 
 impl Findings {
@@ -195,7 +165,7 @@
         let is_timed = !is_alone || evidence.span == Span::Whole;
         let is_slow = evidence
             .pace_ms
-            .is_some_and(|pace_ms| self.is_slow(side, evidence, pace_ms));
+            .is_some_and(|pace_ms| self.old.is_slow(&timed(side, evidence, pace_ms)));
         // An answer may be weighed twice: for its time on the way, and for its end.
         if evidence.is_final {
             self.count(Fault::Failure, side, evidence, evidence.failed);
@@ -209,25 +179,6 @@
         }
     }
 
-    /// Whether an answer is slow beside the old version's; takes it in if it is one of them.
-    fn is_slow(&mut self, side: Side, evidence: &Evidence, pace_ms: f64) -> bool {
-        let is_old = side == Side::Old;
-        if evidence.span == Span::Whole {
-            let pace = self.old_pace.entry(evidence.lane).or_default();
-            let is_slow = pace_ms > SLOW_MIN_MS && pace.is_slow(pace_ms);
-            if is_old {
-                pace.add(pace_ms);
-            }
-            return is_slow;
-        }
-        let streams = self.old_streams.entry(evidence.span).or_default();
-        let is_slow = streams.is_slow(pace_ms, evidence.running);
-        if is_old {
-            streams.add(pace_ms, evidence.running);
-        }
-        is_slow
-    }
-
     /// Counts an answer among all and among those of its lane.
     fn count(&mut self, fault: Fault, side: Side, evidence: &Evidence, is_bad: bool) {
         for lane in [None, Some(evidence.lane)] {
@@ -259,6 +210,17 @@
     }
 }
 
+/// An answer as it is timed.
+fn timed(side: Side, evidence: &Evidence, pace_ms: f64) -> Timed {
+    Timed {
+        pace_ms,
+        span: evidence.span,
+        lane: evidence.lane,
+        running: evidence.running,
+        is_old: side == Side::Old,
+    }
+}
+
 /// Chance of at least `bad` in `all` where each is bad with chance `rate`; 1 where that is no surprise.
 ///
 /// The terms are summed from the first one on, which is computed by logarithms: their factors leave the
@@ -284,66 +246,3 @@
     }
     chance
 }
-
-/// A stream of the old version.
-#[derive(Debug, Clone, Copy)]
-struct OldStream {
-    pace_ms: f64,
-    running: u32,
-}
-
-/// The old version's newest streams.
-///
-/// The new version's engines run little until all work has moved, so a version that is four times as
-/// slow has pauses like those of the busy old engines. It is told at equal load.
-#[derive(Debug, Default)]
-struct StreamPace {
-    newest: VecDeque<OldStream>,
-}
-
-impl StreamPace {
-    /// Whether a stream is much slower than most at the nearest load.
-    fn is_slow(&self, pace_ms: f64, running: u32) -> bool {
-        if self.newest.len() < PACE_SAMPLES as usize {
-            return false;
-        }
-        let mut nearest: Vec<OldStream> = self.newest.iter().copied().collect();
-        nearest.sort_by_key(|old| old.running.abs_diff(running));
-        nearest.truncate(COMPARED);
-        nearest.sort_unstable_by(|a, b| a.pace_ms.total_cmp(&b.pace_ms));
-        let quantile = |part: f64| nearest[((nearest.len() - 1) as f64 * part) as usize].pace_ms;
-        pace_ms > quantile(QUARTILE) * SLOW_RATIO && pace_ms >= quantile(SLOW_QUANTILE)
-    }
-
-    fn add(&mut self, pace_ms: f64, running: u32) {
-        if self.newest.len() == STREAMS_KEPT {
-            self.newest.pop_front();
-        }
-        self.newest.push_back(OldStream { pace_ms, running });
-    }
-}
-
-/// Lower quartile of the time to a plain answer. Unlike the mean it hardly moves with load.
-#[derive(Debug, Default, Clone, Copy)]
-struct Pace {
-    low_ms: f64,
-    samples: u32,
-}
-
-impl Pace {
-    /// Whether a time between events is long beside the old version's.
-    fn is_slow(&self, pace_ms: f64) -> bool {
-        self.samples >= PACE_SAMPLES && pace_ms > self.low_ms * SLOW_RATIO
-    }
-
-    fn add(&mut self, pace_ms: f64) {
-        self.samples += 1;
-        if self.samples == 1 {
-            self.low_ms = pace_ms;
-        } else if pace_ms < self.low_ms {
-            self.low_ms *= 1.0 - PACE_STEP * (1.0 - QUARTILE);
-        } else {
-            self.low_ms *= 1.0 + PACE_STEP * QUARTILE;
-        }
-    }
-}
