--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! What a box knows and shares between its tasks.
 
-mod currency;
+mod proof;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/ivyweir-gateway/src/state/currency.rs
+++ b/crates/ivyweir-gateway/src/state/proof.rs
@@ -1,4 +1,4 @@
-//! How current a box's configuration is shown to be, and what it may do with it.
+//! How old the proof of a box's configuration is, and what the box may do with it.
 
 use super::{Gateway, lock};
 use crate::settings::UnprovenKeys;
