--- a/crates/ivyweir-gateway/src/state/proof.rs
+++ b/crates/ivyweir-gateway/src/state/proof.rs
@@ -11,6 +11,7 @@
 const READY_PROOF_AGE_MS: u64 = 3_000;
 /// Age of the proof from which this box does not trust its own "no such route".
 const DENY_PROOF_AGE_MS: u64 = 3_000;
+
 impl Gateway {
     /// Takes in that the store answered a question about the configuration asked at `asked_at_ms`.
     pub fn renew_proof(&self, asked_at_ms: u64) {
