--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -22,8 +22,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest body before a configuration tells the limit.
 const BODY_DEFAULT_BYTES: usize = 1 << 20;
-/// Longest wait of a request for a box that has just started to know its configuration: a third of
-/// the shortest aim of the sites' streams. Boxes that start together take 0.1 to 0.5 s.
+/// Longest wait of a request for a box that has just started to know its configuration. Boxes that all
+/// start together know it after 0.1 to 0.5 s; one that takes longer says when to come back instead.
 const START_WAIT: Duration = Duration::from_millis(500);
 /// Time after the order to stop in which the balancer may still send work here.
 pub const STOP_NOTICE_MS: u64 = 2_400;
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -152,7 +152,8 @@
             );
             return Sent::NotRun { arrived: false };
         }
-        let request = job.request(&*gateway.dialect, &forward(gateway, job, upstream, sending));
+        let forward = forward(gateway, job, upstream, sending, estimate);
+        let request = job.request(&*gateway.dialect, &forward);
         let sent_at_ms = gateway.clock.now_ms();
         let limit = Duration::from_millis(sending.wait_ms);
         match timeout(limit, channel.send(request)).await {
@@ -271,6 +272,7 @@
     job: &'a Job,
     upstream: &'a UpstreamRecord,
     sending: Sending,
+    estimate: Estimate,
 ) -> Forward<'a> {
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     Forward {
@@ -282,7 +284,7 @@
             .then(|| &*job.route.models[sending.model]),
         resume_after: sending.resume_after,
         urgency: (job.route.kind.is_stream() && gateway.settings.policy.rank_prompts)
-            .then(|| estimate(gateway, job, sending.model).rank()),
+            .then(|| estimate.rank()),
     }
 }
 
--- a/crates/ivyweir-policy/src/gateway/cascade.rs
+++ b/crates/ivyweir-policy/src/gateway/cascade.rs
@@ -4,9 +4,9 @@
 //! instead, unless its answer would come late: it reads six to ten times as slowly, and what it reads
 //! holds up all others.
 
-/// Confidence under which the largest model is asked again while there is room. On quiet days of one
-/// deployment, answers told at 40 to 50 were bad in two of three cases, and those at 50 to 60 in one of
-/// seven, which is less than the larger model costs; on two others 50 beat 30 and 70.
+/// Confidence under which the largest model is asked again while there is room, unless the settings name
+/// another: the middle of the scale, below which a model takes its answer for bad rather than good. Two
+/// of three answers told at 40 to 50 were bad, and one of seven at 50 to 60, where asking costs more.
 pub const CONFIDENCE_FLOOR: u8 = 50;
 /// The highest confidence.
 pub const CONFIDENCE_FULL: u8 = 100;
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -178,6 +178,15 @@
     );
 }
 
+/// Takes all engines but the first out of the pool.
+fn leave_one_engine(town: &Town) {
+    town.store.put_upstream(&town.engines[1].leaving());
+    eventually("the box has seen it", || {
+        let seen = town.boxes[0].lines_of("upstream_changed");
+        seen.iter().any(|line| line["change"] == "Leaving")
+    });
+}
+
 /// A stream that sends an event in a minute.
 const SILENT: Act = Act::Stream {
     events: 10,
@@ -221,11 +230,7 @@
         engine.set(Act::NotRun);
         engine.set_next(vec![slow.clone()]);
     }
-    town.store.put_upstream(&town.engines[1].leaving());
-    eventually("the box has seen it", || {
-        let seen = town.boxes[0].lines_of("upstream_changed");
-        seen.iter().any(|line| line["change"] == "Leaving")
-    });
+    leave_one_engine(&town);
     let reply = post_stream(town.addr(0), "/stream/x", "r1").expect("an answer");
     assert!(reply.is_whole, "{}", reply.text());
     assert_eq!(event_ids(&reply.text()), [1]);
@@ -287,11 +292,7 @@
                 post_stream(town.addr(0), "/stream/x", &format!("before-{n}")).expect("an answer");
             }
             // One engine is left; it gives a doubtful answer, and no better one.
-            town.store.put_upstream(&town.engines[1].leaving());
-            eventually("the box has seen it", || {
-                let seen = town.boxes[0].lines_of("upstream_changed");
-                seen.iter().any(|line| line["change"] == "Leaving")
-            });
+            leave_one_engine(&town);
             town.engines[0].set_next(vec![stream(4, None, Some(10))]);
             town.engines[0].set($acts);
             let reply = post_stream(town.addr(0), "/sized/x", "r1").expect("an answer");
