How soon a loss of the store is noticed follows the operators' bounds

Cause: the root asked the store every 0.6 s and boxes tried it themselves after 1.4 s, as a bound of 2 s on leaving upstreams wants; here the bound is 4 s, and site watches were two thirds of all calls. Ruled out: longer waits whatever the bounds: DRAIN and keys taken away. Change: both times are parts of leaving_ms and revoke_ms; with 2 s and 5 s they are what they were.

--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -156,7 +156,28 @@
 /// within it.
 const REPEAT_SLACK_USED: f64 = 0.05;
 
+/// Part of the time for a leaving upstream's last work, and of that for a withdrawn key's, in which a box
+/// must notice that nobody renews its proof. It then has the rest to reach the store itself: some 0.3 s
+/// where a slow store answers, and 0.6 s to hear of upstreams too.
+const UNRENEWED_LEAVING: f64 = 0.7;
+const UNRENEWED_REVOKE: f64 = 0.4;
+/// Part of that time for which a watch of the root waits. When the root loses the store, the boxes that
+/// follow it hear so before they try the store themselves.
+const ROOT_WATCH: f64 = 0.43;
+
 impl Bounds {
+    /// Time without a newer proof after which a box tries the store itself, whoever it follows.
+    pub fn unrenewed_ms(&self) -> u64 {
+        let by_leaving_ms = self.leaving_ms as f64 * UNRENEWED_LEAVING;
+        let by_revoke_ms = self.revoke_ms as f64 * UNRENEWED_REVOKE;
+        by_leaving_ms.min(by_revoke_ms) as u64
+    }
+
+    /// How long the root's watch of the configuration waits.
+    pub fn root_watch_ms(&self) -> u64 {
+        (self.unrenewed_ms() as f64 * ROOT_WATCH) as u64
+    }
+
     /// This box's own part of the fleet's bounds on repeats.
     pub fn repeat_limits(&self) -> RepeatLimits {
         RepeatLimits {
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -89,7 +89,10 @@
         Self {
             client: Client::new(gateway.settings.store_addr),
             relay: None,
-            probes: Probes::new(gateway.clock.now_ms()),
+            probes: Probes::new(
+                gateway.settings.bounds.unrenewed_ms(),
+                gateway.clock.now_ms(),
+            ),
             is_probing: false,
             polls: gateway.store_news.polls(),
             is_catching_up: false,
--- a/crates/ivyweir-gateway/src/sync/probe.rs
+++ b/crates/ivyweir-gateway/src/sync/probe.rs
@@ -6,10 +6,6 @@
 use super::{Failed, Follower};
 use crate::dialect::Topic;
 
-/// Time without a newer proof after which a box tries the store itself, whoever it follows: the
-/// bound on a leaving upstream's last work is two seconds, and a root that is well renews its proof
-/// within 1.2 s.
-pub(super) const UNRENEWED_MS: u64 = 1_400;
 /// Pause before its second try, so that a box that is back in touch knows it within the three
 /// seconds that the users' pages leave it.
 const SECOND_PROBE_PAUSE_MS: u64 = 2_500;
@@ -27,16 +23,19 @@
     count: u32,
     /// When the next of them is due.
     next_at_ms: u64,
+    /// Time without a newer proof after which the first is due.
+    unrenewed_ms: u64,
 }
 
 impl Probes {
-    /// None yet, on a box that starts now.
-    pub fn new(now_ms: u64) -> Self {
+    /// None yet, on a box that starts now; the first is due `unrenewed_ms` after the last newer proof.
+    pub fn new(unrenewed_ms: u64, now_ms: u64) -> Self {
         Self {
             renewed_at_ms: now_ms,
             proven_at_ms: None,
             count: 0,
             next_at_ms: 0,
+            unrenewed_ms,
         }
     }
 
@@ -51,7 +50,7 @@
 
     /// Whether the next try is due.
     fn is_due(&self, now_ms: u64) -> bool {
-        if now_ms < self.renewed_at_ms + UNRENEWED_MS {
+        if now_ms < self.renewed_at_ms + self.unrenewed_ms {
             return false;
         }
         self.count == 0 || now_ms >= self.next_at_ms
@@ -71,7 +70,7 @@
 
     /// Time left until the first try is due, unless the proof is renewed before.
     pub fn first_in_ms(&self, now_ms: u64) -> u64 {
-        (self.renewed_at_ms + UNRENEWED_MS).saturating_sub(now_ms)
+        (self.renewed_at_ms + self.unrenewed_ms).saturating_sub(now_ms)
     }
 }
 
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -6,7 +6,6 @@
 use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
-use super::probe::UNRENEWED_MS;
 use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt_all, adopt_changes};
 use crate::box_call::{BoxCallError, question, read_answer};
@@ -125,7 +124,8 @@
         }
         let now_ms = self.gateway.clock.now_ms();
         let left_ms = self.probes.first_in_ms(now_ms);
-        left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, UNRENEWED_MS)
+        let most_ms = self.gateway.settings.bounds.unrenewed_ms();
+        left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, most_ms.max(RELAY_SITE_MIN_WAIT_MS))
     }
 
     /// Takes in an answer, and the proof that comes with it.
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -17,9 +17,6 @@
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
 /// newest, which must stay younger than the bound on withdrawn keys until the next one.
 const SITE_WAIT_MS: u64 = 1_200;
-/// The same on a relay: the boxes that follow it must hear within a second and a half that it lost
-/// the store, since an upstream that leaves gets no work two seconds later.
-const RELAY_WATCH_MS: u64 = 600;
 const SITE_MIN_WAIT_MS: u64 = 200;
 /// Time beyond the wait after which a relay takes the store to be lost; a slow store takes 300 ms.
 const OVERDUE_MS: u64 = 500;
@@ -200,11 +197,11 @@
         let left_ms = PROOF_DUE_MS.saturating_sub(age_ms);
         let now_ms = self.gateway.clock.now_ms();
         let most_ms = if self.gateway.histories.is_followed(now_ms) {
-            RELAY_WATCH_MS
+            self.gateway.settings.bounds.root_watch_ms()
         } else {
             SITE_WAIT_MS
         };
-        left_ms.clamp(SITE_MIN_WAIT_MS, most_ms)
+        left_ms.min(most_ms).max(SITE_MIN_WAIT_MS)
     }
 }
 
--- a/tools/rounds.py
+++ b/tools/rounds.py
@@ -19,6 +19,14 @@
 TEMPLATE = pathlib.Path("deploy/gateway.json.tmpl")
 STANDARD_DAYS = "quiet-1,trouble-1,scale-1,trouble-2,scale-2,trouble-3"
 DAY_LIMIT_S = 500
+# Column, and how the report names the price.
+PRICES = [
+    ("models", "worth paid for"),
+    ("halls", "GB between"),
+    ("reread", "1,000 tokens of shared"),
+    ("calls", "cloud calls"),
+    ("boxes", "machine-seconds"),
+]
 
 
 def play(bench, site, day, seed, why, folder, options):
@@ -54,10 +62,9 @@
         + f"  late {mean(r['all']['late'] / r['all']['n'] for r in reports):.3f}"
         + f" refused {mean(r['refused'] for r in reports):.3f}"
         + f" failed {mean(r['failed'] for r in reports):.3f}"
-        + f"  models {mean(price(r, 'worth paid for') for r in reports):.4f}"
-        + f" halls {mean(price(r, 'GB between') for r in reports):.4f}"
-        + f" reread {mean(price(r, '1,000 tokens of shared') for r in reports):.4f}"
-        + f" other {mean(sum(p[2] for p in r['prices']) for r in reports) - mean(price(r, 'worth paid for') + price(r, 'GB between') + price(r, '1,000 tokens of shared') for r in reports):.4f}"
+        + " "
+        + "".join(f" {column} {mean(price(r, name) for r in reports):.4f}" for column, name in PRICES)
+        + f" other {mean(sum(p[2] for p in r['prices']) for r in reports) - sum(mean(price(r, name) for r in reports) for _, name in PRICES):.4f}"
     )
 
 
