--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::gateway::hall::BoxRecord;
-use ivyweir_policy::gateway::joined::digest;
+use ivyweir_policy::gateway::joined::{Start, digest};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time::sleep;
@@ -30,15 +30,6 @@
 const START_CONNECT_LIMIT: Duration = Duration::from_millis(60);
 /// Time for a seed to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-/// Time since its start from which a seed's list has all others.
-const SETTLED_SEED_MS: u64 = 3_000;
-/// Time since this box's start after which it takes a young seed's list as it is: of boxes that
-/// start together nearly all have joined. A wrong relay costs some calls more, waiting costs callers.
-const SETTLED_MS: u64 = 130;
-/// Time since a seed's start before which few have joined there.
-const JOINED_SEED_MS: u64 = 100;
-/// Time since this box's start after which it goes on without any seed.
-const ALONE_MS: u64 = 300;
 /// Largest message.
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
 
@@ -129,16 +120,13 @@
 
     /// Decides whether the list of boxes is good enough to choose a relay by.
     fn settle(&self, seed_up_ms: Option<u64>) {
-        let now_ms = self.gateway.clock.now_ms();
-        let is_young = seed_up_ms.is_none_or(|up_ms| up_ms < SETTLED_SEED_MS);
-        self.gateway.peers.set_young(is_young);
-        let is_settled = match seed_up_ms {
-            Some(up_ms) if now_ms < SETTLED_MS => up_ms >= SETTLED_SEED_MS,
-            Some(up_ms) => up_ms >= JOINED_SEED_MS,
-            None => now_ms >= ALONE_MS,
+        let start = Start {
+            up_ms: self.gateway.clock.now_ms(),
+            seed_up_ms,
         };
         let peers = &self.gateway.peers;
-        if !peers.is_settled() && (is_settled || peers.is_only_seed()) {
+        peers.set_young(start.is_of_all());
+        if !peers.is_settled() && (start.knows_enough() || peers.is_only_seed()) {
             peers.settle();
             self.gateway.histories.tell();
         }
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -16,6 +16,43 @@
 /// Boxes of each other hall on a list: those first in the order of its relays.
 const LISTED_OF_OTHER_HALLS: usize = 3;
 
+/// Time since its start from which a seed's list has all others.
+const SETTLED_SEED_MS: u64 = 3_000;
+/// Time since a box's start after which it takes a young seed's list as it is: of boxes that
+/// start together nearly all have joined. A wrong relay costs some calls more, waiting costs callers.
+const SETTLED_MS: u64 = 130;
+/// Time since a seed's start before which few have joined there.
+const JOINED_SEED_MS: u64 = 100;
+/// Time since a box's start after which it goes on without any seed. Boxes that lose power together are
+/// back within half a second of each other, the seeds perhaps last; each that goes on alone asks the store
+/// for everything. Of 295 boxes 98 did so after 0.3 s, and made 690 calls in a minute rather than 110.
+const ALONE_MS: u64 = 900;
+
+/// How far a box's start is, by its own clock and that of the seed it asked last.
+#[derive(Debug, Clone, Copy)]
+pub struct Start {
+    /// Time since this box's start.
+    pub up_ms: u64,
+    /// Time since the seed's start; none if no seed answered.
+    pub seed_up_ms: Option<u64>,
+}
+
+impl Start {
+    /// Whether all boxes may have started together.
+    pub fn is_of_all(&self) -> bool {
+        self.seed_up_ms.is_none_or(|up_ms| up_ms < SETTLED_SEED_MS)
+    }
+
+    /// Whether the list of boxes is good enough to choose a relay by.
+    pub fn knows_enough(&self) -> bool {
+        match self.seed_up_ms {
+            Some(seed_up_ms) if self.up_ms < SETTLED_MS => seed_up_ms >= SETTLED_SEED_MS,
+            Some(seed_up_ms) => seed_up_ms >= JOINED_SEED_MS,
+            None => self.up_ms >= ALONE_MS,
+        }
+    }
+}
+
 /// Boxes that joined here.
 #[derive(Debug, Default)]
 pub struct Joined {
--- a/crates/ivyweir-policy/tests/gateway_peers.rs
+++ b/crates/ivyweir-policy/tests/gateway_peers.rs
@@ -5,7 +5,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, KeptRoot, ShunPauses, Shunned, Source, View, asks};
-use ivyweir_policy::gateway::joined::{Joined, SeedLists, digest};
+use ivyweir_policy::gateway::joined::{Joined, SeedLists, Start, digest};
 
 const HALLS: [&str; 4] = ["hall-a", "hall-b", "hall-c", "hall-d"];
 
@@ -212,3 +212,23 @@
     after.cpu_milli = 500;
     assert_ne!(digest(&[before]), digest(&[after]));
 }
+
+macro_rules! starts {
+    ($($name:ident: $up_ms:expr, $seed_up_ms:expr => $knows_enough:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let start = Start { up_ms: $up_ms, seed_up_ms: $seed_up_ms };
+            assert_eq!(start.knows_enough(), $knows_enough);
+        }
+    )*};
+}
+
+starts! {
+    a_box_takes_the_list_of_an_old_seed_at_once: 5, Some(60_000) => true;
+    boxes_that_start_together_wait_until_most_have_joined: 100, Some(90) => false;
+    then_they_go_on: 150, Some(140) => true;
+    a_seed_that_started_last_knows_few: 500, Some(40) => false;
+    and_soon_knows_most: 600, Some(140) => true;
+    a_box_waits_for_seeds_that_are_still_without_power: 600, None => false;
+    a_box_whose_seeds_are_gone_goes_on_alone: 900, None => true;
+}
