The slack for repeats is shared among all boxes of the fleet

Cause: each box took a twentieth of the fleet's slack, whatever the number of boxes: 295 boxes together fifteen times the slack. Ruled out: the ratio's part (each box keeps under it by its own requests, so the sum does). Change: seeds tell how many boxes of all halls joined; a box takes the slack divided by that number, by twenty at least.

--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -48,6 +48,8 @@
     boxes: Option<Vec<BoxRecord>>,
     /// Time since the seed's start.
     up_ms: u64,
+    /// Boxes of all halls that joined there lately, itself included.
+    fleet_size: usize,
 }
 
 /// Joins again and again for the life of the process.
@@ -115,6 +117,7 @@
             gateway.log.line("boxes_heard", detail);
         }
         gateway.peers.take_seed_list(seed, answer.boxes, now_ms);
+        gateway.peers.set_fleet_size(answer.fleet_size);
         Some(answer.up_ms)
     }
 
@@ -154,5 +157,6 @@
     answer::message(&JoinAnswer {
         boxes: is_news.then_some(boxes),
         up_ms: now_ms,
+        fleet_size: gateway.peers.joined_count(now_ms),
     })
 }
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
@@ -46,6 +46,8 @@
     is_settled: AtomicBool,
     /// Whether the boxes at which this one joined were young: all may have started together.
     is_young: AtomicBool,
+    /// Boxes of all halls, by the last seed that answered.
+    fleet_size: AtomicUsize,
     /// Counts how often boxes were found silent or sourceless.
     shuns: watch::Sender<u64>,
     silent: Mutex<Shunned>,
@@ -66,6 +68,7 @@
             others: Mutex::default(),
             is_settled: AtomicBool::new(false),
             is_young: AtomicBool::new(true),
+            fleet_size: AtomicUsize::new(0),
             shuns: watch::Sender::default(),
             silent: Mutex::new(Shunned::new(SILENT_PAUSES)),
             sourceless: Mutex::new(Shunned::new(SOURCELESS_PAUSES)),
@@ -134,6 +137,24 @@
         joined.list_for(hall, now_ms)
     }
 
+    /// Boxes that joined here lately, this one included.
+    pub fn joined_count(&self, now_ms: u64) -> usize {
+        let mut joined = lock(&self.joined);
+        joined.join(self.me.clone(), now_ms);
+        joined.count(now_ms)
+    }
+
+    /// Takes in how many boxes joined at a seed.
+    pub fn set_fleet_size(&self, boxes: usize) {
+        self.fleet_size.store(boxes, Ordering::Relaxed);
+    }
+
+    /// Boxes of all halls, this one included, as far as is known.
+    pub fn fleet_size(&self) -> usize {
+        let told = self.fleet_size.load(Ordering::Relaxed);
+        told.max(self.others_count() + 1)
+    }
+
     /// Computes the other boxes anew: some may have joined, or not joined any more.
     pub fn merge(&self, now_ms: u64) {
         let mut others = lock(&self.seed_lists).boxes();
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -152,9 +152,9 @@
 
 /// Part of the ratio that a box uses, since boxes count windows that do not coincide.
 const REPEAT_RATIO_USED: f64 = 0.85;
-/// Part of the fleet's slack that one box uses, so that any number of boxes up to twenty stays
-/// within it.
-const REPEAT_SLACK_USED: f64 = 0.05;
+/// Number of boxes among which the fleet's slack is shared out at least: boxes that just started do not
+/// know all others yet.
+const REPEAT_SLACK_BOXES: usize = 20;
 
 /// Part of the time for a leaving upstream's last work, and of that for a withdrawn key's, in which a box
 /// must notice that nobody renews its proof. It then has the rest to reach the store itself: some 0.3 s
@@ -178,11 +178,11 @@
         (self.unrenewed_ms() as f64 * ROOT_WATCH) as u64
     }
 
-    /// This box's own part of the fleet's bounds on repeats.
-    pub fn repeat_limits(&self) -> RepeatLimits {
+    /// This box's own part of the bounds on repeats of a fleet of so many boxes.
+    pub fn repeat_limits(&self, boxes: usize) -> RepeatLimits {
         RepeatLimits {
             ratio: self.repeat_ratio * REPEAT_RATIO_USED,
-            slack: self.repeat_slack * REPEAT_SLACK_USED,
+            slack: self.repeat_slack / boxes.max(REPEAT_SLACK_BOXES) as f64,
             window_ms: (self.repeat_window_s * 1_000.0) as u64,
         }
     }
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -12,7 +12,7 @@
 use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
-use ivyweir_policy::gateway::repeat::RepeatBudget;
+use ivyweir_policy::gateway::repeat::{RepeatBudget, RepeatLimits};
 use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::gateway::word::Word;
@@ -289,7 +289,7 @@
 
     /// Counts a request against which repeats are weighed.
     pub fn count_request(&self, pool: &Name) {
-        let limits = self.settings.bounds.repeat_limits();
+        let limits = self.repeat_limits();
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(pool.clone()).or_default();
         budget.count_request(&limits, self.clock.now_ms());
@@ -297,12 +297,18 @@
 
     /// Takes a repeat out of the pool's budget, if there is one.
     pub fn take_repeat(&self, pool: &Name) -> bool {
-        let limits = self.settings.bounds.repeat_limits();
+        let limits = self.repeat_limits();
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(pool.clone()).or_default();
         budget.take(&limits, self.clock.now_ms())
     }
 
+    /// This box's part of the bounds on repeats, by the number of boxes known.
+    fn repeat_limits(&self) -> RepeatLimits {
+        let boxes = self.peers.fleet_size();
+        self.settings.bounds.repeat_limits(boxes)
+    }
+
     /// Works on what is known of a pool's pace.
     pub fn with_pace<T>(&self, pool: &Name, work: impl FnOnce(&mut ReadingPace) -> T) -> T {
         work(lock(&self.paces).entry(pool.clone()).or_default())
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -88,6 +88,14 @@
         is_new
     }
 
+    /// Boxes that joined lately.
+    pub fn count(&self, now_ms: u64) -> usize {
+        self.boxes
+            .values()
+            .filter(|member| member.lives(now_ms))
+            .count()
+    }
+
     /// The list for a box of this hall: the boxes of its hall, and some of each other one.
     pub fn list_for(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
         let live = self.boxes.values().filter(|member| member.lives(now_ms));
--- a/crates/ivyweir-policy/tests/gateway_peers.rs
+++ b/crates/ivyweir-policy/tests/gateway_peers.rs
@@ -232,3 +232,14 @@
     a_box_waits_for_seeds_that_are_still_without_power: 600, None => false;
     a_box_whose_seeds_are_gone_goes_on_alone: 900, None => true;
 }
+
+#[test]
+fn boxes_of_all_halls_count_until_they_join_no_more() {
+    let mut joined = Joined::default();
+    for record in fleet() {
+        joined.join(record, 1_000);
+    }
+    joined.join(fleet()[0].clone(), 15_000);
+    assert_eq!(joined.count(15_000), 12);
+    assert_eq!(joined.count(30_000), 1);
+}
