Plain answers are timed without the queue before them

Ruled out: not judging plain answers in a surge: a slow version makes its own queue, so it would never be told. Change: the time to a plain answer is divided by one plus the requests that wait, as its upstream says, for each that runs; streams are timed by their events, as before. Before and after: tests of surges first: two of six failed, all pass now.

--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -91,6 +91,14 @@
     pub fn running(&self) -> u32 {
         self.load.map_or(0, |load| load.running)
     }
+
+    /// Requests that waited at the upstream when it answered, for each that it ran; 0 where it does not
+    /// tell.
+    pub fn queue(&self) -> f64 {
+        self.load.map_or(0.0, |load| {
+            f64::from(load.waiting) / f64::from(load.running.max(1))
+        })
+    }
 }
 
 /// Which records of the store are meant.
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -266,6 +266,7 @@
             pace_ms,
             span,
             running: self.source.running,
+            queue: 0.0,
             age_ms: self
                 .gateway
                 .clock
--- a/crates/ivyweir-policy/src/gateway/verdict.rs
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -43,6 +43,21 @@
     pub age_ms: u64,
     /// Requests that its upstream ran when the answer began; 0 where it does not tell.
     pub running: u32,
+    /// Requests that waited there then, for each that ran.
+    pub queue: f64,
+}
+
+impl Evidence<'_> {
+    /// The pace without what others in the queue take; a stream's is of its events, which come once it
+    /// runs.
+    fn own_pace_ms(&self) -> Option<f64> {
+        match self.span {
+            // A request that finds one in the queue for each that runs takes twice its own time. A good
+            // version meets such a surge as soon as all work has moved to it.
+            Span::Whole => Some(self.pace_ms? / (1.0 + self.queue.max(0.0))),
+            Span::Start | Span::Long => self.pace_ms,
+        }
+    }
 }
 
 /// What an answer was judged for.
@@ -164,7 +179,7 @@
         // read.
         let is_timed = !is_alone || evidence.span == Span::Whole;
         let is_slow = evidence
-            .pace_ms
+            .own_pace_ms()
             .is_some_and(|pace_ms| self.old.is_slow(&timed(side, evidence, pace_ms)));
         // An answer may be weighed twice: for its time on the way, and for its end.
         if evidence.is_final {
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -32,6 +32,7 @@
         span: Span::Start,
         age_ms: 0,
         running: 0,
+        queue: 0.0,
     }
 }
 
@@ -218,6 +219,7 @@
             span: Span::Start,
             age_ms: 0,
             running: 0,
+            queue: 0.0,
         };
         track.judge(Side::New, &evidence, JUDGED_MS);
     }
@@ -345,6 +347,44 @@
     assert!(is_condemned_after_the_move(Span::Whole, 20.0, 160.0));
 }
 
+/// Whether a plain service's answers condemn it that has got all work already: ten quick ones of the old
+/// version on idle upstreams, then its own of `own_ms` behind `queue` requests for each that runs.
+fn is_condemned_in_a_surge(own_ms: f64, queue: f64) -> bool {
+    let now_ms = DURATION_MS * 93 / 100;
+    let mut track = RolloutTrack::new(order(running(0), 1), 0);
+    let answers = [(Side::Old, 20.0, 0.0), (Side::New, own_ms, queue)];
+    for (side, own_ms, queue) in answers {
+        for n in 0..20 {
+            let upstream: Name = format!("u{}", n % 5).into();
+            let evidence = Evidence {
+                span: Span::Whole,
+                queue,
+                ..evidence(&upstream, false, Some(own_ms * (1.0 + queue)))
+            };
+            track.judge(side, &evidence, now_ms);
+        }
+    }
+    track.duty(now_ms) == RolloutDuty::RollBack
+}
+
+macro_rules! surges {
+    ($($name:ident: $own_ms:expr, $queue:expr => $is_condemned:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(is_condemned_in_a_surge($own_ms, $queue), $is_condemned);
+        }
+    )*};
+}
+
+surges! {
+    a_good_plain_version_without_a_queue_is_kept: 20.0, 0.0 => false;
+    a_good_plain_version_in_a_surge_is_kept: 20.0, 3.0 => false;
+    a_good_plain_version_in_a_long_queue_is_kept: 22.0, 12.0 => false;
+    a_slow_plain_version_is_told_in_a_surge_too: 80.0, 3.0 => true;
+    a_slow_plain_version_is_told_in_a_long_queue: 80.0, 12.0 => true;
+    a_queue_out_of_range_is_none: 160.0, -0.5 => true;
+}
+
 #[test]
 fn twice_the_time_is_not_slow_yet() {
     assert!(!is_condemned_after_the_move(Span::Whole, 20.0, 45.0));
