After an outage boxes ask for upstreams at once

Cause: a box that lost the store, or tried it on its own, renews its proof only once it heard of upstreams too; but who follows another box hears of upstreams only what changes, and the store's watch of a box that was not asked before waits 4 s. So the first proof came 1.5 to 4 s late, or after four vain waits without any word of upstreams. Besides, a relay's answer was taken for the store's, and the other topics tried a store that was out. Ruled out: renewing the proof without them (upstreams that left would get work). Change: the configuration's follower asks for upstreams at once; the question then waits for nothing. A relay's answer with no newer proof confirms nothing. Words say whether a box hears the store, and one that hears nothing goes back to it at once. Topics wait for the first one again once the box has started. A vain wait is logged (upstreams_unheard).

--- a/crates/ivyweir-gateway/src/state/proof.rs
+++ b/crates/ivyweir-gateway/src/state/proof.rs
@@ -29,6 +29,12 @@
         lock(&self.proof).age_ms(self.clock.now_ms())
     }
 
+    /// Whether the proof is as young as that of a box which hears the store's records.
+    pub fn hears_store(&self) -> bool {
+        let limit_ms = self.settings.bounds.unrenewed_ms();
+        lock(&self.proof).is_younger_than(limit_ms, self.clock.now_ms())
+    }
+
     /// Whether a keyed request may be sent now.
     pub fn may_serve_keys(&self) -> bool {
         self.serves_unproven_keys() || self.keys_are_current()
--- a/crates/ivyweir-gateway/src/store_news.rs
+++ b/crates/ivyweir-gateway/src/store_news.rs
@@ -8,6 +8,7 @@
     losses: watch::Sender<u64>,
     upstreams_heard: watch::Sender<u64>,
     polls: watch::Sender<u64>,
+    upstreams_wanted: watch::Sender<u64>,
 }
 
 impl StoreNews {
@@ -41,6 +42,23 @@
         *self.polls.borrow()
     }
 
+    /// Asks for an answer about upstreams at once, whether anything changed or not.
+    pub fn want_upstreams(&self) {
+        self.upstreams_wanted.send_modify(|count| *count += 1);
+    }
+
+    /// How often that was asked.
+    pub fn upstreams_wanted(&self) -> u64 {
+        *self.upstreams_wanted.borrow()
+    }
+
+    /// Waits until it was asked more often than `count` times.
+    pub async fn until_upstreams_wanted(&self, count: u64) {
+        let mut wanted = self.upstreams_wanted.subscribe();
+        // The sender is borrowed for the wait, so it cannot be gone.
+        let _wanted = wanted.wait_for(|asked| *asked > count).await;
+    }
+
     /// Waits until it is asked.
     pub async fn until_poll_asked(&self) {
         until_next(&self.polls).await;
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -76,6 +76,8 @@
     is_probing: bool,
     /// Polls of the store that were asked of this follower and done.
     polls: u64,
+    /// Answers about upstreams at once that were asked of this follower and given.
+    upstreams_wanted: u64,
     /// Whether another box was asked before.
     is_catching_up: bool,
     /// Whether a loss has not been followed yet by an answer about upstreams.
@@ -95,6 +97,7 @@
             ),
             is_probing: false,
             polls: gateway.store_news.polls(),
+            upstreams_wanted: gateway.store_news.upstreams_wanted(),
             is_catching_up: false,
             gateway,
             topic,
@@ -104,6 +107,14 @@
         }
     }
 
+    /// Whether the configuration's follower waits for an answer about upstreams, and did not when this was
+    /// last asked.
+    fn takes_upstreams_wanted(&mut self) -> bool {
+        let wanted = self.gateway.store_news.upstreams_wanted();
+        let before = std::mem::replace(&mut self.upstreams_wanted, wanted);
+        self.topic == Topic::Upstreams && wanted > before
+    }
+
     /// Hears of changes once; returns where to go on, or none if the topic is to be read anew.
     async fn hear(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
         let gateway = self.gateway.clone();
@@ -132,7 +143,8 @@
     /// store that is out is paid for. On a box that has just started, callers wait for all topics.
     fn waits_for_site(&self) -> bool {
         let histories = &self.gateway.histories;
-        self.topic != Topic::Site && !histories.store_answers() && !histories.is_store_untried()
+        let starts = histories.is_store_untried() && !self.gateway.is_synced();
+        self.topic != Topic::Site && !histories.store_answers() && !starts
     }
 
     /// Hears of changes from another box.
--- a/crates/ivyweir-gateway/src/sync/confirm.rs
+++ b/crates/ivyweir-gateway/src/sync/confirm.rs
@@ -1,5 +1,6 @@
 //! Renewing the proof after a loss: only once the upstreams were heard of too.
 
+use serde_json::json;
 use tokio::time::timeout;
 
 use super::Follower;
@@ -9,12 +10,21 @@
 /// How often upstreams are waited for after a loss before the proof is renewed without them.
 const MAX_VAIN_WAITS: u32 = 4;
 
+/// Who gave the answer that is to be confirmed.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum AnsweredBy {
+    /// The store.
+    Store,
+    /// Another box.
+    Box,
+}
+
 impl Follower {
     /// Follows the adoption of an answer; returns whether it may renew the proof.
     ///
     /// After a loss it may only once the upstreams were heard of too: those that left meanwhile
     /// must get no work from a box that is current otherwise.
-    pub(super) async fn confirmed(&mut self) -> bool {
+    pub(super) async fn confirmed(&mut self, answered_by: AnsweredBy) -> bool {
         if self.topic != Topic::Site {
             if self.topic == Topic::Upstreams {
                 self.gateway.store_news.upstreams_heard();
@@ -24,8 +34,12 @@
         if !self.is_unconfirmed {
             return true;
         }
-        let heard = self.until_upstreams_heard().await;
+        let heard = self.until_upstreams_heard(answered_by).await;
         self.vain_waits = if heard { 0 } else { self.vain_waits + 1 };
+        if !heard {
+            let detail = json!({"vain_waits": self.vain_waits});
+            self.gateway.log.line("upstreams_unheard", detail);
+        }
         // A store that goes on answering about one thing and not the other is left to itself.
         self.is_unconfirmed = !heard && self.vain_waits < MAX_VAIN_WAITS;
         !self.is_unconfirmed
@@ -33,9 +47,16 @@
 
     /// Waits until the upstreams are heard of, for a while; wakes whoever waits for the store's
     /// return. Returns whether they were.
-    async fn until_upstreams_heard(&self) -> bool {
+    async fn until_upstreams_heard(&self, answered_by: AnsweredBy) -> bool {
         let mut heard = self.gateway.store_news.upstreams();
-        self.gateway.histories.set_store_answers(true);
+        // Whoever follows another box hears of upstreams only what changes, which may be nothing for a long
+        // time: boxes that tried a store that was out served no keyed request for 1.5 to 4 s after its
+        // return.
+        self.gateway.store_news.want_upstreams();
+        if let AnsweredBy::Store = answered_by {
+            self.gateway.histories.set_store_answers(true);
+            self.gateway.store_news.ask_poll();
+        }
         self.gateway.histories.tell();
         matches!(timeout(ANSWER_LIMIT, heard.changed()).await, Ok(Ok(())))
     }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -6,6 +6,7 @@
 use ivyweir_policy::gateway::hall::BoxRecord;
 use serde_json::json;
 
+use super::confirm::AnsweredBy;
 use super::{Failed, Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt_all, adopt_changes};
 use crate::box_call::{BoxCallError, question, read_answer};
@@ -92,7 +93,9 @@
         relay: &BoxRecord,
         asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
-        let wait_ms = self.box_wait_ms();
+        let is_wanted = self.takes_upstreams_wanted();
+        let wait_ms = self.box_wait_ms(is_wanted);
+        let wanted = self.upstreams_wanted;
         let path = follow_path(self.topic, since, wait_ms, asker);
         let request = question(relay.peer_addr, &path);
         let client = match &mut self.relay {
@@ -109,6 +112,10 @@
                 self.relay = None;
                 Err(Failed::Relay)
             }
+            () = self.gateway.store_news.until_upstreams_wanted(wanted), if self.topic == Topic::Upstreams => {
+                self.relay = None;
+                Err(Failed::Relay)
+            }
             () = self.gateway.store_news.until_poll_asked(), if self.topic != Topic::Site => {
                 self.relay = None;
                 Err(Failed::Relay)
@@ -117,10 +124,12 @@
     }
 
     /// How long a question waits: one about the configuration no longer than until this box is to
-    /// try the store.
-    fn box_wait_ms(&self) -> u64 {
-        if self.topic != Topic::Site {
-            return QUIET_WAIT_MS;
+    /// try the store, and not at all where an answer is wanted at once.
+    fn box_wait_ms(&self, is_wanted: bool) -> u64 {
+        match self.topic {
+            Topic::Site => {}
+            _ if is_wanted => return 0,
+            Topic::Upstreams | Topic::Rollouts => return QUIET_WAIT_MS,
         }
         let now_ms = self.gateway.clock.now_ms();
         let left_ms = self.probes.first_in_ms(now_ms);
@@ -136,14 +145,23 @@
             adopt_all(&gateway, self.topic, answer.revision, entries);
         }
         adopt_changes(&gateway, self.topic, answer.revision, answer.changes);
-        if self.confirmed().await
-            && let Some(proof_age_ms) = answer.proof_age_ms
-        {
+        let proven_at_ms = answer.proof_age_ms.map(|age_ms| {
             // The relay answered no sooner than it says, so its proof is no older than this.
             let held_until_ms = asked_at_ms.saturating_add(answer.held_ms);
             let answered_at_ms = held_until_ms.min(gateway.clock.now_ms());
-            let age_ms = i64::try_from(proof_age_ms).unwrap_or(i64::MAX);
-            gateway.renew_proof(answered_at_ms.cast_signed().saturating_sub(age_ms));
+            let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+            answered_at_ms.cast_signed().saturating_sub(age_ms)
+        });
+        if self.topic != Topic::Site {
+            self.confirmed(AnsweredBy::Box).await;
+            return;
+        }
+        // In an outage relays answer with the proof that they had before it: there is nothing to confirm.
+        if proven_at_ms > gateway.proof_at_ms()
+            && let Some(proven_at_ms) = proven_at_ms
+            && self.confirmed(AnsweredBy::Box).await
+        {
+            gateway.renew_proof(proven_at_ms);
         }
     }
 }
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
+use super::confirm::AnsweredBy;
 use super::{Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt_all, adopt_changes, readable_changes};
 use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
@@ -50,7 +51,7 @@
         self.tell_store_answers(true);
         self.succeeded();
         adopt_all(&self.gateway, self.topic, revision, entries);
-        if self.confirmed().await {
+        if self.confirmed(AnsweredBy::Store).await {
             self.gateway.renew_proof(asked_at_ms.cast_signed());
         }
         self.gateway.set_synced(self.topic);
@@ -93,7 +94,8 @@
 
     async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
-        let wait_ms = self.wait_ms();
+        let is_wanted = self.takes_upstreams_wanted();
+        let wait_ms = self.wait_ms(is_wanted);
         let request = self.gateway.codec.watch(self.topic, since, wait_ms);
         let mut answer = self.call_store(request, wait_ms).await;
         if self.failures == 0 && matches!(answer, Err(CallError::Lost { .. })) {
@@ -122,7 +124,7 @@
         let answered_at_ms = self.gateway.clock.now_ms();
         let changes = readable_changes(&self.gateway, self.topic, changes.changes);
         adopt_changes(&self.gateway, self.topic, revision, changes);
-        if self.confirmed().await {
+        if self.confirmed(AnsweredBy::Store).await {
             let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
             self.gateway.renew_proof(proven_at_ms.cast_signed());
         }
@@ -180,8 +182,10 @@
         }
     }
 
-    fn wait_ms(&self) -> u64 {
+    /// How long a watch waits for changes; not at all where an answer is wanted at once.
+    fn wait_ms(&self, is_wanted: bool) -> u64 {
         match self.topic {
+            _ if is_wanted => AFTER_FAILURE_WAIT_MS,
             // After a failure the answer itself is news, so it must not wait for changes.
             _ if self.failures > 0 => AFTER_FAILURE_WAIT_MS,
             _ if self.is_probing || self.is_catching_up => AFTER_FAILURE_WAIT_MS,
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -96,6 +96,10 @@
         let detail = json!({"peer": message.from});
         gateway.log.line("root_yielded", detail);
     }
+    // A box that hears nothing itself goes back to one that does at once, rather than after its pause.
+    if message.hears && !gateway.hears_store() {
+        gateway.peers.note_source(&message.from);
+    }
     gateway.peers.take_word(&message.from, message.word, now_ms);
 }
 
@@ -119,6 +123,7 @@
         from: gateway.settings.box_name.clone(),
         for_hall,
         is_root: gateway.histories.is_root(),
+        hears: gateway.hears_store(),
         word,
     }
 }
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -81,6 +81,8 @@
     pub for_hall: bool,
     /// Whether it hears the store's records from the store itself.
     pub is_root: bool,
+    /// Whether it hears the store's records now, from whomever.
+    pub hears: bool,
     /// What it has to tell.
     pub word: Word,
 }
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 
 use ivyweir_policy::gateway::rollout::RolloutState;
-use ivyweir_standins::edge::{Act, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site};
+use ivyweir_standins::edge::{
+    Act, GatewayProcess, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site,
+};
 use ivyweir_standins::{Fault, Gateway};
 use serde_json::json;
 
@@ -154,6 +156,31 @@
     }
 }
 
+#[test]
+fn a_box_that_tried_the_store_in_an_outage_hears_of_upstreams_at_once_afterwards() {
+    // Three of the hall go on trying the store; the fourth tries it once on its own.
+    let town = town(&["hall-a"; 4]);
+    town.store.set_fault(StoreFault::Refuse);
+    eventually("a box that follows others has tried the store", || {
+        let has_probed = |b: &GatewayProcess| !b.lines_of("store_probed").is_empty();
+        town.boxes.iter().any(has_probed)
+    });
+    for number in 0..4 {
+        eventually("the key is refused", || {
+            settled_status(&town, number, KEY) == 503
+        });
+    }
+    town.store.set_fault(StoreFault::None);
+    for number in 0..4 {
+        eventually("the key works again", || {
+            town.is_ready(number) && settled_status(&town, number, KEY) == 200
+        });
+        // Nothing changes meanwhile, so nobody is told of upstreams without asking.
+        let unheard = town.boxes[number].lines_of("upstreams_unheard");
+        assert!(unheard.is_empty(), "{unheard:?}");
+    }
+}
+
 /// Boxes in these halls together make as many calls to the store as one, and all hear of a change.
 fn all_share_one_watch(halls: &[&str]) {
     let town = town(halls);
