A proof told again is no newer one; a wanted answer about upstreams is asked for until it comes

Cause: read once more: times of one proof told by a relay differ by the ways of the questions, so each answer in an outage could look newer by a millisecond, put off the box's own try, and wait for a confirmation in vain. And the new test failed in 1 of 3 and 1 of 2 runs of its whole file: the question about upstreams went to a relay without a source, and was not asked again for 2.5 s (log of all four boxes). Change: a proof is newer from 25 ms on; the wish for upstreams stands until an answer was taken in, and a follower without a source looks again after 0.2 s meanwhile; a try of the store asks for one poll, not two.

--- a/crates/ivyweir-gateway/src/state/proof.rs
+++ b/crates/ivyweir-gateway/src/state/proof.rs
@@ -24,6 +24,11 @@
         lock(&self.proof).asked_at_ms()
     }
 
+    /// Whether a proof of this time is a newer one.
+    pub fn is_proof_older_than(&self, asked_at_ms: i64) -> bool {
+        lock(&self.proof).is_older_than(asked_at_ms)
+    }
+
     /// Age of the proof that the configuration is the newest.
     pub fn proof_age_ms(&self) -> Option<u64> {
         lock(&self.proof).age_ms(self.clock.now_ms())
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -76,8 +76,10 @@
     is_probing: bool,
     /// Polls of the store that were asked of this follower and done.
     polls: u64,
-    /// Answers about upstreams at once that were asked of this follower and given.
-    upstreams_wanted: u64,
+    /// How often an answer about upstreams at once had been asked for when this follower last got one, and
+    /// when it last asked.
+    upstreams_given: u64,
+    upstreams_asked: u64,
     /// Whether another box was asked before.
     is_catching_up: bool,
     /// Whether a loss has not been followed yet by an answer about upstreams.
@@ -97,7 +99,8 @@
             ),
             is_probing: false,
             polls: gateway.store_news.polls(),
-            upstreams_wanted: gateway.store_news.upstreams_wanted(),
+            upstreams_given: gateway.store_news.upstreams_wanted(),
+            upstreams_asked: gateway.store_news.upstreams_wanted(),
             is_catching_up: false,
             gateway,
             topic,
@@ -107,12 +110,16 @@
         }
     }
 
-    /// Whether the configuration's follower waits for an answer about upstreams, and did not when this was
-    /// last asked.
-    fn takes_upstreams_wanted(&mut self) -> bool {
+    /// Whether the configuration's follower waits for an answer about upstreams that this one is to get.
+    fn is_wanted(&self) -> bool {
         let wanted = self.gateway.store_news.upstreams_wanted();
-        let before = std::mem::replace(&mut self.upstreams_wanted, wanted);
-        self.topic == Topic::Upstreams && wanted > before
+        self.topic == Topic::Upstreams && wanted > self.upstreams_given
+    }
+
+    /// Takes in that a question is asked now; returns whether its answer is wanted at once.
+    fn begin_question(&mut self) -> bool {
+        self.upstreams_asked = self.gateway.store_news.upstreams_wanted();
+        self.is_wanted()
     }
 
     /// Hears of changes once; returns where to go on, or none if the topic is to be read anew.
@@ -222,10 +229,14 @@
 
     /// Waits while nobody hears of the topic.
     async fn wait_for_source(&self) {
+        let limit = if self.topic == Topic::Site || self.is_wanted() {
+            LOOK_PAUSE
+        } else {
+            Duration::from_millis(PAUSE_OTHERS_MS)
+        };
         if self.topic == Topic::Site {
-            sleep(LOOK_PAUSE).await;
+            sleep(limit).await;
         } else {
-            let limit = Duration::from_millis(PAUSE_OTHERS_MS);
             self.gateway.histories.until_news(limit).await;
         }
     }
--- a/crates/ivyweir-gateway/src/sync/confirm.rs
+++ b/crates/ivyweir-gateway/src/sync/confirm.rs
@@ -27,6 +27,7 @@
     pub(super) async fn confirmed(&mut self, answered_by: AnsweredBy) -> bool {
         if self.topic != Topic::Site {
             if self.topic == Topic::Upstreams {
+                self.upstreams_given = self.upstreams_asked;
                 self.gateway.store_news.upstreams_heard();
             }
             return false;
@@ -55,7 +56,10 @@
         self.gateway.store_news.want_upstreams();
         if let AnsweredBy::Store = answered_by {
             self.gateway.histories.set_store_answers(true);
-            self.gateway.store_news.ask_poll();
+            // A try of the store on its own has asked for a poll already.
+            if !self.is_probing {
+                self.gateway.store_news.ask_poll();
+            }
         }
         self.gateway.histories.tell();
         matches!(timeout(ANSWER_LIMIT, heard.changed()).await, Ok(Ok(())))
--- a/crates/ivyweir-gateway/src/sync/probe.rs
+++ b/crates/ivyweir-gateway/src/sync/probe.rs
@@ -1,5 +1,6 @@
 //! Trying the store from a box that follows another, where that does not renew the proof.
 
+use ivyweir_policy::gateway::proof::Proof;
 use rand::Rng;
 use serde_json::json;
 
@@ -16,9 +17,9 @@
 
 /// Tries of the store since the proof was last renewed.
 pub(super) struct Probes {
-    /// When the proof was last seen to be newer than before, and what it was then.
+    /// When the proof was last seen to be newer than before, and that one.
     renewed_at_ms: u64,
-    proven_at_ms: Option<i64>,
+    proof: Proof,
     /// Tries since then.
     count: u32,
     /// When the next of them is due.
@@ -32,7 +33,7 @@
     pub fn new(unrenewed_ms: u64, now_ms: u64) -> Self {
         Self {
             renewed_at_ms: now_ms,
-            proven_at_ms: None,
+            proof: Proof::default(),
             count: 0,
             next_at_ms: 0,
             unrenewed_ms,
@@ -41,8 +42,11 @@
 
     /// Takes in the time of the proof; one that is newer ends the tries.
     fn note_proof(&mut self, proven_at_ms: Option<i64>, now_ms: u64) {
-        if proven_at_ms > self.proven_at_ms {
-            self.proven_at_ms = proven_at_ms;
+        let Some(proven_at_ms) = proven_at_ms else {
+            return;
+        };
+        if self.proof.is_older_than(proven_at_ms) {
+            self.proof.renew(proven_at_ms);
             self.renewed_at_ms = now_ms;
             self.count = 0;
         }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -93,9 +93,9 @@
         relay: &BoxRecord,
         asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
-        let is_wanted = self.takes_upstreams_wanted();
+        let is_wanted = self.begin_question();
         let wait_ms = self.box_wait_ms(is_wanted);
-        let wanted = self.upstreams_wanted;
+        let wanted = self.upstreams_asked;
         let path = follow_path(self.topic, since, wait_ms, asker);
         let request = question(relay.peer_addr, &path);
         let client = match &mut self.relay {
@@ -157,8 +157,8 @@
             return;
         }
         // In an outage relays answer with the proof that they had before it: there is nothing to confirm.
-        if proven_at_ms > gateway.proof_at_ms()
-            && let Some(proven_at_ms) = proven_at_ms
+        if let Some(proven_at_ms) = proven_at_ms
+            && gateway.is_proof_older_than(proven_at_ms)
             && self.confirmed(AnsweredBy::Box).await
         {
             gateway.renew_proof(proven_at_ms);
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -39,6 +39,7 @@
 impl Follower {
     /// Lists the topic; returns the revision to watch from.
     pub(super) async fn list(&mut self) -> Result<u64, ()> {
+        self.begin_question();
         let asked_at_ms = self.gateway.clock.now_ms();
         let (entries, revision) = match self.read_pages().await {
             Ok(listing) => listing,
@@ -94,7 +95,7 @@
 
     async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
-        let is_wanted = self.takes_upstreams_wanted();
+        let is_wanted = self.begin_question();
         let wait_ms = self.wait_ms(is_wanted);
         let request = self.gateway.codec.watch(self.topic, since, wait_ms);
         let mut answer = self.call_store(request, wait_ms).await;
--- a/crates/ivyweir-policy/src/gateway/proof.rs
+++ b/crates/ivyweir-policy/src/gateway/proof.rs
@@ -5,6 +5,10 @@
 //! proof dates from when the question was *asked*: what the answer shows held at some time after
 //! that.
 
+/// How far times of one proof differ that another box told again and again: by the ways of the questions.
+/// The store is asked again after 50 ms or more.
+const TOLD_APART_MS: i64 = 25;
+
 /// Keeps the time of the newest proof, in milliseconds of a steady clock. It may lie before the start of
 /// the box's clock: a box that has just started hears of proofs that are older than itself.
 #[derive(Debug, Clone, Copy, Default)]
@@ -23,6 +27,12 @@
         self.asked_at_ms
     }
 
+    /// Whether a proof of this time is another and newer one, not the same told again.
+    pub fn is_older_than(&self, asked_at_ms: i64) -> bool {
+        let known_ms = self.asked_at_ms;
+        known_ms.is_none_or(|known_ms| asked_at_ms > known_ms.saturating_add(TOLD_APART_MS))
+    }
+
     /// Age of the proof; none if there never was one.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         let now_ms = i64::try_from(now_ms).unwrap_or(i64::MAX);
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -343,6 +343,20 @@
     assert_eq!(proof.age_ms(200), Some(600));
 }
 
+#[test]
+fn the_same_proof_told_again_is_not_a_newer_one() {
+    let mut proof = Proof::default();
+    assert!(proof.is_older_than(-400), "there was none");
+    proof.renew(-400);
+    assert!(!proof.is_older_than(-500));
+    assert!(!proof.is_older_than(-400));
+    assert!(
+        !proof.is_older_than(-380),
+        "the way of the question differs"
+    );
+    assert!(proof.is_older_than(-350));
+}
+
 #[test]
 fn a_proof_as_old_as_can_be_told_is_no_proof() {
     let mut proof = Proof::default();
