Following a topic: an answer tells the time of its proof, one way out of a question, boxes joined are looked at once

Cause: read once more, the time of a relay's proof was computed in the middle of taking in its answer; three arms of one select had the same body; a seed that answers a box entered itself and swept its list twice, in the second when all join; the wait for a source chose a limit and a way to wait by two tests of the same topic. Change: FollowAnswer::proven_at_ms; the arms only end the wait; Peers::with_joined in place of two methods; one match in wait_for_source. Values and bounds stay.

--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -42,6 +42,16 @@
     pub proof_age_ms: Option<u64>,
 }
 
+impl FollowAnswer {
+    /// When the proof dates from by the clock of the box that asked at `asked_at_ms`; none if there is none.
+    pub fn proven_at_ms(&self, asked_at_ms: u64, now_ms: u64) -> Option<i64> {
+        let age_ms = i64::try_from(self.proof_age_ms?).unwrap_or(i64::MAX);
+        // The answer came no sooner than it says, so its proof is no older than this.
+        let answered_at_ms = asked_at_ms.saturating_add(self.held_ms).min(now_ms);
+        Some(answered_at_ms.cast_signed().saturating_sub(age_ms))
+    }
+}
+
 /// Answers a box that follows a topic here.
 pub async fn answer(gateway: &Arc<Gateway>, query: Option<&str>) -> Response<AnswerBody> {
     let Some(question) = query.and_then(Question::parse) else {
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -152,11 +152,13 @@
     let now_ms = gateway.clock.now_ms();
     let hall = message.from.hall.clone();
     gateway.peers.take_join(message.from, now_ms);
-    let boxes = gateway.peers.list_for(&hall, now_ms);
+    let (boxes, fleet_size) = gateway.peers.with_joined(now_ms, |joined| {
+        (joined.list_for(&hall, now_ms), joined.count(now_ms))
+    });
     let is_news = digest(&boxes) != message.digest;
     answer::message(&JoinAnswer {
         boxes: is_news.then_some(boxes),
         up_ms: now_ms,
-        fleet_size: gateway.peers.joined_count(now_ms),
+        fleet_size,
     })
 }
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -130,18 +130,11 @@
         }
     }
 
-    /// The list that this box, as a seed, has for a box of this hall.
-    pub fn list_for(&self, hall: &str, now_ms: u64) -> Vec<BoxRecord> {
+    /// Looks at the boxes that joined here, this one among them.
+    pub fn with_joined<T>(&self, now_ms: u64, look: impl FnOnce(&Joined) -> T) -> T {
         let mut joined = lock(&self.joined);
         joined.join(self.me.clone(), now_ms);
-        joined.list_for(hall, now_ms)
-    }
-
-    /// Boxes that joined here lately, this one included.
-    pub fn joined_count(&self, now_ms: u64) -> usize {
-        let mut joined = lock(&self.joined);
-        joined.join(self.me.clone(), now_ms);
-        joined.count(now_ms)
+        look(&joined)
     }
 
     /// Takes in how many boxes joined at a seed.
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -29,7 +29,7 @@
 /// How often a box that starts looks whether it knows the others.
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 /// Longest wait for news after a failed call about anything but the configuration.
-const PAUSE_OTHERS_MS: u64 = 2_500;
+const PAUSE_OTHERS: Duration = Duration::from_millis(2_500);
 /// How long quiet topics are waited for; dead connections are noticed sooner by the kernel.
 const QUIET_WAIT_MS: u64 = 15_000;
 
@@ -217,8 +217,7 @@
     async fn pause(&self) {
         let histories = &self.gateway.histories;
         if self.topic != Topic::Site {
-            let limit = Duration::from_millis(PAUSE_OTHERS_MS);
-            histories.until_news(limit).await;
+            histories.until_news(PAUSE_OTHERS).await;
             return;
         }
         let doublings = self.failures.saturating_sub(1).min(4);
@@ -229,15 +228,11 @@
 
     /// Waits while nobody hears of the topic.
     async fn wait_for_source(&self) {
-        let limit = if self.topic == Topic::Site || self.is_wanted() {
-            LOOK_PAUSE
-        } else {
-            Duration::from_millis(PAUSE_OTHERS_MS)
-        };
-        if self.topic == Topic::Site {
-            sleep(limit).await;
-        } else {
-            self.gateway.histories.until_news(limit).await;
+        let histories = &self.gateway.histories;
+        match self.topic {
+            Topic::Site => sleep(LOOK_PAUSE).await,
+            _ if self.is_wanted() => histories.until_news(LOOK_PAUSE).await,
+            _ => histories.until_news(PAUSE_OTHERS).await,
         }
     }
 }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -106,21 +106,15 @@
             }
         };
         let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
+        let store_news = &self.gateway.store_news;
         tokio::select! {
-            answer = client.call(request, limit) => Ok(answer),
-            () = self.gateway.peers.until_shunned(&relay.name, self.gateway.clock) => {
-                self.relay = None;
-                Err(Failed::Relay)
-            }
-            () = self.gateway.store_news.until_upstreams_wanted(wanted), if self.topic == Topic::Upstreams => {
-                self.relay = None;
-                Err(Failed::Relay)
-            }
-            () = self.gateway.store_news.until_poll_asked(), if self.topic != Topic::Site => {
-                self.relay = None;
-                Err(Failed::Relay)
-            }
+            answer = client.call(request, limit) => return Ok(answer),
+            () = self.gateway.peers.until_shunned(&relay.name, self.gateway.clock) => {}
+            () = store_news.until_upstreams_wanted(wanted), if self.topic == Topic::Upstreams => {}
+            () = store_news.until_poll_asked(), if self.topic != Topic::Site => {}
         }
+        self.relay = None;
+        Err(Failed::Relay)
     }
 
     /// How long a question waits: one about the configuration no longer than until this box is to
@@ -134,24 +128,18 @@
         let now_ms = self.gateway.clock.now_ms();
         let left_ms = self.probes.first_in_ms(now_ms);
         let most_ms = self.gateway.settings.bounds.unrenewed_ms();
-        left_ms.clamp(RELAY_SITE_MIN_WAIT_MS, most_ms.max(RELAY_SITE_MIN_WAIT_MS))
+        left_ms.min(most_ms).max(RELAY_SITE_MIN_WAIT_MS)
     }
 
     /// Takes in an answer, and the proof that comes with it.
     async fn take_in(&mut self, asked_at_ms: u64, answer: FollowAnswer) {
         let gateway = self.gateway.clone();
+        let proven_at_ms = answer.proven_at_ms(asked_at_ms, gateway.clock.now_ms());
         if let Some(items) = answer.whole {
             let entries = items.into_iter().map(Ok).collect();
             adopt_all(&gateway, self.topic, answer.revision, entries);
         }
         adopt_changes(&gateway, self.topic, answer.revision, answer.changes);
-        let proven_at_ms = answer.proof_age_ms.map(|age_ms| {
-            // The relay answered no sooner than it says, so its proof is no older than this.
-            let held_until_ms = asked_at_ms.saturating_add(answer.held_ms);
-            let answered_at_ms = held_until_ms.min(gateway.clock.now_ms());
-            let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
-            answered_at_ms.cast_signed().saturating_sub(age_ms)
-        });
         if self.topic != Topic::Site {
             self.confirmed(AnsweredBy::Box).await;
             return;
