A wanted question about upstreams leaves a box that hears nothing

Cause: the test in KNOWN-RED.txt, traced by a line for each question of all four boxes: after the store's return the pause for the first relay, which still heard nothing, was over; the wanted question about upstreams went there, was sent away, and so was each one after it for 1.5 s, since only the configuration's follower leaves such a box alone, and that was the one which waited.

--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -76,7 +76,9 @@
 
     /// Takes in that the box that was asked does not hear of the store's records itself.
     fn found_sourceless(&self, relay: &BoxRecord) -> Failed {
-        if self.topic != Topic::Site {
+        // The configuration's follower finds another source for all topics, but not while it waits for this
+        // one: its own pause for the box that sends away may be over.
+        if self.topic != Topic::Site && !self.is_wanted() {
             return Failed::NoSource;
         }
         let now_ms = self.gateway.clock.now_ms();
