--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -303,6 +303,27 @@
     });
 }
 
+#[test]
+fn a_box_that_starts_beside_one_that_lost_the_store_gives_no_work_to_upstreams_that_left() {
+    let mut town = Town::start(Path::new(BINARY));
+    let store_addr = town.store.addr().to_string();
+    let path = Gateway::start(&store_addr).expect("a port");
+    town.add_box_behind("hall-a", &path.addr());
+    path.set(Fault::HalfOpen);
+    eventually("the box has lost its proof", || !town.is_ready(0));
+    // The first box does not hear of it, and tells the second of the upstream as it was.
+    town.store.put_upstream(&town.services[0].leaving());
+    for _ in 0..4 {
+        let late = start_late(&mut town);
+        eventually("the key works", || settled_status(&town, late, KEY) == 200);
+        for _ in 0..20 {
+            settled_status(&town, late, KEY);
+        }
+        assert!(town.services[0].seen().is_empty(), "work for one that left");
+        town.boxes[late].kill();
+    }
+}
+
 #[test]
 fn a_box_that_knows_nothing_yet_says_when_to_come_back() {
     let mut town = Town::start(Path::new(BINARY));
