Halls are drained, and a cold upstream gets what it bears from all boxes together

Ruled out: a watch of 15 s for drained halls (a lost answer hides a request for three times the bound); a share of the rate for each box (84 boxes share 8 requests); counting by each box's own view alone (the model test fails for six boxes at rest without the three seconds in which a box that starts owns nothing). Change: a topic of its own, followed where the settings name the bound; the rate of a cold upstream is shared out among halls and boxes by rendezvous; one gate that every send passes just before its first byte. Built together, since both stand in that gate.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -1,6 +1,8 @@
 //! Takes in records that the store, or another box, told of, and keeps them for boxes that follow
 //! here.
 
+use std::collections::HashSet;
+
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState, RolloutTrack};
@@ -28,25 +30,23 @@
         gateway.change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
         return;
     }
-    if topic == Topic::Rollouts && items.len() == listed {
-        withdraw_all_but(gateway, &items);
+    // A record that cannot be read may be one of those that are missing.
+    if items.len() == listed {
+        remove_all_but(gateway, topic, &items);
     }
     items.into_iter().for_each(|item| adopt_item(gateway, item));
 }
 
-/// Forgets roll-outs that a whole listing lacks: they were withdrawn unheard.
-fn withdraw_all_but(gateway: &Gateway, listed: &[Item]) {
-    let is_listed = |pool: &Name| {
-        listed
-            .iter()
-            .any(|item| matches!(item, Item::Rollout(order) if order.pool == *pool))
+/// Forgets roll-outs and drained halls that a whole listing lacks: they were withdrawn unheard.
+fn remove_all_but(gateway: &Gateway, topic: Topic, listed: &[Item]) {
+    let known: Vec<Name> = match topic {
+        Topic::Rollouts => gateway.with_rollouts(|rollouts, _| rollouts.keys().cloned().collect()),
+        Topic::DrainedHalls => gateway.drained_halls(),
+        Topic::Site | Topic::Upstreams => return,
     };
-    let gone: Vec<Name> = gateway.with_rollouts(|rollouts, _| {
-        let pools = rollouts.keys().filter(|pool| !is_listed(pool));
-        pools.cloned().collect()
-    });
-    for pool in gone {
-        remove(gateway, Topic::Rollouts, &pool);
+    let listed: HashSet<&Name> = listed.iter().filter_map(Item::name).collect();
+    for name in known.iter().filter(|name| !listed.contains(name)) {
+        remove(gateway, topic, name);
     }
 }
 
@@ -77,11 +77,12 @@
 fn adopt_item(gateway: &Gateway, item: Item) {
     match item {
         Item::Site(site) => adopt_site(gateway, *site),
-        Item::Upstream(record) => gateway.change_upstream(|fleet, _| {
+        Item::Upstream(record) => gateway.change_upstream(|fleet, now_ms| {
             let id = record.id.clone();
-            vec![(id, fleet.put(record))]
+            vec![(id, fleet.put(record, now_ms))]
         }),
         Item::Rollout(order) => adopt_rollout(gateway, order),
+        Item::DrainedHall(hall) => gateway.drain_hall(hall),
     }
 }
 
@@ -97,6 +98,7 @@
             let detail = json!({"pool": name});
             gateway.log.line("rollout_withdrawn", detail);
         }
+        Topic::DrainedHalls => gateway.undrain_hall(name),
         // A configuration is replaced, never taken away.
         Topic::Site => gateway.log.line("site_removed", json!({"name": name})),
     }
@@ -120,8 +122,14 @@
     });
 }
 
-fn adopt_site(gateway: &Gateway, site: Site) {
+fn adopt_site(gateway: &Gateway, mut site: Site) {
     let (version, routes) = (site.version, site.routes.len());
+    for pool in &mut site.pools {
+        if let Some(start) = pool.cold_start.take_if(|start| !start.is_sane()) {
+            let detail = json!({"pool": pool.name, "requests_per_s": start.requests_per_s});
+            gateway.log.line("cold_rate_ignored", detail);
+        }
+    }
     let adopted = gateway.adopt_site(SiteIndex::from(site));
     let detail = json!({"version": version, "routes": routes, "adopted": adopted});
     gateway.log.line("site_seen", detail);
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -152,6 +152,12 @@
             );
             return Sent::NotRun { arrived: false };
         }
+        if let Err(why) = gateway.begin_send(upstream) {
+            let detail = json!({"upstream": upstream.id, "why": format!("{why:?}")});
+            trace.fail("withheld", detail);
+            count(gateway, job, "withheld");
+            return Sent::NotRun { arrived: false };
+        }
         let forward = forward(gateway, job, upstream, sending, estimate);
         let request = job.request(&*gateway.dialect, &forward);
         let sent_at_ms = gateway.clock.now_ms();
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -110,6 +110,8 @@
     Upstreams,
     /// Roll-outs.
     Rollouts,
+    /// Halls whose upstreams are to get nothing more.
+    DrainedHalls,
 }
 
 impl Topic {
@@ -119,12 +121,18 @@
             Self::Site => "site",
             Self::Upstreams => "upstreams",
             Self::Rollouts => "rollouts",
+            Self::DrainedHalls => "drained_halls",
         }
     }
 
     /// The topic of this name.
     pub fn from_name(name: &str) -> Option<Self> {
-        let all = [Self::Site, Self::Upstreams, Self::Rollouts];
+        let all = [
+            Self::Site,
+            Self::Upstreams,
+            Self::Rollouts,
+            Self::DrainedHalls,
+        ];
         all.into_iter().find(|topic| topic.name() == name)
     }
 }
@@ -139,9 +147,21 @@
     Upstream(UpstreamRecord),
     /// A roll-out.
     Rollout(RolloutOrder),
+    /// A hall whose upstreams are to get nothing more while the record stands.
+    DrainedHall(Name),
 }
 
 impl Item {
+    /// The name of its record, where there may be several of its kind.
+    pub fn name(&self) -> Option<&Name> {
+        match self {
+            Self::Site(_) => None,
+            Self::Upstream(record) => Some(&record.id),
+            Self::Rollout(order) => Some(&order.pool),
+            Self::DrainedHall(hall) => Some(hall),
+        }
+    }
+
     /// The record of an upstream, if it is one.
     pub fn upstream(self) -> Option<UpstreamRecord> {
         match self {
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -118,6 +118,7 @@
         }
         gateway.peers.take_seed_list(seed, answer.boxes, now_ms);
         gateway.peers.set_fleet_size(answer.fleet_size);
+        gateway.peers.note_joined(now_ms);
         Some(answer.up_ms)
     }
 
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -171,8 +171,8 @@
     listeners: Listeners,
     stopped: watch::Receiver<bool>,
 ) -> JoinHandle<()> {
-    for topic in sync::TOPICS {
-        tokio::spawn(sync::follow(gateway.clone(), topic));
+    for topic in gateway.topics() {
+        tokio::spawn(sync::follow(gateway.clone(), *topic));
     }
     tokio::spawn(drive::run(gateway.clone()));
     tokio::spawn(join::keep_joined(gateway.clone()));
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -10,15 +10,17 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::cold::Owners;
 use ivyweir_policy::gateway::hall::{
     BoxRecord, KeptRoot, ShunPauses, Shunned, Source, View, relay_of,
 };
 use ivyweir_policy::gateway::joined::{Joined, SeedLists};
 use ivyweir_policy::gateway::word::{OthersWords, Word};
+use ivyweir_policy::rank::hash64;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -55,11 +57,16 @@
     /// The root that this box hears from, if it is a relay; itself if it is the root.
     root: Mutex<KeptRoot>,
     words: Mutex<OthersWords>,
+    /// The boxes that share what cold upstreams bear.
+    owners: Mutex<Arc<Owners>>,
+    /// When this box last joined at another one.
+    joined_at_ms: AtomicU64,
 }
 
 impl Peers {
     /// This box, and the addresses at which it joins the others.
     pub fn new(me: BoxRecord, seeds: Vec<SocketAddr>) -> Self {
+        let owners = Mutex::new(Arc::new(owners_among(&me, &HashMap::new())));
         let peers = Self {
             me,
             seeds: Mutex::default(),
@@ -74,6 +81,8 @@
             sourceless: Mutex::new(Shunned::new(SOURCELESS_PAUSES)),
             root: Mutex::default(),
             words: Mutex::default(),
+            owners,
+            joined_at_ms: AtomicU64::new(0),
         };
         peers.set_seeds(seeds);
         peers
@@ -154,7 +163,28 @@
         let joined = lock(&self.joined).list_for(&self.me.hall, now_ms);
         others.extend(joined.into_iter().map(|r| (r.name.clone(), r)));
         others.remove(&self.me.name);
-        *lock(&self.others) = others;
+        let owners = owners_among(&self.me, &others);
+        let mut known = lock(&self.others);
+        if *known != others {
+            *lock(&self.owners) = Arc::new(owners);
+            *known = others;
+        }
+    }
+
+    /// The boxes that share what cold upstreams bear, by the boxes known.
+    pub fn owners(&self) -> Arc<Owners> {
+        lock(&self.owners).clone()
+    }
+
+    /// Takes in that this box joined at another one.
+    pub fn note_joined(&self, now_ms: u64) {
+        self.joined_at_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Time since this box last joined at another one; none where it has none to join.
+    pub fn since_joined_ms(&self, now_ms: u64) -> Option<u64> {
+        let joined_at_ms = self.joined_at_ms.load(Ordering::Relaxed);
+        (!self.is_only_seed()).then(|| now_ms.saturating_sub(joined_at_ms))
     }
 
     /// Takes in that the list of boxes is good enough to choose a relay by.
@@ -294,6 +324,18 @@
     }
 }
 
+/// The boxes among which `me` shares what cold upstreams bear.
+fn owners_among(me: &BoxRecord, others: &HashMap<Name, BoxRecord>) -> Owners {
+    let hash = |name: &Name| hash64(&[name.as_bytes()]);
+    let of_hall = others.values().filter(|record| record.hall == me.hall);
+    Owners::new(
+        others.values().map(|record| hash(&record.hall)).collect(),
+        hash(&me.hall),
+        of_hall.map(|record| hash(&record.name)).collect(),
+        hash(&me.name),
+    )
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("invariant: no holder panics")
 }
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -229,7 +229,7 @@
         floor: gateway.settings.policy.confidence_floor,
         model: tries.model,
         models,
-        wait_ms: choose(gateway, job, &[], tries.model)?.mean_work_ms + read_ms,
+        wait_ms: choose(gateway, job, &[], tries.model).ok()?.mean_work_ms + read_ms,
         left_ms: late_at_ms.saturating_sub(gateway.clock.now_ms()) as f64,
     })?;
     may_repeat(gateway, job, tries).then_some(larger)
--- a/crates/ivyweir-gateway/src/refusal.rs
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -26,6 +26,10 @@
     Stopping,
     /// No upstream could take the request; it did not run.
     NoUpstream,
+    /// All upstreams that could take the request are in halls that operators drain.
+    HallsDrained,
+    /// All upstreams that could take the request are cold, and get no more from this box for now.
+    AllCold,
     /// Time ran out before any upstream took the request.
     LateNotRun,
     /// Time ran out while an upstream may have been working.
@@ -42,6 +46,12 @@
 /// of the first answer, and callers honour a third of a second and a half at most.
 const COME_BACK_STARTED_MS: u64 = 480;
 
+/// The same where all halls are drained: operators take that back after seconds at the soonest.
+const COME_BACK_DRAINED_MS: u64 = 1_000;
+/// The same where all upstreams are cold. What one bears is counted by the second; a caller comes back on
+/// another connection, so perhaps at a box that has not used its part.
+const COME_BACK_COLD_MS: u64 = 600;
+
 impl Reason {
     /// The status: 503, 429 and 408 are said only where the request did not run.
     pub fn status(self) -> StatusCode {
@@ -55,6 +65,8 @@
             | Self::Starting
             | Self::Stopping
             | Self::NoUpstream
+            | Self::HallsDrained
+            | Self::AllCold
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
@@ -73,6 +85,8 @@
             Self::Starting => "starting",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no_upstream",
+            Self::HallsDrained => "halls_drained",
+            Self::AllCold => "all_cold",
             Self::LateNotRun => "late_not_run",
             Self::Late => "late",
             Self::AnswerLost => "answer_lost",
@@ -84,6 +98,8 @@
             Self::NotCurrent | Self::Stopping => Some(COME_BACK_ELSEWHERE_MS),
             Self::Starting => Some(COME_BACK_STARTED_MS),
             Self::NoUpstream | Self::LateNotRun => Some(COME_BACK_MS),
+            Self::HallsDrained => Some(COME_BACK_DRAINED_MS),
+            Self::AllCold => Some(COME_BACK_COLD_MS),
             _ => None,
         }
     }
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -142,6 +142,10 @@
     pub revoke_ms: u64,
     /// Time between the order to stop and the end of the process.
     pub stop_grace_s: f64,
+    /// Time after which the upstreams of a hall that is drained get no more work; none where operators drain
+    /// no halls, and boxes do not ask for that.
+    #[serde(default)]
+    pub hall_drain_ms: Option<u64>,
     /// Repeats allowed for each request, over all boxes.
     pub repeat_ratio: f64,
     /// Repeats allowed beyond that, over all boxes.
@@ -165,7 +169,20 @@
 /// follow it hear so before they try the store themselves.
 const ROOT_WATCH: f64 = 0.43;
 
+/// Part of the time for a drained hall's last work for which a watch of drained halls waits. A store that
+/// lost an answer never gives it, so the next watch must hear what that one would have told.
+const HALL_DRAIN_WATCH: f64 = 0.5;
+/// The longest such wait, where operators leave much time.
+const HALL_DRAIN_WATCH_MAX_MS: u64 = 15_000;
+
 impl Bounds {
+    /// How long a watch of drained halls waits.
+    pub fn hall_drain_watch_ms(&self) -> u64 {
+        let bound_ms = self.hall_drain_ms.unwrap_or(HALL_DRAIN_WATCH_MAX_MS);
+        let wait_ms = (bound_ms as f64 * HALL_DRAIN_WATCH) as u64;
+        wait_ms.min(HALL_DRAIN_WATCH_MAX_MS)
+    }
+
     /// Time without a newer proof after which a box tries the store itself, whoever it follows.
     pub fn unrenewed_ms(&self) -> u64 {
         let by_leaving_ms = self.leaving_ms as f64 * UNRENEWED_LEAVING;
@@ -222,6 +239,10 @@
         let positive = [
             ("bounds.leaving_ms", bounds.leaving_ms as f64),
             ("bounds.config_ms", bounds.config_ms as f64),
+            (
+                "bounds.hall_drain_ms",
+                bounds.hall_drain_ms.unwrap_or(1) as f64,
+            ),
             ("bounds.revoke_ms", bounds.revoke_ms as f64),
             ("bounds.stop_grace_s", bounds.stop_grace_s),
             ("bounds.repeat_window_s", bounds.repeat_window_s),
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::{Fleet, FleetChange};
+use ivyweir_policy::gateway::cold;
+use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, UpstreamRecord};
 use ivyweir_policy::gateway::hall::BoxRecord;
 use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
@@ -29,7 +30,7 @@
 use crate::settings::Settings;
 use crate::store_news::StoreNews;
 use crate::sync;
-use crate::upstreams::{Choice, Scope, Target, Upstreams};
+use crate::upstreams::{Choice, ColdRule, Scope, Target, Unplaced, Upstreams, Withheld};
 
 /// Part of the time for a leaving upstream's last work that is left for the way there.
 const LEAVING_MARGIN_MS: u64 = 700;
@@ -131,13 +132,17 @@
                 site.into_iter().collect()
             }
             Topic::Upstreams => {
-                let ready = lock(&self.upstreams).ready();
+                let ready = lock(&self.upstreams).ready(self.clock.now_ms());
                 ready.into_iter().map(Item::Upstream).collect()
             }
             Topic::Rollouts => self.with_rollouts(|rollouts, _| {
                 let orders = rollouts.values().map(|track| track.order().clone());
                 orders.map(Item::Rollout).collect()
             }),
+            Topic::DrainedHalls => {
+                let halls = self.drained_halls().into_iter();
+                halls.map(Item::DrainedHall).collect()
+            }
         }
     }
 
@@ -181,7 +186,16 @@
 
     /// Whether this box knows enough to serve.
     pub fn is_synced(&self) -> bool {
-        lock(&self.synced).len() == sync::TOPICS.len() && lock(&self.site).is_some()
+        lock(&self.synced).len() == self.topics().len() && lock(&self.site).is_some()
+    }
+
+    /// What this box follows; it serves once it has read all of it.
+    pub fn topics(&self) -> &'static [Topic] {
+        if self.settings.bounds.hall_drain_ms.is_some() {
+            &sync::TOPICS
+        } else {
+            &sync::TOPICS_WITHOUT_DRAINS
+        }
     }
 
     /// Begins the stop.
@@ -260,12 +274,64 @@
         }
     }
 
-    /// Chooses an upstream; none where the pool has none left.
-    pub fn choose(&self, scope: &Scope, ask: &Ask) -> Option<Choice> {
+    /// Halls that are drained.
+    pub fn drained_halls(&self) -> Vec<Name> {
+        lock(&self.upstreams).drained_halls()
+    }
+
+    /// Sends nothing more to the upstreams of a hall.
+    pub fn drain_hall(&self, hall: Name) {
+        if lock(&self.upstreams).drain_hall(hall.clone()) {
+            self.log.line("hall_drained", json!({"hall": hall}));
+        }
+    }
+
+    /// Sends to the upstreams of a hall again, as to cold ones.
+    pub fn undrain_hall(&self, hall: &Name) {
+        let now_ms = self.clock.now_ms();
+        let site = self.site();
+        let cold_until_ms = |record: &UpstreamRecord| {
+            let pool = site.as_ref().and_then(|site| site.pool(&record.pool));
+            let start = pool.and_then(|pool| pool.cold_start);
+            start.map_or(0, |start| now_ms.saturating_add(start.lasts_ms))
+        };
+        if lock(&self.upstreams).undrain_hall(hall, cold_until_ms) {
+            self.log.line("hall_undrained", json!({"hall": hall}));
+        }
+    }
+
+    /// Chooses an upstream.
+    ///
+    /// # Errors
+    ///
+    /// When none may take the request now.
+    pub fn choose(&self, scope: &Scope, ask: &Ask) -> Result<Choice, Unplaced> {
         let now_ms = self.clock.now_ms();
+        let rule = self.cold_rule(scope.pool, now_ms);
         let mut upstreams = lock(&self.upstreams);
         let target = self.rollout_target(scope.pool);
-        upstreams.choose(scope, ask, target.as_ref(), now_ms)
+        upstreams.choose(scope, ask, target.as_ref(), rule.as_ref(), now_ms)
+    }
+
+    /// Counts a request that is sent to an upstream now, if it may be.
+    ///
+    /// # Errors
+    ///
+    /// When what has become known of the upstream since it was chosen forbids it.
+    pub fn begin_send(&self, upstream: &UpstreamRecord) -> Result<(), Withheld> {
+        let now_ms = self.clock.now_ms();
+        let rule = self.cold_rule(&upstream.pool, now_ms);
+        lock(&self.upstreams).begin_send(&upstream.id, rule.as_ref(), now_ms)
+    }
+
+    /// What binds sends to cold upstreams of a pool; none where they are never cold.
+    fn cold_rule(&self, pool: &Name, now_ms: u64) -> Option<ColdRule> {
+        let start = self.site()?.pool(pool)?.cold_start?;
+        Some(ColdRule {
+            limit: start.limit(),
+            owners: self.peers.owners(),
+            may_own: cold::may_own(now_ms, self.peers.since_joined_ms(now_ms)),
+        })
     }
 
     /// Changes what is known of an upstream's load.
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -40,7 +40,7 @@
             return false;
         }
         while has_attempt(&self.gateway, &self.job, self.sent) {
-            let Some(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
+            let Ok(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
                 return false;
             };
             let sent = self.send_to(&choice.upstream).await;
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -125,7 +125,7 @@
         match self.topic {
             Topic::Site => {}
             _ if is_wanted => return 0,
-            Topic::Upstreams | Topic::Rollouts => return QUIET_WAIT_MS,
+            Topic::Upstreams | Topic::Rollouts | Topic::DrainedHalls => return QUIET_WAIT_MS,
         }
         let now_ms = self.gateway.clock.now_ms();
         let left_ms = self.probes.first_in_ms(now_ms);
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -192,6 +192,7 @@
             _ if self.is_probing || self.is_catching_up => AFTER_FAILURE_WAIT_MS,
             Topic::Upstreams => UPSTREAMS_WAIT_MS,
             Topic::Rollouts => QUIET_WAIT_MS,
+            Topic::DrainedHalls => self.gateway.settings.bounds.hall_drain_watch_ms(),
             Topic::Site => self.site_wait_ms(),
         }
     }
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -11,7 +11,7 @@
 use crate::log::Trace;
 use crate::refusal::Reason;
 use crate::state::Gateway;
-use crate::upstreams::{Choice, Scope};
+use crate::upstreams::{Choice, Scope, Unplaced};
 
 /// Upstreams that could not be reached, after which a request is refused.
 const MAX_UNREACHED: u32 = 4;
@@ -45,8 +45,9 @@
         if now_ms >= job.deadline_ms {
             return Err(gave_up(tries, Reason::LateNotRun, Reason::Late));
         }
-        let Some(choice) = choose(gateway, job, &tries.tried, tries.model) else {
-            return Err(gave_up(tries, Reason::NoUpstream, Reason::AnswerLost));
+        let choice = match choose(gateway, job, &tries.tried, tries.model) {
+            Ok(choice) => choice,
+            Err(why) => return Err(gave_up(tries, refusal(why), Reason::AnswerLost)),
         };
         trace.step(
             "chosen",
@@ -118,7 +119,16 @@
 }
 
 /// Chooses an upstream for a job: one that was not tried, or else any but the last that was.
-pub fn choose(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> Option<Choice> {
+///
+/// # Errors
+///
+/// When none may take it now.
+pub fn choose(
+    gateway: &Gateway,
+    job: &Job,
+    tried: &[Name],
+    model: usize,
+) -> Result<Choice, Unplaced> {
     let ask = job.ask(model, estimate(gateway, job, model), &gateway.settings);
     let among = |tried: &[Name]| {
         let scope = Scope {
@@ -128,7 +138,16 @@
         };
         gateway.choose(&scope, &ask)
     };
-    among(tried).or_else(|| among(tried.last().map_or(&[], std::slice::from_ref)))
+    among(tried).or_else(|_| among(tried.last().map_or(&[], std::slice::from_ref)))
+}
+
+/// The refusal of a request that no upstream takes.
+fn refusal(why: Unplaced) -> Reason {
+    match why {
+        Unplaced::Nobody => Reason::NoUpstream,
+        Unplaced::HallsDrained => Reason::HallsDrained,
+        Unplaced::AllCold => Reason::AllCold,
+    }
 }
 
 /// The reason to give up with, by whether the request may have run.
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-gateway/src/upstreams.rs
@@ -1,10 +1,11 @@
 //! The upstreams as a box sees them: which there are, how busy they are, and which may serve.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::{Fleet, Standing, UpstreamRecord};
+use ivyweir_policy::gateway::cold::{Owners, RecentSends};
+use ivyweir_policy::gateway::fleet::{Fleet, Member, Standing, UpstreamRecord};
 use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use ivyweir_policy::gateway::rollout::{RolloutState, Side};
 use ivyweir_policy::gateway::word::Work;
@@ -17,12 +18,57 @@
     loads: HashMap<Name, Known>,
     /// The version of each pool that serves what no roll-out moves.
     settled: HashMap<Name, Name>,
+    /// Halls whose upstreams get nothing.
+    drained_halls: BTreeSet<Name>,
 }
 
 #[derive(Debug)]
 struct Known {
     load: UpstreamLoad,
     id_hash: u64,
+    sends: RecentSends,
+}
+
+impl Known {
+    /// Whether this box's part of what the upstream bears while it is cold is not used up.
+    fn bears_one(&self, rule: &ColdRule, now_ms: u64) -> bool {
+        let part = rule.owners.own_part(self.id_hash, rule.limit);
+        rule.may_own && self.sends.count(now_ms) < part
+    }
+}
+
+/// What binds sends to the cold upstreams of a pool.
+#[derive(Debug, Clone)]
+pub struct ColdRule {
+    /// Requests that one of them may get within a second, over all boxes.
+    pub limit: u32,
+    /// The boxes that share them.
+    pub owners: Arc<Owners>,
+    /// Whether this box may own a part now.
+    pub may_own: bool,
+}
+
+/// Why no upstream takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unplaced {
+    /// None is left.
+    Nobody,
+    /// All that are left are in drained halls.
+    HallsDrained,
+    /// All that are left are cold and have got this box's part of what they bear.
+    AllCold,
+}
+
+/// Why a request is not sent to the upstream that was chosen for it: what was known of that has changed
+/// since.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withheld {
+    /// It left.
+    Gone,
+    /// Its hall is drained.
+    HallDrained,
+    /// It is cold and has got this box's part of what it bears.
+    Cold,
 }
 
 /// An upstream that was chosen, and why.
@@ -63,6 +109,58 @@
 }
 
 impl Upstreams {
+    /// Drains a hall; returns whether it was not drained before.
+    pub fn drain_hall(&mut self, hall: Name) -> bool {
+        self.drained_halls.insert(hall)
+    }
+
+    /// Ends the drain of a hall; returns whether it was drained. Its upstreams may have turned cold
+    /// meanwhile, so each is taken to be cold until `cold_until_ms`.
+    pub fn undrain_hall(
+        &mut self,
+        hall: &Name,
+        cold_until_ms: impl Fn(&UpstreamRecord) -> u64,
+    ) -> bool {
+        let was_drained = self.drained_halls.remove(hall);
+        if was_drained {
+            self.fleet.assume_cold(hall, cold_until_ms);
+        }
+        was_drained
+    }
+
+    /// Halls that are drained.
+    pub fn drained_halls(&self) -> Vec<Name> {
+        self.drained_halls.iter().cloned().collect()
+    }
+
+    /// Counts a request that is sent to an upstream now, if it may be.
+    ///
+    /// # Errors
+    ///
+    /// When the upstream has left, its hall is drained, or it is cold and has got its part.
+    pub fn begin_send(
+        &mut self,
+        id: &Name,
+        rule: Option<&ColdRule>,
+        now_ms: u64,
+    ) -> Result<(), Withheld> {
+        let member = self.fleet.member(id).ok_or(Withheld::Gone)?;
+        if self.drained_halls.contains(&member.record.hall) {
+            return Err(Withheld::HallDrained);
+        }
+        let Some(rule) = rule else {
+            return Ok(());
+        };
+        let is_cold = member.cold_for_ms(now_ms) > 0;
+        let known = self.known(id);
+        if is_cold && !known.bears_one(rule, now_ms) {
+            return Err(Withheld::Cold);
+        }
+        // Counted while it is warm too: it may turn cold within the second.
+        known.sends.note(now_ms);
+        Ok(())
+    }
+
     /// The upstreams themselves.
     pub fn fleet(&mut self) -> &mut Fleet {
         &mut self.fleet
@@ -79,10 +177,15 @@
     }
 
     /// Records of upstreams that take work.
-    pub fn ready(&self) -> Vec<UpstreamRecord> {
+    pub fn ready(&self, now_ms: u64) -> Vec<UpstreamRecord> {
         let members = self.fleet.members();
         let ready = members.filter(|m| m.standing == Standing::Ready);
-        ready.map(|m| (*m.record).clone()).collect()
+        ready
+            .map(|m| UpstreamRecord {
+                cold_remaining_ms: m.cold_for_ms(now_ms),
+                ..(*m.record).clone()
+            })
+            .collect()
     }
 
     /// Work of this box's own requests, where there is some.
@@ -109,21 +212,33 @@
         (forgotten, left)
     }
 
-    /// Chooses an upstream; none where the pool has none left.
+    /// Chooses an upstream.
+    ///
+    /// # Errors
+    ///
+    /// When none may take the request now.
     pub fn choose(
         &mut self,
         scope: &Scope,
         ask: &Ask,
         target: Option<&Target>,
+        rule: Option<&ColdRule>,
         now_ms: u64,
-    ) -> Option<Choice> {
-        let usable = self.usable(scope, target).into_iter();
-        let records: Vec<Arc<UpstreamRecord>> = usable
-            .filter(|record| !scope.tried.contains(&record.id))
-            .collect();
+    ) -> Result<Choice, Unplaced> {
+        let mut records = self.usable(scope, target);
+        if records.is_empty() {
+            return Err(self.why_unusable(scope.pool));
+        }
+        records.retain(|record| !scope.tried.contains(&record.id));
+        if records.is_empty() {
+            return Err(Unplaced::Nobody);
+        }
+        if let Some(rule) = rule {
+            records.retain(|record| self.bears_one(&record.id, rule, now_ms));
+        }
         let candidates: Vec<Candidate> = records.iter().map(|r| self.candidate(r)).collect();
-        let chosen = place::choose(&candidates, ask, now_ms)?;
-        Some(Choice {
+        let chosen = place::choose(&candidates, ask, now_ms).ok_or(Unplaced::AllCold)?;
+        Ok(Choice {
             upstream: records[chosen].clone(),
             mean_work_ms: place::mean_work_ms(&candidates, now_ms),
             candidates: candidates.len(),
@@ -138,11 +253,31 @@
         members.map(|m| m.record.id.clone()).collect()
     }
 
+    /// Whether an upstream bears one more request of this box now, as far as it is cold.
+    fn bears_one(&mut self, id: &Name, rule: &ColdRule, now_ms: u64) -> bool {
+        let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
+        !self.fleet.member(id).is_some_and(is_cold) || self.known(id).bears_one(rule, now_ms)
+    }
+
+    /// Why a pool has no upstream that may serve.
+    fn why_unusable(&self, pool: &Name) -> Unplaced {
+        let mut of_pool = self.fleet.members().filter(|m| m.record.pool == *pool);
+        if of_pool.any(|m| self.drained_halls.contains(&m.record.hall)) {
+            Unplaced::HallsDrained
+        } else {
+            Unplaced::Nobody
+        }
+    }
+
     /// Upstreams of the versions that may serve, whether they were tried or not.
     fn usable(&mut self, scope: &Scope, target: Option<&Target>) -> Vec<Arc<UpstreamRecord>> {
         let settled = self.settled_version(scope.pool, target);
-        let of_version = |version: &Name| self.fleet.usable(scope.pool, |v| v == &**version);
-        let is_target = |v: &str| target.is_some_and(|t| v == &*t.version);
+        let is_open = |record: &UpstreamRecord| !self.drained_halls.contains(&record.hall);
+        let of_version = |version: &Name| {
+            let may_serve = |r: &UpstreamRecord| r.version == *version && is_open(r);
+            self.fleet.usable(scope.pool, may_serve)
+        };
+        let is_target = |r: &UpstreamRecord| target.is_some_and(|t| r.version == t.version);
         if scope.side == Some(Side::New)
             && let Some(target) = target
         {
@@ -158,8 +293,9 @@
             }
         }
         let completed = target.is_some_and(|t| t.state == RolloutState::Completed);
-        self.fleet
-            .usable(scope.pool, |v| completed || !is_target(v))
+        self.fleet.usable(scope.pool, |record| {
+            (completed || !is_target(record)) && is_open(record)
+        })
     }
 
     /// The version that serves what no roll-out moves: the first seen, until a roll-out completes.
@@ -192,6 +328,7 @@
         self.loads.entry(id.clone()).or_insert_with(|| Known {
             load: UpstreamLoad::default(),
             id_hash: hash64(&[id.as_bytes()]),
+            sends: RecentSends::default(),
         })
     }
 
--- a/crates/ivyweir-gateway/tests/bounds.rs
+++ b/crates/ivyweir-gateway/tests/bounds.rs
@@ -3,6 +3,7 @@
 use ivyweir_gateway::Bounds;
 
 const BOUNDS: Bounds = Bounds {
+    hall_drain_ms: None,
     leaving_ms: 2_000,
     config_ms: 2_000,
     revoke_ms: 5_000,
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -28,6 +28,9 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub is_leaving: bool,
+    /// Time for which it is still cold.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
 }
 
 /// How far an upstream may be used.
@@ -49,6 +52,18 @@
     pub record: Arc<UpstreamRecord>,
     /// How far it may be used.
     pub standing: Standing,
+    /// Until when it is cold by its record, counted from when that was heard.
+    cold_until_ms: u64,
+    /// Until when it is taken to be cold whatever its record says.
+    assumed_cold_until_ms: u64,
+}
+
+impl Member {
+    /// Time for which it is still cold; 0 where it is not.
+    pub fn cold_for_ms(&self, now_ms: u64) -> u64 {
+        let until_ms = self.cold_until_ms.max(self.assumed_cold_until_ms);
+        until_ms.saturating_sub(now_ms)
+    }
 }
 
 /// What a record changed.
@@ -76,15 +91,18 @@
 
 impl Fleet {
     /// Takes in a record.
-    pub fn put(&mut self, record: UpstreamRecord) -> FleetChange {
+    pub fn put(&mut self, record: UpstreamRecord, now_ms: u64) -> FleetChange {
         if record.is_leaving {
             return self.leave(&record.id);
         }
         if self.left.contains(&record.id) {
             return FleetChange::Nothing;
         }
-        let before = self.members.get(&record.id).map(|m| m.standing);
+        let known = self.members.get(&record.id);
+        let before = known.map(|m| m.standing);
         let member = Member {
+            cold_until_ms: now_ms.saturating_add(record.cold_remaining_ms),
+            assumed_cold_until_ms: known.map_or(0, |m| m.assumed_cold_until_ms),
             record: Arc::new(record),
             standing: Standing::Ready,
         };
@@ -96,6 +114,20 @@
         }
     }
 
+    /// Takes upstreams of a hall to be cold until then, whatever their records say: they may have turned
+    /// cold since.
+    pub fn assume_cold(&mut self, hall: &str, until_ms: impl Fn(&UpstreamRecord) -> u64) {
+        let in_hall = self.members.values_mut();
+        for member in in_hall.filter(|m| &*m.record.hall == hall) {
+            member.assumed_cold_until_ms = until_ms(&member.record);
+        }
+    }
+
+    /// The member of this id.
+    pub fn member(&self, id: &str) -> Option<&Member> {
+        self.members.get(id)
+    }
+
     /// Takes in that a record is gone.
     pub fn lapse(&mut self, id: &str, now_ms: u64) -> FleetChange {
         match self.members.get_mut(id) {
@@ -142,7 +174,7 @@
         }
         for record in records {
             let id = record.id.clone();
-            changes.push((id, self.put(record)));
+            changes.push((id, self.put(record, now_ms)));
         }
         changes.retain(|(_, change)| *change != FleetChange::Nothing);
         changes
@@ -172,13 +204,13 @@
     pub fn usable(
         &self,
         pool: &str,
-        version_ok: impl Fn(&str) -> bool,
+        may_serve: impl Fn(&UpstreamRecord) -> bool,
     ) -> Vec<Arc<UpstreamRecord>> {
         let of_standing = |ready: bool| -> Vec<Arc<UpstreamRecord>> {
             let members = self.members.values();
             members
                 .filter(|m| (m.standing == Standing::Ready) == ready)
-                .filter(|m| &*m.record.pool == pool && version_ok(&m.record.version))
+                .filter(|m| &*m.record.pool == pool && may_serve(&m.record))
                 .map(|m| m.record.clone())
                 .collect()
         };
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! Each type is plain data that is handed the time; the gateway's I/O lives in `ivyweir-gateway`.
 
 pub mod cascade;
+pub mod cold;
 pub mod fleet;
 pub mod hall;
 pub mod joined;
--- a/crates/ivyweir-policy/src/gateway/site.rs
+++ b/crates/ivyweir-policy/src/gateway/site.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::cold::ColdStart;
 
 /// What may be done with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,7 +94,7 @@
 }
 
 /// A group of upstreams that serve the same.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PoolSpec {
     /// Its name.
     pub name: Name,
@@ -101,6 +102,9 @@
     pub max_connections: u32,
     /// Whether its upstreams are model engines.
     pub is_engine: bool,
+    /// How its upstreams are cold after their start, if they are.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Bounds on what callers send.
@@ -128,7 +132,7 @@
 }
 
 /// One version of the whole configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Site {
     /// Grows with every version.
     pub version: u64,
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -112,6 +112,7 @@
         version: "v1".into(),
         slots: 8,
         is_leaving: false,
+        cold_remaining_ms: 0,
     }
 }
 
@@ -135,30 +136,30 @@
 #[test]
 fn an_upstream_that_left_never_comes_back() {
     let mut fleet = Fleet::default();
-    fleet.put(record("u1", "a"));
-    assert_eq!(fleet.put(leaving("u1")), FleetChange::Leaving);
-    assert_eq!(fleet.put(record("u1", "a")), FleetChange::Nothing);
+    fleet.put(record("u1", "a"), 0);
+    assert_eq!(fleet.put(leaving("u1"), 0), FleetChange::Leaving);
+    assert_eq!(fleet.put(record("u1", "a"), 0), FleetChange::Nothing);
     assert!(usable(&fleet).is_empty());
 }
 
 #[test]
 fn a_lapsed_upstream_is_used_only_where_no_other_is_left() {
     let mut fleet = Fleet::default();
-    fleet.put(record("u1", "a"));
-    fleet.put(record("u2", "a"));
+    fleet.put(record("u1", "a"), 0);
+    fleet.put(record("u2", "a"), 0);
     fleet.lapse("u1", 100);
     assert_eq!(usable(&fleet), ["u2".into()]);
     fleet.lapse("u2", 200);
     assert_eq!(usable(&fleet), ["u1".into(), "u2".into()]);
     fleet.forget_lapsed(1_000, 1_150);
     assert_eq!(usable(&fleet), ["u2".into()]);
-    assert_eq!(fleet.put(record("u2", "a")), FleetChange::Returned);
+    assert_eq!(fleet.put(record("u2", "a"), 0), FleetChange::Returned);
 }
 
 #[test]
 fn a_listing_lapses_what_it_lacks() {
     let mut fleet = Fleet::default();
-    fleet.put(record("u1", "a"));
+    fleet.put(record("u1", "a"), 0);
     let changes = fleet.replace(vec![record("u2", "a"), leaving("u3")], 5);
     let expected = [
         ("u1".into(), FleetChange::Lapsed),
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -57,6 +57,7 @@
         "machine": {"memory_mb": 110, "max_fds": 4100}, "policy": spec.policy,
         "bounds": {
             "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
+            "hall_drain_ms": 5000,
             "repeat_ratio": 0.9, "repeat_slack": 58, "repeat_window_s": 10
         }
     })
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -115,6 +115,20 @@
         self.remove(Topic::Upstreams, id);
     }
 
+    /// Asks that the upstreams of a hall get nothing more.
+    pub fn drain_hall(&self, hall: &str) {
+        self.put(
+            Topic::DrainedHalls,
+            hall.into(),
+            Item::DrainedHall(hall.into()),
+        );
+    }
+
+    /// Takes that back.
+    pub fn undrain_hall(&self, hall: &str) {
+        self.remove(Topic::DrainedHalls, &Name::from(hall));
+    }
+
     /// Orders a roll-out.
     pub fn order_rollout(&self, pool: &str, target_version: &str, duration_ms: u64) {
         let order = RolloutOrder {
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -158,6 +158,7 @@
         version: version.into(),
         slots: 8,
         is_leaving: false,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -187,6 +187,7 @@
         name: name.into(),
         max_connections: 100,
         is_engine,
+        cold_start: None,
     };
     Site {
         version,
