300 boxes: whole lists are passed on by boxes that have them, one sum of work for a hall

Its words grew with the square of the hall. Ruled out by reckoning: listing the store by each box, a tree of relays for all topics, subsets of upstreams (docs/design/shifted-work.md). Change: copies go three at a time and on from box to box; a relay tells one sum of work, of which each box takes its own off; words each 250 ms up to 30 boxes a hall; boxes that start together wait longer for each other; upstreams that join at once have one line in the log.

--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -1,9 +1,12 @@
 //! Answers boxes that follow a topic here: this box is their hall's relay, or the root.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::{Response, StatusCode};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::copies::Giver;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -27,13 +30,19 @@
 /// another root, which asks the store for all of it too.
 const FIRST_ANSWER_MS: u64 = 600;
 
+/// Pause before it is looked again for a box that gives all records of a topic.
+const COPY_PAUSE_MS: u64 = 40;
+/// Records, or routes of a configuration, up to which all of them are given to whoever asks: 75 boxes get
+/// as many over a link of 10 Mbit/s in half a second.
+const BULK_INLINE: usize = 256;
+
 /// What changed behind a revision.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct FollowAnswer {
     /// The store's revision up to which this holds.
     pub revision: u64,
     /// All records, for who is too far behind.
-    pub whole: Option<Vec<Item>>,
+    pub whole: Option<Whole>,
     /// Changes in order.
     pub changes: Vec<PassedChange>,
     /// Time between the question and this answer.
@@ -42,6 +51,16 @@
     pub proof_age_ms: Option<u64>,
 }
 
+/// All records of a topic.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Whole {
+    /// The records.
+    Here(Vec<Item>),
+    /// Another box gives them: this one gives them to several boxes already.
+    At(SocketAddr),
+}
+
 impl FollowAnswer {
     /// When the proof dates from by the clock of the box that asked at `asked_at_ms`; none if there is none.
     pub fn proven_at_ms(&self, asked_at_ms: u64, now_ms: u64) -> Option<i64> {
@@ -60,6 +79,7 @@
     let asked_at_ms = gateway.clock.now_ms();
     let histories = &gateway.histories;
     histories.asked(asked_at_ms);
+    histories.note_copy(question.topic, question.since, &question.from);
     let until_ms = asked_at_ms + question.wait_ms;
     let mut news = histories.news();
     let proof_at_ms = gateway.proof_at_ms();
@@ -72,9 +92,13 @@
                 let renewed = question.topic == Topic::Site && gateway.proof_at_ms() > proof_at_ms;
                 if behind.is_some() || renewed || now_ms >= until_ms {
                     let held_ms = now_ms - asked_at_ms;
-                    return message(&follow_answer(gateway, &question, behind, held_ms));
+                    match follow_answer(gateway, &question, behind, held_ms) {
+                        Some(answer) => return message(&answer),
+                        None => now_ms + COPY_PAUSE_MS,
+                    }
+                } else {
+                    until_ms
                 }
-                until_ms
             }
             Err(NoSource::AtAll) => return bare(StatusCode::SERVICE_UNAVAILABLE),
             Err(why @ (NoSource::ForNow | NoSource::NotYet)) => {
@@ -100,74 +124,92 @@
     match question.asker {
         _ if why == NoSource::NotYet && question.since == 0 => FIRST_ANSWER_MS,
         Asker::Follower => SOURCE_CHANGE_MS,
-        Asker::Relay => ROOT_CHANGE_MS,
+        Asker::Relay | Asker::Copier => ROOT_CHANGE_MS,
     }
 }
 
-/// The answer to a question about a topic.
+/// The answer to a question about a topic; none where all records are to be given and nobody can give them
+/// now.
 fn follow_answer(
     gateway: &Gateway,
     question: &Question,
     behind: Option<Behind>,
     held_ms: u64,
-) -> FollowAnswer {
+) -> Option<FollowAnswer> {
     let (revision, whole, changes) = match behind {
         None => (question.since, None, Vec::new()),
-        Some(Behind::Whole(revision)) => {
-            let items = gateway.items(question.topic);
-            (revision, Some(items), Vec::new())
-        }
+        Some(Behind::Whole(revision)) => (revision, Some(whole(gateway, question)?), Vec::new()),
         Some(Behind::Changes(revision, changes)) => (revision, None, changes),
     };
-    FollowAnswer {
+    Some(FollowAnswer {
         revision,
         whole,
         changes,
         held_ms,
         proof_age_ms: gateway.proof_age_ms(),
+    })
+}
+
+/// All records of a topic, or who gives them; none where nobody can now.
+fn whole(gateway: &Gateway, question: &Question) -> Option<Whole> {
+    let here = || Whole::Here(gateway.items(question.topic));
+    if question.asker != Asker::Follower || gateway.bulk(question.topic) <= BULK_INLINE {
+        return Some(here());
+    }
+    let now_ms = gateway.clock.now_ms();
+    let copies = &gateway.histories;
+    match copies.give_copy(question.topic, &question.from, now_ms) {
+        Giver::Asked => Some(here()),
+        // A box that is not known here any more gives nothing.
+        Giver::Other(name) => Some(gateway.peers.addr_of(&name).map_or_else(here, Whole::At)),
+        Giver::Later => None,
     }
 }
 
 /// What a box asks for.
 struct Question {
     topic: Topic,
+    from: Name,
     asker: Asker,
     since: u64,
     wait_ms: u64,
 }
 
 impl Question {
-    /// Reads `topic=NAME&since=REVISION&wait_ms=N&asker=relay`, or another asker.
+    /// Reads `topic=NAME&since=REVISION&wait_ms=N&asker=relay&from=NAME`, or another asker.
     fn parse(query: &str) -> Option<Self> {
         let field = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
         let wait_ms: u64 = field("wait_ms")?.parse().ok()?;
-        let is_relay = field("asker") == Some(RELAY);
+        let asker = match field("asker") {
+            Some(RELAY) => Asker::Relay,
+            Some(COPIER) => Asker::Copier,
+            _ => Asker::Follower,
+        };
         Some(Self {
             topic: Topic::from_name(field("topic")?)?,
-            asker: if is_relay {
-                Asker::Relay
-            } else {
-                Asker::Follower
-            },
+            from: field("from")?.into(),
+            asker,
             since: field("since")?.parse().ok()?,
             wait_ms: wait_ms.min(MAX_WAIT_MS),
         })
     }
 }
 
-/// How a relay names itself in a question.
+/// How a box names itself in a question, by what it is to the box that it asks.
 const RELAY: &str = "relay";
 const FOLLOWER: &str = "follower";
+const COPIER: &str = "copier";
 
-/// The path and query at which a topic is followed.
-pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker) -> String {
+/// The path and query at which the box `from` follows a topic.
+pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker, from: &str) -> String {
     let topic = topic.name();
     let asker = match asker {
         Asker::Relay => RELAY,
         Asker::Follower => FOLLOWER,
+        Asker::Copier => COPIER,
     };
-    format!("{FOLLOW_PATH}?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}")
+    format!("{FOLLOW_PATH}?topic={topic}&since={since}&wait_ms={wait_ms}&asker={asker}&from={from}")
 }
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::copies::{Copies, Giver};
 use ivyweir_policy::gateway::hall::Source;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -71,6 +72,8 @@
     Follower,
     /// A relay, of the root.
     Relay,
+    /// A box that was sent here for all records of a topic.
+    Copier,
 }
 
 /// What a box that asks does not know yet.
@@ -112,6 +115,8 @@
     /// When a box last asked here.
     asked_at_ms: AtomicU64,
     news: watch::Sender<u64>,
+    /// Who gives whole copies to whom.
+    copies: Mutex<HashMap<Topic, Copies>>,
 }
 
 impl Histories {
@@ -123,6 +128,8 @@
         history.floor = revision;
         history.changes.clear();
         drop(topics);
+        // Copies of what was known before do not reach up to here.
+        self.copies().remove(&topic);
         self.tell();
     }
 
@@ -199,6 +206,26 @@
         asked_at_ms > 0 && now_ms < asked_at_ms + FOLLOWED_MS
     }
 
+    /// Finds who gives a box its copy of a topic's records.
+    pub fn give_copy(&self, topic: Topic, asker: &Name, now_ms: u64) -> Giver {
+        self.copies().entry(topic).or_default().ask(asker, now_ms)
+    }
+
+    /// Takes in that a box knows a topic up to `since`: it may have got its copy.
+    pub fn note_copy(&self, topic: Topic, since: u64, name: &Name) {
+        let floor = self.topics().get(&topic).map_or(0, |history| history.floor);
+        if since > 0
+            && since >= floor
+            && let Some(copies) = self.copies().get_mut(&topic)
+        {
+            copies.got(name);
+        }
+    }
+
+    fn copies(&self) -> MutexGuard<'_, HashMap<Topic, Copies>> {
+        self.copies.lock().expect("invariant: no holder panics")
+    }
+
     /// Wakes who waits: something changed, or the proof is newer.
     pub fn tell(&self) {
         self.news.send_modify(|count| *count += 1);
@@ -235,6 +262,9 @@
         let history = topics.get(&topic).ok_or(NoSource::ForNow)?;
         // Who knows nothing yet is better off with what was last heard; its proof tells the age.
         let knows_nothing = since == 0 && history.floor > 0;
+        if asker == Asker::Copier && !knows_nothing {
+            return Err(NoSource::AtAll);
+        }
         if !knows_nothing {
             self.check_source(history.from, asker)?;
         }
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -19,7 +19,8 @@
     BoxRecord, KeptRoot, ShunPauses, Shunned, Source, View, relay_of,
 };
 use ivyweir_policy::gateway::joined::{Joined, SeedLists};
-use ivyweir_policy::gateway::word::{OthersWords, Word};
+use ivyweir_policy::gateway::verdict::Tally;
+use ivyweir_policy::gateway::word::{OthersWords, Word, Work};
 use ivyweir_policy::rank::hash64;
 use tokio::sync::watch;
 
@@ -36,6 +37,13 @@
     most_ms: 3_000,
 };
 
+/// A sum of all boxes' work, and when it was made.
+#[derive(Debug)]
+struct WorkSum {
+    work: Work,
+    at_ms: u64,
+}
+
 /// What a box knows of others.
 #[derive(Debug)]
 pub struct Peers {
@@ -57,6 +65,8 @@
     /// The root that this box hears from, if it is a relay; itself if it is the root.
     root: Mutex<KeptRoot>,
     words: Mutex<OthersWords>,
+    /// The sum of all boxes' work that was told last.
+    work_sum: Mutex<Option<WorkSum>>,
     /// The boxes that share what cold upstreams bear.
     owners: Mutex<Arc<Owners>>,
     /// When this box last joined at another one.
@@ -81,6 +91,7 @@
             sourceless: Mutex::new(Shunned::new(SOURCELESS_PAUSES)),
             root: Mutex::default(),
             words: Mutex::default(),
+            work_sum: Mutex::default(),
             owners,
             joined_at_ms: AtomicU64::new(0),
         };
@@ -316,6 +327,39 @@
         lock(&self.words).sum_except(except, now_ms)
     }
 
+    /// The work of all boxes, as far as it was told; `own` is this box's. A sum that is younger than
+    /// `max_age_ms` is told again.
+    pub fn work_sum(&self, max_age_ms: u64, now_ms: u64, own: impl FnOnce() -> Work) -> Work {
+        let mut known = lock(&self.work_sum);
+        if let Some(sum) = known.as_ref().filter(|sum| now_ms < sum.at_ms + max_age_ms) {
+            return sum.work.clone();
+        }
+        let mut work = lock(&self.words).work(now_ms);
+        for (upstream, work_ms) in own() {
+            *work.entry(upstream).or_default() += work_ms;
+        }
+        *known = Some(WorkSum {
+            work: work.clone(),
+            at_ms: now_ms,
+        });
+        work
+    }
+
+    /// The counts that boxes other than `except` told lately.
+    pub fn tallies_except(&self, except: &str, now_ms: u64) -> HashMap<Name, Tally> {
+        lock(&self.words).tallies_except(except, now_ms)
+    }
+
+    /// Boxes of this hall, this one included, as far as is known.
+    pub fn hall_size(&self) -> usize {
+        self.owners().hall_size()
+    }
+
+    /// Where a box listens for others.
+    pub fn addr_of(&self, name: &Name) -> Option<SocketAddr> {
+        lock(&self.others).get(name).map(|record| record.peer_addr)
+    }
+
     /// Whether a box is of this hall, as far as is known.
     pub fn is_of_hall(&self, name: &str, hall: &str) -> bool {
         lock(&self.others)
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -35,6 +35,9 @@
 /// Part of the time for a leaving upstream's last work that is left for the way there.
 const LEAVING_MARGIN_MS: u64 = 700;
 
+/// Upstreams that joined at once up to which each has a line in the log.
+const JOINED_LOGGED: usize = 20;
+
 /// A box's state; every part has its own lock, and none is held across a wait.
 pub struct Gateway {
     /// The settings it started with.
@@ -146,6 +149,15 @@
         }
     }
 
+    /// How many records a topic has, about; of a configuration, how many routes.
+    pub fn bulk(&self, topic: Topic) -> usize {
+        match topic {
+            Topic::Site => self.site().map_or(0, |site| site.site().routes.len()),
+            Topic::Upstreams => lock(&self.upstreams).fleet().len(),
+            Topic::Rollouts | Topic::DrainedHalls => 0,
+        }
+    }
+
     /// What this box has to tell others.
     pub fn own_word(&self) -> Word {
         let tallies = self.with_rollouts(|rollouts, _| {
@@ -251,8 +263,17 @@
         let mut upstreams = lock(&self.upstreams);
         let changes = change(upstreams.fleet(), now_ms);
         drop(upstreams);
+        // A box that starts hears of all upstreams at once.
+        let joined = changes.iter().filter(|(_, c)| *c == FleetChange::Joined);
+        let joined = joined.count();
+        let is_told_in_all = joined > JOINED_LOGGED;
+        if is_told_in_all {
+            self.log
+                .line("upstreams_joined", json!({"upstreams": joined}));
+        }
         for (id, change) in changes {
-            if change != FleetChange::Nothing {
+            let is_told = is_told_in_all && change == FleetChange::Joined;
+            if change != FleetChange::Nothing && !is_told {
                 let detail = json!({"upstream": id, "change": format!("{change:?}")});
                 self.log.line("upstream_changed", detail);
             }
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -1,5 +1,6 @@
 //! Following a topic at another box: the hall's relay, or the root.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -11,15 +12,20 @@
 use crate::adopt::{adopt_all, adopt_changes};
 use crate::box_call::{BoxCallError, question, read_answer};
 use crate::client::{Answer, CallError, Client};
-use crate::dialect::Topic;
-use crate::follow::{FollowAnswer, follow_path};
+use crate::dialect::{Item, Topic};
+use crate::follow::{FollowAnswer, Whole, follow_path};
 use crate::history::Asker;
 
 /// Shortest wait of a question about the configuration; the relay answers as soon as its own proof
 /// is renewed.
 const RELAY_SITE_MIN_WAIT_MS: u64 = 250;
+/// How long a box without a proof waits for the relay's next one.
+const FIRST_PROOF_WAIT_MS: u64 = 100;
 /// Time for a relay to answer, beyond the wait.
 const RELAY_ANSWER_LIMIT_MS: u64 = 500;
+/// The same for all records of a topic, and while boxes start together: a list of 3,000 upstreams passes a link of 10 Mbit/s in 0.1 s, and
+/// several boxes may get theirs at a time.
+const COPY_LIMIT_MS: u64 = 2_000;
 /// Age of the proof from which the relay is taken to have lost the store.
 const RELAY_PROOF_MAX_MS: u64 = 2_700;
 
@@ -41,8 +47,10 @@
             Err(error) => return Err(self.found_silent(&relay, &error)),
         };
         self.failures = 0;
-        let revision = answer.revision.max(since);
-        self.take_in(asked_at_ms, answer).await;
+        let revision = match self.take_in(since, asked_at_ms, answer).await {
+            Ok(revision) => revision,
+            Err(error) => return Err(self.found_no_copy(&error)),
+        };
         self.gateway.set_synced(self.topic);
         if self.topic == Topic::Site {
             self.judge_source(&relay);
@@ -98,7 +106,8 @@
         let is_wanted = self.begin_question();
         let wait_ms = self.box_wait_ms(is_wanted);
         let wanted = self.upstreams_asked;
-        let path = follow_path(self.topic, since, wait_ms, asker);
+        let me = &self.gateway.settings.box_name;
+        let path = follow_path(self.topic, since, wait_ms, asker, me);
         let request = question(relay.peer_addr, &path);
         let client = match &mut self.relay {
             Some((known, client)) if known == relay => client,
@@ -107,7 +116,12 @@
                 &mut other.insert((relay.clone(), client)).1
             }
         };
-        let limit = Duration::from_millis(wait_ms + RELAY_ANSWER_LIMIT_MS);
+        let limit_ms = if since == 0 || self.gateway.peers.is_young() {
+            COPY_LIMIT_MS
+        } else {
+            RELAY_ANSWER_LIMIT_MS
+        };
+        let limit = Duration::from_millis(wait_ms + limit_ms);
         let store_news = &self.gateway.store_news;
         tokio::select! {
             answer = client.call(request, limit) => return Ok(answer),
@@ -123,6 +137,8 @@
     /// try the store, and not at all where an answer is wanted at once.
     fn box_wait_ms(&self, is_wanted: bool) -> u64 {
         match self.topic {
+            // A box that has copied the configuration elsewhere needs only the proof.
+            Topic::Site if self.gateway.proof_at_ms().is_none() => return FIRST_PROOF_WAIT_MS,
             Topic::Site => {}
             _ if is_wanted => return 0,
             Topic::Upstreams | Topic::Rollouts | Topic::DrainedHalls => return QUIET_WAIT_MS,
@@ -133,25 +149,65 @@
         left_ms.min(most_ms).max(RELAY_SITE_MIN_WAIT_MS)
     }
 
-    /// Takes in an answer, and the proof that comes with it.
-    async fn take_in(&mut self, asked_at_ms: u64, answer: FollowAnswer) {
+    /// Takes in an answer, and the proof that comes with it; returns where to go on.
+    async fn take_in(
+        &mut self,
+        since: u64,
+        asked_at_ms: u64,
+        answer: FollowAnswer,
+    ) -> Result<u64, BoxCallError> {
         let gateway = self.gateway.clone();
         let proven_at_ms = answer.proven_at_ms(asked_at_ms, gateway.clock.now_ms());
-        if let Some(items) = answer.whole {
-            let entries = items.into_iter().map(Ok).collect();
-            adopt_all(&gateway, self.topic, answer.revision, entries);
+        let mut revision = answer.revision.max(since);
+        match answer.whole {
+            Some(Whole::Here(items)) => self.adopt_copy(answer.revision, items),
+            Some(Whole::At(giver)) => revision = self.copy_from(giver).await?,
+            None => {}
         }
-        adopt_changes(&gateway, self.topic, answer.revision, answer.changes);
+        adopt_changes(&gateway, self.topic, revision, answer.changes);
         if self.topic != Topic::Site {
             self.confirmed(AnsweredBy::Box).await;
-            return;
+            return Ok(revision);
         }
-        // In an outage relays answer with the proof that they had before it: there is nothing to confirm.
+        // In an outage relays answer with the proof that they had before it: there is nothing to confirm. And the
+        // proof is of what the relay knows, which the box that gave a copy may not know yet.
         if let Some(proven_at_ms) = proven_at_ms
+            && revision >= answer.revision
             && gateway.is_proof_older_than(proven_at_ms)
             && self.confirmed(AnsweredBy::Box).await
         {
             gateway.renew_proof(proven_at_ms);
         }
+        Ok(revision)
+    }
+
+    /// Gets all records from a box that has them; returns their revision.
+    async fn copy_from(&self, giver: SocketAddr) -> Result<u64, BoxCallError> {
+        let me = &self.gateway.settings.box_name;
+        let path = follow_path(self.topic, 0, 0, Asker::Copier, me);
+        let limit = Duration::from_millis(COPY_LIMIT_MS);
+        let answer = Client::new(giver).call(question(giver, &path), limit).await;
+        let answer = read_answer::<FollowAnswer>(answer)?;
+        if let Some(Whole::Here(items)) = answer.whole {
+            let detail = json!({
+                "topic": self.topic.name(), "giver": giver, "revision": answer.revision,
+                "records": items.len(),
+            });
+            self.gateway.log.line("records_copied", detail);
+            self.adopt_copy(answer.revision, items);
+        }
+        Ok(answer.revision)
+    }
+
+    fn adopt_copy(&self, revision: u64, items: Vec<Item>) {
+        let entries = items.into_iter().map(Ok).collect();
+        adopt_all(&self.gateway, self.topic, revision, entries);
+    }
+
+    /// Takes in that the box that was to give all records did not; the relay names another one.
+    fn found_no_copy(&self, error: &BoxCallError) -> Failed {
+        let detail = json!({"topic": self.topic.name(), "error": error.to_string()});
+        self.gateway.log.line("copy_failed", detail);
+        Failed::Relay
     }
 }
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-gateway/src/upstreams.rs
@@ -188,18 +188,25 @@
             .collect()
     }
 
-    /// Work of this box's own requests, where there is some.
+    /// Work of this box's own requests, where there is some, in whole milliseconds: their digits are most of
+    /// what boxes tell each other.
     pub fn own_work(&self) -> Work {
         let loads = self.loads.iter();
-        let own = loads.map(|(id, known)| (id.clone(), known.load.own_work_ms()));
-        own.filter(|(_, work_ms)| *work_ms > 0.0).collect()
+        let own = loads.map(|(id, known)| (id, known.load.own_work_ms().round()));
+        let some = own.filter(|(_, work_ms)| *work_ms > 0.0);
+        some.map(|(id, work_ms)| (id.clone(), work_ms)).collect()
     }
 
     /// Takes in other boxes' work.
     pub fn take_others_work(&mut self, work: &Work, now_ms: u64) {
-        for id in self.ids() {
-            let work_ms = work.get(&id).copied().unwrap_or(0.0);
-            self.load(&id).others(work_ms, now_ms);
+        for (id, known) in &mut self.loads {
+            let work_ms = work.get(id).copied().unwrap_or(0.0);
+            known.load.others(work_ms, now_ms);
+        }
+        for (id, work_ms) in work {
+            if !self.loads.contains_key(id) && self.fleet.member(id).is_some() {
+                self.load(id).others(*work_ms, now_ms);
+            }
         }
     }
 
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -1,4 +1,7 @@
 //! What boxes tell each other, a few times a second: their words.
+//!
+//! A relay tells all boxes of its hall the same sum of work, theirs included, and each takes its own off:
+//! a sum for each of 75 boxes took the square of their number.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,8 +10,9 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
-use ivyweir_policy::gateway::word::{Word, WordMessage};
+use ivyweir_policy::gateway::word::{Word, WordMessage, Work, add_tallies, without};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -20,30 +24,56 @@
 /// Where boxes tell their word.
 pub const WORD_PATH: &str = "/peer/word";
 /// How often boxes tell each other; requests come and go within some hundred milliseconds.
-const WORD_ROUND: Duration = Duration::from_millis(250);
+const WORD_ROUND_MS: u64 = 250;
+/// Boxes of a hall up to which they keep to that. At 75 boxes the words of a hall at rest were 135 KB a
+/// second at its relay.
+const WORD_ROUND_BOXES: u64 = 30;
+/// The longest round: what is told counts for twice as long.
+const WORD_ROUND_MAX_MS: u64 = 600;
+/// Age up to which a relay tells the same sum of work again.
+const WORK_SUM_MAX_AGE_MS: u64 = 100;
 /// Time for another box to answer.
 const WORD_ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// The same while boxes start together. Relays then pass on whole lists, and seeds answer everybody: the answers
+/// of 75 boxes that share a link of 10 Mbit/s waited for 0.5 s.
+const WORD_START_LIMIT: Duration = Duration::from_millis(1_500);
 /// Largest message between boxes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
 /// Tells other boxes this box's word and takes in theirs, for the life of the process.
 pub async fn exchange(gateway: Arc<Gateway>) {
     let mut clients: HashMap<SocketAddr, Client> = HashMap::new();
+    // The relay's sum holds what it was told the last time.
+    let mut last_told = Work::new();
     loop {
-        sleep(WORD_ROUND).await;
+        sleep(round_of(gateway.peers.hall_size() as u64)).await;
         let now_ms = gateway.clock.now_ms();
-        match gateway.peers.relay(&gateway.settings.hall, now_ms) {
+        let mut word = match gateway.peers.relay(&gateway.settings.hall, now_ms) {
             Some(relay) => {
-                let message = own_message(&gateway, false, gateway.own_word());
+                let own = gateway.own_word();
+                let told = std::mem::replace(&mut last_told, own.work.clone());
+                let message = own_message(&gateway, false, own);
                 tell(&gateway, &mut clients, &relay, &message).await;
+                let mut word = others_word(&gateway, |_| false);
+                word.work = without(word.work, &told);
+                word
             }
-            None => tell_other_halls(&gateway, &mut clients).await,
-        }
-        let word = others_word(&gateway, |_| false);
+            None => {
+                tell_other_halls(&gateway, &mut clients).await;
+                others_word(&gateway, |_| false)
+            }
+        };
+        word.work.retain(|_, work_ms| *work_ms > 0.0);
         gateway.take_others_word(word);
     }
 }
 
+/// Time between a box's words, by the number of boxes in its hall.
+fn round_of(boxes: u64) -> Duration {
+    let round_ms = WORD_ROUND_MS * boxes.max(WORD_ROUND_BOXES) / WORD_ROUND_BOXES;
+    Duration::from_millis(round_ms.min(WORD_ROUND_MAX_MS))
+}
+
 /// Tells relays of other halls this hall's word.
 async fn tell_other_halls(gateway: &Gateway, clients: &mut HashMap<SocketAddr, Client>) {
     let own_hall = &gateway.settings.hall;
@@ -73,7 +103,12 @@
     let client = clients
         .entry(to.peer_addr)
         .or_insert_with(|| Client::new(to.peer_addr));
-    let answer = box_call::post::<WordMessage>(client, WORD_PATH, message, WORD_ANSWER_LIMIT).await;
+    let limit = if gateway.peers.is_young() {
+        WORD_START_LIMIT
+    } else {
+        WORD_ANSWER_LIMIT
+    };
+    let answer = box_call::post::<WordMessage>(client, WORD_PATH, message, limit).await;
     let now_ms = gateway.clock.now_ms();
     match answer {
         Ok(answer) => {
@@ -117,6 +152,17 @@
     word
 }
 
+/// What a box of this hall is told: all work, its own included, and the counts of all others.
+fn word_for(gateway: &Gateway, asker: &Name, now_ms: u64) -> Word {
+    let own = gateway.own_word();
+    let work = gateway
+        .peers
+        .work_sum(WORK_SUM_MAX_AGE_MS, now_ms, || own.work);
+    let mut tallies = gateway.peers.tallies_except(asker, now_ms);
+    add_tallies(&mut tallies, &own.tallies);
+    Word { work, tallies }
+}
+
 /// This box's message.
 fn own_message(gateway: &Gateway, for_hall: bool, word: Word) -> WordMessage {
     WordMessage {
@@ -138,9 +184,7 @@
     let word = if message.for_hall {
         hall_word(gateway)
     } else {
-        let mut word = others_word(gateway, |from| *from == *message.from);
-        word.add(&gateway.own_word());
-        word
+        word_for(gateway, &message.from, now_ms)
     };
     let for_hall = message.for_hall;
     take_message(gateway, message, now_ms);
--- a/crates/ivyweir-policy/src/gateway/cold.rs
+++ b/crates/ivyweir-policy/src/gateway/cold.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Boxes of this hall.
+    pub fn hall_size(&self) -> usize {
+        self.boxes.len()
+    }
+
     /// This box's part of an upstream's `limit`.
     pub fn own_part(&self, upstream: u64, limit: u32) -> u32 {
         let of_hall = part_of(limit, &self.halls, self.own_hall, upstream);
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -222,6 +222,16 @@
         }
     }
 
+    /// Number of members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there is no member.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// All members.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cascade;
 pub mod cold;
+pub mod copies;
 pub mod fleet;
 pub mod hall;
 pub mod joined;
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -246,7 +246,14 @@
 
 /// The `count` of `among` with the highest scores, highest first.
 fn highest(among: &[usize], count: usize, score: impl Fn(usize) -> u64) -> Vec<usize> {
-    let mut scored: Vec<(u64, usize)> = among.iter().map(|&i| (score(i), i)).collect();
-    scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.into_iter().take(count).map(|(_, i)| i).collect()
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+    for &i in among {
+        let scored = (score(i), i);
+        let at = best.partition_point(|better| *better > scored);
+        if at < count {
+            best.insert(at, scored);
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, i)| i).collect()
 }
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -28,10 +28,25 @@
         for (upstream, work) in &more.work {
             *self.work.entry(upstream.clone()).or_default() += work;
         }
-        for (pool, tally) in &more.tallies {
-            add_tally(self.tallies.entry(pool.clone()).or_default(), tally);
+        add_tallies(&mut self.tallies, &more.tallies);
+    }
+}
+
+/// Adds counts of several pools to others.
+pub fn add_tallies(to: &mut HashMap<Name, Tally>, more: &HashMap<Name, Tally>) {
+    for (pool, tally) in more {
+        add_tally(to.entry(pool.clone()).or_default(), tally);
+    }
+}
+
+/// Takes work that a box told itself off the work of all.
+pub fn without(mut all: Work, own: &Work) -> Work {
+    for (upstream, own_ms) in own {
+        if let Some(work_ms) = all.get_mut(upstream) {
+            *work_ms = (*work_ms - own_ms).max(0.0);
         }
     }
+    all
 }
 
 /// What a box was told by others, by who told it.
@@ -60,6 +75,29 @@
             .retain(|_, told| told.at_ms + TOLD_MAX_AGE_MS > now_ms);
     }
 
+    /// The work that others told lately.
+    pub fn work(&self, now_ms: u64) -> Work {
+        let mut sum = Work::new();
+        let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
+        for told in self.told.values().filter(fresh) {
+            for (upstream, work_ms) in &told.word.work {
+                *sum.entry(upstream.clone()).or_default() += work_ms;
+            }
+        }
+        sum
+    }
+
+    /// The counts that others than `except` told lately.
+    pub fn tallies_except(&self, except: &str, now_ms: u64) -> HashMap<Name, Tally> {
+        let mut sum = HashMap::new();
+        let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
+        let told = self.told.iter().filter(|(from, _)| &***from != except);
+        for told in told.map(|(_, told)| told).filter(fresh) {
+            add_tallies(&mut sum, &told.word.tallies);
+        }
+        sum
+    }
+
     /// The sum of what others than `except` told lately.
     pub fn sum_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Word {
         let mut sum = Word::default();
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_copies.rs
@@ -0,0 +1,117 @@
+//! Who gives whole copies of a topic to whom, and the work that boxes tell each other.
+
+use std::collections::HashMap;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::copies::{Copies, Giver};
+use ivyweir_policy::gateway::word::{OthersWords, Word, Work, without};
+
+fn name(n: usize) -> Name {
+    format!("box-{n}").into()
+}
+
+/// Rounds until all of so many boxes have their copy, where a copy takes one round; and the most that one box
+/// gives at a time.
+fn rounds(boxes: usize) -> (usize, usize) {
+    let mut copies = Copies::default();
+    let mut waiting: Vec<usize> = (0..boxes).collect();
+    let mut most = 0;
+    for round in 0..boxes {
+        if waiting.is_empty() {
+            return (round, most);
+        }
+        let mut given: HashMap<Option<Name>, usize> = HashMap::new();
+        let mut got = Vec::new();
+        waiting.retain(|&n| {
+            let giver = match copies.ask(&name(n), 200 * round as u64) {
+                Giver::Asked => None,
+                Giver::Other(giver) => Some(giver),
+                Giver::Later => return true,
+            };
+            *given.entry(giver).or_default() += 1;
+            got.push(n);
+            false
+        });
+        most = most.max(given.values().copied().max().unwrap_or(0));
+        got.iter().for_each(|&n| copies.got(&name(n)));
+    }
+    (boxes, most)
+}
+
+macro_rules! halls {
+    ($($name:ident: $boxes:expr => $rounds:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (rounds, most) = rounds($boxes);
+            assert_eq!(rounds, $rounds);
+            assert!(most <= 3, "{most} at a time");
+        }
+    )*};
+}
+
+halls! {
+    three_boxes_get_theirs_at_once: 3 => 1;
+    a_hall_of_21_needs_three_rounds: 21 => 3;
+    a_hall_of_75_needs_four_rounds: 75 => 4;
+    a_hall_of_300_needs_five_rounds: 300 => 5;
+}
+
+#[test]
+fn a_box_that_gave_none_is_not_named_again() {
+    let mut copies = Copies::default();
+    for n in 0..3 {
+        assert_eq!(copies.ask(&name(n), 0), Giver::Asked);
+    }
+    copies.got(&name(0));
+    for n in 3..4 {
+        assert_eq!(copies.ask(&name(n), 10), Giver::Asked);
+    }
+    assert_eq!(copies.ask(&name(4), 20), Giver::Other(name(0)));
+    // It asks again, so it got nothing there.
+    assert_eq!(copies.ask(&name(4), 30), Giver::Later);
+}
+
+#[test]
+fn a_copy_that_is_not_confirmed_holds_its_place_for_a_while_only() {
+    let mut copies = Copies::default();
+    for n in 0..3 {
+        assert_eq!(copies.ask(&name(n), 0), Giver::Asked);
+    }
+    assert_eq!(copies.ask(&name(3), 1_000), Giver::Later);
+    assert_eq!(copies.ask(&name(3), 1_600), Giver::Asked);
+}
+
+#[test]
+fn a_box_that_had_its_copy_and_lacks_it_again_gives_none() {
+    let mut copies = Copies::default();
+    assert_eq!(copies.ask(&name(0), 0), Giver::Asked);
+    copies.got(&name(0));
+    for n in 1..4 {
+        assert_eq!(copies.ask(&name(n), 10), Giver::Asked);
+    }
+    assert_eq!(copies.ask(&name(0), 20), Giver::Later);
+}
+
+fn work(of: &[(&str, f64)]) -> Work {
+    of.iter().map(|(id, ms)| ((*id).into(), *ms)).collect()
+}
+
+#[test]
+fn a_box_takes_its_own_work_off_the_sum() {
+    let sum = work(&[("u1", 30.0), ("u2", 5.0)]);
+    let others = without(sum, &work(&[("u1", 10.0), ("u2", 7.0), ("u3", 1.0)]));
+    assert_eq!(others, work(&[("u1", 20.0), ("u2", 0.0)]));
+}
+
+#[test]
+fn a_sum_of_work_holds_what_all_told_lately() {
+    let mut words = OthersWords::default();
+    for (n, at_ms) in [(0, 0), (1, 1_000), (2, 1_500)] {
+        let word = Word {
+            work: work(&[("u1", 10.0)]),
+            ..Word::default()
+        };
+        words.put(&name(n), word, at_ms);
+    }
+    assert_eq!(words.work(1_600), work(&[("u1", 20.0)]));
+}
