A box that starts renews its proof only once it has heard of upstreams from one that hears the store

Cause: a box that starts takes all records from any box, also from one that lost the store; its own question about the configuration then renewed the proof, though its upstreams were as that box had last heard of them. One that had left in between got work (a rule: DRAIN). Ruled out: load alone; beside 6 busy processes 0 of 12 runs of the test fail, the window opens when the whole file runs. Change: an answer about upstreams counts as heard only from the store or from a box whose proof is young, and the proof waits for the first of them. Figures: the test, beside 16 busy processes with its whole file: 3 of 6 runs failed before, 0 of 6 after; alone 0 of 10 and 0 of 20.

--- a/crates/ivyweir-gateway/src/store_news.rs
+++ b/crates/ivyweir-gateway/src/store_news.rs
@@ -22,11 +22,16 @@
         until_next(&self.losses).await;
     }
 
-    /// Takes in that an answer about upstreams was adopted.
+    /// Takes in that an answer about upstreams was adopted, from the store or a box that hears it.
     pub fn upstreams_heard(&self) {
         self.upstreams_heard.send_modify(|count| *count += 1);
     }
 
+    /// Whether one was adopted since this box started.
+    pub fn are_upstreams_heard(&self) -> bool {
+        *self.upstreams_heard.borrow() > 0
+    }
+
     /// Tells from now on of each answer about upstreams that was adopted.
     pub fn upstreams(&self) -> watch::Receiver<u64> {
         self.upstreams_heard.subscribe()
--- a/crates/ivyweir-gateway/src/sync/confirm.rs
+++ b/crates/ivyweir-gateway/src/sync/confirm.rs
@@ -16,23 +16,34 @@
     /// The store.
     Store,
     /// Another box.
-    Box,
+    Box {
+        /// Whether that box hears of the store's records itself, by the age of its proof.
+        hears: bool,
+    },
+}
+
+impl AnsweredBy {
+    /// Whether the answer shows what the store holds now.
+    fn is_current(self) -> bool {
+        matches!(self, Self::Store | Self::Box { hears: true })
+    }
 }
 
 impl Follower {
     /// Follows the adoption of an answer; returns whether it may renew the proof.
     ///
-    /// After a loss it may only once the upstreams were heard of too: those that left meanwhile
-    /// must get no work from a box that is current otherwise.
+    /// After a start or a loss it may only once the upstreams were heard of too, from the store or a box that
+    /// hears it: those that left meanwhile must get no work from a box that is current otherwise.
     pub(super) async fn confirmed(&mut self, answered_by: AnsweredBy) -> bool {
         if self.topic != Topic::Site {
-            if self.topic == Topic::Upstreams {
+            if self.topic == Topic::Upstreams && answered_by.is_current() {
                 self.upstreams_given = self.upstreams_asked;
                 self.gateway.store_news.upstreams_heard();
             }
             return false;
         }
-        if !self.is_unconfirmed {
+        // A box that has just started may know upstreams only from one that lost the store.
+        if !self.is_unconfirmed && self.gateway.store_news.are_upstreams_heard() {
             return true;
         }
         let heard = self.until_upstreams_heard(answered_by).await;
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -158,6 +158,9 @@
     ) -> Result<u64, BoxCallError> {
         let gateway = self.gateway.clone();
         let proven_at_ms = answer.proven_at_ms(asked_at_ms, gateway.clock.now_ms());
+        let is_proven = answer
+            .proof_age_ms
+            .is_some_and(|age_ms| age_ms <= RELAY_PROOF_MAX_MS);
         let mut revision = answer.revision.max(since);
         match answer.whole {
             Some(Whole::Here(items)) => self.adopt_copy(answer.revision, items),
@@ -165,8 +168,11 @@
             None => {}
         }
         adopt_changes(&gateway, self.topic, revision, answer.changes);
+        let answered_by = AnsweredBy::Box {
+            hears: is_proven && revision >= answer.revision,
+        };
         if self.topic != Topic::Site {
-            self.confirmed(AnsweredBy::Box).await;
+            self.confirmed(answered_by).await;
             return Ok(revision);
         }
         // In an outage relays answer with the proof that they had before it: there is nothing to confirm. And the
@@ -174,7 +180,7 @@
         if let Some(proven_at_ms) = proven_at_ms
             && revision >= answer.revision
             && gateway.is_proof_older_than(proven_at_ms)
-            && self.confirmed(AnsweredBy::Box).await
+            && self.confirmed(answered_by).await
         {
             gateway.renew_proof(proven_at_ms);
         }
