A box that has used its part of the repeats goes on while the fleet has room

Change: boxes tell each other requests and repeats of the window; one that has used its own part goes on while the fleet is under 0.6 of its bound, by counts told within 1.5 s.

--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -20,7 +20,7 @@
 };
 use ivyweir_policy::gateway::joined::{Joined, SeedLists};
 use ivyweir_policy::gateway::verdict::Tally;
-use ivyweir_policy::gateway::word::{OthersWords, Word, Work};
+use ivyweir_policy::gateway::word::{OthersWords, Repeats, Word, Work, add_repeats, add_work};
 use ivyweir_policy::rank::hash64;
 use tokio::sync::watch;
 
@@ -37,10 +37,11 @@
     most_ms: 3_000,
 };
 
-/// A sum of all boxes' work, and when it was made.
+/// A sum of all boxes' work and repeats, and when it was made.
 #[derive(Debug)]
-struct WorkSum {
+struct FleetSum {
     work: Work,
+    repeats: Repeats,
     at_ms: u64,
 }
 
@@ -65,8 +66,8 @@
     /// The root that this box hears from, if it is a relay; itself if it is the root.
     root: Mutex<KeptRoot>,
     words: Mutex<OthersWords>,
-    /// The sum of all boxes' work that was told last.
-    work_sum: Mutex<Option<WorkSum>>,
+    /// The sum of all boxes' words that was told last.
+    fleet_sum: Mutex<Option<FleetSum>>,
     /// The boxes that share what cold upstreams bear.
     owners: Mutex<Arc<Owners>>,
     /// When this box last joined at another one.
@@ -91,7 +92,7 @@
             sourceless: Mutex::new(Shunned::new(SOURCELESS_PAUSES)),
             root: Mutex::default(),
             words: Mutex::default(),
-            work_sum: Mutex::default(),
+            fleet_sum: Mutex::default(),
             owners,
             joined_at_ms: AtomicU64::new(0),
         };
@@ -327,22 +328,22 @@
         lock(&self.words).sum_except(except, now_ms)
     }
 
-    /// The work of all boxes, as far as it was told; `own` is this box's. A sum that is younger than
-    /// `max_age_ms` is told again.
-    pub fn work_sum(&self, max_age_ms: u64, now_ms: u64, own: impl FnOnce() -> Work) -> Work {
-        let mut known = lock(&self.work_sum);
+    /// The work and the repeats of all boxes, as far as they were told; `own` is this box's word. A sum
+    /// that is younger than `max_age_ms` is told again.
+    pub fn fleet_sum(&self, max_age_ms: u64, now_ms: u64, own: &Word) -> (Work, Repeats) {
+        let mut known = lock(&self.fleet_sum);
         if let Some(sum) = known.as_ref().filter(|sum| now_ms < sum.at_ms + max_age_ms) {
-            return sum.work.clone();
+            return (sum.work.clone(), sum.repeats.clone());
         }
-        let mut work = lock(&self.words).work(now_ms);
-        for (upstream, work_ms) in own() {
-            *work.entry(upstream).or_default() += work_ms;
-        }
-        *known = Some(WorkSum {
+        let (mut work, mut repeats) = lock(&self.words).work_and_repeats(now_ms);
+        add_work(&mut work, &own.work);
+        add_repeats(&mut repeats, &own.repeats);
+        *known = Some(FleetSum {
             work: work.clone(),
+            repeats: repeats.clone(),
             at_ms: now_ms,
         });
-        work
+        (work, repeats)
     }
 
     /// The counts that boxes other than `except` told lately.
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -200,6 +200,7 @@
         RepeatLimits {
             ratio: self.repeat_ratio * REPEAT_RATIO_USED,
             slack: self.repeat_slack / boxes.max(REPEAT_SLACK_BOXES) as f64,
+            fleet_slack: self.repeat_slack,
             window_ms: (self.repeat_window_s * 1_000.0) as u64,
         }
     }
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -13,10 +13,10 @@
 use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::{Ask, UpstreamLoad};
 use ivyweir_policy::gateway::proof::Proof;
-use ivyweir_policy::gateway::repeat::{RepeatBudget, RepeatLimits};
+use ivyweir_policy::gateway::repeat::{FleetCounts, RepeatBudget, RepeatCounts, RepeatLimits};
 use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
-use ivyweir_policy::gateway::word::Word;
+use ivyweir_policy::gateway::word::{Repeats, Word};
 use serde_json::json;
 
 use crate::channel::Channels;
@@ -65,6 +65,8 @@
     upstreams: Mutex<Upstreams>,
     rollouts: Mutex<HashMap<Name, RolloutTrack>>,
     budgets: Mutex<HashMap<Name, RepeatBudget>>,
+    /// What all boxes counted of repeats, by pool.
+    fleet_repeats: Mutex<HashMap<Name, FleetCounts>>,
     paces: Mutex<HashMap<Name, ReadingPace>>,
     synced: Mutex<Vec<Topic>>,
     stopping_since_ms: AtomicU64,
@@ -103,6 +105,7 @@
             upstreams: Mutex::default(),
             rollouts: Mutex::default(),
             budgets: Mutex::default(),
+            fleet_repeats: Mutex::default(),
             paces: Mutex::default(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
@@ -166,11 +169,31 @@
             tallies.collect()
         });
         let work = lock(&self.upstreams).own_work();
-        Word { work, tallies }
+        Word {
+            work,
+            tallies,
+            repeats: self.own_repeats(),
+        }
+    }
+
+    /// This box's own requests and repeats of the last seconds.
+    fn own_repeats(&self) -> Repeats {
+        let limits = self.repeat_limits();
+        let now_ms = self.clock.now_ms();
+        let mut budgets = lock(&self.budgets);
+        let counts = budgets.iter_mut();
+        let counts = counts.map(|(pool, budget)| (pool.clone(), budget.counts(&limits, now_ms)));
+        counts
+            .filter(|(_, counts)| *counts != RepeatCounts::default())
+            .collect()
     }
 
-    /// Takes in what others told.
+    /// Takes in what others told; `word.repeats` counts for all boxes.
     pub fn take_others_word(&self, word: Word) {
+        let told_at_ms = self.clock.now_ms();
+        let fleet = word.repeats.into_iter();
+        let fleet = fleet.map(|(pool, counts)| (pool, FleetCounts { counts, told_at_ms }));
+        *lock(&self.fleet_repeats) = fleet.collect();
         for (pool, tally) in word.tallies {
             let condemned = self.with_rollouts(|rollouts, now_ms| {
                 let track = rollouts.get_mut(&pool)?;
@@ -385,9 +408,10 @@
     /// Takes a repeat out of the pool's budget, if there is one.
     pub fn take_repeat(&self, pool: &Name) -> bool {
         let limits = self.repeat_limits();
+        let fleet = lock(&self.fleet_repeats).get(pool).copied();
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(pool.clone()).or_default();
-        budget.take(&limits, self.clock.now_ms())
+        budget.take(&limits, fleet.as_ref(), self.clock.now_ms())
     }
 
     /// This box's part of the bounds on repeats, by the number of boxes known.
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
-use ivyweir_policy::gateway::word::{Word, WordMessage, Work, add_tallies, without};
+use ivyweir_policy::gateway::word::{Word, WordMessage, Work, add_repeats, add_tallies, without};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -30,8 +30,8 @@
 const WORD_ROUND_BOXES: u64 = 30;
 /// The longest round: what is told counts for twice as long.
 const WORD_ROUND_MAX_MS: u64 = 600;
-/// Age up to which a relay tells the same sum of work again.
-const WORK_SUM_MAX_AGE_MS: u64 = 100;
+/// Age up to which a relay tells the same sum of all boxes' words again.
+const FLEET_SUM_MAX_AGE_MS: u64 = 100;
 /// Time for another box to answer.
 const WORD_ANSWER_LIMIT: Duration = Duration::from_millis(400);
 /// The same while boxes start together. Relays then pass on whole lists, and seeds answer everybody: the answers
@@ -60,7 +60,9 @@
             }
             None => {
                 tell_other_halls(&gateway, &mut clients).await;
-                others_word(&gateway, |_| false)
+                let mut word = others_word(&gateway, |_| false);
+                add_repeats(&mut word.repeats, &gateway.own_word().repeats);
+                word
             }
         };
         word.work.retain(|_, work_ms| *work_ms > 0.0);
@@ -152,15 +154,17 @@
     word
 }
 
-/// What a box of this hall is told: all work, its own included, and the counts of all others.
+/// What a box of this hall is told: all work and repeats, its own included, and the counts of all others.
 fn word_for(gateway: &Gateway, asker: &Name, now_ms: u64) -> Word {
     let own = gateway.own_word();
-    let work = gateway
-        .peers
-        .work_sum(WORK_SUM_MAX_AGE_MS, now_ms, || own.work);
+    let (work, repeats) = gateway.peers.fleet_sum(FLEET_SUM_MAX_AGE_MS, now_ms, &own);
     let mut tallies = gateway.peers.tallies_except(asker, now_ms);
     add_tallies(&mut tallies, &own.tallies);
-    Word { work, tallies }
+    Word {
+        work,
+        tallies,
+        repeats,
+    }
 }
 
 /// This box's message.
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -1,10 +1,12 @@
-//! What boxes tell each other: their work under way, and their counts of a roll-out's answers.
+//! What boxes tell each other: their work under way, their counts of a roll-out's answers, and how often they
+//! sent requests again.
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::repeat::RepeatCounts;
 use crate::gateway::verdict::{Tally, add_tally};
 
 /// Age at which what was told says nothing any more.
@@ -13,6 +15,16 @@
 /// Work under way, by upstream.
 pub type Work = HashMap<Name, f64>;
 
+/// Requests and repeats, by pool.
+pub type Repeats = HashMap<Name, RepeatCounts>;
+
+/// Adds counts of repeats to others.
+pub fn add_repeats(to: &mut Repeats, more: &Repeats) {
+    for (pool, counts) in more {
+        to.entry(pool.clone()).or_default().add(*counts);
+    }
+}
+
 /// What a box, or several together, have to tell.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Word {
@@ -20,15 +32,24 @@
     pub work: Work,
     /// Counts of answers, by the pool whose roll-out is under way.
     pub tallies: HashMap<Name, Tally>,
+    /// Requests and repeats of the last seconds, by pool.
+    #[serde(default)]
+    pub repeats: Repeats,
 }
 
 impl Word {
     /// Adds another's.
     pub fn add(&mut self, more: &Self) {
-        for (upstream, work) in &more.work {
-            *self.work.entry(upstream.clone()).or_default() += work;
-        }
+        add_work(&mut self.work, &more.work);
         add_tallies(&mut self.tallies, &more.tallies);
+        add_repeats(&mut self.repeats, &more.repeats);
+    }
+}
+
+/// Adds work to other work.
+pub fn add_work(to: &mut Work, more: &Work) {
+    for (upstream, work_ms) in more {
+        *to.entry(upstream.clone()).or_default() += work_ms;
     }
 }
 
@@ -61,6 +82,12 @@
     at_ms: u64,
 }
 
+impl Told {
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        self.at_ms + TOLD_MAX_AGE_MS > now_ms
+    }
+}
+
 impl OthersWords {
     /// Takes in what a box, or a relay for several boxes, told.
     pub fn put(&mut self, from: &Name, word: Word, now_ms: u64) {
@@ -71,29 +98,27 @@
                 at_ms: now_ms,
             },
         );
-        self.told
-            .retain(|_, told| told.at_ms + TOLD_MAX_AGE_MS > now_ms);
+        self.told.retain(|_, told| told.is_fresh(now_ms));
     }
 
-    /// The work that others told lately.
-    pub fn work(&self, now_ms: u64) -> Work {
-        let mut sum = Work::new();
-        let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
-        for told in self.told.values().filter(fresh) {
-            for (upstream, work_ms) in &told.word.work {
-                *sum.entry(upstream.clone()).or_default() += work_ms;
-            }
+    /// The work and the repeats that others told lately.
+    pub fn work_and_repeats(&self, now_ms: u64) -> (Work, Repeats) {
+        let (mut work, mut repeats) = (Work::new(), Repeats::new());
+        for told in self.told.values().filter(|told| told.is_fresh(now_ms)) {
+            add_work(&mut work, &told.word.work);
+            add_repeats(&mut repeats, &told.word.repeats);
         }
-        sum
+        (work, repeats)
     }
 
     /// The counts that others than `except` told lately.
     pub fn tallies_except(&self, except: &str, now_ms: u64) -> HashMap<Name, Tally> {
         let mut sum = HashMap::new();
-        let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
         let told = self.told.iter().filter(|(from, _)| &***from != except);
-        for told in told.map(|(_, told)| told).filter(fresh) {
-            add_tallies(&mut sum, &told.word.tallies);
+        for told in told.map(|(_, told)| told) {
+            if told.is_fresh(now_ms) {
+                add_tallies(&mut sum, &told.word.tallies);
+            }
         }
         sum
     }
@@ -101,10 +126,11 @@
     /// The sum of what others than `except` told lately.
     pub fn sum_except(&self, except: impl Fn(&str) -> bool, now_ms: u64) -> Word {
         let mut sum = Word::default();
-        let fresh = |told: &&Told| told.at_ms + TOLD_MAX_AGE_MS > now_ms;
         let told = self.told.iter().filter(|(from, _)| !except(from));
-        for told in told.map(|(_, told)| told).filter(fresh) {
-            sum.add(&told.word);
+        for told in told.map(|(_, told)| told) {
+            if told.is_fresh(now_ms) {
+                sum.add(&told.word);
+            }
         }
         sum
     }
--- a/crates/ivyweir-policy/tests/gateway_copies.rs
+++ b/crates/ivyweir-policy/tests/gateway_copies.rs
@@ -113,5 +113,6 @@
         };
         words.put(&name(n), word, at_ms);
     }
-    assert_eq!(words.work(1_600), work(&[("u1", 20.0)]));
+    let (sum, _) = words.work_and_repeats(1_600);
+    assert_eq!(sum, work(&[("u1", 20.0)]));
 }
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -305,11 +305,14 @@
 const LIMITS: RepeatLimits = RepeatLimits {
     ratio: 0.5,
     slack: 1.0,
+    fleet_slack: 20.0,
     window_ms: 10_000,
 };
 
 fn taken(budget: &mut RepeatBudget, now_ms: u64) -> usize {
-    (0..100).filter(|_| budget.take(&LIMITS, now_ms)).count()
+    (0..100)
+        .filter(|_| budget.take(&LIMITS, None, now_ms))
+        .count()
 }
 
 #[test]
