A box without a proof leaves nobody for that, and a stale proof waits for nothing

Change: only a proof that is there and old shows that a box lost the store; one that lost it says so by 503. A proof from a box that does not hear the store confirms nothing, so it waits for no word of upstreams (by reading).

--- a/crates/ivyweir-gateway/src/sync/confirm.rs
+++ b/crates/ivyweir-gateway/src/sync/confirm.rs
@@ -42,8 +42,10 @@
             }
             return false;
         }
-        // A box that has just started may know upstreams only from one that lost the store.
-        if !self.is_unconfirmed && self.gateway.store_news.are_upstreams_heard() {
+        // A box that has just started may know upstreams only from one that lost the store. A proof from such a
+        // one says no more of the configuration than was heard of upstreams.
+        let knows_upstreams = self.gateway.store_news.are_upstreams_heard();
+        if !self.is_unconfirmed && (knows_upstreams || !answered_by.is_current()) {
             return true;
         }
         let heard = self.until_upstreams_heard(answered_by).await;
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -71,7 +71,11 @@
 
     /// Judges by the age of the proof whether the box that answered has a source itself.
     fn judge_source(&self, relay: &BoxRecord) {
-        let age_ms = self.gateway.proof_age_ms().unwrap_or(u64::MAX);
+        // Boxes that start together wait for the root's first proof; left meanwhile, it and each that hears it
+        // would be asked for in turn, with longer and longer pauses.
+        let Some(age_ms) = self.gateway.proof_age_ms() else {
+            return;
+        };
         if age_ms <= RELAY_PROOF_MAX_MS {
             self.gateway.peers.note_source(&relay.name);
             return;
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -400,3 +400,22 @@
         !town.boxes[0].lines_of("rollout_withdrawn").is_empty()
     });
 }
+
+#[test]
+fn boxes_that_start_together_leave_nobody_for_want_of_a_proof() {
+    let mut town = Town::start(Path::new(BINARY));
+    let store_addr = town.store.addr().to_string();
+    let halls = [
+        "hall-a", "hall-a", "hall-b", "hall-b", "hall-c", "hall-c", "hall-d",
+    ];
+    let numbers: Vec<usize> = halls
+        .iter()
+        .map(|hall| town.start_box(hall, &store_addr))
+        .collect();
+    for number in numbers {
+        eventually("the box is ready", || town.is_ready(number));
+        let left = town.boxes[number].lines_of("peer_unhearing");
+        let unproven = left.iter().filter(|line| line["about"] == "proof");
+        assert_eq!(unproven.count(), 0, "{left:?}");
+    }
+}
