Test: an address at which nobody listens is never given to another test

The new test freed the ports of its dead upstreams. Ruled out: the product; both failures are one send, to a port that was free again. Change: dead upstreams are at port 1 of loopback, which no test is ever given. Assertions as they were.

--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -376,10 +376,9 @@
     );
 }
 
-/// An address at which nobody listens.
+/// An address at which nobody listens. A port that was bound and freed may be given to another test.
 fn dead_addr() -> std::net::SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("it is bound")
+    std::net::SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
 /// A town in which all but one of twelve plain upstreams are gone, and their records are still there.
