Test, failing: a request under which three upstreams ended is refused, at every box

Ruled out: that a try's own limit on attempts is enough: callers come back, and the next try begins anew.

--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -25,6 +25,8 @@
 const HARMFUL: &[u8] = b"a body that no upstream survives";
 /// Upstreams of a pool: more than the boxes of a test could end if each began anew.
 const UPSTREAMS: usize = 16;
+/// Ends of upstreams after which a request is sent no more.
+const ENDS: usize = 3;
 
 /// Upstreams in place of a town's own ones, which end on the harmful request.
 fn fragile(town: &mut Town, pool: &str, act: Act) -> Vec<ScriptedUpstream> {
@@ -74,6 +76,16 @@
     .ok()
 }
 
+/// Times that the harmful request reached an upstream.
+fn harmful_sends(upstreams: &[ScriptedUpstream]) -> usize {
+    let all = upstreams.iter().flat_map(|upstream| upstream.seen());
+    all.filter(|seen| seen.body == HARMFUL).count()
+}
+
+fn is_quarantined(reply: Option<Reply>) -> bool {
+    reply.is_some_and(|reply| reply.status == 503 && reply.text().contains("quarantined"))
+}
+
 const STREAM_THAT_ENDS: Act = Act::End { after_events: 1 };
 
 #[test]
@@ -116,3 +128,58 @@
     });
     drop(engines);
 }
+
+macro_rules! one_box {
+    ($($name:ident: $pool:expr, $path:expr, $act:expr, tries $tries:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut town = Town::start(Path::new(BINARY));
+            let upstreams = fragile(&mut town, $pool, $act);
+            town.add_box("hall-a");
+            for n in 0..$tries {
+                post(&town, 0, $path, &format!("first-{n}"), HARMFUL);
+            }
+            assert_eq!(harmful_sends(&upstreams), ENDS);
+            eventually("it is refused", || {
+                is_quarantined(post(&town, 0, $path, "again", HARMFUL))
+            });
+            assert_eq!(harmful_sends(&upstreams), ENDS);
+            // Whoever else comes is served.
+            let other = post(&town, 0, $path, "harmless", b"another body").expect("an answer");
+            assert_eq!((other.status, other.is_whole), (200, true));
+        }
+    )*};
+}
+
+one_box! {
+    a_stream_that_ends_three_engines_is_sent_no_more: "engines", "/stream/x", STREAM_THAT_ENDS, tries 1;
+    a_call_that_may_not_be_repeated_is_sent_no_more_after_three_tries: "services", "/unsafe/x", Act::End { after_events: 0 }, tries 3;
+}
+
+#[test]
+fn other_boxes_refuse_what_ended_upstreams_of_one() {
+    let mut town = Town::start(Path::new(BINARY));
+    let engines = fragile(&mut town, "engines", STREAM_THAT_ENDS);
+    for hall in ["hall-a", "hall-a", "hall-b"] {
+        town.add_box(hall);
+    }
+    post(&town, 0, "/stream/x", "first", HARMFUL);
+    assert_eq!(harmful_sends(&engines), ENDS);
+    for number in 0..3 {
+        eventually("the box has heard", || {
+            let known = town.boxes[number].lines_of("quarantined");
+            !known.is_empty()
+        });
+    }
+    for number in 0..3 {
+        let id = format!("again-{number}");
+        assert!(is_quarantined(post(
+            &town,
+            number,
+            "/stream/x",
+            &id,
+            HARMFUL
+        )));
+    }
+    assert_eq!(harmful_sends(&engines), ENDS);
+}
