Quarantines outlast the loss of all boxes, and operators lift one by removing its record

Cause: boxes that are all killed at once forget what ended upstreams, and the request ends three more. Ruled out: a fifth topic that all boxes follow (a listing at each start and a watch each 15 s for what hardly ever changes); each box writing (nine writes for one). Change: the box that hears the store itself keeps quarantined requests there, reads them once when it begins to and each 5 s while there are some; the rest is told with words.

--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Request};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
 use serde::{Deserialize, Serialize};
@@ -174,6 +175,9 @@
 /// A record, or why it cannot be read.
 pub type Entry = std::result::Result<Item, DialectError>;
 
+/// A quarantined request that is kept, or why it cannot be read.
+pub type QuarantineEntry = std::result::Result<QuarantineRecord, DialectError>;
+
 /// A page of a listing.
 #[derive(Debug)]
 pub struct Page {
@@ -255,6 +259,22 @@
     /// Writes how far a roll-out is, if its record has not changed.
     fn write_rollout(&self, order: &RolloutOrder) -> Request<Bytes>;
 
+    /// Asks for the quarantined requests that are kept.
+    fn list_quarantines(&self) -> Request<Bytes>;
+
+    /// Keeps a quarantined request, unless it is kept already.
+    fn keep_quarantine(&self, record: &QuarantineRecord) -> Request<Bytes>;
+
+    /// Keeps it no longer.
+    fn drop_quarantine(&self, fingerprint: Fingerprint) -> Request<Bytes>;
+
+    /// Reads the quarantined requests that are kept; one that cannot be read is an error of its own.
+    ///
+    /// # Errors
+    ///
+    /// When the body is no list of them.
+    fn quarantines(&self, body: &[u8]) -> Result<Vec<QuarantineEntry>, DialectError>;
+
     /// Reads a page.
     ///
     /// # Errors
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod job;
 mod join;
 mod judge;
+mod keep;
 mod log;
 pub mod message;
 mod metrics;
@@ -176,6 +177,7 @@
         tokio::spawn(sync::follow(gateway.clone(), *topic));
     }
     tokio::spawn(drive::run(gateway.clone()));
+    tokio::spawn(keep::run(gateway.clone()));
     tokio::spawn(join::keep_joined(gateway.clone()));
     tokio::spawn(words::exchange(gateway.clone()));
     tokio::spawn(server::serve_peers(gateway.clone(), listeners.peers));
@@ -251,6 +253,7 @@
         belief("site_version", site.map_or(0, |site| site.site().version));
         belief("proof_age_ms", gateway.proof_age_ms().unwrap_or(u64::MAX));
         belief("requests_active", gateway.active());
+        belief("requests_quarantined", gateway.quarantined().len() as u64);
         belief("log_lines_dropped", gateway.log.dropped());
         (StatusCode::OK, gateway.metrics.text())
     }
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -4,10 +4,13 @@
 use hyper::header::{self, HeaderName};
 use hyper::{Method, Request};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use serde::{Deserialize, Serialize};
 
-use crate::dialect::{Change, Changes, DialectError, Item, Page, StoreCodec, Topic};
+use crate::dialect::{
+    Change, Changes, DialectError, Item, Page, QuarantineEntry, StoreCodec, Topic,
+};
 use crate::headers::{HeaderDialect, HeaderNames};
 
 /// The gateway's own names on requests and answers.
@@ -32,6 +35,9 @@
     })
 }
 
+/// Where quarantined requests are kept.
+const QUARANTINES: &str = "/v1/quarantines";
+
 /// The gateway's own messages to and from a store: records as JSON under `/v1/records/TOPIC`.
 #[derive(Debug, Clone, Default)]
 pub struct NativeCodec;
@@ -88,6 +94,25 @@
         request(Method::PUT, path, json(order))
     }
 
+    fn list_quarantines(&self) -> Request<Bytes> {
+        request(Method::GET, QUARANTINES.into(), Bytes::new())
+    }
+
+    fn keep_quarantine(&self, record: &QuarantineRecord) -> Request<Bytes> {
+        let path = format!("{QUARANTINES}/{}", record.fingerprint);
+        request(Method::POST, path, json(record))
+    }
+
+    fn drop_quarantine(&self, fingerprint: Fingerprint) -> Request<Bytes> {
+        let path = format!("{QUARANTINES}/{fingerprint}");
+        request(Method::DELETE, path, Bytes::new())
+    }
+
+    fn quarantines(&self, body: &[u8]) -> Result<Vec<QuarantineEntry>, DialectError> {
+        let records: Vec<QuarantineRecord> = read("quarantined requests", body)?;
+        Ok(records.into_iter().map(Ok).collect())
+    }
+
     fn page(&self, _topic: Topic, body: &[u8]) -> Result<Page, DialectError> {
         let page: RecordPage = read("a page of records", body)?;
         Ok(Page {
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -5,12 +5,14 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
-    Exchange, Fingerprint, Ledger, LedgerNews, Left, RunEnd, Runs, UpstreamEnd, Verdicts,
+    Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, Runs, UpstreamEnd,
+    Verdicts,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use serde_json::json;
 
 use super::{Gateway, lock};
+use crate::clock::epoch_ms;
 
 /// Requests named in the line about an upstream that ended: as many as most engines run at once.
 const NAMED_IN_LOG: usize = 64;
@@ -64,6 +66,35 @@
         lock(&self.quarantine).ledger.is_quarantined(fingerprint)
     }
 
+    /// Requests that are sent no more.
+    pub fn quarantined(&self) -> HashSet<Fingerprint> {
+        lock(&self.quarantine).ledger.quarantined().collect()
+    }
+
+    /// A request's quarantine as the store is to keep it.
+    pub fn quarantine_record(&self, fingerprint: Fingerprint) -> Option<QuarantineRecord> {
+        let now_ms = self.ledger_now_ms();
+        let ledger = &lock(&self.quarantine).ledger;
+        ledger.record(fingerprint, now_ms, epoch_ms())
+    }
+
+    /// Takes in the quarantines that the store kept.
+    pub fn restore_quarantines(&self, records: &[QuarantineRecord]) {
+        let now_ms = self.ledger_now_ms();
+        let ledger = &mut lock(&self.quarantine).ledger;
+        let verdicts = ledger.restore(records, now_ms, epoch_ms());
+        self.take_verdicts(verdicts);
+    }
+
+    /// Takes in that operators lifted quarantines.
+    pub fn lift_quarantines(&self, fingerprints: Vec<Fingerprint>) {
+        let now_ms = self.ledger_now_ms();
+        for fingerprint in fingerprints {
+            let verdicts = lock(&self.quarantine).ledger.lift(fingerprint, now_ms);
+            self.take_verdicts(verdicts);
+        }
+    }
+
     /// Takes in that a request's connection broke; whether its upstream ended is found out.
     pub fn run_broke(&self, fingerprint: Fingerprint) {
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-policy/src/gateway/quarantine/fingerprint.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/fingerprint.rs
@@ -1,6 +1,8 @@
 //! What two tries of the same request have in common.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +51,15 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    /// Reads the 16 hexadecimal digits that `Display` writes.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -164,6 +164,37 @@
     pub is_quarantined: bool,
 }
 
+/// A quarantine as the store keeps it for boxes that all lost their memory at once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRecord {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Hashes of the upstreams that ended under it.
+    pub upstreams: Vec<u64>,
+    /// When the last of them ended, in milliseconds since 1970 by the writer's clock.
+    pub last_end_epoch_ms: u64,
+}
+
+impl QuarantineRecord {
+    /// What it tells a box; a time of day may step, so the age is taken to be half of a quarantine's time at
+    /// the most.
+    fn told(&self, epoch_ms: u64) -> SuspectNews {
+        let ago_ms = epoch_ms.saturating_sub(self.last_end_epoch_ms);
+        let ago_ms = ago_ms.min(KEPT_MS.unsigned_abs() / 2).cast_signed();
+        let end = |upstream: &u64| EndNews {
+            upstream: *upstream,
+            ago_ms,
+            ran_ms: 0,
+        };
+        SuspectNews {
+            fingerprint: self.fingerprint,
+            ends: self.upstreams.iter().map(end).collect(),
+            cleared_ago_ms: None,
+            is_quarantined: true,
+        }
+    }
+}
+
 /// What a change of the ledger decided.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Verdicts {
@@ -264,6 +295,40 @@
         self.judge_if(any)
     }
 
+    /// Takes in what the store keeps.
+    pub fn restore(
+        &mut self,
+        records: &[QuarantineRecord],
+        now_ms: i64,
+        epoch_ms: u64,
+    ) -> Verdicts {
+        let told = records.iter().map(|record| record.told(epoch_ms));
+        self.hear(told.collect(), now_ms)
+    }
+
+    /// Takes in that an operator lifts a quarantine.
+    pub fn lift(&mut self, fingerprint: Fingerprint, now_ms: i64) -> Verdicts {
+        self.completed(fingerprint, now_ms)
+    }
+
+    /// A request's quarantine as the store is to keep it; none where it is not refused.
+    pub fn record(
+        &self,
+        fingerprint: Fingerprint,
+        now_ms: i64,
+        epoch_ms: u64,
+    ) -> Option<QuarantineRecord> {
+        let suspect = self.suspects.get(&fingerprint);
+        let suspect = suspect.filter(|_| self.is_quarantined(fingerprint))?;
+        let last_ms = suspect.ends.last()?.at_ms;
+        let ago_ms = now_ms.saturating_sub(last_ms).max(0).unsigned_abs();
+        Some(QuarantineRecord {
+            fingerprint,
+            upstreams: suspect.ends.iter().map(|end| end.upstream).collect(),
+            last_end_epoch_ms: epoch_ms.saturating_sub(ago_ms),
+        })
+    }
+
     /// Forgets what is long past.
     pub fn sweep(&mut self, now_ms: i64) -> Verdicts {
         let before = self.suspects.len();
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -14,6 +14,7 @@
 use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::quarantine::QuarantineRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState};
 use ivyweir_policy::gateway::site::Site;
 use tokio::sync::watch;
@@ -52,6 +53,8 @@
     history_from: u64,
     records: BTreeMap<(&'static str, Name), Item>,
     log: Vec<(u64, Topic, RecordChange)>,
+    /// Quarantined requests, by the name of their record.
+    quarantines: BTreeMap<String, QuarantineRecord>,
     fault: StoreFault,
     calls: u64,
 }
@@ -146,6 +149,16 @@
         self.remove(Topic::Rollouts, &Name::from(pool));
     }
 
+    /// Names of the quarantined requests that are kept.
+    pub fn quarantines(&self) -> Vec<String> {
+        self.state().quarantines.keys().cloned().collect()
+    }
+
+    /// Lifts all quarantines, as an operator does.
+    pub fn lift_quarantines(&self) {
+        self.state().quarantines.clear();
+    }
+
     /// How far the roll-out of a pool is.
     pub fn rollout_state(&self, pool: &str) -> Option<RolloutState> {
         let state = self.state();
@@ -253,6 +266,9 @@
     };
     let body = body.to_bytes();
     let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+    if let ["v1", "quarantines", name @ ..] = path.as_slice() {
+        return quarantines(shared, &head.method, name, &body);
+    }
     let ["v1", "records", topic, rest @ ..] = path.as_slice() else {
         return status(StatusCode::NOT_FOUND);
     };
@@ -268,6 +284,31 @@
     }
 }
 
+fn quarantines(
+    shared: &Shared,
+    method: &Method,
+    name: &[&str],
+    body: &[u8],
+) -> Response<Full<Bytes>> {
+    let kept = &mut shared.state().quarantines;
+    match (method, name) {
+        (&Method::GET, []) => json(&kept.values().collect::<Vec<_>>()),
+        (&Method::POST, [name]) if kept.contains_key(*name) => status(StatusCode::CONFLICT),
+        (&Method::POST, [name]) => match serde_json::from_slice(body) {
+            Ok(record) => {
+                kept.insert((*name).to_owned(), record);
+                status(StatusCode::CREATED)
+            }
+            Err(_) => status(StatusCode::BAD_REQUEST),
+        },
+        (&Method::DELETE, [name]) => match kept.remove(*name) {
+            Some(_) => status(StatusCode::OK),
+            None => status(StatusCode::NOT_FOUND),
+        },
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
 async fn watch_topic(shared: &Shared, topic: Topic, query: &str) -> Response<Full<Bytes>> {
     let field = |name: &str| -> u64 {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -217,3 +217,55 @@
     }
     assert_eq!(harmful_sends(&services), ENDS);
 }
+
+/// A town of one box in which the harmful request is quarantined and kept.
+fn quarantined_town() -> (Town, Vec<ScriptedUpstream>) {
+    let mut town = Town::start(Path::new(BINARY));
+    let engines = fragile(&mut town, "engines", STREAM_THAT_ENDS);
+    town.add_box("hall-a");
+    post(&town, 0, "/stream/x", "first", HARMFUL);
+    assert_eq!(harmful_sends(&engines), ENDS);
+    eventually("the store keeps it", || town.store.quarantines().len() == 1);
+    (town, engines)
+}
+
+#[test]
+fn a_quarantine_outlasts_all_boxes() {
+    let (mut town, engines) = quarantined_town();
+    town.boxes[0].kill();
+    town.boxes.clear();
+    town.add_box("hall-a");
+    eventually("the box has heard", || {
+        let known = town.boxes[0].lines_of("quarantined");
+        !known.is_empty()
+    });
+    assert!(is_quarantined(post(
+        &town,
+        0,
+        "/stream/x",
+        "again",
+        HARMFUL
+    )));
+    assert_eq!(harmful_sends(&engines), ENDS);
+}
+
+#[test]
+fn operators_lift_a_quarantine_by_removing_its_record() {
+    let (town, engines) = quarantined_town();
+    town.store.lift_quarantines();
+    for engine in &engines {
+        engine.set_for(
+            HARMFUL,
+            Act::Stream {
+                events: 3,
+                gap_ms: 5,
+                break_after: None,
+                confidence: None,
+            },
+        );
+    }
+    eventually("it is served again", || {
+        let reply = post(&town, 0, "/stream/x", "again", HARMFUL);
+        reply.is_some_and(|reply| reply.status == 200 && reply.is_whole)
+    });
+}
