Quarantine: no request is shielded by an innocent one, and a burst of a request never answered counts each end

An innocent request at the ends of two harmful ones takes their ends on itself, so that either may go on past three; and a harmful request made many times at a moment counted as one loss. Ruled out: no laying of ends at all (the innocent that travel with a harmful one are then refused with it). Change: five ends quarantine whatever else was there; ends at one moment are one loss only for a request that had a whole answer before, as requests that are made often have.

--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -6,7 +6,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
     Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, Runs, UpstreamEnd,
-    Verdicts,
+    Verdicts, Witness,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use serde_json::json;
@@ -56,8 +56,14 @@
 
     /// Takes in that a request had its whole answer.
     pub fn run_completed(&self, fingerprint: Fingerprint) {
-        let now_ms = self.ledger_now_ms();
-        let verdicts = lock(&self.quarantine).ledger.completed(fingerprint, now_ms);
+        let now_ms = self.clock.now_ms();
+        let verdicts = {
+            let mut quarantine = lock(&self.quarantine);
+            quarantine.runs.completed(fingerprint, now_ms);
+            quarantine
+                .ledger
+                .completed(fingerprint, now_ms.cast_signed())
+        };
         self.take_verdicts(verdicts);
     }
 
@@ -148,16 +154,17 @@
 
     fn note_end(&self, upstream: &UpstreamRecord, there: &[Left]) {
         let upstream = upstream.incarnation();
-        let end_of = |left: &Left| {
-            let end = UpstreamEnd {
+        let witness = |left: &Left| Witness {
+            fingerprint: left.fingerprint,
+            end: UpstreamEnd {
                 upstream,
                 began_at_ms: left.began_at_ms.cast_signed(),
                 at_ms: left.at_ms.cast_signed(),
-            };
-            (left.fingerprint, end)
+            },
+            completed_at_ms: left.completed_at_ms.map(u64::cast_signed),
         };
-        let ends: Vec<(Fingerprint, UpstreamEnd)> = there.iter().map(end_of).collect();
-        let verdicts = lock(&self.quarantine).ledger.upstream_ended(&ends);
+        let there: Vec<Witness> = there.iter().map(witness).collect();
+        let verdicts = lock(&self.quarantine).ledger.upstream_ended(&there);
         self.take_verdicts(verdicts);
     }
 
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -12,13 +12,16 @@
 /// Ends of upstreams after which a request is sent no more. A request that was at two may have met a power cut and
 /// a spot reclaim; with a sixth of a pool lost at a moment, one stream in 200 meets three such losses in a row.
 const ENDS: usize = 3;
+/// Ends after which a request is refused whatever else was there each time. Where two requests do harm at once an innocent
+/// one may have been at more ends than either, and theirs would be laid to it.
+const ENDS_AT_MOST: usize = 5;
 /// Ends that are remembered of a request: of more, the first say as much.
 const ENDS_KEPT: usize = 32;
 /// Requests that are remembered.
 const SUSPECTS_KEPT: usize = 1_024;
 /// Ends closer to each other than this count as one, unless the request was sent to the second upstream after the
-/// first had ended: a hall without power takes many upstreams at a moment, and with them requests that several
-/// callers make alike. Boxes see such ends within some 30 ms.
+/// first had ended or never had a whole answer: a hall without power takes many upstreams at a moment, and
+/// with them requests that are often made alike. Boxes see such ends within some 30 ms.
 const APART_MS: i64 = 100;
 /// Difference up to which two sightings of an upstream's end are the same: ages are rounded on their way.
 const SEEN_AGAIN_MS: i64 = 50;
@@ -44,12 +47,23 @@
     }
 }
 
+/// A request that was at an upstream when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Witness {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The upstream's end.
+    pub end: UpstreamEnd,
+    /// When the request last had a whole answer before that, where the box remembers one.
+    pub completed_at_ms: Option<i64>,
+}
+
 /// What is known of a request.
 #[derive(Debug, Clone, Default)]
 struct Suspect {
     /// Ends since it last had a whole answer.
     ends: Vec<UpstreamEnd>,
-    /// When it last had one, or an operator lifted its quarantine.
+    /// When it last had one, as far as is known, or an operator lifted its quarantine.
     cleared_at_ms: Option<i64>,
     /// Whether some box quarantined it: that one saw the ends apart, and here they may seem closer.
     is_told: bool,
@@ -96,7 +110,7 @@
     /// Its ends that are not laid to another request.
     fn weight(&self, laid: &HashSet<u64>) -> usize {
         let open = self.ends.iter().filter(|end| !laid.contains(&end.upstream));
-        if self.is_told {
+        if self.is_told || self.cleared_at_ms.is_none() {
             return open.count();
         }
         let mut last: Option<&UpstreamEnd> = None;
@@ -221,10 +235,13 @@
 
 impl Ledger {
     /// Takes in that an upstream ended while these requests were there.
-    pub fn upstream_ended(&mut self, there: &[(Fingerprint, UpstreamEnd)]) -> Verdicts {
+    pub fn upstream_ended(&mut self, there: &[Witness]) -> Verdicts {
         let mut any = false;
-        for (fingerprint, end) in there {
-            any |= self.change(*fingerprint, |suspect| suspect.add(*end));
+        for witness in there {
+            any |= self.change(witness.fingerprint, |suspect| {
+                let is_cleared = witness.completed_at_ms.is_some_and(|ms| suspect.clear(ms));
+                suspect.add(witness.end) | is_cleared
+            });
         }
         self.judge_if(any)
     }
@@ -380,6 +397,7 @@
     /// Lays each end to the request with the most ends, and finds those that are refused by that.
     fn judge(&mut self) -> Verdicts {
         let before = std::mem::take(&mut self.quarantined);
+        let none_laid = HashSet::new();
         let mut laid = HashSet::new();
         loop {
             let weights = self.suspects.iter();
@@ -405,6 +423,10 @@
                 );
             }
         }
+        let sure = self.suspects.iter();
+        let sure = sure.filter(|(_, suspect)| suspect.weight(&none_laid) >= ENDS_AT_MOST);
+        self.quarantined
+            .extend(sure.map(|(fingerprint, _)| *fingerprint));
         self.verdicts(&before)
     }
 
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -1,6 +1,6 @@
 //! Which requests a box has at which upstream, and which it had there a moment ago.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use super::Fingerprint;
 use crate::Name;
@@ -10,6 +10,9 @@
 /// knows that the upstream ended.
 const LEFT_KEPT_MS: u64 = 2_000;
 
+/// Requests with a whole answer that are remembered, the longest known forgotten first: some 40 bytes each.
+const COMPLETED_KEPT: usize = 4_096;
+
 /// How a request left an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
@@ -28,6 +31,8 @@
     pub began_at_ms: u64,
     /// When its connection broke, or when the end was noticed.
     pub at_ms: u64,
+    /// When a try of it last had a whole answer, where that is remembered.
+    pub completed_at_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -51,6 +56,27 @@
     by_upstream: HashMap<Name, Vec<Run>>,
     /// When connections broke, by the request that was on them.
     broken: HashMap<Fingerprint, u64>,
+    completed: Completed,
+}
+
+/// Requests that had a whole answer lately: those that are made often, mostly.
+#[derive(Debug, Default)]
+struct Completed {
+    at_ms: HashMap<Fingerprint, u64>,
+    order: VecDeque<Fingerprint>,
+}
+
+impl Completed {
+    fn note(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+        if self.at_ms.insert(fingerprint, now_ms).is_none() {
+            self.order.push_back(fingerprint);
+        }
+        if self.order.len() > COMPLETED_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.at_ms.remove(&oldest);
+        }
+    }
 }
 
 impl Runs {
@@ -82,6 +108,11 @@
         }
     }
 
+    /// Takes in that a request had its whole answer.
+    pub fn completed(&mut self, fingerprint: Fingerprint, now_ms: u64) {
+        self.completed.note(fingerprint, now_ms);
+    }
+
     /// Takes in that a request's connection broke.
     pub fn broke(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         self.broken.insert(fingerprint, now_ms);
@@ -100,6 +131,7 @@
             fingerprint: run.fingerprint,
             began_at_ms: run.began_at_ms,
             at_ms: run.left_at_ms.unwrap_or(now_ms),
+            completed_at_ms: self.completed.at_ms.get(&run.fingerprint).copied(),
         });
         let mut left: Vec<Left> = left.collect();
         left.sort_unstable_by_key(|left| (left.fingerprint, left.at_ms));
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -2,7 +2,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::quarantine::{
-    Content, Exchange, Fingerprint, Ledger, RunEnd, Runs, UpstreamEnd,
+    Content, Exchange, Fingerprint, Ledger, RunEnd, Runs, UpstreamEnd, Witness,
 };
 use proptest::prelude::*;
 
@@ -25,12 +25,23 @@
     }
 }
 
+fn witness(fingerprint: Fingerprint, end: UpstreamEnd) -> Witness {
+    Witness {
+        fingerprint,
+        end,
+        completed_at_ms: None,
+    }
+}
+
 /// Lets upstreams end, each with the requests that were there.
 fn ledger(ends: &[(u64, i64, i64, &[&str])]) -> Ledger {
     let mut ledger = Ledger::default();
     for (upstream, at_ms, ran_ms, there) in ends {
         let end = end(*upstream, *at_ms, *ran_ms);
-        let there: Vec<_> = there.iter().map(|name| (request(name), end)).collect();
+        let there: Vec<_> = there
+            .iter()
+            .map(|name| witness(request(name), end))
+            .collect();
         ledger.upstream_ended(&there);
     }
     ledger
@@ -57,7 +68,7 @@
     two_ends_are_too_few: [(1, 100, 50, &["harm"]), (2, 200, 50, &["harm"])] => [];
     three_ends_one_after_the_other: [(1, 100, 50, &["harm"]), (2, 160, 50, &["harm"]), (3, 220, 50, &["harm"])] => ["harm"];
     three_ends_far_apart: [(1, 100, 50, &["harm"]), (2, 60_000, 50, &["harm"]), (3, 1_800_000, 50, &["harm"])] => ["harm"];
-    three_ends_at_one_moment_are_one_loss: [(1, 100, 50, &["harm"]), (2, 110, 50, &["harm"]), (3, 130, 50, &["harm"])] => [];
+    three_ends_at_one_moment_of_a_request_that_never_was_answered: [(1, 100, 50, &["harm"]), (2, 110, 50, &["harm"]), (3, 130, 50, &["harm"])] => ["harm"];
     three_ends_of_requests_made_at_once_but_apart: [(1, 100, 50, &["harm"]), (2, 250, 250, &["harm"]), (3, 400, 400, &["harm"])] => ["harm"];
     one_end_seen_three_times_is_one: [(1, 100, 50, &["harm"]), (1, 900, 50, &["harm"]), (1, 2_000, 50, &["harm"])] => [];
     who_was_there_less_often_is_innocent: [
@@ -72,6 +83,44 @@
     ] => ["harm", "b"];
 }
 
+#[test]
+fn ends_at_one_moment_of_a_request_that_was_answered_before_are_one_loss() {
+    let mut ledger = Ledger::default();
+    let mut lose = |upstream: u64, at_ms: i64| {
+        let loss = Witness {
+            completed_at_ms: Some(20),
+            ..witness(request("often"), end(upstream, at_ms, 200))
+        };
+        ledger.upstream_ended(&[loss]);
+        ledger.is_quarantined(request("often"))
+    };
+    assert!(!lose(1, 100));
+    assert!(!lose(2, 110));
+    assert!(!lose(3, 140));
+    // A second loss of many, and a third.
+    assert!(!lose(4, 5_000));
+    assert!(!lose(5, 5_010));
+    assert!(lose(6, 9_000));
+}
+
+#[test]
+fn an_innocent_request_at_the_ends_of_two_harmful_ones_shields_neither() {
+    // Each harmful one has three ends, and the innocent one was at two of each.
+    let ledger = ledger(&[
+        (1, 100, 50, &["harm", "c"]),
+        (2, 200, 50, &["harm", "c"]),
+        (3, 300, 50, &["b", "c"]),
+        (4, 400, 50, &["b", "c"]),
+        (5, 500, 50, &["harm"]),
+        (6, 600, 50, &["harm"]),
+        (7, 700, 50, &["harm"]),
+        (8, 800, 50, &["b"]),
+        (9, 900, 50, &["b"]),
+        (10, 1_000, 50, &["b"]),
+    ]);
+    assert_eq!(refused(&ledger, &["harm", "b"]), ["harm", "b"]);
+}
+
 #[test]
 fn a_request_that_was_refused_with_the_harmful_one_is_served_once_that_ends_another() {
     let mut ledger = ledger(&[
@@ -79,7 +128,7 @@
         (2, 200, 50, &["harm", "b"]),
         (3, 300, 50, &["harm", "b"]),
     ]);
-    let verdicts = ledger.upstream_ended(&[(request("harm"), end(4, 400, 50))]);
+    let verdicts = ledger.upstream_ended(&[witness(request("harm"), end(4, 400, 50))]);
     assert_eq!(verdicts.released, [request("b")]);
     assert_eq!(refused(&ledger, &["harm", "b"]), ["harm"]);
 }
@@ -89,12 +138,12 @@
     let mut ledger = ledger(&[(1, 100, 50, &["b"]), (2, 200, 50, &["b"])]);
     ledger.completed(request("b"), 250);
     assert!(!ledger.is_suspect(request("b")));
-    ledger.upstream_ended(&[(request("b"), end(3, 300, 20))]);
+    ledger.upstream_ended(&[witness(request("b"), end(3, 300, 20))]);
     // Word of an earlier end that comes late changes nothing.
-    ledger.upstream_ended(&[(request("b"), end(4, 240, 20))]);
-    ledger.upstream_ended(&[(request("b"), end(5, 400, 20))]);
+    ledger.upstream_ended(&[witness(request("b"), end(4, 240, 20))]);
+    ledger.upstream_ended(&[witness(request("b"), end(5, 400, 20))]);
     assert!(!ledger.is_quarantined(request("b")));
-    ledger.upstream_ended(&[(request("b"), end(6, 500, 20))]);
+    ledger.upstream_ended(&[witness(request("b"), end(6, 500, 20))]);
     assert!(ledger.is_quarantined(request("b")));
 }
 
@@ -126,7 +175,7 @@
     ]);
     for n in 0..20_000_u64 {
         let once = request(&format!("once-{n}"));
-        ledger.upstream_ended(&[(once, end(10 + n, 1_000 + n as i64, 10))]);
+        ledger.upstream_ended(&[witness(once, end(10 + n, 1_000 + n as i64, 10))]);
     }
     assert!(ledger.is_quarantined(request("harm")));
     let (news, _) = ledger.news(0, usize::MAX, 30_000);
@@ -249,7 +298,7 @@
         let mut talks = talks.into_iter();
         for (seer, upstream, at_ms, who) in ends {
             let at_ms = at_ms + boxes[seer].clock_ahead_ms;
-            let seen = (request(&format!("r{who}")), end(upstream, at_ms, 40));
+            let seen = witness(request(&format!("r{who}")), end(upstream, at_ms, 40));
             boxes[seer].ledger.upstream_ended(&[seen]);
             if let Some((a, b, first, second)) = talks.next() && a != b {
                 talk(&mut boxes, (a, b), (first, second), 6_000);
@@ -289,7 +338,7 @@
     assert_eq!(news(&mut boxes, 0, 1), None);
     boxes[0]
         .ledger
-        .upstream_ended(&[(request("b"), end(1, 0, 10))]);
+        .upstream_ended(&[witness(request("b"), end(1, 0, 10))]);
     for _ in 0..3 {
         talk(&mut boxes, (0, 1), (false, false), 0);
     }
@@ -303,7 +352,9 @@
     let mut boxes = model_boxes(2);
     for n in 0..3 {
         let end = end(n, 200 * n as i64, 10);
-        boxes[0].ledger.upstream_ended(&[(request("harm"), end)]);
+        boxes[0]
+            .ledger
+            .upstream_ended(&[witness(request("harm"), end)]);
     }
     talk(&mut boxes, (0, 1), (false, false), 700);
     talk(&mut boxes, (0, 1), (false, false), 700);
