--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -90,10 +90,11 @@
 
 struct Shared {
     act: Mutex<Act>,
-    /// What it does with requests whose bodies are this.
-    harm: Mutex<Option<(Bytes, Act)>>,
+    /// What it does with requests of these bodies.
+    by_body: Mutex<Vec<(Bytes, Act)>>,
     /// Ends its process.
     end: Arc<Notify>,
+    is_ended: AtomicBool,
     /// For the requests to come, before `act` holds again.
     next: Mutex<Vec<Act>>,
     seen: Mutex<Vec<Seen>>,
@@ -127,8 +128,9 @@
     fn start_at(ip: &str, id: &str, pool: &str, version: &str) -> Self {
         let shared = Arc::new(Shared {
             act: Mutex::new(Act::Answer(200)),
-            harm: Mutex::default(),
+            by_body: Mutex::default(),
             end: Arc::default(),
+            is_ended: AtomicBool::new(false),
             next: Mutex::default(),
             seen: Mutex::default(),
             active: AtomicU64::new(0),
@@ -170,12 +172,25 @@
 
     /// Sets what it does with requests of this body, whatever it does with others.
     pub fn set_for(&self, body: &'static [u8], act: Act) {
-        *lock(&self.shared.harm) = Some((Bytes::from_static(body), act));
+        self.set_for_all(&[body], act);
+    }
+
+    /// Sets what it does with requests of these bodies.
+    pub fn set_for_all(&self, bodies: &[&'static [u8]], act: Act) {
+        let by_body = bodies
+            .iter()
+            .map(|body| (Bytes::from_static(body), act.clone()));
+        *lock(&self.shared.by_body) = by_body.collect();
     }
 
     /// Ends its process, with all its connections.
     pub fn end(&self) {
-        self.shared.end.notify_one();
+        self.shared.end();
+    }
+
+    /// Whether its process has ended.
+    pub fn is_ended(&self) -> bool {
+        self.shared.is_ended.load(Ordering::SeqCst)
     }
 
     /// Sets what it does with the next requests, first to last.
@@ -210,13 +225,18 @@
 }
 
 impl Shared {
+    fn end(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+        self.end.notify_one();
+    }
+
     /// What is done with a request of this body.
     fn act_for(&self, body: &Bytes) -> Act {
-        if let Some((harmful, act)) = &*lock(&self.harm)
-            && harmful == body
-        {
+        let by_body = lock(&self.by_body);
+        if let Some((_, act)) = by_body.iter().find(|(known, _)| known == body) {
             return act.clone();
         }
+        drop(by_body);
         let next = lock(&self.next).pop();
         next.unwrap_or_else(|| lock(&self.act).clone())
     }
@@ -282,13 +302,13 @@
         }
         Act::Hang => std::future::pending().await,
         Act::End { after_events: 0 } => {
-            shared.end.notify_one();
+            shared.end();
             std::future::pending().await
         }
         Act::End { after_events } => {
-            let end = shared.end.clone();
+            let ending = shared.clone();
             let events = event_stream(active, 0, after_events, 1, None);
-            *answer.body_mut() = then_end(events, end);
+            *answer.body_mut() = then_end(events, ending);
             return Ok(answer);
         }
         Act::Stream {
@@ -341,9 +361,9 @@
 }
 
 /// Passes events on and then ends the process.
-fn then_end(events: Body, end: Arc<Notify>) -> Body {
+fn then_end(events: Body, shared: Arc<Shared>) -> Body {
     let ending = stream::once(async move {
-        end.notify_one();
+        shared.end();
         std::future::pending().await
     });
     let events = http_body_util::BodyStream::new(events);
--- a/crates/ivyweir/tests/cli.rs
+++ b/crates/ivyweir/tests/cli.rs
@@ -74,6 +74,51 @@
     let _left_behind = fs::remove_file(log);
 }
 
+/// Two boxes' logs: a request ended an upstream at each, and was refused then; another one had no part in it.
+const ENDS: [&str; 2] = [
+    r#"{"at_ms":1,"epoch_ms":1000,"event":"admitted","request_id":"try-1","fingerprint":"aa"}
+{"at_ms":2,"epoch_ms":1001,"event":"stream_broke","request_id":"try-1","upstream":"u1"}
+{"at_ms":3,"epoch_ms":1002,"event":"upstream_ended","upstream":"u1","fingerprints":["aa","bb"]}
+{"at_ms":4,"epoch_ms":1003,"event":"admitted","request_id":"other","fingerprint":"bb"}
+"#,
+    r#"{"at_ms":1,"epoch_ms":2000,"event":"quarantined","fingerprint":"aa","upstream_ends":3}
+{"at_ms":2,"epoch_ms":2100,"event":"admitted","request_id":"try-2","fingerprint":"aa"}
+{"at_ms":3,"epoch_ms":2101,"event":"refused","request_id":"try-2","reason":"quarantined"}
+"#,
+];
+
+#[test]
+fn a_quarantined_request_is_explained_by_earlier_tries_over_a_folder_of_logs() {
+    let folder = std::env::temp_dir().join(format!("ivyweir-logs-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("the temporary folder can be written");
+    for (number, log) in ENDS.iter().enumerate() {
+        let path = folder.join(format!("box-{number}.log"));
+        fs::write(path, log).expect("the file can be written");
+    }
+    let output = ivyweir(&["--json", "explain", "try-2", &folder.display().to_string()]);
+    let story: Vec<serde_json::Value> = serde_json::from_str(&text(&output)).expect("JSON");
+    let steps: Vec<(&str, &str)> = story
+        .iter()
+        .filter_map(|step| Some((step["event"].as_str()?, step["relation"].as_str()?)))
+        .collect();
+    let expected = [
+        ("admitted", "same"),
+        ("stream_broke", "same"),
+        ("upstream_ended", "same"),
+        ("quarantined", "same"),
+        ("admitted", "own"),
+        ("refused", "own"),
+    ];
+    assert_eq!(steps, expected);
+    let table = text(&ivyweir(&[
+        "explain",
+        "try-2",
+        &folder.display().to_string(),
+    ]));
+    assert!(table.contains("request_id=try-1"), "{table}");
+    let _left_behind = fs::remove_dir_all(folder);
+}
+
 #[test]
 fn a_request_without_lines_is_said_so() {
     let log = file("none.log", LOG);
--- /dev/null
+++ b/crates/ivyweird/tests/quarantine_soak.rs
@@ -0,0 +1,408 @@
+//! A random soak with requests that end each upstream which begins to run them: upstreams that start again under
+//! their id or another one, boxes that are killed, stopped and paused, a store that fails, pools that lose
+//! several upstreams at a moment.
+//!
+//! `IVYWEIR_SOAK_SEED` chooses the faults and `IVYWEIR_SOAK_STEPS` how many; callers' timing is not replayed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_standins::edge::{
+    Act, BoxSpec, GatewayProcess, KEY, Reply, ScriptedUpstream, StoreFault, Town, any_port, call,
+    eventually,
+};
+use ivyweir_standins::{Fault, Gateway};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+const CI_SEED: u64 = 20_261_203;
+const CI_STEPS: u32 = 16;
+const HALLS: [&str; 5] = ["hall-a", "hall-a", "hall-b", "hall-b", "hall-c"];
+const ENGINES: usize = 12;
+const HARMFUL: [&[u8]; 2] = [b"the first harmful body", b"the second harmful body"];
+/// A body that is sent all the time, by several callers.
+const COMMON: &[u8] = b"a common body";
+const CALLERS: u64 = 4;
+/// Ends of upstreams after which boxes that are in touch may send a request on a few times more.
+const ENDS: usize = 3;
+const MORE_SENDS: usize = 3;
+/// Time for boxes to hear of it, and time without a fault after which a box counts as in touch.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+/// Pause of a harmful request's caller.
+const HARM_PAUSE: Duration = Duration::from_millis(120);
+
+struct Shared {
+    addrs: Mutex<Vec<Option<SocketAddr>>>,
+    /// Harmless requests that were asked, and those that were refused as harmful.
+    harmless: AtomicU64,
+    refused: Mutex<Vec<String>>,
+    stop: AtomicBool,
+}
+
+/// A span in which a box, or all of them, were disturbed.
+struct Trouble {
+    number: Option<usize>,
+    from: Instant,
+    until: Instant,
+}
+
+struct Soak {
+    town: Town,
+    random: StdRng,
+    store_paths: Vec<Gateway>,
+    /// All upstreams there ever were; the last `ENGINES` places of `living` index into it.
+    engines: Vec<ScriptedUpstream>,
+    living: Vec<usize>,
+    made: u64,
+    folder: PathBuf,
+    shared: Arc<Shared>,
+    troubles: Vec<Trouble>,
+}
+
+fn well() -> Act {
+    Act::Stream {
+        events: 8,
+        gap_ms: 10,
+        break_after: None,
+        confidence: None,
+    }
+}
+
+impl Soak {
+    fn start(seed: u64) -> Self {
+        let town = Town::start(Path::new(BINARY));
+        for upstream in town.engines.iter().chain(&town.services) {
+            town.store.put_upstream(&upstream.leaving());
+        }
+        let name = format!("ivyweir-quarantine-soak-{}-{seed}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+        let store_addr = town.store.addr().to_string();
+        let path = |_: &&str| Gateway::start(&store_addr).expect("a port");
+        let mut soak = Self {
+            store_paths: HALLS.iter().map(path).collect(),
+            town,
+            random: StdRng::seed_from_u64(seed),
+            engines: Vec::new(),
+            living: Vec::new(),
+            made: 0,
+            folder,
+            shared: Arc::new(Shared {
+                addrs: Mutex::new(vec![None; HALLS.len()]),
+                harmless: AtomicU64::new(0),
+                refused: Mutex::default(),
+                stop: AtomicBool::new(false),
+            }),
+            troubles: Vec::new(),
+        };
+        for _ in 0..ENGINES {
+            let at = soak.add_engine(None);
+            soak.living.push(at);
+        }
+        for number in 0..HALLS.len() {
+            soak.start_box(number);
+        }
+        soak.until_all_ready();
+        soak
+    }
+
+    /// Starts an engine; one that is reborn has the id of an earlier one.
+    fn add_engine(&mut self, reborn: Option<&UpstreamRecord>) -> usize {
+        self.made += 1;
+        let id = match reborn {
+            Some(earlier) => earlier.id.to_string(),
+            None => format!("engine-{}", self.made),
+        };
+        let engine = ScriptedUpstream::start_alone(&id, "engines", "v1");
+        engine.set(well());
+        let after_events = self.random.random_range(0..3);
+        engine.set_for_all(&HARMFUL, Act::End { after_events });
+        self.town.store.put_upstream(&UpstreamRecord {
+            started_at_ms: Some(self.made),
+            ..engine.record()
+        });
+        self.engines.push(engine);
+        self.engines.len() - 1
+    }
+
+    /// Starts engines in place of those that ended; the old records stay for a while, as crashed ones do.
+    fn replace_ended(&mut self) {
+        for place in 0..self.living.len() {
+            let ended = &self.engines[self.living[place]];
+            if !ended.is_ended() {
+                continue;
+            }
+            let record = ended.record();
+            let is_reborn = self.random.random_bool(0.5);
+            if !is_reborn {
+                self.town.store.remove_upstream(&record.id);
+            }
+            self.living[place] = self.add_engine(is_reborn.then_some(&record));
+        }
+    }
+
+    fn start_box(&mut self, number: usize) {
+        let name = format!("box-{number}");
+        let store_addr = self.store_paths[number].addr();
+        let seed_addrs = self.town.seed_addrs();
+        let spec = BoxSpec {
+            name: &name,
+            hall: HALLS[number],
+            store_addr: &store_addr,
+            peer_addr: any_port(),
+            seed_addrs: &seed_addrs,
+            policy: &self.town.policy,
+        };
+        let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
+        self.shared.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
+        if number < self.town.boxes.len() {
+            self.town.boxes[number] = started;
+        } else {
+            self.town.boxes.push(started);
+        }
+    }
+
+    fn until_all_ready(&self) {
+        for number in 0..HALLS.len() {
+            eventually("every box is ready", || self.town.is_ready(number));
+        }
+    }
+
+    /// One random fault; those of the store last for a moment.
+    fn step(&mut self) {
+        let number = self.random.random_range(0..HALLS.len());
+        let from = Instant::now();
+        let disturbed = match self.random.random_range(0..9) {
+            0 => self.disturb_path(number, Fault::Cut),
+            1 => self.disturb_path(number, Fault::HalfOpen),
+            2 => self.disturb_store(StoreFault::Refuse),
+            3 => self.disturb_store(StoreFault::Silent),
+            4 => self.pause_box(number),
+            5 => self.stop_box(number),
+            6 => self.kill_box(number),
+            7 => self.end_several(),
+            _ => None,
+        };
+        if let Some(number) = disturbed {
+            self.troubles.push(Trouble {
+                number,
+                from,
+                until: Instant::now(),
+            });
+        }
+        self.replace_ended();
+        thread::sleep(Duration::from_millis(self.random.random_range(100..600)));
+    }
+
+    /// Returns the box that is disturbed; none within stands for all of them.
+    fn disturb_path(&mut self, number: usize, fault: Fault) -> Option<Option<usize>> {
+        self.store_paths[number].set(fault);
+        thread::sleep(Duration::from_millis(self.random.random_range(100..900)));
+        self.store_paths[number].set(Fault::None);
+        Some(Some(number))
+    }
+
+    fn disturb_store(&mut self, fault: StoreFault) -> Option<Option<usize>> {
+        self.town.store.set_fault(fault);
+        thread::sleep(Duration::from_millis(self.random.random_range(100..900)));
+        self.town.store.set_fault(StoreFault::None);
+        Some(None)
+    }
+
+    fn pause_box(&mut self, number: usize) -> Option<Option<usize>> {
+        self.town.boxes[number].signal("STOP");
+        thread::sleep(Duration::from_millis(self.random.random_range(50..900)));
+        self.town.boxes[number].signal("CONT");
+        Some(Some(number))
+    }
+
+    fn stop_box(&mut self, number: usize) -> Option<Option<usize>> {
+        self.town.boxes[number].signal("TERM");
+        let ended = self.town.boxes[number].wait_exit(Duration::from_secs(20));
+        assert_eq!(ended, Some(0), "a stop ends within its grace");
+        self.start_box(number);
+        Some(Some(number))
+    }
+
+    fn kill_box(&mut self, number: usize) -> Option<Option<usize>> {
+        self.shared.addrs.lock().expect("no panic")[number] = None;
+        self.town.boxes[number].kill();
+        self.start_box(number);
+        Some(Some(number))
+    }
+
+    /// Several engines end at a moment, whatever they run.
+    fn end_several(&mut self) -> Option<Option<usize>> {
+        let first = self.random.random_range(0..ENGINES);
+        for n in 0..ENGINES / 4 {
+            self.engines[self.living[(first + n) % ENGINES]].end();
+        }
+        None
+    }
+
+    fn is_in_touch(&self, number: usize, at: Instant) -> bool {
+        let overlaps = |trouble: &Trouble| {
+            let is_here = trouble.number.is_none_or(|n| n == number);
+            is_here && trouble.from <= at && at <= trouble.until + IN_TOUCH
+        };
+        !self.troubles.iter().any(overlaps)
+    }
+
+    /// What is wrong with a harmful request, if anything, and how many upstreams ended under it.
+    fn check(&self, harmful: &[u8]) -> (Vec<String>, usize) {
+        let mut ends: Vec<Instant> = Vec::new();
+        let mut sends: Vec<(Instant, usize)> = Vec::new();
+        for engine in &self.engines {
+            let seen = engine.seen();
+            let of_it = seen.iter().filter(|seen| seen.body == harmful);
+            let of_it: Vec<(Instant, usize)> = of_it
+                .map(|seen| {
+                    let id = seen.header("ivyweir-request-id").unwrap_or_default();
+                    let number = id.split('-').nth(1).and_then(|n| n.parse().ok());
+                    (seen.at, number.unwrap_or(0))
+                })
+                .collect();
+            ends.extend(of_it.iter().map(|(at, _)| *at).min());
+            sends.extend(of_it);
+        }
+        ends.sort();
+        let Some(third) = ends.get(ENDS - 1) else {
+            return (Vec::new(), ends.len());
+        };
+        let is_late = |(at, number): &&(Instant, usize)| {
+            *at > *third + IN_TOUCH && self.is_in_touch(*number, *at)
+        };
+        let late: Vec<String> = sends
+            .iter()
+            .filter(is_late)
+            .map(|(at, number)| {
+                let after_ms = at.duration_since(*third).as_millis();
+                format!("box {number} sent it {after_ms} ms after its third end")
+            })
+            .collect();
+        let broken = if late.len() > MORE_SENDS {
+            late
+        } else {
+            Vec::new()
+        };
+        (broken, ends.len())
+    }
+}
+
+fn ask(shared: &Shared, random: &mut StdRng, id: &str, body: Bytes) -> Option<Reply> {
+    let number = random.random_range(0..HALLS.len());
+    let addr = shared.addrs.lock().expect("no panic")[number]?;
+    let id = format!("{id}-{number}-{}", random.random::<u32>());
+    let auth = format!("Bearer {KEY}");
+    let headers = [
+        ("ivyweir-request-id", id.as_str()),
+        ("authorization", auth.as_str()),
+    ];
+    call(addr, "POST", "/stream/x", &headers, body).ok()
+}
+
+fn is_quarantined(reply: &Reply) -> bool {
+    reply.status == 503 && reply.text().contains("quarantined")
+}
+
+fn start_callers(shared: &Arc<Shared>, seed: u64) -> Vec<JoinHandle<()>> {
+    let harmless = (0..CALLERS).map(|caller| {
+        let shared = shared.clone();
+        thread::spawn(move || {
+            let mut random = StdRng::seed_from_u64(seed ^ (caller + 1));
+            while !shared.stop.load(Ordering::Relaxed) {
+                let own: u64 = random.random();
+                let body = if caller == 0 {
+                    Bytes::from_static(COMMON)
+                } else {
+                    Bytes::from(own.to_string())
+                };
+                let name = String::from_utf8_lossy(&body).into_owned();
+                shared.harmless.fetch_add(1, Ordering::Relaxed);
+                let reply = ask(&shared, &mut random, "harmless", body);
+                if reply.as_ref().is_some_and(is_quarantined) {
+                    shared.refused.lock().expect("no panic").push(name);
+                }
+                if reply.is_none_or(|reply| reply.status != 200) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+            }
+        })
+    });
+    let harmful = HARMFUL.iter().enumerate().map(|(n, body)| {
+        let shared = shared.clone();
+        thread::spawn(move || {
+            let mut random = StdRng::seed_from_u64(seed ^ (1_000 + n as u64));
+            while !shared.stop.load(Ordering::Relaxed) {
+                let _any = ask(&shared, &mut random, "harmful", Bytes::from_static(body));
+                thread::sleep(HARM_PAUSE);
+            }
+        })
+    });
+    harmless.chain(harmful).collect()
+}
+
+fn soak(seed: u64, steps: u32) {
+    let mut soak = Soak::start(seed);
+    let callers = start_callers(&soak.shared, seed);
+    for _ in 0..steps {
+        soak.step();
+    }
+    soak.until_all_ready();
+    soak.replace_ended();
+    // After the last fault all boxes are in touch again, and harmful requests still come.
+    thread::sleep(IN_TOUCH + IN_TOUCH / 2);
+    soak.shared.stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().expect("no caller panics");
+    }
+    let mut broken = Vec::new();
+    let mut ends = HashMap::new();
+    for harmful in HARMFUL {
+        let (late, count) = soak.check(harmful);
+        broken.extend(late);
+        ends.insert(String::from_utf8_lossy(harmful).into_owned(), count);
+    }
+    let refused = soak.shared.refused.lock().expect("no panic").clone();
+    let asked = soak.shared.harmless.load(Ordering::Relaxed);
+    println!(
+        "seed {seed}, {steps} steps: ends {ends:?}, {asked} harmless requests, {} of them refused as harmful",
+        refused.len()
+    );
+    let common = String::from_utf8_lossy(COMMON).into_owned();
+    if refused.contains(&common) {
+        broken.push("a request that is made all the time was refused as harmful".into());
+    }
+    if refused.len() as u64 * 100 > asked {
+        broken.push(format!(
+            "{} of {asked} harmless ones refused",
+            refused.len()
+        ));
+    }
+    assert!(
+        broken.is_empty(),
+        "seed {seed}: {broken:#?}\nlogs in {}",
+        soak.folder.display()
+    );
+    assert!(asked > 0, "seed {seed}: nothing was asked");
+    let _left_behind = std::fs::remove_dir_all(&soak.folder);
+}
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+#[test]
+fn harmful_requests_are_sent_no_more_in_a_random_soak() {
+    let seed = number("IVYWEIR_SOAK_SEED").unwrap_or(CI_SEED);
+    let steps = number("IVYWEIR_SOAK_STEPS").map_or(CI_STEPS, |steps| steps as u32);
+    soak(seed, steps);
+}
