Another start of an upstream is another upstream, whatever name it has

Cause: everything that a box keeps of an upstream is kept by its id, and a start used to mean a new id; now one may start again under its name, know nothing of before, and its counts begin anew. Ruled out: a list of places that each look at the start (in flight, cold parts, failures, connections, words, runs, ledger, left ones): eleven that may be forgotten; the upstream's own clock or count for the order (both may step back). Change: the id of a record is that of one incarnation, name and start, made at the border; the registry's name stands beside it, for removals and for what is said to the upstream. A record under a name whose incarnation differs replaces that for good: its connections close, its requests are judged at once, an old list or notice brings nothing back.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -213,7 +213,16 @@
         let sent_at_ms = gateway.clock.now_ms();
         lease.sent();
         let limit = Duration::from_millis(sending.wait_ms);
-        match timeout(limit, channel.send(request)).await {
+        let answer = tokio::select! {
+            answer = timeout(limit, channel.send(request)) => answer,
+            () = gateway.until_replaced(&upstream.id) => {
+                lease.broke();
+                trace.fail("upstream_replaced", json!({"upstream": upstream.id}));
+                count(gateway, job, "lost");
+                return Sent::Lost;
+            }
+        };
+        match answer {
             Ok(Ok(response)) => {
                 lease.channel = Some(channel);
                 let head_after_ms = gateway.clock.now_ms() - sent_at_ms;
@@ -346,7 +355,7 @@
 ) -> Forward<'a> {
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     Forward {
-        upstream_id: &upstream.id,
+        upstream_name: upstream.name(),
         budget_ms: left_ms.max(1),
         workspace: job.workspace.as_ref().map(|w| &*w.name),
         model: job
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -47,8 +47,8 @@
 /// What the system says of a request that it sends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Forward<'a> {
-    /// The incarnation that is to run it; any other refuses.
-    pub upstream_id: &'a str,
+    /// The upstream that is to run it; any other refuses.
+    pub upstream_name: &'a str,
     /// What is left of the caller's time.
     pub budget_ms: u64,
     /// Whose request it is.
@@ -157,7 +157,7 @@
     pub fn name(&self) -> Option<&Name> {
         match self {
             Self::Site(_) => None,
-            Self::Upstream(record) => Some(&record.id),
+            Self::Upstream(record) => Some(record.name()),
             Self::Rollout(order) => Some(&order.pool),
             Self::DrainedHall(hall) => Some(hall),
         }
--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -35,8 +35,16 @@
     let (mut head, body) = response.into_parts();
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     let limit = Duration::from_millis(left_ms);
-    let body = timeout(limit, Limited::new(body, WHOLE_ANSWER_BYTES).collect()).await;
     let upstream = lease.upstream.id.clone();
+    let body = tokio::select! {
+        biased;
+        body = timeout(limit, Limited::new(body, WHOLE_ANSWER_BYTES).collect()) => body,
+        () = gateway.until_replaced(&upstream) => {
+            lease.broke();
+            trace.fail("upstream_replaced", json!({"upstream": upstream}));
+            return Err(upstream);
+        }
+    };
     let bytes = match body {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) => {
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -107,7 +107,7 @@
     fn mark(&self, headers: &mut HeaderMap, forward: &Forward) {
         let names = &self.names;
         headers.insert(&names.budget_ms, HeaderValue::from(forward.budget_ms));
-        set(headers, &names.upstream_id, Some(forward.upstream_id));
+        set(headers, &names.upstream_id, Some(forward.upstream_name));
         set(headers, &names.workspace, forward.workspace);
         set(headers, &names.model, forward.model);
         if let Some(id) = forward.resume_after {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -20,7 +20,7 @@
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::gateway::word::Word;
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::channel::Channels;
 use crate::clock::Clock;
@@ -73,6 +73,8 @@
     fleet_repeats: Mutex<HashMap<Name, FleetCounts>>,
     paces: Mutex<HashMap<Name, ReadingPace>>,
     quarantine: Mutex<Quarantine>,
+    /// Counts how often incarnations of upstreams were replaced.
+    replacements: watch::Sender<u64>,
     /// Told when a request is quarantined.
     quarantined: Notify,
     synced: Mutex<Vec<Topic>>,
@@ -115,6 +117,7 @@
             fleet_repeats: Mutex::default(),
             paces: Mutex::default(),
             quarantine: Mutex::default(),
+            replacements: watch::Sender::default(),
             quarantined: Notify::new(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
@@ -279,7 +282,9 @@
         let now_ms = self.clock.now_ms();
         let mut upstreams = lock(&self.upstreams);
         let changes = change(upstreams.fleet(), now_ms);
+        let replaced = upstreams.fleet().take_replaced();
         drop(upstreams);
+        self.upstreams_replaced(&replaced);
         // A box that starts hears of all upstreams at once.
         let joined = changes.iter().filter(|(_, c)| *c == FleetChange::Joined);
         let joined = joined.count();
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -1,6 +1,7 @@
 //! Which requests are at which upstream, which were there when it ended, and which are sent no more.
 
 use std::collections::HashSet;
+use std::sync::Arc;
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -9,6 +10,7 @@
     Verdicts, Witness,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
+use ivyweir_policy::rank::hash64;
 use serde_json::json;
 
 use super::{Gateway, lock};
@@ -130,6 +132,33 @@
 
     /// Takes in that nobody listens at an upstream's address any more: its process has ended.
     pub fn upstream_ended(&self, upstream: &UpstreamRecord) {
+        let is_planned = self.is_end_planned(upstream);
+        self.note_end(upstream, is_planned);
+    }
+
+    /// Takes in that other incarnations have taken the places of these: they ended unseen, at once or behind a
+    /// cut, and what was sent to them has no answer.
+    pub(super) fn upstreams_replaced(&self, replaced: &[Arc<UpstreamRecord>]) {
+        for upstream in replaced {
+            let detail = json!({"upstream": upstream.id, "change": "Replaced"});
+            self.log.line("upstream_changed", detail);
+            self.note_end(upstream, self.is_version_replaced(upstream));
+        }
+        if !replaced.is_empty() {
+            self.replacements.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Waits until another incarnation has taken an upstream's place.
+    pub async fn until_replaced(&self, upstream: &Name) {
+        let mut news = self.replacements.subscribe();
+        while !lock(&self.upstreams).fleet().is_replaced(upstream) {
+            // The sender lives as long as the box's state.
+            let _changed = news.changed().await;
+        }
+    }
+
+    fn note_end(&self, upstream: &UpstreamRecord, is_planned: bool) {
         let now_ms = self.clock.now_ms();
         let there = lock(&self.quarantine)
             .runs
@@ -137,7 +166,6 @@
         if there.is_empty() {
             return;
         }
-        let is_planned = self.is_end_planned(upstream);
         let ends = &self.metrics.upstream_ends;
         ends.with_label_values(&[&*upstream.pool]).inc();
         let named = there.iter().take(NAMED_IN_LOG);
@@ -148,12 +176,12 @@
         });
         self.log.line("upstream_ended", detail);
         if !is_planned {
-            self.note_end(upstream, &there);
+            self.lay_end(upstream, &there);
         }
     }
 
-    fn note_end(&self, upstream: &UpstreamRecord, there: &[Left]) {
-        let upstream = upstream.incarnation();
+    fn lay_end(&self, upstream: &UpstreamRecord, there: &[Left]) {
+        let upstream = hash64(&[upstream.id.as_bytes()]);
         let witness = |left: &Left| Witness {
             fingerprint: left.fingerprint,
             end: UpstreamEnd {
@@ -171,11 +199,14 @@
     /// Whether an upstream was to end: it had announced that it leaves, or its version was replaced.
     fn is_end_planned(&self, upstream: &UpstreamRecord) -> bool {
         let is_known = lock(&self.upstreams).fleet().member(&upstream.id).is_some();
+        !is_known || self.is_version_replaced(upstream)
+    }
+
+    fn is_version_replaced(&self, upstream: &UpstreamRecord) -> bool {
         let target = self.rollout_target(&upstream.pool);
-        let is_replaced = target.is_some_and(|target| {
+        target.is_some_and(|target| {
             target.state == RolloutState::Completed && target.version != upstream.version
-        });
-        !is_known || is_replaced
+        })
     }
 
     /// What a box is to be told of requests under which upstreams ended.
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -174,7 +174,14 @@
         let deadline_ms = self.job.deadline_ms;
         let until_ms = self.silent_at_ms().unwrap_or(deadline_ms).min(deadline_ms);
         let until = self.gateway.clock.instant(until_ms);
-        let read = timeout_at(until, self.source.body.frame()).await;
+        let id = self.source.lease.upstream.id.clone();
+        let read = tokio::select! {
+            biased;
+            read = timeout_at(until, self.source.body.frame()) => read,
+            () = self.gateway.until_replaced(&id) => {
+                return Next::Broke("another incarnation took the upstream's place".into());
+            }
+        };
         if read.is_ok() {
             self.source.heard_ms = self.gateway.clock.now_ms();
         }
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -7,7 +7,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::rank::hash64;
 
 /// Ids of upstreams that left which are remembered; an id is never used again.
 const LEFT_KEPT: usize = 4_096;
@@ -15,7 +14,8 @@
 /// What the registry says of an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
-    /// Id of this incarnation.
+    /// Id of this incarnation. All that a box keeps of an upstream is kept under it, so nothing of an incarnation
+    /// is taken for another's.
     pub id: Name,
     /// Its pool.
     pub pool: Name,
@@ -32,19 +32,22 @@
     /// Time for which it is still cold.
     #[serde(default)]
     pub cold_remaining_ms: u64,
-    /// When its process started, in milliseconds since 1970 by its own clock, where it tells: it may start again
-    /// under its id.
+    /// What the registry and the upstream itself call it, where that is not its id: it may start again under
+    /// that name.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub started_at_ms: Option<u64>,
+    pub registered_as: Option<Name>,
 }
 
 impl UpstreamRecord {
-    /// Hash of its id and its start: another start is another upstream, which knows nothing of before.
-    pub fn incarnation(&self) -> u64 {
-        match self.started_at_ms {
-            Some(started_at_ms) => hash64(&[self.id.as_bytes(), &started_at_ms.to_le_bytes()]),
-            None => hash64(&[self.id.as_bytes()]),
-        }
+    /// What the registry and the upstream itself call it.
+    pub fn name(&self) -> &Name {
+        self.registered_as.as_ref().unwrap_or(&self.id)
+    }
+
+    /// The id of the incarnation of an upstream that started at this time: another start is another upstream, which
+    /// knows nothing of before. The order of starts is the registry's, since a time of day may step.
+    pub fn incarnation_id(name: &str, started_at_ms: u64) -> Name {
+        format!("{name}@{started_at_ms}").into()
     }
 }
 
@@ -100,19 +103,51 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: HashMap<Name, Member>,
-    left: HashSet<Name>,
-    left_order: VecDeque<Name>,
+    /// The member of each name in the registry.
+    ids: HashMap<Name, Name>,
+    /// Incarnations that others replaced under their names, until they are taken.
+    replaced: Vec<Arc<UpstreamRecord>>,
+    left: RecentIds,
+    replaced_ids: RecentIds,
+}
+
+/// Ids, the oldest of which are forgotten.
+#[derive(Debug, Default)]
+struct RecentIds {
+    ids: HashSet<Name>,
+    order: VecDeque<Name>,
+}
+
+impl RecentIds {
+    /// Adds an id; returns whether it is new.
+    fn insert(&mut self, id: &Name) -> bool {
+        if !self.ids.insert(id.clone()) {
+            return false;
+        }
+        self.order.push_back(id.clone());
+        if self.order.len() > LEFT_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+        true
+    }
+
+    fn contains(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
 }
 
 impl Fleet {
     /// Takes in a record.
     pub fn put(&mut self, record: UpstreamRecord, now_ms: u64) -> FleetChange {
-        if record.is_leaving {
-            return self.leave(&record.id);
-        }
         if self.left.contains(&record.id) {
             return FleetChange::Nothing;
         }
+        self.replace_earlier(&record);
+        if record.is_leaving {
+            return self.leave(&record.id);
+        }
         let known = self.members.get(&record.id);
         let before = known.map(|m| m.standing);
         let member = Member {
@@ -129,6 +164,30 @@
         }
     }
 
+    /// Takes an earlier incarnation under a record's name out: it ended, whether anybody saw that or not, and an
+    /// old list does not bring it back.
+    fn replace_earlier(&mut self, record: &UpstreamRecord) {
+        let earlier = self.ids.insert(record.name().clone(), record.id.clone());
+        let Some(earlier) = earlier.filter(|earlier| *earlier != record.id) else {
+            return;
+        };
+        if let Some(member) = self.members.get(&earlier) {
+            self.replaced.push(member.record.clone());
+        }
+        self.replaced_ids.insert(&earlier);
+        self.leave(&earlier);
+    }
+
+    /// Whether another incarnation has taken this one's place.
+    pub fn is_replaced(&self, id: &str) -> bool {
+        self.replaced_ids.contains(id)
+    }
+
+    /// Incarnations that others replaced since this was last asked.
+    pub fn take_replaced(&mut self) -> Vec<Arc<UpstreamRecord>> {
+        std::mem::take(&mut self.replaced)
+    }
+
     /// Takes upstreams of a hall to be cold until then, whatever their records say: they may have turned
     /// cold since.
     pub fn assume_cold(&mut self, hall: &str, until_ms: impl Fn(&UpstreamRecord) -> u64) {
@@ -143,9 +202,10 @@
         self.members.get(id)
     }
 
-    /// Takes in that a record is gone.
-    pub fn lapse(&mut self, id: &str, now_ms: u64) -> FleetChange {
-        match self.members.get_mut(id) {
+    /// Takes in that the record of this name is gone.
+    pub fn lapse(&mut self, name: &str, now_ms: u64) -> FleetChange {
+        let id = self.ids.get(name).cloned();
+        match id.and_then(|id| self.members.get_mut(&id)) {
             Some(member) if member.standing == Standing::Ready => {
                 member.standing = Standing::Lapsed { since_ms: now_ms };
                 FleetChange::Lapsed
@@ -156,15 +216,9 @@
 
     /// Takes in that an upstream leaves, or that another one answers at its address.
     pub fn leave(&mut self, id: &Name) -> FleetChange {
-        if !self.left.insert(id.clone()) {
+        if !self.left.insert(id) {
             return FleetChange::Nothing;
         }
-        self.left_order.push_back(id.clone());
-        if self.left_order.len() > LEFT_KEPT
-            && let Some(oldest) = self.left_order.pop_front()
-        {
-            self.left.remove(&oldest);
-        }
         self.members.remove(id);
         FleetChange::Leaving
     }
@@ -175,17 +229,14 @@
         records: Vec<UpstreamRecord>,
         now_ms: u64,
     ) -> Vec<(Name, FleetChange)> {
-        let listed: HashSet<Name> = records.iter().map(|r| r.id.clone()).collect();
-        let missing: Vec<Name> = self
-            .members
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
+        let listed: HashSet<&Name> = records.iter().map(UpstreamRecord::name).collect();
+        let names = self.members.values().map(|member| member.record.name());
+        let missing = names.filter(|name| !listed.contains(*name));
+        let missing: Vec<Name> = missing.cloned().collect();
         let mut changes: Vec<(Name, FleetChange)> = Vec::new();
-        for id in missing {
-            let change = self.lapse(&id, now_ms);
-            changes.push((id, change));
+        for name in missing {
+            let change = self.lapse(&name, now_ms);
+            changes.push((name, change));
         }
         for record in records {
             let id = record.id.clone();
@@ -210,6 +261,11 @@
         for id in &ids {
             self.members.remove(id);
         }
+        // A name outlasts its member, so that the next incarnation under it is known to be the later one.
+        if self.ids.len() > self.members.len() + LEFT_KEPT {
+            let members = &self.members;
+            self.ids.retain(|_, id| members.contains_key(id));
+        }
         ids
     }
 
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -113,7 +113,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
-        started_at_ms: None,
+        registered_as: None,
     }
 }
 
@@ -403,3 +403,57 @@
     }
     assert!(next.values().all(|together| *together <= 7), "{next:?}");
 }
+
+/// The incarnation of `u` that started at this time, by its clock.
+fn started(started_at_ms: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        registered_as: Some("u".into()),
+        ..record(&UpstreamRecord::incarnation_id("u", started_at_ms), "a")
+    }
+}
+
+fn ending(started_at_ms: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        is_leaving: true,
+        ..started(started_at_ms)
+    }
+}
+
+macro_rules! incarnations {
+    ($($name:ident: $records:expr => usable $usable:expr, replaced $replaced:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::default();
+            for record in $records {
+                fleet.put(record, 0);
+            }
+            assert_eq!(usable(&fleet), $usable as [Name; _]);
+            let replaced: Vec<Name> = fleet.take_replaced().iter().map(|r| r.id.clone()).collect();
+            assert_eq!(replaced, $replaced as [Name; _]);
+        }
+    )*};
+}
+
+incarnations! {
+    another_start_is_another_upstream: [started(5), started(9)] => usable ["u@9".into()], replaced ["u@5".into()];
+    the_order_is_the_registrys_since_clocks_step: [started(9), started(5)] => usable ["u@5".into()], replaced ["u@9".into()];
+    an_old_record_does_not_bring_the_old_one_back: [started(5), started(9), started(5)] => usable ["u@9".into()], replaced ["u@5".into()];
+    twice_in_a_row: [started(5), started(6), started(7)] => usable ["u@7".into()], replaced ["u@5".into(), "u@6".into()];
+    after_a_notice_that_it_leaves: [started(5), ending(5), started(9)] => usable ["u@9".into()], replaced [];
+    a_late_notice_of_the_old_one: [started(5), started(9), ending(5)] => usable ["u@9".into()], replaced ["u@5".into()];
+    one_that_starts_leaving: [started(5), ending(9)] => usable [], replaced ["u@5".into()];
+}
+
+#[test]
+fn the_registry_takes_out_whichever_incarnation_has_the_name() {
+    let mut fleet = Fleet::default();
+    fleet.put(started(5), 0);
+    fleet.put(started(9), 0);
+    assert_eq!(fleet.lapse("u", 10), FleetChange::Lapsed);
+    fleet.forget_lapsed(0, 10);
+    assert!(usable(&fleet).is_empty());
+    // Forgotten, it is still the earlier one of the next.
+    fleet.put(started(12), 20);
+    fleet.put(started(9), 30);
+    assert_eq!(usable(&fleet), ["u@12".into()]);
+}
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -108,14 +108,14 @@
     pub fn put_upstream(&self, record: &UpstreamRecord) {
         self.put(
             Topic::Upstreams,
-            record.id.clone(),
+            record.name().clone(),
             Item::Upstream(record.clone()),
         );
     }
 
     /// Removes an upstream's record.
-    pub fn remove_upstream(&self, id: &Name) {
-        self.remove(Topic::Upstreams, id);
+    pub fn remove_upstream(&self, name: &Name) {
+        self.remove(Topic::Upstreams, name);
     }
 
     /// Asks that the upstreams of a hall get nothing more.
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -125,6 +125,15 @@
         )
     }
 
+    /// Starts an upstream, as [`start_alone`](Self::start_alone), that tells when its process started: it may have
+    /// the name of an earlier one.
+    pub fn start_again(name: &str, started_at_ms: u64, pool: &str, version: &str) -> Self {
+        let id = UpstreamRecord::incarnation_id(name, started_at_ms);
+        let mut upstream = Self::start_alone(&id, pool, version);
+        upstream.record.registered_as = Some(name.into());
+        upstream
+    }
+
     fn start_at(ip: &str, id: &str, pool: &str, version: &str) -> Self {
         let shared = Arc::new(Shared {
             act: Mutex::new(Act::Answer(200)),
@@ -220,7 +229,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
-        started_at_ms: None,
+        registered_as: None,
     }
 }
 
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -5,7 +5,9 @@
 use std::thread;
 use std::time::Duration;
 
-use ivyweir_standins::edge::{Act, Reply, Town, call, event_ids, eventually, get, post_stream};
+use ivyweir_standins::edge::{
+    Act, Reply, ScriptedUpstream, Town, call, event_ids, eventually, get, post_stream,
+};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 const AUTH: (&str, &str) = ("authorization", "Bearer key-of-the-studio");
@@ -434,3 +436,42 @@
         .count();
     assert!(failed <= 12, "{failed} tries of eleven upstreams");
 }
+
+/// An upstream that starts again under its name, and whether a request that was at the first one is asked at the second.
+macro_rules! reborn {
+    ($($name:ident: $pool:expr, $path:expr, $first:expr => status $status:expr, second asked $asked:expr;)*) => {$(
+        /// The first incarnation ends behind a cut: its connections stay, and nothing comes on them.
+        #[test]
+        fn $name() {
+            let mut town = Town::start(Path::new(BINARY));
+            for upstream in town.services.iter().chain(&town.engines) {
+                town.store.put_upstream(&upstream.leaving());
+            }
+            let first = ScriptedUpstream::start_again("u", 1, $pool, "v1");
+            first.set($first);
+            town.store.put_upstream(&first.record());
+            town.add_box("hall-a");
+            let addr = town.addr(0);
+            let asking = thread::spawn(move || {
+                let headers = [("ivyweir-request-id", "r1"), AUTH];
+                get(addr, $path, &headers)
+            });
+            eventually("the first one has it", || first.seen().len() == 1);
+            let second = ScriptedUpstream::start_again("u", 2, $pool, "v1");
+            second.set(if $pool == "engines" { stream(3, None, None) } else { Act::Answer(200) });
+            town.store.put_upstream(&second.record());
+            let reply = asking.join().expect("no panic").expect("an answer");
+            assert_eq!((reply.status, second.seen().len()), ($status, $asked));
+            // What the first one said of itself does not bind the second.
+            town.store.put_upstream(&first.leaving());
+            let reply = ask(&town, $path);
+            assert_eq!((reply.status, second.seen().len()), (200, $asked + 1));
+        }
+    )*};
+}
+
+reborn! {
+    a_stream_goes_on_at_once_at_an_upstream_that_started_again: "engines", "/stream/x", SILENT => status 200, second asked 1;
+    a_safe_request_goes_on_at_once_at_an_upstream_that_started_again: "services", "/safe/x", Act::Hang => status 200, second asked 1;
+    an_unsafe_request_is_not_sent_to_an_upstream_that_started_again: "services", "/unsafe/x", Act::Hang => status 502, second asked 0;
+}
--- a/crates/ivyweird/tests/quarantine_soak.rs
+++ b/crates/ivyweird/tests/quarantine_soak.rs
@@ -117,18 +117,15 @@
     /// Starts an engine; one that is reborn has the id of an earlier one.
     fn add_engine(&mut self, reborn: Option<&UpstreamRecord>) -> usize {
         self.made += 1;
-        let id = match reborn {
-            Some(earlier) => earlier.id.to_string(),
+        let name = match reborn {
+            Some(earlier) => earlier.name().to_string(),
             None => format!("engine-{}", self.made),
         };
-        let engine = ScriptedUpstream::start_alone(&id, "engines", "v1");
+        let engine = ScriptedUpstream::start_again(&name, self.made, "engines", "v1");
         engine.set(well());
         let after_events = self.random.random_range(0..3);
         engine.set_for_all(&HARMFUL, Act::End { after_events });
-        self.town.store.put_upstream(&UpstreamRecord {
-            started_at_ms: Some(self.made),
-            ..engine.record()
-        });
+        self.town.store.put_upstream(&engine.record());
         self.engines.push(engine);
         self.engines.len() - 1
     }
@@ -143,7 +140,7 @@
             let record = ended.record();
             let is_reborn = self.random.random_bool(0.5);
             if !is_reborn {
-                self.town.store.remove_upstream(&record.id);
+                self.town.store.remove_upstream(record.name());
             }
             self.living[place] = self.add_engine(is_reborn.then_some(&record));
         }
