Records of other writers name no upstream, and the others hold

Cause: a record that lacked fields was taken with defaults, one object that was none took its whole page with it, and a record that turned unreadable left the upstream in use. Ruled out: passing over a page that cannot be read (all upstreams of it lapse); a line for each read. Change: objects are read one by one; all fields that servers write are asked for, 'born' a whole number where it is given; a record that turns unreadable counts as gone, a configuration or roll-out holds as it was; one line at a change (eight for a listing, the rest counted), a counter by fault. An address has one upstream, the first that named it until it is gone; a record without a start is passed over where most of its pool tell theirs.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -21,10 +21,7 @@
 
 fn adopt_entries(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
     let listed = entries.len();
-    let items: Vec<Item> = entries
-        .into_iter()
-        .filter_map(|entry| readable(gateway, topic, entry))
-        .collect();
+    let items = readable_entries(gateway, topic, entries);
     if topic == Topic::Upstreams {
         let records: Vec<UpstreamRecord> = items.into_iter().filter_map(Item::upstream).collect();
         gateway.change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
@@ -50,15 +47,41 @@
     }
 }
 
-/// The changes that can be read.
+/// The records that can be read; the others are those of a whole listing.
+fn readable_entries(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) -> Vec<Item> {
+    let mut items = Vec::new();
+    let mut unreadable = Vec::new();
+    for entry in entries {
+        match entry {
+            Ok(item) => items.push(item),
+            Err(e) => unreadable.push(e),
+        }
+    }
+    gateway.set_unreadable(topic, unreadable);
+    items
+}
+
+/// The changes that can be read. An upstream's record that cannot be read any more names nobody, as one that is
+/// gone; of every other topic what was known before holds.
 pub fn readable_changes(
     gateway: &Gateway,
     topic: Topic,
     changes: Vec<Change>,
 ) -> Vec<PassedChange> {
     let read = |change| match change {
-        Change::Put(entry) => readable(gateway, topic, entry).map(PassedChange::Put),
-        Change::Gone(name) => Some(PassedChange::Gone(name)),
+        Change::Put(Ok(item)) => {
+            gateway.note_readable(topic, item.name());
+            Some(PassedChange::Put(item))
+        }
+        Change::Put(Err(e)) => {
+            let name = e.name.clone().filter(|_| topic == Topic::Upstreams);
+            gateway.note_unreadable(topic, e);
+            name.map(PassedChange::Gone)
+        }
+        Change::Gone(name) => {
+            gateway.note_readable(topic, Some(&name));
+            Some(PassedChange::Gone(name))
+        }
     };
     changes.into_iter().filter_map(read).collect()
 }
@@ -134,14 +157,3 @@
     let detail = json!({"version": version, "routes": routes, "adopted": adopted});
     gateway.log.line("site_seen", detail);
 }
-
-fn readable(gateway: &Gateway, topic: Topic, entry: Entry) -> Option<Item> {
-    match entry {
-        Ok(item) => Some(item),
-        Err(e) => {
-            let detail = json!({"topic": topic.name(), "error": e.to_string()});
-            gateway.log.line("record_unreadable", detail);
-            None
-        }
-    }
-}
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -172,8 +172,65 @@
     }
 }
 
+/// What is wrong with a record: it may come from another writer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It has no name.
+    Unnamed,
+    /// A field is missing or of another type, or it is no object.
+    Form,
+    /// Its address is none.
+    Address,
+    /// Its state is none that is known.
+    State,
+    /// The time of its start is no whole number of milliseconds.
+    Start,
+}
+
+impl Fault {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unnamed => "unnamed",
+            Self::Form => "form",
+            Self::Address => "address",
+            Self::State => "state",
+            Self::Start => "start",
+        }
+    }
+}
+
+/// Bytes of a text that says what is wrong with a record: the record itself may have hundreds of kilobytes.
+const DETAIL_BYTES: usize = 160;
+
+/// A record that cannot be read. What it was before it was written over counts no more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Its name, where it has one.
+    pub name: Option<Name>,
+    /// What is wrong with it.
+    pub fault: Fault,
+    /// More of that.
+    pub detail: String,
+}
+
+impl Unreadable {
+    /// A record of this name, and what is wrong with it; a long detail is cut.
+    pub fn new(name: Option<Name>, fault: Fault, detail: impl fmt::Display) -> Self {
+        let mut detail = detail.to_string();
+        if let Some((end, _)) = detail.char_indices().find(|(at, _)| *at >= DETAIL_BYTES) {
+            detail.truncate(end);
+        }
+        Self {
+            name,
+            fault,
+            detail,
+        }
+    }
+}
+
 /// A record, or why it cannot be read.
-pub type Entry = std::result::Result<Item, DialectError>;
+pub type Entry = std::result::Result<Item, Unreadable>;
 
 /// A quarantined request that is kept, or why it cannot be read.
 pub type QuarantineEntry = std::result::Result<QuarantineRecord, DialectError>;
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub sends: IntCounterVec,
     /// Upstreams that ended while requests of this box were there, by pool.
     pub upstream_ends: IntCounterVec,
+    /// Records of the store that could not be read, by topic and fault, each counted when it turned so.
+    pub unreadable_records: IntCounterVec,
     /// Calls to the store by topic and outcome.
     pub store_calls: IntCounterVec,
     /// Time to the head of the answer by route.
@@ -51,6 +53,11 @@
             "upstreams that ended while requests were there, by pool",
             &["pool"],
         );
+        let unreadable_records = counter(
+            "ivyweir_unreadable_records_total",
+            "records of the store that turned unreadable, by topic and fault",
+            &["topic", "fault"],
+        );
         let store_calls = counter(
             "ivyweir_store_calls_total",
             "calls to the store by topic and outcome",
@@ -75,6 +82,7 @@
             requests,
             sends,
             upstream_ends,
+            unreadable_records,
             store_calls,
             head_latency,
             beliefs,
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -7,9 +7,11 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::dialect::{
-    Change, Changes, DialectError, Item, Page, QuarantineEntry, StoreCodec, Topic,
+    Change, Changes, DialectError, Entry, Fault, Item, Page, QuarantineEntry, StoreCodec, Topic,
+    Unreadable,
 };
 use crate::headers::{HeaderDialect, HeaderNames};
 
@@ -46,7 +48,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RecordPage {
     /// The records.
-    pub records: Vec<Item>,
+    pub records: Vec<Value>,
     /// Where the next page starts, if there is one.
     pub next_after: Option<String>,
     /// The store's revision.
@@ -57,7 +59,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RecordChanges {
     /// In order.
-    pub changes: Vec<RecordChange>,
+    pub changes: Vec<Value>,
     /// Where to go on.
     pub revision: u64,
 }
@@ -116,7 +118,7 @@
     fn page(&self, _topic: Topic, body: &[u8]) -> Result<Page, DialectError> {
         let page: RecordPage = read("a page of records", body)?;
         Ok(Page {
-            entries: page.records.into_iter().map(Ok).collect(),
+            entries: page.records.into_iter().map(entry).collect(),
             next_after: page.next_after,
             revision: page.revision,
         })
@@ -125,10 +127,7 @@
     fn changes(&self, _topic: Topic, body: &[u8]) -> Result<Changes, DialectError> {
         let changes: RecordChanges = read("changes of records", body)?;
         let revision = changes.revision;
-        let changes = changes.changes.into_iter().map(|change| match change {
-            RecordChange::Put(item) => Change::Put(Ok(item)),
-            RecordChange::Gone(name) => Change::Gone(name),
-        });
+        let changes = changes.changes.into_iter().map(change);
         Ok(Changes {
             changes: changes.collect(),
             revision,
@@ -140,6 +139,25 @@
     }
 }
 
+/// A record; one that cannot be read may tell its name beside.
+fn entry(record: Value) -> Entry {
+    let name = record["name"].as_str().map(Name::from);
+    serde_json::from_value(record).map_err(|e| Unreadable::new(name, Fault::Form, e))
+}
+
+fn change(change: Value) -> Change {
+    match change {
+        Value::Object(mut fields) if fields.contains_key("put") => {
+            Change::Put(entry(fields.remove("put").unwrap_or_default()))
+        }
+        other => match serde_json::from_value(other) {
+            Ok(RecordChange::Put(item)) => Change::Put(Ok(item)),
+            Ok(RecordChange::Gone(name)) => Change::Gone(name),
+            Err(e) => Change::Put(Err(Unreadable::new(None, Fault::Form, e))),
+        },
+    }
+}
+
 fn request(method: Method, path: String, body: Bytes) -> Request<Bytes> {
     Request::builder()
         .method(method)
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -4,6 +4,7 @@
 mod quarantine;
 mod repeats;
 mod sending;
+mod unreadable;
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -35,6 +36,7 @@
 use crate::sync;
 use crate::upstreams::{Target, Upstreams};
 use quarantine::Quarantine;
+use unreadable::UnreadableRecords;
 
 /// Part of the time for a leaving upstream's last work that is left for the way there.
 const LEAVING_MARGIN_MS: u64 = 700;
@@ -73,6 +75,8 @@
     fleet_repeats: Mutex<HashMap<Name, FleetCounts>>,
     paces: Mutex<HashMap<Name, ReadingPace>>,
     quarantine: Mutex<Quarantine>,
+    /// Records of the store that cannot be read.
+    unreadable: Mutex<UnreadableRecords>,
     /// Counts how often incarnations of upstreams were replaced.
     replacements: watch::Sender<u64>,
     /// Told when a request is quarantined.
@@ -117,6 +121,7 @@
             fleet_repeats: Mutex::default(),
             paces: Mutex::default(),
             quarantine: Mutex::default(),
+            unreadable: Mutex::default(),
             replacements: watch::Sender::default(),
             quarantined: Notify::new(),
             synced: Mutex::default(),
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -77,6 +77,10 @@
 }
 
 impl Member {
+    fn is_ready(&self) -> bool {
+        self.standing == Standing::Ready
+    }
+
     /// Time for which it is still cold; 0 where it is not.
     pub fn cold_for_ms(&self, now_ms: u64) -> u64 {
         let until_ms = self.cold_until_ms.max(self.assumed_cold_until_ms);
@@ -105,6 +109,9 @@
     members: HashMap<Name, Member>,
     /// The member of each name in the registry.
     ids: HashMap<Name, Name>,
+    /// The member that is at each address: the first that named it, until its record is gone. Another record that
+    /// names it too is another writer's, or the next upstream's there.
+    at: HashMap<SocketAddr, Name>,
     /// Incarnations that others replaced under their names, until they are taken.
     replaced: Vec<Arc<UpstreamRecord>>,
     left: RecentIds,
@@ -156,7 +163,15 @@
             record: Arc::new(record),
             standing: Standing::Ready,
         };
-        self.members.insert(member.record.id.clone(), member);
+        let (id, addr) = (member.record.id.clone(), member.record.addr);
+        let moved_from = self
+            .members
+            .insert(id.clone(), member)
+            .map(|m| m.record.addr);
+        if let Some(left) = moved_from.filter(|left| *left != addr) {
+            self.vacate(left, &id);
+        }
+        self.occupy(addr, &id);
         match before {
             None => FleetChange::Joined,
             Some(Standing::Lapsed { .. }) => FleetChange::Returned,
@@ -164,6 +179,48 @@
         }
     }
 
+    /// Takes in that a member names an address.
+    fn occupy(&mut self, addr: SocketAddr, id: &Name) {
+        let is_free = match self.at.get(&addr) {
+            Some(other) => !self.members.get(other).is_some_and(Member::is_ready),
+            None => true,
+        };
+        if is_free {
+            self.at.insert(addr, id.clone());
+        }
+    }
+
+    /// Takes in that a member is at an address no longer; another one that names it is there now.
+    fn vacate(&mut self, addr: SocketAddr, id: &Name) {
+        if self.at.get(&addr) != Some(id) {
+            return;
+        }
+        self.at.remove(&addr);
+        let others = self.members.values();
+        let others = others.filter(|m| m.is_ready() && m.record.addr == addr && m.record.id != *id);
+        // The same one at each box.
+        let next = others.map(|m| m.record.id.clone()).min();
+        if let Some(next) = next {
+            self.at.insert(addr, next);
+        }
+    }
+
+    /// Whether a record may name an upstream to use, as far as others tell: nobody else is at its address, and it
+    /// tells its start where most of its pool do.
+    fn is_plausible(&self, member: &Member, tell_starts: bool) -> bool {
+        let record = &member.record;
+        let is_there = self.at.get(&record.addr).is_none_or(|id| *id == record.id);
+        is_there && (!tell_starts || record.registered_as.is_some())
+    }
+
+    /// Whether most upstreams of a pool tell their start.
+    fn tell_starts(&self, pool: &str) -> bool {
+        let of_pool = self.members.values().filter(|m| &*m.record.pool == pool);
+        let (told, untold): (Vec<_>, Vec<_>) =
+            of_pool.partition(|m| m.record.registered_as.is_some());
+        told.len() > untold.len()
+    }
+
     /// Takes an earlier incarnation under a record's name out: it ended, whether anybody saw that or not, and an
     /// old list does not bring it back.
     fn replace_earlier(&mut self, record: &UpstreamRecord) {
@@ -208,6 +265,8 @@
         match id.and_then(|id| self.members.get_mut(&id)) {
             Some(member) if member.standing == Standing::Ready => {
                 member.standing = Standing::Lapsed { since_ms: now_ms };
+                let (addr, id) = (member.record.addr, member.record.id.clone());
+                self.vacate(addr, &id);
                 FleetChange::Lapsed
             }
             _ => FleetChange::Nothing,
@@ -219,7 +278,9 @@
         if !self.left.insert(id) {
             return FleetChange::Nothing;
         }
-        self.members.remove(id);
+        if let Some(member) = self.members.remove(id) {
+            self.vacate(member.record.addr, id);
+        }
         FleetChange::Leaving
     }
 
@@ -259,7 +320,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &ids {
-            self.members.remove(id);
+            if let Some(member) = self.members.remove(id) {
+                self.vacate(member.record.addr, id);
+            }
         }
         // A name outlasts its member, so that the next incarnation under it is known to be the later one.
         if self.ids.len() > self.members.len() + LEFT_KEPT {
@@ -277,10 +340,12 @@
         pool: &str,
         may_serve: impl Fn(&UpstreamRecord) -> bool,
     ) -> Vec<Arc<UpstreamRecord>> {
+        let tell_starts = self.tell_starts(pool);
         let of_standing = |ready: bool| -> Vec<Arc<UpstreamRecord>> {
             let members = self.members.values();
             members
-                .filter(|m| (m.standing == Standing::Ready) == ready)
+                .filter(|m| m.is_ready() == ready)
+                .filter(|m| self.is_plausible(m, tell_starts))
                 .filter(|m| &*m.record.pool == pool && may_serve(&m.record))
                 .map(|m| m.record.clone())
                 .collect()
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -17,6 +17,7 @@
 use ivyweir_policy::gateway::quarantine::QuarantineRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState};
 use ivyweir_policy::gateway::site::Site;
+use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
@@ -52,7 +53,9 @@
     /// Watches from before this are told that history is gone.
     history_from: u64,
     records: BTreeMap<(&'static str, Name), Item>,
-    log: Vec<(u64, Topic, RecordChange)>,
+    log: Vec<(u64, Topic, Value)>,
+    /// Records of other writers, which cannot be read, by topic and name.
+    foreign: BTreeMap<(&'static str, Name), Value>,
     /// Quarantined requests, by the name of their record.
     quarantines: BTreeMap<String, QuarantineRecord>,
     fault: StoreFault,
@@ -118,6 +121,12 @@
         self.remove(Topic::Upstreams, name);
     }
 
+    /// Writes over a record as another writer may: with something that cannot be read.
+    pub fn put_foreign(&self, topic: Topic, name: &str, record: Value) {
+        self.state().put_foreign(topic, name.into(), record);
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
     /// Asks that the upstreams of a hall get nothing more.
     pub fn drain_hall(&self, hall: &str) {
         self.put(
@@ -200,24 +209,47 @@
         if let Item::Rollout(order) = &mut item {
             order.revision = self.revision;
         }
-        self.records.insert((topic.name(), name), item.clone());
+        let key = (topic.name(), name);
+        self.foreign.remove(&key);
+        self.records.insert(key, item.clone());
+        self.note(topic, &RecordChange::Put(item));
+    }
+
+    fn put_foreign(&mut self, topic: Topic, name: Name, record: Value) {
+        self.revision += 1;
+        let key = (topic.name(), name);
+        self.records.remove(&key);
         self.log
-            .push((self.revision, topic, RecordChange::Put(item)));
+            .push((self.revision, topic, json!({"put": record})));
+        self.foreign.insert(key, record);
+    }
+
+    fn note(&mut self, topic: Topic, change: &RecordChange) {
+        let change = serde_json::to_value(change).expect("changes are valid JSON");
+        self.log.push((self.revision, topic, change));
     }
 
     fn remove(&mut self, topic: Topic, name: &Name) {
         if self.records.remove(&(topic.name(), name.clone())).is_some() {
             self.revision += 1;
-            let change = RecordChange::Gone(name.clone());
-            self.log.push((self.revision, topic, change));
+            self.note(topic, &RecordChange::Gone(name.clone()));
         }
     }
 
     fn page(&self, topic: Topic) -> RecordPage {
-        let records = self.records.iter();
+        let own = self.records.iter();
+        let own = own.map(|(key, item)| {
+            let record = serde_json::to_value(item).expect("records are valid JSON");
+            (key, record)
+        });
+        let foreign = self
+            .foreign
+            .iter()
+            .map(|(key, record)| (key, record.clone()));
+        let records = own.chain(foreign);
         let records = records.filter(|((of, _), _)| *of == topic.name());
         RecordPage {
-            records: records.map(|(_, item)| item.clone()).collect(),
+            records: records.map(|(_, record)| record).collect(),
             next_after: None,
             revision: self.revision,
         }
@@ -277,7 +309,7 @@
     };
     let query = head.uri.query().unwrap_or_default();
     match (&head.method, rest) {
-        (&Method::GET, []) => json(&shared.state().page(topic)),
+        (&Method::GET, []) => answer_json(&shared.state().page(topic)),
         (&Method::GET, ["changes"]) => watch_topic(shared, topic, query).await,
         (&Method::PUT, [_]) => write_rollout(shared, &body),
         _ => status(StatusCode::NOT_FOUND),
@@ -292,7 +324,7 @@
 ) -> Response<Full<Bytes>> {
     let kept = &mut shared.state().quarantines;
     match (method, name) {
-        (&Method::GET, []) => json(&kept.values().collect::<Vec<_>>()),
+        (&Method::GET, []) => answer_json(&kept.values().collect::<Vec<_>>()),
         (&Method::POST, [name]) if kept.contains_key(*name) => status(StatusCode::CONFLICT),
         (&Method::POST, [name]) => match serde_json::from_slice(body) {
             Ok(record) => {
@@ -333,7 +365,7 @@
             return status(StatusCode::GONE);
         }
         if !changes.changes.is_empty() || Instant::now() >= until {
-            return json(&changes);
+            return answer_json(&changes);
         }
         let _woken = timeout_at(until, news.changed()).await;
     }
@@ -346,14 +378,14 @@
     let (code, item) = shared.state().write_rollout(order);
     shared.news.send_modify(|count| *count += 1);
     let mut answer = match item {
-        Some(Item::Rollout(order)) => json(&order),
+        Some(Item::Rollout(order)) => answer_json(&order),
         _ => status(code),
     };
     *answer.status_mut() = code;
     answer
 }
 
-fn json(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
+fn answer_json(value: &impl serde::Serialize) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(value).expect("records are valid JSON");
     Response::new(Full::new(Bytes::from(body)))
 }
