The clock counts the time for which the machine is suspended

Cause: the clock was the library's instant, which stands still in suspension, so a proof from before it counted as fresh. Ruled out: the time of day (it steps); adding what a wake-up seems to have taken (needs the same clock). On waking a box no longer waits for what it had asked the store before. Timers of the runtime stand still as before. A real suspension was not tried: nothing here can suspend the machine.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod box_call;
 mod channel;
 pub mod client;
-mod clock;
+pub mod clock;
 pub mod dialect;
 mod drive;
 mod ends;
@@ -68,7 +68,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use clock::Clock;
+use clock::{Clock, Suspension};
 use log::Log;
 use state::Gateway;
 
@@ -94,7 +94,7 @@
     codec: Arc<dyn StoreCodec>,
 ) -> io::Result<()> {
     let clock = Clock::start();
-    let log = Log::start(clock)?;
+    let log = Log::start(clock.clone())?;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -212,8 +212,12 @@
 /// Sweeps now and then, and tells when readiness changes.
 async fn sweep(gateway: Arc<Gateway>) {
     let mut was_ready = false;
+    let mut suspension = Suspension::watch(&gateway.clock);
     loop {
         sleep(SWEEP).await;
+        if let Some(lasted_ms) = suspension.look(&gateway.clock) {
+            gateway.woke(lasted_ms);
+        }
         gateway.sweep();
         let ready = gateway.is_ready();
         if ready != was_ready {
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -272,7 +272,7 @@
     }
 
     /// Waits until a box is left alone, whichever follower or task found it silent or sourceless.
-    pub async fn until_shunned(&self, name: &Name, clock: Clock) {
+    pub async fn until_shunned(&self, name: &Name, clock: &Clock) {
         let mut shuns = self.shuns.subscribe();
         while !self.is_shunned(name, clock.now_ms()) {
             // The sender lives as long as the box's state.
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -268,6 +268,15 @@
         }
     }
 
+    /// Takes in that the machine was suspended for `lasted_ms`. Ages have grown by that already; what waits looks at
+    /// them anew, and what was asked of the store before is not waited for.
+    pub fn woke(&self, lasted_ms: u64) {
+        let detail = json!({"lasted_ms": lasted_ms, "proof_age_ms": self.proof_age_ms()});
+        self.log.line("woke", detail);
+        self.store_news.store_lost();
+        self.histories.tell();
+    }
+
     /// Counts a request until the returned guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> Active {
         self.active.fetch_add(1, Ordering::Relaxed);
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -129,7 +129,7 @@
         let store_news = &self.gateway.store_news;
         tokio::select! {
             answer = client.call(request, limit) => return Ok(answer),
-            () = self.gateway.peers.until_shunned(&relay.name, self.gateway.clock) => {}
+            () = self.gateway.peers.until_shunned(&relay.name, &self.gateway.clock) => {}
             () = store_news.until_upstreams_wanted(wanted), if self.topic == Topic::Upstreams => {}
             () = store_news.until_poll_asked(), if self.topic != Topic::Site => {}
         }
