Roll-outs: when the time is up a looser limit decides, since it is looked at once

Ruled out: a looser limit throughout (good versions are judged hundreds of times); waiting on (a good version not completed in time is paid for, and after completion nothing is compared). Change: at the end 0.002. The test fails on the code before (Complete, not RollBack).

--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -237,6 +237,9 @@
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
             _ if self.condemned_at_ms.is_some_and(|at_ms| at_ms <= now_ms) => RolloutDuty::RollBack,
             _ if self.condemned_at_ms.is_some() => RolloutDuty::None,
+            _ if self.part(now_ms) >= COMPLETE_FROM && self.findings.condemns_at_end() => {
+                RolloutDuty::RollBack
+            }
             _ if self.part(now_ms) >= COMPLETE_FROM => RolloutDuty::Complete,
             RolloutState::Ordered => RolloutDuty::Tell,
             RolloutState::Running { elapsed_ms } => {
--- a/crates/ivyweir-policy/src/gateway/verdict.rs
+++ b/crates/ivyweir-policy/src/gateway/verdict.rs
@@ -21,6 +21,9 @@
 /// Chance at which as many bad answers would come of a version as good as the old one. Boxes judge
 /// after each answer, so it is small.
 const CHANCE_LIMIT: f64 = 5e-4;
+/// The same where the roll-out's time is up: it is looked at once, and a version that stays cannot be taken back.
+/// With some ten groups a good version is rolled back at its end once in fifty times.
+const CHANCE_LIMIT_AT_END: f64 = 2e-3;
 /// What is taken to be known of the old version before it has answered: one bad answer in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
@@ -142,11 +145,11 @@
         self.new.add(&more.new);
     }
 
-    /// Whether the new version is worse than chance explains.
-    fn condemns(&self) -> bool {
+    /// Whether the new version is worse than chance explains, by this limit.
+    fn condemns(&self, chance_limit: f64) -> bool {
         let new = &self.new;
         let enough = new.bad >= BAD_LIMIT && new.bad_upstreams.len() >= BAD_UPSTREAMS;
-        enough && tail(new.bad as usize, new.all as usize, self.old.bad_rate()) < CHANCE_LIMIT
+        enough && tail(new.bad as usize, new.all as usize, self.old.bad_rate()) < chance_limit
     }
 }
 
@@ -221,7 +224,17 @@
 
     /// Whether the new version is worse than chance explains, in any group.
     pub fn condemns(&self) -> bool {
-        self.sum().iter().any(|(_, counts)| counts.condemns())
+        self.condemns_by(CHANCE_LIMIT)
+    }
+
+    /// Whether it is, in any group, as far as it is known when the roll-out's time is up.
+    pub fn condemns_at_end(&self) -> bool {
+        self.condemns_by(CHANCE_LIMIT_AT_END)
+    }
+
+    fn condemns_by(&self, chance_limit: f64) -> bool {
+        let sum = self.sum();
+        sum.iter().any(|(_, counts)| counts.condemns(chance_limit))
     }
 }
 
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -204,6 +204,25 @@
     assert_eq!(judged(&answers).duty(100), RolloutDuty::None);
 }
 
+/// What users saw: a version whose answers were slow four times in ten was completed, and kept: of its 21 answers before the
+/// end five were bad, of the old one's 282 ten. Chance explains that once in 1,200 times, which is too often for
+/// a limit that is looked at after each answer, and the roll-out's time was up.
+#[test]
+fn a_version_that_chance_hardly_explains_is_rolled_back_at_the_end() {
+    let rare = |side: Side, bad: usize, all: usize| {
+        (0..all).map(move |n| (side, n >= all - bad, None::<f64>))
+    };
+    let mut answers: Vec<_> = rare(Side::Old, 10, 282).collect();
+    // The bad ones come last: earlier they would condemn it while there are few good ones.
+    answers.extend(rare(Side::New, 5, 21));
+    let track = judged(&answers);
+    assert_eq!(track.duty(20_000), RolloutDuty::Tell);
+    assert_eq!(track.duty(23_400), RolloutDuty::RollBack);
+    let mut answers: Vec<_> = rare(Side::Old, 10, 282).collect();
+    answers.extend(rare(Side::New, 3, 21));
+    assert_eq!(judged(&answers).duty(23_400), RolloutDuty::Complete);
+}
+
 #[test]
 fn a_version_that_fails_on_one_lane_only_is_condemned() {
     let mut track = RolloutTrack::new(order(running(0), 1), 0);
