Quarantine: what was taken away, and what ended together, is laid to no request

One had been at three upstreams that ended at one moment: at the first for a smaller answer that was put aside 0.6 s before, at the second with the larger one, and when that broke it was sent on into a kept connection to the third, which had ended too. Ruled out: counting ends at one moment as one whatever was there (a burst of a harmful request would count once a burst). Change: a request that the box took away counts as there for 0.15 s, not 2; after a broken connection it goes on over a fresh one, which an upstream that ended refuses; ends at one moment are apart where two tries were there and none was ever answered.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Response, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::quarantine::{Fingerprint, RunEnd};
+use ivyweir_policy::gateway::quarantine::{RunEnd, Sent as SentRun};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -29,7 +29,7 @@
     channel: Option<Channel>,
     estimate: Estimate,
     is_read: bool,
-    fingerprint: Fingerprint,
+    sent: SentRun,
     /// Whether the request was sent, and has not been settled since.
     is_running: bool,
 }
@@ -39,7 +39,7 @@
         gateway: Arc<Gateway>,
         upstream: Arc<UpstreamRecord>,
         estimate: Estimate,
-        fingerprint: Fingerprint,
+        sent: SentRun,
     ) -> Self {
         gateway.with_load(&upstream.id, |load, _| load.begin(estimate.total_ms()));
         Self {
@@ -48,15 +48,15 @@
             channel: None,
             estimate,
             is_read: false,
-            fingerprint,
+            sent,
             is_running: false,
         }
     }
 
     /// Takes in that the request is sent now.
-    fn sent(&mut self) {
+    fn begin(&mut self) {
         self.is_running = true;
-        self.gateway.run_began(&self.upstream.id, self.fingerprint);
+        self.gateway.run_began(&self.upstream.id, self.sent);
     }
 
     /// Takes in that the upstream has nothing more to do with the request.
@@ -69,14 +69,14 @@
     pub fn complete(&mut self, is_success: bool) {
         self.settle();
         if is_success {
-            self.gateway.run_completed(self.fingerprint);
+            self.gateway.run_completed(self.sent.fingerprint);
         }
     }
 
     fn leave(&mut self, how: RunEnd) {
         if std::mem::take(&mut self.is_running) {
             let id = &self.upstream.id;
-            self.gateway.run_left(id, self.fingerprint, how);
+            self.gateway.run_left(id, self.sent, how);
         }
     }
 
@@ -115,8 +115,8 @@
     /// Takes in that the connection broke, and finds out whether the upstream itself ended.
     pub fn broke(&mut self) {
         self.outcome(true);
-        self.leave(RunEnd::Open);
-        self.gateway.run_broke(self.fingerprint);
+        self.leave(RunEnd::Broken);
+        self.gateway.run_broke(self.sent.fingerprint);
         ends::look(&self.gateway, &self.upstream);
     }
 }
@@ -126,8 +126,9 @@
         // An answer that was put aside may have broken off unread.
         if self.is_running && self.channel.as_ref().is_some_and(Channel::is_closed) {
             ends::look(&self.gateway, &self.upstream);
+            self.leave(RunEnd::Broken);
         }
-        self.leave(RunEnd::Open);
+        self.leave(RunEnd::Taken);
         let left_ms = self.work_left_ms();
         self.gateway
             .with_load(&self.upstream.id, |load, _| load.end(left_ms));
@@ -183,9 +184,16 @@
     trace: &mut Trace,
 ) -> Sent {
     let estimate = estimate(gateway, job, sending.model);
-    let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate, job.fingerprint);
+    let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate, job.sent_run());
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
-    let mut kept = gateway.channels.take(&upstream.id, gateway.clock.now_ms());
+    // Nor is one used for a request whose connection just broke: where many upstreams end at a moment it would be
+    // sent into a connection to another one that has ended, and taken to have been there.
+    let mut kept = if gateway.is_suspect(job.fingerprint) {
+        None
+    } else {
+        let now_ms = gateway.clock.now_ms();
+        gateway.channels.take(&upstream.id, now_ms)
+    };
     loop {
         let is_kept = kept.is_some();
         let mut channel = match kept.take() {
@@ -211,7 +219,7 @@
         let forward = forward(gateway, job, upstream, sending, estimate);
         let request = job.request(&*gateway.dialect, &forward);
         let sent_at_ms = gateway.clock.now_ms();
-        lease.sent();
+        lease.begin();
         let limit = Duration::from_millis(sending.wait_ms);
         let answer = tokio::select! {
             answer = timeout(limit, channel.send(request)) => answer,
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request, Uri};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::place::Ask;
-use ivyweir_policy::gateway::quarantine::Fingerprint;
+use ivyweir_policy::gateway::quarantine::{Fingerprint, Sent};
 use ivyweir_policy::gateway::rollout::Side;
 use ivyweir_policy::gateway::site::{Route, Workspace};
 use ivyweir_policy::gateway::work::{self, Estimate, Tokens};
@@ -71,6 +71,14 @@
         mix(hash64(&[self.route.name.as_bytes()]), model as u64)
     }
 
+    /// What is remembered of it at an upstream.
+    pub fn sent_run(&self) -> Sent {
+        Sent {
+            fingerprint: self.fingerprint,
+            try_hash: self.seed as u32,
+        }
+    }
+
     /// What the request takes of an upstream whose model reads a token in `ms_per_token`.
     pub fn estimate(&self, ms_per_token: f64) -> Estimate {
         work::estimate(self.tokens(), ms_per_token)
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -6,8 +6,8 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
-    Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, Runs, UpstreamEnd,
-    Verdicts, Witness,
+    Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, Runs, Sent,
+    UpstreamEnd, Verdicts, Witness,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::rank::hash64;
@@ -43,17 +43,17 @@
 
 impl Gateway {
     /// Takes in that a request is sent to an upstream.
-    pub fn run_began(&self, upstream: &Name, fingerprint: Fingerprint) {
+    pub fn run_began(&self, upstream: &Name, sent: Sent) {
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
-        quarantine.runs.begin(upstream, fingerprint, now_ms);
+        quarantine.runs.begin(upstream, sent, now_ms);
     }
 
     /// Takes in that it has left there.
-    pub fn run_left(&self, upstream: &Name, fingerprint: Fingerprint, how: RunEnd) {
+    pub fn run_left(&self, upstream: &Name, sent: Sent, how: RunEnd) {
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
-        quarantine.runs.end(upstream, fingerprint, how, now_ms);
+        quarantine.runs.end(upstream, sent, how, now_ms);
     }
 
     /// Takes in that a request had its whole answer.
@@ -169,7 +169,9 @@
         let ends = &self.metrics.upstream_ends;
         ends.with_label_values(&[&*upstream.pool]).inc();
         let named = there.iter().take(NAMED_IN_LOG);
-        let named: Vec<String> = named.map(|left| left.fingerprint.to_string()).collect();
+        let named: Vec<String> = named
+            .map(|left| left.sent.fingerprint.to_string())
+            .collect();
         let detail = json!({
             "upstream": upstream.id, "pool": upstream.pool, "requests": there.len(),
             "fingerprints": named, "planned": is_planned,
@@ -183,9 +185,10 @@
     fn lay_end(&self, upstream: &UpstreamRecord, there: &[Left]) {
         let upstream = hash64(&[upstream.id.as_bytes()]);
         let witness = |left: &Left| Witness {
-            fingerprint: left.fingerprint,
+            fingerprint: left.sent.fingerprint,
             end: UpstreamEnd {
                 upstream,
+                try_hash: left.sent.try_hash,
                 began_at_ms: left.began_at_ms.cast_signed(),
                 at_ms: left.at_ms.cast_signed(),
             },
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -19,9 +19,9 @@
 const ENDS_KEPT: usize = 32;
 /// Requests that are remembered.
 const SUSPECTS_KEPT: usize = 1_024;
-/// Ends closer to each other than this count as one, unless the request was sent to the second upstream after the
-/// first had ended or never had a whole answer: a hall without power takes many upstreams at a moment, and
-/// with them requests that are often made alike. Boxes see such ends within some 30 ms.
+/// Ends closer to each other than this count as one, for they may be one loss of many upstreams, as of a hall without
+/// power; boxes see such ends within some 30 ms. They are apart all the same where the request was sent to the second
+/// upstream after the first had ended, or where two tries of a request that never had a whole answer were there.
 const APART_MS: i64 = 100;
 /// Difference up to which two sightings of an upstream's end are the same: ages are rounded on their way.
 const SEEN_AGAIN_MS: i64 = 50;
@@ -34,6 +34,8 @@
 pub struct UpstreamEnd {
     /// Hash of the upstream's incarnation.
     pub upstream: u64,
+    /// Hash of the id of the try that was there.
+    pub try_hash: u32,
     /// When the request was sent there, by this box's clock.
     pub began_at_ms: i64,
     /// When it ended.
@@ -42,8 +44,10 @@
 
 impl UpstreamEnd {
     /// Whether it is none of those that ended together with an earlier one.
-    fn is_apart(&self, earlier: &Self) -> bool {
-        self.began_at_ms >= earlier.at_ms || self.at_ms - earlier.at_ms >= APART_MS
+    fn is_apart(&self, earlier: &Self, was_answered: bool) -> bool {
+        self.began_at_ms >= earlier.at_ms
+            || self.at_ms - earlier.at_ms >= APART_MS
+            || !was_answered && self.try_hash != earlier.try_hash
     }
 }
 
@@ -110,13 +114,14 @@
     /// Its ends that are not laid to another request.
     fn weight(&self, laid: &HashSet<u64>) -> usize {
         let open = self.ends.iter().filter(|end| !laid.contains(&end.upstream));
-        if self.is_told || self.cleared_at_ms.is_none() {
+        if self.is_told {
             return open.count();
         }
+        let was_answered = self.cleared_at_ms.is_some();
         let mut last: Option<&UpstreamEnd> = None;
         let mut count = 0;
         for end in open {
-            if last.is_none_or(|last| end.is_apart(last)) {
+            if last.is_none_or(|last| end.is_apart(last, was_answered)) {
                 count += 1;
                 last = Some(end);
             }
@@ -136,6 +141,9 @@
     /// Hash of the upstream's incarnation.
     #[serde(rename = "u")]
     upstream: u64,
+    /// Hash of the id of the try.
+    #[serde(rename = "t")]
+    try_hash: u32,
     /// How long ago it ended, in milliseconds.
     #[serde(rename = "ago")]
     ago_ms: i64,
@@ -148,6 +156,7 @@
     fn of(end: &UpstreamEnd, now_ms: i64) -> Self {
         Self {
             upstream: end.upstream,
+            try_hash: end.try_hash,
             ago_ms: now_ms - end.at_ms,
             ran_ms: end.at_ms - end.began_at_ms,
         }
@@ -157,6 +166,7 @@
         let at_ms = now_ms.saturating_sub(self.ago_ms);
         UpstreamEnd {
             upstream: self.upstream,
+            try_hash: self.try_hash,
             began_at_ms: at_ms.saturating_sub(self.ran_ms),
             at_ms,
         }
@@ -197,6 +207,7 @@
         let ago_ms = ago_ms.min(KEPT_MS.unsigned_abs() / 2).cast_signed();
         let end = |upstream: &u64| EndNews {
             upstream: *upstream,
+            try_hash: 0,
             ago_ms,
             ran_ms: 0,
         };
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -5,10 +5,12 @@
 use super::Fingerprint;
 use crate::Name;
 
-/// Time for which a request that left an upstream without an answer is still taken to be there: an engine
-/// goes on with some requests after their connection has closed, and a connection breaks before the box
-/// knows that the upstream ended.
-const LEFT_KEPT_MS: u64 = 2_000;
+/// Time for which a request whose connection to an upstream broke is still taken to be there: the box finds out
+/// whether the upstream ended, or hears of its next incarnation.
+const BROKEN_KEPT_MS: u64 = 2_000;
+/// The same for a request that the box took away, for a larger model or since its caller left. An upstream hears of
+/// it within a few milliseconds and drops most of them; what ends half a second later ends for another reason.
+const TAKEN_KEPT_MS: u64 = 150;
 
 /// Requests with a whole answer that are remembered, the longest known forgotten first: some 40 bytes each.
 const COMPLETED_KEPT: usize = 4_096;
@@ -18,15 +20,26 @@
 pub enum RunEnd {
     /// It has its whole answer, or the upstream said that it does not run it.
     Settled,
-    /// The connection broke, or the box gave the run up; the upstream may still be at it.
-    Open,
+    /// The connection broke.
+    Broken,
+    /// The box took it away; the upstream may still be at it for a moment.
+    Taken,
+}
+
+/// A request that is sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Hash of this try's id: one try is at one upstream at a time, or at two while a larger model is asked.
+    pub try_hash: u32,
 }
 
 /// A request that was at an upstream when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Left {
     /// The request.
-    pub fingerprint: Fingerprint,
+    pub sent: Sent,
     /// When it was sent there.
     pub began_at_ms: u64,
     /// When its connection broke, or when the end was noticed.
@@ -37,16 +50,15 @@
 
 #[derive(Debug)]
 struct Run {
-    fingerprint: Fingerprint,
+    sent: Sent,
     began_at_ms: u64,
-    /// When it left; none while it is there.
-    left_at_ms: Option<u64>,
+    /// When it left, and until when it is taken to be there; none while it is.
+    left: Option<(u64, u64)>,
 }
 
 impl Run {
     fn is_over(&self, now_ms: u64) -> bool {
-        self.left_at_ms
-            .is_some_and(|left_at_ms| now_ms >= left_at_ms + LEFT_KEPT_MS)
+        self.left.is_some_and(|(_, until_ms)| now_ms >= until_ms)
     }
 }
 
@@ -81,27 +93,28 @@
 
 impl Runs {
     /// Takes in that a request is sent to an upstream.
-    pub fn begin(&mut self, upstream: &Name, fingerprint: Fingerprint, now_ms: u64) {
+    pub fn begin(&mut self, upstream: &Name, sent: Sent, now_ms: u64) {
         let runs = self.by_upstream.entry(upstream.clone()).or_default();
         runs.push(Run {
-            fingerprint,
+            sent,
             began_at_ms: now_ms,
-            left_at_ms: None,
+            left: None,
         });
     }
 
     /// Takes in that it has left there.
-    pub fn end(&mut self, upstream: &Name, fingerprint: Fingerprint, how: RunEnd, now_ms: u64) {
+    pub fn end(&mut self, upstream: &Name, sent: Sent, how: RunEnd, now_ms: u64) {
         let Some(runs) = self.by_upstream.get_mut(upstream) else {
             return;
         };
-        let is_it = |run: &Run| run.fingerprint == fingerprint && run.left_at_ms.is_none();
+        let is_it = |run: &Run| run.sent == sent && run.left.is_none();
         let Some(at) = runs.iter().position(is_it) else {
             return;
         };
         match how {
             RunEnd::Settled => drop(runs.swap_remove(at)),
-            RunEnd::Open => runs[at].left_at_ms = Some(now_ms),
+            RunEnd::Broken => runs[at].left = Some((now_ms, now_ms + BROKEN_KEPT_MS)),
+            RunEnd::Taken => runs[at].left = Some((now_ms, now_ms + TAKEN_KEPT_MS)),
         }
         if runs.is_empty() {
             self.by_upstream.remove(upstream);
@@ -128,21 +141,21 @@
         let runs = self.by_upstream.remove(upstream).unwrap_or_default();
         let there = runs.iter().filter(|run| !run.is_over(now_ms));
         let left = there.map(|run| Left {
-            fingerprint: run.fingerprint,
+            sent: run.sent,
             began_at_ms: run.began_at_ms,
-            at_ms: run.left_at_ms.unwrap_or(now_ms),
-            completed_at_ms: self.completed.at_ms.get(&run.fingerprint).copied(),
+            at_ms: run.left.map_or(now_ms, |(left_at_ms, _)| left_at_ms),
+            completed_at_ms: self.completed.at_ms.get(&run.sent.fingerprint).copied(),
         });
         let mut left: Vec<Left> = left.collect();
-        left.sort_unstable_by_key(|left| (left.fingerprint, left.at_ms));
-        left.dedup_by_key(|left| left.fingerprint);
+        left.sort_unstable_by_key(|left| (left.sent.fingerprint, left.at_ms));
+        left.dedup_by_key(|left| left.sent.fingerprint);
         left
     }
 
     /// Forgets requests that left long ago.
     pub fn sweep(&mut self, now_ms: u64) {
         self.broken
-            .retain(|_, broke_at_ms| now_ms < *broke_at_ms + LEFT_KEPT_MS);
+            .retain(|_, broke_at_ms| now_ms < *broke_at_ms + BROKEN_KEPT_MS);
         self.by_upstream.retain(|_, runs| {
             runs.retain(|run| !run.is_over(now_ms));
             !runs.is_empty()
