--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -345,8 +345,8 @@
             let members = self.members.values();
             members
                 .filter(|m| m.is_ready() == ready)
-                .filter(|m| self.is_plausible(m, tell_starts))
                 .filter(|m| &*m.record.pool == pool && may_serve(&m.record))
+                .filter(|m| self.is_plausible(m, tell_starts))
                 .map(|m| m.record.clone())
                 .collect()
         };
--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -3,15 +3,17 @@
 #
 #     tools/regression.sh BENCH FOLDER WHY [PATTERN]
 #
-# FOLDER holds the deployments' folders; only those whose path matches PATTERN are played. The large
-# deployment stands in place of the first two small ones. Exits with 1 if a gate failed or a rule broke.
+# FOLDER holds the deployments' folders; only those whose path matches PATTERN are played. Exits with 1 if a gate failed or a rule broke.
 set -euo pipefail
 bench=$1 folder=$2 why=$3 pattern=${4:-.}
 cd "$(dirname "$0")/.."
 # Path, days of the hunt (8 where there are 60 machines or more), plays at a time: few where each has
 # hundreds of processes.
-list='large/magnolia-ivy-large 8 2
+list='sites/magnolia-ivy 40 4
+sites/mls-ivyweir 40 4
 further/pampa-gremio 40 4
+shifted/magnolia-ivy-now-grown 8 2
+large/magnolia-ivy-large 8 1
 further-grown/pampa-gremio-grown 8 3
 grown/mls-ivyweir-grown 8 3
 grown/magnolia-ivy-grown 8 3'
