An address has one upstream of each pool, and a record of an unknown pool keeps nobody from it

Cause: by reading the change: a foreign record that names a pool nobody knows and another one's address, listed before it, would keep the other one from its address for ever, since it is never asked and so never contradicted. Ruled out: preferring records of known pools (the configuration may come after the list). Change: the first record of a pool has the address; also the type that a box remembers a request at an upstream by has a name of its own (RunKey; 'Sent' stood for two things).

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Response, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::quarantine::{RunEnd, Sent as SentRun};
+use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -29,7 +29,7 @@
     channel: Option<Channel>,
     estimate: Estimate,
     is_read: bool,
-    sent: SentRun,
+    key: RunKey,
     /// Whether the request was sent, and has not been settled since.
     is_running: bool,
 }
@@ -39,7 +39,7 @@
         gateway: Arc<Gateway>,
         upstream: Arc<UpstreamRecord>,
         estimate: Estimate,
-        sent: SentRun,
+        key: RunKey,
     ) -> Self {
         gateway.with_load(&upstream.id, |load, _| load.begin(estimate.total_ms()));
         Self {
@@ -48,7 +48,7 @@
             channel: None,
             estimate,
             is_read: false,
-            sent,
+            key,
             is_running: false,
         }
     }
@@ -56,7 +56,7 @@
     /// Takes in that the request is sent now.
     fn begin(&mut self) {
         self.is_running = true;
-        self.gateway.run_began(&self.upstream.id, self.sent);
+        self.gateway.run_began(&self.upstream.id, self.key);
     }
 
     /// Takes in that the upstream has nothing more to do with the request.
@@ -69,14 +69,14 @@
     pub fn complete(&mut self, is_success: bool) {
         self.settle();
         if is_success {
-            self.gateway.run_completed(self.sent.fingerprint);
+            self.gateway.run_completed(self.key.fingerprint);
         }
     }
 
     fn leave(&mut self, how: RunEnd) {
         if std::mem::take(&mut self.is_running) {
             let id = &self.upstream.id;
-            self.gateway.run_left(id, self.sent, how);
+            self.gateway.run_left(id, self.key, how);
         }
     }
 
@@ -116,7 +116,7 @@
     pub fn broke(&mut self) {
         self.outcome(true);
         self.leave(RunEnd::Broken);
-        self.gateway.run_broke(self.sent.fingerprint);
+        self.gateway.run_broke(self.key.fingerprint);
         ends::look(&self.gateway, &self.upstream);
     }
 }
@@ -184,7 +184,7 @@
     trace: &mut Trace,
 ) -> Sent {
     let estimate = estimate(gateway, job, sending.model);
-    let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate, job.sent_run());
+    let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate, job.run_key());
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
     // Nor is one used for a request whose connection just broke: where many upstreams end at a moment it would be
     // sent into a connection to another one that has ended, and taken to have been there.
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request, Uri};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::place::Ask;
-use ivyweir_policy::gateway::quarantine::{Fingerprint, Sent};
+use ivyweir_policy::gateway::quarantine::{Fingerprint, RunKey};
 use ivyweir_policy::gateway::rollout::Side;
 use ivyweir_policy::gateway::site::{Route, Workspace};
 use ivyweir_policy::gateway::work::{self, Estimate, Tokens};
@@ -72,8 +72,8 @@
     }
 
     /// What is remembered of it at an upstream.
-    pub fn sent_run(&self) -> Sent {
-        Sent {
+    pub fn run_key(&self) -> RunKey {
+        RunKey {
             fingerprint: self.fingerprint,
             try_hash: self.seed as u32,
         }
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -6,7 +6,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
-    Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, Runs, Sent,
+    Exchange, Fingerprint, Ledger, LedgerNews, Left, QuarantineRecord, RunEnd, RunKey, Runs,
     UpstreamEnd, Verdicts, Witness,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
@@ -43,17 +43,17 @@
 
 impl Gateway {
     /// Takes in that a request is sent to an upstream.
-    pub fn run_began(&self, upstream: &Name, sent: Sent) {
+    pub fn run_began(&self, upstream: &Name, key: RunKey) {
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
-        quarantine.runs.begin(upstream, sent, now_ms);
+        quarantine.runs.begin(upstream, key, now_ms);
     }
 
     /// Takes in that it has left there.
-    pub fn run_left(&self, upstream: &Name, sent: Sent, how: RunEnd) {
+    pub fn run_left(&self, upstream: &Name, key: RunKey, how: RunEnd) {
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
-        quarantine.runs.end(upstream, sent, how, now_ms);
+        quarantine.runs.end(upstream, key, how, now_ms);
     }
 
     /// Takes in that a request had its whole answer.
@@ -169,9 +169,7 @@
         let ends = &self.metrics.upstream_ends;
         ends.with_label_values(&[&*upstream.pool]).inc();
         let named = there.iter().take(NAMED_IN_LOG);
-        let named: Vec<String> = named
-            .map(|left| left.sent.fingerprint.to_string())
-            .collect();
+        let named: Vec<String> = named.map(|left| left.key.fingerprint.to_string()).collect();
         let detail = json!({
             "upstream": upstream.id, "pool": upstream.pool, "requests": there.len(),
             "fingerprints": named, "planned": is_planned,
@@ -185,10 +183,10 @@
     fn lay_end(&self, upstream: &UpstreamRecord, there: &[Left]) {
         let upstream = hash64(&[upstream.id.as_bytes()]);
         let witness = |left: &Left| Witness {
-            fingerprint: left.sent.fingerprint,
+            fingerprint: left.key.fingerprint,
             end: UpstreamEnd {
                 upstream,
-                try_hash: left.sent.try_hash,
+                try_hash: left.key.try_hash,
                 began_at_ms: left.began_at_ms.cast_signed(),
                 at_ms: left.at_ms.cast_signed(),
             },
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -81,6 +81,10 @@
         self.standing == Standing::Ready
     }
 
+    fn place(&self) -> Place {
+        (self.record.pool.clone(), self.record.addr)
+    }
+
     /// Time for which it is still cold; 0 where it is not.
     pub fn cold_for_ms(&self, now_ms: u64) -> u64 {
         let until_ms = self.cold_until_ms.max(self.assumed_cold_until_ms);
@@ -103,15 +107,19 @@
     Nothing,
 }
 
+/// A pool and an address: another service may have the address of an upstream that is gone.
+type Place = (Name, SocketAddr);
+
 /// All upstreams that may be used, by id.
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: HashMap<Name, Member>,
     /// The member of each name in the registry.
     ids: HashMap<Name, Name>,
-    /// The member that is at each address: the first that named it, until its record is gone. Another record that
-    /// names it too is another writer's, or the next upstream's there.
-    at: HashMap<SocketAddr, Name>,
+    /// The member that is at each address: the first of its pool that named it, until its record is gone. Another
+    /// record that names it too is another writer's, or the next upstream's there. If the first one is not who is
+    /// there, the upstream says so when it is first asked, and the next one takes its place.
+    at: HashMap<Place, Name>,
     /// Incarnations that others replaced under their names, until they are taken.
     replaced: Vec<Arc<UpstreamRecord>>,
     left: RecentIds,
@@ -163,15 +171,12 @@
             record: Arc::new(record),
             standing: Standing::Ready,
         };
-        let (id, addr) = (member.record.id.clone(), member.record.addr);
-        let moved_from = self
-            .members
-            .insert(id.clone(), member)
-            .map(|m| m.record.addr);
-        if let Some(left) = moved_from.filter(|left| *left != addr) {
-            self.vacate(left, &id);
+        let (id, place) = (member.record.id.clone(), member.place());
+        let before_place = self.members.insert(id.clone(), member).map(|m| m.place());
+        if let Some(left) = before_place.filter(|left| *left != place) {
+            self.vacate(&left, &id);
         }
-        self.occupy(addr, &id);
+        self.occupy(place, &id);
         match before {
             None => FleetChange::Joined,
             Some(Standing::Lapsed { .. }) => FleetChange::Returned,
@@ -180,28 +185,28 @@
     }
 
     /// Takes in that a member names an address.
-    fn occupy(&mut self, addr: SocketAddr, id: &Name) {
-        let is_free = match self.at.get(&addr) {
+    fn occupy(&mut self, place: Place, id: &Name) {
+        let is_free = match self.at.get(&place) {
             Some(other) => !self.members.get(other).is_some_and(Member::is_ready),
             None => true,
         };
         if is_free {
-            self.at.insert(addr, id.clone());
+            self.at.insert(place, id.clone());
         }
     }
 
     /// Takes in that a member is at an address no longer; another one that names it is there now.
-    fn vacate(&mut self, addr: SocketAddr, id: &Name) {
-        if self.at.get(&addr) != Some(id) {
+    fn vacate(&mut self, place: &Place, id: &Name) {
+        if self.at.get(place) != Some(id) {
             return;
         }
-        self.at.remove(&addr);
+        self.at.remove(place);
         let others = self.members.values();
-        let others = others.filter(|m| m.is_ready() && m.record.addr == addr && m.record.id != *id);
+        let others = others.filter(|m| m.is_ready() && m.record.id != *id && m.place() == *place);
         // The same one at each box.
         let next = others.map(|m| m.record.id.clone()).min();
         if let Some(next) = next {
-            self.at.insert(addr, next);
+            self.at.insert(place.clone(), next);
         }
     }
 
@@ -209,7 +214,10 @@
     /// tells its start where most of its pool do.
     fn is_plausible(&self, member: &Member, tell_starts: bool) -> bool {
         let record = &member.record;
-        let is_there = self.at.get(&record.addr).is_none_or(|id| *id == record.id);
+        let is_there = self
+            .at
+            .get(&member.place())
+            .is_none_or(|id| *id == record.id);
         is_there && (!tell_starts || record.registered_as.is_some())
     }
 
@@ -265,8 +273,8 @@
         match id.and_then(|id| self.members.get_mut(&id)) {
             Some(member) if member.standing == Standing::Ready => {
                 member.standing = Standing::Lapsed { since_ms: now_ms };
-                let (addr, id) = (member.record.addr, member.record.id.clone());
-                self.vacate(addr, &id);
+                let (place, id) = (member.place(), member.record.id.clone());
+                self.vacate(&place, &id);
                 FleetChange::Lapsed
             }
             _ => FleetChange::Nothing,
@@ -279,7 +287,7 @@
             return FleetChange::Nothing;
         }
         if let Some(member) = self.members.remove(id) {
-            self.vacate(member.record.addr, id);
+            self.vacate(&member.place(), id);
         }
         FleetChange::Leaving
     }
@@ -321,7 +329,7 @@
             .collect();
         for id in &ids {
             if let Some(member) = self.members.remove(id) {
-                self.vacate(member.record.addr, id);
+                self.vacate(&member.place(), id);
             }
         }
         // A name outlasts its member, so that the next incarnation under it is known to be the later one.
--- a/crates/ivyweir-policy/src/gateway/quarantine.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine.rs
@@ -18,4 +18,4 @@
 pub use exchange::{Exchange, LedgerNews};
 pub use fingerprint::{Content, Fingerprint};
 pub use ledger::{Ledger, QuarantineRecord, SuspectNews, UpstreamEnd, Verdicts, Witness};
-pub use runs::{Left, RunEnd, Runs, Sent};
+pub use runs::{Left, RunEnd, RunKey, Runs};
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -10,7 +10,7 @@
 use super::Fingerprint;
 
 /// Ends of upstreams after which a request is sent no more. A request that was at two may have met a power cut and
-/// a spot reclaim; with a sixth of a pool lost at a moment, one stream in 200 meets three such losses in a row.
+/// a spot reclaim; with a sixth of a pool lost at a moment, one stream in 216 meets three such losses in a row, by reckoning.
 const ENDS: usize = 3;
 /// Ends after which a request is refused whatever else was there each time. Where two requests do harm at once an innocent
 /// one may have been at more ends than either, and theirs would be laid to it.
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -28,7 +28,7 @@
 
 /// A request that is sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sent {
+pub struct RunKey {
     /// The request.
     pub fingerprint: Fingerprint,
     /// Hash of this try's id: one try is at one upstream at a time, or at two while a larger model is asked.
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Left {
     /// The request.
-    pub sent: Sent,
+    pub key: RunKey,
     /// When it was sent there.
     pub began_at_ms: u64,
     /// When its connection broke, or when the end was noticed.
@@ -50,7 +50,7 @@
 
 #[derive(Debug)]
 struct Run {
-    sent: Sent,
+    key: RunKey,
     began_at_ms: u64,
     /// When it left, and until when it is taken to be there; none while it is.
     left: Option<(u64, u64)>,
@@ -93,21 +93,21 @@
 
 impl Runs {
     /// Takes in that a request is sent to an upstream.
-    pub fn begin(&mut self, upstream: &Name, sent: Sent, now_ms: u64) {
+    pub fn begin(&mut self, upstream: &Name, key: RunKey, now_ms: u64) {
         let runs = self.by_upstream.entry(upstream.clone()).or_default();
         runs.push(Run {
-            sent,
+            key,
             began_at_ms: now_ms,
             left: None,
         });
     }
 
     /// Takes in that it has left there.
-    pub fn end(&mut self, upstream: &Name, sent: Sent, how: RunEnd, now_ms: u64) {
+    pub fn end(&mut self, upstream: &Name, key: RunKey, how: RunEnd, now_ms: u64) {
         let Some(runs) = self.by_upstream.get_mut(upstream) else {
             return;
         };
-        let is_it = |run: &Run| run.sent == sent && run.left.is_none();
+        let is_it = |run: &Run| run.key == key && run.left.is_none();
         let Some(at) = runs.iter().position(is_it) else {
             return;
         };
@@ -141,14 +141,14 @@
         let runs = self.by_upstream.remove(upstream).unwrap_or_default();
         let there = runs.iter().filter(|run| !run.is_over(now_ms));
         let left = there.map(|run| Left {
-            sent: run.sent,
+            key: run.key,
             began_at_ms: run.began_at_ms,
             at_ms: run.left.map_or(now_ms, |(left_at_ms, _)| left_at_ms),
-            completed_at_ms: self.completed.at_ms.get(&run.sent.fingerprint).copied(),
+            completed_at_ms: self.completed.at_ms.get(&run.key.fingerprint).copied(),
         });
         let mut left: Vec<Left> = left.collect();
-        left.sort_unstable_by_key(|left| (left.sent.fingerprint, left.at_ms));
-        left.dedup_by_key(|left| left.sent.fingerprint);
+        left.sort_unstable_by_key(|left| (left.key.fingerprint, left.at_ms));
+        left.dedup_by_key(|left| left.key.fingerprint);
         left
     }
 
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -487,6 +487,18 @@
     assert_eq!(usable(&fleet), ["next".into(), "own".into()]);
 }
 
+#[test]
+fn a_record_of_an_unknown_pool_keeps_nobody_from_its_address() {
+    let mut fleet = Fleet::default();
+    let foreign = UpstreamRecord {
+        pool: "nobody's".into(),
+        ..at("a-foreign", "own")
+    };
+    fleet.put(foreign, 0);
+    fleet.put(record("own", "a"), 0);
+    assert_eq!(usable(&fleet), ["own".into()]);
+}
+
 #[test]
 fn a_record_without_a_start_is_not_used_where_most_tell_theirs() {
     let mut fleet = Fleet::default();
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -2,7 +2,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::quarantine::{
-    Content, Exchange, Fingerprint, Ledger, RunEnd, Runs, Sent, UpstreamEnd, Witness,
+    Content, Exchange, Fingerprint, Ledger, RunEnd, RunKey, Runs, UpstreamEnd, Witness,
 };
 use proptest::prelude::*;
 
@@ -235,7 +235,7 @@
 fn who_is_at_an_upstream_and_who_just_left() {
     let upstream = Name::from("u");
     let mut runs = Runs::default();
-    let sent = |name: &str| Sent {
+    let sent = |name: &str| RunKey {
         fingerprint: request(name),
         try_hash: 1,
     };
@@ -256,7 +256,7 @@
     runs.end(&upstream, sent("just taken away"), RunEnd::Taken, 4_900);
     runs.sweep(4_500);
     let there = runs.upstream_ended(&upstream, 5_000);
-    let found = there.iter().map(|left| (left.sent.fingerprint, left.at_ms));
+    let found = there.iter().map(|left| (left.key.fingerprint, left.at_ms));
     let mut found: Vec<_> = found.collect();
     found.sort_unstable();
     let mut expected = vec![
