A request waits for the look at its upstream, and goes on apart only where that ended

Change: a request whose connection broke waits up to 50 ms for the look (a way there and back, 3 ms as a rule), and is placed by its hash only if the upstream ended.

--- a/crates/ivyweir-gateway/src/ends.rs
+++ b/crates/ivyweir-gateway/src/ends.rs
@@ -24,7 +24,6 @@
     let (gateway, upstream) = (gateway.clone(), upstream.clone());
     tokio::spawn(async move {
         let opened = Channel::open(upstream.addr).await;
-        gateway.end_look(&upstream.id);
         match opened {
             Ok(channel) => {
                 let now_ms = gateway.clock.now_ms();
@@ -37,5 +36,7 @@
             // Silence tells nothing: the way there may be cut.
             Err(_) => {}
         }
+        // Who waits for this acts by what was found.
+        gateway.end_look(&upstream.id);
     });
 }
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -150,6 +150,7 @@
             Ok(answer) => return Ok(answer),
             Err(upstream) => {
                 tries.may_have_run = true;
+                gateway.until_looked(&upstream).await;
                 tries.tried.push(upstream);
                 if !may_repeat(gateway, &job, &tries) {
                     trace.fail("refused", json!({"reason": Reason::AnswerLost.name()}));
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -79,6 +79,8 @@
     unreadable: Mutex<UnreadableRecords>,
     /// Counts how often incarnations of upstreams were replaced.
     replacements: watch::Sender<u64>,
+    /// Counts how often it was found out whether an upstream ended.
+    looks: watch::Sender<u64>,
     /// Told when a request is quarantined.
     quarantined: Notify,
     synced: Mutex<Vec<Topic>>,
@@ -123,6 +125,7 @@
             quarantine: Mutex::default(),
             unreadable: Mutex::default(),
             replacements: watch::Sender::default(),
+            looks: watch::Sender::default(),
             quarantined: Notify::new(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -12,6 +13,7 @@
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::rank::hash64;
 use serde_json::json;
+use tokio::time::timeout;
 
 use super::{Gateway, lock};
 use crate::clock::epoch_ms;
@@ -19,6 +21,10 @@
 /// Requests named in the line about an upstream that ended: as many as most engines run at once.
 const NAMED_IN_LOG: usize = 64;
 
+/// Longest wait of a request for the look at the upstream that it was at: three times the way to the farthest hall
+/// and back. Where upstreams are silent it goes on without.
+const LOOK_WAIT: Duration = Duration::from_millis(50);
+
 /// What a box knows of requests under which upstreams end.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -109,6 +115,11 @@
         lock(&self.quarantine).runs.broke(fingerprint, now_ms);
     }
 
+    /// Whether an upstream ended under a request, which had no whole answer since.
+    pub fn has_ended_upstreams(&self, fingerprint: Fingerprint) -> bool {
+        lock(&self.quarantine).ledger.is_suspect(fingerprint)
+    }
+
     /// Whether an upstream ended under a request, which had no whole answer since, or may have.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let quarantine = lock(&self.quarantine);
@@ -128,6 +139,20 @@
     /// Takes in that it was found out.
     pub fn end_look(&self, upstream: &Name) {
         lock(&self.quarantine).looked_at.remove(upstream);
+        self.looks.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until it is found out whether an upstream ended, for a moment: the request whose connection broke goes on
+    /// apart from others if it did, and by load if it did not.
+    pub async fn until_looked(&self, upstream: &Name) {
+        let mut looks = self.looks.subscribe();
+        let found_out = async {
+            while lock(&self.quarantine).looked_at.contains(upstream) {
+                // The sender lives as long as the box's state.
+                let _changed = looks.changed().await;
+            }
+        };
+        let _in_time = timeout(LOOK_WAIT, found_out).await;
     }
 
     /// Takes in that nobody listens at an upstream's address any more: its process has ended.
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -156,6 +156,8 @@
                 }
                 Next::Broke(error) => {
                     self.broke(&error);
+                    let upstream = self.source.lease.upstream.id.clone();
+                    self.gateway.until_looked(&upstream).await;
                     if !self.resume().await {
                         return Some(Err(self.break_off("stream broke off")));
                     }
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -82,6 +82,7 @@
             Sent::Lost => {
                 tries.tried.push(choice.upstream.id.clone());
                 lost(gateway, job, tries)?;
+                gateway.until_looked(&choice.upstream.id).await;
             }
         }
     }
@@ -149,7 +150,7 @@
     model: usize,
 ) -> Result<Choice, Unplaced> {
     let mut ask = job.ask(model, estimate(gateway, job, model), &gateway.settings);
-    if gateway.is_suspect(job.fingerprint) {
+    if gateway.has_ended_upstreams(job.fingerprint) {
         ask.apart = Some(job.fingerprint.bits());
     }
     let among = |tried: &[Name]| {
