Sight: answers' lines and counters say whether the upstream leaves, and a change of standing from where it is known

Cause: of the incident, not known yet. Logs did not say whether an answer carried the word that its upstream leaves, whether the box took it in, or from where it had it. Change: the word and the time to stay away are read from the head of each answer into a typed statement; lines relaying, answered, resumed and upstream_refused carry them, a counter by pool counts them, upstream_changed names its source. No decision is changed. Conclusion: the hypotheses can be told apart by a test of our own.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -7,6 +7,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState, RolloutTrack};
 use ivyweir_policy::gateway::site::{Site, SiteIndex};
+use ivyweir_policy::gateway::statement::Source;
 use serde_json::json;
 
 use crate::dialect::{Change, Entry, Item, Topic};
@@ -24,7 +25,9 @@
     let items = readable_entries(gateway, topic, entries);
     if topic == Topic::Upstreams {
         let records: Vec<UpstreamRecord> = items.into_iter().filter_map(Item::upstream).collect();
-        gateway.change_upstream(|fleet, now_ms| fleet.replace(records, now_ms));
+        gateway.change_upstream(Source::Record, |fleet, now_ms| {
+            fleet.replace(records, now_ms)
+        });
         return;
     }
     // A record that cannot be read may be one of those that are missing.
@@ -100,7 +103,7 @@
 fn adopt_item(gateway: &Gateway, item: Item) {
     match item {
         Item::Site(site) => adopt_site(gateway, *site),
-        Item::Upstream(record) => gateway.change_upstream(|fleet, now_ms| {
+        Item::Upstream(record) => gateway.change_upstream(Source::Record, |fleet, now_ms| {
             let id = record.id.clone();
             vec![(id, fleet.put(record, now_ms))]
         }),
@@ -112,7 +115,7 @@
 /// Takes in that the record of this name is gone.
 fn remove(gateway: &Gateway, topic: Topic, name: &Name) {
     match topic {
-        Topic::Upstreams => gateway.change_upstream(|fleet, now_ms| {
+        Topic::Upstreams => gateway.change_upstream(Source::Record, |fleet, now_ms| {
             let change = fleet.lapse(name, now_ms);
             vec![(name.clone(), change)]
         }),
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
+use ivyweir_policy::gateway::statement::{Source, Statement, StayAway};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -301,17 +302,20 @@
     let is_framed = is_framed(response.headers());
     lease.read();
     let upstream: &Name = &lease.upstream.id.clone();
-    if let Some(load) = marks.load {
+    let statement = marks.statement();
+    if let Some(load) = statement.load {
         gateway.report_load(upstream, load);
     }
+    count_statement(gateway, job, &statement);
     let detail = json!({
-        "upstream": upstream, "status": status,
-        "load": marks.load.map(|l| [l.running, l.waiting]),
+        "upstream": upstream, "status": status, "leaving": statement.is_leaving,
+        "stay_away": statement.stay_away.map(|s| format!("{s:?}")),
+        "load": statement.load.map(|l| [l.running, l.waiting]),
     });
     if marks.is_other_incarnation {
         trace.fail("other_incarnation", detail);
         lease.settle();
-        gateway.upstream_left(upstream);
+        gateway.upstream_left(upstream, Source::OtherIncarnation);
         count(gateway, job, "other_incarnation");
         return Sent::NotRun { arrived: true };
     }
@@ -375,6 +379,22 @@
     }
 }
 
+/// Counts what an upstream says of itself, beyond its load.
+fn count_statement(gateway: &Gateway, job: &Job, statement: &Statement) {
+    let count = |says: &str| {
+        let statements = &gateway.metrics.upstream_statements;
+        statements.with_label_values(&[&*job.pool, says]).inc();
+    };
+    if statement.is_leaving {
+        count("leaving");
+    }
+    match statement.stay_away {
+        Some(StayAway::ForMs(_)) => count("stay_away"),
+        Some(StayAway::Unreadable) => count("stay_away_unreadable"),
+        None => {}
+    }
+}
+
 fn count(gateway: &Gateway, job: &Job, outcome: &str) {
     let sends = &gateway.metrics.sends;
     sends.with_label_values(&[&*job.pool, outcome]).inc();
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -12,6 +12,7 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
+use ivyweir_policy::gateway::statement::{ReportedLoad, Source, Statement, StayAway};
 use serde::{Deserialize, Serialize};
 
 /// A part of a prompt that may stand in other prompts too.
@@ -61,15 +62,6 @@
     pub urgency: Option<u8>,
 }
 
-/// Load told with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 /// What an upstream says of its answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerMarks {
@@ -83,11 +75,25 @@
     pub is_other_incarnation: bool,
     /// The upstream's load.
     pub load: Option<ReportedLoad>,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
+    /// How long an upstream that refuses wants nothing more.
+    pub stay_away: Option<StayAway>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
 
 impl AnswerMarks {
+    /// What the upstream says of itself in the head of this answer.
+    pub fn statement(&self) -> Statement {
+        Statement {
+            is_leaving: self.is_leaving,
+            load: self.load,
+            stay_away: self.stay_away,
+            ..Statement::new(Source::Answer)
+        }
+    }
+
     /// Requests that the upstream ran when it answered; 0 where it does not tell.
     pub fn running(&self) -> u32 {
         self.load.map_or(0, |load| load.running)
--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -30,6 +30,7 @@
         mut lease,
         keep_ms,
         is_framed,
+        marks,
         ..
     } = reply;
     let (mut head, body) = response.into_parts();
@@ -64,8 +65,10 @@
     lease.keep_channel(keep_ms);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let detail =
-        json!({"upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len()});
+    let detail = json!({
+        "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(),
+        "leaving": marks.is_leaving,
+    });
     if head.status.is_server_error() {
         trace.fail("answered", detail);
     } else {
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -5,9 +5,10 @@
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::statement::{ReportedLoad, StayAway};
 use ivyweir_policy::rank::hash64;
 
-use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart, ReportedLoad};
+use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart};
 
 /// Header names of a dialect.
 #[derive(Debug, Clone)]
@@ -38,6 +39,8 @@
     pub signature: HeaderName,
     /// `RUNNING,WAITING,SLOTS` of the upstream.
     pub load: HeaderName,
+    /// `1` says that the upstream leaves.
+    pub leaving: HeaderName,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: HeaderName,
     /// Says that the request did not run and will not.
@@ -50,6 +53,10 @@
 const ANY_MODEL: &str = "*";
 /// Status of an upstream that is not the incarnation meant.
 const MISDIRECTED: u16 = 421;
+/// Status with which an upstream turns a request away; it may say for how long it wants none.
+const UNAVAILABLE: u16 = 503;
+/// What an upstream that leaves says.
+const LEAVING: &str = "1";
 const BEARER: &str = "Bearer ";
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -126,6 +133,10 @@
             not_run: headers.contains_key(&names.not_run),
             is_other_incarnation: status == MISDIRECTED,
             load: text(headers, &names.load).and_then(reported_load),
+            is_leaving: text(headers, &names.leaving).map(str::trim) == Some(LEAVING),
+            stay_away: (status == UNAVAILABLE)
+                .then(|| stay_away(headers))
+                .flatten(),
             confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
         }
     }
@@ -158,6 +169,26 @@
     (ms >= 0.0).then_some(ms as u64)
 }
 
+/// The longest of the times that a refusal says to stay away; a date counts as unreadable, since it would be by
+/// another clock.
+fn stay_away(headers: &HeaderMap) -> Option<StayAway> {
+    let told = headers.get_all(header::RETRY_AFTER).iter();
+    let times_ms: Vec<Option<u64>> = told
+        .map(|value| value.to_str().ok().and_then(seconds_as_ms))
+        .collect();
+    if times_ms.is_empty() {
+        return None;
+    }
+    let longest_ms = times_ms.into_iter().flatten().max();
+    Some(longest_ms.map_or(StayAway::Unreadable, StayAway::ForMs))
+}
+
+/// Seconds, fractions included, in whole milliseconds; rounded up, so that no part of them is lost.
+fn seconds_as_ms(value: &str) -> Option<u64> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    (seconds.is_finite() && seconds >= 0.0).then_some((seconds * 1_000.0).ceil() as u64)
+}
+
 fn prompt_parts(value: &str) -> Vec<PromptPart> {
     let part = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -15,6 +15,8 @@
     pub requests: IntCounterVec,
     /// Sends to upstreams by pool and outcome.
     pub sends: IntCounterVec,
+    /// What upstreams said of themselves in answers, by pool and what they said.
+    pub upstream_statements: IntCounterVec,
     /// Upstreams that ended while requests of this box were there, by pool.
     pub upstream_ends: IntCounterVec,
     /// Records of the store that could not be read, by topic and fault, each counted when it turned so.
@@ -48,6 +50,11 @@
             "sends to upstreams by pool and outcome",
             &["pool", "outcome"],
         );
+        let upstream_statements = counter(
+            "ivyweir_upstream_statements_total",
+            "answers in which upstreams said that they leave or want nothing, by pool",
+            &["pool", "says"],
+        );
         let upstream_ends = counter(
             "ivyweir_upstream_ends_total",
             "upstreams that ended while requests were there, by pool",
@@ -81,6 +88,7 @@
             registry,
             requests,
             sends,
+            upstream_statements,
             upstream_ends,
             unreadable_records,
             store_calls,
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -31,6 +31,7 @@
         urgency: HeaderName::from_static("ivyweir-urgency"),
         signature: HeaderName::from_static("ivyweir-signature"),
         load: HeaderName::from_static("ivyweir-load"),
+        leaving: HeaderName::from_static("ivyweir-leaving"),
         confidence: HeaderName::from_static("ivyweir-confidence"),
         not_run: HeaderName::from_static("ivyweir-not-run"),
         system_only: Vec::new(),
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -174,6 +174,7 @@
     let detail = json!({
         "upstream": reply.lease.upstream.id, "model": model,
         "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
+        "leaving": reply.marks.is_leaving,
     });
     trace.step("relaying", detail);
     stream::start(gateway, job, reply, model, tries, trace, active)
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -19,13 +19,14 @@
 use ivyweir_policy::gateway::repeat::{FleetCounts, RepeatBudget};
 use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
+use ivyweir_policy::gateway::statement::{ReportedLoad, Source};
 use ivyweir_policy::gateway::word::Word;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 
 use crate::channel::Channels;
 use crate::clock::Clock;
-use crate::dialect::{Dialect, Item, ReportedLoad, StoreCodec, Topic};
+use crate::dialect::{Dialect, Item, StoreCodec, Topic};
 use crate::history::Histories;
 use crate::judge::log_condemned;
 use crate::log::Log;
@@ -291,9 +292,10 @@
         self.active.load(Ordering::Relaxed)
     }
 
-    /// Takes in a change of one upstream.
+    /// Takes in a change of upstreams that was heard there.
     pub fn change_upstream(
         &self,
+        source: Source,
         change: impl FnOnce(&mut Fleet, u64) -> Vec<(Name, FleetChange)>,
     ) {
         let now_ms = self.clock.now_ms();
@@ -313,7 +315,9 @@
         for (id, change) in changes {
             let is_told = is_told_in_all && change == FleetChange::Joined;
             if change != FleetChange::Nothing && !is_told {
-                let detail = json!({"upstream": id, "change": format!("{change:?}")});
+                let detail = json!({
+                    "upstream": id, "change": format!("{change:?}"), "source": source.name(),
+                });
                 self.log.line("upstream_changed", detail);
             }
         }
@@ -349,9 +353,9 @@
         });
     }
 
-    /// Takes in that an upstream leaves.
-    pub fn upstream_left(&self, id: &Name) {
-        self.change_upstream(|fleet, _| vec![(id.clone(), fleet.leave(id))]);
+    /// Takes in that an upstream leaves, or has left.
+    pub fn upstream_left(&self, id: &Name, source: Source) {
+        self.change_upstream(source, |fleet, _| vec![(id.clone(), fleet.leave(id))]);
     }
 
     /// Works on what is known of a pool's pace.
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -76,7 +76,10 @@
     /// Takes an upstream's answer as the source from now on.
     fn go_on_at(&mut self, reply: Reply) {
         let upstream = &reply.lease.upstream.id;
-        let detail = json!({"upstream": upstream, "behind_event": self.last_event_id});
+        let detail = json!({
+            "upstream": upstream, "behind_event": self.last_event_id,
+            "leaving": reply.marks.is_leaving,
+        });
         self.trace.step("resumed", detail);
         self.partial.clear();
         self.source = Source {
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod rollout;
 pub mod site;
 pub mod slowness;
+pub mod statement;
 pub mod verdict;
 pub mod word;
 pub mod work;
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -0,0 +1,73 @@
+//! What an upstream says of itself, wherever it says it.
+//!
+//! ```
+//! use ivyweir_policy::gateway::statement::{Source, Statement};
+//!
+//! let statement = Statement { is_leaving: true, ..Statement::new(Source::Answer) };
+//! assert_eq!(statement.source.name(), "answer");
+//! ```
+
+/// Where something was heard of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// Its record, in the store's or another box's list.
+    Record,
+    /// The head of an answer of its own, whatever the status.
+    Answer,
+    /// An answer of another incarnation at its address.
+    OtherIncarnation,
+}
+
+impl Source {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Answer => "answer",
+            Self::OtherIncarnation => "other_incarnation",
+        }
+    }
+}
+
+/// Load told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// How long an upstream that refused a request wants nothing more from this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StayAway {
+    /// For this time from the answer on.
+    ForMs(u64),
+    /// It says a time that cannot be read.
+    Unreadable,
+}
+
+/// What an upstream says of itself at one place; all of it is of the incarnation that said it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Statement {
+    /// Where it was heard.
+    pub source: Source,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
+    /// Its load.
+    pub load: Option<ReportedLoad>,
+    /// Whether it wants nothing more for a while.
+    pub stay_away: Option<StayAway>,
+}
+
+impl Statement {
+    /// A statement that says nothing yet.
+    pub fn new(source: Source) -> Self {
+        Self {
+            source,
+            is_leaving: false,
+            load: None,
+            stay_away: None,
+        }
+    }
+}
