--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -95,6 +95,10 @@
     /// Ends its process.
     end: Arc<Notify>,
     is_ended: AtomicBool,
+    /// Whether its answers say that it leaves.
+    says_leaving: AtomicBool,
+    /// What its refusals say of when to come back.
+    stay_away: Mutex<Option<String>>,
     /// For the requests to come, before `act` holds again.
     next: Mutex<Vec<Act>>,
     seen: Mutex<Vec<Seen>>,
@@ -140,6 +144,8 @@
             by_body: Mutex::default(),
             end: Arc::default(),
             is_ended: AtomicBool::new(false),
+            says_leaving: AtomicBool::new(false),
+            stay_away: Mutex::default(),
             next: Mutex::default(),
             seen: Mutex::default(),
             active: AtomicU64::new(0),
@@ -179,6 +185,16 @@
         *lock(&self.shared.act) = act;
     }
 
+    /// Says in each answer from now on that it leaves; its record says nothing of that.
+    pub fn say_leaving(&self) {
+        self.shared.says_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Says from now on with what it refuses as not run for how many seconds it wants nothing more.
+    pub fn say_stay_away(&self, seconds: &str) {
+        *lock(&self.shared.stay_away) = Some(seconds.to_owned());
+    }
+
     /// Sets what it does with requests of this body, whatever it does with others.
     pub fn set_for(&self, body: &'static [u8], act: Act) {
         self.set_for_all(&[body], act);
@@ -290,6 +306,9 @@
         "signed".parse().expect("a valid value"),
     );
     headers.insert("ivyweir-load", "1,0,8".parse().expect("a valid value"));
+    if shared.says_leaving.load(Ordering::SeqCst) {
+        headers.insert("ivyweir-leaving", "1".parse().expect("a valid value"));
+    }
     match act {
         Act::Answer(status) => *answer.status_mut() = StatusCode::from_u16(status).expect("valid"),
         Act::Unsigned => drop(headers.remove("ivyweir-signature")),
@@ -299,6 +318,9 @@
         }
         Act::NotRun => {
             headers.insert("ivyweir-not-run", "1".parse().expect("a valid value"));
+            if let Some(seconds) = &*lock(&shared.stay_away) {
+                headers.insert("retry-after", seconds.parse().expect("a valid value"));
+            }
             headers.remove("ivyweir-signature");
             *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
