What an upstream says of itself in an answer is taken in by one function, and every send asks one gate

Cause: an upstream speaks of itself in its record, in the heads of its answers and in its refusals; each was read at a place of its own, and of an answer only its load. Class: what one place hears of an upstream the others do not know. Ruled out by the failing test: a standing that a later list undid (none was set); a way that was missed (the plainest was). Change: a typed statement in the policy package, Upstreams::hear takes it in (moved there, it had no I/O), may_send is the gate of choices and sends; an upstream that says it leaves gets nothing more in that incarnation; one that refuses and says for how long it wants nothing gets nothing from this box until then, and then one request and twice as many each 50 ms; where all of a pool say so a request is refused at once, with a Retry-After spread by rank. Stand-ins break off behind the head, which they dropped before. Conclusion: mended for the box that heard it; telling other boxes is apart.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
-use ivyweir_policy::gateway::statement::{Source, Statement, StayAway};
+use ivyweir_policy::gateway::statement::{Statement, StayAway};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -303,10 +303,6 @@
     lease.read();
     let upstream: &Name = &lease.upstream.id.clone();
     let statement = marks.statement();
-    if let Some(load) = statement.load {
-        gateway.report_load(upstream, load);
-    }
-    count_statement(gateway, job, &statement);
     let detail = json!({
         "upstream": upstream, "status": status, "leaving": statement.is_leaving,
         "stay_away": statement.stay_away.map(|s| format!("{s:?}")),
@@ -315,10 +311,13 @@
     if marks.is_other_incarnation {
         trace.fail("other_incarnation", detail);
         lease.settle();
-        gateway.upstream_left(upstream, Source::OtherIncarnation);
+        gateway.upstream_left(upstream);
         count(gateway, job, "other_incarnation");
         return Sent::NotRun { arrived: true };
     }
+    // Before anything is made of the answer: whatever becomes of it, its upstream has spoken.
+    gateway.hear(upstream, &statement);
+    count_statement(gateway, job, &statement);
     if marks.not_run {
         trace.fail("upstream_refused", detail);
         lease.settle();
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -61,6 +61,12 @@
 }
 
 impl Job {
+    /// Its rank among others, 0 first: the workspace's, or else the route's.
+    pub fn rank(&self) -> u8 {
+        let of_workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        of_workspace.unwrap_or(self.route.priority)
+    }
+
     /// Whether the system chooses the model.
     pub fn chooses_model(&self) -> bool {
         self.envelope.any_model && !self.route.models.is_empty()
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -51,7 +51,6 @@
 mod stream;
 mod sync;
 mod tries;
-mod upstreams;
 mod words;
 
 use std::io;
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -19,8 +19,9 @@
 use ivyweir_policy::gateway::repeat::{FleetCounts, RepeatBudget};
 use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
 use ivyweir_policy::gateway::site::SiteIndex;
-use ivyweir_policy::gateway::statement::{ReportedLoad, Source};
+use ivyweir_policy::gateway::statement::{Source, Statement};
 use ivyweir_policy::gateway::word::Word;
+use ivyweir_policy::rank::hash64;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 
@@ -35,7 +36,7 @@
 use crate::settings::Settings;
 use crate::store_news::StoreNews;
 use crate::sync;
-use crate::upstreams::{Target, Upstreams};
+use ivyweir_policy::gateway::upstreams::{Target, Upstreams};
 use quarantine::Quarantine;
 use unreadable::UnreadableRecords;
 
@@ -104,6 +105,7 @@
             peer_addr: settings.peer_addr,
             cpu_milli: (settings.machine.cpu_share * 1_000.0) as u32,
         };
+        let own = hash64(&[me.name.as_bytes()]);
         let peers = Peers::new(me, settings.seed_addrs.clone());
         Self {
             settings,
@@ -118,7 +120,7 @@
             store_news: StoreNews::default(),
             site: Mutex::default(),
             proof: Mutex::default(),
-            upstreams: Mutex::default(),
+            upstreams: Mutex::new(Upstreams::new(own)),
             rollouts: Mutex::default(),
             budgets: Mutex::default(),
             fleet_repeats: Mutex::default(),
@@ -315,14 +317,18 @@
         for (id, change) in changes {
             let is_told = is_told_in_all && change == FleetChange::Joined;
             if change != FleetChange::Nothing && !is_told {
-                let detail = json!({
-                    "upstream": id, "change": format!("{change:?}"), "source": source.name(),
-                });
-                self.log.line("upstream_changed", detail);
+                self.log_change(&id, change, source);
             }
         }
     }
 
+    fn log_change(&self, id: &Name, change: FleetChange, source: Source) {
+        let detail = json!({
+            "upstream": id, "change": format!("{change:?}"), "source": source.name(),
+        });
+        self.log.line("upstream_changed", detail);
+    }
+
     /// Forgets what lapsed long ago, and closes connections that nobody will use.
     pub fn sweep(&self) {
         let now_ms = self.clock.now_ms();
@@ -346,16 +352,21 @@
         change(upstreams.load(id), now_ms);
     }
 
-    /// Takes in a load told with an answer.
-    pub fn report_load(&self, id: &Name, load: ReportedLoad) {
-        self.with_load(id, |known, now_ms| {
-            known.report(load.running, load.waiting, now_ms);
-        });
+    /// Takes in what an upstream says of itself in an answer.
+    pub fn hear(&self, id: &Name, statement: &Statement) {
+        let now_ms = self.clock.now_ms();
+        let most_away_ms = self.settings.policy.most_away_ms;
+        let change = lock(&self.upstreams).hear(id, statement, most_away_ms, now_ms);
+        if change != FleetChange::Nothing {
+            self.log_change(id, change, statement.source);
+        }
     }
 
-    /// Takes in that an upstream leaves, or has left.
-    pub fn upstream_left(&self, id: &Name, source: Source) {
-        self.change_upstream(source, |fleet, _| vec![(id.clone(), fleet.leave(id))]);
+    /// Takes in that another incarnation answers at an upstream's address: this one has left.
+    pub fn upstream_left(&self, id: &Name) {
+        self.change_upstream(Source::OtherIncarnation, |fleet, _| {
+            vec![(id.clone(), fleet.leave(id))]
+        });
     }
 
     /// Works on what is known of a pool's pace.
--- a/crates/ivyweir-gateway/src/state/sending.rs
+++ b/crates/ivyweir-gateway/src/state/sending.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use super::{Gateway, lock};
-use crate::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
+use ivyweir_policy::gateway::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
 
 impl Gateway {
     /// Halls that are drained.
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::away;
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
@@ -11,7 +12,7 @@
 use crate::log::Trace;
 use crate::refusal::Reason;
 use crate::state::Gateway;
-use crate::upstreams::{Choice, Scope, Unplaced};
+use ivyweir_policy::gateway::upstreams::{Choice, Scope, Unplaced};
 
 /// Upstreams that could not be reached, after which a request is refused unless it can still come in time.
 const FEW_UNREACHED: u32 = 4;
@@ -53,7 +54,7 @@
         }
         let choice = match choose(gateway, job, &tries.tried, tries.model) {
             Ok(choice) => choice,
-            Err(why) => return Err(gave_up(tries, refusal(why), Reason::AnswerLost)),
+            Err(why) => return Err(gave_up(tries, refusal(job, why), Reason::AnswerLost)),
         };
         trace.step(
             "chosen",
@@ -165,11 +166,14 @@
 }
 
 /// The refusal of a request that no upstream takes.
-fn refusal(why: Unplaced) -> Reason {
+fn refusal(job: &Job, why: Unplaced) -> Reason {
     match why {
         Unplaced::Nobody => Reason::NoUpstream,
         Unplaced::HallsDrained => Reason::HallsDrained,
         Unplaced::AllCold => Reason::AllCold,
+        Unplaced::AllAway { for_ms } => Reason::AllAway {
+            come_back_ms: away::come_back_ms(for_ms, job.rank(), job.seed),
+        },
     }
 }
 
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/away.rs
@@ -0,0 +1,76 @@
+//! Upstreams that want nothing from a box for a while, and how it returns to them.
+//!
+//! An upstream that is full refuses and says for how long it wants nothing from the box that asked. Boxes that all
+//! came back at the end of that time, each with all that it has, would fill it at once. So a box comes back a little
+//! later than told, by a part that is its own, and then with one request, and twice as many with each step of time:
+//! a refusal is back within a step, and stops it.
+
+/// Time in which a box may send twice as many: a refusal takes a way to the farthest hall and back, some 10 ms.
+const STEP_MS: u64 = 50;
+/// Steps after which the box is bound no more: it may have sent 255 then, more than an upstream has places.
+const STEPS: u64 = 8;
+/// The part of the time that a box may come back later than told.
+const LATER_PART: u64 = 4;
+/// The longest such delay: over it the first requests of 300 boxes come at 1.2 ms from each other.
+const LATER_MOST_MS: u64 = 350;
+
+/// What an upstream wants of this box.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Away {
+    /// When the box may come back; 0 where it never was to stay away.
+    until_ms: u64,
+    /// Requests that it sent since.
+    sent: u32,
+}
+
+impl Away {
+    /// Takes in that the upstream wants nothing for a time. An earlier word that holds longer stays in force.
+    /// `own` differs between boxes.
+    pub fn hear(&mut self, for_ms: u64, own: u64, now_ms: u64) {
+        if for_ms == 0 {
+            return;
+        }
+        let later_ms = own % ((for_ms / LATER_PART).min(LATER_MOST_MS) + 1);
+        let until_ms = now_ms.saturating_add(for_ms).saturating_add(later_ms);
+        self.until_ms = self.until_ms.max(until_ms);
+        self.sent = 0;
+    }
+
+    /// Time until one more request may be sent; 0 where one may be sent now.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        let Some(since_ms) = now_ms.checked_sub(self.until_ms) else {
+            return self.until_ms - now_ms;
+        };
+        let step = since_ms / STEP_MS;
+        let is_free = self.until_ms == 0 || step >= STEPS;
+        if is_free || self.sent < (2 << step) - 1 {
+            return 0;
+        }
+        (step + 1) * STEP_MS - since_ms
+    }
+
+    /// Whether the box may not send all it has.
+    pub fn binds(&self, now_ms: u64) -> bool {
+        self.until_ms != 0 && now_ms < self.until_ms.saturating_add(STEPS * STEP_MS)
+    }
+
+    /// Counts a request that is sent now.
+    pub fn note_send(&mut self) {
+        self.sent = self.sent.saturating_add(1);
+    }
+}
+
+/// Ranks that come back one after the other.
+const RANKS: u64 = 3;
+/// Part of the time to wait over which callers of all ranks come back.
+const RETURN_PART: u64 = 2;
+/// The shortest span for that: within it some 20 of a box's requests a second come at different moments.
+const RETURN_LEAST_MS: u64 = 150;
+
+/// When a caller of a pool that wants nothing for `for_ms` should come back: not before that, those of the first rank
+/// first, and those of a rank spread over a span. `seed` differs between requests.
+pub fn come_back_ms(for_ms: u64, rank: u8, seed: u64) -> u64 {
+    let span_ms = (for_ms / RETURN_PART).max(RETURN_LEAST_MS) / RANKS;
+    let rank = u64::from(rank).min(RANKS - 1);
+    for_ms + rank * span_ms + seed % span_ms
+}
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each type is plain data that is handed the time; the gateway's I/O lives in `ivyweir-gateway`.
 
+pub mod away;
 pub mod cascade;
 pub mod cold;
 pub mod copies;
@@ -17,6 +18,7 @@
 pub mod site;
 pub mod slowness;
 pub mod statement;
+pub mod upstreams;
 pub mod verdict;
 pub mod word;
 pub mod work;
--- a/crates/ivyweir-gateway/src/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -1,15 +1,20 @@
 //! The upstreams as a box sees them: which there are, how busy they are, and which may serve.
+//!
+//! All that is heard of an upstream is taken in here, and every send asks here whether it may go. What is kept is
+//! kept by incarnation, so the next one begins anew.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use ivyweir_policy::Name;
-use ivyweir_policy::gateway::cold::{Owners, RecentSends};
-use ivyweir_policy::gateway::fleet::{Fleet, Member, Standing, UpstreamRecord};
-use ivyweir_policy::gateway::place::{self, Ask, Candidate, UpstreamLoad};
-use ivyweir_policy::gateway::rollout::{RolloutState, Side};
-use ivyweir_policy::gateway::word::Work;
-use ivyweir_policy::rank::hash64;
+use crate::Name;
+use crate::gateway::away::Away;
+use crate::gateway::cold::{Owners, RecentSends};
+use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
+use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
+use crate::gateway::rollout::{RolloutState, Side};
+use crate::gateway::statement::{Statement, StayAway};
+use crate::gateway::word::Work;
+use crate::rank::{hash64, mix};
 
 /// The upstreams and what this box knows of their load.
 #[derive(Debug, Default)]
@@ -20,6 +25,8 @@
     settled: HashMap<Name, Name>,
     /// Halls whose upstreams get nothing.
     drained_halls: BTreeSet<Name>,
+    /// Differs between boxes.
+    own: u64,
 }
 
 #[derive(Debug)]
@@ -27,6 +34,7 @@
     load: UpstreamLoad,
     id_hash: u64,
     sends: RecentSends,
+    away: Away,
 }
 
 impl Known {
@@ -57,6 +65,11 @@
     HallsDrained,
     /// All that are left are cold and have got this box's part of what they bear.
     AllCold,
+    /// All that are left want nothing from this box for now.
+    AllAway {
+        /// Time until the first one takes a request.
+        for_ms: u64,
+    },
 }
 
 /// Why a request is not sent to the upstream that was chosen for it: what was known of either has changed
@@ -67,6 +80,11 @@
     Gone,
     /// Its hall is drained.
     HallDrained,
+    /// It wants nothing from this box for now.
+    Away {
+        /// Time until it takes a request.
+        for_ms: u64,
+    },
     /// It is cold and has got this box's part of what it bears.
     Cold,
     /// The request was at several upstreams when they ended.
@@ -111,6 +129,39 @@
 }
 
 impl Upstreams {
+    /// No upstream yet; `own` differs between boxes.
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in what an upstream says of itself; `most_away_ms` bounds the time for which it is left alone. Whatever
+    /// a record or a list says later, an incarnation that leaves stays gone.
+    pub fn hear(
+        &mut self,
+        id: &Name,
+        statement: &Statement,
+        most_away_ms: u64,
+        now_ms: u64,
+    ) -> FleetChange {
+        let own = self.own;
+        let known = self.known(id);
+        if let Some(load) = statement.load {
+            known.load.report(load.running, load.waiting, now_ms);
+        }
+        if let Some(StayAway::ForMs(for_ms)) = statement.stay_away {
+            let own = mix(own, known.id_hash);
+            known.away.hear(for_ms.min(most_away_ms), own, now_ms);
+        }
+        if statement.is_leaving {
+            self.fleet.leave(id)
+        } else {
+            FleetChange::Nothing
+        }
+    }
+
     /// Drains a hall; returns whether it was not drained before.
     pub fn drain_hall(&mut self, hall: Name) -> bool {
         self.drained_halls.insert(hall)
@@ -135,12 +186,14 @@
         self.drained_halls.iter().cloned().collect()
     }
 
-    /// Counts a request that is sent to an upstream now, if it may be.
+    /// Whether a request may go to an upstream now. A send asks as it is made: what was known when the upstream was
+    /// chosen may have changed since.
     ///
     /// # Errors
     ///
-    /// When the upstream has left, its hall is drained, or it is cold and has got its part.
-    pub fn begin_send(
+    /// When the upstream has left, its hall is drained, it wants nothing from this box, or it is cold and has got its
+    /// part.
+    pub fn may_send(
         &mut self,
         id: &Name,
         rule: Option<&ColdRule>,
@@ -150,16 +203,47 @@
         if self.drained_halls.contains(&member.record.hall) {
             return Err(Withheld::HallDrained);
         }
-        let Some(rule) = rule else {
-            return Ok(());
-        };
-        let is_cold = member.cold_for_ms(now_ms) > 0;
+        self.is_held_back(id, rule, now_ms)
+    }
+
+    /// What an upstream that may serve wants of this box now.
+    fn is_held_back(
+        &mut self,
+        id: &Name,
+        rule: Option<&ColdRule>,
+        now_ms: u64,
+    ) -> Result<(), Withheld> {
+        let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
+        let binding = rule.filter(|_| self.fleet.member(id).is_some_and(is_cold));
         let known = self.known(id);
-        if is_cold && !known.bears_one(rule, now_ms) {
+        let for_ms = known.away.left_ms(now_ms);
+        if for_ms > 0 {
+            return Err(Withheld::Away { for_ms });
+        }
+        if binding.is_some_and(|rule| !known.bears_one(rule, now_ms)) {
             return Err(Withheld::Cold);
         }
-        // Counted while it is warm too: it may turn cold within the second.
-        known.sends.note(now_ms);
+        Ok(())
+    }
+
+    /// Counts a request that is sent to an upstream now, if it may be.
+    ///
+    /// # Errors
+    ///
+    /// As for [`may_send`](Self::may_send).
+    pub fn begin_send(
+        &mut self,
+        id: &Name,
+        rule: Option<&ColdRule>,
+        now_ms: u64,
+    ) -> Result<(), Withheld> {
+        self.may_send(id, rule, now_ms)?;
+        let known = self.known(id);
+        known.away.note_send();
+        if rule.is_some() {
+            // Counted while it is warm too: it may turn cold within the second.
+            known.sends.note(now_ms);
+        }
         Ok(())
     }
 
@@ -216,8 +300,9 @@
     pub fn sweep(&mut self, grace_ms: u64, now_ms: u64) -> (Vec<Name>, HashSet<Name>) {
         let forgotten = self.fleet.forget_lapsed(grace_ms, now_ms);
         let left: HashSet<Name> = self.ids().into_iter().collect();
-        self.loads
-            .retain(|id, known| left.contains(id) || known.load.in_flight() > 0);
+        self.loads.retain(|id, known| {
+            left.contains(id) || known.load.in_flight() > 0 || known.away.binds(now_ms)
+        });
         (forgotten, left)
     }
 
@@ -242,11 +327,9 @@
         if records.is_empty() {
             return Err(Unplaced::Nobody);
         }
-        if let Some(rule) = rule {
-            records.retain(|record| self.bears_one(&record.id, rule, now_ms));
-        }
+        let records = self.open_ones(records, rule, now_ms)?;
         let candidates: Vec<Candidate> = records.iter().map(|r| self.candidate(r)).collect();
-        let chosen = place::choose(&candidates, ask, now_ms).ok_or(Unplaced::AllCold)?;
+        let chosen = place::choose(&candidates, ask, now_ms).ok_or(Unplaced::Nobody)?;
         Ok(Choice {
             upstream: records[chosen].clone(),
             mean_work_ms: place::mean_work_ms(&candidates, now_ms),
@@ -262,10 +345,35 @@
         members.map(|m| m.record.id.clone()).collect()
     }
 
-    /// Whether an upstream bears one more request of this box now, as far as it is cold.
-    fn bears_one(&mut self, id: &Name, rule: &ColdRule, now_ms: u64) -> bool {
-        let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
-        !self.fleet.member(id).is_some_and(is_cold) || self.known(id).bears_one(rule, now_ms)
+    /// Those of some usable upstreams to which a request may go now; an error where there are none.
+    fn open_ones(
+        &mut self,
+        records: Vec<Arc<UpstreamRecord>>,
+        rule: Option<&ColdRule>,
+        now_ms: u64,
+    ) -> Result<Vec<Arc<UpstreamRecord>>, Unplaced> {
+        let mut open = Vec::with_capacity(records.len());
+        let mut shortest_ms: Option<u64> = None;
+        let mut has_cold = false;
+        for record in records {
+            match self.is_held_back(&record.id, rule, now_ms) {
+                Ok(()) => open.push(record),
+                Err(Withheld::Away { for_ms }) => {
+                    shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
+                }
+                Err(Withheld::Cold) => has_cold = true,
+                Err(_) => {}
+            }
+        }
+        if !open.is_empty() {
+            return Ok(open);
+        }
+        Err(match shortest_ms {
+            // A cold one may take a request sooner than a full one says.
+            Some(for_ms) if !has_cold => Unplaced::AllAway { for_ms },
+            _ if has_cold => Unplaced::AllCold,
+            _ => Unplaced::Nobody,
+        })
     }
 
     /// Why a pool has no upstream that may serve.
@@ -338,6 +446,7 @@
             load: UpstreamLoad::default(),
             id_hash: hash64(&[id.as_bytes()]),
             sends: RecentSends::default(),
+            away: Away::default(),
         })
     }
 
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -0,0 +1,306 @@
+//! What upstreams say of themselves, in whichever order it is heard, and when boxes return to those that were full.
+
+use std::net::SocketAddr;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::away::{Away, come_back_ms};
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::place::Ask;
+use ivyweir_policy::gateway::statement::{Source, Statement, StayAway};
+use ivyweir_policy::gateway::upstreams::{Scope, Unplaced, Upstreams, Withheld};
+use ivyweir_policy::rank::mix;
+
+/// The most for which an upstream is left alone in these tests.
+const MOST_AWAY_MS: u64 = 60_000;
+
+/// The record of incarnation `born` of an upstream.
+fn record(name: &str, born: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: UpstreamRecord::incarnation_id(name, born),
+        pool: "p".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1_000 + name.len() as u16)),
+        hall: "h".into(),
+        version: "v".into(),
+        slots: 8,
+        is_leaving: false,
+        cold_remaining_ms: 0,
+        registered_as: Some(name.into()),
+    }
+}
+
+fn leaving(record: UpstreamRecord) -> UpstreamRecord {
+    UpstreamRecord {
+        is_leaving: true,
+        ..record
+    }
+}
+
+fn says_leaving() -> Statement {
+    Statement {
+        is_leaving: true,
+        ..Statement::new(Source::Answer)
+    }
+}
+
+fn says_away(stay_away: StayAway) -> Statement {
+    Statement {
+        stay_away: Some(stay_away),
+        ..Statement::new(Source::Answer)
+    }
+}
+
+/// What is heard of the upstream `u`.
+enum Heard {
+    /// Its record says that it takes work.
+    Ready(u64),
+    /// Its record says that it leaves.
+    Leaving(u64),
+    /// Its record is gone.
+    Gone,
+    /// A whole listing has it as ready.
+    Listed(u64),
+    /// A whole listing lacks it.
+    Unlisted,
+    /// An answer says that it leaves.
+    Answer(u64),
+    /// An answer says nothing of leaving.
+    Silent(u64),
+}
+
+fn hear(upstreams: &mut Upstreams, heard: &Heard) {
+    let id = |born: u64| UpstreamRecord::incarnation_id("u", born);
+    match *heard {
+        Heard::Ready(born) => drop(upstreams.fleet().put(record("u", born), 0)),
+        Heard::Leaving(born) => drop(upstreams.fleet().put(leaving(record("u", born)), 0)),
+        Heard::Gone => drop(upstreams.fleet().lapse("u", 0)),
+        Heard::Listed(born) => drop(upstreams.fleet().replace(vec![record("u", born)], 0)),
+        Heard::Unlisted => drop(upstreams.fleet().replace(Vec::new(), 0)),
+        Heard::Answer(born) => drop(upstreams.hear(&id(born), &says_leaving(), MOST_AWAY_MS, 0)),
+        Heard::Silent(born) => {
+            let statement = Statement::new(Source::Answer);
+            upstreams.hear(&id(born), &statement, MOST_AWAY_MS, 0);
+        }
+    }
+}
+
+macro_rules! orders {
+    ($($name:ident: $heard:expr => $usable:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            use Heard::*;
+            let mut upstreams = Upstreams::default();
+            let heard: &[Heard] = &$heard;
+            heard.iter().for_each(|heard| hear(&mut upstreams, heard));
+            let usable: Vec<u64> = (1..=9)
+                .filter(|born| {
+                    let id = UpstreamRecord::incarnation_id("u", *born);
+                    upstreams.may_send(&id, None, 0).is_ok()
+                })
+                .collect();
+            let expected: &[u64] = &$usable;
+            assert_eq!(usable, expected);
+        }
+    )*};
+}
+
+orders! {
+    an_answer_ends_its_use: [Ready(5), Answer(5)] => [];
+    a_record_written_later_does_not_bring_it_back: [Ready(5), Answer(5), Ready(5)] => [];
+    nor_a_listing: [Ready(5), Answer(5), Listed(5)] => [];
+    nor_an_answer_that_says_nothing_of_it: [Ready(5), Answer(5), Silent(5)] => [];
+    nor_its_record_going_and_coming: [Ready(5), Answer(5), Gone, Ready(5), Unlisted, Listed(5)] => [];
+    an_answer_before_its_record_is_known: [Answer(5), Ready(5)] => [];
+    an_answer_behind_its_record: [Ready(5), Leaving(5), Answer(5), Listed(5)] => [];
+    an_answer_of_one_whose_record_is_gone: [Ready(5), Gone, Answer(5), Ready(5)] => [];
+    the_next_incarnation_begins_anew: [Ready(5), Answer(5), Ready(8)] => [8];
+    a_late_answer_of_the_old_one_harms_no_new_one: [Ready(5), Ready(8), Answer(5)] => [8];
+    nor_does_a_late_record_of_the_old_one: [Ready(5), Answer(5), Ready(8), Leaving(5), Listed(8)] => [8];
+    an_old_listing_does_not_bring_the_old_one_back: [Ready(5), Answer(5), Ready(8), Listed(5)] => [8];
+    the_next_one_may_leave_too: [Ready(5), Answer(5), Ready(8), Answer(8), Listed(8)] => [];
+    silence_ends_nothing: [Ready(5), Silent(5)] => [5];
+}
+
+/// Two upstreams, the first of which said to stay away at 0 ms.
+fn one_away(stay_away: StayAway) -> Upstreams {
+    let mut upstreams = Upstreams::default();
+    for name in ["u", "uu"] {
+        upstreams.fleet().put(record(name, 1), 0);
+    }
+    upstreams.hear(&"u@1".into(), &says_away(stay_away), MOST_AWAY_MS, 0);
+    upstreams
+}
+
+fn away_ms(upstreams: &mut Upstreams, now_ms: u64) -> u64 {
+    match upstreams.may_send(&"u@1".into(), None, now_ms) {
+        Ok(()) => 0,
+        Err(Withheld::Away { for_ms }) => for_ms,
+        Err(other) => panic!("{other:?}"),
+    }
+}
+
+macro_rules! times {
+    ($($name:ident: $stay_away:expr => $least_ms:expr, $most_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut upstreams = one_away($stay_away);
+            let for_ms = away_ms(&mut upstreams, 0);
+            assert!(($least_ms..=$most_ms).contains(&for_ms), "{for_ms} ms");
+            assert_eq!(away_ms(&mut upstreams, for_ms), 0);
+        }
+    )*};
+}
+
+times! {
+    it_is_left_alone_for_as_long_as_it_says: StayAway::ForMs(1_000) => 1_000, 1_250;
+    a_short_time_is_kept_too: StayAway::ForMs(1) => 1, 1;
+    no_time_is_none: StayAway::ForMs(0) => 0, 0;
+    what_cannot_be_read_binds_nothing: StayAway::Unreadable => 0, 0;
+    an_absurd_time_is_bounded: StayAway::ForMs(u64::MAX) => MOST_AWAY_MS, MOST_AWAY_MS + 350;
+}
+
+#[test]
+fn a_shorter_time_said_later_does_not_end_a_longer_one() {
+    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    let short = says_away(StayAway::ForMs(10));
+    upstreams.hear(&"u@1".into(), &short, MOST_AWAY_MS, 100);
+    assert!(away_ms(&mut upstreams, 4_999) > 0);
+}
+
+#[test]
+fn the_next_incarnation_owes_nothing_to_the_old_ones_word() {
+    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    upstreams.fleet().put(record("u", 2), 100);
+    assert_eq!(upstreams.may_send(&"u@2".into(), None, 100), Ok(()));
+}
+
+#[test]
+fn a_time_to_stay_away_outlasts_the_record() {
+    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    upstreams.fleet().lapse("u", 100);
+    upstreams.sweep(0, 200);
+    upstreams.fleet().put(record("u", 1), 300);
+    assert!(away_ms(&mut upstreams, 400) > 0);
+}
+
+fn ask() -> Ask<'static> {
+    Ask {
+        prefix: None,
+        engine: None,
+        hall: "h",
+        far_engine_ms: 0.0,
+        avoid_failing: true,
+        seed: 7,
+        apart: None,
+    }
+}
+
+fn choose(upstreams: &mut Upstreams, tried: &[Name], now_ms: u64) -> Result<Name, Unplaced> {
+    let scope = Scope {
+        pool: &"p".into(),
+        side: None,
+        tried,
+    };
+    let choice = upstreams.choose(&scope, &ask(), None, None, now_ms);
+    choice.map(|choice| choice.upstream.id.clone())
+}
+
+#[test]
+fn others_serve_while_one_is_left_alone() {
+    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    for now_ms in 0..100 {
+        assert_eq!(choose(&mut upstreams, &[], now_ms), Ok("uu@1".into()));
+    }
+    // A request that the other one refused too has nowhere to go.
+    let tried = ["uu@1".into()];
+    let refused = choose(&mut upstreams, &tried, 100);
+    assert!(
+        matches!(refused, Err(Unplaced::AllAway { .. })),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn where_all_want_nothing_the_shortest_time_is_told() {
+    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    let shorter = says_away(StayAway::ForMs(400));
+    upstreams.hear(&"uu@1".into(), &shorter, MOST_AWAY_MS, 0);
+    let Err(Unplaced::AllAway { for_ms }) = choose(&mut upstreams, &[], 0) else {
+        panic!("nothing is to be chosen");
+    };
+    assert!((400..=500).contains(&for_ms), "{for_ms} ms");
+    assert_eq!(choose(&mut upstreams, &[], for_ms), Ok("uu@1".into()));
+}
+
+/// Boxes that an upstream told at 0 ms to stay away for a second, each with more requests than may go; gives what
+/// reaches it, by tens of milliseconds from then on.
+fn returns(boxes: u64) -> Vec<u64> {
+    const FOR_MS: u64 = 1_000;
+    const EACH_HAS: u32 = 40;
+    let mut arrivals = Vec::new();
+    for own in 0..boxes {
+        let mut away = Away::default();
+        away.hear(FOR_MS, mix(own, 1), 0);
+        let mut left = EACH_HAS;
+        for now_ms in 0..5_000 {
+            while left > 0 && away.left_ms(now_ms) == 0 {
+                away.note_send();
+                left -= 1;
+                arrivals.push(now_ms);
+            }
+        }
+        assert_eq!(left, 0, "all are sent in the end");
+    }
+    assert!(arrivals.iter().all(|at_ms| *at_ms >= FOR_MS));
+    let mut by_ten = vec![0; 500];
+    arrivals
+        .iter()
+        .for_each(|at_ms| by_ten[(*at_ms / 10) as usize] += 1);
+    by_ten
+}
+
+/// Within 50 ms a refusal is back at the box that sent; what comes until then cannot be held back. An upstream of 64
+/// places with a queue as long bears 128 in that time.
+macro_rules! returning {
+    ($($name:ident: $boxes:expr, first $first:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let by_ten = returns($boxes);
+            let starts = by_ten.iter().position(|n| *n > 0).expect("they come back");
+            let first: u64 = by_ten[starts..starts + 5].iter().sum();
+            assert!(first <= $first, "{first} requests in the first 50 ms");
+        }
+    )*};
+}
+
+returning! {
+    nine_boxes_come_back_one_by_one: 9, first 9;
+    eighty_four_boxes_come_back_spread: 84, first 42;
+    three_hundred_boxes_come_back_spread: 300, first 128;
+}
+
+#[test]
+fn callers_come_back_by_rank_and_never_early() {
+    for for_ms in [1, 40, 400, 5_000] {
+        let times = |rank: u8| -> Vec<u64> {
+            let seeds = (0..500).map(|n| mix(n, 1));
+            seeds.map(|seed| come_back_ms(for_ms, rank, seed)).collect()
+        };
+        for rank in 0..3 {
+            let own = times(rank);
+            assert!(own.iter().all(|ms| *ms >= for_ms));
+            let later = times(rank + 1);
+            if rank < 2 {
+                assert!(
+                    own.iter().max() <= later.iter().min(),
+                    "rank {rank} of {for_ms}"
+                );
+            }
+            let distinct: std::collections::HashSet<_> = own.iter().collect();
+            assert!(
+                distinct.len() >= 40,
+                "{} moments of {for_ms}",
+                distinct.len()
+            );
+        }
+    }
+}
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -21,6 +21,9 @@
 
 type Body = UnsyncBoxBody<Bytes, io::Error>;
 
+/// Time for the head of an answer to leave before its body breaks off; without it the library drops the head too.
+const BREAK_OFF_AFTER: Duration = Duration::from_millis(20);
+
 /// What an upstream does with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Act {
@@ -327,9 +330,13 @@
         Act::OtherIncarnation => *answer.status_mut() = StatusCode::MISDIRECTED_REQUEST,
         Act::Close => return Err(io::Error::other("closes without an answer")),
         Act::BreakOff => {
-            let frames = [Ok(Bytes::from(echo)), Err(io::Error::other("breaks off"))];
-            let frames = frames.map(|frame| frame.map(Frame::data));
-            *answer.body_mut() = StreamBody::new(stream::iter(frames)).boxed_unsync();
+            let begin = stream::iter([Ok(Frame::data(Bytes::from(echo)))]);
+            let end = stream::once(async {
+                sleep(BREAK_OFF_AFTER).await;
+                Err(io::Error::other("breaks off"))
+            });
+            let frames = stream::StreamExt::chain(begin, end);
+            *answer.body_mut() = StreamBody::new(frames).boxed_unsync();
         }
         Act::Hang => std::future::pending().await,
         Act::End { after_events: 0 } => {
--- a/crates/ivyweird/tests/gateway_leaving.rs
+++ b/crates/ivyweird/tests/gateway_leaving.rs
@@ -9,10 +9,12 @@
 //! leaving; only records and refusals by another incarnation moved an upstream's standing. Evidence: the lines of those
 //! answers say `"leaving":true`, and no `upstream_changed` follows on that box until the record changes.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::Path;
 
 use ivyweir_standins::edge::{
-    Act, KEY, Reply, ScriptedUpstream, StoreFault, Town, eventually, get, post_stream,
+    Act, HOST, KEY, Reply, ScriptedUpstream, StoreFault, Town, eventually, get, post_stream,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -73,6 +75,163 @@
     assert_eq!(seen(&town.engines[0]), before);
 }
 
+/// How the word reaches the box: what the first upstream of a pool does with a request, and the request.
+struct Way {
+    path: &'static str,
+    act: Act,
+}
+
+impl Way {
+    fn upstreams<'a>(&self, town: &'a Town) -> &'a [ScriptedUpstream] {
+        let is_engine = ["/stream/", "/sized/"]
+            .iter()
+            .any(|p| self.path.starts_with(p));
+        if is_engine {
+            &town.engines
+        } else {
+            &town.services
+        }
+    }
+
+    fn send(&self, town: &Town) -> Reply {
+        post_stream(town.addr(0), self.path, "r").expect("an answer")
+    }
+}
+
+fn events(confidence: Option<u8>, break_after: Option<u64>) -> Act {
+    Act::Stream {
+        events: 3,
+        gap_ms: 1,
+        break_after,
+        confidence,
+    }
+}
+
+/// The first upstream of a pool says that it leaves while it does `act`; once it was asked, nothing of any kind of
+/// request reaches it, though its record, written anew, says that it takes work.
+macro_rules! heard {
+    ($($name:ident: $path:expr, $act:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town(&["hall-a"]);
+            let way = Way { path: $path, act: $act };
+            let (leaving, other) = way.upstreams(&town).split_first().expect("two upstreams");
+            other[0].set(if way.path.starts_with("/s") && way.path != "/safe/x" {
+                events(Some(100), None)
+            } else {
+                Act::Answer(200)
+            });
+            leaving.set(way.act.clone());
+            leaving.say_leaving();
+            eventually("it was asked", || {
+                way.send(&town);
+                seen(leaving) > 0
+            });
+            let before = seen(leaving);
+            leaving.set(events(Some(100), None));
+            town.store.put_upstream(&leaving.record());
+            for path in ["/safe/x", "/unsafe/x", "/stream/x", "/sized/x"] {
+                for _ in 0..10 {
+                    post_stream(town.addr(0), path, "r").expect("an answer");
+                }
+            }
+            assert_eq!(seen(leaving), before);
+            let changes = || {
+                let lines = town.boxes[0].lines_of("upstream_changed");
+                lines.iter().filter(|line| line["source"] == "answer").count()
+            };
+            eventually("the change is in the log", || changes() > 0);
+            assert_eq!(changes(), 1, "one line for the change");
+        }
+    )*};
+}
+
+heard! {
+    in_a_whole_answer: "/unsafe/x", Act::Answer(200);
+    in_a_failure_that_is_passed_on: "/unsafe/x", Act::Answer(500);
+    in_a_failure_that_is_repeated_elsewhere: "/safe/x", Act::Answer(500);
+    in_a_refusal: "/safe/x", Act::NotRun;
+    in_an_answer_that_breaks_off: "/safe/x", Act::BreakOff;
+    in_an_answer_without_a_signature: "/unsafe/x", Act::Unsigned;
+    in_an_answer_to_another_request: "/unsafe/x", Act::WrongId;
+    in_the_head_of_a_stream: "/stream/x", events(None, None);
+    in_a_stream_that_goes_on_elsewhere: "/stream/x", events(None, Some(1));
+    in_a_smaller_models_answer_that_is_put_aside: "/sized/x", events(Some(3), None);
+}
+
+#[test]
+fn a_caller_that_gives_up_behind_the_head_leaves_the_word_behind() {
+    let town = town(&["hall-a"]);
+    let long = Act::Stream {
+        events: 1_000,
+        gap_ms: 20,
+        break_after: None,
+        confidence: None,
+    };
+    town.engines
+        .iter()
+        .for_each(|engine| engine.set(long.clone()));
+    town.engines[0].say_leaving();
+    eventually("it was asked", || {
+        read_head(&town, "/stream/x");
+        seen(&town.engines[0]) > 0
+    });
+    let before = seen(&town.engines[0]);
+    for _ in 0..20 {
+        read_head(&town, "/stream/x");
+    }
+    assert_eq!(seen(&town.engines[0]), before);
+}
+
+/// Asks for a stream, reads the head of the answer and leaves.
+fn read_head(town: &Town, path: &str) {
+    let mut caller = TcpStream::connect(town.addr(0)).expect("a connection");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nivyweir-request-id: r\r\nauthorization: Bearer {KEY}\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    let mut head = [0; 256];
+    let read = caller.read(&mut head).expect("a head");
+    assert!(head[..read].starts_with(b"HTTP/1.1 200"));
+}
+
+/// Sends that would go to the first upstream, had it not said that it leaves.
+macro_rules! sends {
+    ($($name:ident: $path:expr, the_other $act:expr => $status:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town(&["hall-a"]);
+            for (leaving, path) in [(&town.services[0], "/unsafe/x"), (&town.engines[0], "/stream/x")] {
+                leaving.set(events(Some(100), None));
+                leaving.say_leaving();
+                eventually("it was asked", || {
+                    post_stream(town.addr(0), path, "r").expect("an answer");
+                    seen(leaving) > 0
+                });
+            }
+            let before = (seen(&town.services[0]), seen(&town.engines[0]));
+            town.services[1].set($act);
+            town.engines[1].set($act);
+            for _ in 0..10 {
+                let reply = post_stream(town.addr(0), $path, "r").expect("an answer");
+                assert_eq!(reply.status, $status);
+            }
+            assert_eq!((seen(&town.services[0]), seen(&town.engines[0])), before);
+        }
+    )*};
+}
+
+sends! {
+    no_first_try_of_a_plain_request: "/safe/x", the_other Act::Answer(200) => 200;
+    no_first_try_of_a_request_that_may_run_once: "/unsafe/x", the_other Act::Answer(200) => 200;
+    no_repeat_of_a_failed_request: "/safe/x", the_other Act::Answer(500) => 502;
+    no_repeat_of_a_refused_request: "/unsafe/x", the_other Act::NotRun => 503;
+    no_repeat_of_a_lost_one: "/safe/x", the_other Act::Close => 502;
+    no_larger_model: "/sized/x", the_other events(Some(3), None) => 200;
+    no_stream: "/stream/x", the_other events(None, None) => 200;
+    no_resumption_of_a_stream: "/stream/x", the_other events(None, Some(1)) => 200;
+}
+
 #[test]
 fn an_upstream_that_wants_nothing_for_a_while_gets_nothing() {
     let town = town(&["hall-a"]);
