Boxes tell each other which upstreams they heard to leave

Cause: the same class, between boxes: what one box hears of an upstream the others do not know, and while the store is out nobody tells them. Ruled out: telling it with the sums of work, which relays make anew and where an entry never ends. Change: a message between boxes names departures heard within 10 s other than from the registry, 256 at most, at once where heard first hand and by relays. Figures: four boxes of two halls, store out: all three others hear it (test); of 5,000 departures 256 are told, the newest.

--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -83,8 +83,8 @@
     replacements: watch::Sender<u64>,
     /// Counts how often it was found out whether an upstream ended.
     looks: watch::Sender<u64>,
-    /// Told when a request is quarantined.
-    quarantined: Notify,
+    /// Told when there is something that other boxes must know at once.
+    urgent: Notify,
     synced: Mutex<Vec<Topic>>,
     stopping_since_ms: AtomicU64,
     active: AtomicU64,
@@ -129,7 +129,7 @@
             unreadable: Mutex::default(),
             replacements: watch::Sender::default(),
             looks: watch::Sender::default(),
-            quarantined: Notify::new(),
+            urgent: Notify::new(),
             synced: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
             active: AtomicU64::new(0),
@@ -359,9 +359,43 @@
         let change = lock(&self.upstreams).hear(id, statement, most_away_ms, now_ms);
         if change != FleetChange::Nothing {
             self.log_change(id, change, statement.source);
+            if self.passes_on(statement.source) {
+                self.urgent.notify_one();
+            }
         }
     }
 
+    /// Whether what was heard there is told on at once: what is heard first hand, and by a relay, whom others hear. 75
+    /// boxes of a hall that each told their relay what they have from it would be 75 messages for each departure.
+    fn passes_on(&self, source: Source) -> bool {
+        let now_ms = self.clock.now_ms();
+        match source {
+            Source::Answer => true,
+            Source::Peer => self.peers.relay(&self.settings.hall, now_ms).is_none(),
+            Source::Record | Source::OtherIncarnation => false,
+        }
+    }
+
+    /// Takes in that other boxes heard these upstreams to leave.
+    pub fn hear_departures(&self, ids: &[Name]) {
+        let statement = Statement {
+            is_leaving: true,
+            ..Statement::new(Source::Peer)
+        };
+        ids.iter().for_each(|id| self.hear(id, &statement));
+    }
+
+    /// Upstreams that this box heard to leave lately, other than by the registry.
+    pub fn departures(&self) -> Vec<Name> {
+        let now_ms = self.clock.now_ms();
+        lock(&self.upstreams).departures(now_ms)
+    }
+
+    /// Waits until there is something that other boxes must know at once.
+    pub async fn until_urgent(&self) {
+        self.urgent.notified().await;
+    }
+
     /// Takes in that another incarnation answers at an upstream's address: this one has left.
     pub fn upstream_left(&self, id: &Name) {
         self.change_upstream(Source::OtherIncarnation, |fleet, _| {
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -126,11 +126,6 @@
         quarantine.ledger.is_suspect(fingerprint) || quarantine.runs.is_broken(fingerprint)
     }
 
-    /// Waits until a request is quarantined.
-    pub async fn until_quarantined(&self) {
-        self.quarantined.notified().await;
-    }
-
     /// Begins to find out whether an upstream ended; returns whether nobody is at it yet.
     pub fn begin_look(&self, upstream: &Name) -> bool {
         lock(&self.quarantine).looked_at.insert(upstream.clone())
@@ -269,7 +264,7 @@
 
     fn take_verdicts(&self, verdicts: Verdicts) {
         if !verdicts.quarantined.is_empty() {
-            self.quarantined.notify_one();
+            self.urgent.notify_one();
         }
         for (fingerprint, ends) in verdicts.quarantined {
             let detail = json!({"fingerprint": fingerprint.to_string(), "upstream_ends": ends});
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -14,7 +14,7 @@
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
 use ivyweir_policy::gateway::word::{Word, WordMessage, Work, add_repeats, add_tallies, without};
 use serde_json::json;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::{self, AnswerBody, bare};
 use crate::box_call;
@@ -30,6 +30,9 @@
 const WORD_ROUND_BOXES: u64 = 30;
 /// The longest round: what is told counts for twice as long.
 const WORD_ROUND_MAX_MS: u64 = 600;
+/// The shortest pause between a box's words: where hundreds of upstreams leave at once, each departure would be a
+/// message of its own.
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
 /// Age up to which a relay tells the same sum of all boxes' words again.
 const FLEET_SUM_MAX_AGE_MS: u64 = 100;
 /// Time for another box to answer.
@@ -46,9 +49,10 @@
     // The relay's sum holds what it was told the last time.
     let mut last_told = Work::new();
     loop {
-        let round = round_of(gateway.peers.hall_size() as u64);
-        // A quarantine is told at once: each moment another box may send the request on.
-        let _woken = timeout(round, gateway.until_quarantined()).await;
+        sleep(LEAST_PAUSE).await;
+        let round = round_of(gateway.peers.hall_size() as u64).saturating_sub(LEAST_PAUSE);
+        // A quarantine or a departure is told at once: each moment another box may send a request.
+        let _woken = timeout(round, gateway.until_urgent()).await;
         let now_ms = gateway.clock.now_ms();
         let mut word = match gateway.peers.relay(&gateway.settings.hall, now_ms) {
             Some(relay) => {
@@ -139,6 +143,7 @@
     if message.hears && !gateway.hears_store() {
         gateway.peers.note_source(&message.from);
     }
+    gateway.hear_departures(&message.departures);
     if let Some(news) = message.quarantine {
         gateway.hear_ledger(&message.from, news);
     }
@@ -180,6 +185,7 @@
         is_root: gateway.histories.is_root(),
         hears: gateway.hears_store(),
         word,
+        departures: gateway.departures(),
         quarantine: gateway.ledger_news_for(to),
     }
 }
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod cascade;
 pub mod cold;
 pub mod copies;
+pub mod departures;
 pub mod fleet;
 pub mod hall;
 pub mod joined;
--- a/crates/ivyweir-policy/src/gateway/statement.rs
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -16,6 +16,8 @@
     Answer,
     /// An answer of another incarnation at its address.
     OtherIncarnation,
+    /// Another box, which heard it from the upstream or from a third one.
+    Peer,
 }
 
 impl Source {
@@ -25,6 +27,7 @@
             Self::Record => "record",
             Self::Answer => "answer",
             Self::OtherIncarnation => "other_incarnation",
+            Self::Peer => "peer",
         }
     }
 }
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::Name;
 use crate::gateway::away::Away;
 use crate::gateway::cold::{Owners, RecentSends};
+use crate::gateway::departures::Departures;
 use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use crate::gateway::rollout::{RolloutState, Side};
@@ -25,6 +26,7 @@
     settled: HashMap<Name, Name>,
     /// Halls whose upstreams get nothing.
     drained_halls: BTreeSet<Name>,
+    departures: Departures,
     /// Differs between boxes.
     own: u64,
 }
@@ -146,20 +148,29 @@
         most_away_ms: u64,
         now_ms: u64,
     ) -> FleetChange {
-        let own = self.own;
-        let known = self.known(id);
         if let Some(load) = statement.load {
+            let known = self.known(id);
             known.load.report(load.running, load.waiting, now_ms);
         }
         if let Some(StayAway::ForMs(for_ms)) = statement.stay_away {
+            let own = self.own;
+            let known = self.known(id);
             let own = mix(own, known.id_hash);
             known.away.hear(for_ms.min(most_away_ms), own, now_ms);
         }
-        if statement.is_leaving {
-            self.fleet.leave(id)
-        } else {
-            FleetChange::Nothing
+        if !statement.is_leaving {
+            return FleetChange::Nothing;
+        }
+        let change = self.fleet.leave(id);
+        if change == FleetChange::Leaving {
+            self.departures.note(id, now_ms);
         }
+        change
+    }
+
+    /// Upstreams that were heard to leave lately, other than by the registry, for other boxes to know.
+    pub fn departures(&mut self, now_ms: u64) -> Vec<Name> {
+        self.departures.told(now_ms)
     }
 
     /// Drains a hall; returns whether it was not drained before.
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -150,6 +150,9 @@
     pub hears: bool,
     /// What it has to tell.
     pub word: Word,
+    /// Upstreams, by incarnation, that were heard to leave lately, other than by the registry.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<Name>,
     /// What is new of requests under which upstreams ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<LedgerNews>,
--- a/crates/ivyweir-policy/tests/gateway_statements.rs
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -4,7 +4,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::away::{Away, come_back_ms};
-use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::fleet::{FleetChange, UpstreamRecord};
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::statement::{Source, Statement, StayAway};
 use ivyweir_policy::gateway::upstreams::{Scope, Unplaced, Upstreams, Withheld};
@@ -120,6 +120,56 @@
     silence_ends_nothing: [Ready(5), Silent(5)] => [5];
 }
 
+#[test]
+fn a_departure_is_told_on_for_a_while_and_taken_in_once() {
+    let mut first = Upstreams::default();
+    let mut second = Upstreams::default();
+    for upstreams in [&mut first, &mut second] {
+        upstreams.fleet().put(record("u", 5), 0);
+    }
+    let id = UpstreamRecord::incarnation_id("u", 5);
+    first.hear(&id, &says_leaving(), MOST_AWAY_MS, 0);
+    let told = first.departures(100);
+    assert_eq!(told, std::slice::from_ref(&id));
+    let by_peer = Statement {
+        source: Source::Peer,
+        ..says_leaving()
+    };
+    assert_eq!(
+        second.hear(&id, &by_peer, MOST_AWAY_MS, 100),
+        FleetChange::Leaving
+    );
+    assert_eq!(
+        second.hear(&id, &by_peer, MOST_AWAY_MS, 200),
+        FleetChange::Nothing
+    );
+    assert_eq!(second.may_send(&id, None, 200), Err(Withheld::Gone));
+    // It tells it on for as long as if it had heard it itself, and no longer.
+    assert_eq!(second.departures(10_000), [id]);
+    assert!(second.departures(10_100).is_empty());
+}
+
+#[test]
+fn what_the_registry_says_is_not_told_on() {
+    let mut upstreams = Upstreams::default();
+    hear(&mut upstreams, &Heard::Ready(5));
+    hear(&mut upstreams, &Heard::Leaving(5));
+    hear(&mut upstreams, &Heard::Answer(5));
+    assert!(upstreams.departures(0).is_empty());
+}
+
+#[test]
+fn of_thousands_that_leave_at_once_a_bounded_number_is_told() {
+    let mut upstreams = Upstreams::default();
+    for n in 0..5_000 {
+        let id = UpstreamRecord::incarnation_id(&format!("u{n}"), 1);
+        upstreams.hear(&id, &says_leaving(), MOST_AWAY_MS, n);
+    }
+    let told = upstreams.departures(5_000);
+    assert_eq!(told.len(), 256);
+    assert_eq!(told.last(), Some(&"u4999@1".into()));
+}
+
 /// Two upstreams, the first of which said to stay away at 0 ms.
 fn one_away(stay_away: StayAway) -> Upstreams {
     let mut upstreams = Upstreams::default();
--- a/crates/ivyweird/tests/gateway_leaving.rs
+++ b/crates/ivyweird/tests/gateway_leaving.rs
@@ -232,6 +232,33 @@
     no_resumption_of_a_stream: "/stream/x", the_other events(None, Some(1)) => 200;
 }
 
+#[test]
+fn boxes_of_all_halls_hear_of_it_from_each_other_while_the_store_is_out() {
+    let town = town(&["hall-a", "hall-a", "hall-b", "hall-b"]);
+    let act = events(None, None);
+    town.engines
+        .iter()
+        .for_each(|engine| engine.set(act.clone()));
+    say_leaving_while_the_store_is_out(&town);
+    for number in 1..4 {
+        eventually("the box has heard", || {
+            let changes = town.boxes[number].lines_of("upstream_changed");
+            changes.iter().any(|line| line["source"] == "peer")
+        });
+    }
+    let before = seen(&town.engines[0]);
+    town.store.set_fault(StoreFault::None);
+    for number in 0..4 {
+        eventually("the key works again", || {
+            stream(&town, number).status == 200
+        });
+        for _ in 0..10 {
+            assert_eq!(stream(&town, number).status, 200);
+        }
+    }
+    assert_eq!(seen(&town.engines[0]), before);
+}
+
 #[test]
 fn an_upstream_that_wants_nothing_for_a_while_gets_nothing() {
     let town = town(&["hall-a"]);
