Soak: a request at an upstream that had left is named with its line and headers

Cause: a finding of a request without an id could not be traced, since only its missing id was printed. Change: the message.

--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -314,7 +314,12 @@
                 if let Some(left_at) = proxied.left_at
                     && seen.at > left_at + LEFT
                 {
-                    broken.push(format!("{id} ran at an upstream that had left"));
+                    let (line, name) = (&seen.line, proxied.upstream.id());
+                    let after_ms = seen.at.duration_since(left_at).as_millis();
+                    broken.push(format!(
+                        "{id} ran at {name}, {after_ms} ms after it had left: {line}, {:?}",
+                        seen.headers
+                    ));
                 }
                 ran.entry(id).or_default().push(seen.at);
             }
