Soak: upstreams leave and fill up by their own word; both soaks share their boxes

Cause: no soak had an upstream that says in its answers that it leaves, or for how long it wants nothing.

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -10,7 +10,7 @@
 
 pub use process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use record_store::{RecordStore, StoreFault};
-pub use scripted::{Act, ScriptedUpstream, Seen};
+pub use scripted::{ANSWERED_BY, Act, ScriptedUpstream, Seen};
 pub use town::{
     HOST, KEY, Reply, Town, WORKSPACE, any_port, call, event_ids, eventually, get, post_stream,
     site,
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -75,6 +75,8 @@
     pub at: Instant,
     /// Whether it was run; only a refusal says that it was not.
     pub ran: bool,
+    /// For how many seconds its refusal said that nothing more is wanted.
+    pub stay_away: Option<String>,
 }
 
 impl Seen {
@@ -91,7 +93,11 @@
     shared: Arc<Shared>,
 }
 
+/// Header in which each answer names its upstream.
+pub const ANSWERED_BY: &str = "x-answered-by";
+
 struct Shared {
+    name: Name,
     act: Mutex<Act>,
     /// What it does with requests of these bodies.
     by_body: Mutex<Vec<(Bytes, Act)>>,
@@ -143,6 +149,7 @@
 
     fn start_at(ip: &str, id: &str, pool: &str, version: &str) -> Self {
         let shared = Arc::new(Shared {
+            name: id.into(),
             act: Mutex::new(Act::Answer(200)),
             by_body: Mutex::default(),
             end: Arc::default(),
@@ -291,12 +298,14 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let act = shared.act_for(&body);
+    let stay_away = (act == Act::NotRun).then(|| lock(&shared.stay_away).clone());
     lock(&shared.seen).push(Seen {
         line: format!("{} {}", head.method, head.uri),
         headers: head.headers.clone(),
         body: body.clone(),
         at: Instant::now(),
         ran: !matches!(act, Act::NotRun | Act::OtherIncarnation),
+        stay_away: stay_away.flatten(),
     });
     let echo = format!("echo of {} bytes", body.len());
     let mut answer = Response::new(whole(echo.clone()));
@@ -309,6 +318,9 @@
         "signed".parse().expect("a valid value"),
     );
     headers.insert("ivyweir-load", "1,0,8".parse().expect("a valid value"));
+    // Passed on as any other header: tells a test whose answer a caller got.
+    let name = shared.name.parse().expect("a valid value");
+    headers.insert(ANSWERED_BY, name);
     if shared.says_leaving.load(Ordering::SeqCst) {
         headers.insert("ivyweir-leaving", "1".parse().expect("a valid value"));
     }
--- a/crates/ivyweird/tests/common/mod.rs
+++ b/crates/ivyweird/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests with real boxes share.
 #![allow(dead_code)]
 
+pub mod soak;
+
 use ivyweir_operator::Client;
 use ivyweir_policy::{Intent, VersionRef};
 use ivyweir_standins::wait_until;
--- a/crates/ivyweird/tests/quarantine_soak.rs
+++ b/crates/ivyweird/tests/quarantine_soak.rs
@@ -4,9 +4,9 @@
 //!
 //! `IVYWEIR_SOAK_SEED` chooses the faults and `IVYWEIR_SOAK_STEPS` how many; callers' timing is not replayed.
 
+mod common;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -14,15 +14,13 @@
 
 use bytes::Bytes;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_standins::edge::{
-    Act, BoxSpec, GatewayProcess, KEY, Reply, ScriptedUpstream, StoreFault, Town, any_port, call,
-    eventually,
-};
-use ivyweir_standins::{Fault, Gateway};
+use ivyweir_standins::Fault;
+use ivyweir_standins::edge::{Act, KEY, Reply, ScriptedUpstream, StoreFault, call};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+use common::soak::{Addrs, Boxes, seed_and_steps};
+
 const CI_SEED: u64 = 20_261_203;
 const CI_STEPS: u32 = 16;
 const HALLS: [&str; 5] = ["hall-a", "hall-a", "hall-b", "hall-b", "hall-c"];
@@ -40,7 +38,7 @@
 const HARM_PAUSE: Duration = Duration::from_millis(120);
 
 struct Shared {
-    addrs: Mutex<Vec<Option<SocketAddr>>>,
+    addrs: Addrs,
     /// Harmless requests that were asked, and those that were refused as harmful.
     harmless: AtomicU64,
     refused: Mutex<Vec<String>>,
@@ -55,14 +53,12 @@
 }
 
 struct Soak {
-    town: Town,
+    boxes: Boxes,
     random: StdRng,
-    store_paths: Vec<Gateway>,
     /// All upstreams there ever were; the last `ENGINES` places of `living` index into it.
     engines: Vec<ScriptedUpstream>,
     living: Vec<usize>,
     made: u64,
-    folder: PathBuf,
     shared: Arc<Shared>,
     troubles: Vec<Trouble>,
 }
@@ -78,39 +74,26 @@
 
 impl Soak {
     fn start(seed: u64) -> Self {
-        let town = Town::start(Path::new(BINARY));
-        for upstream in town.engines.iter().chain(&town.services) {
-            town.store.put_upstream(&upstream.leaving());
-        }
-        let name = format!("ivyweir-quarantine-soak-{}-{seed}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
-        let store_addr = town.store.addr().to_string();
-        let path = |_: &&str| Gateway::start(&store_addr).expect("a port");
+        let boxes = Boxes::new("quarantine-soak", seed, &HALLS);
         let mut soak = Self {
-            store_paths: HALLS.iter().map(path).collect(),
-            town,
             random: StdRng::seed_from_u64(seed),
             engines: Vec::new(),
             living: Vec::new(),
             made: 0,
-            folder,
             shared: Arc::new(Shared {
-                addrs: Mutex::new(vec![None; HALLS.len()]),
+                addrs: boxes.addrs.clone(),
                 harmless: AtomicU64::new(0),
                 refused: Mutex::default(),
                 stop: AtomicBool::new(false),
             }),
             troubles: Vec::new(),
+            boxes,
         };
         for _ in 0..ENGINES {
             let at = soak.add_engine(None);
             soak.living.push(at);
         }
-        for number in 0..HALLS.len() {
-            soak.start_box(number);
-        }
-        soak.until_all_ready();
+        soak.boxes.start_all();
         soak
     }
 
@@ -125,7 +108,7 @@
         engine.set(well());
         let after_events = self.random.random_range(0..3);
         engine.set_for_all(&HARMFUL, Act::End { after_events });
-        self.town.store.put_upstream(&engine.record());
+        self.boxes.town.store.put_upstream(&engine.record());
         self.engines.push(engine);
         self.engines.len() - 1
     }
@@ -140,39 +123,12 @@
             let record = ended.record();
             let is_reborn = self.random.random_bool(0.5);
             if !is_reborn {
-                self.town.store.remove_upstream(record.name());
+                self.boxes.town.store.remove_upstream(record.name());
             }
             self.living[place] = self.add_engine(is_reborn.then_some(&record));
         }
     }
 
-    fn start_box(&mut self, number: usize) {
-        let name = format!("box-{number}");
-        let store_addr = self.store_paths[number].addr();
-        let seed_addrs = self.town.seed_addrs();
-        let spec = BoxSpec {
-            name: &name,
-            hall: HALLS[number],
-            store_addr: &store_addr,
-            peer_addr: any_port(),
-            seed_addrs: &seed_addrs,
-            policy: &self.town.policy,
-        };
-        let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
-        self.shared.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
-        if number < self.town.boxes.len() {
-            self.town.boxes[number] = started;
-        } else {
-            self.town.boxes.push(started);
-        }
-    }
-
-    fn until_all_ready(&self) {
-        for number in 0..HALLS.len() {
-            eventually("every box is ready", || self.town.is_ready(number));
-        }
-    }
-
     /// One random fault; those of the store last for a moment.
     fn step(&mut self) {
         let number = self.random.random_range(0..HALLS.len());
@@ -201,38 +157,32 @@
 
     /// Returns the box that is disturbed; none within stands for all of them.
     fn disturb_path(&mut self, number: usize, fault: Fault) -> Option<Option<usize>> {
-        self.store_paths[number].set(fault);
+        self.boxes.store_paths[number].set(fault);
         thread::sleep(Duration::from_millis(self.random.random_range(100..900)));
-        self.store_paths[number].set(Fault::None);
+        self.boxes.store_paths[number].set(Fault::None);
         Some(Some(number))
     }
 
     fn disturb_store(&mut self, fault: StoreFault) -> Option<Option<usize>> {
-        self.town.store.set_fault(fault);
+        self.boxes.town.store.set_fault(fault);
         thread::sleep(Duration::from_millis(self.random.random_range(100..900)));
-        self.town.store.set_fault(StoreFault::None);
+        self.boxes.town.store.set_fault(StoreFault::None);
         Some(None)
     }
 
     fn pause_box(&mut self, number: usize) -> Option<Option<usize>> {
-        self.town.boxes[number].signal("STOP");
-        thread::sleep(Duration::from_millis(self.random.random_range(50..900)));
-        self.town.boxes[number].signal("CONT");
+        let pause = Duration::from_millis(self.random.random_range(50..900));
+        self.boxes.pause(number, pause);
         Some(Some(number))
     }
 
     fn stop_box(&mut self, number: usize) -> Option<Option<usize>> {
-        self.town.boxes[number].signal("TERM");
-        let ended = self.town.boxes[number].wait_exit(Duration::from_secs(20));
-        assert_eq!(ended, Some(0), "a stop ends within its grace");
-        self.start_box(number);
+        self.boxes.stop(number);
         Some(Some(number))
     }
 
     fn kill_box(&mut self, number: usize) -> Option<Option<usize>> {
-        self.shared.addrs.lock().expect("no panic")[number] = None;
-        self.town.boxes[number].kill();
-        self.start_box(number);
+        self.boxes.kill(number);
         Some(Some(number))
     }
 
@@ -353,7 +303,7 @@
     for _ in 0..steps {
         soak.step();
     }
-    soak.until_all_ready();
+    soak.boxes.until_all_ready();
     soak.replace_ended();
     // After the last fault all boxes are in touch again, and harmful requests still come.
     thread::sleep(IN_TOUCH + IN_TOUCH / 2);
@@ -387,19 +337,14 @@
     assert!(
         broken.is_empty(),
         "seed {seed}: {broken:#?}\nlogs in {}",
-        soak.folder.display()
+        soak.boxes.folder.display()
     );
     assert!(asked > 0, "seed {seed}: nothing was asked");
-    let _left_behind = std::fs::remove_dir_all(&soak.folder);
-}
-
-fn number(variable: &str) -> Option<u64> {
-    std::env::var(variable).ok()?.parse().ok()
+    let _left_behind = std::fs::remove_dir_all(&soak.boxes.folder);
 }
 
 #[test]
 fn harmful_requests_are_sent_no_more_in_a_random_soak() {
-    let seed = number("IVYWEIR_SOAK_SEED").unwrap_or(CI_SEED);
-    let steps = number("IVYWEIR_SOAK_STEPS").map_or(CI_STEPS, |steps| steps as u32);
+    let (seed, steps) = seed_and_steps(CI_SEED, CI_STEPS);
     soak(seed, steps);
 }
