The gateway's state knows neither the judge of answers nor the followers of the store

Cause: attempt, ends, judge, state, sync and tries knew each other in a circle. No decision is changed.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -20,7 +20,6 @@
 use crate::job::Job;
 use crate::log::Trace;
 use crate::state::Gateway;
-use crate::tries::estimate;
 
 /// Counts a request at an upstream while it lives, and holds its connection.
 pub struct Lease {
@@ -184,7 +183,7 @@
     sending: Sending,
     trace: &mut Trace,
 ) -> Sent {
-    let estimate = estimate(gateway, job, sending.model);
+    let estimate = gateway.estimate(job, sending.model);
     let mut lease = Lease::new(gateway.clone(), upstream.clone(), estimate, job.run_key());
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
     // Nor is one used for a request whose connection just broke: where many upstreams end at a moment it would be
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -122,6 +122,16 @@
 }
 
 impl Topic {
+    /// What boxes follow where operators may drain halls.
+    pub const ALL: [Self; 4] = [
+        Self::Site,
+        Self::Upstreams,
+        Self::Rollouts,
+        Self::DrainedHalls,
+    ];
+    /// What they follow elsewhere: each topic more costs calls to the store.
+    pub const WITHOUT_DRAINS: [Self; 3] = [Self::Site, Self::Upstreams, Self::Rollouts];
+
     /// Its name in logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -134,13 +144,7 @@
 
     /// The topic of this name.
     pub fn from_name(name: &str) -> Option<Self> {
-        let all = [
-            Self::Site,
-            Self::Upstreams,
-            Self::Rollouts,
-            Self::DrainedHalls,
-        ];
-        all.into_iter().find(|topic| topic.name() == name)
+        Self::ALL.into_iter().find(|topic| topic.name() == name)
     }
 }
 
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -11,8 +11,8 @@
 
 use crate::adopt::adopt_rollout;
 use crate::client::{ANSWER_LIMIT, Answer, Client};
-use crate::judge::counts_of;
 use crate::state::Gateway;
+use crate::state::counts_of;
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
--- a/crates/ivyweir-gateway/src/judge.rs
+++ b/crates/ivyweir-gateway/src/judge.rs
@@ -1,9 +1,7 @@
-//! Adds answers to what is known of the versions that gave them, and writes down verdicts.
+//! Adds answers to what is known of the versions that gave them.
 
-use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::verdict::{Evidence, Span, Tally};
-use serde_json::{Value, json};
+use ivyweir_policy::gateway::verdict::{Evidence, Span};
 
 use crate::attempt::Reply;
 use crate::job::Job;
@@ -52,23 +50,6 @@
         track.judge(side, evidence, now_ms).then(|| track.sum())
     });
     if let Some(sum) = condemned {
-        log_condemned(gateway, &job.pool, &sum);
+        gateway.log_condemned(&job.pool, &sum);
     }
 }
-
-/// Writes down why a version was condemned.
-pub fn log_condemned(gateway: &Gateway, pool: &Name, sum: &Tally) {
-    let detail = json!({"pool": pool, "bad_of_all": counts_of(sum)});
-    gateway.log.line("version_condemned", detail);
-}
-
-/// Counts of a roll-out's answers, for the log.
-pub fn counts_of(sum: &Tally) -> Value {
-    let rows = sum.iter().map(|(group, c)| {
-        json!({
-            "fault": group.fault, "lane": group.lane,
-            "new": [c.new.bad, c.new.all], "old": [c.old.bad, c.old.all],
-        })
-    });
-    rows.collect()
-}
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -18,7 +18,7 @@
 use crate::refusal::Reason;
 use crate::state::{Active, Gateway};
 use crate::stream;
-use crate::tries::{Tries, choose, estimate, may_repeat, next_reply};
+use crate::tries::{Tries, choose, may_repeat, next_reply};
 
 /// Answers a request.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -224,7 +224,7 @@
         return None;
     }
     let models = job.route.models.len();
-    let read_ms = estimate(gateway, job, models.saturating_sub(1)).read_ms;
+    let read_ms = gateway.estimate(job, models.saturating_sub(1)).read_ms;
     let late_at_ms = job.arrived_ms + job.route.latency_aim_ms;
     let larger = cascade::escalate(&Doubt {
         confidence: reply.marks.confidence,
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -3,7 +3,9 @@
 mod proof;
 mod quarantine;
 mod repeats;
+mod rollouts;
 mod sending;
+mod statements;
 mod unreadable;
 mod waiting;
 
@@ -18,9 +20,9 @@
 use ivyweir_policy::gateway::place::UpstreamLoad;
 use ivyweir_policy::gateway::proof::Proof;
 use ivyweir_policy::gateway::repeat::{FleetCounts, RepeatBudget};
-use ivyweir_policy::gateway::rollout::{RolloutTrack, Side};
+use ivyweir_policy::gateway::rollout::RolloutTrack;
 use ivyweir_policy::gateway::site::SiteIndex;
-use ivyweir_policy::gateway::statement::{Source, Statement};
+use ivyweir_policy::gateway::statement::Source;
 use ivyweir_policy::gateway::word::Word;
 use ivyweir_policy::rank::hash64;
 use serde_json::json;
@@ -30,15 +32,14 @@
 use crate::clock::Clock;
 use crate::dialect::{Dialect, Item, StoreCodec, Topic};
 use crate::history::Histories;
-use crate::judge::log_condemned;
 use crate::log::Log;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::store_news::StoreNews;
-use crate::sync;
-use ivyweir_policy::gateway::upstreams::{Target, Upstreams};
+use ivyweir_policy::gateway::upstreams::Upstreams;
 use quarantine::Quarantine;
+pub use rollouts::counts_of;
 use unreadable::UnreadableRecords;
 use waiting::Queues;
 pub use waiting::Waiter;
@@ -192,11 +193,7 @@
 
     /// What this box has to tell others.
     pub fn own_word(&self) -> Word {
-        let tallies = self.with_rollouts(|rollouts, _| {
-            let under_way = rollouts.iter().filter(|(_, track)| !track.is_over());
-            let tallies = under_way.map(|(pool, track)| (pool.clone(), track.tally()));
-            tallies.collect()
-        });
+        let tallies = self.own_tallies();
         let work = lock(&self.upstreams).own_work();
         Word {
             work,
@@ -209,13 +206,7 @@
     pub fn take_others_word(&self, word: Word) {
         self.take_fleet_repeats(word.repeats);
         for (pool, tally) in word.tallies {
-            let condemned = self.with_rollouts(|rollouts, now_ms| {
-                let track = rollouts.get_mut(&pool)?;
-                track.hear(tally, now_ms).then(|| track.sum())
-            });
-            if let Some(sum) = condemned {
-                log_condemned(self, &pool, &sum);
-            }
+            self.hear_tally(&pool, tally);
         }
         if word.work.is_empty() || !self.settings.policy.hear_work {
             return;
@@ -241,9 +232,9 @@
     /// What this box follows; it serves once it has read all of it.
     pub fn topics(&self) -> &'static [Topic] {
         if self.settings.bounds.hall_drain_ms.is_some() {
-            &sync::TOPICS
+            &Topic::ALL
         } else {
-            &sync::TOPICS_WITHOUT_DRAINS
+            &Topic::WITHOUT_DRAINS
         }
     }
 
@@ -357,92 +348,6 @@
         let mut upstreams = lock(&self.upstreams);
         change(upstreams.load(id), now_ms);
     }
-
-    /// Takes in what an upstream says of itself in an answer.
-    pub fn hear(&self, id: &Name, statement: &Statement) {
-        let now_ms = self.clock.now_ms();
-        let most_away_ms = self.settings.policy.most_away_ms;
-        let change = lock(&self.upstreams).hear(id, statement, most_away_ms, now_ms);
-        if change != FleetChange::Nothing {
-            self.log_change(id, change, statement.source);
-            if self.passes_on(statement.source) {
-                self.urgent.notify_one();
-            }
-        }
-    }
-
-    /// Whether what was heard there is told on at once: what is heard first hand, and by a relay, whom others hear. 75
-    /// boxes of a hall that each told their relay what they have from it would be 75 messages for each departure.
-    fn passes_on(&self, source: Source) -> bool {
-        let now_ms = self.clock.now_ms();
-        match source {
-            Source::Answer => true,
-            Source::Peer => self.peers.relay(&self.settings.hall, now_ms).is_none(),
-            Source::Record | Source::OtherIncarnation => false,
-        }
-    }
-
-    /// Takes in that other boxes heard these upstreams to leave.
-    pub fn hear_departures(&self, ids: &[Name]) {
-        let statement = Statement {
-            is_leaving: true,
-            ..Statement::new(Source::Peer)
-        };
-        ids.iter().for_each(|id| self.hear(id, &statement));
-    }
-
-    /// Upstreams that this box heard to leave lately, other than by the registry.
-    pub fn departures(&self) -> Vec<Name> {
-        let now_ms = self.clock.now_ms();
-        lock(&self.upstreams).departures(now_ms)
-    }
-
-    /// Waits until there is something that other boxes must know at once.
-    pub async fn until_urgent(&self) {
-        self.urgent.notified().await;
-    }
-
-    /// Takes in that another incarnation answers at an upstream's address: this one has left.
-    pub fn upstream_left(&self, id: &Name) {
-        self.change_upstream(Source::OtherIncarnation, |fleet, _| {
-            vec![(id.clone(), fleet.leave(id))]
-        });
-    }
-
-    /// Works on what is known of a pool's pace.
-    pub fn with_pace<T>(&self, pool: &Name, work: impl FnOnce(&mut ReadingPace) -> T) -> T {
-        work(lock(&self.paces).entry(pool.clone()).or_default())
-    }
-
-    /// The side of a roll-out that serves a request; none where none is under way.
-    pub fn side(&self, pool: &Name, session: Option<u64>, seed: u64) -> Option<Side> {
-        let now_ms = self.clock.now_ms();
-        let rollouts = lock(&self.rollouts);
-        let track = rollouts.get(pool).filter(|track| !track.is_over())?;
-        Some(track.side(session.unwrap_or(seed), now_ms))
-    }
-
-    /// Works on the roll-outs.
-    pub fn with_rollouts<T>(
-        &self,
-        work: impl FnOnce(&mut HashMap<Name, RolloutTrack>, u64) -> T,
-    ) -> T {
-        work(&mut lock(&self.rollouts), self.clock.now_ms())
-    }
-
-    /// Takes in a pool's version that serves what no roll-out moves.
-    pub fn settle(&self, pool: &Name, version: &Name) {
-        lock(&self.upstreams).settle(pool, version);
-    }
-
-    fn rollout_target(&self, pool: &Name) -> Option<Target> {
-        let rollouts = lock(&self.rollouts);
-        let order = rollouts.get(pool)?.order();
-        Some(Target {
-            version: order.target_version.clone(),
-            state: order.state,
-        })
-    }
 }
 
 /// Counts a request while it lives.
--- a/crates/ivyweir-gateway/src/state/sending.rs
+++ b/crates/ivyweir-gateway/src/state/sending.rs
@@ -3,11 +3,14 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::cold;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::quarantine::Fingerprint;
+use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
 use super::{Gateway, lock};
+use crate::job::Job;
 use ivyweir_policy::gateway::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
 
 impl Gateway {
@@ -37,6 +40,18 @@
         }
     }
 
+    /// Works on what is known of a pool's pace.
+    pub fn with_pace<T>(&self, pool: &Name, work: impl FnOnce(&mut ReadingPace) -> T) -> T {
+        work(lock(&self.paces).entry(pool.clone()).or_default())
+    }
+
+    /// What a job takes of an upstream with the model in this place, by the pool's pace.
+    pub fn estimate(&self, job: &Job, model: usize) -> Estimate {
+        let models = job.route.models.len();
+        let ms_per_token = self.with_pace(&job.pool, |pace| pace.ms_per_token(model, models));
+        job.estimate(ms_per_token)
+    }
+
     /// Chooses an upstream.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -0,0 +1,60 @@
+//! What upstreams say of themselves, taken in and told on.
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::FleetChange;
+use ivyweir_policy::gateway::statement::{Source, Statement};
+
+use super::{Gateway, lock};
+
+impl Gateway {
+    /// Takes in what an upstream says of itself in an answer.
+    pub fn hear(&self, id: &Name, statement: &Statement) {
+        let now_ms = self.clock.now_ms();
+        let most_away_ms = self.settings.policy.most_away_ms;
+        let change = lock(&self.upstreams).hear(id, statement, most_away_ms, now_ms);
+        if change != FleetChange::Nothing {
+            self.log_change(id, change, statement.source);
+            if self.passes_on(statement.source) {
+                self.urgent.notify_one();
+            }
+        }
+    }
+
+    /// Whether what was heard there is told on at once: what is heard first hand, and by a relay, whom others hear. 75
+    /// boxes of a hall that each told their relay what they have from it would be 75 messages for each departure.
+    fn passes_on(&self, source: Source) -> bool {
+        let now_ms = self.clock.now_ms();
+        match source {
+            Source::Answer => true,
+            Source::Peer => self.peers.relay(&self.settings.hall, now_ms).is_none(),
+            Source::Record | Source::OtherIncarnation => false,
+        }
+    }
+
+    /// Takes in that other boxes heard these upstreams to leave.
+    pub fn hear_departures(&self, ids: &[Name]) {
+        let statement = Statement {
+            is_leaving: true,
+            ..Statement::new(Source::Peer)
+        };
+        ids.iter().for_each(|id| self.hear(id, &statement));
+    }
+
+    /// Upstreams that this box heard to leave lately, other than by the registry.
+    pub fn departures(&self) -> Vec<Name> {
+        let now_ms = self.clock.now_ms();
+        lock(&self.upstreams).departures(now_ms)
+    }
+
+    /// Waits until there is something that other boxes must know at once.
+    pub async fn until_urgent(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// Takes in that another incarnation answers at an upstream's address: this one has left.
+    pub fn upstream_left(&self, id: &Name) {
+        self.change_upstream(Source::OtherIncarnation, |fleet, _| {
+            vec![(id.clone(), fleet.leave(id))]
+        });
+    }
+}
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -33,16 +33,6 @@
 /// How long quiet topics are waited for; dead connections are noticed sooner by the kernel.
 const QUIET_WAIT_MS: u64 = 15_000;
 
-/// What boxes follow where operators may drain halls.
-pub const TOPICS: [Topic; 4] = [
-    Topic::Site,
-    Topic::Upstreams,
-    Topic::Rollouts,
-    Topic::DrainedHalls,
-];
-/// What they follow elsewhere: each topic more costs calls to the store.
-pub const TOPICS_WITHOUT_DRAINS: [Topic; 3] = [Topic::Site, Topic::Upstreams, Topic::Rollouts];
-
 /// Follows one topic for the life of the process.
 pub async fn follow(gateway: Arc<Gateway>, topic: Topic) {
     while !gateway.peers.is_settled() {
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -4,7 +4,6 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::wait::come_back_ms;
-use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
 use crate::attempt::{self, Reply, Sending, Sent};
@@ -106,7 +105,7 @@
     for_ms: u64,
     waiter: &Option<Waiter>,
 ) -> bool {
-    let read_ms = estimate(gateway, job, tries.model).read_ms;
+    let read_ms = gateway.estimate(job, tries.model).read_ms;
     let ahead = waiter.as_ref().map(Waiter::ahead);
     !tries.may_have_run && gateway.is_worth_waiting(job, for_ms, read_ms, ahead)
 }
@@ -157,13 +156,6 @@
     }
 }
 
-/// What a job takes of an upstream with the model in this place, by the pool's pace.
-pub fn estimate(gateway: &Gateway, job: &Job, model: usize) -> Estimate {
-    let models = job.route.models.len();
-    let ms_per_token = gateway.with_pace(&job.pool, |pace| pace.ms_per_token(model, models));
-    job.estimate(ms_per_token)
-}
-
 /// Chooses an upstream for a job: one that was not tried, or else any but the last that was.
 ///
 /// # Errors
@@ -175,7 +167,7 @@
     tried: &[Name],
     model: usize,
 ) -> Result<Choice, Unplaced> {
-    let mut ask = job.ask(model, estimate(gateway, job, model), &gateway.settings);
+    let mut ask = job.ask(model, gateway.estimate(job, model), &gateway.settings);
     if gateway.has_ended_upstreams(job.fingerprint) {
         ask.apart = Some(job.fingerprint.bits());
     }
