A stream looks for a replaced upstream only once something was replaced; a pool's upstreams are walked once

Cause: each event of a stream took the lock on all upstreams and looked its own up; each choice walked all members up to four times; two functions answered nearly the same question of a request's suspicion. Change: a watch by stream that looks on a change only; one walk; one typed answer. No decision is changed.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::ends;
 use crate::job::Job;
 use crate::log::Trace;
-use crate::state::Gateway;
+use crate::state::{Gateway, Suspicion};
 
 /// Counts a request at an upstream while it lives, and holds its connection.
 pub struct Lease {
@@ -188,7 +188,7 @@
     // A kept connection may have been closed by the upstream meanwhile; a fresh one cannot.
     // Nor is one used for a request whose connection just broke: where many upstreams end at a moment it would be
     // sent into a connection to another one that has ended, and taken to have been there.
-    let mut kept = if gateway.is_suspect(job.fingerprint) {
+    let mut kept = if gateway.suspicion(job.fingerprint) != Suspicion::None {
         None
     } else {
         let now_ms = gateway.clock.now_ms();
@@ -221,9 +221,10 @@
         let sent_at_ms = gateway.clock.now_ms();
         lease.begin();
         let limit = Duration::from_millis(sending.wait_ms);
+        let mut replaced = gateway.watch_replaced(&upstream.id);
         let answer = tokio::select! {
             answer = timeout(limit, channel.send(request)) => answer,
-            () = gateway.until_replaced(&upstream.id) => {
+            () = replaced.replaced(gateway) => {
                 lease.broke();
                 trace.fail("upstream_replaced", json!({"upstream": upstream.id}));
                 count(gateway, job, "lost");
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -39,6 +39,7 @@
 use crate::store_news::StoreNews;
 use ivyweir_policy::gateway::upstreams::Upstreams;
 use quarantine::Quarantine;
+pub use quarantine::{ReplacedWatch, Suspicion};
 pub use rollouts::counts_of;
 use unreadable::UnreadableRecords;
 use waiting::Queues;
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -13,6 +13,7 @@
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::rank::hash64;
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::{Gateway, lock};
@@ -47,6 +48,40 @@
     }
 }
 
+/// What became of upstreams under a request since it last had a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspicion {
+    /// Nothing.
+    None,
+    /// A connection broke; whether the upstream ended is not known.
+    ConnectionBroke,
+    /// An upstream ended.
+    UpstreamEnded,
+}
+
+/// Watches one upstream for as long as a request is there. It looks at the upstreams only once something was replaced:
+/// a stream waits with it for each of its events.
+pub struct ReplacedWatch {
+    upstream: Name,
+    news: watch::Receiver<u64>,
+    is_first: bool,
+}
+
+impl ReplacedWatch {
+    /// Waits until another incarnation has taken the upstream's place.
+    pub async fn replaced(&mut self, gateway: &Gateway) {
+        loop {
+            if !std::mem::take(&mut self.is_first) {
+                // The sender lives as long as the box's state.
+                let _changed = self.news.changed().await;
+            }
+            if lock(&gateway.upstreams).fleet().is_replaced(&self.upstream) {
+                return;
+            }
+        }
+    }
+}
+
 impl Gateway {
     /// Takes in that a request is sent to an upstream.
     pub fn run_began(&self, upstream: &Name, key: RunKey) {
@@ -115,15 +150,16 @@
         lock(&self.quarantine).runs.broke(fingerprint, now_ms);
     }
 
-    /// Whether an upstream ended under a request, which had no whole answer since.
-    pub fn has_ended_upstreams(&self, fingerprint: Fingerprint) -> bool {
-        lock(&self.quarantine).ledger.is_suspect(fingerprint)
-    }
-
-    /// Whether an upstream ended under a request, which had no whole answer since, or may have.
-    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+    /// What became of upstreams under a request since it last had a whole answer.
+    pub fn suspicion(&self, fingerprint: Fingerprint) -> Suspicion {
         let quarantine = lock(&self.quarantine);
-        quarantine.ledger.is_suspect(fingerprint) || quarantine.runs.is_broken(fingerprint)
+        if quarantine.ledger.is_suspect(fingerprint) {
+            Suspicion::UpstreamEnded
+        } else if quarantine.runs.is_broken(fingerprint) {
+            Suspicion::ConnectionBroke
+        } else {
+            Suspicion::None
+        }
     }
 
     /// Begins to find out whether an upstream ended; returns whether nobody is at it yet.
@@ -169,12 +205,12 @@
         }
     }
 
-    /// Waits until another incarnation has taken an upstream's place.
-    pub async fn until_replaced(&self, upstream: &Name) {
-        let mut news = self.replacements.subscribe();
-        while !lock(&self.upstreams).fleet().is_replaced(upstream) {
-            // The sender lives as long as the box's state.
-            let _changed = news.changed().await;
+    /// Watches whether another incarnation takes an upstream's place.
+    pub fn watch_replaced(&self, upstream: &Name) -> ReplacedWatch {
+        ReplacedWatch {
+            upstream: upstream.clone(),
+            news: self.replacements.subscribe(),
+            is_first: true,
         }
     }
 
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -21,7 +21,7 @@
 use crate::job::{Job, strip_hop_by_hop};
 use crate::judge::weigh;
 use crate::log::Trace;
-use crate::state::{Active, Gateway};
+use crate::state::{Active, Gateway, ReplacedWatch};
 use crate::tries::Tries;
 
 /// Pauses between events from which their mean says something.
@@ -64,6 +64,7 @@
         gateway: gateway.clone(),
         job,
         source: Source {
+            replaced: gateway.watch_replaced(&lease.upstream.id),
             body,
             lease,
             keep_ms,
@@ -96,6 +97,8 @@
 struct Source {
     body: Incoming,
     lease: Lease,
+    /// Whether another incarnation takes its place.
+    replaced: ReplacedWatch,
     keep_ms: Option<u64>,
     /// Whether its end is told by more than the end of the connection.
     is_framed: bool,
@@ -176,11 +179,11 @@
         let deadline_ms = self.job.deadline_ms;
         let until_ms = self.silent_at_ms().unwrap_or(deadline_ms).min(deadline_ms);
         let until = self.gateway.clock.instant(until_ms);
-        let id = self.source.lease.upstream.id.clone();
+        let source = &mut self.source;
         let read = tokio::select! {
             biased;
-            read = timeout_at(until, self.source.body.frame()) => read,
-            () = self.gateway.until_replaced(&id) => {
+            read = timeout_at(until, source.body.frame()) => read,
+            () = source.replaced.replaced(&self.gateway) => {
                 return Next::Broke("another incarnation took the upstream's place".into());
             }
         };
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -84,6 +84,7 @@
         self.partial.clear();
         self.source = Source {
             running: reply.marks.running(),
+            replaced: self.gateway.watch_replaced(&reply.lease.upstream.id),
             body: reply.response.into_body(),
             lease: reply.lease,
             keep_ms: reply.keep_ms,
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -10,7 +10,7 @@
 use crate::job::Job;
 use crate::log::Trace;
 use crate::refusal::Reason;
-use crate::state::{Gateway, Waiter};
+use crate::state::{Gateway, Suspicion, Waiter};
 use ivyweir_policy::gateway::upstreams::{Choice, Scope, Unplaced};
 
 /// Upstreams that could not be reached, after which a request is refused unless it can still come in time.
@@ -168,7 +168,7 @@
     model: usize,
 ) -> Result<Choice, Unplaced> {
     let mut ask = job.ask(model, gateway.estimate(job, model), &gateway.settings);
-    if gateway.has_ended_upstreams(job.fingerprint) {
+    if gateway.suspicion(job.fingerprint) == Suspicion::UpstreamEnded {
         ask.apart = Some(job.fingerprint.bits());
     }
     let among = |tried: &[Name]| {
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -210,23 +210,10 @@
         }
     }
 
-    /// Whether a record may name an upstream to use, as far as others tell: nobody else is at its address, and it
-    /// tells its start where most of its pool do.
-    fn is_plausible(&self, member: &Member, tell_starts: bool) -> bool {
-        let record = &member.record;
-        let is_there = self
-            .at
-            .get(&member.place())
-            .is_none_or(|id| *id == record.id);
-        is_there && (!tell_starts || record.registered_as.is_some())
-    }
-
-    /// Whether most upstreams of a pool tell their start.
-    fn tell_starts(&self, pool: &str) -> bool {
-        let of_pool = self.members.values().filter(|m| &*m.record.pool == pool);
-        let (told, untold): (Vec<_>, Vec<_>) =
-            of_pool.partition(|m| m.record.registered_as.is_some());
-        told.len() > untold.len()
+    /// Whether nobody else is at a member's address, as far as is known.
+    fn is_at_its_place(&self, member: &Member) -> bool {
+        let at = self.at.get(&member.place());
+        at.is_none_or(|id| *id == member.record.id)
     }
 
     /// Takes an earlier incarnation under a record's name out: it ended, whether anybody saw that or not, and an
@@ -342,28 +329,28 @@
 
     /// Upstreams of a pool: the ready ones, or the lapsed ones where none is ready.
     ///
-    /// When a whole pool lapses at once, the registry is the likelier cause than the upstreams.
+    /// When a whole pool lapses at once, the registry is the likelier cause than the upstreams. A record that does not tell
+    /// its start where most of the pool do is another writer's and names nobody.
     pub fn usable(
         &self,
         pool: &str,
         may_serve: impl Fn(&UpstreamRecord) -> bool,
     ) -> Vec<Arc<UpstreamRecord>> {
-        let tell_starts = self.tell_starts(pool);
-        let of_standing = |ready: bool| -> Vec<Arc<UpstreamRecord>> {
-            let members = self.members.values();
-            members
-                .filter(|m| m.is_ready() == ready)
-                .filter(|m| &*m.record.pool == pool && may_serve(&m.record))
-                .filter(|m| self.is_plausible(m, tell_starts))
-                .map(|m| m.record.clone())
-                .collect()
-        };
-        let ready = of_standing(true);
-        if ready.is_empty() {
-            of_standing(false)
-        } else {
-            ready
+        let mut of_pool: Vec<&Member> = Vec::new();
+        let mut told = 0;
+        for member in self.members.values().filter(|m| &*m.record.pool == pool) {
+            told += usize::from(member.record.registered_as.is_some());
+            of_pool.push(member);
         }
+        let tell_starts = told * 2 > of_pool.len();
+        of_pool.retain(|member| {
+            let tells = !tell_starts || member.record.registered_as.is_some();
+            tells && may_serve(&member.record) && self.is_at_its_place(member)
+        });
+        let has_ready = of_pool.iter().any(|member| member.is_ready());
+        of_pool.retain(|member| member.is_ready() == has_ready);
+        let records = of_pool.into_iter().map(|member| member.record.clone());
+        records.collect()
     }
 
     /// Number of members.
