--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
-use ivyweir_policy::gateway::statement::{Statement, StayAway};
+use ivyweir_policy::gateway::statement::{RetryAfter, Statement};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -305,7 +305,7 @@
     let statement = marks.statement();
     let detail = json!({
         "upstream": upstream, "status": status, "leaving": statement.is_leaving,
-        "stay_away": statement.stay_away.map(|s| format!("{s:?}")),
+        "retry_after": statement.retry_after.map(|s| format!("{s:?}")),
         "load": statement.load.map(|l| [l.running, l.waiting]),
     });
     if marks.is_other_incarnation {
@@ -387,9 +387,9 @@
     if statement.is_leaving {
         count("leaving");
     }
-    match statement.stay_away {
-        Some(StayAway::ForMs(_)) => count("stay_away"),
-        Some(StayAway::Unreadable) => count("stay_away_unreadable"),
+    match statement.retry_after {
+        Some(RetryAfter::ForMs(_)) => count("retry_after"),
+        Some(RetryAfter::Unreadable) => count("retry_after_unreadable"),
         None => {}
     }
 }
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -12,7 +12,7 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
-use ivyweir_policy::gateway::statement::{ReportedLoad, Source, Statement, StayAway};
+use ivyweir_policy::gateway::statement::{ReportedLoad, RetryAfter, Source, Statement};
 use serde::{Deserialize, Serialize};
 
 /// A part of a prompt that may stand in other prompts too.
@@ -78,7 +78,7 @@
     /// Whether the upstream says that it leaves.
     pub is_leaving: bool,
     /// How long an upstream that refuses wants nothing more.
-    pub stay_away: Option<StayAway>,
+    pub retry_after: Option<RetryAfter>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
@@ -89,7 +89,7 @@
         Statement {
             is_leaving: self.is_leaving,
             load: self.load,
-            stay_away: self.stay_away,
+            retry_after: self.retry_after,
             ..Statement::new(Source::Answer)
         }
     }
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::statement::{ReportedLoad, StayAway};
+use ivyweir_policy::gateway::statement::{ReportedLoad, RetryAfter};
 use ivyweir_policy::rank::hash64;
 
 use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart};
@@ -134,8 +134,8 @@
             is_other_incarnation: status == MISDIRECTED,
             load: text(headers, &names.load).and_then(reported_load),
             is_leaving: text(headers, &names.leaving).map(str::trim) == Some(LEAVING),
-            stay_away: (status == UNAVAILABLE)
-                .then(|| stay_away(headers))
+            retry_after: (status == UNAVAILABLE)
+                .then(|| retry_after(headers))
                 .flatten(),
             confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
         }
@@ -171,7 +171,7 @@
 
 /// The longest of the times that a refusal says to stay away; a date counts as unreadable, since it would be by
 /// another clock.
-fn stay_away(headers: &HeaderMap) -> Option<StayAway> {
+fn retry_after(headers: &HeaderMap) -> Option<RetryAfter> {
     let told = headers.get_all(header::RETRY_AFTER).iter();
     let times_ms: Vec<Option<u64>> = told
         .map(|value| value.to_str().ok().and_then(seconds_as_ms))
@@ -180,7 +180,7 @@
         return None;
     }
     let longest_ms = times_ms.into_iter().flatten().max();
-    Some(longest_ms.map_or(StayAway::Unreadable, StayAway::ForMs))
+    Some(longest_ms.map_or(RetryAfter::Unreadable, RetryAfter::ForMs))
 }
 
 /// Seconds, fractions included, in whole milliseconds; rounded up, so that no part of them is lost.
--- a/crates/ivyweir-gateway/src/refusal.rs
+++ b/crates/ivyweir-gateway/src/refusal.rs
@@ -31,7 +31,7 @@
     /// All upstreams that could take the request are cold, and get no more from this box for now.
     AllCold,
     /// All upstreams that could take the request want nothing from this box for now.
-    AllAway {
+    AllBackingOff {
         /// Time after which the caller should come back.
         come_back_ms: u64,
     },
@@ -76,7 +76,7 @@
             | Self::NoUpstream
             | Self::HallsDrained
             | Self::AllCold
-            | Self::AllAway { .. }
+            | Self::AllBackingOff { .. }
             | Self::Quarantined
             | Self::LateNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
@@ -98,7 +98,7 @@
             Self::NoUpstream => "no_upstream",
             Self::HallsDrained => "halls_drained",
             Self::AllCold => "all_cold",
-            Self::AllAway { .. } => "all_away",
+            Self::AllBackingOff { .. } => "backing_off",
             Self::Quarantined => "quarantined",
             Self::LateNotRun => "late_not_run",
             Self::Late => "late",
@@ -113,7 +113,7 @@
             Self::NoUpstream | Self::LateNotRun => Some(COME_BACK_MS),
             Self::HallsDrained => Some(COME_BACK_DRAINED_MS),
             Self::AllCold => Some(COME_BACK_COLD_MS),
-            Self::AllAway { come_back_ms } => Some(come_back_ms),
+            Self::AllBackingOff { come_back_ms } => Some(come_back_ms),
             Self::Quarantined => Some(COME_BACK_QUARANTINED_MS),
             _ => None,
         }
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -79,12 +79,12 @@
     /// Whether upstreams that failed lately are passed over.
     pub avoid_failing: bool,
     /// Longest time for which an upstream that says so is left alone.
-    pub most_away_ms: u64,
+    pub max_backoff_ms: u64,
 }
 
 /// Longest time for which an upstream is left alone on its own word. Overload passes within minutes; a time that a
 /// faulty upstream says, of days or years, would take it out of service until it starts again.
-const MOST_AWAY_MS: u64 = 600_000;
+const MAX_BACKOFF_MS: u64 = 600_000;
 
 /// Sending to another hall, as time of an engine. Where bytes between halls cost a twentieth of all that
 /// is earned, 400 ms takes a third off them at hardly more late answers than 0 ms; where they cost a
@@ -102,7 +102,7 @@
             rank_prompts: true,
             hear_work: true,
             avoid_failing: true,
-            most_away_ms: MOST_AWAY_MS,
+            max_backoff_ms: MAX_BACKOFF_MS,
         }
     }
 }
--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -10,8 +10,8 @@
     /// Takes in what an upstream says of itself in an answer.
     pub fn hear(&self, id: &Name, statement: &Statement) {
         let now_ms = self.clock.now_ms();
-        let most_away_ms = self.settings.policy.most_away_ms;
-        let change = lock(&self.upstreams).hear(id, statement, most_away_ms, now_ms);
+        let max_backoff_ms = self.settings.policy.max_backoff_ms;
+        let change = lock(&self.upstreams).hear(id, statement, max_backoff_ms, now_ms);
         if change != FleetChange::Nothing {
             self.log_change(id, change, statement.source);
             if self.passes_on(statement.source) {
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -54,8 +54,10 @@
         }
         let choice = match choose(gateway, job, &tries.tried, tries.model) {
             Ok(choice) => choice,
-            Err(Unplaced::AllAway { for_ms }) if waits(gateway, job, tries, for_ms, &waiter) => {
-                trace.step("waits", json!({"all_away_for_ms": for_ms}));
+            Err(Unplaced::AllBackingOff { for_ms })
+                if waits(gateway, job, tries, for_ms, &waiter) =>
+            {
+                trace.step("waits", json!({"backing_off_for_ms": for_ms}));
                 let waiter = waiter.get_or_insert_with(|| gateway.join_queue(job));
                 waiter.wait(for_ms).await;
                 continue;
@@ -123,7 +125,7 @@
         return Ok(());
     }
     let why = match choose(gateway, job, &[], tries.model) {
-        Err(why @ Unplaced::AllAway { .. }) => refusal(job, why),
+        Err(why @ Unplaced::AllBackingOff { .. }) => refusal(job, why),
         _ => Reason::NoUpstream,
     };
     Err(gave_up(tries, why, Reason::AnswerLost))
@@ -188,7 +190,7 @@
         Unplaced::Nobody => Reason::NoUpstream,
         Unplaced::HallsDrained => Reason::HallsDrained,
         Unplaced::AllCold => Reason::AllCold,
-        Unplaced::AllAway { for_ms } => Reason::AllAway {
+        Unplaced::AllBackingOff { for_ms } => Reason::AllBackingOff {
             come_back_ms: come_back_ms(for_ms, job.rank(), job.seed),
         },
     }
--- a/crates/ivyweir-policy/src/gateway/away.rs
+++ b/crates/ivyweir-policy/src/gateway/backoff.rs
@@ -5,7 +5,8 @@
 //! later than told, by a part that is its own, and then with one request, and twice as many with each step of time:
 //! a refusal is back within a step, and stops it.
 
-/// Time in which a box may send twice as many: a refusal takes a way to the farthest hall and back, some 10 ms.
+/// Time in which a box may send twice as many. A refusal takes a way to another hall and back, 2 to 3 ms by the
+/// deployments' sheets; the rest is for boxes that are busy.
 const STEP_MS: u64 = 50;
 /// Steps after which the box is bound no more: it may have sent 255 then, more than an upstream has places.
 const STEPS: u64 = 8;
@@ -16,14 +17,14 @@
 
 /// What an upstream wants of this box.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Away {
-    /// When the box may come back; 0 where it never was to stay away.
+pub struct Backoff {
+    /// When the box may come back; 0 where it was never told to back off.
     until_ms: u64,
     /// Requests that it sent since.
     sent: u32,
 }
 
-impl Away {
+impl Backoff {
     /// Takes in that the upstream wants nothing for a time. An earlier word that holds longer stays in force.
     /// `own` differs between boxes.
     pub fn hear(&mut self, for_ms: u64, own: u64, now_ms: u64) {
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each type is plain data that is handed the time; the gateway's I/O lives in `ivyweir-gateway`.
 
-pub mod away;
+pub mod backoff;
 pub mod cascade;
 pub mod cold;
 pub mod copies;
--- a/crates/ivyweir-policy/src/gateway/statement.rs
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -43,7 +43,7 @@
 
 /// How long an upstream that refused a request wants nothing more from this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StayAway {
+pub enum RetryAfter {
     /// For this time from the answer on.
     ForMs(u64),
     /// It says a time that cannot be read.
@@ -60,7 +60,7 @@
     /// Its load.
     pub load: Option<ReportedLoad>,
     /// Whether it wants nothing more for a while.
-    pub stay_away: Option<StayAway>,
+    pub retry_after: Option<RetryAfter>,
 }
 
 impl Statement {
@@ -70,7 +70,7 @@
             source,
             is_leaving: false,
             load: None,
-            stay_away: None,
+            retry_after: None,
         }
     }
 }
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -7,13 +7,13 @@
 use std::sync::Arc;
 
 use crate::Name;
-use crate::gateway::away::Away;
+use crate::gateway::backoff::Backoff;
 use crate::gateway::cold::{Owners, RecentSends};
 use crate::gateway::departures::Departures;
 use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use crate::gateway::rollout::{RolloutState, Side};
-use crate::gateway::statement::{Statement, StayAway};
+use crate::gateway::statement::{RetryAfter, Statement};
 use crate::gateway::word::Work;
 use crate::rank::{hash64, mix};
 
@@ -36,7 +36,7 @@
     load: UpstreamLoad,
     id_hash: u64,
     sends: RecentSends,
-    away: Away,
+    backoff: Backoff,
 }
 
 impl Known {
@@ -68,7 +68,7 @@
     /// All that are left are cold and have got this box's part of what they bear.
     AllCold,
     /// All that are left want nothing from this box for now.
-    AllAway {
+    AllBackingOff {
         /// Time until the first one takes a request.
         for_ms: u64,
     },
@@ -83,7 +83,7 @@
     /// Its hall is drained.
     HallDrained,
     /// It wants nothing from this box for now.
-    Away {
+    Backoff {
         /// Time until it takes a request.
         for_ms: u64,
     },
@@ -139,24 +139,24 @@
         }
     }
 
-    /// Takes in what an upstream says of itself; `most_away_ms` bounds the time for which it is left alone. Whatever
+    /// Takes in what an upstream says of itself; `max_backoff_ms` bounds the time for which it is left alone. Whatever
     /// a record or a list says later, an incarnation that leaves stays gone.
     pub fn hear(
         &mut self,
         id: &Name,
         statement: &Statement,
-        most_away_ms: u64,
+        max_backoff_ms: u64,
         now_ms: u64,
     ) -> FleetChange {
         if let Some(load) = statement.load {
             let known = self.known(id);
             known.load.report(load.running, load.waiting, now_ms);
         }
-        if let Some(StayAway::ForMs(for_ms)) = statement.stay_away {
+        if let Some(RetryAfter::ForMs(for_ms)) = statement.retry_after {
             let own = self.own;
             let known = self.known(id);
             let own = mix(own, known.id_hash);
-            known.away.hear(for_ms.min(most_away_ms), own, now_ms);
+            known.backoff.hear(for_ms.min(max_backoff_ms), own, now_ms);
         }
         if !statement.is_leaving {
             return FleetChange::Nothing;
@@ -214,11 +214,11 @@
         if self.drained_halls.contains(&member.record.hall) {
             return Err(Withheld::HallDrained);
         }
-        self.is_held_back(id, rule, now_ms)
+        self.check_limits(id, rule, now_ms)
     }
 
-    /// What an upstream that may serve wants of this box now.
-    fn is_held_back(
+    /// Checks what an upstream that may serve takes of this box now: its backoff, and its part while it is cold.
+    fn check_limits(
         &mut self,
         id: &Name,
         rule: Option<&ColdRule>,
@@ -227,9 +227,9 @@
         let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
         let binding = rule.filter(|_| self.fleet.member(id).is_some_and(is_cold));
         let known = self.known(id);
-        let for_ms = known.away.left_ms(now_ms);
+        let for_ms = known.backoff.left_ms(now_ms);
         if for_ms > 0 {
-            return Err(Withheld::Away { for_ms });
+            return Err(Withheld::Backoff { for_ms });
         }
         if binding.is_some_and(|rule| !known.bears_one(rule, now_ms)) {
             return Err(Withheld::Cold);
@@ -250,7 +250,7 @@
     ) -> Result<(), Withheld> {
         self.may_send(id, rule, now_ms)?;
         let known = self.known(id);
-        known.away.note_send();
+        known.backoff.note_send();
         if rule.is_some() {
             // Counted while it is warm too: it may turn cold within the second.
             known.sends.note(now_ms);
@@ -312,7 +312,7 @@
         let forgotten = self.fleet.forget_lapsed(grace_ms, now_ms);
         let left: HashSet<Name> = self.ids().into_iter().collect();
         self.loads.retain(|id, known| {
-            left.contains(id) || known.load.in_flight() > 0 || known.away.binds(now_ms)
+            left.contains(id) || known.load.in_flight() > 0 || known.backoff.binds(now_ms)
         });
         (forgotten, left)
     }
@@ -363,7 +363,10 @@
         let usable = self.usable(scope, target);
         let places = usable.iter().map(|record| {
             let own_part = (record.slots / boxes.max(1)).max(1);
-            self.known(&record.id).away.room_by(until_ms).min(own_part)
+            self.known(&record.id)
+                .backoff
+                .room_by(until_ms)
+                .min(own_part)
         });
         places.fold(0, u32::saturating_add)
     }
@@ -384,9 +387,9 @@
         let mut shortest_ms: Option<u64> = None;
         let mut has_cold = false;
         for record in records {
-            match self.is_held_back(&record.id, rule, now_ms) {
+            match self.check_limits(&record.id, rule, now_ms) {
                 Ok(()) => open.push(record),
-                Err(Withheld::Away { for_ms }) => {
+                Err(Withheld::Backoff { for_ms }) => {
                     shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
                 }
                 Err(Withheld::Cold) => has_cold = true,
@@ -398,7 +401,7 @@
         }
         Err(match shortest_ms {
             // A cold one may take a request sooner than a full one says.
-            Some(for_ms) if !has_cold => Unplaced::AllAway { for_ms },
+            Some(for_ms) if !has_cold => Unplaced::AllBackingOff { for_ms },
             _ if has_cold => Unplaced::AllCold,
             _ => Unplaced::Nobody,
         })
@@ -474,7 +477,7 @@
             load: UpstreamLoad::default(),
             id_hash: hash64(&[id.as_bytes()]),
             sends: RecentSends::default(),
-            away: Away::default(),
+            backoff: Backoff::default(),
         })
     }
 
--- a/crates/ivyweir-policy/tests/gateway_statements.rs
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -3,16 +3,16 @@
 use std::net::SocketAddr;
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::away::Away;
+use ivyweir_policy::gateway::backoff::Backoff;
 use ivyweir_policy::gateway::fleet::{FleetChange, UpstreamRecord};
 use ivyweir_policy::gateway::place::Ask;
-use ivyweir_policy::gateway::statement::{Source, Statement, StayAway};
+use ivyweir_policy::gateway::statement::{RetryAfter, Source, Statement};
 use ivyweir_policy::gateway::upstreams::{Scope, Unplaced, Upstreams, Withheld};
 use ivyweir_policy::gateway::wait::{Held, Queue, come_back_ms};
 use ivyweir_policy::rank::mix;
 
 /// The most for which an upstream is left alone in these tests.
-const MOST_AWAY_MS: u64 = 60_000;
+const MAX_BACKOFF_MS: u64 = 60_000;
 
 /// The record of incarnation `born` of an upstream.
 fn record(name: &str, born: u64) -> UpstreamRecord {
@@ -43,9 +43,9 @@
     }
 }
 
-fn says_away(stay_away: StayAway) -> Statement {
+fn says_retry_after(retry_after: RetryAfter) -> Statement {
     Statement {
-        stay_away: Some(stay_away),
+        retry_after: Some(retry_after),
         ..Statement::new(Source::Answer)
     }
 }
@@ -76,10 +76,10 @@
         Heard::Gone => drop(upstreams.fleet().lapse("u", 0)),
         Heard::Listed(born) => drop(upstreams.fleet().replace(vec![record("u", born)], 0)),
         Heard::Unlisted => drop(upstreams.fleet().replace(Vec::new(), 0)),
-        Heard::Answer(born) => drop(upstreams.hear(&id(born), &says_leaving(), MOST_AWAY_MS, 0)),
+        Heard::Answer(born) => drop(upstreams.hear(&id(born), &says_leaving(), MAX_BACKOFF_MS, 0)),
         Heard::Silent(born) => {
             let statement = Statement::new(Source::Answer);
-            upstreams.hear(&id(born), &statement, MOST_AWAY_MS, 0);
+            upstreams.hear(&id(born), &statement, MAX_BACKOFF_MS, 0);
         }
     }
 }
@@ -129,7 +129,7 @@
         upstreams.fleet().put(record("u", 5), 0);
     }
     let id = UpstreamRecord::incarnation_id("u", 5);
-    first.hear(&id, &says_leaving(), MOST_AWAY_MS, 0);
+    first.hear(&id, &says_leaving(), MAX_BACKOFF_MS, 0);
     let told = first.departures(100);
     assert_eq!(told, std::slice::from_ref(&id));
     let by_peer = Statement {
@@ -137,11 +137,11 @@
         ..says_leaving()
     };
     assert_eq!(
-        second.hear(&id, &by_peer, MOST_AWAY_MS, 100),
+        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 100),
         FleetChange::Leaving
     );
     assert_eq!(
-        second.hear(&id, &by_peer, MOST_AWAY_MS, 200),
+        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 200),
         FleetChange::Nothing
     );
     assert_eq!(second.may_send(&id, None, 200), Err(Withheld::Gone));
@@ -164,7 +164,7 @@
     let mut upstreams = Upstreams::default();
     for n in 0..5_000 {
         let id = UpstreamRecord::incarnation_id(&format!("u{n}"), 1);
-        upstreams.hear(&id, &says_leaving(), MOST_AWAY_MS, n);
+        upstreams.hear(&id, &says_leaving(), MAX_BACKOFF_MS, n);
     }
     let told = upstreams.departures(5_000);
     assert_eq!(told.len(), 256);
@@ -172,65 +172,70 @@
 }
 
 /// Two upstreams, the first of which said to stay away at 0 ms.
-fn one_away(stay_away: StayAway) -> Upstreams {
+fn one_backing_off(retry_after: RetryAfter) -> Upstreams {
     let mut upstreams = Upstreams::default();
     for name in ["u", "uu"] {
         upstreams.fleet().put(record(name, 1), 0);
     }
-    upstreams.hear(&"u@1".into(), &says_away(stay_away), MOST_AWAY_MS, 0);
+    upstreams.hear(
+        &"u@1".into(),
+        &says_retry_after(retry_after),
+        MAX_BACKOFF_MS,
+        0,
+    );
     upstreams
 }
 
-fn away_ms(upstreams: &mut Upstreams, now_ms: u64) -> u64 {
+fn backoff_ms(upstreams: &mut Upstreams, now_ms: u64) -> u64 {
     match upstreams.may_send(&"u@1".into(), None, now_ms) {
         Ok(()) => 0,
-        Err(Withheld::Away { for_ms }) => for_ms,
+        Err(Withheld::Backoff { for_ms }) => for_ms,
         Err(other) => panic!("{other:?}"),
     }
 }
 
 macro_rules! times {
-    ($($name:ident: $stay_away:expr => $least_ms:expr, $most_ms:expr;)*) => {$(
+    ($($name:ident: $retry_after:expr => $least_ms:expr, $most_ms:expr;)*) => {$(
         #[test]
         fn $name() {
-            let mut upstreams = one_away($stay_away);
-            let for_ms = away_ms(&mut upstreams, 0);
+            let mut upstreams = one_backing_off($retry_after);
+            let for_ms = backoff_ms(&mut upstreams, 0);
             assert!(($least_ms..=$most_ms).contains(&for_ms), "{for_ms} ms");
-            assert_eq!(away_ms(&mut upstreams, for_ms), 0);
+            assert_eq!(backoff_ms(&mut upstreams, for_ms), 0);
         }
     )*};
 }
 
 times! {
-    it_is_left_alone_for_as_long_as_it_says: StayAway::ForMs(1_000) => 1_000, 1_250;
-    a_short_time_is_kept_too: StayAway::ForMs(1) => 1, 1;
-    no_time_is_none: StayAway::ForMs(0) => 0, 0;
-    what_cannot_be_read_binds_nothing: StayAway::Unreadable => 0, 0;
-    an_absurd_time_is_bounded: StayAway::ForMs(u64::MAX) => MOST_AWAY_MS, MOST_AWAY_MS + 350;
+    it_is_left_alone_for_as_long_as_it_says: RetryAfter::ForMs(1_000) => 1_000, 1_250;
+    a_short_time_is_kept_too: RetryAfter::ForMs(1) => 1, 1;
+    no_time_is_none: RetryAfter::ForMs(0) => 0, 0;
+    what_cannot_be_read_binds_nothing: RetryAfter::Unreadable => 0, 0;
+    an_absurd_time_is_bounded: RetryAfter::ForMs(u64::MAX) => MAX_BACKOFF_MS, MAX_BACKOFF_MS + 350;
 }
 
 #[test]
 fn a_shorter_time_said_later_does_not_end_a_longer_one() {
-    let mut upstreams = one_away(StayAway::ForMs(5_000));
-    let short = says_away(StayAway::ForMs(10));
-    upstreams.hear(&"u@1".into(), &short, MOST_AWAY_MS, 100);
-    assert!(away_ms(&mut upstreams, 4_999) > 0);
+    let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
+    let short = says_retry_after(RetryAfter::ForMs(10));
+    upstreams.hear(&"u@1".into(), &short, MAX_BACKOFF_MS, 100);
+    assert!(backoff_ms(&mut upstreams, 4_999) > 0);
 }
 
 #[test]
 fn the_next_incarnation_owes_nothing_to_the_old_ones_word() {
-    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
     upstreams.fleet().put(record("u", 2), 100);
     assert_eq!(upstreams.may_send(&"u@2".into(), None, 100), Ok(()));
 }
 
 #[test]
-fn a_time_to_stay_away_outlasts_the_record() {
-    let mut upstreams = one_away(StayAway::ForMs(5_000));
+fn a_time_to_retry_after_outlasts_the_record() {
+    let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
     upstreams.fleet().lapse("u", 100);
     upstreams.sweep(0, 200);
     upstreams.fleet().put(record("u", 1), 300);
-    assert!(away_ms(&mut upstreams, 400) > 0);
+    assert!(backoff_ms(&mut upstreams, 400) > 0);
 }
 
 fn ask() -> Ask<'static> {
@@ -257,7 +262,7 @@
 
 #[test]
 fn others_serve_while_one_is_left_alone() {
-    let mut upstreams = one_away(StayAway::ForMs(5_000));
+    let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
     for now_ms in 0..100 {
         assert_eq!(choose(&mut upstreams, &[], now_ms), Ok("uu@1".into()));
     }
@@ -265,17 +270,17 @@
     let tried = ["uu@1".into()];
     let refused = choose(&mut upstreams, &tried, 100);
     assert!(
-        matches!(refused, Err(Unplaced::AllAway { .. })),
+        matches!(refused, Err(Unplaced::AllBackingOff { .. })),
         "{refused:?}"
     );
 }
 
 #[test]
 fn where_all_want_nothing_the_shortest_time_is_told() {
-    let mut upstreams = one_away(StayAway::ForMs(5_000));
-    let shorter = says_away(StayAway::ForMs(400));
-    upstreams.hear(&"uu@1".into(), &shorter, MOST_AWAY_MS, 0);
-    let Err(Unplaced::AllAway { for_ms }) = choose(&mut upstreams, &[], 0) else {
+    let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
+    let shorter = says_retry_after(RetryAfter::ForMs(400));
+    upstreams.hear(&"uu@1".into(), &shorter, MAX_BACKOFF_MS, 0);
+    let Err(Unplaced::AllBackingOff { for_ms }) = choose(&mut upstreams, &[], 0) else {
         panic!("nothing is to be chosen");
     };
     assert!((400..=500).contains(&for_ms), "{for_ms} ms");
@@ -289,12 +294,12 @@
     const EACH_HAS: u32 = 40;
     let mut arrivals = Vec::new();
     for own in 0..boxes {
-        let mut away = Away::default();
-        away.hear(FOR_MS, mix(own, 1), 0);
+        let mut backoff = Backoff::default();
+        backoff.hear(FOR_MS, mix(own, 1), 0);
         let mut left = EACH_HAS;
         for now_ms in 0..5_000 {
-            while left > 0 && away.left_ms(now_ms) == 0 {
-                away.note_send();
+            while left > 0 && backoff.left_ms(now_ms) == 0 {
+                backoff.note_send();
                 left -= 1;
                 arrivals.push(now_ms);
             }
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -77,7 +77,7 @@
     /// Whether it was run; only a refusal says that it was not.
     pub ran: bool,
     /// For how many seconds its refusal said that nothing more is wanted.
-    pub stay_away: Option<String>,
+    pub retry_after: Option<String>,
 }
 
 impl Seen {
@@ -108,7 +108,7 @@
     /// Whether its answers say that it leaves.
     says_leaving: AtomicBool,
     /// What its refusals say of when to come back.
-    stay_away: Mutex<Option<String>>,
+    retry_after: Mutex<Option<String>>,
     /// For the requests to come, before `act` holds again.
     next: Mutex<Vec<Act>>,
     seen: Mutex<Vec<Seen>>,
@@ -145,7 +145,7 @@
             end: Arc::default(),
             is_ended: AtomicBool::new(false),
             says_leaving: AtomicBool::new(false),
-            stay_away: Mutex::default(),
+            retry_after: Mutex::default(),
             next: Mutex::default(),
             seen: Mutex::default(),
             active: AtomicU64::new(0),
@@ -191,8 +191,8 @@
     }
 
     /// Says from now on with what it refuses as not run for how many seconds it wants nothing more.
-    pub fn say_stay_away(&self, seconds: &str) {
-        *lock(&self.shared.stay_away) = Some(seconds.to_owned());
+    pub fn say_retry_after(&self, seconds: &str) {
+        *lock(&self.shared.retry_after) = Some(seconds.to_owned());
     }
 
     /// Sets what it does with requests of this body, whatever it does with others.
@@ -288,14 +288,14 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let act = shared.act_for(&body);
-    let stay_away = (act == Act::NotRun).then(|| lock(&shared.stay_away).clone());
+    let retry_after = (act == Act::NotRun).then(|| lock(&shared.retry_after).clone());
     lock(&shared.seen).push(Seen {
         line: format!("{} {}", head.method, head.uri),
         headers: head.headers.clone(),
         body: body.clone(),
         at: Instant::now(),
         ran: !matches!(act, Act::NotRun | Act::OtherIncarnation),
-        stay_away: stay_away.flatten(),
+        retry_after: retry_after.flatten(),
     });
     let echo = format!("echo of {} bytes", body.len());
     let mut answer = Response::new(whole(echo.clone()));
@@ -323,7 +323,7 @@
         }
         Act::NotRun => {
             headers.insert("ivyweir-not-run", "1".parse().expect("a valid value"));
-            if let Some(seconds) = &*lock(&shared.stay_away) {
+            if let Some(seconds) = &*lock(&shared.retry_after) {
                 headers.insert("retry-after", seconds.parse().expect("a valid value"));
             }
             headers.remove("ivyweir-signature");
--- a/crates/ivyweird/tests/gateway_leaving.rs
+++ b/crates/ivyweird/tests/gateway_leaving.rs
@@ -264,7 +264,7 @@
     let town = town(&["hall-a"]);
     for service in &town.services {
         service.set(Act::NotRun);
-        service.say_stay_away("60");
+        service.say_retry_after("60");
     }
     for _ in 0..20 {
         assert_eq!(ask(&town, 0, "/unsafe/x").status, 503);
@@ -278,7 +278,7 @@
 fn refuse_once(town: &Town, seconds: &str) {
     for service in &town.services {
         service.set_next(vec![Act::NotRun]);
-        service.say_stay_away(seconds);
+        service.say_retry_after(seconds);
     }
     // A request that may run again is sent to both.
     assert_eq!(ask(town, 0, "/safe/x").status, 503);
@@ -297,7 +297,7 @@
             let after: usize = town.services.iter().map(seen).sum();
             assert_eq!(after - before, $sends);
             if reply.status == 503 {
-                assert!(reply.text().contains("all_away"));
+                assert!(reply.text().contains("backing_off"));
                 let after_s = reply.headers["retry-after"].to_str().expect("text");
                 let after_s: f64 = after_s.parse().expect("seconds");
                 let told_s: f64 = $seconds.parse().expect("seconds");
--- a/crates/ivyweird/tests/gateway_soak.rs
+++ b/crates/ivyweird/tests/gateway_soak.rs
@@ -297,7 +297,7 @@
         let of_three = self.random.random_range(1..=3);
         for (n, proxied) in self.upstreams.iter().enumerate() {
             if n % 3 < of_three {
-                proxied.upstream.say_stay_away(seconds);
+                proxied.upstream.say_retry_after(seconds);
                 proxied.upstream.set(Act::NotRun);
             }
         }
@@ -446,7 +446,7 @@
 
 /// The box to which an upstream said that it wants nothing, and until when.
 fn refusal_of(refusal: &Seen) -> Option<(usize, Instant)> {
-    let seconds: f64 = refusal.stay_away.as_ref()?.parse().ok()?;
+    let seconds: f64 = refusal.retry_after.as_ref()?.parse().ok()?;
     let number = number_of(refusal.header("ivyweir-request-id")?)?;
     (seconds > 0.0).then(|| (number, refusal.at + Duration::from_secs_f64(seconds)))
 }
