--- a/crates/ivyweir-gateway/src/state/sending.rs
+++ b/crates/ivyweir-gateway/src/state/sending.rs
@@ -6,12 +6,12 @@
 use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::quarantine::Fingerprint;
+use ivyweir_policy::gateway::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
 use super::{Gateway, lock};
 use crate::job::Job;
-use ivyweir_policy::gateway::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
 
 impl Gateway {
     /// Halls that are drained.
--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::upstreams::{Choice, Scope, Unplaced};
 use ivyweir_policy::gateway::wait::come_back_ms;
 use serde_json::json;
 
@@ -11,7 +12,6 @@
 use crate::log::Trace;
 use crate::refusal::Reason;
 use crate::state::{Gateway, Suspicion, Waiter};
-use ivyweir_policy::gateway::upstreams::{Choice, Scope, Unplaced};
 
 /// Upstreams that could not be reached, after which a request is refused unless it can still come in time.
 const FEW_UNREACHED: u32 = 4;
