--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Starts a store, two upstreams a pool, and a box in each of these halls; waits until they are ready.
+    pub fn with_boxes(binary: impl Into<PathBuf>, halls: &[&str]) -> Self {
+        let mut town = Self::start(binary);
+        for hall in halls {
+            town.add_box(hall);
+        }
+        town
+    }
+
     /// Starts a box that reaches the store directly, and waits until it is ready.
     pub fn add_box(&mut self, hall: &str) -> usize {
         let store_addr = self.store.addr().to_string();
--- a/crates/ivyweird/tests/gateway_leaving.rs
+++ b/crates/ivyweird/tests/gateway_leaving.rs
@@ -11,7 +11,6 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::path::Path;
 
 use ivyweir_standins::edge::{
     Act, HOST, KEY, Reply, ScriptedUpstream, StoreFault, Town, eventually, get, post_stream,
@@ -20,11 +19,7 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 
 fn town(halls: &[&str]) -> Town {
-    let mut town = Town::start(Path::new(BINARY));
-    for hall in halls {
-        town.add_box(hall);
-    }
-    town
+    Town::with_boxes(BINARY, halls)
 }
 
 fn ask(town: &Town, number: usize, path: &str) -> Reply {
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -13,9 +13,7 @@
 const AUTH: (&str, &str) = ("authorization", "Bearer key-of-the-studio");
 
 fn town() -> Town {
-    let mut town = Town::start(Path::new(BINARY));
-    town.add_box("hall-a");
-    town
+    Town::with_boxes(BINARY, &["hall-a"])
 }
 
 fn stream(events: u64, break_after: Option<u64>, confidence: Option<u8>) -> Act {
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -13,11 +13,7 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 
 fn town(halls: &[&str]) -> Town {
-    let mut town = Town::start(Path::new(BINARY));
-    for hall in halls {
-        town.add_box(hall);
-    }
-    town
+    Town::with_boxes(BINARY, halls)
 }
 
 fn status(town: &Town, number: usize, key: &str, id: &str) -> u16 {
