Sight: what limit an answer names is on its lines and counted

Cause: the logs of the incident cannot tell whether an answer named a limit, so the hypotheses cannot be told apart. Change: the border reads the word (lowest of several, rounded down, bounded; what is no number is unreadable), the lines of answers carry limit_per_s, a counter says limit and limit_unreadable by pool. No decision reads it yet.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
-use ivyweir_policy::gateway::statement::{RetryAfter, Statement};
+use ivyweir_policy::gateway::statement::{NamedLimit, RetryAfter, Statement};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 use tokio::time::timeout;
@@ -306,6 +306,7 @@
     let detail = json!({
         "upstream": upstream, "status": status, "leaving": statement.is_leaving,
         "retry_after": statement.retry_after.map(|s| format!("{s:?}")),
+        "limit_per_s": statement.limit.map(NamedLimit::per_s),
         "load": statement.load.map(|l| [l.running, l.waiting]),
     });
     if marks.is_other_incarnation {
@@ -392,6 +393,11 @@
         Some(RetryAfter::Unreadable) => count("retry_after_unreadable"),
         None => {}
     }
+    match statement.limit {
+        Some(NamedLimit::Per1000S(_)) => count("limit"),
+        Some(NamedLimit::Unreadable) => count("limit_unreadable"),
+        None => {}
+    }
 }
 
 fn count(gateway: &Gateway, job: &Job, outcome: &str) {
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -12,7 +12,7 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
-use ivyweir_policy::gateway::statement::{ReportedLoad, RetryAfter, Source, Statement};
+use ivyweir_policy::gateway::statement::{NamedLimit, ReportedLoad, RetryAfter, Source, Statement};
 use serde::{Deserialize, Serialize};
 
 /// A part of a prompt that may stand in other prompts too.
@@ -79,6 +79,8 @@
     pub is_leaving: bool,
     /// How long an upstream that refuses wants nothing more.
     pub retry_after: Option<RetryAfter>,
+    /// How many requests the upstream takes from all boxes together.
+    pub limit: Option<NamedLimit>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
@@ -90,6 +92,7 @@
             is_leaving: self.is_leaving,
             load: self.load,
             retry_after: self.retry_after,
+            limit: self.limit,
             ..Statement::new(Source::Answer)
         }
     }
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::statement::{ReportedLoad, RetryAfter};
+use ivyweir_policy::gateway::statement::{NamedLimit, ReportedLoad, RetryAfter};
 use ivyweir_policy::rank::hash64;
 
 use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart};
@@ -41,6 +41,8 @@
     pub load: HeaderName,
     /// `1` says that the upstream leaves.
     pub leaving: HeaderName,
+    /// Requests a second that the upstream takes from all boxes together, a decimal number.
+    pub limit: HeaderName,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: HeaderName,
     /// Says that the request did not run and will not.
@@ -137,6 +139,7 @@
             retry_after: (status == UNAVAILABLE)
                 .then(|| retry_after(headers))
                 .flatten(),
+            limit: named_limit(headers, &names.limit),
             confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
         }
     }
@@ -183,6 +186,26 @@
     Some(longest_ms.map_or(RetryAfter::Unreadable, RetryAfter::ForMs))
 }
 
+/// The lowest of the limits that an answer names.
+fn named_limit(headers: &HeaderMap, name: &HeaderName) -> Option<NamedLimit> {
+    let named = headers.get_all(name).iter();
+    let limits: Vec<Option<u32>> = named
+        .map(|value| value.to_str().ok().and_then(per_s_as_per_1000_s))
+        .collect();
+    if limits.is_empty() {
+        return None;
+    }
+    let lowest = limits.into_iter().flatten().min();
+    Some(lowest.map_or(NamedLimit::Unreadable, NamedLimit::Per1000S))
+}
+
+/// A rate a second, fractions included, as a whole one in a thousand seconds; rounded down, so that it is never more
+/// than was named.
+fn per_s_as_per_1000_s(value: &str) -> Option<u32> {
+    let per_s: f64 = value.trim().parse().ok()?;
+    (per_s.is_finite() && per_s >= 0.0).then_some((per_s * 1_000.0) as u32)
+}
+
 /// Seconds, fractions included, in whole milliseconds; rounded up, so that no part of them is lost.
 fn seconds_as_ms(value: &str) -> Option<u64> {
     let seconds: f64 = value.trim().parse().ok()?;
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -52,7 +52,7 @@
         );
         let upstream_statements = counter(
             "ivyweir_upstream_statements_total",
-            "answers in which upstreams said that they leave or want nothing, by pool",
+            "answers in which upstreams said that they leave, want nothing or name a limit, by pool",
             &["pool", "says"],
         );
         let upstream_ends = counter(
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -32,6 +32,7 @@
         signature: HeaderName::from_static("ivyweir-signature"),
         load: HeaderName::from_static("ivyweir-load"),
         leaving: HeaderName::from_static("ivyweir-leaving"),
+        limit: HeaderName::from_static("ivyweir-limit"),
         confidence: HeaderName::from_static("ivyweir-confidence"),
         not_run: HeaderName::from_static("ivyweir-not-run"),
         system_only: Vec::new(),
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -6,6 +6,7 @@
 use hyper::{Request, Response, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::cascade::{self, Doubt};
+use ivyweir_policy::gateway::statement::NamedLimit;
 use serde_json::json;
 
 use crate::admit::admit;
@@ -174,7 +175,7 @@
     let detail = json!({
         "upstream": reply.lease.upstream.id, "model": model,
         "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
-        "leaving": reply.marks.is_leaving,
+        "leaving": reply.marks.is_leaving, "limit_per_s": reply.marks.limit.map(NamedLimit::per_s),
     });
     trace.step("relaying", detail);
     stream::start(gateway, job, reply, model, tries, trace, active)
--- a/crates/ivyweir-policy/src/gateway/statement.rs
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -50,6 +50,25 @@
     Unreadable,
 }
 
+/// How many requests an upstream takes from all boxes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// So many within a thousand seconds: upstreams name fractions of a request a second.
+    Per1000S(u32),
+    /// It names a limit that cannot be read.
+    Unreadable,
+}
+
+impl NamedLimit {
+    /// Requests a second, where they can be read.
+    pub fn per_s(self) -> Option<f64> {
+        match self {
+            Self::Per1000S(per_1000_s) => Some(f64::from(per_1000_s) / 1_000.0),
+            Self::Unreadable => None,
+        }
+    }
+}
+
 /// What an upstream says of itself at one place; all of it is of the incarnation that said it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Statement {
@@ -61,6 +80,8 @@
     pub load: Option<ReportedLoad>,
     /// Whether it wants nothing more for a while.
     pub retry_after: Option<RetryAfter>,
+    /// Whether it limits what it takes.
+    pub limit: Option<NamedLimit>,
 }
 
 impl Statement {
@@ -71,6 +92,7 @@
             is_leaving: false,
             load: None,
             retry_after: None,
+            limit: None,
         }
     }
 }
