Test, failing: upstreams get more than the limit they name

What users saw: two engines that named about one request a second got 15 and 20 within 4 s from boxes that they had told; 12 and 13 allowed.

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -4,11 +4,13 @@
 //! They speak the gateway's own interface.
 
 mod process;
+mod promise;
 mod record_store;
 mod scripted;
 mod town;
 
 pub use process::{BoxSpec, GatewayProcess, gateway_settings};
+pub use promise::{Arrival, Excess, LimitPromise};
 pub use record_store::{RecordStore, StoreFault};
 pub use scripted::{ANSWERED_BY, Act, ScriptedUpstream, Seen};
 pub use town::{
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/promise.rs
@@ -0,0 +1,109 @@
+//! What upstreams were promised, judged by what reached them and by nothing that a box says of itself.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use ivyweir_policy::Name;
+
+/// A request as it reached an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// When, in milliseconds of any clock.
+    pub at_ms: u64,
+    /// The box that sent it.
+    pub from: Name,
+    /// The limit that its answer names, in requests a second.
+    pub names_per_s: Option<f64>,
+}
+
+/// That an upstream gets no more than the limit it names, from the boxes that it told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitPromise {
+    /// Time since an upstream first named a limit from which windows count, in milliseconds.
+    pub settling_ms: u64,
+    /// Time since a box was told from which its requests count, in milliseconds.
+    pub told_ms: u64,
+    /// Length of a window in milliseconds.
+    pub window_ms: u64,
+    /// How many times the limit may reach it within a window.
+    pub factor: f64,
+    /// Requests that may reach it besides.
+    pub slack: f64,
+}
+
+/// Requests of a window beyond what a limit allows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Excess {
+    /// When the window ended, in milliseconds.
+    pub at_ms: u64,
+    /// Requests in it from boxes that had been told.
+    pub requests: usize,
+    /// How many may have been.
+    pub allowed: f64,
+}
+
+impl fmt::Display for Excess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            at_ms,
+            requests,
+            allowed,
+        } = self;
+        write!(f, "{requests} requests at {at_ms} ms, {allowed} allowed")
+    }
+}
+
+impl LimitPromise {
+    /// Judges what reached one incarnation of an upstream, in order; the first window that breaks the promise.
+    ///
+    /// # Errors
+    ///
+    /// When a window holds more than its limit allows.
+    pub fn check(&self, arrivals: &[Arrival]) -> Result<(), Excess> {
+        let Some(first) = arrivals
+            .iter()
+            .find(|arrival| arrival.names_per_s.is_some())
+        else {
+            return Ok(());
+        };
+        let counted = self.counted(arrivals);
+        let mut begin = 0;
+        for (end, (at_ms, _)) in counted.iter().enumerate() {
+            while counted[begin].0 + self.window_ms <= *at_ms {
+                begin += 1;
+            }
+            if *at_ms < first.at_ms + self.settling_ms {
+                continue;
+            }
+            let window = &counted[begin..=end];
+            let highest_per_s = window.iter().map(|(_, per_s)| *per_s).fold(0.0, f64::max);
+            let window_s = self.window_ms as f64 / 1_000.0;
+            let allowed = self.factor * highest_per_s * window_s + self.slack;
+            if window.len() as f64 > allowed {
+                return Err(Excess {
+                    at_ms: *at_ms,
+                    requests: window.len(),
+                    allowed,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Requests that count: their upstream names a limit, and had told it to the box that sent them. Each with when it
+    /// came and that limit.
+    fn counted(&self, arrivals: &[Arrival]) -> Vec<(u64, f64)> {
+        let mut told_at_ms: HashMap<&Name, u64> = HashMap::new();
+        let mut counted = Vec::new();
+        for arrival in arrivals {
+            let Some(per_s) = arrival.names_per_s else {
+                continue;
+            };
+            let told_at_ms = *told_at_ms.entry(&arrival.from).or_insert(arrival.at_ms);
+            if told_at_ms + self.told_ms <= arrival.at_ms {
+                counted.push((arrival.at_ms, per_s));
+            }
+        }
+        counted
+    }
+}
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -78,6 +78,8 @@
     pub ran: bool,
     /// For how many seconds its refusal said that nothing more is wanted.
     pub retry_after: Option<String>,
+    /// The limit that its answer names, in requests a second.
+    pub names_limit: Option<String>,
 }
 
 impl Seen {
@@ -109,6 +111,8 @@
     says_leaving: AtomicBool,
     /// What its refusals say of when to come back.
     retry_after: Mutex<Option<String>>,
+    /// The limit that its answers name.
+    limit: Mutex<Option<String>>,
     /// For the requests to come, before `act` holds again.
     next: Mutex<Vec<Act>>,
     seen: Mutex<Vec<Seen>>,
@@ -146,6 +150,7 @@
             is_ended: AtomicBool::new(false),
             says_leaving: AtomicBool::new(false),
             retry_after: Mutex::default(),
+            limit: Mutex::default(),
             next: Mutex::default(),
             seen: Mutex::default(),
             active: AtomicU64::new(0),
@@ -195,6 +200,11 @@
         *lock(&self.shared.retry_after) = Some(seconds.to_owned());
     }
 
+    /// Names in each answer from now on how many requests a second it takes from all boxes together; none ends that.
+    pub fn name_limit(&self, per_s: Option<&str>) {
+        *lock(&self.shared.limit) = per_s.map(str::to_owned);
+    }
+
     /// Sets what it does with requests of this body, whatever it does with others.
     pub fn set_for(&self, body: &'static [u8], act: Act) {
         self.set_for_all(&[body], act);
@@ -289,6 +299,7 @@
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let act = shared.act_for(&body);
     let retry_after = (act == Act::NotRun).then(|| lock(&shared.retry_after).clone());
+    let limit = lock(&shared.limit).clone();
     lock(&shared.seen).push(Seen {
         line: format!("{} {}", head.method, head.uri),
         headers: head.headers.clone(),
@@ -296,6 +307,7 @@
         at: Instant::now(),
         ran: !matches!(act, Act::NotRun | Act::OtherIncarnation),
         retry_after: retry_after.flatten(),
+        names_limit: limit.clone(),
     });
     let echo = format!("echo of {} bytes", body.len());
     let mut answer = Response::new(whole(echo.clone()));
@@ -314,6 +326,9 @@
     if shared.says_leaving.load(Ordering::SeqCst) {
         headers.insert("ivyweir-leaving", "1".parse().expect("a valid value"));
     }
+    if let Some(per_s) = limit {
+        headers.insert("ivyweir-limit", per_s.parse().expect("a valid value"));
+    }
     match act {
         Act::Answer(status) => *answer.status_mut() = StatusCode::from_u16(status).expect("valid"),
         Act::Unsigned => drop(headers.remove("ivyweir-signature")),
