Who owns a part of what an upstream takes is decided in a module of its own

Cause: what an upstream takes of all boxes together is soon kept for named limits too, and who may own a part after a start, a cut or a loss stood with cold upstreams. Change: owners.rs holds the owners, when a box may own, and how it shares; a send is handed one set of rules. Moved, not rewritten.

--- a/crates/ivyweir-gateway/src/state/sending.rs
+++ b/crates/ivyweir-gateway/src/state/sending.rs
@@ -1,12 +1,12 @@
 //! Where requests may be sent: drained halls, cold upstreams, and the choice among the rest.
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::cold;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::owners::{self, Sharing};
 use ivyweir_policy::gateway::pace::ReadingPace;
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::quarantine::Fingerprint;
-use ivyweir_policy::gateway::upstreams::{Choice, ColdRule, Scope, Unplaced, Withheld};
+use ivyweir_policy::gateway::upstreams::{Choice, Scope, SendRules, Unplaced, Withheld};
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
@@ -59,10 +59,10 @@
     /// When none may take the request now.
     pub fn choose(&self, scope: &Scope, ask: &Ask) -> Result<Choice, Unplaced> {
         let now_ms = self.clock.now_ms();
-        let rule = self.cold_rule(scope.pool, now_ms);
+        let rules = self.send_rules(scope.pool, now_ms);
         let mut upstreams = lock(&self.upstreams);
         let target = self.rollout_target(scope.pool);
-        upstreams.choose(scope, ask, target.as_ref(), rule.as_ref(), now_ms)
+        upstreams.choose(scope, ask, target.as_ref(), &rules, now_ms)
     }
 
     /// Counts a request that is sent to an upstream now, if it may be.
@@ -79,17 +79,18 @@
             return Err(Withheld::Quarantined);
         }
         let now_ms = self.clock.now_ms();
-        let rule = self.cold_rule(&upstream.pool, now_ms);
-        lock(&self.upstreams).begin_send(&upstream.id, rule.as_ref(), now_ms)
+        let rules = self.send_rules(&upstream.pool, now_ms);
+        lock(&self.upstreams).begin_send(&upstream.id, &rules, now_ms)
     }
 
-    /// What binds sends to cold upstreams of a pool; none where they are never cold.
-    fn cold_rule(&self, pool: &Name, now_ms: u64) -> Option<ColdRule> {
-        let start = self.site()?.pool(pool)?.cold_start?;
-        Some(ColdRule {
-            limit: start.limit(),
-            owners: self.peers.owners(),
-            may_own: cold::may_own(now_ms, self.peers.since_joined_ms(now_ms)),
-        })
+    /// What binds sends to the upstreams of a pool now.
+    fn send_rules(&self, pool: &Name, now_ms: u64) -> SendRules {
+        let site = self.site();
+        let cold_start = site.and_then(|site| site.pool(pool)?.cold_start);
+        let may_own = owners::may_own(now_ms, self.peers.since_joined_ms(now_ms));
+        SendRules {
+            sharing: Sharing::new(self.peers.owners(), may_own),
+            cold_limit: cold_start.map(|start| start.limit()),
+        }
     }
 }
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod hall;
 pub mod joined;
+pub mod owners;
 pub mod pace;
 pub mod place;
 pub mod proof;
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -10,9 +10,10 @@
 
 use crate::Name;
 use crate::gateway::backoff::Backoff;
-use crate::gateway::cold::{Owners, RecentSends};
+use crate::gateway::cold::RecentSends;
 use crate::gateway::departures::Departures;
 use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
+use crate::gateway::owners::Sharing;
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use crate::gateway::rollout::{RolloutState, Side};
 use crate::gateway::statement::{RetryAfter, Statement};
@@ -43,21 +44,19 @@
 
 impl Known {
     /// Whether this box's part of what the upstream bears while it is cold is not used up.
-    fn bears_one(&self, rule: &ColdRule, now_ms: u64) -> bool {
-        let part = rule.owners.own_part(self.id_hash, rule.limit);
-        rule.may_own && self.sends.count(now_ms) < part
+    fn bears_one(&self, sharing: &Sharing, limit: u32, now_ms: u64) -> bool {
+        self.sends.count(now_ms) < sharing.own_part(self.id_hash, limit)
     }
 }
 
-/// What binds sends to the cold upstreams of a pool.
-#[derive(Debug, Clone)]
-pub struct ColdRule {
-    /// Requests that one of them may get within a second, over all boxes.
-    pub limit: u32,
-    /// The boxes that share them.
-    pub owners: Arc<Owners>,
-    /// Whether this box may own a part now.
-    pub may_own: bool,
+/// What binds sends to the upstreams of a pool.
+#[derive(Debug, Clone, Default)]
+pub struct SendRules {
+    /// How boxes share what an upstream takes.
+    pub sharing: Sharing,
+    /// Requests that an upstream may get within a second while it is cold, over all boxes; none where they are never
+    /// cold.
+    pub cold_limit: Option<u32>,
 }
 
 /// Why no upstream takes a request.
@@ -208,34 +207,26 @@
     ///
     /// When the upstream has left, its hall is drained, it wants nothing from this box, or it is cold and has got its
     /// part.
-    pub fn may_send(
-        &mut self,
-        id: &Name,
-        rule: Option<&ColdRule>,
-        now_ms: u64,
-    ) -> Result<(), Withheld> {
+    pub fn may_send(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
         let member = self.fleet.member(id).ok_or(Withheld::Gone)?;
         if self.drained_halls.contains(&member.record.hall) {
             return Err(Withheld::HallDrained);
         }
-        self.check_limits(id, rule, now_ms)
+        self.check_limits(id, rules, now_ms)
     }
 
     /// Checks what an upstream that may serve takes of this box now: its backoff, and its part while it is cold.
-    fn check_limits(
-        &mut self,
-        id: &Name,
-        rule: Option<&ColdRule>,
-        now_ms: u64,
-    ) -> Result<(), Withheld> {
+    fn check_limits(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
         let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
-        let binding = rule.filter(|_| self.fleet.member(id).is_some_and(is_cold));
+        let cold_limit = rules
+            .cold_limit
+            .filter(|_| self.fleet.member(id).is_some_and(is_cold));
         let known = self.known(id);
         let for_ms = known.backoff.left_ms(now_ms);
         if for_ms > 0 {
             return Err(Withheld::Backoff { for_ms });
         }
-        if binding.is_some_and(|rule| !known.bears_one(rule, now_ms)) {
+        if cold_limit.is_some_and(|limit| !known.bears_one(&rules.sharing, limit, now_ms)) {
             return Err(Withheld::Cold);
         }
         Ok(())
@@ -249,13 +240,13 @@
     pub fn begin_send(
         &mut self,
         id: &Name,
-        rule: Option<&ColdRule>,
+        rules: &SendRules,
         now_ms: u64,
     ) -> Result<(), Withheld> {
-        self.may_send(id, rule, now_ms)?;
+        self.may_send(id, rules, now_ms)?;
         let known = self.known(id);
         known.backoff.note_send();
-        if rule.is_some() {
+        if rules.cold_limit.is_some() {
             // Counted while it is warm too: it may turn cold within the second.
             known.sends.note(now_ms);
         }
@@ -331,7 +322,7 @@
         scope: &Scope,
         ask: &Ask,
         target: Option<&Target>,
-        rule: Option<&ColdRule>,
+        rules: &SendRules,
         now_ms: u64,
     ) -> Result<Choice, Unplaced> {
         let mut records = self.usable(scope, target);
@@ -342,7 +333,7 @@
         if records.is_empty() {
             return Err(Unplaced::Nobody);
         }
-        let records = self.open_ones(records, rule, now_ms)?;
+        let records = self.open_ones(records, rules, now_ms)?;
         let candidates: Vec<Candidate> = records.iter().map(|r| self.candidate(r)).collect();
         let chosen = place::choose(&candidates, ask, now_ms).ok_or(Unplaced::Nobody)?;
         Ok(Choice {
@@ -384,14 +375,14 @@
     fn open_ones(
         &mut self,
         records: Vec<Arc<UpstreamRecord>>,
-        rule: Option<&ColdRule>,
+        rules: &SendRules,
         now_ms: u64,
     ) -> Result<Vec<Arc<UpstreamRecord>>, Unplaced> {
         let mut open = Vec::with_capacity(records.len());
         let mut shortest_ms: Option<u64> = None;
         let mut has_cold = false;
         for record in records {
-            match self.check_limits(&record.id, rule, now_ms) {
+            match self.check_limits(&record.id, rules, now_ms) {
                 Ok(()) => open.push(record),
                 Err(Withheld::Backoff { for_ms }) => {
                     shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
--- a/crates/ivyweir-policy/tests/gateway_cold.rs
+++ b/crates/ivyweir-policy/tests/gateway_cold.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::cold::{ColdStart, Owners, RecentSends, may_own};
+use ivyweir_policy::gateway::cold::{ColdStart, RecentSends};
 use ivyweir_policy::gateway::hall::BoxRecord;
 use ivyweir_policy::gateway::joined::{Joined, SeedLists};
+use ivyweir_policy::gateway::owners::{Owners, may_own};
 use ivyweir_policy::rank::hash64;
 use proptest::prelude::*;
 
--- a/crates/ivyweir-policy/tests/gateway_rollout_load.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_load.rs
@@ -7,7 +7,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::rollout::{RolloutState, Side};
-use ivyweir_policy::gateway::upstreams::{Scope, Target, Upstreams};
+use ivyweir_policy::gateway::upstreams::{Scope, SendRules, Target, Upstreams};
 use ivyweir_policy::rank::mix;
 
 /// Upstreams of two versions, 20 of the old and 20 of the new one.
@@ -56,7 +56,7 @@
             seed: mix(seed, 3),
             apart: None,
         };
-        let choice = upstreams.choose(&scope, &ask, Some(&target), None, 0);
+        let choice = upstreams.choose(&scope, &ask, Some(&target), &SendRules::default(), 0);
         choice.expect("an upstream").upstream.id.clone()
     };
     (0..2_000).map(choose).collect()
--- a/crates/ivyweir-policy/tests/gateway_statements.rs
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -7,7 +7,7 @@
 use ivyweir_policy::gateway::fleet::{FleetChange, UpstreamRecord};
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::statement::{RetryAfter, Source, Statement};
-use ivyweir_policy::gateway::upstreams::{Scope, Unplaced, Upstreams, Withheld};
+use ivyweir_policy::gateway::upstreams::{Scope, SendRules, Unplaced, Upstreams, Withheld};
 use ivyweir_policy::gateway::wait::{Held, Queue, come_back_ms};
 use ivyweir_policy::rank::mix;
 
@@ -95,7 +95,7 @@
             let usable: Vec<u64> = (1..=9)
                 .filter(|born| {
                     let id = UpstreamRecord::incarnation_id("u", *born);
-                    upstreams.may_send(&id, None, 0).is_ok()
+                    upstreams.may_send(&id, &SendRules::default(), 0).is_ok()
                 })
                 .collect();
             let expected: &[u64] = &$usable;
@@ -144,7 +144,10 @@
         second.hear(&id, &by_peer, MAX_BACKOFF_MS, 200),
         FleetChange::Nothing
     );
-    assert_eq!(second.may_send(&id, None, 200), Err(Withheld::Gone));
+    assert_eq!(
+        second.may_send(&id, &SendRules::default(), 200),
+        Err(Withheld::Gone)
+    );
     // It tells it on for as long as if it had heard it itself, and no longer.
     assert_eq!(second.departures(10_000), [id]);
     assert!(second.departures(10_100).is_empty());
@@ -187,7 +190,7 @@
 }
 
 fn backoff_ms(upstreams: &mut Upstreams, now_ms: u64) -> u64 {
-    match upstreams.may_send(&"u@1".into(), None, now_ms) {
+    match upstreams.may_send(&"u@1".into(), &SendRules::default(), now_ms) {
         Ok(()) => 0,
         Err(Withheld::Backoff { for_ms }) => for_ms,
         Err(other) => panic!("{other:?}"),
@@ -226,7 +229,10 @@
 fn the_next_incarnation_owes_nothing_to_the_old_ones_word() {
     let mut upstreams = one_backing_off(RetryAfter::ForMs(5_000));
     upstreams.fleet().put(record("u", 2), 100);
-    assert_eq!(upstreams.may_send(&"u@2".into(), None, 100), Ok(()));
+    assert_eq!(
+        upstreams.may_send(&"u@2".into(), &SendRules::default(), 100),
+        Ok(())
+    );
 }
 
 #[test]
@@ -256,7 +262,7 @@
         side: None,
         tried,
     };
-    let choice = upstreams.choose(&scope, &ask(), None, None, now_ms);
+    let choice = upstreams.choose(&scope, &ask(), None, &SendRules::default(), now_ms);
     choice.map(|choice| choice.upstream.id.clone())
 }
 
