Boxes together send an upstream no more than the limit that it names

What callers and operators saw: engines that named about one request a second in their answers got 15 and 20 within 4 s from boxes that they had told, 12 and 13 allowed. Cause: no code read the word; a limit over all boxes was kept only for cold upstreams, which their records tell of. Class: a promise kept, or not, by the sum of what many boxes do, and said in a place that nobody reads. Ruled out: that each box keeps to it alone (one box sent ten in 4 s), that some ways of sending only pass it by (nearly all were first tries). Change: the limit is part of what an upstream says of itself, taken in by the one function and asked for at the one gate of all sends. It is cut into parts, somewhat more than it has whole requests a second; boxes own parts as they own what cold upstreams bear, and a part is a bucket of one request. Boxes tell each other the limit, with its age. An answer without one ends it after 4 s. Why it holds: a fleet sends at most 5 N + 2 in 4 s, 6 N + 5 are allowed; no message is needed before a send, and a box that may be unknown to others or has forgotten what it sent owns nothing.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -302,7 +302,11 @@
     let is_framed = is_framed(response.headers());
     lease.read();
     let upstream: &Name = &lease.upstream.id.clone();
-    let statement = marks.statement();
+    let is_own = !marks.not_run && belongs(job, &marks, status);
+    let statement = Statement {
+        answered_after_ms: is_own.then_some(head_after_ms),
+        ..marks.statement()
+    };
     let detail = json!({
         "upstream": upstream, "status": status, "leaving": statement.is_leaving,
         "retry_after": statement.retry_after.map(|s| format!("{s:?}")),
@@ -329,7 +333,7 @@
         count(gateway, job, "refused");
         return Sent::NotRun { arrived: true };
     }
-    if !belongs(job, &marks, status) {
+    if !is_own {
         trace.fail("not_our_answer", detail);
         lease.outcome(true);
         count(gateway, job, "spoilt");
@@ -396,7 +400,7 @@
     match statement.limit {
         Some(NamedLimit::Per1000S(_)) => count("limit"),
         Some(NamedLimit::Unreadable) => count("limit_unreadable"),
-        None => {}
+        Some(NamedLimit::Ended) | None => {}
     }
 }
 
--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -2,7 +2,9 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::FleetChange;
-use ivyweir_policy::gateway::statement::{Source, Statement};
+use ivyweir_policy::gateway::limit::{LimitChange, ToldLimit};
+use ivyweir_policy::gateway::statement::{NamedLimit, Source, Statement};
+use serde_json::json;
 
 use super::{Gateway, lock};
 
@@ -11,13 +13,26 @@
     pub fn hear(&self, id: &Name, statement: &Statement) {
         let now_ms = self.clock.now_ms();
         let max_backoff_ms = self.settings.policy.max_backoff_ms;
-        let change = lock(&self.upstreams).hear(id, statement, max_backoff_ms, now_ms);
-        if change != FleetChange::Nothing {
-            self.log_change(id, change, statement.source);
-            if self.passes_on(statement.source) {
-                self.urgent.notify_one();
-            }
+        let heard = lock(&self.upstreams).hear(id, statement, max_backoff_ms, now_ms);
+        if heard.fleet != FleetChange::Nothing {
+            self.log_change(id, heard.fleet, statement.source);
         }
+        if let Some(change) = heard.limit {
+            self.log_limit(id, change, statement.source);
+        }
+        let is_news = heard.fleet != FleetChange::Nothing || heard.limit.is_some();
+        if is_news && self.passes_on(statement.source) {
+            self.urgent.notify_one();
+        }
+    }
+
+    fn log_limit(&self, id: &Name, change: LimitChange, source: Source) {
+        let per_s = match change {
+            LimitChange::Named(per_1000_s) => NamedLimit::Per1000S(per_1000_s).per_s(),
+            LimitChange::Ended => None,
+        };
+        let detail = json!({"upstream": id, "limit_per_s": per_s, "source": source.name()});
+        self.log.line("limit_changed", detail);
     }
 
     /// Whether what was heard there is told on at once: what is heard first hand, and by a relay, whom others hear. 75
@@ -46,6 +61,25 @@
         lock(&self.upstreams).departures(now_ms)
     }
 
+    /// Takes in what other boxes know of upstreams' limits.
+    pub fn hear_limits(&self, limits: &[ToldLimit]) {
+        for told in limits {
+            let limit = told.per_1000_s.map(NamedLimit::Per1000S);
+            let statement = Statement {
+                limit: Some(limit.unwrap_or(NamedLimit::Ended)),
+                age_ms: told.age_ms,
+                ..Statement::new(Source::Peer)
+            };
+            self.hear(&told.upstream, &statement);
+        }
+    }
+
+    /// What other boxes are to know of upstreams' limits.
+    pub fn limits(&self) -> Vec<ToldLimit> {
+        let now_ms = self.clock.now_ms();
+        lock(&self.upstreams).limits(now_ms)
+    }
+
     /// Waits until there is something that other boxes must know at once.
     pub async fn until_urgent(&self) {
         self.urgent.notified().await;
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -144,6 +144,7 @@
         gateway.peers.note_source(&message.from);
     }
     gateway.hear_departures(&message.departures);
+    gateway.hear_limits(&message.limits);
     if let Some(news) = message.quarantine {
         gateway.hear_ledger(&message.from, news);
     }
@@ -186,6 +187,7 @@
         hears: gateway.hears_store(),
         word,
         departures: gateway.departures(),
+        limits: gateway.limits(),
         quarantine: gateway.ledger_news_for(to),
     }
 }
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod hall;
 pub mod joined;
+pub mod limit;
 pub mod owners;
 pub mod pace;
 pub mod place;
--- a/crates/ivyweir-policy/src/gateway/statement.rs
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -57,6 +57,8 @@
     Per1000S(u32),
     /// It names a limit that cannot be read.
     Unreadable,
+    /// It named one before, and does so no more.
+    Ended,
 }
 
 impl NamedLimit {
@@ -64,7 +66,7 @@
     pub fn per_s(self) -> Option<f64> {
         match self {
             Self::Per1000S(per_1000_s) => Some(f64::from(per_1000_s) / 1_000.0),
-            Self::Unreadable => None,
+            Self::Unreadable | Self::Ended => None,
         }
     }
 }
@@ -82,6 +84,11 @@
     pub retry_after: Option<RetryAfter>,
     /// Whether it limits what it takes.
     pub limit: Option<NamedLimit>,
+    /// Time since the upstream said it, by the word of the box that told it.
+    pub age_ms: u64,
+    /// Time from the request to the answer that says it; none where the answer may not be the request's own, or says
+    /// that it did not run. Only such an answer tells by its silence.
+    pub answered_after_ms: Option<u64>,
 }
 
 impl Statement {
@@ -93,6 +100,8 @@
             load: None,
             retry_after: None,
             limit: None,
+            age_ms: 0,
+            answered_after_ms: None,
         }
     }
 }
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -13,13 +13,17 @@
 use crate::gateway::cold::RecentSends;
 use crate::gateway::departures::Departures;
 use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
+use crate::gateway::limit::{Limit, LimitChange, ToldLimit};
 use crate::gateway::owners::Sharing;
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use crate::gateway::rollout::{RolloutState, Side};
-use crate::gateway::statement::{RetryAfter, Statement};
+use crate::gateway::statement::{NamedLimit, RetryAfter, Statement};
 use crate::gateway::word::Work;
 use crate::rank::{hash64, mix};
 
+/// Limits that are told at once; the latest go first, and an upstream that gets requests names its own again and again.
+const LIMITS_TOLD: usize = 128;
+
 /// The upstreams and what this box knows of their load.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -30,6 +34,8 @@
     /// Halls whose upstreams get nothing.
     drained_halls: BTreeSet<Name>,
     departures: Departures,
+    /// Upstreams of which a limit was heard.
+    limited: HashSet<Name>,
     /// Differs between boxes.
     own: u64,
 }
@@ -40,6 +46,7 @@
     id_hash: u64,
     sends: RecentSends,
     backoff: Backoff,
+    limit: Limit,
 }
 
 impl Known {
@@ -88,6 +95,11 @@
         /// Time until it takes a request.
         for_ms: u64,
     },
+    /// It names a limit, and this box has sent its part of that.
+    Limited {
+        /// Time until it takes a request.
+        for_ms: u64,
+    },
     /// It is cold and has got this box's part of what it bears.
     Cold,
     /// The request was at several upstreams when they ended.
@@ -111,6 +123,15 @@
     pub saved_ms: f64,
 }
 
+/// What a statement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Which upstreams there are.
+    pub fleet: FleetChange,
+    /// What the upstream takes of all boxes together.
+    pub limit: Option<LimitChange>,
+}
+
 /// Which upstreams of a pool may serve a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Scope<'a> {
@@ -150,7 +171,7 @@
         statement: &Statement,
         max_backoff_ms: u64,
         now_ms: u64,
-    ) -> FleetChange {
+    ) -> Heard {
         if let Some(load) = statement.load {
             let known = self.known(id);
             known.load.report(load.running, load.waiting, now_ms);
@@ -161,7 +182,14 @@
             let own = mix(own, known.id_hash);
             known.backoff.hear(for_ms.min(max_backoff_ms), own, now_ms);
         }
-        if !statement.is_leaving {
+        Heard {
+            limit: self.hear_limit(id, statement, now_ms),
+            fleet: self.hear_leaving(id, statement.is_leaving, now_ms),
+        }
+    }
+
+    fn hear_leaving(&mut self, id: &Name, is_leaving: bool, now_ms: u64) -> FleetChange {
+        if !is_leaving {
             return FleetChange::Nothing;
         }
         let change = self.fleet.leave(id);
@@ -171,6 +199,40 @@
         change
     }
 
+    fn hear_limit(&mut self, id: &Name, statement: &Statement, now_ms: u64) -> Option<LimitChange> {
+        let said_at_ms = now_ms.saturating_sub(statement.age_ms);
+        match statement.limit {
+            Some(NamedLimit::Per1000S(per_1000_s)) => {
+                self.limited.insert(id.clone());
+                let own = self.own;
+                let known = self.known(id);
+                let first = unit(mix(own, known.id_hash));
+                known.limit.named(per_1000_s, first, said_at_ms)
+            }
+            Some(NamedLimit::Ended) => {
+                self.limited.insert(id.clone());
+                self.known(id).limit.ended(said_at_ms)
+            }
+            // One that cannot be read neither sets nor ends a limit.
+            Some(NamedLimit::Unreadable) => None,
+            None => {
+                let asked_at_ms = now_ms.saturating_sub(statement.answered_after_ms?);
+                let known = self.loads.get_mut(id)?;
+                known.limit.unnamed(asked_at_ms, now_ms)
+            }
+        }
+    }
+
+    /// What other boxes are to know of upstreams' limits, the latest of them.
+    pub fn limits(&self, now_ms: u64) -> Vec<ToldLimit> {
+        let limited = self.limited.iter();
+        let told = limited.filter_map(|id| self.loads.get(id)?.limit.told(id, now_ms));
+        let mut told: Vec<ToldLimit> = told.collect();
+        told.sort_by(|a, b| (a.age_ms, &a.upstream).cmp(&(b.age_ms, &b.upstream)));
+        told.truncate(LIMITS_TOLD);
+        told
+    }
+
     /// Upstreams that were heard to leave lately, other than by the registry, for other boxes to know.
     pub fn departures(&mut self, now_ms: u64) -> Vec<Name> {
         self.departures.told(now_ms)
@@ -205,8 +267,8 @@
     ///
     /// # Errors
     ///
-    /// When the upstream has left, its hall is drained, it wants nothing from this box, or it is cold and has got its
-    /// part.
+    /// When the upstream has left, its hall is drained, it wants nothing from this box, or it names a limit or is cold and
+    /// has got this box's part.
     pub fn may_send(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
         let member = self.fleet.member(id).ok_or(Withheld::Gone)?;
         if self.drained_halls.contains(&member.record.hall) {
@@ -215,7 +277,8 @@
         self.check_limits(id, rules, now_ms)
     }
 
-    /// Checks what an upstream that may serve takes of this box now: its backoff, and its part while it is cold.
+    /// Checks what an upstream that may serve takes of this box now: its backoff, and the box's part of its limit and of what
+    /// it bears while it is cold.
     fn check_limits(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
         let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
         let cold_limit = rules
@@ -226,6 +289,10 @@
         if for_ms > 0 {
             return Err(Withheld::Backoff { for_ms });
         }
+        let for_ms = known.limit.left_ms(&rules.sharing, known.id_hash, now_ms);
+        if for_ms > 0 {
+            return Err(Withheld::Limited { for_ms });
+        }
         if cold_limit.is_some_and(|limit| !known.bears_one(&rules.sharing, limit, now_ms)) {
             return Err(Withheld::Cold);
         }
@@ -246,6 +313,7 @@
         self.may_send(id, rules, now_ms)?;
         let known = self.known(id);
         known.backoff.note_send();
+        known.limit.note_send();
         if rules.cold_limit.is_some() {
             // Counted while it is warm too: it may turn cold within the second.
             known.sends.note(now_ms);
@@ -307,8 +375,13 @@
         let forgotten = self.fleet.forget_lapsed(grace_ms, now_ms);
         let left: HashSet<Name> = self.ids().into_iter().collect();
         self.loads.retain(|id, known| {
-            left.contains(id) || known.load.in_flight() > 0 || known.backoff.binds(now_ms)
+            left.contains(id)
+                || known.load.in_flight() > 0
+                || known.backoff.binds(now_ms)
+                || known.limit.told(id, now_ms).is_some()
         });
+        let loads = &self.loads;
+        self.limited.retain(|id| loads.contains_key(id));
         (forgotten, left)
     }
 
@@ -358,10 +431,9 @@
         let usable = self.usable(scope, target);
         let places = usable.iter().map(|record| {
             let own_part = (record.slots / boxes.max(1)).max(1);
-            self.known(&record.id)
-                .backoff
-                .room_by(until_ms)
-                .min(own_part)
+            let known = self.known(&record.id);
+            let limit = known.limit.room_by(until_ms).unwrap_or(u32::MAX);
+            known.backoff.room_by(until_ms).min(limit).min(own_part)
         });
         places.fold(0, u32::saturating_add)
     }
@@ -384,7 +456,7 @@
         for record in records {
             match self.check_limits(&record.id, rules, now_ms) {
                 Ok(()) => open.push(record),
-                Err(Withheld::Backoff { for_ms }) => {
+                Err(Withheld::Backoff { for_ms } | Withheld::Limited { for_ms }) => {
                     shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
                 }
                 Err(Withheld::Cold) => has_cold = true,
@@ -418,6 +490,7 @@
             id_hash: hash64(&[id.as_bytes()]),
             sends: RecentSends::default(),
             backoff: Backoff::default(),
+            limit: Limit::default(),
         })
     }
 
@@ -430,3 +503,8 @@
         }
     }
 }
+
+/// A hash as a number from 0 up to 1.
+fn unit(hash: u64) -> f64 {
+    hash as f64 / (u64::MAX as f64 + 1.0)
+}
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::limit::ToldLimit;
 use crate::gateway::quarantine::LedgerNews;
 use crate::gateway::repeat::RepeatCounts;
 use crate::gateway::verdict::{Tally, add_tally};
@@ -153,6 +154,9 @@
     /// Upstreams, by incarnation, that were heard to leave lately, other than by the registry.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub departures: Vec<Name>,
+    /// What upstreams said lately of how many requests they take from all boxes together.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ToldLimit>,
     /// What is new of requests under which upstreams ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<LedgerNews>,
--- a/crates/ivyweir-policy/tests/gateway_statements.rs
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -137,11 +137,11 @@
         ..says_leaving()
     };
     assert_eq!(
-        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 100),
+        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 100).fleet,
         FleetChange::Leaving
     );
     assert_eq!(
-        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 200),
+        second.hear(&id, &by_peer, MAX_BACKOFF_MS, 200).fleet,
         FleetChange::Nothing
     );
     assert_eq!(
--- a/crates/ivyweird/tests/gateway_limits.rs
+++ b/crates/ivyweird/tests/gateway_limits.rs
@@ -3,6 +3,11 @@
 //! What users saw: an engine that had named about one request a second got 15 of them in 4 s, another one 20, from boxes to
 //! which it had said so; 12 and 13 are allowed. Order of events: a calm fleet of nine boxes; two of 18 engines began to name a limit;
 //! boxes passed such answers on, and chose these engines as often as before.
+//!
+//! Cause: no code read the word. What an upstream takes of all boxes together was kept only while it is cold, which its record
+//! says; a limit named in answers bound nobody, neither the box that heard it nor the others. Evidence: on the code before the mend the
+//! lines of those answers say `"limit_per_s":1.0`, half of a box's lines go on to be of that engine, and no line tells of a
+//! decision.
 
 use std::thread;
 use std::time::{Duration, Instant};
