A seed ranks each box once for a list, not at each comparison

Cause: the list that a seed answers with was sorted by a hash that each comparison made anew. Change: the key is made once a box; the order is the same.

--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -106,7 +106,7 @@
         let mut list = Vec::new();
         for (of, mut records) in by_hall {
             if **of != *hall {
-                records.sort_by_key(|record| std::cmp::Reverse(record.rank()));
+                records.sort_by_cached_key(|record| std::cmp::Reverse(record.rank()));
                 records.truncate(LISTED_OF_OTHER_HALLS);
             }
             list.extend(records.into_iter().cloned());
