Model: what fleets of 6 to 1,000 boxes send to an upstream that names a limit

Cause: tests with one and four boxes cannot show that the sum is kept to at each size, nor that what is allowed is used. Limits of 0.5 to 40 a second, steady, changing, and named in half of the answers.

--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -0,0 +1,265 @@
+//! What whole fleets send to an upstream that names a limit, judged by what reaches it: never more than is allowed,
+//! whatever boxes know of each other, and most of it where there is work enough.
+
+mod common;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::limit::ToldLimit;
+use ivyweir_policy::gateway::statement::{NamedLimit, Source, Statement};
+use ivyweir_policy::gateway::upstreams::{SendRules, Upstreams};
+use ivyweir_standins::edge::{Arrival, LimitPromise};
+use proptest::prelude::*;
+
+use common::{Event, STEP_MS, SimBox, SimFleet, Trouble, hash, troubles};
+
+const PROMISE: LimitPromise = LimitPromise {
+    settling_ms: 3_000,
+    told_ms: 500,
+    window_ms: 4_000,
+    factor: 1.5,
+    slack: 5.0,
+};
+const MAX_BACKOFF_MS: u64 = 60_000;
+/// How often boxes tell each other what they heard.
+const ROUND_MS: u64 = 250;
+/// When the upstream begins to name a limit.
+const NAMED_AT_MS: u64 = 10_000;
+
+/// What the upstream names over time.
+#[derive(Debug, Clone, Copy)]
+enum Naming {
+    /// The same in every answer.
+    Steady(f64),
+    /// One limit and another one by turns, each for some time.
+    Turns(f64, f64, u64),
+    /// In every second answer only.
+    Half(f64),
+}
+
+impl Naming {
+    /// What the answer to its request of this number names.
+    fn at(self, now_ms: u64, number: usize) -> Option<f64> {
+        if now_ms < NAMED_AT_MS {
+            return None;
+        }
+        match self {
+            Self::Steady(per_s) => Some(per_s),
+            Self::Turns(first, second, turn_ms) => {
+                let is_first = (now_ms / turn_ms).is_multiple_of(2);
+                Some(if is_first { first } else { second })
+            }
+            Self::Half(per_s) => number.is_multiple_of(2).then_some(per_s),
+        }
+    }
+}
+
+fn upstream() -> UpstreamRecord {
+    UpstreamRecord {
+        id: "u".into(),
+        pool: "p".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        hall: "h".into(),
+        version: "v".into(),
+        slots: 8,
+        is_leaving: false,
+        cold_remaining_ms: 0,
+        registered_as: None,
+    }
+}
+
+/// A box's own knowledge of the upstream, from its last start on.
+struct Own {
+    starts: u32,
+    upstreams: Upstreams,
+}
+
+impl Own {
+    fn of(sim: &SimBox) -> Self {
+        let mut upstreams = Upstreams::new(hash(&sim.name()));
+        upstreams.fleet().put(upstream(), 0);
+        Self {
+            starts: sim.starts,
+            upstreams,
+        }
+    }
+
+    fn hear(&mut self, statement: &Statement, now_ms: u64) {
+        let id: Name = "u".into();
+        self.upstreams.hear(&id, statement, MAX_BACKOFF_MS, now_ms);
+    }
+
+    /// Sends a request if it may go now.
+    fn send(&mut self, sim: &SimBox, now_ms: u64) -> bool {
+        let rules = SendRules {
+            sharing: sim.sharing(now_ms),
+            cold_limit: None,
+        };
+        let id: Name = "u".into();
+        self.upstreams.begin_send(&id, &rules, now_ms).is_ok()
+    }
+}
+
+/// Takes in what another box knows.
+fn take(own: &mut Own, told: &[ToldLimit], now_ms: u64) {
+    for told in told {
+        let limit = told.per_1000_s.map(NamedLimit::Per1000S);
+        let statement = Statement {
+            limit: Some(limit.unwrap_or(NamedLimit::Ended)),
+            age_ms: told.age_ms,
+            ..Statement::new(Source::Peer)
+        };
+        own.hear(&statement, now_ms);
+    }
+}
+
+/// Boxes that reach each other tell the first of them what they know, and hear from it what others do.
+fn exchange(fleet: &SimFleet, owns: &mut [Own], now_ms: u64) {
+    let reached = |n: &usize| fleet.boxes[*n].lives(now_ms) && !fleet.boxes[*n].is_cut(now_ms);
+    let reached: Vec<usize> = (0..owns.len()).filter(reached).collect();
+    let Some((&relay, others)) = reached.split_first() else {
+        return;
+    };
+    for &n in others {
+        let told = owns[n].upstreams.limits(now_ms);
+        take(&mut owns[relay], &told, now_ms);
+    }
+    let told = owns[relay].upstreams.limits(now_ms);
+    for &n in others {
+        take(&mut owns[n], &told, now_ms);
+    }
+}
+
+/// Plays a fleet all of whose boxes send to one upstream whenever they may, once it names a limit; what reaches it.
+fn play(
+    boxes: usize,
+    halls: usize,
+    naming: Naming,
+    events: &[Event],
+    until_ms: u64,
+) -> Vec<Arrival> {
+    let mut fleet = SimFleet::new(boxes, halls);
+    let mut owns: Vec<Own> = fleet.boxes.iter().map(Own::of).collect();
+    let mut arrivals = Vec::new();
+    for now_ms in (0..until_ms).step_by(STEP_MS as usize) {
+        fleet.trouble(events, now_ms);
+        for (n, own) in owns.iter_mut().enumerate() {
+            if !fleet.step(n, now_ms) {
+                continue;
+            }
+            let sim = &fleet.boxes[n];
+            if own.starts != sim.starts {
+                *own = Own::of(sim);
+            }
+            if now_ms < NAMED_AT_MS || !own.send(sim, now_ms) {
+                continue;
+            }
+            let names_per_s = naming.at(now_ms, arrivals.len());
+            let limit = names_per_s.map(|per_s| NamedLimit::Per1000S((per_s * 1_000.0) as u32));
+            let statement = Statement {
+                limit,
+                answered_after_ms: Some(0),
+                ..Statement::new(Source::Answer)
+            };
+            own.hear(&statement, now_ms);
+            arrivals.push(Arrival {
+                at_ms: now_ms,
+                from: sim.name(),
+                names_per_s,
+            });
+        }
+        if now_ms.is_multiple_of(ROUND_MS) {
+            exchange(&fleet, &mut owns, now_ms);
+        }
+    }
+    arrivals
+}
+
+/// In calm, a limit is kept to and used at each size, evenly over time.
+macro_rules! calm {
+    ($($name:ident: $boxes:expr, $halls:expr, $per_s:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let per_s: f64 = $per_s;
+            let arrivals = play($boxes, $halls, Naming::Steady(per_s), &[], 42_000);
+            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+            let span = |from_ms: u64, for_ms: u64| {
+                let within = |a: &&Arrival| a.at_ms >= from_ms && a.at_ms < from_ms + for_ms;
+                arrivals.iter().filter(within).count() as f64
+            };
+            let used = span(18_000, 24_000) / (per_s * 24.0);
+            assert!(used >= 0.8, "{used} of what is allowed");
+            for from_ms in (18_000..42_000).step_by(8_000) {
+                let used = span(from_ms, 8_000) / (per_s * 8.0);
+                assert!(used >= 0.5, "{used} from {from_ms} ms on");
+            }
+        }
+    )*};
+}
+
+calm! {
+    six_boxes: 6, 3, 1.1;
+    nine_boxes: 9, 4, 1.1;
+    nine_boxes_with_half_a_request_a_second: 9, 4, 0.5;
+    nine_boxes_with_forty_a_second: 9, 4, 40.0;
+    eighty_four_boxes: 84, 4, 1.1;
+    eighty_four_boxes_with_forty_a_second: 84, 4, 40.0;
+    three_hundred_boxes: 300, 6, 1.1;
+    three_hundred_boxes_with_half_a_request_a_second: 300, 6, 0.5;
+    a_thousand_boxes: 1_000, 22, 5.0;
+}
+
+/// Limits that change, or are named in some answers only.
+macro_rules! changing {
+    ($($name:ident: $boxes:expr, $halls:expr, $naming:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let arrivals = play($boxes, $halls, $naming, &[], 60_000);
+            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+        }
+    )*};
+}
+
+changing! {
+    a_limit_that_falls_and_rises: 9, 4, Naming::Turns(5.0, 1.0, 7_000);
+    a_limit_that_moves_with_each_answer: 9, 4, Naming::Turns(1.0, 1.3, 50);
+    one_that_is_named_in_half_of_the_answers: 9, 4, Naming::Half(1.0);
+    the_same_before_eighty_four_boxes: 84, 4, Naming::Half(2.0);
+}
+
+#[test]
+fn all_boxes_restart_in_series_and_forget_what_they_heard() {
+    let restarts = (0..24).map(|n| {
+        (
+            16_000 + 20 * n as u64,
+            n,
+            Trouble::Restart { after_ms: 100 },
+        )
+    });
+    let events: Vec<Event> = restarts.collect();
+    let arrivals = play(24, 4, Naming::Steady(1.0), &events, 40_000);
+    assert_eq!(PROMISE.check(&not_excused(arrivals, &events)), Ok(()));
+}
+
+/// Requests of boxes that nothing happened to: a restart or a cut excuses a box.
+fn not_excused(arrivals: Vec<Arrival>, events: &[Event]) -> Vec<Arrival> {
+    let mut arrivals = arrivals;
+    let excused: Vec<Name> = events
+        .iter()
+        .map(|(_, n, _)| format!("box-{n}").into())
+        .collect();
+    arrivals.retain(|arrival| !excused.contains(&arrival.from));
+    arrivals
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 16, failure_persistence: None, rng_seed: prop::test_runner::RngSeed::Fixed(39), ..ProptestConfig::default() })]
+    #[test]
+    fn no_trouble_makes_boxes_that_are_well_exceed_a_limit(
+        boxes in 6_usize..40, halls in 1_usize..6, per_s in 0.2_f64..20.0, events in troubles()
+    ) {
+        let events: Vec<Event> = events.into_iter().map(|(at_ms, n, trouble)| (at_ms, n % boxes, trouble)).collect();
+        let arrivals = play(boxes, halls, Naming::Steady(per_s), &events, 60_000);
+        prop_assert_eq!(PROMISE.check(&arrivals), Ok(()));
+    }
+}
