Tests: every way that a request goes and a limit is named, with real boxes

Cause: the failing tests showed one way, first tries of streams. Change: thirteen cases by how a request reaches the limited upstream (first try, once only, repeat after a failure, a refusal, a loss, larger model, resumption) and by what names the limit (success, failure, refusal, an answer put aside, a stream that breaks off); all of a pool limited; a box that starts late; the end of a limit. The model's case in which all boxes restart judged nothing, since it excused all of them: it now tells a box's starts apart, as strict as the others.

--- a/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -130,6 +130,16 @@
     }
 }
 
+/// The sender of a request: a box, whatever happened to it meanwhile.
+fn by_box(sim: &SimBox) -> Name {
+    sim.name()
+}
+
+/// The sender of a request: a box from one start to the next. A restart excuses a box until it is told again.
+fn by_start(sim: &SimBox) -> Name {
+    format!("{}@{}", sim.name(), sim.starts).into()
+}
+
 /// Plays a fleet all of whose boxes send to one upstream whenever they may, once it names a limit; what reaches it.
 fn play(
     boxes: usize,
@@ -137,6 +147,7 @@
     naming: Naming,
     events: &[Event],
     until_ms: u64,
+    sender: fn(&SimBox) -> Name,
 ) -> Vec<Arrival> {
     let mut fleet = SimFleet::new(boxes, halls);
     let mut owns: Vec<Own> = fleet.boxes.iter().map(Own::of).collect();
@@ -164,7 +175,7 @@
             own.hear(&statement, now_ms);
             arrivals.push(Arrival {
                 at_ms: now_ms,
-                from: sim.name(),
+                from: sender(sim),
                 names_per_s,
             });
         }
@@ -181,7 +192,7 @@
         #[test]
         fn $name() {
             let per_s: f64 = $per_s;
-            let arrivals = play($boxes, $halls, Naming::Steady(per_s), &[], 42_000);
+            let arrivals = play($boxes, $halls, Naming::Steady(per_s), &[], 42_000, by_box);
             assert_eq!(PROMISE.check(&arrivals), Ok(()));
             let span = |from_ms: u64, for_ms: u64| {
                 let within = |a: &&Arrival| a.at_ms >= from_ms && a.at_ms < from_ms + for_ms;
@@ -214,7 +225,7 @@
     ($($name:ident: $boxes:expr, $halls:expr, $naming:expr;)*) => {$(
         #[test]
         fn $name() {
-            let arrivals = play($boxes, $halls, $naming, &[], 60_000);
+            let arrivals = play($boxes, $halls, $naming, &[], 60_000, by_box);
             assert_eq!(PROMISE.check(&arrivals), Ok(()));
         }
     )*};
@@ -237,19 +248,10 @@
         )
     });
     let events: Vec<Event> = restarts.collect();
-    let arrivals = play(24, 4, Naming::Steady(1.0), &events, 40_000);
-    assert_eq!(PROMISE.check(&not_excused(arrivals, &events)), Ok(()));
-}
-
-/// Requests of boxes that nothing happened to: a restart or a cut excuses a box.
-fn not_excused(arrivals: Vec<Arrival>, events: &[Event]) -> Vec<Arrival> {
-    let mut arrivals = arrivals;
-    let excused: Vec<Name> = events
-        .iter()
-        .map(|(_, n, _)| format!("box-{n}").into())
-        .collect();
-    arrivals.retain(|arrival| !excused.contains(&arrival.from));
-    arrivals
+    let arrivals = play(24, 4, Naming::Steady(1.0), &events, 40_000, by_start);
+    assert_eq!(PROMISE.check(&arrivals), Ok(()));
+    let after = arrivals.iter().filter(|arrival| arrival.at_ms >= 24_000);
+    assert!(after.count() >= 12, "they send again");
 }
 
 proptest! {
@@ -259,7 +261,7 @@
         boxes in 6_usize..40, halls in 1_usize..6, per_s in 0.2_f64..20.0, events in troubles()
     ) {
         let events: Vec<Event> = events.into_iter().map(|(at_ms, n, trouble)| (at_ms, n % boxes, trouble)).collect();
-        let arrivals = play(boxes, halls, Naming::Steady(per_s), &events, 60_000);
+        let arrivals = play(boxes, halls, Naming::Steady(per_s), &events, 60_000, by_box);
         prop_assert_eq!(PROMISE.check(&arrivals), Ok(()));
     }
 }
--- a/crates/ivyweird/tests/gateway_limits.rs
+++ b/crates/ivyweird/tests/gateway_limits.rs
@@ -12,7 +12,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ivyweir_standins::edge::{Act, Arrival, LimitPromise, ScriptedUpstream, Town, post_stream};
+use ivyweir_standins::edge::{
+    Act, Arrival, LimitPromise, ScriptedUpstream, Town, eventually, post_stream,
+};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 
@@ -74,7 +76,16 @@
     seen.collect()
 }
 
-/// The first upstream of a pool names a limit of one request a second; the other one does `act`.
+fn keeps_promise(upstream: &ScriptedUpstream, since: Instant) {
+    let arrivals = arrivals(upstream, since);
+    assert!(arrivals.len() > 1, "it gets what it takes");
+    if let Err(excess) = PROMISE.check(&arrivals) {
+        panic!("{excess}");
+    }
+}
+
+/// The first upstream of a pool names a limit of one request a second, in each answer of whichever kind; the other one
+/// does `other`. Requests reach the first one in the way that the case names.
 macro_rules! limited {
     ($($name:ident: $halls:expr, $path:expr, $pool:ident, one $one:expr, the_other $other:expr;)*) => {$(
         #[test]
@@ -85,11 +96,7 @@
             town.$pool[1].set($other);
             town.$pool[0].name_limit(Some("1"));
             ask_all(&town, $path);
-            let arrivals = arrivals(&town.$pool[0], since);
-            assert!(arrivals.len() > 1, "it gets what it takes");
-            if let Err(excess) = PROMISE.check(&arrivals) {
-                panic!("{excess}");
-            }
+            keeps_promise(&town.$pool[0], since);
         }
     )*};
 }
@@ -98,4 +105,76 @@
     a_limit_binds_a_box: ["hall-a"], "/stream/x", engines, one events(None, None), the_other events(None, None);
     a_limit_binds_all_boxes_together: ["hall-a", "hall-a", "hall-b", "hall-b"], "/stream/x", engines,
         one events(None, None), the_other events(None, None);
+    plain_requests: ["hall-a", "hall-b"], "/safe/x", services, one Act::Answer(200), the_other Act::Answer(200);
+    requests_that_may_run_once: ["hall-a", "hall-b"], "/unsafe/x", services,
+        one Act::Answer(200), the_other Act::Answer(200);
+    repeats_of_failed_requests: ["hall-a", "hall-b"], "/safe/x", services,
+        one Act::Answer(200), the_other Act::Answer(500);
+    repeats_of_refused_requests: ["hall-a", "hall-b"], "/unsafe/x", services,
+        one Act::Answer(200), the_other Act::NotRun;
+    repeats_of_lost_requests: ["hall-a", "hall-b"], "/safe/x", services, one Act::Answer(200), the_other Act::Close;
+    larger_models: ["hall-a", "hall-b"], "/sized/x", engines,
+        one events(Some(100), None), the_other events(Some(3), None);
+    resumptions_of_streams: ["hall-a", "hall-b"], "/stream/x", engines,
+        one events(None, None), the_other events(None, Some(1));
+    a_limit_that_refusals_name: ["hall-a", "hall-b"], "/safe/x", services,
+        one Act::NotRun, the_other Act::Answer(200);
+    a_limit_that_failures_name: ["hall-a", "hall-b"], "/safe/x", services,
+        one Act::Answer(500), the_other Act::Answer(200);
+    a_limit_of_answers_that_are_put_aside: ["hall-a", "hall-b"], "/sized/x", engines,
+        one events(Some(3), None), the_other events(Some(100), None);
+    a_limit_of_streams_that_break_off: ["hall-a", "hall-b"], "/stream/x", engines,
+        one events(None, Some(1)), the_other events(None, None);
+}
+
+#[test]
+fn where_all_of_a_pool_are_limited_each_gets_its_own() {
+    let town = Town::with_boxes(BINARY, &["hall-a", "hall-b"]);
+    let since = Instant::now();
+    for service in &town.services {
+        service.name_limit(Some("2"));
+    }
+    ask_all(&town, "/unsafe/x");
+    for service in &town.services {
+        keeps_promise(service, since);
+    }
+}
+
+#[test]
+fn a_box_hears_of_a_limit_from_the_others_before_its_first_send() {
+    let mut town = Town::with_boxes(BINARY, &["hall-a", "hall-a", "hall-b"]);
+    town.services[0].name_limit(Some("1"));
+    let since = Instant::now();
+    ask_all(&town, "/unsafe/x");
+    let late = town.add_box("hall-b");
+    let heard = || {
+        let changes = town.boxes[late].lines_of("limit_changed");
+        changes.iter().any(|line| line["source"] == "peer")
+    };
+    eventually("the box that started late has heard", heard);
+    ask_all(&town, "/unsafe/x");
+    keeps_promise(&town.services[0], since);
+}
+
+#[test]
+fn a_limit_ends_once_answers_name_none() {
+    let town = Town::with_boxes(BINARY, &["hall-a"]);
+    let service = &town.services[0];
+    service.name_limit(Some("1"));
+    ask_all(&town, "/unsafe/x");
+    service.name_limit(None);
+    // Requests of one id would all be drawn to the same upstream.
+    let mut ids = (0..).map(|n| format!("0-until-{n}"));
+    let ended = || {
+        let id = ids.next().expect("there is always a next one");
+        let _reply = post_stream(town.addr(0), "/unsafe/x", &id);
+        let changes = town.boxes[0].lines_of("limit_changed");
+        changes.iter().any(|line| line["limit_per_s"].is_null())
+    };
+    eventually("the limit has ended", ended);
+    let before = service.seen().len();
+    for n in 0..40 {
+        post_stream(town.addr(0), "/unsafe/x", &format!("0-{n}")).expect("an answer");
+    }
+    assert!(service.seen().len() >= before + 10);
 }
