A limit of which nothing is heard for a while is asked for by boxes in turn

What callers saw: a box refused all requests for a pool, more than 30 s after its upstreams had ended their limits. Cause: the box owned no part of these limits, and the boxes that did had no work, so no answer came that could show the end. Ruled out: stale words of others (the box logs none), its view of the fleet (it knew all three boxes). Change: once nothing was heard of a limit for 8 s, each box in its turn of 2 s may send one request; turns go round among all boxes from the last word on. Weighed: a random delay for each box (a fleet of 300 that has work again after a pause sends from all boxes at once), turns of half a second (two more requests a second where no answer comes at all).

--- a/crates/ivyweir-gateway/src/state/sending.rs
+++ b/crates/ivyweir-gateway/src/state/sending.rs
@@ -89,7 +89,7 @@
         let cold_start = site.and_then(|site| site.pool(pool)?.cold_start);
         let may_own = owners::may_own(now_ms, self.peers.since_joined_ms(now_ms));
         SendRules {
-            sharing: Sharing::new(self.peers.owners(), may_own),
+            sharing: Sharing::new(self.peers.owners(), may_own, self.peers.fleet_size()),
             cold_limit: cold_start.map(|start| start.limit()),
         }
     }
--- a/crates/ivyweir-policy/src/gateway/limit.rs
+++ b/crates/ivyweir-policy/src/gateway/limit.rs
@@ -5,6 +5,9 @@
 //! and a box without a part sends nothing. Each part is a bucket of one request that fills at its share of the limit, so
 //! that parts below one request a second are parts of time, and a fleet never sends more at once than there are parts.
 //! No part is shared between boxes, so no message is needed before a send; boxes tell each other only what was named.
+//!
+//! Boxes with a part may have no work for the upstream, and then nobody hears whether the limit still stands. Once nothing
+//! was heard of it for a while, each box in its turn may send one request, whether it has a part or not.
 
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +22,11 @@
 /// Time without a name after which an answer that names no limit ends it. An upstream may name it in some answers only,
 /// and a box that believed the first one without would send all it has.
 const ENDS_AFTER_MS: u64 = 4_000;
+/// Time without a word of the limit after which boxes send a request in turn to hear of it: longer than a part takes to
+/// let one through.
+const SILENT_MS: u64 = 8_000;
+/// Length of a turn: where no answer comes at all, turns add no more than the limit's slack bears.
+const TURN_MS: u64 = 2_000;
 /// Time for which boxes tell each other what was named, counted from when it was heard.
 const TOLD_FOR_MS: u64 = 10_000;
 /// Age that is added to what is told, so that a word that comes back by other boxes is never taken for a newer one.
@@ -52,6 +60,7 @@
     /// The latest word, and when it was said.
     word: Option<Word>,
     bucket: Bucket,
+    turns: Turns,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -63,13 +72,14 @@
 
 impl Limit {
     /// Takes in that the upstream named a limit at that time, unless something newer is known. `first` is the part of a
-    /// request that the box may send at once where none was in force; it differs between boxes, so that they do not all
-    /// send at the same moment.
+    /// request that the box may send at once where none was in force, and its place in the order of turns, both from 0 up to 1;
+    /// it differs between boxes, so that they do not all send at the same moment.
     pub fn named(&mut self, per_1000_s: u32, first: f64, said_at_ms: u64) -> Option<LimitChange> {
         let before = self.take(Some(per_1000_s), said_at_ms)?;
         if before.is_none() {
             self.bucket = Bucket::holding(first, said_at_ms);
         }
+        self.turns = Turns::after(first, said_at_ms);
         (before != Some(per_1000_s)).then_some(LimitChange::Named(per_1000_s))
     }
 
@@ -117,22 +127,25 @@
         let own = sharing.own_part(upstream, parts);
         let per_ms = f64::from(per_1000_s) / 1e6;
         self.bucket.fill(own, per_ms / f64::from(parts), now_ms);
+        let by_turn_ms = self.turns.left_ms(sharing, now_ms);
         match self.bucket.left_ms() {
-            Some(left_ms) => left_ms,
-            // Other boxes send at this pace; one that has no part would wait in vain.
-            None => (1.0 / per_ms).ceil() as u64,
+            Some(left_ms) => left_ms.min(by_turn_ms),
+            // Boxes that have a part send at this pace: a caller may come back to one of them sooner.
+            None => by_turn_ms.min((1.0 / per_ms).ceil() as u64),
         }
     }
 
     /// Requests that this box may send until then, beyond those that it has sent; none where there is no limit.
     pub fn room_by(&self, at_ms: u64) -> Option<u32> {
-        self.in_force().map(|_| self.bucket.room_by(at_ms))
+        let by_turn = u32::from(at_ms >= self.turns.next_at_ms);
+        self.in_force()
+            .map(|_| self.bucket.room_by(at_ms).max(by_turn))
     }
 
     /// Counts a request that is sent now.
-    pub fn note_send(&mut self) {
-        if self.in_force().is_some() {
-            self.bucket.take();
+    pub fn note_send(&mut self, now_ms: u64) {
+        if self.in_force().is_some() && !self.bucket.take() {
+            self.turns.take(now_ms);
         }
     }
 
@@ -203,7 +216,63 @@
         (self.holds + passed_ms * self.per_ms + ROUNDING) as u32
     }
 
-    fn take(&mut self) {
-        self.holds -= 1.0;
+    /// Takes a request out; whether it held one.
+    fn take(&mut self) -> bool {
+        let holds_one = self.left_ms() == Some(0);
+        if holds_one {
+            self.holds -= 1.0;
+        }
+        holds_one
+    }
+}
+
+/// When a box may send a request to hear whether a limit stands that nobody has heard of for a while.
+///
+/// Turns go round among all boxes from the last word on, so that a fleet that was idle does not send from all boxes at
+/// once when it has work again.
+#[derive(Debug, Default)]
+struct Turns {
+    /// The box's place in the order, from 0 up to 1.
+    place: f64,
+    begin_at_ms: u64,
+    /// Until when the box has used its turn.
+    used_until_ms: u64,
+    /// When its next turn begins, as last computed.
+    next_at_ms: u64,
+}
+
+impl Turns {
+    /// Turns that begin when nothing was heard for a while since then.
+    fn after(place: f64, said_at_ms: u64) -> Self {
+        let begin_at_ms = said_at_ms.saturating_add(SILENT_MS);
+        Self {
+            place,
+            begin_at_ms,
+            used_until_ms: 0,
+            next_at_ms: begin_at_ms,
+        }
+    }
+
+    /// Time until this box's turn; 0 while it has one. A box that others may not know has none.
+    fn left_ms(&mut self, sharing: &Sharing, now_ms: u64) -> u64 {
+        let from_ms = now_ms.max(self.used_until_ms).max(self.begin_at_ms);
+        let boxes = u64::from(sharing.boxes());
+        let place = (self.place * boxes as f64) as u64;
+        let into_ms = from_ms - self.begin_at_ms;
+        let turns_left = (place + boxes - into_ms / TURN_MS % boxes) % boxes;
+        self.next_at_ms = match turns_left {
+            0 => from_ms,
+            turns => from_ms + turns * TURN_MS - into_ms % TURN_MS,
+        };
+        if !sharing.may_own() {
+            self.next_at_ms = now_ms + SILENT_MS;
+        }
+        self.next_at_ms - now_ms
+    }
+
+    /// Takes in that the box uses its turn.
+    fn take(&mut self, now_ms: u64) {
+        let into_ms = now_ms.saturating_sub(self.begin_at_ms);
+        self.used_until_ms = now_ms + TURN_MS - into_ms % TURN_MS;
     }
 }
--- a/crates/ivyweir-policy/src/gateway/owners.rs
+++ b/crates/ivyweir-policy/src/gateway/owners.rs
@@ -77,17 +77,28 @@
 pub struct Sharing {
     owners: Arc<Owners>,
     may_own: bool,
+    boxes: u32,
 }
 
 impl Sharing {
-    /// Among these boxes; `may_own` tells whether this one may own parts now.
-    pub fn new(owners: Arc<Owners>, may_own: bool) -> Self {
-        Self { owners, may_own }
+    /// Among these boxes, `boxes` in all halls; `may_own` tells whether this one may own parts now.
+    pub fn new(owners: Arc<Owners>, may_own: bool, boxes: usize) -> Self {
+        let boxes = u32::try_from(boxes).unwrap_or(u32::MAX);
+        Self {
+            owners,
+            may_own,
+            boxes,
+        }
+    }
+
+    /// Whether this box may own parts now.
+    pub fn may_own(&self) -> bool {
+        self.may_own
     }
 
-    /// With nobody: all parts are this box's.
-    pub fn alone() -> Self {
-        Self::new(Arc::default(), true)
+    /// Boxes of all halls, this one included.
+    pub fn boxes(&self) -> u32 {
+        self.boxes.max(1)
     }
 
     /// How many of an upstream's `parts` are this box's now.
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -313,7 +313,7 @@
         self.may_send(id, rules, now_ms)?;
         let known = self.known(id);
         known.backoff.note_send();
-        known.limit.note_send();
+        known.limit.note_send(now_ms);
         if rules.cold_limit.is_some() {
             // Counted while it is warm too: it may turn cold within the second.
             known.sends.note(now_ms);
--- a/crates/ivyweir-policy/tests/common/mod.rs
+++ b/crates/ivyweir-policy/tests/common/mod.rs
@@ -63,6 +63,7 @@
     lists: SeedLists,
     joined_at_ms: u64,
     owners: Arc<Owners>,
+    fleet_size: usize,
 }
 
 impl SimBox {
@@ -85,6 +86,7 @@
             lists: SeedLists::default(),
             joined_at_ms: 0,
             owners: Arc::default(),
+            fleet_size: 1,
         }
     }
 
@@ -117,7 +119,11 @@
     pub fn sharing(&self, now_ms: u64) -> Sharing {
         let up_ms = self.started_ms.map_or(0, |at| now_ms - at);
         let since_joined_ms = now_ms.saturating_sub(self.joined_at_ms);
-        Sharing::new(self.owners.clone(), may_own(up_ms, Some(since_joined_ms)))
+        Sharing::new(
+            self.owners.clone(),
+            may_own(up_ms, Some(since_joined_ms)),
+            self.fleet_size,
+        )
     }
 
     /// The boxes it knows, as the daemon merges them.
@@ -213,6 +219,7 @@
         let list = boxes[seed].joined.list_for(&hall, now_ms);
         let addr = boxes[seed].record.peer_addr;
         boxes[n].lists.take(addr, Some(list), now_ms);
+        boxes[n].fleet_size = boxes[seed].joined.count(now_ms);
         boxes[n].joined_at_ms = now_ms;
     }
 }
--- a/crates/ivyweir-policy/tests/gateway_limit.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit.rs
@@ -1,11 +1,12 @@
 //! What a box sends to an upstream that names a limit, in whichever order it hears of it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::limit::LimitChange;
-use ivyweir_policy::gateway::owners::Sharing;
+use ivyweir_policy::gateway::owners::{Owners, Sharing};
 use ivyweir_policy::gateway::statement::{NamedLimit, Source, Statement};
 use ivyweir_policy::gateway::upstreams::{SendRules, Upstreams, Withheld};
 
@@ -32,9 +33,10 @@
     upstreams
 }
 
+/// All parts are the box's own. There are so many boxes that its turn to ask whether a limit stands does not come.
 fn alone() -> SendRules {
     SendRules {
-        sharing: Sharing::alone(),
+        sharing: Sharing::new(Arc::default(), true, 1_000_000),
         cold_limit: None,
     }
 }
@@ -257,6 +259,30 @@
     assert_eq!(held, Err(Withheld::Limited { for_ms: 200 }));
 }
 
+#[test]
+fn a_limit_of_which_nothing_is_heard_is_asked_for_in_turns() {
+    let mut upstreams = one_upstream();
+    hear(&mut upstreams, Heard::Names(5.0, 0));
+    let rules = SendRules {
+        sharing: Sharing::new(no_part(), true, 3),
+        cold_limit: None,
+    };
+    assert!(send_all(&mut upstreams, &rules, 0, 8_000).is_empty());
+    let sent_ms = send_all(&mut upstreams, &rules, 8_000, 26_000);
+    // Of three boxes one has its turn of two seconds in each six.
+    assert_eq!(sent_ms.len(), 3, "{sent_ms:?}");
+    assert!(
+        sent_ms.windows(2).all(|two| two[1] - two[0] == 6_000),
+        "{sent_ms:?}"
+    );
+}
+
+/// A hall of others, which own all parts.
+fn no_part() -> Arc<Owners> {
+    let others = (1..=200).collect();
+    Arc::new(Owners::new(vec![1], 1, others, u64::MAX))
+}
+
 #[test]
 fn a_part_that_was_another_boxes_begins_empty() {
     let mut upstreams = one_upstream();
--- a/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -35,21 +35,31 @@
     Turns(f64, f64, u64),
     /// In every second answer only.
     Half(f64),
+    /// Until that time, and none afterwards.
+    Until(f64, u64),
+    /// The same in every answer, none of which arrives from that time on.
+    Unheard(f64, u64),
 }
 
 impl Naming {
+    /// Whether its answers arrive.
+    fn is_heard(self, now_ms: u64) -> bool {
+        !matches!(self, Self::Unheard(_, from_ms) if now_ms >= from_ms)
+    }
+
     /// What the answer to its request of this number names.
     fn at(self, now_ms: u64, number: usize) -> Option<f64> {
         if now_ms < NAMED_AT_MS {
             return None;
         }
         match self {
-            Self::Steady(per_s) => Some(per_s),
+            Self::Steady(per_s) | Self::Unheard(per_s, _) => Some(per_s),
             Self::Turns(first, second, turn_ms) => {
                 let is_first = (now_ms / turn_ms).is_multiple_of(2);
                 Some(if is_first { first } else { second })
             }
             Self::Half(per_s) => number.is_multiple_of(2).then_some(per_s),
+            Self::Until(per_s, until_ms) => (now_ms < until_ms).then_some(per_s),
         }
     }
 }
@@ -130,6 +140,27 @@
     }
 }
 
+/// Which boxes have work, and when.
+#[derive(Debug, Clone, Copy)]
+enum Work {
+    /// All of them, all the time.
+    All,
+    /// All of them, but for a span without any.
+    Pause(u64, u64),
+    /// From the second time on, only the box of this number.
+    Only(usize, u64),
+}
+
+impl Work {
+    fn has(self, n: usize, now_ms: u64) -> bool {
+        match self {
+            Self::All => true,
+            Self::Pause(from_ms, until_ms) => now_ms < from_ms || now_ms >= until_ms,
+            Self::Only(only, from_ms) => now_ms < from_ms || n == only,
+        }
+    }
+}
+
 /// The sender of a request: a box, whatever happened to it meanwhile.
 fn by_box(sim: &SimBox) -> Name {
     sim.name()
@@ -148,6 +179,19 @@
     events: &[Event],
     until_ms: u64,
     sender: fn(&SimBox) -> Name,
+) -> Vec<Arrival> {
+    play_work(boxes, halls, naming, Work::All, events, until_ms, sender)
+}
+
+/// The same, where not all boxes have work all the time.
+fn play_work(
+    boxes: usize,
+    halls: usize,
+    naming: Naming,
+    work: Work,
+    events: &[Event],
+    until_ms: u64,
+    sender: fn(&SimBox) -> Name,
 ) -> Vec<Arrival> {
     let mut fleet = SimFleet::new(boxes, halls);
     let mut owns: Vec<Own> = fleet.boxes.iter().map(Own::of).collect();
@@ -162,7 +206,8 @@
             if own.starts != sim.starts {
                 *own = Own::of(sim);
             }
-            if now_ms < NAMED_AT_MS || !own.send(sim, now_ms) {
+            let has_work = now_ms >= NAMED_AT_MS && work.has(n, now_ms);
+            if !has_work || !own.send(sim, now_ms) {
                 continue;
             }
             let names_per_s = naming.at(now_ms, arrivals.len());
@@ -172,7 +217,9 @@
                 answered_after_ms: Some(0),
                 ..Statement::new(Source::Answer)
             };
-            own.hear(&statement, now_ms);
+            if naming.is_heard(now_ms) {
+                own.hear(&statement, now_ms);
+            }
             arrivals.push(Arrival {
                 at_ms: now_ms,
                 from: sender(sim),
@@ -235,9 +282,53 @@
     a_limit_that_falls_and_rises: 9, 4, Naming::Turns(5.0, 1.0, 7_000);
     a_limit_that_moves_with_each_answer: 9, 4, Naming::Turns(1.0, 1.3, 50);
     one_that_is_named_in_half_of_the_answers: 9, 4, Naming::Half(1.0);
+    one_whose_answers_are_lost: 9, 4, Naming::Unheard(1.0, 16_000);
+    one_that_takes_hardly_any_whose_answers_are_lost: 84, 4, Naming::Unheard(0.3, 16_000);
     the_same_before_eighty_four_boxes: 84, 4, Naming::Half(2.0);
 }
 
+/// Nothing is sent for a while, so nobody hears whether the limit stands, and then all boxes have work at once.
+macro_rules! pauses {
+    ($($name:ident: $boxes:expr, $halls:expr, $per_s:expr, from $from_ms:expr, until $until_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let work = Work::Pause($from_ms, $until_ms);
+            let naming = Naming::Steady($per_s);
+            let arrivals = play_work($boxes, $halls, naming, work, &[], $until_ms + 10_000, by_box);
+            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+        }
+    )*};
+}
+
+pauses! {
+    nine_boxes_begin_again_after_a_pause: 9, 4, 1.0, from 16_000, until 40_000;
+    eighty_four_boxes_do: 84, 4, 1.0, from 16_000, until 45_000;
+    three_hundred_boxes_do: 300, 6, 1.0, from 14_000, until 33_300;
+    three_hundred_boxes_before_one_that_takes_hardly_any: 300, 6, 0.3, from 14_000, until 33_300;
+}
+
+/// The limit ends, and no box but one has work; whichever that is, it finds out.
+macro_rules! lonely {
+    ($($name:ident: $boxes:expr, $halls:expr, within $within_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            for only in 0..$boxes {
+                let work = Work::Only(only, 18_000);
+                let naming = Naming::Until(1.0, 18_000);
+                let until_ms = 18_000 + $within_ms;
+                let arrivals = play_work($boxes, $halls, naming, work, &[], until_ms, by_box);
+                let late = arrivals.iter().filter(|arrival| arrival.at_ms >= until_ms - 1_000);
+                assert!(late.count() >= 15, "box {only} sends freely");
+            }
+        }
+    )*};
+}
+
+lonely! {
+    one_box_of_three_finds_out_that_a_limit_ended: 3, 2, within 16_000;
+    one_box_of_nine_does: 9, 4, within 28_000;
+}
+
 #[test]
 fn all_boxes_restart_in_series_and_forget_what_they_heard() {
     let restarts = (0..24).map(|n| {
--- a/crates/ivyweird/tests/gateway_soak/main.rs
+++ b/crates/ivyweird/tests/gateway_soak/main.rs
@@ -30,6 +30,11 @@
 /// 34, 35: the proof was renewed before the upstreams were heard of again.
 /// 38: as 18, by a call that began after the configuration's last failure.
 const KEPT_SEEDS: [u64; 4] = [18, 34, 35, 38];
+/// The same with limits, and with more steps.
+/// 390,033: a box without a part of any limit of a pool refused all, since the boxes with parts had no work and nobody
+/// heard that the limits had ended.
+const KEPT_LIMIT_SEEDS: [u64; 1] = [390_033];
+const KEPT_LIMIT_STEPS: u32 = 32;
 const CI_SEED: u64 = 20_261_202;
 const CI_STEPS: u32 = 24;
 const EVENTS: u64 = 12;
@@ -388,6 +393,13 @@
     soak(seed, steps, WORD_KINDS);
 }
 
+#[test]
+fn seeds_with_limits_that_failed_once_pass() {
+    for seed in KEPT_LIMIT_SEEDS {
+        soak(seed, KEPT_LIMIT_STEPS, LIMIT_KINDS);
+    }
+}
+
 #[test]
 fn promises_hold_where_upstreams_name_limits() {
     let (seed, steps) = seed_and_steps(CI_SEED + 2, CI_STEPS);
