Test, failing: a box takes a relay's proof without what that relay knows of upstreams

Change: a filter before a real box refuses what it is asked about upstreams and passes the rest on, as a box does whose followers have not all found their source; a real box behind it goes on with proofs of the other, and with an upstream that left. Ruled out on the way: that the box learns of the leaving otherwise (a box that joined directly did).

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -3,12 +3,14 @@
 //!
 //! They speak the gateway's own interface.
 
+mod peer_filter;
 mod process;
 mod promise;
 mod record_store;
 mod scripted;
 mod town;
 
+pub use peer_filter::PeerFilter;
 pub use process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use promise::{Arrival, Excess, LimitPromise};
 pub use record_store::{RecordStore, StoreFault};
--- /dev/null
+++ b/crates/ivyweird/tests/gateway_proofs.rs
@@ -0,0 +1,61 @@
+//! What a box may take another box's proof for.
+//!
+//! What users saw: one request reached an upstream 3.3 s after its leaving was acknowledged; 3 s are allowed. Order of
+//! events: the relays of a hall were cut off from the store in turn; a box that no longer heard of anything turned to another
+//! relay and took its proof, younger than the leaving, before it had read there that the upstream leaves; so it went on serving, and
+//! did not try the store on its own.
+
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ivyweir_policy::gateway::hall::BoxRecord;
+use ivyweir_standins::edge::{PeerFilter, Town, eventually, post_stream};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+/// Time since a leaving was acknowledged from which nothing more may reach the upstream: the bound in the boxes' settings
+/// twice, so that a busy machine is no reason.
+const LEFT: Duration = Duration::from_millis(4_000);
+/// Time for which callers ask.
+const ASKED_FOR: Duration = Duration::from_millis(9_000);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A hall in which the first of two boxes is the relay of both.
+fn hall_of_the_first() -> String {
+    let rank = |hall: &str, name: &str| {
+        let record = BoxRecord {
+            name: name.into(),
+            hall: hall.into(),
+            peer_addr: ([127, 0, 0, 1], 1).into(),
+            cpu_milli: 0,
+        };
+        record.rank()
+    };
+    let mut halls = (0..).map(|n| format!("hall-{n}"));
+    let is_first = |hall: &String| rank(hall, "box-0") > rank(hall, "box-1");
+    halls.find(is_first).expect("half of all names are such")
+}
+
+#[test]
+fn a_relays_proof_counts_only_with_what_it_knows_of_upstreams() {
+    let mut town = Town::start(Path::new(BINARY));
+    let hall = hall_of_the_first();
+    town.add_box(&hall);
+    let filter = PeerFilter::start(town.boxes[0].peer_addr);
+    town.boxes[0].peer_addr = filter.addr();
+    let follower = town.add_box(&hall);
+    eventually("it follows the first one", || filter.asked("upstreams") > 0);
+    filter.refuse("upstreams");
+    let left_at = Instant::now();
+    town.store.put_upstream(&town.services[0].leaving());
+    let mut number = 0;
+    while left_at.elapsed() < ASKED_FOR {
+        // Served by the other upstream or refused; what matters is what reaches the one that left.
+        let _reply = post_stream(town.addr(follower), "/unsafe/x", &format!("r{number}"));
+        number += 1;
+        thread::sleep(PAUSE);
+    }
+    let seen = town.services[0].seen();
+    let late = seen.iter().filter(|seen| seen.at > left_at + LEFT);
+    assert_eq!(late.count(), 0, "of {number} requests");
+}
