A header of the platform's that nobody reads has a line in the log and a counter

Change: a dialect knows how its names begin and which of them it reads on answers; others are told once each (64 names, 128 bytes each), counted by name, the rest as one. They are passed on to callers as before.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -297,6 +297,7 @@
     trace: &mut Trace,
 ) -> Sent {
     let status = response.status().as_u16();
+    gateway.note_unread(&lease.upstream.id, response.headers());
     let marks = gateway.dialect.answer(status, response.headers());
     let keep_ms = keep_time_ms(response.headers());
     let is_framed = is_framed(response.headers());
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 use bytes::Bytes;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -316,6 +317,9 @@
 
     /// Reads what an upstream says.
     fn answer(&self, status: u16, headers: &HeaderMap) -> AnswerMarks;
+
+    /// Names on an answer that are the dialect's by their form, and that [`answer`](Self::answer) does not read.
+    fn unread<'h>(&self, headers: &'h HeaderMap) -> Vec<&'h HeaderName>;
 }
 
 /// The store's messages.
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -49,6 +49,8 @@
     pub not_run: HeaderName,
     /// Further headers that only the system may set.
     pub system_only: Vec<HeaderName>,
+    /// How the dialect's names begin.
+    pub prefixes: &'static [&'static str],
 }
 
 /// In place of a model: the system chooses.
@@ -143,6 +145,32 @@
             confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
         }
     }
+
+    fn unread<'h>(&self, headers: &'h HeaderMap) -> Vec<&'h HeaderName> {
+        let names = &self.names;
+        let is_own = |name: &&HeaderName| {
+            let mut prefixes = names.prefixes.iter();
+            prefixes.any(|prefix| name.as_str().starts_with(prefix))
+        };
+        let own = headers.keys().filter(is_own);
+        own.filter(|name| !names.is_read(name)).collect()
+    }
+}
+
+impl HeaderNames {
+    /// Whether this name is read on answers.
+    fn is_read(&self, name: &HeaderName) -> bool {
+        let read = [
+            &self.request_id,
+            &self.signature,
+            &self.load,
+            &self.leaving,
+            &self.limit,
+            &self.confidence,
+            &self.not_run,
+        ];
+        read.contains(&name)
+    }
 }
 
 impl HeaderDialect {
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     pub sends: IntCounterVec,
     /// What upstreams said of themselves in answers, by pool and what they said.
     pub upstream_statements: IntCounterVec,
+    /// Answers with a header of the dialect's that nobody reads, by its name.
+    pub unread_headers: IntCounterVec,
     /// Upstreams that ended while requests of this box were there, by pool.
     pub upstream_ends: IntCounterVec,
     /// Records of the store that could not be read, by topic and fault, each counted when it turned so.
@@ -55,6 +57,11 @@
             "answers in which upstreams said that they leave, want nothing or name a limit, by pool",
             &["pool", "says"],
         );
+        let unread_headers = counter(
+            "ivyweir_unread_headers_total",
+            "answers with a header of the dialect's that nobody reads, by name",
+            &["name"],
+        );
         let upstream_ends = counter(
             "ivyweir_upstream_ends_total",
             "upstreams that ended while requests were there, by pool",
@@ -89,6 +96,7 @@
             requests,
             sends,
             upstream_statements,
+            unread_headers,
             upstream_ends,
             unreadable_records,
             store_calls,
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -36,6 +36,7 @@
         confidence: HeaderName::from_static("ivyweir-confidence"),
         not_run: HeaderName::from_static("ivyweir-not-run"),
         system_only: Vec::new(),
+        prefixes: &["ivyweir-"],
     })
 }
 
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -6,6 +6,7 @@
 mod rollouts;
 mod sending;
 mod statements;
+mod unread;
 mod unreadable;
 mod waiting;
 
@@ -41,6 +42,7 @@
 use quarantine::Quarantine;
 pub use quarantine::{ReplacedWatch, Suspicion};
 pub use rollouts::counts_of;
+use unread::UnreadHeaders;
 use unreadable::UnreadableRecords;
 use waiting::Queues;
 pub use waiting::Waiter;
@@ -86,6 +88,8 @@
     queues: Mutex<Queues>,
     /// Records of the store that cannot be read.
     unreadable: Mutex<UnreadableRecords>,
+    /// Names on answers that nobody reads.
+    unread: Mutex<UnreadHeaders>,
     /// Counts how often incarnations of upstreams were replaced.
     replacements: watch::Sender<u64>,
     /// Counts how often it was found out whether an upstream ended.
@@ -135,6 +139,7 @@
             quarantine: Mutex::default(),
             queues: Mutex::default(),
             unreadable: Mutex::default(),
+            unread: Mutex::default(),
             replacements: watch::Sender::default(),
             looks: watch::Sender::default(),
             urgent: Notify::new(),
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -113,6 +114,8 @@
     retry_after: Mutex<Option<String>>,
     /// The limit that its answers name.
     limit: Mutex<Option<String>>,
+    /// Further headers of its answers.
+    more_headers: Mutex<Vec<(HeaderName, HeaderValue)>>,
     /// For the requests to come, before `act` holds again.
     next: Mutex<Vec<Act>>,
     seen: Mutex<Vec<Seen>>,
@@ -151,6 +154,7 @@
             says_leaving: AtomicBool::new(false),
             retry_after: Mutex::default(),
             limit: Mutex::default(),
+            more_headers: Mutex::default(),
             next: Mutex::default(),
             seen: Mutex::default(),
             active: AtomicU64::new(0),
@@ -205,6 +209,13 @@
         *lock(&self.shared.limit) = per_s.map(str::to_owned);
     }
 
+    /// Adds a header to each answer from now on.
+    pub fn say(&self, name: &str, value: &str) {
+        let name = name.parse().expect("a valid name");
+        let value = value.parse().expect("a valid value");
+        lock(&self.shared.more_headers).push((name, value));
+    }
+
     /// Sets what it does with requests of this body, whatever it does with others.
     pub fn set_for(&self, body: &'static [u8], act: Act) {
         self.set_for_all(&[body], act);
@@ -326,6 +337,9 @@
     if shared.says_leaving.load(Ordering::SeqCst) {
         headers.insert("ivyweir-leaving", "1".parse().expect("a valid value"));
     }
+    for (name, value) in lock(&shared.more_headers).iter() {
+        headers.insert(name, value.clone());
+    }
     if let Some(per_s) = limit {
         headers.insert("ivyweir-limit", per_s.parse().expect("a valid value"));
     }
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -144,3 +144,37 @@
         seconds.len()
     );
 }
+
+/// Names on answers that nobody reads, each told once however often it comes; of many, those that are remembered.
+macro_rules! unread {
+    ($($name:ident: $names:expr => $lines:expr, $others:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = Town::with_boxes(BINARY, &["hall-a"]);
+            for service in &town.services {
+                for n in 0..$names {
+                    service.say(&format!("ivyweir-mood-{n}"), "good");
+                }
+            }
+            for n in 0..4 {
+                let headers = [("ivyweir-request-id", "r"), ("authorization", &*format!("Bearer {KEY}"))];
+                let reply = get(town.addr(0), "/safe/x", &headers).expect("an answer");
+                assert_eq!(reply.status, 200, "request {n}");
+            }
+            let told = || town.boxes[0].lines_of("header_unread").len();
+            eventually("the names are told", || told() >= $lines);
+            assert_eq!(told(), $lines);
+            let metrics = get(town.boxes[0].metrics_addr, "/metrics", &[]).expect("metrics").text();
+            let counted = |name: &str, count: u64| {
+                metrics.contains(&format!("ivyweir_unread_headers_total{{name=\"{name}\"}} {count}\n"))
+            };
+            let (name, count) = if $others > 0 { ("others", $others) } else { ("ivyweir-mood-0", 4) };
+            assert!(counted(name, count), "{metrics}");
+        }
+    )*};
+}
+
+unread! {
+    a_name_that_nobody_reads_is_told_once: 1 => 1, 0;
+    eighty_names_are_bounded: 80 => 64, 4 * 16;
+}
