Limits that move are told with the next round and logged where they were heard

Cause: an upstream may name another limit with each answer; each change woke the box and its relay at once and had a line on every box, so a pool that names limits would be as many messages and lines as answers, times the boxes. Change: only a limit that begins is told at once; one that moves has a line on the box that the upstream told. A send looks its upstream up once.

--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -20,7 +20,9 @@
         if let Some(change) = heard.limit {
             self.log_limit(id, change, statement.source);
         }
-        let is_news = heard.fleet != FleetChange::Nothing || heard.limit.is_some();
+        // Limits that move, or end, are told with the next round: they may move with each answer.
+        let begins = matches!(heard.limit, Some(LimitChange::Began(_)));
+        let is_news = heard.fleet != FleetChange::Nothing || begins;
         if is_news && self.passes_on(statement.source) {
             self.urgent.notify_one();
         }
@@ -28,7 +30,11 @@
 
     fn log_limit(&self, id: &Name, change: LimitChange, source: Source) {
         let per_s = match change {
-            LimitChange::Named(per_1000_s) => NamedLimit::Per1000S(per_1000_s).per_s(),
+            // A limit that moves is told by each box that the upstream itself told: as many lines as answers.
+            LimitChange::Moved(_) if source == Source::Peer => return,
+            LimitChange::Began(per_1000_s) | LimitChange::Moved(per_1000_s) => {
+                NamedLimit::Per1000S(per_1000_s).per_s()
+            }
             LimitChange::Ended => None,
         };
         let detail = json!({"upstream": id, "limit_per_s": per_s, "source": source.name()});
--- a/crates/ivyweir-policy/src/gateway/limit.rs
+++ b/crates/ivyweir-policy/src/gateway/limit.rs
@@ -48,8 +48,10 @@
 /// What has become of an upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitChange {
-    /// It names this one, in requests within a thousand seconds.
-    Named(u32),
+    /// It names this one, in requests within a thousand seconds, and named none before.
+    Began(u32),
+    /// It names this one in place of another.
+    Moved(u32),
     /// It names none any more.
     Ended,
 }
@@ -76,11 +78,12 @@
     /// it differs between boxes, so that they do not all send at the same moment.
     pub fn named(&mut self, per_1000_s: u32, first: f64, said_at_ms: u64) -> Option<LimitChange> {
         let before = self.take(Some(per_1000_s), said_at_ms)?;
+        self.turns = Turns::after(first, said_at_ms);
         if before.is_none() {
             self.bucket = Bucket::holding(first, said_at_ms);
+            return Some(LimitChange::Began(per_1000_s));
         }
-        self.turns = Turns::after(first, said_at_ms);
-        (before != Some(per_1000_s)).then_some(LimitChange::Named(per_1000_s))
+        (before != Some(per_1000_s)).then_some(LimitChange::Moved(per_1000_s))
     }
 
     /// Takes in that the limit ended at that time, by another box's word.
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -12,7 +12,7 @@
 use crate::gateway::backoff::Backoff;
 use crate::gateway::cold::RecentSends;
 use crate::gateway::departures::Departures;
-use crate::gateway::fleet::{Fleet, FleetChange, Member, Standing, UpstreamRecord};
+use crate::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
 use crate::gateway::limit::{Limit, LimitChange, ToldLimit};
 use crate::gateway::owners::Sharing;
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
@@ -274,16 +274,20 @@
         if self.drained_halls.contains(&member.record.hall) {
             return Err(Withheld::HallDrained);
         }
-        self.check_limits(id, rules, now_ms)
+        let is_cold = member.cold_for_ms(now_ms) > 0;
+        self.check_limits(id, rules, is_cold, now_ms)
     }
 
     /// Checks what an upstream that may serve takes of this box now: its backoff, and the box's part of its limit and of what
     /// it bears while it is cold.
-    fn check_limits(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
-        let is_cold = |member: &Member| member.cold_for_ms(now_ms) > 0;
-        let cold_limit = rules
-            .cold_limit
-            .filter(|_| self.fleet.member(id).is_some_and(is_cold));
+    fn check_limits(
+        &mut self,
+        id: &Name,
+        rules: &SendRules,
+        is_cold: bool,
+        now_ms: u64,
+    ) -> Result<(), Withheld> {
+        let cold_limit = rules.cold_limit.filter(|_| is_cold);
         let known = self.known(id);
         let for_ms = known.backoff.left_ms(now_ms);
         if for_ms > 0 {
@@ -454,7 +458,9 @@
         let mut shortest_ms: Option<u64> = None;
         let mut has_cold = false;
         for record in records {
-            match self.check_limits(&record.id, rules, now_ms) {
+            let member = self.fleet.member(&record.id);
+            let is_cold = member.is_some_and(|member| member.cold_for_ms(now_ms) > 0);
+            match self.check_limits(&record.id, rules, is_cold, now_ms) {
                 Ok(()) => open.push(record),
                 Err(Withheld::Backoff { for_ms } | Withheld::Limited { for_ms }) => {
                     shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
--- a/crates/ivyweir-policy/tests/gateway_limit.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit.rs
@@ -209,9 +209,9 @@
     ]
     .map(|heard| hear(&mut upstreams, heard));
     let expected = [
-        Some(LimitChange::Named(1_000)),
+        Some(LimitChange::Began(1_000)),
         None,
-        Some(LimitChange::Named(1_500)),
+        Some(LimitChange::Moved(1_500)),
         Some(LimitChange::Ended),
         None,
     ];
