What an answer says of its upstream is one statement at the border too

Cause: the marks of an answer repeated the fields of a statement and copied them one by one; the next word would have been added in three places. Change: marks hold a statement.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -306,7 +306,7 @@
     let is_own = !marks.not_run && belongs(job, &marks, status);
     let statement = Statement {
         answered_after_ms: is_own.then_some(head_after_ms),
-        ..marks.statement()
+        ..marks.statement
     };
     let detail = json!({
         "upstream": upstream, "status": status, "leaving": statement.is_leaving,
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -13,7 +13,7 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use ivyweir_policy::gateway::site::Site;
-use ivyweir_policy::gateway::statement::{NamedLimit, ReportedLoad, RetryAfter, Source, Statement};
+use ivyweir_policy::gateway::statement::{Source, Statement};
 use serde::{Deserialize, Serialize};
 
 /// A part of a prompt that may stand in other prompts too.
@@ -64,7 +64,7 @@
 }
 
 /// What an upstream says of its answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerMarks {
     /// Id of the request that it answers.
     pub request_id: Option<Name>,
@@ -74,39 +74,36 @@
     pub not_run: bool,
     /// Whether another incarnation has the address.
     pub is_other_incarnation: bool,
-    /// The upstream's load.
-    pub load: Option<ReportedLoad>,
-    /// Whether the upstream says that it leaves.
-    pub is_leaving: bool,
-    /// How long an upstream that refuses wants nothing more.
-    pub retry_after: Option<RetryAfter>,
-    /// How many requests the upstream takes from all boxes together.
-    pub limit: Option<NamedLimit>,
+    /// What the upstream says of itself.
+    pub statement: Statement,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
 
-impl AnswerMarks {
-    /// What the upstream says of itself in the head of this answer.
-    pub fn statement(&self) -> Statement {
-        Statement {
-            is_leaving: self.is_leaving,
-            load: self.load,
-            retry_after: self.retry_after,
-            limit: self.limit,
-            ..Statement::new(Source::Answer)
+impl Default for AnswerMarks {
+    /// An answer that says nothing.
+    fn default() -> Self {
+        Self {
+            request_id: None,
+            is_signed: false,
+            not_run: false,
+            is_other_incarnation: false,
+            statement: Statement::new(Source::Answer),
+            confidence: None,
         }
     }
+}
 
+impl AnswerMarks {
     /// Requests that the upstream ran when it answered; 0 where it does not tell.
     pub fn running(&self) -> u32 {
-        self.load.map_or(0, |load| load.running)
+        self.statement.load.map_or(0, |load| load.running)
     }
 
     /// Requests that waited at the upstream when it answered, for each that it ran; 0 where it does not
     /// tell.
     pub fn queue(&self) -> f64 {
-        self.load.map_or(0.0, |load| {
+        self.statement.load.map_or(0.0, |load| {
             f64::from(load.waiting) / f64::from(load.running.max(1))
         })
     }
--- a/crates/ivyweir-gateway/src/gather.rs
+++ b/crates/ivyweir-gateway/src/gather.rs
@@ -69,7 +69,7 @@
     head.headers.remove(header::CONTENT_LENGTH);
     let detail = json!({
         "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(),
-        "leaving": marks.is_leaving, "limit_per_s": marks.limit.map(NamedLimit::per_s),
+        "leaving": marks.statement.is_leaving, "limit_per_s": marks.statement.limit.map(NamedLimit::per_s),
     });
     if head.status.is_server_error() {
         trace.fail("answered", detail);
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -5,7 +5,7 @@
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::statement::{NamedLimit, ReportedLoad, RetryAfter};
+use ivyweir_policy::gateway::statement::{NamedLimit, ReportedLoad, RetryAfter, Source, Statement};
 use ivyweir_policy::rank::hash64;
 
 use crate::dialect::{AnswerMarks, Dialect, Envelope, Forward, PromptPart};
@@ -136,12 +136,15 @@
             is_signed: headers.contains_key(&names.signature),
             not_run: headers.contains_key(&names.not_run),
             is_other_incarnation: status == MISDIRECTED,
-            load: text(headers, &names.load).and_then(reported_load),
-            is_leaving: text(headers, &names.leaving).map(str::trim) == Some(LEAVING),
-            retry_after: (status == UNAVAILABLE)
-                .then(|| retry_after(headers))
-                .flatten(),
-            limit: named_limit(headers, &names.limit),
+            statement: Statement {
+                load: text(headers, &names.load).and_then(reported_load),
+                is_leaving: text(headers, &names.leaving).map(str::trim) == Some(LEAVING),
+                retry_after: (status == UNAVAILABLE)
+                    .then(|| retry_after(headers))
+                    .flatten(),
+                limit: named_limit(headers, &names.limit),
+                ..Statement::new(Source::Answer)
+            },
             confidence: text(headers, &names.confidence).and_then(|value| value.parse().ok()),
         }
     }
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -175,7 +175,7 @@
     let detail = json!({
         "upstream": reply.lease.upstream.id, "model": model,
         "confidence": reply.marks.confidence, "head_after_ms": reply.head_after_ms,
-        "leaving": reply.marks.is_leaving, "limit_per_s": reply.marks.limit.map(NamedLimit::per_s),
+        "leaving": reply.marks.statement.is_leaving, "limit_per_s": reply.marks.statement.limit.map(NamedLimit::per_s),
     });
     trace.step("relaying", detail);
     stream::start(gateway, job, reply, model, tries, trace, active)
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -78,7 +78,7 @@
         let upstream = &reply.lease.upstream.id;
         let detail = json!({
             "upstream": upstream, "behind_event": self.last_event_id,
-            "leaving": reply.marks.is_leaving,
+            "leaving": reply.marks.statement.is_leaving,
         });
         self.trace.step("resumed", detail);
         self.partial.clear();
