A stream that breaks off while all of its pool want nothing waits as long as its caller would

Cause: a resumption that found all upstreams backing off or limited broke the stream off at once, though the caller waits for two seconds and more and has to ask for all of it again. Change: it waits for the first upstream that takes a request of this box, within the time for which silence is borne; a silent source is not waited for, since it may go on by itself; a repeat is taken from the budget only once there is somebody to send to. Figures: the two cases, broken off before; whole after a wait of 0.4 s, broken off at once where the time to stay away is 60 s.

--- a/crates/ivyweir-gateway/src/state/waiting.rs
+++ b/crates/ivyweir-gateway/src/state/waiting.rs
@@ -96,6 +96,11 @@
         held.waits(|within_ms| self.places_within(job, now_ms + within_ms))
     }
 
+    /// Whether an upstream takes a request of this box until then, where the first one may do so after `for_ms`.
+    pub fn takes_one_by(&self, job: &Job, for_ms: u64, until_ms: u64) -> bool {
+        self.clock.now_ms() + for_ms < until_ms && self.places_within(job, until_ms) > 0
+    }
+
     /// Requests that upstreams take of this box until then.
     fn places_within(&self, job: &Job, until_ms: u64) -> u32 {
         let scope = Scope {
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -33,9 +33,8 @@
 /// the old one's.
 const JUDGED_LONG_AT_EVENTS: u32 = 24;
 
-/// How many times the longest pause that is still in time a stream may be silent before another
-/// upstream is asked to go on. Its answer is late by then; of 2,900 streams beside busy engines none
-/// paused longer than once that pause and went on by itself.
+/// How many times the longest pause that is still in time a stream may be silent before another upstream is asked to go
+/// on: its answer is late by then, and a caller gives it up some time later.
 const SILENT_GAPS: u64 = 2;
 
 /// Starts to pass a stream on; `tries` are those of the request so far.
@@ -161,13 +160,14 @@
                     self.broke(&error);
                     let upstream = self.source.lease.upstream.id.clone();
                     self.gateway.until_looked(&upstream).await;
-                    if !self.resume().await {
+                    if !self.resume(self.patient_until_ms()).await {
                         return Some(Err(self.break_off("stream broke off")));
                     }
                 }
                 Next::Silent => {
                     self.fell_silent();
-                    self.source.may_be_silent = !self.resume().await;
+                    // The source may go on by itself meanwhile, so nothing is waited for.
+                    self.source.may_be_silent = !self.resume(0).await;
                 }
                 Next::Late => return Some(Err(self.break_off("time is up"))),
             }
@@ -216,6 +216,15 @@
         has_another.then_some(self.source.heard_ms + SILENT_GAPS * gap_aim_ms)
     }
 
+    /// Until when its caller waits for the next event rather than give the stream up.
+    fn patient_until_ms(&self) -> u64 {
+        let RouteKind::Stream { gap_aim_ms, .. } = self.job.route.kind else {
+            return 0;
+        };
+        let patient_until_ms = self.source.heard_ms + SILENT_GAPS * gap_aim_ms;
+        patient_until_ms.min(self.job.deadline_ms)
+    }
+
     /// Cuts whole events off what arrived.
     fn take_events(&mut self, data: Bytes) -> Next {
         let whole = if self.partial.is_empty() && data.ends_with(b"\n\n") {
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -1,9 +1,12 @@
 //! Going on with a stream at another upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::upstreams::Unplaced;
 use serde_json::json;
+use tokio::time::sleep;
 
 use super::{Source, Stream};
 use crate::attempt::{self, Reply, Sending, Sent};
@@ -34,17 +37,32 @@
         self.tried.push(upstream);
     }
 
-    /// Goes on at another upstream; returns whether one answers.
-    pub(super) async fn resume(&mut self) -> bool {
+    /// Goes on at another upstream; returns whether one answers. Where all want nothing for now, it waits for one until
+    /// `patient_until_ms`: the caller has all that came before, and would have to ask for it again.
+    pub(super) async fn resume(&mut self, patient_until_ms: u64) -> bool {
         if !self.job.route.kind.is_repeatable() {
             return false;
         }
         while !self.gateway.is_quarantined(self.job.fingerprint)
-            && has_attempt(&self.gateway, &self.job, self.sent)
+            && self.sent < self.job.route.max_attempts
         {
-            let Ok(choice) = choose(&self.gateway, &self.job, &self.tried, self.model) else {
-                return false;
+            let choice = match choose(&self.gateway, &self.job, &self.tried, self.model) {
+                Ok(choice) => choice,
+                Err(Unplaced::AllBackingOff { for_ms })
+                    if self
+                        .gateway
+                        .takes_one_by(&self.job, for_ms, patient_until_ms) =>
+                {
+                    self.trace
+                        .step("waits", json!({"backing_off_for_ms": for_ms}));
+                    sleep(Duration::from_millis(for_ms)).await;
+                    continue;
+                }
+                Err(_) => return false,
             };
+            if !has_attempt(&self.gateway, &self.job, self.sent) {
+                return false;
+            }
             let sent = self.send_to(&choice.upstream).await;
             if !matches!(sent, Sent::NotRun { arrived: false }) {
                 self.sent += 1;
--- a/crates/ivyweird/tests/gateway_leaving.rs
+++ b/crates/ivyweird/tests/gateway_leaving.rs
@@ -13,7 +13,8 @@
 use std::net::TcpStream;
 
 use ivyweir_standins::edge::{
-    Act, HOST, KEY, Reply, ScriptedUpstream, StoreFault, Town, eventually, get, post_stream,
+    Act, HOST, KEY, Reply, ScriptedUpstream, StoreFault, Town, event_ids, eventually, get,
+    post_stream,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -310,6 +311,38 @@
     no_time_is_waited_for_none: "0" => 200, sends 1;
 }
 
+/// A stream breaks off behind its first event, and the only other upstream wants nothing for so many seconds; the pause that
+/// keeps an answer in time is one second.
+macro_rules! broken_off {
+    ($($name:ident: $seconds:expr => whole $whole:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let town = town(&["hall-a"]);
+            let (full, breaking) = (&town.engines[0], &town.engines[1]);
+            breaking.set(events(None, Some(1)));
+            full.set(events(None, None));
+            full.set_next(vec![Act::NotRun]);
+            full.say_retry_after($seconds);
+            // The first one goes to the full one, or breaks off and goes there next.
+            eventually("the full one has refused", || {
+                stream(&town, 0);
+                full.seen().iter().any(|seen| !seen.ran)
+            });
+            let reply = stream(&town, 0);
+            assert_eq!(reply.status, 200);
+            assert_eq!(reply.is_whole, $whole);
+            if $whole {
+                assert_eq!(event_ids(&reply.text()), [1, 2, 3]);
+            }
+        }
+    )*};
+}
+
+broken_off! {
+    a_stream_that_breaks_off_waits_for_a_full_upstream: "0.4" => whole true;
+    unless_its_caller_would_wait_too_long: "60" => whole false;
+}
+
 #[test]
 fn a_caller_that_leaves_takes_its_place_in_the_queue_with_it() {
     let town = town(&["hall-a"]);
