What is heard of upstreams has a module of its own; one promise on limits for all tests

Cause: upstreams.rs had grown to 516 lines with two jobs, and the promise on named limits stood in four test files. Moved, not rewritten.

--- a/crates/ivyweir-policy/src/gateway/limit.rs
+++ b/crates/ivyweir-policy/src/gateway/limit.rs
@@ -162,11 +162,6 @@
             age_ms: age_ms + HOP_MS,
         })
     }
-
-    /// Whether a limit is in force.
-    pub fn binds(&self) -> bool {
-        self.in_force().is_some()
-    }
 }
 
 /// Parts into which a limit is cut.
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -3,6 +3,7 @@
 //! All that is heard of an upstream is taken in here, and every send asks here whether it may go. What is kept is
 //! kept by incarnation, so the next one begins anew.
 
+mod heard;
 mod versions;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -12,17 +13,15 @@
 use crate::gateway::backoff::Backoff;
 use crate::gateway::cold::RecentSends;
 use crate::gateway::departures::Departures;
-use crate::gateway::fleet::{Fleet, FleetChange, Standing, UpstreamRecord};
-use crate::gateway::limit::{Limit, LimitChange, ToldLimit};
+use crate::gateway::fleet::{Fleet, Standing, UpstreamRecord};
+use crate::gateway::limit::Limit;
 use crate::gateway::owners::Sharing;
 use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
 use crate::gateway::rollout::{RolloutState, Side};
-use crate::gateway::statement::{NamedLimit, RetryAfter, Statement};
 use crate::gateway::word::Work;
-use crate::rank::{hash64, mix};
+use crate::rank::hash64;
 
-/// Limits that are told at once; the latest go first, and an upstream that gets requests names its own again and again.
-const LIMITS_TOLD: usize = 128;
+pub use heard::Heard;
 
 /// The upstreams and what this box knows of their load.
 #[derive(Debug, Default)]
@@ -123,15 +122,6 @@
     pub saved_ms: f64,
 }
 
-/// What a statement changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Heard {
-    /// Which upstreams there are.
-    pub fleet: FleetChange,
-    /// What the upstream takes of all boxes together.
-    pub limit: Option<LimitChange>,
-}
-
 /// Which upstreams of a pool may serve a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Scope<'a> {
@@ -163,81 +153,6 @@
         }
     }
 
-    /// Takes in what an upstream says of itself; `max_backoff_ms` bounds the time for which it is left alone. Whatever
-    /// a record or a list says later, an incarnation that leaves stays gone.
-    pub fn hear(
-        &mut self,
-        id: &Name,
-        statement: &Statement,
-        max_backoff_ms: u64,
-        now_ms: u64,
-    ) -> Heard {
-        if let Some(load) = statement.load {
-            let known = self.known(id);
-            known.load.report(load.running, load.waiting, now_ms);
-        }
-        if let Some(RetryAfter::ForMs(for_ms)) = statement.retry_after {
-            let own = self.own;
-            let known = self.known(id);
-            let own = mix(own, known.id_hash);
-            known.backoff.hear(for_ms.min(max_backoff_ms), own, now_ms);
-        }
-        Heard {
-            limit: self.hear_limit(id, statement, now_ms),
-            fleet: self.hear_leaving(id, statement.is_leaving, now_ms),
-        }
-    }
-
-    fn hear_leaving(&mut self, id: &Name, is_leaving: bool, now_ms: u64) -> FleetChange {
-        if !is_leaving {
-            return FleetChange::Nothing;
-        }
-        let change = self.fleet.leave(id);
-        if change == FleetChange::Leaving {
-            self.departures.note(id, now_ms);
-        }
-        change
-    }
-
-    fn hear_limit(&mut self, id: &Name, statement: &Statement, now_ms: u64) -> Option<LimitChange> {
-        let said_at_ms = now_ms.saturating_sub(statement.age_ms);
-        match statement.limit {
-            Some(NamedLimit::Per1000S(per_1000_s)) => {
-                self.limited.insert(id.clone());
-                let own = self.own;
-                let known = self.known(id);
-                let first = unit(mix(own, known.id_hash));
-                known.limit.named(per_1000_s, first, said_at_ms)
-            }
-            Some(NamedLimit::Ended) => {
-                self.limited.insert(id.clone());
-                self.known(id).limit.ended(said_at_ms)
-            }
-            // One that cannot be read neither sets nor ends a limit.
-            Some(NamedLimit::Unreadable) => None,
-            None => {
-                let asked_at_ms = now_ms.saturating_sub(statement.answered_after_ms?);
-                let known = self.loads.get_mut(id)?;
-                known.limit.unnamed(asked_at_ms, now_ms)
-            }
-        }
-    }
-
-    /// What other boxes are to know of upstreams' limits, the latest of them.
-    pub fn limits(&self, now_ms: u64) -> Vec<ToldLimit> {
-        let limited = self.limited.iter();
-        let told = limited.filter_map(|id| self.loads.get(id)?.limit.told(id, now_ms));
-        let mut told: Vec<ToldLimit> = told.collect();
-        told.sort_by(|a, b| (a.age_ms, &a.upstream).cmp(&(b.age_ms, &b.upstream)));
-        told.truncate(LIMITS_TOLD);
-        told
-    }
-
-    /// Upstreams that were heard to leave lately, other than by the registry, for other boxes to know.
-    pub fn departures(&mut self, now_ms: u64) -> Vec<Name> {
-        self.departures.told(now_ms)
-    }
-
     /// Drains a hall; returns whether it was not drained before.
     pub fn drain_hall(&mut self, hall: Name) -> bool {
         self.drained_halls.insert(hall)
@@ -509,8 +424,3 @@
         }
     }
 }
-
-/// A hash as a number from 0 up to 1.
-fn unit(hash: u64) -> f64 {
-    hash as f64 / (u64::MAX as f64 + 1.0)
-}
--- a/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -13,13 +13,6 @@
 
 use common::{Event, STEP_MS, SimBox, SimFleet, Trouble, hash, troubles};
 
-const PROMISE: LimitPromise = LimitPromise {
-    settling_ms: 3_000,
-    told_ms: 500,
-    window_ms: 4_000,
-    factor: 1.5,
-    slack: 5.0,
-};
 const MAX_BACKOFF_MS: u64 = 60_000;
 /// How often boxes tell each other what they heard.
 const ROUND_MS: u64 = 250;
@@ -240,7 +233,7 @@
         fn $name() {
             let per_s: f64 = $per_s;
             let arrivals = play($boxes, $halls, Naming::Steady(per_s), &[], 42_000, by_box);
-            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+            assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
             let span = |from_ms: u64, for_ms: u64| {
                 let within = |a: &&Arrival| a.at_ms >= from_ms && a.at_ms < from_ms + for_ms;
                 arrivals.iter().filter(within).count() as f64
@@ -273,7 +266,7 @@
         #[test]
         fn $name() {
             let arrivals = play($boxes, $halls, $naming, &[], 60_000, by_box);
-            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+            assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
         }
     )*};
 }
@@ -295,7 +288,7 @@
             let work = Work::Pause($from_ms, $until_ms);
             let naming = Naming::Steady($per_s);
             let arrivals = play_work($boxes, $halls, naming, work, &[], $until_ms + 10_000, by_box);
-            assert_eq!(PROMISE.check(&arrivals), Ok(()));
+            assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
         }
     )*};
 }
@@ -340,7 +333,7 @@
     });
     let events: Vec<Event> = restarts.collect();
     let arrivals = play(24, 4, Naming::Steady(1.0), &events, 40_000, by_start);
-    assert_eq!(PROMISE.check(&arrivals), Ok(()));
+    assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
     let after = arrivals.iter().filter(|arrival| arrival.at_ms >= 24_000);
     assert!(after.count() >= 12, "they send again");
 }
@@ -353,6 +346,6 @@
     ) {
         let events: Vec<Event> = events.into_iter().map(|(at_ms, n, trouble)| (at_ms, n % boxes, trouble)).collect();
         let arrivals = play(boxes, halls, Naming::Steady(per_s), &events, 60_000, by_box);
-        prop_assert_eq!(PROMISE.check(&arrivals), Ok(()));
+        prop_assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
     }
 }
--- a/crates/ivyweir-standins/src/edge/promise.rs
+++ b/crates/ivyweir-standins/src/edge/promise.rs
@@ -54,6 +54,15 @@
 }
 
 impl LimitPromise {
+    /// What upstreams are promised where boxes are in touch again three seconds after a fault.
+    pub const AGREED: Self = Self {
+        settling_ms: 3_000,
+        told_ms: 500,
+        window_ms: 4_000,
+        factor: 1.5,
+        slack: 5.0,
+    };
+
     /// Judges what reached one incarnation of an upstream, in order; the first window that breaks the promise. A box was
     /// told with the first of its requests whose answer names a limit.
     ///
--- a/crates/ivyweir-standins/tests/promises.rs
+++ b/crates/ivyweir-standins/tests/promises.rs
@@ -2,14 +2,6 @@
 
 use ivyweir_standins::edge::{Arrival, Excess, LimitPromise};
 
-const PROMISE: LimitPromise = LimitPromise {
-    settling_ms: 3_000,
-    told_ms: 500,
-    window_ms: 4_000,
-    factor: 1.5,
-    slack: 5.0,
-};
-
 /// A request of `from` at each of these times, whose answer names a limit of one a second.
 fn of(from: &str, times_ms: &[u64]) -> Vec<Arrival> {
     let arrival = |at_ms: &u64| Arrival {
@@ -36,7 +28,7 @@
     ($($name:ident: $arrivals:expr => $requests:expr;)*) => {$(
         #[test]
         fn $name() {
-            let judged = PROMISE.check(&together(&$arrivals));
+            let judged = LimitPromise::AGREED.check(&together(&$arrivals));
             let requests = judged.err().map(|excess| excess.requests);
             assert_eq!(requests, $requests);
         }
@@ -69,7 +61,7 @@
 fn what_is_answered_without_a_limit_is_not_counted() {
     let mut arrivals = together(&[of("a", &[0]), of("a", &each_ten_ms(5_000, 12))]);
     arrivals[5].names_per_s = None;
-    assert_eq!(PROMISE.check(&arrivals), Ok(()));
+    assert_eq!(LimitPromise::AGREED.check(&arrivals), Ok(()));
 }
 
 #[test]
@@ -81,6 +73,6 @@
         requests: 13,
         allowed: 12.5,
     };
-    assert_eq!(PROMISE.check(&arrivals), Err(excess.clone()));
+    assert_eq!(LimitPromise::AGREED.check(&arrivals), Err(excess.clone()));
     assert_eq!(excess.to_string(), "13 requests at 5120 ms, 12.5 allowed");
 }
--- a/crates/ivyweird/tests/gateway_limits.rs
+++ b/crates/ivyweird/tests/gateway_limits.rs
@@ -18,14 +18,6 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 
-/// What upstreams that name a limit are promised.
-const PROMISE: LimitPromise = LimitPromise {
-    settling_ms: 3_000,
-    told_ms: 500,
-    window_ms: 4_000,
-    factor: 1.5,
-    slack: 5.0,
-};
 /// Time for which callers ask: two windows.
 const ASKED_FOR: Duration = Duration::from_millis(8_000);
 /// Pause of a caller between its requests.
@@ -79,7 +71,7 @@
 fn keeps_promise(upstream: &ScriptedUpstream, since: Instant) {
     let arrivals = arrivals(upstream, since);
     assert!(arrivals.len() > 1, "it gets what it takes");
-    if let Err(excess) = PROMISE.check(&arrivals) {
+    if let Err(excess) = LimitPromise::AGREED.check(&arrivals) {
         panic!("{excess}");
     }
 }
--- a/crates/ivyweird/tests/gateway_soak/judge.rs
+++ b/crates/ivyweird/tests/gateway_soak/judge.rs
@@ -18,14 +18,6 @@
 /// says how long nothing is wanted.
 const LEAVING: Duration = Duration::from_millis(2_000);
 const REFUSED: Duration = Duration::from_millis(500);
-/// What upstreams that name limits are promised.
-const LIMIT: LimitPromise = LimitPromise {
-    settling_ms: 3_000,
-    told_ms: 500,
-    window_ms: 4_000,
-    factor: 1.5,
-    slack: 5.0,
-};
 /// Time behind a restart or pause of a box for which its requests to limited upstreams do not count: it has forgotten
 /// what it was told, and until its words reach others and theirs reach it, it cannot know.
 const EXCUSED: Duration = Duration::from_millis(3_000);
@@ -107,7 +99,7 @@
             let told = self.told_of_limit(&name);
             let seen = proxied.upstream.seen();
             let arrivals: Vec<Arrival> = seen.iter().filter_map(|s| self.arrival(s)).collect();
-            if let Err(excess) = LIMIT.check_told(&arrivals, &told) {
+            if let Err(excess) = LimitPromise::AGREED.check_told(&arrivals, &told) {
                 broken.push(format!("{name} got beyond its limit: {excess}"));
             }
         }
