Whether an upstream ended is found out before its caller hears of the lost answer

Cause: where an answer is lost and may not be repeated, the caller was told before the look whether the upstream had ended; one that comes again at once is sent on before the third end is known. Ruled out: the stand-in (it closes its listener before its connections), a second send within one try (the count was right after three tries).

--- a/crates/ivyweir-gateway/src/tries.rs
+++ b/crates/ivyweir-gateway/src/tries.rs
@@ -91,8 +91,9 @@
             }
             Sent::Lost => {
                 tries.tried.push(choice.upstream.id.clone());
-                lost(gateway, job, tries)?;
+                // Before its caller hears of it too, who may come again at once: an end counts for the next try.
                 gateway.until_looked(&choice.upstream.id).await;
+                lost(gateway, job, tries)?;
             }
         }
     }
