What another box tells of a limit becomes a statement in one place

Cause: the box and the model of fleets each made the same statement of a told limit. Change: ToldLimit::statement, called by both.

--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -70,13 +70,7 @@
     /// Takes in what other boxes know of upstreams' limits.
     pub fn hear_limits(&self, limits: &[ToldLimit]) {
         for told in limits {
-            let limit = told.per_1000_s.map(NamedLimit::Per1000S);
-            let statement = Statement {
-                limit: Some(limit.unwrap_or(NamedLimit::Ended)),
-                age_ms: told.age_ms,
-                ..Statement::new(Source::Peer)
-            };
-            self.hear(&told.upstream, &statement);
+            self.hear(&told.upstream, &told.statement());
         }
     }
 
--- a/crates/ivyweir-policy/src/gateway/limit.rs
+++ b/crates/ivyweir-policy/src/gateway/limit.rs
@@ -13,6 +13,7 @@
 
 use crate::Name;
 use crate::gateway::owners::Sharing;
+use crate::gateway::statement::{NamedLimit, Source, Statement};
 
 /// The lowest limit that is kept to. An upstream that got nothing could not say that it takes more again.
 const LEAST_PER_1000_S: u32 = 250;
@@ -45,6 +46,18 @@
     pub age_ms: u64,
 }
 
+impl ToldLimit {
+    /// What another box's word says of the upstream.
+    pub fn statement(&self) -> Statement {
+        let limit = self.per_1000_s.map(NamedLimit::Per1000S);
+        Statement {
+            limit: Some(limit.unwrap_or(NamedLimit::Ended)),
+            age_ms: self.age_ms,
+            ..Statement::new(Source::Peer)
+        }
+    }
+}
+
 /// What has become of an upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitChange {
--- a/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -106,13 +106,7 @@
 /// Takes in what another box knows.
 fn take(own: &mut Own, told: &[ToldLimit], now_ms: u64) {
     for told in told {
-        let limit = told.per_1000_s.map(NamedLimit::Per1000S);
-        let statement = Statement {
-            limit: Some(limit.unwrap_or(NamedLimit::Ended)),
-            age_ms: told.age_ms,
-            ..Statement::new(Source::Peer)
-        };
-        own.hear(&statement, now_ms);
+        own.hear(&told.statement(), now_ms);
     }
 }
 
