--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -4,11 +4,15 @@
 //! names that callers, upstreams and the store use. It holds no state and decides nothing.
 
 use std::fmt;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
+use ivyweir_policy::gateway::duty::usage::UsageReport;
+use ivyweir_policy::gateway::duty::{DutyRecord, StoredDuties};
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
@@ -339,6 +343,19 @@
     /// Keeps it no longer.
     fn drop_quarantine(&self, fingerprint: Fingerprint) -> Request<Bytes>;
 
+    /// Asks who holds the duties.
+    fn read_duties(&self) -> Request<Bytes>;
+
+    /// Writes who holds the duties, if the record has this revision; if there is none yet, without one.
+    fn write_duties(&self, record: &DutyRecord, revision: Option<u64>) -> Request<Bytes>;
+
+    /// Reads who holds the duties, as it stands after a write, or in place of one.
+    ///
+    /// # Errors
+    ///
+    /// When the body is no such record.
+    fn duties(&self, body: &[u8]) -> Result<StoredDuties, DialectError>;
+
     /// Reads the quarantined requests that are kept; one that cannot be read is an error of its own.
     ///
     /// # Errors
@@ -367,3 +384,32 @@
     /// When the body is no such record.
     fn rollout(&self, body: &[u8]) -> Result<RolloutOrder, DialectError>;
 }
+
+/// Who makes a duty's call.
+#[derive(Debug, Clone, Copy)]
+pub struct DutyHolder<'a> {
+    /// The box that holds the duties.
+    pub name: &'a str,
+    /// The fence under which it holds them.
+    pub fence: u64,
+}
+
+/// Messages of duties to the platform.
+pub trait DutyCodec: Send + Sync {
+    /// Reports the usage of a window.
+    fn report_usage(&self, holder: DutyHolder, report: &UsageReport) -> Request<Bytes>;
+
+    /// Orders upstreams.
+    fn order_upstreams(&self, holder: DutyHolder, order: &UpstreamOrder) -> Request<Bytes>;
+}
+
+/// Translates for all whom a box talks to but other boxes.
+#[derive(Clone)]
+pub struct Adapter {
+    /// Names on requests and answers.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store's messages.
+    pub store: Arc<dyn StoreCodec>,
+    /// Messages of duties.
+    pub duties: Arc<dyn DutyCodec>,
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -0,0 +1,348 @@
+//! Does the duties that one box does for all: reports usage and orders upstreams.
+//!
+//! The box that hears the store itself tries to hold them. What is to be sent is written to the record first:
+//! the write renews the lease, and the next holder repeats what this one may not have sent.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::duty::DutyRecord;
+use ivyweir_policy::gateway::duty::lease::{Lease, LeaseStep, LeaseTerms};
+use ivyweir_policy::gateway::duty::supply::{SupplyPlanner, UpstreamOrder};
+use ivyweir_policy::gateway::duty::usage::UsageReport;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::client::{ANSWER_LIMIT, CallError, Client};
+use crate::dialect::DutyHolder;
+use crate::settings;
+use crate::state::Gateway;
+
+/// How often duties are looked at.
+const ROUND: Duration = Duration::from_millis(250);
+/// Pause after a call that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+/// The longest time that a duty's call may take; a part of the lease must be left for it.
+const CALL_LIMIT_MS: u64 = 1_000;
+/// The same as a part of a short lease.
+const CALL_PART: u64 = 3;
+
+/// Does the duties for the life of the process.
+pub async fn run(gateway: Arc<Gateway>, settings: settings::Duties) {
+    let mut worker = Worker::new(gateway, settings);
+    loop {
+        sleep(ROUND).await;
+        if !worker.gateway.histories.is_root() {
+            worker.hearing_since_ms = None;
+            continue;
+        }
+        if let Err(e) = worker.round().await {
+            let detail = json!({"error": e.to_string()});
+            worker.gateway.log.line("duties_delayed", detail);
+            sleep(FAILED_PAUSE).await;
+        }
+    }
+}
+
+struct Worker {
+    gateway: Arc<Gateway>,
+    settings: settings::Duties,
+    store: Client,
+    platform: Client,
+    call_limit: Duration,
+    lease: Lease,
+    /// Since when this box hears the store itself, and so the counts of all halls.
+    hearing_since_ms: Option<u64>,
+    /// Windows whose reports were accepted.
+    accepted: BTreeSet<u64>,
+    /// Orders that were written down and not sent yet.
+    unsent: Vec<UpstreamOrder>,
+    planners: HashMap<Name, SupplyPlanner>,
+}
+
+/// What is to be written to the record.
+#[derive(Debug, Default)]
+struct News {
+    reports: Vec<UsageReport>,
+    orders: Vec<UpstreamOrder>,
+}
+
+impl News {
+    fn is_empty(&self) -> bool {
+        self.reports.is_empty() && self.orders.is_empty()
+    }
+
+    /// Adds it to the record, from which accepted reports are dropped.
+    fn write_to(self, record: &mut DutyRecord, accepted: &BTreeSet<u64>) {
+        record
+            .reports
+            .retain(|report| !accepted.contains(&report.window));
+        let newest = self.reports.iter().map(|report| report.window).max();
+        record.fixed_window = newest.max(record.fixed_window);
+        record.reports.extend(self.reports);
+        for order in self.orders {
+            record.orders.retain(|known| !known.is_about(&order));
+            record.orders.push(order);
+        }
+    }
+}
+
+impl Worker {
+    fn new(gateway: Arc<Gateway>, settings: settings::Duties) -> Self {
+        let call_ms = CALL_LIMIT_MS.min(settings.lease_ms / CALL_PART);
+        let terms = LeaseTerms {
+            lease_ms: settings.lease_ms,
+            call_ms,
+        };
+        let run = u64::from(rand::random::<u32>());
+        let me = gateway.settings.box_name.clone();
+        Self {
+            store: Client::new(gateway.settings.store_addr),
+            platform: Client::new(settings.addr),
+            call_limit: Duration::from_millis(call_ms),
+            lease: Lease::new(me, run, terms),
+            hearing_since_ms: None,
+            accepted: BTreeSet::new(),
+            unsent: Vec::new(),
+            planners: HashMap::new(),
+            gateway,
+            settings,
+        }
+    }
+
+    async fn round(&mut self) -> Result<(), CallError> {
+        let now_ms = self.gateway.clock.now_ms();
+        let since_ms = *self.hearing_since_ms.get_or_insert(now_ms);
+        match self.lease.step(now_ms) {
+            LeaseStep::Read => self.read().await,
+            LeaseStep::Wait => Ok(()),
+            LeaseStep::Take => {
+                self.write(News::default()).await?;
+                self.log_holder();
+                Ok(())
+            }
+            LeaseStep::Held => self.work(now_ms.saturating_sub(since_ms)).await,
+        }
+    }
+
+    /// Does what is due as the holder; `hearing_ms` is for how long this box has heard the counts of others.
+    async fn work(&mut self, hearing_ms: u64) -> Result<(), CallError> {
+        let now_ms = self.gateway.clock.now_ms();
+        let news = News {
+            reports: self.reports_to_fix(hearing_ms),
+            orders: self.plan(now_ms),
+        };
+        self.unsent
+            .retain(|order| !news.orders.iter().any(|newer| newer.is_about(order)));
+        self.unsent.extend(news.orders.iter().cloned());
+        let has_calls = !self.unsent.is_empty() || self.open_reports().next().is_some();
+        if !news.is_empty() || has_calls && self.lease.fence(now_ms).is_none() {
+            self.write(news).await?;
+        }
+        self.send_reports().await?;
+        self.send_orders().await
+    }
+
+    fn reports_to_fix(&self, hearing_ms: u64) -> Vec<UsageReport> {
+        let Some(usage) = self.settings.usage else {
+            return Vec::new();
+        };
+        let gateway = &self.gateway;
+        let windows = usage.terms().to_fix(
+            self.lease.record().and_then(|record| record.fixed_window),
+            gateway.first_usage_window(),
+            hearing_ms,
+            gateway.usage_epoch_ms(),
+        );
+        let counts = gateway.usage_of(windows).into_iter();
+        let reports = counts.map(|(window, counts)| UsageReport { window, counts });
+        reports.collect()
+    }
+
+    /// Plans the upstreams of all pools that may be ordered.
+    fn plan(&mut self, now_ms: u64) -> Vec<UpstreamOrder> {
+        let Some(site) = self
+            .gateway
+            .site()
+            .filter(|_| self.settings.order_upstreams)
+        else {
+            return Vec::new();
+        };
+        let running = self.gateway.fleet_running();
+        let drained_halls = self.gateway.drained_halls();
+        let mut orders = Vec::new();
+        for pool in &site.site().pools {
+            let Some(scaling) = &pool.scaling else {
+                continue;
+            };
+            let in_force = self.lease.record().map_or(&[][..], |record| &record.orders);
+            let in_force: Vec<UpstreamOrder> = in_force
+                .iter()
+                .filter(|order| order.pool == pool.name)
+                .cloned()
+                .collect();
+            let running = running.get(&pool.name).copied();
+            let view =
+                self.gateway
+                    .pool_view(&pool.name, scaling, running, &drained_halls, &in_force);
+            let planner = self.planners.entry(pool.name.clone()).or_default();
+            let planned = planner.plan(&view, now_ms);
+            for order in &planned {
+                let detail = json!({
+                    "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
+                    "count": order.count, "running": running,
+                    "needed": planner.needed(&view),
+                    "serving": view.supply.get(&order.hall).map(|s| [s.lasting, s.spot]),
+                });
+                self.gateway.log.line("upstreams_planned", detail);
+            }
+            orders.extend(planned);
+        }
+        orders
+    }
+
+    /// Reports that are fixed and not known to be accepted, oldest first.
+    fn open_reports(&self) -> impl Iterator<Item = &UsageReport> {
+        let reports = self
+            .lease
+            .record()
+            .map_or(&[][..], |record| &record.reports);
+        let accepted = &self.accepted;
+        reports
+            .iter()
+            .filter(|report| !accepted.contains(&report.window))
+    }
+
+    async fn send_reports(&mut self) -> Result<(), CallError> {
+        loop {
+            let next = self.open_reports().next().cloned();
+            let Some((report, fence)) = next.zip(self.fence()) else {
+                return Ok(());
+            };
+            let codec = &self.gateway.duty_codec;
+            let request = codec.report_usage(self.holder(fence), &report);
+            let status = self.call_platform("usage", request).await?;
+            let requests: u64 = report.counts.values().map(|count| u64::from(*count)).sum();
+            let detail = json!({
+                "window": report.window, "requests": requests, "workspaces": report.counts.len(),
+                "fence": fence, "status": status.as_u16(),
+            });
+            self.gateway.log.line("usage_reported", detail);
+            if !status.is_success() {
+                return self.refused(status);
+            }
+            self.accepted.insert(report.window);
+        }
+    }
+
+    async fn send_orders(&mut self) -> Result<(), CallError> {
+        // The others were planned while a write before them was open, and are planned again.
+        let recorded = self.lease.record().map_or(&[][..], |record| &record.orders);
+        self.unsent.retain(|order| recorded.contains(order));
+        loop {
+            let next = self.unsent.first().cloned();
+            let Some((order, fence)) = next.zip(self.fence()) else {
+                return Ok(());
+            };
+            let codec = &self.gateway.duty_codec;
+            let request = codec.order_upstreams(self.holder(fence), &order);
+            let status = self.call_platform("orders", request).await?;
+            let detail = json!({
+                "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
+                "count": order.count, "fence": fence, "status": status.as_u16(),
+            });
+            self.gateway.log.line("upstreams_ordered", detail);
+            if status == StatusCode::CONFLICT {
+                let now_ms = self.gateway.clock.now_ms();
+                let planner = self.planners.entry(order.pool.clone()).or_default();
+                planner.refused(&order, now_ms);
+            } else if !status.is_success() {
+                return self.refused(status);
+            }
+            self.unsent.remove(0);
+        }
+    }
+
+    /// Takes in that the platform refused a duty's call.
+    fn refused(&mut self, status: StatusCode) -> Result<(), CallError> {
+        // A busy platform says nothing of the fence.
+        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
+            self.lease.doubt();
+        }
+        Err(CallError::refused(status))
+    }
+
+    fn fence(&self) -> Option<u64> {
+        self.lease.fence(self.gateway.clock.now_ms())
+    }
+
+    fn holder(&self, fence: u64) -> DutyHolder<'_> {
+        DutyHolder {
+            name: &self.gateway.settings.box_name,
+            fence,
+        }
+    }
+
+    async fn call_platform(
+        &mut self,
+        duty: &str,
+        request: Request<Bytes>,
+    ) -> Result<StatusCode, CallError> {
+        let answer = self.platform.call(request, self.call_limit).await;
+        let outcome = match &answer {
+            Ok(answer) if answer.status.is_success() => "ok",
+            Ok(_) => "refused",
+            Err(_) => "failed",
+        };
+        let calls = &self.gateway.metrics.duty_calls;
+        calls.with_label_values(&[duty, outcome]).inc();
+        Ok(answer?.status)
+    }
+
+    async fn read(&mut self) -> Result<(), CallError> {
+        let request = self.gateway.codec.read_duties();
+        self.ask_store(request).await
+    }
+
+    async fn write(&mut self, news: News) -> Result<(), CallError> {
+        let now_ms = self.gateway.clock.now_ms();
+        let accepted = &self.accepted;
+        let (record, revision) = self
+            .lease
+            .write(now_ms, |record| news.write_to(record, accepted));
+        let request = self.gateway.codec.write_duties(&record, revision);
+        self.ask_store(request).await
+    }
+
+    /// Reads or writes the record, and takes in how it stands then.
+    async fn ask_store(&mut self, request: Request<Bytes>) -> Result<(), CallError> {
+        let answer = self.store.call(request, ANSWER_LIMIT).await;
+        let outcome = if answer.is_ok() { "ok" } else { "failed" };
+        let calls = &self.gateway.metrics.store_calls;
+        calls.with_label_values(&["duties", outcome]).inc();
+        let answer = answer?;
+        let stored = match answer.status {
+            StatusCode::OK | StatusCode::CREATED | StatusCode::CONFLICT => {
+                let stored = self.gateway.codec.duties(&answer.body);
+                Some(stored.map_err(CallError::unreadable)?)
+            }
+            StatusCode::NOT_FOUND => None,
+            status => return Err(CallError::refused(status)),
+        };
+        self.lease.see(stored, self.gateway.clock.now_ms());
+        Ok(())
+    }
+
+    fn log_holder(&self) {
+        let record = self.lease.record();
+        let detail = json!({
+            "holder": record.map(|record| &record.holder), "fence": record.map(|record| record.fence),
+            "fixed_window": record.and_then(|record| record.fixed_window),
+        });
+        self.gateway.log.line("duties_taken", detail);
+    }
+}
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::gateway::hall::BoxRecord;
-use ivyweir_policy::gateway::joined::{Start, digest};
+use ivyweir_policy::gateway::joined::{ListMark, ListNews, Start};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time::sleep;
@@ -37,15 +37,17 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct JoinMessage {
     from: BoxRecord,
-    /// Digest of the seed's last list.
-    digest: u64,
+    /// What the box has of the seed's list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    has: Option<ListMark>,
 }
 
 /// A seed's answer.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct JoinAnswer {
-    /// Boxes that joined, where the list is not the last one.
-    boxes: Option<Vec<BoxRecord>>,
+    /// What is new on the list of boxes, where that is not the last one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    news: Option<ListNews>,
     /// Time since the seed's start.
     up_ms: u64,
     /// Boxes of all halls that joined there lately, itself included.
@@ -112,11 +114,13 @@
             }
         };
         let now_ms = gateway.clock.now_ms();
-        if let Some(boxes) = &answer.boxes {
-            let detail = json!({"seed": seed, "boxes": boxes.len()});
+        if let Some(news) = &answer.news {
+            let detail = json!({
+                "seed": seed, "boxes": news.boxes.len(), "gone": news.gone.len(), "whole": news.is_whole,
+            });
             gateway.log.line("boxes_heard", detail);
         }
-        gateway.peers.take_seed_list(seed, answer.boxes, now_ms);
+        gateway.peers.take_seed_list(seed, answer.news, now_ms);
         gateway.peers.set_fleet_size(answer.fleet_size);
         gateway.peers.note_joined(now_ms);
         Some(answer.up_ms)
@@ -140,7 +144,7 @@
 fn own_message(gateway: &Gateway, seed: SocketAddr) -> JoinMessage {
     JoinMessage {
         from: gateway.peers.me().clone(),
-        digest: gateway.peers.seed_list_digest(seed),
+        has: gateway.peers.seed_list_mark(seed),
     }
 }
 
@@ -153,12 +157,12 @@
     let now_ms = gateway.clock.now_ms();
     let hall = message.from.hall.clone();
     gateway.peers.take_join(message.from, now_ms);
-    let (boxes, fleet_size) = gateway.peers.with_joined(now_ms, |joined| {
-        (joined.list_for(&hall, now_ms), joined.count(now_ms))
+    let (news, fleet_size) = gateway.peers.with_joined(now_ms, |joined| {
+        let news = joined.news_for(&hall, message.has, now_ms);
+        (news, joined.count(now_ms))
     });
-    let is_news = digest(&boxes) != message.digest;
     answer::message(&JoinAnswer {
-        boxes: is_news.then_some(boxes),
+        news,
         up_ms: now_ms,
         fleet_size,
     })
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -7,12 +7,11 @@
 //!
 //! ```no_run
 //! use std::path::Path;
-//! use std::sync::Arc;
-//! use ivyweir_gateway::{Dialect, Settings, StoreCodec};
+//! use ivyweir_gateway::{Adapter, Settings};
 //!
-//! # fn start(dialect: Arc<dyn Dialect>, codec: Arc<dyn StoreCodec>) -> Result<(), Box<dyn std::error::Error>> {
+//! # fn start(adapter: Adapter) -> Result<(), Box<dyn std::error::Error>> {
 //! let settings = Settings::from_file(Path::new("gateway.json"))?;
-//! ivyweir_gateway::run(settings, dialect, codec)?;
+//! ivyweir_gateway::run(settings, adapter)?;
 //! # Ok(())
 //! # }
 //! ```
@@ -27,6 +26,7 @@
 pub mod clock;
 pub mod dialect;
 mod drive;
+mod duties;
 mod ends;
 mod follow;
 mod gather;
@@ -71,7 +71,7 @@
 use log::Log;
 use state::Gateway;
 
-pub use dialect::{Dialect, StoreCodec};
+pub use dialect::{Adapter, Dialect, DutyCodec, StoreCodec};
 pub use settings::{Bounds, DialectChoice, Machine, Settings};
 pub use settings_file::SettingsError;
 
@@ -87,11 +87,7 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub fn run(
-    settings: Settings,
-    dialect: Arc<dyn Dialect>,
-    codec: Arc<dyn StoreCodec>,
-) -> io::Result<()> {
+pub fn run(settings: Settings, adapter: Adapter) -> io::Result<()> {
     let clock = Clock::start();
     let log = Log::start(clock.clone())?;
     let runtime = runtime::Builder::new_current_thread()
@@ -99,7 +95,7 @@
         .build()?;
     let ended = runtime.block_on(async {
         let (settings, listeners) = Listeners::bind(settings)?;
-        let gateway = Gateway::new(settings, clock, dialect, codec, log.clone());
+        let gateway = Gateway::new(settings, clock, adapter, log.clone());
         serve(Arc::new(gateway), listeners).await
     });
     log.finish();
@@ -177,6 +173,9 @@
     }
     tokio::spawn(drive::run(gateway.clone()));
     tokio::spawn(keep::run(gateway.clone()));
+    if let Some(duties) = gateway.settings.duties {
+        tokio::spawn(duties::run(gateway.clone(), duties));
+    }
     tokio::spawn(join::keep_joined(gateway.clone()));
     tokio::spawn(words::exchange(gateway.clone()));
     tokio::spawn(server::serve_peers(gateway.clone(), listeners.peers));
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub unreadable_records: IntCounterVec,
     /// Calls to the store by topic and outcome.
     pub store_calls: IntCounterVec,
+    /// Calls of duties to the platform, by duty and outcome.
+    pub duty_calls: IntCounterVec,
     /// Time to the head of the answer by route.
     pub head_latency: HistogramVec,
     /// What the box believes: configuration version, ready upstreams, proof age, log lines dropped.
@@ -77,6 +79,11 @@
             "calls to the store by topic and outcome",
             &["topic", "outcome"],
         );
+        let duty_calls = counter(
+            "ivyweir_duty_calls_total",
+            "calls of duties to the platform by duty and outcome",
+            &["duty", "outcome"],
+        );
         let opts = HistogramOpts::new("ivyweir_head_latency_s", "time to the head of an answer");
         let head_latency = HistogramVec::new(opts.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])
             .expect("invariant: the name is valid");
@@ -100,6 +107,7 @@
             upstream_ends,
             unreadable_records,
             store_calls,
+            duty_calls,
             head_latency,
             beliefs,
         }
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -4,14 +4,17 @@
 use hyper::header::{self, HeaderName};
 use hyper::{Method, Request};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
+use ivyweir_policy::gateway::duty::usage::UsageReport;
+use ivyweir_policy::gateway::duty::{DutyRecord, StoredDuties};
 use ivyweir_policy::gateway::quarantine::{Fingerprint, QuarantineRecord};
 use ivyweir_policy::gateway::rollout::RolloutOrder;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::dialect::{
-    Change, Changes, DialectError, Entry, Fault, Item, Page, QuarantineEntry, StoreCodec, Topic,
-    Unreadable,
+    Change, Changes, DialectError, DutyCodec, DutyHolder, Entry, Fault, Item, Page,
+    QuarantineEntry, StoreCodec, Topic, Unreadable,
 };
 use crate::headers::{HeaderDialect, HeaderNames};
 
@@ -47,6 +50,43 @@
 #[derive(Debug, Clone, Default)]
 pub struct NativeCodec;
 
+/// Where the record of duties is kept.
+const DUTIES: &str = "/v1/duties";
+
+/// The record of duties as the store answers it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct StoredRecord {
+    /// The record.
+    pub record: DutyRecord,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// The gateway's own messages of duties.
+#[derive(Debug, Clone, Default)]
+pub struct NativeDuties;
+
+impl DutyCodec for NativeDuties {
+    fn report_usage(&self, holder: DutyHolder, report: &UsageReport) -> Request<Bytes> {
+        duty_call("/v1/usage", holder, json(report))
+    }
+
+    fn order_upstreams(&self, holder: DutyHolder, order: &UpstreamOrder) -> Request<Bytes> {
+        duty_call("/v1/upstreams", holder, json(order))
+    }
+}
+
+fn duty_call(path: &str, holder: DutyHolder, body: Bytes) -> Request<Bytes> {
+    Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, "platform")
+        .header("ivyweir-duty-holder", holder.name)
+        .header("ivyweir-fence", holder.fence)
+        .body(body)
+        .expect("invariant: names of boxes are valid in headers")
+}
+
 /// A page of records.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RecordPage {
@@ -113,6 +153,28 @@
         request(Method::DELETE, path, Bytes::new())
     }
 
+    fn read_duties(&self) -> Request<Bytes> {
+        request(Method::GET, DUTIES.into(), Bytes::new())
+    }
+
+    fn write_duties(&self, record: &DutyRecord, revision: Option<u64>) -> Request<Bytes> {
+        match revision {
+            None => request(Method::POST, DUTIES.into(), json(record)),
+            Some(revision) => {
+                let path = format!("{DUTIES}?revision={revision}");
+                request(Method::PUT, path, json(record))
+            }
+        }
+    }
+
+    fn duties(&self, body: &[u8]) -> Result<StoredDuties, DialectError> {
+        let stored: StoredRecord = read("duties", body)?;
+        Ok(StoredDuties {
+            record: stored.record,
+            revision: stored.revision,
+        })
+    }
+
     fn quarantines(&self, body: &[u8]) -> Result<Vec<QuarantineEntry>, DialectError> {
         let records: Vec<QuarantineRecord> = read("quarantined requests", body)?;
         Ok(records.into_iter().map(Ok).collect())
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use ivyweir_policy::gateway::hall::{
     BoxRecord, KeptRoot, ShunPauses, Shunned, Source, View, relay_of,
 };
-use ivyweir_policy::gateway::joined::{Joined, SeedLists};
+use ivyweir_policy::gateway::joined::{Joined, ListMark, ListNews, SeedLists};
 use ivyweir_policy::gateway::owners::Owners;
 use ivyweir_policy::gateway::verdict::Tally;
 use ivyweir_policy::gateway::word::{OthersWords, Repeats, Word, Work, add_repeats, add_work};
@@ -79,10 +79,9 @@
     pub fn new(me: BoxRecord, seeds: Vec<SocketAddr>) -> Self {
         let owners = Mutex::new(Arc::new(owners_among(&me, &HashMap::new())));
         let peers = Self {
-            me,
             seeds: Mutex::default(),
-            joined: Mutex::default(),
-            seed_lists: Mutex::default(),
+            joined: Mutex::new(Joined::new(u64::from(rand::random::<u32>()))),
+            seed_lists: Mutex::new(SeedLists::new(me.hall.clone())),
             others: Mutex::default(),
             is_settled: AtomicBool::new(false),
             is_young: AtomicBool::new(true),
@@ -95,6 +94,7 @@
             fleet_sum: Mutex::default(),
             owners,
             joined_at_ms: AtomicU64::new(0),
+            me,
         };
         peers.set_seeds(seeds);
         peers
@@ -133,15 +133,15 @@
         others.values().nth(at).map(|record| record.peer_addr)
     }
 
-    /// Takes in a seed's list of other boxes: none where that has not changed. [`merge`](Self::merge)
+    /// Takes in what is new on a seed's list of other boxes: none where that has not changed. [`merge`](Self::merge)
     /// follows at the end of the round.
-    pub fn take_seed_list(&self, seed: SocketAddr, list: Option<Vec<BoxRecord>>, now_ms: u64) {
-        lock(&self.seed_lists).take(seed, list, now_ms);
+    pub fn take_seed_list(&self, seed: SocketAddr, news: Option<ListNews>, now_ms: u64) {
+        lock(&self.seed_lists).take(seed, news, now_ms);
     }
 
-    /// Digest of a seed's last list.
-    pub fn seed_list_digest(&self, seed: SocketAddr) -> u64 {
-        lock(&self.seed_lists).digest(seed)
+    /// What this box has of a seed's list.
+    pub fn seed_list_mark(&self, seed: SocketAddr) -> Option<ListMark> {
+        lock(&self.seed_lists).mark(seed)
     }
 
     /// Takes in that a box joins here.
@@ -152,10 +152,10 @@
     }
 
     /// Looks at the boxes that joined here, this one among them.
-    pub fn with_joined<T>(&self, now_ms: u64, look: impl FnOnce(&Joined) -> T) -> T {
+    pub fn with_joined<T>(&self, now_ms: u64, look: impl FnOnce(&mut Joined) -> T) -> T {
         let mut joined = lock(&self.joined);
         joined.join(self.me.clone(), now_ms);
-        look(&joined)
+        look(&mut joined)
     }
 
     /// Takes in how many boxes joined at a seed.
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -106,6 +106,7 @@
     gateway.count_request(&job.pool);
     let mut tries = Tries::default();
     let mut kept = None;
+    let mut has_begun = false;
     loop {
         let reply = match next_reply(gateway, &job, &mut tries, &mut trace).await {
             Ok(reply) => *reply,
@@ -122,6 +123,11 @@
                 }
             },
         };
+        if !std::mem::replace(&mut has_begun, true)
+            && let Some(workspace) = &job.workspace
+        {
+            gateway.count_begun(&workspace.name);
+        }
         judge_head(gateway, &job, &reply, tries.model);
         match use_of(gateway, &job, &mut tries, &reply, &mut trace) {
             Use::Answer => {}
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::cascade::{CONFIDENCE_FLOOR, CONFIDENCE_FULL};
+use ivyweir_policy::gateway::duty::report::UsageTerms;
 use ivyweir_policy::gateway::repeat::RepeatLimits;
 use serde::Deserialize;
 use snafu::ensure;
@@ -53,11 +54,50 @@
     /// What the operators choose.
     #[serde(default)]
     pub policy: Policy,
+    /// Duties that one box does for all, where the platform asks for them.
+    #[serde(default)]
+    pub duties: Option<Duties>,
     /// The file that this was read from, if there is one.
     #[serde(skip)]
     pub file: Option<PathBuf>,
 }
 
+/// Calls to the platform that one box makes for all.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// Where the platform takes them.
+    pub addr: SocketAddr,
+    /// Time for which a box that proved to hold the duties may act on that.
+    pub lease_ms: u64,
+    /// Reports of usage, where they are asked for.
+    #[serde(default)]
+    pub usage: Option<Usage>,
+    /// Whether upstreams are ordered of pools whose configuration tells how many there may be.
+    #[serde(default)]
+    pub order_upstreams: bool,
+}
+
+/// Reports of usage.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    /// Length of a window.
+    pub window_s: f64,
+    /// Time between a window's end and when its report is due.
+    pub late_s: f64,
+}
+
+impl Usage {
+    /// When windows are fixed and reported.
+    pub fn terms(&self) -> UsageTerms {
+        UsageTerms {
+            window_ms: (self.window_s * 1_000.0) as u64,
+            late_ms: (self.late_s * 1_000.0) as u64,
+        }
+    }
+}
+
 /// Choices of the operators.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -244,7 +284,20 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let bounds = &self.bounds;
+        let usage = self.duties.and_then(|duties| duties.usage);
         let positive = [
+            (
+                "duties.lease_ms",
+                self.duties.map_or(1, |duties| duties.lease_ms) as f64,
+            ),
+            (
+                "duties.usage.window_s",
+                usage.map_or(1.0, |usage| usage.window_s),
+            ),
+            (
+                "duties.usage.late_s",
+                usage.map_or(1.0, |usage| usage.late_s),
+            ),
             ("bounds.leaving_ms", bounds.leaving_ms as f64),
             ("bounds.config_ms", bounds.config_ms as f64),
             (
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -6,8 +6,10 @@
 mod rollouts;
 mod sending;
 mod statements;
+mod supply;
 mod unread;
 mod unreadable;
+mod usage;
 mod waiting;
 
 use std::collections::HashMap;
@@ -25,14 +27,14 @@
 use ivyweir_policy::gateway::site::SiteIndex;
 use ivyweir_policy::gateway::statement::Source;
 use ivyweir_policy::gateway::upstreams::Upstreams;
-use ivyweir_policy::gateway::word::Word;
+use ivyweir_policy::gateway::word::{Running, Word};
 use ivyweir_policy::rank::hash64;
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 
 use crate::channel::Channels;
 use crate::clock::Clock;
-use crate::dialect::{Dialect, Item, StoreCodec, Topic};
+use crate::dialect::{Adapter, Dialect, DutyCodec, Item, StoreCodec, Topic};
 use crate::history::Histories;
 use crate::log::Log;
 use crate::metrics::Metrics;
@@ -44,6 +46,7 @@
 pub use rollouts::counts_of;
 use unread::UnreadHeaders;
 use unreadable::UnreadableRecords;
+use usage::UsageCount;
 use waiting::Queues;
 pub use waiting::Waiter;
 
@@ -63,6 +66,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The store's messages.
     pub codec: Arc<dyn StoreCodec>,
+    /// Messages of duties.
+    pub duty_codec: Arc<dyn DutyCodec>,
     /// Decisions, written down.
     pub log: Log,
     /// Counters.
@@ -86,6 +91,8 @@
     quarantine: Mutex<Quarantine>,
     /// Requests that wait for upstreams that want nothing for now.
     queues: Mutex<Queues>,
+    /// Requests that began, where usage is reported.
+    usage: Mutex<UsageCount>,
     /// Records of the store that cannot be read.
     unreadable: Mutex<UnreadableRecords>,
     /// Names on answers that nobody reads.
@@ -103,13 +110,7 @@
 
 impl Gateway {
     /// A box that knows nothing yet.
-    pub fn new(
-        settings: Settings,
-        clock: Clock,
-        dialect: Arc<dyn Dialect>,
-        codec: Arc<dyn StoreCodec>,
-        log: Log,
-    ) -> Self {
+    pub fn new(settings: Settings, clock: Clock, adapter: Adapter, log: Log) -> Self {
         let me = BoxRecord {
             name: settings.box_name.clone(),
             hall: settings.hall.clone(),
@@ -119,10 +120,12 @@
         let own = hash64(&[me.name.as_bytes()]);
         let peers = Peers::new(me, settings.seed_addrs.clone());
         Self {
-            settings,
             clock,
-            dialect,
-            codec,
+            dialect: adapter.dialect,
+            codec: adapter.store,
+            duty_codec: adapter.duties,
+            usage: Mutex::new(UsageCount::new(&settings)),
+            settings,
             log,
             metrics: Metrics::default(),
             channels: Channels::default(),
@@ -200,11 +203,20 @@
     /// What this box has to tell others.
     pub fn own_word(&self) -> Word {
         let tallies = self.own_tallies();
-        let work = lock(&self.upstreams).own_work();
+        let upstreams = lock(&self.upstreams);
+        let work = upstreams.own_work();
+        let orders_upstreams = self.settings.duties.is_some_and(|d| d.order_upstreams);
+        let running = if orders_upstreams {
+            upstreams.own_running()
+        } else {
+            Running::new()
+        };
+        drop(upstreams);
         Word {
             work,
             tallies,
             repeats: self.own_repeats(),
+            running,
         }
     }
 
@@ -343,6 +355,7 @@
         let (forgotten, known) = lock(&self.upstreams).sweep(grace_ms, now_ms);
         self.channels.sweep(|id| known.contains(id), now_ms);
         self.sweep_quarantine();
+        self.sweep_usage();
         for id in forgotten {
             self.log.line("upstream_forgotten", json!({"upstream": id}));
         }
--- /dev/null
+++ b/crates/ivyweir-gateway/src/state/usage.rs
@@ -0,0 +1,89 @@
+//! Requests that began, counted for reports of usage.
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::duty::epoch::SteadyEpoch;
+use ivyweir_policy::gateway::duty::report::UsageTerms;
+use ivyweir_policy::gateway::duty::usage::{BoxRun, Counts, Telling, UsageNews, UsageTable};
+
+use super::{Gateway, lock};
+use crate::clock;
+use crate::settings::Settings;
+
+/// What this box knows of usage; nothing is counted where none is reported.
+pub(super) struct UsageCount {
+    terms: Option<UsageTerms>,
+    epoch: SteadyEpoch,
+    table: UsageTable,
+}
+
+impl UsageCount {
+    /// Nothing counted yet.
+    pub(super) fn new(settings: &Settings) -> Self {
+        let usage = settings.duties.and_then(|duties| duties.usage);
+        Self {
+            terms: usage.map(|usage| usage.terms()),
+            epoch: SteadyEpoch::default(),
+            // Other readers of JSON keep 53 bits of a number.
+            table: UsageTable::new(BoxRun {
+                name: settings.box_name.clone(),
+                run: u64::from(rand::random::<u32>()),
+            }),
+        }
+    }
+}
+
+impl Gateway {
+    /// Counts a request of a workspace that begins to run now.
+    pub fn count_begun(&self, workspace: &Name) {
+        let mut usage = lock(&self.usage);
+        if let Some(terms) = usage.terms {
+            let window = terms.window_at(self.epoch_ms(&mut usage));
+            usage.table.count(workspace, window);
+        }
+    }
+
+    /// The time of day by which usage is counted.
+    pub fn usage_epoch_ms(&self) -> u64 {
+        self.epoch_ms(&mut lock(&self.usage))
+    }
+
+    /// The counts of these windows over all boxes.
+    pub fn usage_of(&self, windows: impl Iterator<Item = u64>) -> Vec<(u64, Counts)> {
+        let usage = lock(&self.usage);
+        let counts = windows.map(|window| (window, usage.table.total(window)));
+        counts.collect()
+    }
+
+    /// The first window in which anything was counted, as far as is remembered.
+    pub fn first_usage_window(&self) -> Option<u64> {
+        lock(&self.usage).table.first_window()
+    }
+
+    /// What another box is to be told of usage.
+    pub fn usage_news_for(&self, peer: &Name, telling: Telling) -> Option<UsageNews> {
+        let now_ms = self.clock.now_ms();
+        let mut usage = lock(&self.usage);
+        usage.terms?;
+        usage.table.news_for(peer, telling, now_ms)
+    }
+
+    /// Takes in what another box told of usage; `is_near` says that it is of this hall.
+    pub fn hear_usage(&self, peer: &Name, news: UsageNews, is_near: bool) {
+        let now_ms = self.clock.now_ms();
+        lock(&self.usage).table.hear(peer, news, is_near, now_ms);
+    }
+
+    /// Forgets windows that are long past.
+    pub(super) fn sweep_usage(&self) {
+        let mut usage = lock(&self.usage);
+        if let Some(terms) = usage.terms {
+            let oldest = terms.oldest_kept(self.epoch_ms(&mut usage));
+            let now_ms = self.clock.now_ms();
+            usage.table.forget_before(oldest, now_ms);
+        }
+    }
+
+    fn epoch_ms(&self, usage: &mut UsageCount) -> u64 {
+        usage.epoch.epoch_ms(clock::epoch_ms(), self.clock.now_ms())
+    }
+}
--- a/crates/ivyweir-gateway/src/words.rs
+++ b/crates/ivyweir-gateway/src/words.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::duty::usage::Telling;
 use ivyweir_policy::gateway::hall::{BoxRecord, asks};
 use ivyweir_policy::gateway::word::{Word, WordMessage, Work, add_repeats, add_tallies, without};
 use serde_json::json;
@@ -58,7 +59,7 @@
             Some(relay) => {
                 let own = gateway.own_word();
                 let told = std::mem::replace(&mut last_told, own.work.clone());
-                let message = own_message(&gateway, &relay.name, false, own);
+                let message = own_message(&gateway, &relay.name, false, own, Telling::Rows);
                 tell(&gateway, &mut clients, &relay, &message).await;
                 let mut word = others_word(&gateway, |_| false);
                 word.work = without(word.work, &told);
@@ -95,7 +96,8 @@
         };
         // Each pair of relays talks once a round; whoever hears from the other must notice its loss.
         if asks(own_hall, &hall) || root.as_ref() == Some(&relay) {
-            let message = own_message(gateway, &relay.name, true, hall_word(gateway));
+            let word = hall_word(gateway);
+            let message = own_message(gateway, &relay.name, true, word, Telling::Rows);
             tell(gateway, clients, &relay, &message).await;
         }
     }
@@ -148,6 +150,9 @@
     if let Some(news) = message.quarantine {
         gateway.hear_ledger(&message.from, news);
     }
+    if let Some(news) = message.usage {
+        gateway.hear_usage(&message.from, news, !message.for_hall);
+    }
     gateway.peers.take_word(&message.from, message.word, now_ms);
 }
 
@@ -175,11 +180,18 @@
         work,
         tallies,
         repeats,
+        ..Word::default()
     }
 }
 
 /// This box's message to another one.
-fn own_message(gateway: &Gateway, to: &Name, for_hall: bool, word: Word) -> WordMessage {
+fn own_message(
+    gateway: &Gateway,
+    to: &Name,
+    for_hall: bool,
+    word: Word,
+    telling: Telling,
+) -> WordMessage {
     WordMessage {
         from: gateway.settings.box_name.clone(),
         for_hall,
@@ -189,6 +201,7 @@
         departures: gateway.departures(),
         limits: gateway.limits(),
         quarantine: gateway.ledger_news_for(to),
+        usage: gateway.usage_news_for(to, telling),
     }
 }
 
@@ -206,5 +219,11 @@
     };
     let (asker, for_hall) = (message.from.clone(), message.for_hall);
     take_message(gateway, message, now_ms);
-    answer::message(&own_message(gateway, &asker, for_hall, word))
+    // Boxes of the hall sum nothing up.
+    let telling = if for_hall {
+        Telling::Rows
+    } else {
+        Telling::Heard
+    };
+    answer::message(&own_message(gateway, &asker, for_hall, word, telling))
 }
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/duty/lease.rs
@@ -0,0 +1,177 @@
+//! Which box holds the duties, by a record that boxes write conditionally.
+//!
+//! Whoever receives a duty's calls may not compare fences, so two holders must not overlap in time. A holder
+//! sends only while its lease, counted from before its last write was asked for, outlasts the call. Another
+//! box takes over only when it has seen the record unchanged for longer than that. Neither compares its clock
+//! with the other's.
+
+use crate::Name;
+use crate::gateway::duty::{DutyRecord, StoredDuties};
+
+/// Time for which a call that is already on its way may outlast its sender's lease.
+const IN_FLIGHT_MS: u64 = 500;
+
+/// How long leases last.
+#[derive(Debug, Clone, Copy)]
+pub struct LeaseTerms {
+    /// Time since a write was asked for in which its writer may act as holder.
+    pub lease_ms: u64,
+    /// The longest time that a duty's call may take.
+    pub call_ms: u64,
+}
+
+impl LeaseTerms {
+    /// Time for which the record must not have changed before another box may take it over.
+    fn takeover_ms(&self) -> u64 {
+        self.lease_ms + IN_FLIGHT_MS
+    }
+}
+
+/// What a box has to do about the record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Read it.
+    Read,
+    /// Leave it to its holder.
+    Wait,
+    /// Write it, to take the duties over.
+    Take,
+    /// It is this box's.
+    Held,
+}
+
+/// The record as it was last seen.
+#[derive(Debug, Clone)]
+struct Seen {
+    /// None where the store has none.
+    stored: Option<StoredDuties>,
+    /// When it was first seen so.
+    since_ms: u64,
+}
+
+/// A write whose outcome is not known: it may still be done while its condition holds, so nothing else is
+/// written before it.
+#[derive(Debug, Clone)]
+struct Pending {
+    record: DutyRecord,
+    first_asked_at_ms: u64,
+}
+
+/// A box's view of who holds the duties.
+#[derive(Debug)]
+pub struct Lease {
+    me: Name,
+    run: u64,
+    terms: LeaseTerms,
+    seen: Option<Seen>,
+    pending: Option<Pending>,
+    held_until_ms: u64,
+    highest_fence: u64,
+}
+
+impl Lease {
+    /// The view of the box `me` that knows nothing yet; `run` differs between runs of its process.
+    pub fn new(me: Name, run: u64, terms: LeaseTerms) -> Self {
+        Self {
+            me,
+            run,
+            terms,
+            seen: None,
+            pending: None,
+            held_until_ms: 0,
+            highest_fence: 0,
+        }
+    }
+
+    /// What to do now.
+    pub fn step(&self, now_ms: u64) -> LeaseStep {
+        let Some(seen) = &self.seen else {
+            return LeaseStep::Read;
+        };
+        match &seen.stored {
+            None => LeaseStep::Take,
+            Some(stored) if self.is_mine(&stored.record) => LeaseStep::Held,
+            Some(_) if now_ms >= seen.since_ms + self.terms.takeover_ms() => LeaseStep::Take,
+            Some(_) => LeaseStep::Wait,
+        }
+    }
+
+    /// The record as it was last seen.
+    pub fn record(&self) -> Option<&DutyRecord> {
+        let stored = self.seen.as_ref()?.stored.as_ref()?;
+        Some(&stored.record)
+    }
+
+    /// The fence under which this box may send a duty's call now, if it may.
+    pub fn fence(&self, now_ms: u64) -> Option<u64> {
+        let record = self.record().filter(|record| self.is_mine(record))?;
+        let is_held = now_ms + self.terms.call_ms <= self.held_until_ms;
+        is_held.then_some(record.fence)
+    }
+
+    /// The write to ask for now, and the revision that the record must have for it; none where there must be
+    /// no record. `change` is applied unless a write before it is still open.
+    pub fn write(
+        &mut self,
+        now_ms: u64,
+        change: impl FnOnce(&mut DutyRecord),
+    ) -> (DutyRecord, Option<u64>) {
+        let stored = self.seen.as_ref().and_then(|seen| seen.stored.clone());
+        let revision = stored.as_ref().map(|stored| stored.revision);
+        if let Some(pending) = &self.pending {
+            return (pending.record.clone(), revision);
+        }
+        let mut record = stored.map(|stored| stored.record).unwrap_or_default();
+        if self.is_mine(&record) {
+            record.renewals += 1;
+        } else {
+            record.fence = record.fence.max(self.highest_fence) + 1;
+            record.renewals = 0;
+            record.holder = self.me.clone();
+            record.run = self.run;
+        }
+        change(&mut record);
+        self.pending = Some(Pending {
+            record: record.clone(),
+            first_asked_at_ms: now_ms,
+        });
+        (record, revision)
+    }
+
+    /// Takes in that the store has this record, or none: after a read, or with the answer to a write, done or
+    /// not.
+    pub fn see(&mut self, stored: Option<StoredDuties>, now_ms: u64) {
+        if let Some(stored) = &stored {
+            self.highest_fence = self.highest_fence.max(stored.record.fence);
+        }
+        let revision = |stored: &Option<StoredDuties>| stored.as_ref().map(|s| s.revision);
+        let is_news = self
+            .seen
+            .as_ref()
+            .is_none_or(|seen| revision(&seen.stored) != revision(&stored));
+        // While the revision is the one it was asked for under, an open write may still be done.
+        if is_news && let Some(pending) = self.pending.take() {
+            let record = stored.as_ref().map(|stored| &stored.record);
+            if record == Some(&pending.record) {
+                self.held_until_ms = pending.first_asked_at_ms + self.terms.lease_ms;
+            }
+        }
+        if is_news {
+            self.seen = Some(Seen {
+                stored,
+                since_ms: now_ms,
+            });
+        }
+    }
+
+    /// Takes in that a call under this box's fence was refused: another holder has a higher one.
+    pub fn doubt(&mut self) {
+        self.held_until_ms = 0;
+        self.seen = None;
+        self.pending = None;
+    }
+
+    fn is_mine(&self, record: &DutyRecord) -> bool {
+        record.holder == self.me && record.run == self.run
+    }
+}
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -32,6 +32,9 @@
     /// Time for which it is still cold.
     #[serde(default)]
     pub cold_remaining_ms: u64,
+    /// Whether the platform may take it away at short notice.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_spot: bool,
     /// What the registry and the upstream itself call it, where that is not its id: it may start again under
     /// that name.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod copies;
 pub mod departures;
+pub mod duty;
 pub mod fleet;
 pub mod hall;
 pub mod joined;
--- a/crates/ivyweir-policy/src/gateway/site.rs
+++ b/crates/ivyweir-policy/src/gateway/site.rs
@@ -7,6 +7,7 @@
 
 use crate::Name;
 use crate::gateway::cold::ColdStart;
+use crate::gateway::duty::supply::Scaling;
 
 /// What may be done with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +106,9 @@
     /// How its upstreams are cold after their start, if they are.
     #[serde(default)]
     pub cold_start: Option<ColdStart>,
+    /// How many upstreams may be ordered, where the platform starts and ends them on order.
+    #[serde(default)]
+    pub scaling: Option<Scaling>,
 }
 
 /// Bounds on what callers send.
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -4,6 +4,7 @@
 //! kept by incarnation, so the next one begins anew.
 
 mod heard;
+mod supply;
 mod versions;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::duty::usage::UsageNews;
 use crate::gateway::limit::ToldLimit;
 use crate::gateway::quarantine::LedgerNews;
 use crate::gateway::repeat::RepeatCounts;
@@ -20,6 +21,9 @@
 /// Requests and repeats, by pool.
 pub type Repeats = HashMap<Name, RepeatCounts>;
 
+/// Requests under way, by pool.
+pub type Running = HashMap<Name, u32>;
+
 /// Adds counts of repeats to others.
 pub fn add_repeats(to: &mut Repeats, more: &Repeats) {
     for (pool, counts) in more {
@@ -37,6 +41,9 @@
     /// Requests and repeats of the last seconds, by pool.
     #[serde(default)]
     pub repeats: Repeats,
+    /// Requests under way, by pool, where upstreams are ordered by them.
+    #[serde(default, skip_serializing_if = "HashMap::is_empty")]
+    pub running: Running,
 }
 
 impl Word {
@@ -45,6 +52,9 @@
         add_work(&mut self.work, &more.work);
         add_tallies(&mut self.tallies, &more.tallies);
         add_repeats(&mut self.repeats, &more.repeats);
+        for (pool, running) in &more.running {
+            *self.running.entry(pool.clone()).or_default() += running;
+        }
     }
 }
 
@@ -160,4 +170,7 @@
     /// What is new of requests under which upstreams ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<LedgerNews>,
+    /// What is new of requests that began, where usage is reported.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<UsageNews>,
 }
--- a/crates/ivyweir-policy/tests/common/mod.rs
+++ b/crates/ivyweir-policy/tests/common/mod.rs
@@ -75,6 +75,7 @@
             cpu_milli: 120,
         };
         Self {
+            lists: SeedLists::new(record.hall.clone()),
             record,
             starts: 0,
             started_ms: None,
@@ -83,7 +84,6 @@
             next_join_ms: 0,
             rounds: n,
             joined: Joined::default(),
-            lists: SeedLists::default(),
             joined_at_ms: 0,
             owners: Arc::default(),
             fleet_size: 1,
@@ -95,8 +95,8 @@
         self.started_ms = Some(now_ms);
         self.next_join_ms = now_ms;
         self.rounds %= SEEDS;
-        self.joined = Joined::default();
-        self.lists = SeedLists::default();
+        self.joined = Joined::new(u64::from(self.starts));
+        self.lists = SeedLists::new(self.record.hall.clone());
         self.joined_at_ms = 0;
     }
 
@@ -216,9 +216,10 @@
         let seed_record = boxes[seed].record.clone();
         boxes[seed].joined.join(record, now_ms);
         boxes[seed].joined.join(seed_record, now_ms);
-        let list = boxes[seed].joined.list_for(&hall, now_ms);
         let addr = boxes[seed].record.peer_addr;
-        boxes[n].lists.take(addr, Some(list), now_ms);
+        let has = boxes[n].lists.mark(addr);
+        let news = boxes[seed].joined.news_for(&hall, has, now_ms);
+        boxes[n].lists.take(addr, news, now_ms);
         boxes[n].fleet_size = boxes[seed].joined.count(now_ms);
         boxes[n].joined_at_ms = now_ms;
     }
--- a/crates/ivyweir-policy/tests/gateway_decisions.rs
+++ b/crates/ivyweir-policy/tests/gateway_decisions.rs
@@ -115,6 +115,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
+        is_spot: false,
         registered_as: None,
     }
 }
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_duties.rs
@@ -0,0 +1,298 @@
+//! Who holds the duties, judged by the calls that reach the platform: boxes that are killed, suspended or cut
+//! off, a store that refuses, is silent, or does a write seconds after its answer was lost, and several boxes that
+//! want the duties at once.
+
+use std::collections::BTreeMap;
+
+use ivyweir_policy::gateway::duty::lease::{Lease, LeaseStep, LeaseTerms};
+use ivyweir_policy::gateway::duty::{DutyRecord, StoredDuties};
+use ivyweir_standins::edge::{DutyCall, DutyPromise};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const TERMS: LeaseTerms = LeaseTerms {
+    lease_ms: 3_000,
+    call_ms: 1_000,
+};
+const STEP_MS: u64 = 50;
+/// Time for which a box that was suspended is excused.
+const THAW_MS: u64 = 300;
+
+/// A write that the store has taken and will do at this time, if its condition holds then.
+struct Write {
+    at_ms: u64,
+    record: DutyRecord,
+    revision: Option<u64>,
+}
+
+#[derive(Default)]
+struct Store {
+    stored: Option<StoredDuties>,
+    revision: u64,
+    late: Vec<Write>,
+}
+
+impl Store {
+    fn write(&mut self, record: DutyRecord, expected: Option<u64>) {
+        if self.stored.as_ref().map(|stored| stored.revision) == expected {
+            self.revision += 1;
+            let revision = self.revision;
+            self.stored = Some(StoredDuties { record, revision });
+        }
+    }
+
+    fn do_late(&mut self, now_ms: u64) {
+        let open = std::mem::take(&mut self.late).into_iter();
+        let (due, late): (Vec<Write>, Vec<Write>) = open.partition(|write| write.at_ms <= now_ms);
+        self.late = late;
+        for write in due {
+            self.write(write.record, write.revision);
+        }
+    }
+}
+
+/// How the store treats a box.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Sound,
+    /// It does nothing, and says so or not.
+    Refuses,
+    /// It does what it is asked at once or seconds later, and its answer is lost.
+    LosesAnswers,
+}
+
+struct SimBox {
+    number: usize,
+    runs: u64,
+    lease: Lease,
+    wants: bool,
+    way: Way,
+    suspended_until_ms: u64,
+    dead_until_ms: u64,
+    sends_at_ms: u64,
+}
+
+impl SimBox {
+    fn new(number: usize) -> Self {
+        Self {
+            number,
+            runs: 0,
+            lease: lease(number, 0),
+            wants: false,
+            way: Way::Sound,
+            suspended_until_ms: 0,
+            dead_until_ms: 0,
+            sends_at_ms: 0,
+        }
+    }
+
+    fn restart(&mut self, dead_until_ms: u64) {
+        self.runs += 1;
+        self.lease = lease(self.number, self.runs);
+        self.dead_until_ms = dead_until_ms;
+    }
+
+    fn runs_at(&self, now_ms: u64) -> bool {
+        now_ms >= self.suspended_until_ms && now_ms >= self.dead_until_ms
+    }
+
+    /// Asks the store what is to be asked now; what the box hears of it.
+    fn ask(&mut self, store: &mut Store, now_ms: u64, rng: &mut StdRng) {
+        let write = match self.lease.step(now_ms) {
+            LeaseStep::Wait => return,
+            LeaseStep::Read => None,
+            LeaseStep::Take | LeaseStep::Held => Some(self.lease.write(now_ms, |_| {})),
+        };
+        match (self.way, write) {
+            (Way::Refuses, _) => return,
+            (Way::LosesAnswers, Some((record, revision))) => {
+                let at_ms = now_ms + rng.random_range(0..6_000);
+                store.late.push(Write {
+                    at_ms,
+                    record,
+                    revision,
+                });
+                return;
+            }
+            (Way::LosesAnswers, None) => return,
+            (Way::Sound, Some((record, revision))) => store.write(record, revision),
+            (Way::Sound, None) => {}
+        }
+        self.lease.see(store.stored.clone(), now_ms);
+    }
+}
+
+fn lease(number: usize, run: u64) -> Lease {
+    Lease::new(format!("box-{number}").into(), run, TERMS)
+}
+
+struct Run {
+    calls: Vec<DutyCall>,
+    holders: usize,
+    last_call_ms: u64,
+}
+
+/// Plays boxes that want the duties by turns, mostly one and at times several, and all troubles until `calm_ms`.
+fn play(boxes: usize, seed: u64, calm_ms: u64, end_ms: u64) -> Run {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut fleet: Vec<SimBox> = (0..boxes).map(SimBox::new).collect();
+    let mut calls: BTreeMap<(u64, usize), DutyCall> = BTreeMap::new();
+    for now_ms in (0..end_ms).step_by(STEP_MS as usize) {
+        store.do_late(now_ms);
+        if now_ms.is_multiple_of(2_000) {
+            let is_calm = now_ms >= calm_ms;
+            for sim in &mut fleet {
+                sim.wants = rng.random_bool(if is_calm { 0.0 } else { 0.05 });
+                sim.way = match rng.random_range(0..8) {
+                    _ if is_calm => Way::Sound,
+                    0 => Way::Refuses,
+                    1 => Way::LosesAnswers,
+                    _ => Way::Sound,
+                };
+                if !is_calm && rng.random_bool(0.08) {
+                    sim.suspended_until_ms = now_ms + rng.random_range(100..8_000);
+                }
+                if !is_calm && rng.random_bool(0.08) {
+                    sim.restart(now_ms + rng.random_range(100..3_000));
+                }
+            }
+            let first = rng.random_range(0..boxes.min(4));
+            fleet[if is_calm { 0 } else { first }].wants = true;
+        }
+        for sim in &mut fleet {
+            if !sim.wants || !sim.runs_at(now_ms) {
+                continue;
+            }
+            if let Some(fence) = sim.lease.fence(now_ms)
+                && now_ms >= sim.sends_at_ms
+            {
+                sim.sends_at_ms = now_ms + 400;
+                let at_ms = now_ms + rng.random_range(0..TERMS.call_ms);
+                let call = DutyCall {
+                    at_ms,
+                    from: format!("box-{}", sim.number).into(),
+                    fence,
+                    subject: "usage".into(),
+                    report: None,
+                    is_excused: now_ms < sim.suspended_until_ms + THAW_MS,
+                };
+                calls.insert((at_ms, calls.len()), call);
+            }
+            if now_ms.is_multiple_of(500) || sim.lease.step(now_ms) == LeaseStep::Take {
+                sim.ask(&mut store, now_ms, &mut rng);
+            }
+        }
+    }
+    let calls: Vec<DutyCall> = calls.into_values().collect();
+    let mut holders: Vec<&str> = calls.iter().map(|call| &*call.from).collect();
+    holders.sort_unstable();
+    holders.dedup();
+    Run {
+        holders: holders.len(),
+        last_call_ms: calls.last().map_or(0, |call| call.at_ms),
+        calls,
+    }
+}
+
+macro_rules! fleets {
+    ($($name:ident: $boxes:expr, seeds $seeds:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let promise = DutyPromise { lease_ms: TERMS.lease_ms };
+            let mut holders = 0;
+            for seed in $seeds {
+                let run = play($boxes, seed, 90_000, 110_000);
+                if let Err(breach) = promise.check(&run.calls) {
+                    panic!("seed {seed}: {breach}");
+                }
+                assert!(run.last_call_ms > 105_000, "seed {seed}: nobody holds the duties");
+                holders += run.holders;
+            }
+            assert!(holders > $seeds.count(), "the duties never changed hands");
+        }
+    )*};
+}
+
+fleets! {
+    two_boxes_never_hold_the_duties_at_once: 2, seeds 0..200_u64;
+    nor_do_nine: 9, seeds 0..100_u64;
+    nor_do_eighty: 80, seeds 0..12_u64;
+    nor_do_a_thousand: 1_000, seeds 0..2_u64;
+}
+
+fn record(holder: &str, fence: u64) -> DutyRecord {
+    DutyRecord {
+        holder: holder.into(),
+        run: 7,
+        fence,
+        ..DutyRecord::default()
+    }
+}
+
+fn stored(record: DutyRecord, revision: u64) -> Option<StoredDuties> {
+    Some(StoredDuties { record, revision })
+}
+
+#[test]
+fn a_record_of_another_box_is_taken_over_only_when_it_stood_still_for_a_lease() {
+    let mut lease = lease(0, 0);
+    assert_eq!(lease.step(0), LeaseStep::Read);
+    lease.see(stored(record("other", 4), 10), 1_000);
+    assert_eq!(lease.step(4_400), LeaseStep::Wait);
+    lease.see(stored(record("other", 4), 11), 4_400);
+    assert_eq!(lease.step(7_800), LeaseStep::Wait);
+    assert_eq!(lease.step(7_900), LeaseStep::Take);
+    let (taken, revision) = lease.write(7_900, |_| {});
+    assert_eq!((taken.fence, revision), (5, Some(11)));
+    assert_eq!(lease.fence(7_950), None);
+    lease.see(stored(taken, 12), 7_980);
+    assert_eq!(lease.fence(7_980), Some(5));
+    assert_eq!(lease.fence(9_900), Some(5));
+    assert_eq!(lease.fence(9_901), None);
+}
+
+/// The store did the write and its answer was lost. The lease counts from when the write was first asked for, and
+/// until the write is found nothing else is written in its place.
+#[test]
+fn a_write_whose_answer_was_lost_is_asked_for_again_as_it_was() {
+    let mut lease = lease(0, 0);
+    lease.see(None, 0);
+    let (first, _) = lease.write(100, |record| record.fixed_window = Some(1));
+    let (again, _) = lease.write(900, |record| record.fixed_window = Some(2));
+    assert_eq!(first, again);
+    lease.see(None, 950);
+    assert_eq!(lease.write(1_000, |_| {}).0, first);
+    lease.see(stored(first, 3), 1_500);
+    assert_eq!(lease.fence(2_100), Some(1));
+    assert_eq!(lease.fence(2_101), None);
+    let (next, revision) = lease.write(2_101, |record| record.fixed_window = Some(2));
+    assert_eq!((next.fixed_window, revision), (Some(2), Some(3)));
+    assert_eq!((next.fence, next.renewals), (1, 1));
+}
+
+#[test]
+fn a_box_that_starts_again_holds_nothing_until_it_has_waited() {
+    let mut before = lease(0, 0);
+    before.see(None, 0);
+    let (taken, _) = before.write(0, |_| {});
+    let mut after = lease(0, 1);
+    after.see(stored(taken, 1), 100);
+    assert_eq!(after.step(100), LeaseStep::Wait);
+    assert_eq!(after.fence(100), None);
+    assert_eq!(after.write(4_000, |_| {}).0.fence, 2);
+}
+
+#[test]
+fn a_box_whose_fence_was_refused_reads_the_record_anew() {
+    let mut lease = lease(0, 0);
+    lease.see(None, 0);
+    let (taken, _) = lease.write(0, |_| {});
+    lease.see(stored(taken, 1), 10);
+    lease.doubt();
+    assert_eq!(lease.step(20), LeaseStep::Read);
+    assert_eq!(lease.fence(20), None);
+    // Somebody removed the record meanwhile: no fence is given twice.
+    lease.see(None, 30);
+    assert_eq!(lease.write(40, |_| {}).0.fence, 2);
+}
--- a/crates/ivyweir-policy/tests/gateway_limit.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit.rs
@@ -27,6 +27,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
+        is_spot: false,
         registered_as: None,
     };
     upstreams.fleet().put(record, 0);
--- a/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
+++ b/crates/ivyweir-policy/tests/gateway_limit_fleets.rs
@@ -67,6 +67,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
+        is_spot: false,
         registered_as: None,
     }
 }
--- a/crates/ivyweir-policy/tests/gateway_peers.rs
+++ b/crates/ivyweir-policy/tests/gateway_peers.rs
@@ -5,7 +5,9 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::hall::{BoxRecord, KeptRoot, ShunPauses, Shunned, Source, View, asks};
-use ivyweir_policy::gateway::joined::{Joined, SeedLists, Start, digest};
+use ivyweir_policy::gateway::joined::{Joined, SeedLists, Start};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 const HALLS: [&str; 4] = ["hall-a", "hall-b", "hall-c", "hall-d"];
 
@@ -189,15 +191,25 @@
     assert_eq!(told, [record("stays", "hall-a", 2)]);
 }
 
+/// A seed at which these boxes joined.
+fn seed_of(boxes: &[BoxRecord]) -> Joined {
+    let mut joined = Joined::new(1);
+    for record in boxes {
+        joined.join(record.clone(), 0);
+    }
+    joined
+}
+
 #[test]
 fn lists_of_seeds_are_added_up_and_the_newest_word_on_a_box_counts() {
     let seeds: [SocketAddr; 2] = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
-    let mut lists = SeedLists::default();
-    let first = vec![record("moved", "hall-a", 10), record("one", "hall-a", 11)];
-    assert_eq!(lists.digest(seeds[0]), 0);
-    lists.take(seeds[0], Some(first.clone()), 0);
-    assert_eq!(lists.digest(seeds[0]), digest(&first));
-    lists.take(seeds[1], Some(vec![record("moved", "hall-a", 20)]), 1_000);
+    let mut lists = SeedLists::new("hall-a".into());
+    assert_eq!(lists.mark(seeds[0]), None);
+    let mut first = seed_of(&[record("moved", "hall-a", 10), record("one", "hall-a", 11)]);
+    lists.take(seeds[0], first.news_for("hall-a", None, 0), 0);
+    assert_eq!(first.news_for("hall-a", lists.mark(seeds[0]), 0), None);
+    let mut second = seed_of(&[record("moved", "hall-a", 20)]);
+    lists.take(seeds[1], second.news_for("hall-a", None, 0), 1_000);
     let boxes = lists.boxes();
     assert_eq!(boxes["moved"].peer_addr.port(), 20);
     assert_eq!(boxes.keys().cloned().collect::<BTreeSet<Name>>().len(), 2);
@@ -209,9 +221,93 @@
 #[test]
 fn a_box_that_changed_its_size_is_news() {
     let before = record("one", "hall-a", 1);
-    let mut after = before.clone();
+    let mut joined = seed_of(std::slice::from_ref(&before));
+    let news = joined.news_for("hall-a", None, 0).expect("a list");
+    assert_eq!(news.boxes, std::slice::from_ref(&before));
+    let mut after = before;
     after.cpu_milli = 500;
-    assert_ne!(digest(&[before]), digest(&[after]));
+    assert!(joined.join(after.clone(), 0));
+    let news = joined.news_for("hall-a", Some(news.mark), 0);
+    assert_eq!(news.expect("news").boxes, [after]);
+}
+
+#[test]
+fn a_seed_that_started_again_tells_all_it_has() {
+    let mut before = seed_of(&[record("one", "hall-a", 1), record("two", "hall-a", 2)]);
+    let mut lists = SeedLists::new("hall-a".into());
+    let seed = SocketAddr::from(([127, 0, 0, 1], 9));
+    lists.take(seed, before.news_for("hall-a", None, 0), 0);
+    let mut after = Joined::new(2);
+    for name in ["one", "three"] {
+        after.join(record(name, "hall-a", 1), 0);
+    }
+    let news = after
+        .news_for("hall-a", lists.mark(seed), 0)
+        .expect("a list");
+    assert!(news.is_whole);
+    lists.take(seed, Some(news), 0);
+    let boxes: BTreeSet<Name> = lists.boxes().into_keys().collect();
+    assert_eq!(boxes, ["one", "three"].map(Name::from).into());
+}
+
+/// Any order of joins, losses and asks brings a box to the list that the seed has.
+#[test]
+fn what_changed_adds_up_to_the_list() {
+    let mut rng = StdRng::seed_from_u64(44);
+    let seed = SocketAddr::from(([127, 0, 0, 1], 9));
+    for run in 0..30 {
+        let mut joined = Joined::new(run);
+        let mut lists = SeedLists::new("hall-a".into());
+        for now_ms in (0..200_000).step_by(500) {
+            let n = rng.random_range(0..40_u16);
+            let hall = HALLS[usize::from(n) % HALLS.len()];
+            let mut joins = record(&format!("box-{n}"), hall, n);
+            joins.cpu_milli = [120, 120, 120, 500][rng.random_range(0..4)];
+            joined.join(joins, now_ms);
+            if rng.random_bool(0.2) {
+                let news = joined.news_for("hall-a", lists.mark(seed), now_ms);
+                lists.take(seed, news, now_ms);
+                let mut known: Vec<BoxRecord> = lists.boxes().into_values().collect();
+                let mut told = joined.list_for("hall-a", now_ms);
+                for list in [&mut known, &mut told] {
+                    list.sort_by(|a, b| a.name.cmp(&b.name));
+                }
+                assert_eq!(known, told, "run {run} at {now_ms} ms");
+            }
+        }
+    }
+}
+
+/// Records that a seed tells all boxes of one hall while some boxes start again, one after the other.
+fn records_told(boxes: u16, restarts: u16) -> usize {
+    let name = |n: u16| format!("box-{n}");
+    let hall = |n: u16| HALLS[usize::from(n) % HALLS.len()];
+    let mut joined = Joined::new(1);
+    for n in 0..boxes {
+        joined.join(record(&name(n), hall(n), n), 0);
+    }
+    let asker = SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut lists = SeedLists::new("hall-a".into());
+    lists.take(asker, joined.news_for("hall-a", None, 0), 0);
+    let mut told = 0;
+    for n in 0..restarts {
+        // It comes back at another address.
+        joined.join(record(&name(n), hall(n), 10_000 + n), 1);
+        if let Some(news) = joined.news_for("hall-a", lists.mark(asker), 1) {
+            told += news.boxes.len() + news.gone.len();
+            lists.take(asker, Some(news), 1);
+        }
+    }
+    told
+}
+
+/// What users of a large fleet saw: seeds on small machines whose links were full while boxes were restarted in turn.
+/// Cause: a seed told its whole list again to each box whenever a single box came or went.
+#[test]
+fn what_a_seed_tells_of_a_change_does_not_grow_with_the_fleet() {
+    assert_eq!(records_told(50, 20), records_told(500, 20));
+    // Of the asker's hall the box itself, of another one the relays.
+    assert_eq!(records_told(500, 20), 5 + 15 * 3);
 }
 
 macro_rules! starts {
--- a/crates/ivyweir-policy/tests/gateway_rollout_load.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_load.rs
@@ -25,6 +25,7 @@
                 slots: 8,
                 is_leaving: false,
                 cold_remaining_ms: 0,
+                is_spot: false,
                 registered_as: None,
             };
             upstreams.fleet().put(record, 0);
--- a/crates/ivyweir-policy/tests/gateway_statements.rs
+++ b/crates/ivyweir-policy/tests/gateway_statements.rs
@@ -25,6 +25,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
+        is_spot: false,
         registered_as: Some(name.into()),
     }
 }
--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -3,6 +3,8 @@
 //!
 //! They speak the gateway's own interface.
 
+mod duty_platform;
+mod duty_promise;
 mod peer_filter;
 mod process;
 mod promise;
@@ -10,6 +12,8 @@
 mod scripted;
 mod town;
 
+pub use duty_platform::DutyPlatform;
+pub use duty_promise::{Breach, DutyCall, DutyPromise};
 pub use peer_filter::PeerFilter;
 pub use process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use promise::{Arrival, Excess, LimitPromise};
--- /dev/null
+++ b/crates/ivyweir-standins/src/edge/duty_platform.rs
@@ -0,0 +1,142 @@
+//! A platform that takes the calls of duties, and remembers them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
+use ivyweir_policy::gateway::duty::usage::UsageReport;
+
+use super::duty_promise::DutyCall;
+use super::town::serve_on_thread;
+
+/// A running platform.
+#[derive(Clone)]
+pub struct DutyPlatform {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    started: Instant,
+    status: StatusCode,
+    calls: Vec<DutyCall>,
+    reports: Vec<UsageReport>,
+    orders: Vec<UpstreamOrder>,
+}
+
+impl DutyPlatform {
+    /// Starts one on a free port.
+    pub fn start() -> Self {
+        let state = Arc::new(Mutex::new(State {
+            started: Instant::now(),
+            status: StatusCode::OK,
+            calls: Vec::new(),
+            reports: Vec::new(),
+            orders: Vec::new(),
+        }));
+        let serving = state.clone();
+        let addr = serve_on_thread(move |request| {
+            let state = serving.clone();
+            async move { Ok::<_, Infallible>(answer(&state, request).await) }
+        });
+        Self { addr, state }
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets whether it refuses all further calls, which it has not taken then.
+    pub fn refuse(&self, refuses: bool) {
+        self.state().status = if refuses {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        };
+    }
+
+    /// All calls, in the order in which they arrived.
+    pub fn calls(&self) -> Vec<DutyCall> {
+        self.state().calls.clone()
+    }
+
+    /// Reports that were taken, each as often as it came.
+    pub fn reports(&self) -> Vec<UsageReport> {
+        self.state().reports.clone()
+    }
+
+    /// Orders that were taken.
+    pub fn orders(&self) -> Vec<UpstreamOrder> {
+        self.state().orders.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+async fn answer(state: &Mutex<State>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    let header = |name: &str| {
+        let value = head.headers.get(name)?;
+        Some(value.to_str().ok()?.to_owned())
+    };
+    let fence = header("ivyweir-fence").and_then(|fence| fence.parse().ok());
+    let (Some(from), Some(fence), Ok(body)) =
+        (header("ivyweir-duty-holder"), fence, body.collect().await)
+    else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = body.to_bytes();
+    let mut state = lock(state);
+    let at_ms = state.started.elapsed().as_millis() as u64;
+    let mut call = DutyCall {
+        at_ms,
+        from: from.into(),
+        fence,
+        subject: "usage".to_owned(),
+        report: None,
+        is_excused: false,
+    };
+    let is_taken = state.status.is_success();
+    match head.uri.path() {
+        "/v1/usage" => {
+            let Ok(report) = serde_json::from_slice::<UsageReport>(&body) else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            call.report = Some((report.window, format!("{:?}", report.counts)));
+            if is_taken {
+                state.reports.push(report);
+            }
+        }
+        "/v1/upstreams" => {
+            let Ok(order) = serde_json::from_slice::<UpstreamOrder>(&body) else {
+                return status(StatusCode::BAD_REQUEST);
+            };
+            call.subject = format!("{} in {}", order.pool, order.hall);
+            if is_taken {
+                state.orders.push(order);
+            }
+        }
+        _ => return status(StatusCode::NOT_FOUND),
+    }
+    state.calls.push(call);
+    status(state.status)
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = code;
+    answer
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder panics")
+}
--- a/crates/ivyweir-standins/src/edge/process.rs
+++ b/crates/ivyweir-standins/src/edge/process.rs
@@ -45,6 +45,8 @@
     pub seed_addrs: &'a [SocketAddr],
     /// The `policy` section of its settings.
     pub policy: &'a Value,
+    /// The `duties` section of its settings; null for none.
+    pub duties: &'a Value,
 }
 
 /// Settings of a box with its other listeners on any free ports, and the bounds that tests go by.
@@ -55,6 +57,7 @@
         "metrics_addr": "127.0.0.1:0", "peer_addr": spec.peer_addr,
         "seed_addrs": spec.seed_addrs, "store_addr": spec.store_addr,
         "machine": {"memory_mb": 110, "max_fds": 4100}, "policy": spec.policy,
+        "duties": spec.duties,
         "bounds": {
             "leaving_ms": 2000, "config_ms": 2000, "revoke_ms": 5000, "stop_grace_s": 8,
             "hall_drain_ms": 5000,
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use ivyweir_gateway::dialect::{Item, Topic};
-use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage};
+use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage, StoredRecord};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::QuarantineRecord;
@@ -58,6 +58,8 @@
     foreign: BTreeMap<(&'static str, Name), Value>,
     /// Quarantined requests, by the name of their record.
     quarantines: BTreeMap<String, QuarantineRecord>,
+    /// Who holds the duties, and the revision of that.
+    duties: Option<StoredRecord>,
     fault: StoreFault,
     calls: u64,
 }
@@ -301,6 +303,10 @@
     if let ["v1", "quarantines", name @ ..] = path.as_slice() {
         return quarantines(shared, &head.method, name, &body);
     }
+    if path.as_slice() == ["v1", "duties"] {
+        let query = head.uri.query().unwrap_or_default();
+        return duties(shared, &head.method, query, &body);
+    }
     let ["v1", "records", topic, rest @ ..] = path.as_slice() else {
         return status(StatusCode::NOT_FOUND);
     };
@@ -341,6 +347,35 @@
     }
 }
 
+/// Reads or writes who holds the duties, under the revision that the writer saw.
+fn duties(shared: &Shared, method: &Method, query: &str, body: &[u8]) -> Response<Full<Bytes>> {
+    let mut state = shared.state();
+    let known = state.duties.as_ref().map(|stored| stored.revision);
+    let expected = match *method {
+        Method::GET => None,
+        Method::POST => Some(None),
+        Method::PUT => Some(query.strip_prefix("revision=").and_then(|r| r.parse().ok())),
+        _ => return status(StatusCode::NOT_FOUND),
+    };
+    let mut code = StatusCode::OK;
+    match (expected, serde_json::from_slice(body)) {
+        (None, _) => {}
+        (Some(expected), Ok(record)) if expected == known => {
+            state.revision += 1;
+            let revision = state.revision;
+            state.duties = Some(StoredRecord { record, revision });
+        }
+        (Some(_), Ok(_)) => code = StatusCode::CONFLICT,
+        (Some(_), Err(_)) => return status(StatusCode::BAD_REQUEST),
+    }
+    let Some(stored) = &state.duties else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let mut answer = answer_json(stored);
+    *answer.status_mut() = code;
+    answer
+}
+
 async fn watch_topic(shared: &Shared, topic: Topic, query: &str) -> Response<Full<Bytes>> {
     let field = |name: &str| -> u64 {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/ivyweir-standins/src/edge/scripted.rs
+++ b/crates/ivyweir-standins/src/edge/scripted.rs
@@ -266,6 +266,7 @@
         slots: 8,
         is_leaving: false,
         cold_remaining_ms: 0,
+        is_spot: false,
         registered_as: None,
     }
 }
--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -51,6 +51,8 @@
     pub boxes: Vec<GatewayProcess>,
     /// The `policy` section in the settings of boxes that start from now on.
     pub policy: Value,
+    /// The `duties` section in the settings of boxes that start from now on; null for none.
+    pub duties: Value,
     binary: PathBuf,
     folder: PathBuf,
 }
@@ -78,6 +80,7 @@
             services,
             boxes: Vec::new(),
             policy: json!({}),
+            duties: Value::Null,
             binary: binary.into(),
             folder,
         }
@@ -117,6 +120,7 @@
             peer_addr: any_port(),
             seed_addrs: &seed_addrs,
             policy: &self.policy,
+            duties: &self.duties,
         };
         let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
         self.boxes.push(started);
@@ -197,6 +201,7 @@
         max_connections: 100,
         is_engine,
         cold_start: None,
+        scaling: None,
     };
     Site {
         version,
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use gumdrop::Options;
-use ivyweir_adapter::ObjectCodec;
-use ivyweir_gateway::native::{self, NativeCodec};
-use ivyweir_gateway::{DialectChoice, Settings as GatewaySettings};
+use ivyweir_adapter::{DutyCalls, ObjectCodec};
+use ivyweir_gateway::native::{self, NativeCodec, NativeDuties};
+use ivyweir_gateway::{Adapter, DialectChoice, Settings as GatewaySettings};
 use ivyweird::Settings;
 
 /// Exit code for settings that cannot be used.
@@ -78,17 +78,19 @@
         println!("{}: ok", file.display());
         return ExitCode::SUCCESS;
     }
-    let ran = match settings.dialect {
-        DialectChoice::Native => {
-            let dialect = Arc::new(native::dialect());
-            ivyweir_gateway::run(settings, dialect, Arc::new(NativeCodec))
-        }
-        DialectChoice::Platform => {
-            let codec = Arc::new(ObjectCodec::new(settings.store_addr));
-            ivyweir_gateway::run(settings, Arc::new(ivyweir_adapter::dialect()), codec)
-        }
+    let adapter = match settings.dialect {
+        DialectChoice::Native => Adapter {
+            dialect: Arc::new(native::dialect()),
+            store: Arc::new(NativeCodec),
+            duties: Arc::new(NativeDuties),
+        },
+        DialectChoice::Platform => Adapter {
+            dialect: Arc::new(ivyweir_adapter::dialect()),
+            store: Arc::new(ObjectCodec::new(settings.store_addr)),
+            duties: Arc::new(DutyCalls),
+        },
     };
-    match ran {
+    match ivyweir_gateway::run(settings, adapter) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("ivyweird: {e}");
--- a/crates/ivyweird/tests/common/soak.rs
+++ b/crates/ivyweird/tests/common/soak.rs
@@ -133,6 +133,7 @@
             peer_addr: any_port(),
             seed_addrs: &seed_addrs,
             policy: &self.town.policy,
+            duties: &self.town.duties,
         };
         let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
         self.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -35,6 +35,7 @@
             peer_addr: any_port(),
             seed_addrs: &[],
             policy: &json!({}),
+            duties: &json!(null),
         });
         let name = format!("ivyweir-log-{}-{name}.json", std::process::id());
         let file = std::env::temp_dir().join(name);
