Of many upstreams those that a request looks at are found without listing them

Cause: the list of a large pool's upstreams was made anew with each change, and took the address that each one named out of all members when one left; in a release that is some times a second, on each box. Ruled out: keeping the list and patching it (every rule on who may serve would stand twice). Change: members are indexed by hashed id and in any order, by pool; whether those that are looked at may serve is asked of each; who else names an address is indexed too.

--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -1,5 +1,7 @@
 //! The upstreams a box knows, from the registry and from what it saw itself.
 
+mod index;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +10,7 @@
 
 use crate::Name;
 use crate::rank::hash64;
+use index::PoolIndex;
 
 /// Ids of upstreams that left which are remembered; an id is never used again.
 const LEFT_KEPT: usize = 4_096;
@@ -126,10 +129,13 @@
     /// record that names it too is another writer's, or the next upstream's there. If the first one is not who is
     /// there, the upstream says so when it is first asked, and the next one takes its place.
     at: HashMap<Place, Name>,
+    /// All members that name an address.
+    naming: HashMap<Place, Vec<Name>>,
     /// Incarnations that others replaced under their names, until they are taken.
     replaced: Vec<Arc<UpstreamRecord>>,
     left: RecentIds,
     replaced_ids: RecentIds,
+    pools: HashMap<Name, PoolIndex>,
     /// Members whose records are gone.
     lapsed: HashSet<Name>,
     /// Counts how often members changed.
@@ -175,10 +181,12 @@
         }
         let known = self.members.get(&record.id);
         let before = known.map(|m| m.standing);
+        let id_hash = known.map_or_else(|| hash64(&[record.id.as_bytes()]), |m| m.id_hash);
+        let tells_start = record.registered_as.is_some();
         let member = Member {
             cold_until_ms: now_ms.saturating_add(record.cold_remaining_ms),
             assumed_cold_until_ms: known.map_or(0, |m| m.assumed_cold_until_ms),
-            id_hash: known.map_or_else(|| hash64(&[record.id.as_bytes()]), |m| m.id_hash),
+            id_hash,
             record: Arc::new(record),
             standing: Standing::Ready,
         };
@@ -186,8 +194,17 @@
         self.lapsed.remove(&member.record.id);
         let (id, place) = (member.record.id.clone(), member.place());
         let before_place = self.members.insert(id.clone(), member).map(|m| m.place());
-        if let Some(left) = before_place.filter(|left| *left != place) {
-            self.vacate(&left, &id);
+        if before_place.as_ref() != Some(&place) {
+            let naming = self.naming.entry(place.clone()).or_default();
+            naming.push(id.clone());
+            if let Some(left) = before_place {
+                self.vacate(&left, &id);
+                self.name_no_more(&left, &id);
+                let pool = self.pools.entry(left.0).or_default();
+                pool.remove(&id, id_hash, tells_start);
+            }
+            let pool = self.pools.entry(place.0.clone()).or_default();
+            pool.add(&id, id_hash, tells_start);
         }
         self.occupy(place, &id);
         match before {
@@ -214,15 +231,41 @@
             return;
         }
         self.at.remove(place);
-        let others = self.members.values();
-        let others = others.filter(|m| m.is_ready() && m.record.id != *id && m.place() == *place);
+        let others = self.naming.get(place).into_iter().flatten();
+        let others = others.filter(|other| {
+            let member = self.members.get(*other);
+            *other != id && member.is_some_and(Member::is_ready)
+        });
         // The same one at each box.
-        let next = others.map(|m| m.record.id.clone()).min();
-        if let Some(next) = next {
+        if let Some(next) = others.min().cloned() {
             self.at.insert(place.clone(), next);
         }
     }
 
+    /// Takes in that a member names an address no longer.
+    fn name_no_more(&mut self, place: &Place, id: &Name) {
+        if let Some(naming) = self.naming.get_mut(place) {
+            naming.retain(|other| other != id);
+            if naming.is_empty() {
+                self.naming.remove(place);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &Name) {
+        let Some(member) = self.members.remove(id) else {
+            return;
+        };
+        let place = member.place();
+        self.lapsed.remove(id);
+        self.revision += 1;
+        self.vacate(&place, id);
+        self.name_no_more(&place, id);
+        if let Some(pool) = self.pools.get_mut(&place.0) {
+            pool.remove(id, member.id_hash, member.record.registered_as.is_some());
+        }
+    }
+
     /// Whether nobody else is at a member's address, as far as is known.
     fn is_at_its_place(&self, member: &Member) -> bool {
         let at = self.at.get(&member.place());
@@ -288,11 +331,7 @@
         if !self.left.insert(id) {
             return FleetChange::Nothing;
         }
-        if let Some(member) = self.members.remove(id) {
-            self.lapsed.remove(id);
-            self.revision += 1;
-            self.vacate(&member.place(), id);
-        }
+        self.remove(id);
         FleetChange::Leaving
     }
 
@@ -327,11 +366,7 @@
         };
         let ids: Vec<Name> = self.lapsed.iter().filter(is_gone).cloned().collect();
         for id in &ids {
-            self.lapsed.remove(id);
-            if let Some(member) = self.members.remove(id) {
-                self.revision += 1;
-                self.vacate(&member.place(), id);
-            }
+            self.remove(id);
         }
         // A name outlasts its member, so that the next incarnation under it is known to be the later one.
         if self.ids.len() > self.members.len() + LEFT_KEPT {
@@ -367,6 +402,53 @@
         records.collect()
     }
 
+    /// Members of a pool.
+    pub fn pool_len(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, PoolIndex::len)
+    }
+
+    /// Ready upstreams of a key's home in a large pool.
+    pub fn usable_home(
+        &self,
+        pool: &str,
+        key: u64,
+        may_serve: impl Fn(&UpstreamRecord) -> bool,
+    ) -> Vec<Arc<UpstreamRecord>> {
+        let Some(index) = self.pools.get(pool) else {
+            return Vec::new();
+        };
+        self.usable_of(index, index.home(key), may_serve)
+    }
+
+    /// Ready ones of up to `count` upstreams of a large pool, drawn at random by the seed.
+    pub fn usable_drawn(
+        &self,
+        pool: &str,
+        seed: u64,
+        count: u64,
+        may_serve: impl Fn(&UpstreamRecord) -> bool,
+    ) -> Vec<Arc<UpstreamRecord>> {
+        let Some(index) = self.pools.get(pool) else {
+            return Vec::new();
+        };
+        self.usable_of(index, index.drawn(seed, count), may_serve)
+    }
+
+    fn usable_of<'a>(
+        &self,
+        pool: &PoolIndex,
+        ids: impl Iterator<Item = &'a Name>,
+        may_serve: impl Fn(&UpstreamRecord) -> bool,
+    ) -> Vec<Arc<UpstreamRecord>> {
+        let tell_starts = pool.tell_starts();
+        let members = ids.filter_map(|id| self.members.get(id));
+        let usable = members.filter(|member| {
+            let tells = !tell_starts || member.record.registered_as.is_some();
+            tells && member.is_ready() && may_serve(&member.record) && self.is_at_its_place(member)
+        });
+        usable.map(|member| member.record.clone()).collect()
+    }
+
     /// Changes whenever a member does.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -24,7 +24,6 @@
 use crate::rank::hash64;
 
 pub use heard::Heard;
-use pool::Pool;
 
 /// The upstreams and what this box knows of their load.
 #[derive(Debug, Default)]
@@ -43,10 +42,6 @@
     /// Other boxes' work, and when it was told.
     others_work: Work,
     others_at_ms: Option<u64>,
-    /// Upstreams of each pool that may serve while it stays at its version.
-    pools: HashMap<Name, Arc<Pool>>,
-    /// Counts how often halls were drained or not any more, or pools settled on a version.
-    scope_changes: u64,
     swept: Swept,
 }
 
@@ -175,7 +170,6 @@
 
     /// Drains a hall; returns whether it was not drained before.
     pub fn drain_hall(&mut self, hall: Name) -> bool {
-        self.scope_changes += 1;
         self.drained_halls.insert(hall)
     }
 
@@ -187,7 +181,6 @@
         cold_until_ms: impl Fn(&UpstreamRecord) -> u64,
     ) -> bool {
         let was_drained = self.drained_halls.remove(hall);
-        self.scope_changes += 1;
         if was_drained {
             self.fleet.assume_cold(hall, cold_until_ms);
         }
@@ -275,7 +268,6 @@
     /// Takes in a pool's version that serves what no roll-out moves.
     pub fn settle(&mut self, pool: &Name, version: &Name) {
         self.settled.insert(pool.clone(), version.clone());
-        self.scope_changes += 1;
     }
 
     /// Records of upstreams that take work.
@@ -326,7 +318,6 @@
         });
         let loads = &self.loads;
         self.limited.retain(|id| loads.contains_key(id));
-        self.pools.retain(|_, pool| pool.has_revision(revision));
         self.swept = Swept { revision, has_kept };
         forgotten
     }
@@ -349,14 +340,13 @@
         rules: &SendRules,
         now_ms: u64,
     ) -> Result<Choice, Unplaced> {
-        let all = self.usable(scope, target);
-        if all.is_empty() {
-            return Err(self.why_unusable(scope.pool));
-        }
-        if let Some(choice) = self.choose_of_many(&all, scope, ask, rules, now_ms) {
+        if let Some(choice) = self.choose_of_many(scope, ask, target, rules, now_ms) {
             return Ok(choice);
         }
-        let mut records = all.records().to_vec();
+        let mut records = self.usable(scope, target);
+        if records.is_empty() {
+            return Err(self.why_unusable(scope.pool));
+        }
         records.retain(|record| !scope.tried.contains(&record.id));
         if records.is_empty() {
             return Err(Unplaced::Nobody);
@@ -366,31 +356,6 @@
             .ok_or(Unplaced::Nobody)
     }
 
-    /// Chooses among some of a large pool; none where these take nothing now.
-    fn choose_of_many(
-        &mut self,
-        pool: &Pool,
-        scope: &Scope,
-        ask: &Ask,
-        rules: &SendRules,
-        now_ms: u64,
-    ) -> Option<Choice> {
-        let looked = pool.some_for(ask)?;
-        let mut open = |records: Vec<Arc<UpstreamRecord>>| {
-            let untried = records.into_iter();
-            let untried = untried.filter(|record| !scope.tried.contains(&record.id));
-            self.open_ones(untried.collect(), rules, now_ms)
-                .unwrap_or_default()
-        };
-        let mut records = open(looked.home);
-        let homes = records.len();
-        records.extend(open(looked.drawn));
-        if records.len() == homes {
-            return None;
-        }
-        self.choose_among(&records, Some(homes), ask, now_ms)
-    }
-
     fn choose_among(
         &mut self,
         records: &[Arc<UpstreamRecord>],
@@ -420,7 +385,7 @@
         until_ms: u64,
     ) -> u32 {
         let usable = self.usable(scope, target);
-        let places = usable.records().iter().map(|record| {
+        let places = usable.iter().map(|record| {
             let own_part = (record.slots / boxes.max(1)).max(1);
             let known = self.known(&record.id);
             let limit = known.limit.room_by(until_ms).unwrap_or(u32::MAX);
--- a/crates/ivyweir-policy/src/gateway/upstreams/versions.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams/versions.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::pool::{MadeFrom, Pool};
 use super::{Scope, Target, Upstreams};
 use crate::Name;
 use crate::gateway::fleet::UpstreamRecord;
@@ -12,31 +11,7 @@
 
 impl Upstreams {
     /// Upstreams of the versions that may serve, whether they were tried or not.
-    pub(super) fn usable(&mut self, scope: &Scope, target: Option<&Target>) -> Arc<Pool> {
-        // A roll-out's share moves with time, and what is usable with what a request tried.
-        let made_from = target.is_none().then_some(MadeFrom {
-            revision: self.fleet.revision(),
-            scope_changes: self.scope_changes,
-        });
-        let kept = self.pools.get(scope.pool);
-        if let (Some(made_from), Some(kept)) = (made_from, kept)
-            && kept.is_made_from(made_from)
-        {
-            return kept.clone();
-        }
-        let records = self.usable_records(scope, target).into_iter();
-        let members = records.map(|record| {
-            let member = self.fleet.member(&record.id);
-            (member.map_or(0, |member| member.id_hash), record)
-        });
-        let pool = Arc::new(Pool::new(members.collect(), made_from));
-        if made_from.is_some() {
-            self.pools.insert(scope.pool.clone(), pool.clone());
-        }
-        pool
-    }
-
-    fn usable_records(
+    pub(super) fn usable(
         &mut self,
         scope: &Scope,
         target: Option<&Target>,
@@ -70,7 +45,7 @@
     }
 
     /// The version that serves what no roll-out moves: the first seen, until a roll-out completes.
-    fn settled_version(&mut self, pool: &Name, target: Option<&Target>) -> Option<Name> {
+    pub(super) fn settled_version(&mut self, pool: &Name, target: Option<&Target>) -> Option<Name> {
         if let Some(target) = target
             && target.state == RolloutState::Completed
         {
--- a/crates/ivyweir-policy/tests/gateway_large_pools.rs
+++ b/crates/ivyweir-policy/tests/gateway_large_pools.rs
@@ -3,13 +3,16 @@
 //! tens of milliseconds later. Cause: what a choice cost grew with the pool. These tests count what is looked at.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::fleet::{Fleet, FleetChange, UpstreamRecord};
 use ivyweir_policy::gateway::place::Ask;
 use ivyweir_policy::gateway::upstreams::{Choice, Scope, SendRules, Unplaced, Upstreams};
 use ivyweir_policy::gateway::work::Estimate;
 use ivyweir_policy::rank::{hash64, mix};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 const HALLS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 /// Most upstreams that a request may look at, whatever the pool: twice a home, and those drawn.
@@ -207,3 +210,49 @@
         assert_eq!(chosen(&mut one, &apart(1)), chosen(&mut other, &apart(2)));
     }
 }
+
+/// Whatever comes and goes, of the records that name an address one is used while any of them stands.
+#[test]
+fn of_those_that_name_an_address_one_is_used() {
+    let mut rng = StdRng::seed_from_u64(9);
+    for run in 0..50 {
+        let mut fleet = Fleet::default();
+        let mut standing: HashMap<Name, SocketAddr> = HashMap::new();
+        for now_ms in 0..300 {
+            let n = rng.random_range(0..60_usize);
+            let id = record(n).id;
+            match rng.random_range(0..10) {
+                0 => {
+                    fleet.lapse(&id, now_ms);
+                    standing.remove(&id);
+                }
+                1 if now_ms > 250 => {
+                    fleet.leave(&id);
+                    standing.remove(&id);
+                }
+                2 => {
+                    fleet.forget_lapsed(20, now_ms);
+                }
+                _ => {
+                    let named = UpstreamRecord {
+                        addr: record(rng.random_range(0..12)).addr,
+                        ..record(n)
+                    };
+                    let addr = named.addr;
+                    if !fleet.put(named, now_ms).eq(&FleetChange::Nothing)
+                        || standing.contains_key(&id)
+                    {
+                        standing.insert(id, addr);
+                    }
+                }
+            }
+            let usable = fleet.usable("engines", |_| true);
+            let used: HashSet<SocketAddr> = usable.iter().map(|record| record.addr).collect();
+            assert_eq!(used.len(), usable.len(), "run {run}: two at one address");
+            let named: HashSet<SocketAddr> = standing.values().copied().collect();
+            if !named.is_empty() {
+                assert_eq!(used, named, "run {run} at {now_ms} ms");
+            }
+        }
+    }
+}
