As many changes are kept for other boxes as there are records

Cause: a box kept 128 changes of a topic. When upstreams register 500 between two answers of the store, each answer is more than that, and every box got the whole list again from another one: 623 copies by 86 boxes of the fleet in the 9 s after its start, 7 each. Ruled out: the store (it answered), the links' time (a copy itself takes 0.4 s), boxes that leave their relay too soon (they had no proof for 2.1 s). Change: as many changes are kept as the topic has records, and who asks is told those behind what it has. By count, 10,000 upstreams that register are told as 10,000 changes (test). Conclusion: a bound on a count held only while a batch of the store was small.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -97,7 +97,8 @@
             PassedChange::Gone(name) => remove(gateway, topic, &name),
         }
     }
-    gateway.histories.push(topic, revision, changes);
+    let records = gateway.bulk(topic);
+    gateway.histories.push(topic, revision, changes, records);
 }
 
 fn adopt_item(gateway: &Gateway, item: Item) {
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -14,7 +14,7 @@
 
 use crate::dialect::{Item, Topic};
 
-/// Changes of a topic that are kept; who is further behind gets everything.
+/// Changes of a topic that are kept at least, however few records it has.
 const CHANGES_KEPT: usize = 128;
 /// Time for which a question shows that this box is a relay.
 const FOLLOWED_MS: u64 = 4_000;
@@ -133,8 +133,10 @@
         self.tell();
     }
 
-    /// Takes in changes of a topic.
-    pub fn push(&self, topic: Topic, revision: u64, changes: Vec<PassedChange>) {
+    /// Takes in changes of a topic that has so many `records` now. As many changes are kept: who is further behind
+    /// is told less by getting everything.
+    pub fn push(&self, topic: Topic, revision: u64, changes: Vec<PassedChange>, records: usize) {
+        let kept = records.max(CHANGES_KEPT);
         let mut topics = self.topics();
         let history = topics.entry(topic).or_default();
         history.revision = revision;
@@ -142,7 +144,7 @@
         history
             .changes
             .extend(changes.into_iter().map(|c| (revision, c)));
-        while history.changes.len() > CHANGES_KEPT {
+        while history.changes.len() > kept {
             if let Some((revision, _)) = history.changes.pop_front() {
                 history.floor = revision;
             }
@@ -271,10 +273,8 @@
         if since < history.floor {
             return Ok(Some(Behind::Whole(history.revision)));
         }
-        let newer = history
-            .changes
-            .iter()
-            .filter(|(revision, _)| *revision > since);
+        let first = history.changes.partition_point(|(at, _)| *at <= since);
+        let newer = history.changes.range(first..);
         let changes: Vec<PassedChange> = newer.map(|(_, change)| change.clone()).collect();
         let none = changes.is_empty();
         Ok((!none).then_some(Behind::Changes(history.revision, changes)))
--- a/crates/ivyweir-gateway/tests/histories.rs
+++ b/crates/ivyweir-gateway/tests/histories.rs
@@ -1,7 +1,7 @@
 //! What a box passes on of the store's records, and when it sends those that ask away.
 
 use ivyweir_gateway::dialect::Topic;
-use ivyweir_gateway::history::{Asker, Behind, HeardFrom, Histories, NoSource};
+use ivyweir_gateway::history::{Asker, Behind, HeardFrom, Histories, NoSource, PassedChange};
 
 /// How a box that hears the configuration from the store, and knows nothing of it yet, answers.
 fn answer(histories: &Histories, asker: Asker) -> Result<bool, NoSource> {
@@ -44,3 +44,53 @@
     let behind = histories.behind(Topic::Site, 0, Asker::Relay);
     assert!(matches!(behind, Ok(Some(Behind::Whole(7)))));
 }
+
+/// Changes that a follower is told while `records` upstreams register, so many at a time; none where it is told to get
+/// everything.
+fn told(records: usize, at_a_time: usize) -> Option<usize> {
+    let histories = Histories::default();
+    histories.set_from(Topic::Upstreams, HeardFrom::Store);
+    histories.set_store_answers(true);
+    histories.restart(Topic::Upstreams, 1);
+    let (mut since, mut told) = (1, 0);
+    for known in (at_a_time..=records).step_by(at_a_time) {
+        let changes = (0..at_a_time).map(|n| PassedChange::Gone(format!("u{n}").into()));
+        histories.push(Topic::Upstreams, since + 1, changes.collect(), known);
+        match histories.behind(Topic::Upstreams, since, Asker::Follower) {
+            Ok(Some(Behind::Changes(revision, changes))) => {
+                told += changes.len();
+                since = revision;
+            }
+            _ => return None,
+        }
+    }
+    Some(told)
+}
+
+/// What users of the whole fleet saw: 10 s after its start boxes still copied all upstreams, turned unready, and called the store
+/// 3,000 times. Order of events: upstreams register, 500 between two answers of the store; each box of the fleet gets the whole list
+/// again each time, from each other, over links that are full of it. Cause: a box kept 128 changes, whatever the fleet.
+#[test]
+fn upstreams_that_register_are_told_once_each() {
+    assert_eq!(told(10_000, 500), Some(10_000));
+    assert_eq!(told(1_000, 500), Some(1_000));
+    assert_eq!(told(300, 100), Some(300));
+}
+
+#[test]
+fn who_is_further_behind_than_there_are_records_gets_everything() {
+    let histories = Histories::default();
+    histories.set_from(Topic::Upstreams, HeardFrom::Store);
+    histories.set_store_answers(true);
+    histories.restart(Topic::Upstreams, 1);
+    for revision in 2..=1_002 {
+        let gone = vec![PassedChange::Gone("u".into())];
+        histories.push(Topic::Upstreams, revision, gone, 400);
+    }
+    let behind = |since| histories.behind(Topic::Upstreams, since, Asker::Follower);
+    assert!(matches!(behind(500), Ok(Some(Behind::Whole(1_002)))));
+    let Ok(Some(Behind::Changes(1_002, changes))) = behind(700) else {
+        panic!("the changes are kept");
+    };
+    assert_eq!(changes.len(), 302);
+}
--- a/crates/ivyweir-standins/src/edge/peer_filter.rs
+++ b/crates/ivyweir-standins/src/edge/peer_filter.rs
@@ -130,7 +130,7 @@
 /// A list of boxes in which the one behind the filter has the filter's address.
 fn with_addr(body: &[u8], target: SocketAddr, own: SocketAddr) -> io::Result<Bytes> {
     let mut answer: Value = message::decode(body, MAX_MESSAGE_BYTES)?;
-    for record in answer["boxes"].as_array_mut().into_iter().flatten() {
+    for record in answer["news"]["boxes"].as_array_mut().into_iter().flatten() {
         if record["peer_addr"] == target.to_string() {
             record["peer_addr"] = own.to_string().into();
         }
