--- a/crates/ivyweir-gateway/src/duties.rs
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -3,6 +3,9 @@
 //! The box that hears the store itself tries to hold them. What is to be sent is written to the record first:
 //! the write renews the lease, and the next holder repeats what this one may not have sent.
 
+mod calls;
+mod orders;
+
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +21,6 @@
 use tokio::time::sleep;
 
 use crate::client::{ANSWER_LIMIT, CallError, Client};
-use crate::dialect::DutyHolder;
 use crate::settings;
 use crate::state::Gateway;
 
@@ -163,48 +165,6 @@
         reports.collect()
     }
 
-    /// Plans the upstreams of all pools that may be ordered.
-    fn plan(&mut self, now_ms: u64) -> Vec<UpstreamOrder> {
-        let Some(site) = self
-            .gateway
-            .site()
-            .filter(|_| self.settings.order_upstreams)
-        else {
-            return Vec::new();
-        };
-        let running = self.gateway.fleet_running();
-        let drained_halls = self.gateway.drained_halls();
-        let mut orders = Vec::new();
-        for pool in &site.site().pools {
-            let Some(scaling) = &pool.scaling else {
-                continue;
-            };
-            let in_force = self.lease.record().map_or(&[][..], |record| &record.orders);
-            let in_force: Vec<UpstreamOrder> = in_force
-                .iter()
-                .filter(|order| order.pool == pool.name)
-                .cloned()
-                .collect();
-            let running = running.get(&pool.name).copied();
-            let view =
-                self.gateway
-                    .pool_view(&pool.name, scaling, running, &drained_halls, &in_force);
-            let planner = self.planners.entry(pool.name.clone()).or_default();
-            let planned = planner.plan(&view, now_ms);
-            for order in &planned {
-                let detail = json!({
-                    "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
-                    "count": order.count, "running": running,
-                    "needed": planner.needed(&view),
-                    "serving": view.supply.get(&order.hall).map(|s| [s.lasting, s.spot]),
-                });
-                self.gateway.log.line("upstreams_planned", detail);
-            }
-            orders.extend(planned);
-        }
-        orders
-    }
-
     /// Reports that are fixed and not known to be accepted, oldest first.
     fn open_reports(&self) -> impl Iterator<Item = &UsageReport> {
         let reports = self
@@ -217,92 +177,6 @@
             .filter(|report| !accepted.contains(&report.window))
     }
 
-    async fn send_reports(&mut self) -> Result<(), CallError> {
-        loop {
-            let next = self.open_reports().next().cloned();
-            let Some((report, fence)) = next.zip(self.fence()) else {
-                return Ok(());
-            };
-            let codec = &self.gateway.duty_codec;
-            let request = codec.report_usage(self.holder(fence), &report);
-            let status = self.call_platform("usage", request).await?;
-            let requests: u64 = report.counts.values().map(|count| u64::from(*count)).sum();
-            let detail = json!({
-                "window": report.window, "requests": requests, "workspaces": report.counts.len(),
-                "fence": fence, "status": status.as_u16(),
-            });
-            self.gateway.log.line("usage_reported", detail);
-            if !status.is_success() {
-                return self.refused(status);
-            }
-            self.accepted.insert(report.window);
-        }
-    }
-
-    async fn send_orders(&mut self) -> Result<(), CallError> {
-        // The others were planned while a write before them was open, and are planned again.
-        let recorded = self.lease.record().map_or(&[][..], |record| &record.orders);
-        self.unsent.retain(|order| recorded.contains(order));
-        loop {
-            let next = self.unsent.first().cloned();
-            let Some((order, fence)) = next.zip(self.fence()) else {
-                return Ok(());
-            };
-            let codec = &self.gateway.duty_codec;
-            let request = codec.order_upstreams(self.holder(fence), &order);
-            let status = self.call_platform("orders", request).await?;
-            let detail = json!({
-                "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
-                "count": order.count, "fence": fence, "status": status.as_u16(),
-            });
-            self.gateway.log.line("upstreams_ordered", detail);
-            if status == StatusCode::CONFLICT {
-                let now_ms = self.gateway.clock.now_ms();
-                let planner = self.planners.entry(order.pool.clone()).or_default();
-                planner.refused(&order, now_ms);
-            } else if !status.is_success() {
-                return self.refused(status);
-            }
-            self.unsent.remove(0);
-        }
-    }
-
-    /// Takes in that the platform refused a duty's call.
-    fn refused(&mut self, status: StatusCode) -> Result<(), CallError> {
-        // A busy platform says nothing of the fence.
-        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
-            self.lease.doubt();
-        }
-        Err(CallError::refused(status))
-    }
-
-    fn fence(&self) -> Option<u64> {
-        self.lease.fence(self.gateway.clock.now_ms())
-    }
-
-    fn holder(&self, fence: u64) -> DutyHolder<'_> {
-        DutyHolder {
-            name: &self.gateway.settings.box_name,
-            fence,
-        }
-    }
-
-    async fn call_platform(
-        &mut self,
-        duty: &str,
-        request: Request<Bytes>,
-    ) -> Result<StatusCode, CallError> {
-        let answer = self.platform.call(request, self.call_limit).await;
-        let outcome = match &answer {
-            Ok(answer) if answer.status.is_success() => "ok",
-            Ok(_) => "refused",
-            Err(_) => "failed",
-        };
-        let calls = &self.gateway.metrics.duty_calls;
-        calls.with_label_values(&[duty, outcome]).inc();
-        Ok(answer?.status)
-    }
-
     async fn read(&mut self) -> Result<(), CallError> {
         let request = self.gateway.codec.read_duties();
         self.ask_store(request).await
--- /dev/null
+++ b/crates/ivyweir-gateway/src/duties/calls.rs
@@ -0,0 +1,97 @@
+//! The calls of duties to the platform.
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+
+use super::Worker;
+use crate::client::CallError;
+use crate::dialect::DutyHolder;
+
+impl Worker {
+    pub(super) async fn send_reports(&mut self) -> Result<(), CallError> {
+        loop {
+            let next = self.open_reports().next().cloned();
+            let Some((report, fence)) = next.zip(self.fence()) else {
+                return Ok(());
+            };
+            let codec = &self.gateway.duty_codec;
+            let request = codec.report_usage(self.holder(fence), &report);
+            let status = self.call_platform("usage", request).await?;
+            let requests: u64 = report.counts.values().map(|count| u64::from(*count)).sum();
+            let detail = json!({
+                "window": report.window, "requests": requests, "workspaces": report.counts.len(),
+                "fence": fence, "status": status.as_u16(),
+            });
+            self.gateway.log.line("usage_reported", detail);
+            if !status.is_success() {
+                return self.refused(status);
+            }
+            self.accepted.insert(report.window);
+        }
+    }
+
+    pub(super) async fn send_orders(&mut self) -> Result<(), CallError> {
+        // The others were planned while a write before them was open, and are planned again.
+        let recorded = self.lease.record().map_or(&[][..], |record| &record.orders);
+        self.unsent.retain(|order| recorded.contains(order));
+        loop {
+            let next = self.unsent.first().cloned();
+            let Some((order, fence)) = next.zip(self.fence()) else {
+                return Ok(());
+            };
+            let codec = &self.gateway.duty_codec;
+            let request = codec.order_upstreams(self.holder(fence), &order);
+            let status = self.call_platform("orders", request).await?;
+            let detail = json!({
+                "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
+                "count": order.count, "fence": fence, "status": status.as_u16(),
+            });
+            self.gateway.log.line("upstreams_ordered", detail);
+            if status == StatusCode::CONFLICT {
+                let now_ms = self.gateway.clock.now_ms();
+                let planner = self.planners.entry(order.pool.clone()).or_default();
+                planner.refused(&order, now_ms);
+            } else if !status.is_success() {
+                return self.refused(status);
+            }
+            self.unsent.remove(0);
+        }
+    }
+
+    /// Takes in that the platform refused a duty's call.
+    fn refused(&mut self, status: StatusCode) -> Result<(), CallError> {
+        // A busy platform says nothing of the fence.
+        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
+            self.lease.doubt();
+        }
+        Err(CallError::refused(status))
+    }
+
+    fn fence(&self) -> Option<u64> {
+        self.lease.fence(self.gateway.clock.now_ms())
+    }
+
+    fn holder(&self, fence: u64) -> DutyHolder<'_> {
+        DutyHolder {
+            name: &self.gateway.settings.box_name,
+            fence,
+        }
+    }
+
+    async fn call_platform(
+        &mut self,
+        duty: &str,
+        request: Request<Bytes>,
+    ) -> Result<StatusCode, CallError> {
+        let answer = self.platform.call(request, self.call_limit).await;
+        let outcome = match &answer {
+            Ok(answer) if answer.status.is_success() => "ok",
+            Ok(_) => "refused",
+            Err(_) => "failed",
+        };
+        let calls = &self.gateway.metrics.duty_calls;
+        calls.with_label_values(&[duty, outcome]).inc();
+        Ok(answer?.status)
+    }
+}
--- /dev/null
+++ b/crates/ivyweir-gateway/src/duties/orders.rs
@@ -0,0 +1,50 @@
+//! Which upstreams the holder orders.
+
+use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
+use serde_json::json;
+
+use super::Worker;
+
+impl Worker {
+    /// Plans the upstreams of all pools that may be ordered.
+    pub(super) fn plan(&mut self, now_ms: u64) -> Vec<UpstreamOrder> {
+        let Some(site) = self
+            .gateway
+            .site()
+            .filter(|_| self.settings.order_upstreams)
+        else {
+            return Vec::new();
+        };
+        let running = self.gateway.fleet_running();
+        let drained_halls = self.gateway.drained_halls();
+        let mut orders = Vec::new();
+        for pool in &site.site().pools {
+            let Some(scaling) = &pool.scaling else {
+                continue;
+            };
+            let in_force = self.lease.record().map_or(&[][..], |record| &record.orders);
+            let in_force: Vec<UpstreamOrder> = in_force
+                .iter()
+                .filter(|order| order.pool == pool.name)
+                .cloned()
+                .collect();
+            let running = running.get(&pool.name).copied();
+            let view =
+                self.gateway
+                    .pool_view(&pool.name, scaling, running, &drained_halls, &in_force);
+            let planner = self.planners.entry(pool.name.clone()).or_default();
+            let planned = planner.plan(&view, now_ms);
+            for order in &planned {
+                let detail = json!({
+                    "pool": order.pool, "hall": order.hall, "spot": order.is_spot,
+                    "count": order.count, "running": running,
+                    "needed": planner.needed(&view),
+                    "serving": view.supply.get(&order.hall).map(|s| [s.lasting, s.spot]),
+                });
+                self.gateway.log.line("upstreams_planned", detail);
+            }
+            orders.extend(planned);
+        }
+        orders
+    }
+}
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -3,6 +3,8 @@
 //! All that is heard of an upstream is taken in here, and every send asks here whether it may go. What is kept is
 //! kept by incarnation, so the next one begins anew.
 
+mod choice;
+mod gate;
 mod heard;
 mod pool;
 mod supply;
@@ -18,7 +20,7 @@
 use crate::gateway::fleet::{Fleet, Standing, UpstreamRecord};
 use crate::gateway::limit::Limit;
 use crate::gateway::owners::Sharing;
-use crate::gateway::place::{self, Ask, Candidate, UpstreamLoad};
+use crate::gateway::place::UpstreamLoad;
 use crate::gateway::rollout::{RolloutState, Side};
 use crate::gateway::word::Work;
 use crate::rank::hash64;
@@ -192,69 +194,6 @@
         self.drained_halls.iter().cloned().collect()
     }
 
-    /// Whether a request may go to an upstream now. A send asks as it is made: what was known when the upstream was
-    /// chosen may have changed since.
-    ///
-    /// # Errors
-    ///
-    /// When the upstream has left, its hall is drained, it wants nothing from this box, or it names a limit or is cold and
-    /// has got this box's part.
-    pub fn may_send(&mut self, id: &Name, rules: &SendRules, now_ms: u64) -> Result<(), Withheld> {
-        let member = self.fleet.member(id).ok_or(Withheld::Gone)?;
-        if self.drained_halls.contains(&member.record.hall) {
-            return Err(Withheld::HallDrained);
-        }
-        let is_cold = member.cold_for_ms(now_ms) > 0;
-        self.check_limits(id, rules, is_cold, now_ms)
-    }
-
-    /// Checks what an upstream that may serve takes of this box now: its backoff, and the box's part of its limit and of what
-    /// it bears while it is cold.
-    fn check_limits(
-        &mut self,
-        id: &Name,
-        rules: &SendRules,
-        is_cold: bool,
-        now_ms: u64,
-    ) -> Result<(), Withheld> {
-        let cold_limit = rules.cold_limit.filter(|_| is_cold);
-        let known = self.known(id);
-        let for_ms = known.backoff.left_ms(now_ms);
-        if for_ms > 0 {
-            return Err(Withheld::Backoff { for_ms });
-        }
-        let for_ms = known.limit.left_ms(&rules.sharing, known.id_hash, now_ms);
-        if for_ms > 0 {
-            return Err(Withheld::Limited { for_ms });
-        }
-        if cold_limit.is_some_and(|limit| !known.bears_one(&rules.sharing, limit, now_ms)) {
-            return Err(Withheld::Cold);
-        }
-        Ok(())
-    }
-
-    /// Counts a request that is sent to an upstream now, if it may be.
-    ///
-    /// # Errors
-    ///
-    /// As for [`may_send`](Self::may_send).
-    pub fn begin_send(
-        &mut self,
-        id: &Name,
-        rules: &SendRules,
-        now_ms: u64,
-    ) -> Result<(), Withheld> {
-        self.may_send(id, rules, now_ms)?;
-        let known = self.known(id);
-        known.backoff.note_send();
-        known.limit.note_send(now_ms);
-        if rules.cold_limit.is_some() {
-            // Counted while it is warm too: it may turn cold within the second.
-            known.sends.note(now_ms);
-        }
-        Ok(())
-    }
-
     /// The upstreams themselves.
     pub fn fleet(&mut self) -> &mut Fleet {
         &mut self.fleet
@@ -327,54 +266,6 @@
         self.fleet.member(id).is_some()
     }
 
-    /// Chooses an upstream.
-    ///
-    /// # Errors
-    ///
-    /// When none may take the request now.
-    pub fn choose(
-        &mut self,
-        scope: &Scope,
-        ask: &Ask,
-        target: Option<&Target>,
-        rules: &SendRules,
-        now_ms: u64,
-    ) -> Result<Choice, Unplaced> {
-        if let Some(choice) = self.choose_of_many(scope, ask, target, rules, now_ms) {
-            return Ok(choice);
-        }
-        let mut records = self.usable(scope, target);
-        if records.is_empty() {
-            return Err(self.why_unusable(scope.pool));
-        }
-        records.retain(|record| !scope.tried.contains(&record.id));
-        if records.is_empty() {
-            return Err(Unplaced::Nobody);
-        }
-        let records = self.open_ones(records, rules, now_ms)?;
-        self.choose_among(&records, None, ask, now_ms)
-            .ok_or(Unplaced::Nobody)
-    }
-
-    fn choose_among(
-        &mut self,
-        records: &[Arc<UpstreamRecord>],
-        homes: Option<usize>,
-        ask: &Ask,
-        now_ms: u64,
-    ) -> Option<Choice> {
-        let candidates: Vec<Candidate> = records.iter().map(|r| self.candidate(r)).collect();
-        let chosen = place::choose_drawn(&candidates, homes, ask, now_ms)?;
-        Some(Choice {
-            upstream: records[chosen].clone(),
-            mean_work_ms: place::mean_work_ms(&candidates[homes.unwrap_or(0)..], now_ms),
-            candidates: candidates.len(),
-            load_ms: candidates[chosen].load.load_ms(now_ms),
-            read_ms: ask.engine.map_or(0.0, |estimate| estimate.read_ms),
-            saved_ms: ask.engine.map_or(0.0, |estimate| estimate.saved_ms),
-        })
-    }
-
     /// Requests that the upstreams that may serve take of this box within a time; each shares its places out among
     /// `boxes`.
     pub fn places_within(
@@ -394,49 +285,6 @@
         places.fold(0, u32::saturating_add)
     }
 
-    /// Those of some usable upstreams to which a request may go now; an error where there are none.
-    fn open_ones(
-        &mut self,
-        records: Vec<Arc<UpstreamRecord>>,
-        rules: &SendRules,
-        now_ms: u64,
-    ) -> Result<Vec<Arc<UpstreamRecord>>, Unplaced> {
-        let mut open = Vec::with_capacity(records.len());
-        let mut shortest_ms: Option<u64> = None;
-        let mut has_cold = false;
-        for record in records {
-            let member = self.fleet.member(&record.id);
-            let is_cold = member.is_some_and(|member| member.cold_for_ms(now_ms) > 0);
-            match self.check_limits(&record.id, rules, is_cold, now_ms) {
-                Ok(()) => open.push(record),
-                Err(Withheld::Backoff { for_ms } | Withheld::Limited { for_ms }) => {
-                    shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
-                }
-                Err(Withheld::Cold) => has_cold = true,
-                Err(_) => {}
-            }
-        }
-        if !open.is_empty() {
-            return Ok(open);
-        }
-        Err(match shortest_ms {
-            // A cold one may take a request sooner than a full one says.
-            Some(for_ms) if !has_cold => Unplaced::AllBackingOff { for_ms },
-            _ if has_cold => Unplaced::AllCold,
-            _ => Unplaced::Nobody,
-        })
-    }
-
-    /// Why a pool has no upstream that may serve.
-    fn why_unusable(&self, pool: &Name) -> Unplaced {
-        let mut of_pool = self.fleet.members().filter(|m| m.record.pool == *pool);
-        if of_pool.any(|m| self.drained_halls.contains(&m.record.hall)) {
-            Unplaced::HallsDrained
-        } else {
-            Unplaced::Nobody
-        }
-    }
-
     fn known(&mut self, id: &Name) -> &mut Known {
         self.loads.entry(id.clone()).or_insert_with(|| Known {
             load: UpstreamLoad::default(),
@@ -446,21 +294,4 @@
             limit: Limit::default(),
         })
     }
-
-    fn candidate<'a>(&mut self, record: &'a UpstreamRecord) -> Candidate<'a> {
-        let others = self.others_at_ms.map(|at_ms| {
-            let work_ms = self.others_work.get(&record.id).copied();
-            (work_ms.unwrap_or(0.0), at_ms)
-        });
-        let known = self.known(&record.id);
-        let (id_hash, mut load) = (known.id_hash, known.load.clone());
-        if let Some((work_ms, at_ms)) = others {
-            load.others(work_ms, at_ms);
-        }
-        Candidate {
-            record,
-            id_hash,
-            load,
-        }
-    }
 }
