--- a/crates/ivyweir-policy/src/gateway/copies.rs
+++ b/crates/ivyweir-policy/src/gateway/copies.rs
@@ -1,14 +1,14 @@
 //! Who gives a whole copy of a topic's records to a box that has none.
 //!
-//! The list of 3,000 upstreams is some 85 KB. A box with a link of 10 Mbit/s that gave it to the 75 boxes of
-//! its hall at once was busy for 5 s, and was taken to be lost meanwhile. So a box gives a few copies at a
-//! time, and names boxes that have got one to the others: 75 boxes have theirs after three or four rounds.
+//! A box that gave a long list to all boxes of its hall at once would be busy for seconds, and be taken to be
+//! lost meanwhile. So a box gives a few copies at a time, and names boxes that have got one to the others: the
+//! number of those that have theirs multiplies with each round.
 
 use std::collections::{HashMap, HashSet};
 
 use crate::Name;
 
-/// Copies that a box gives at a time. With three, each takes some 0.2 s over 10 Mbit/s.
+/// Copies that a box gives at a time: more would share its link.
 const AT_ONCE: usize = 3;
 /// Time after which a copy that was not confirmed counts no more.
 const GIVING_MS: u64 = 1_500;
--- a/crates/ivyweir-policy/src/gateway/hall.rs
+++ b/crates/ivyweir-policy/src/gateway/hall.rs
@@ -19,7 +19,7 @@
 
 /// Boxes of a hall that may be its relay: the first that answer. Where none of them hears the store, the
 /// others take it to be out, and do not look for it one after the other; a few, as the store may turn
-/// single boxes away. In an outage of 10 s, 91 boxes made 990 calls where all of a hall might be.
+/// single boxes away.
 const RELAYS_A_HALL: usize = 3;
 
 /// Where a box is found by others.
@@ -157,9 +157,8 @@
 
     /// Takes in that `other` is a root; returns whether `me`, which was the root too, gives way to it.
     ///
-    /// After an outage the relays of several halls watch the store, each for itself, for
-    /// [`ROOT_KEPT_MS`]. Giving way at once saved 0.025 of worth on 18 boxes, where a call to the store
-    /// costs 0.0003 (24 plays of six days).
+    /// After an outage the relays of several halls would watch the store, each for itself, for
+    /// [`ROOT_KEPT_MS`].
     pub fn give_way(&mut self, me: &BoxRecord, other: &BoxRecord) -> bool {
         let gives_way = self.name() == Some(&me.name) && asks(&me.hall, &other.hall);
         if gives_way {
--- a/crates/ivyweir-policy/src/gateway/joined.rs
+++ b/crates/ivyweir-policy/src/gateway/joined.rs
@@ -31,7 +31,7 @@
 const JOINED_SEED_MS: u64 = 100;
 /// Time since a box's start after which it goes on without any seed. Boxes that lose power together are
 /// back within half a second of each other, the seeds perhaps last; each that goes on alone asks the store
-/// for everything. Of 295 boxes 98 did so after 0.3 s, and made 690 calls in a minute rather than 110.
+/// for everything.
 const ALONE_MS: u64 = 900;
 
 /// How far a box's start is, by its own clock and that of the seed it asked last.
--- a/crates/ivyweir-policy/src/gateway/place.rs
+++ b/crates/ivyweir-policy/src/gateway/place.rs
@@ -172,9 +172,9 @@
     pub avoid_failing: bool,
     /// Differs between requests.
     pub seed: u64,
-    /// The request's own hash, where upstreams ended under it: it is placed by that and not by load. Requests that an ended upstream had together would all go to the idlest one next, and if
-    /// one of them ends that too, nothing tells which it was: of 43 there, as seen, 17 upstreams leave 2 or
-    /// 3 together after the second end and hardly ever two after the third.
+    /// The request's own hash, where upstreams ended under it: it is placed by that and not by load. Requests that an
+    /// ended upstream had together would all go to the idlest one next, and if one of them ends that too, nothing tells
+    /// which it was.
     pub apart: Option<u64>,
 }
 
--- a/crates/ivyweir-policy/src/gateway/repeat.rs
+++ b/crates/ivyweir-policy/src/gateway/repeat.rs
@@ -5,8 +5,7 @@
 //!
 //! A box that serves a request now and then would refuse many repeats that the fleet has room for: two
 //! doubtful answers in a row are two repeats for two requests. So boxes also tell each other their counts,
-//! and one that has used its own part goes on while the fleet as a whole is far from the bound. At 300 boxes and 100
-//! requests a second this took worth in quiet times from 0.94 to 0.96 of what is owed (ten windows of 2 s).
+//! and one that has used its own part goes on while the fleet as a whole is far from the bound.
 
 use std::collections::VecDeque;
 
