A holder of duties plans by the whole fleet or not at all

Cause, by reading before the landing: a box that became the holder again kept its planner and went by the first sample it heard; one that was cut off from other halls but not from the store saw their work vanish, and would have ended upstreams 20 s later; accepted windows were remembered for ever; a box that was beaten to the record wrote that it had taken it. Ruled out: that the peak of 20 s covers it (a cut may last longer). Change: what was planned by is dropped when another box hears the store; demand is unknown while a hall is not heard, and must be seen for 4 s again afterwards; accepted windows are forgotten with the record's; an event of its own for who was beaten. Conclusion: safe side; costs orders while a hall is away.

--- a/crates/ivyweir-gateway/src/duties.rs
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -39,7 +39,7 @@
     loop {
         sleep(ROUND).await;
         if !worker.gateway.histories.is_root() {
-            worker.hearing_since_ms = None;
+            worker.rest();
             continue;
         }
         if let Err(e) = worker.round().await {
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Does nothing while another box hears the store: what was planned by holds no more afterwards.
+    fn rest(&mut self) {
+        self.hearing_since_ms = None;
+        self.planners.clear();
+        self.unsent.clear();
+    }
+
     async fn round(&mut self) -> Result<(), CallError> {
         let now_ms = self.gateway.clock.now_ms();
         let since_ms = *self.hearing_since_ms.get_or_insert(now_ms);
@@ -208,15 +215,27 @@
             status => return Err(CallError::refused(status)),
         };
         self.lease.see(stored, self.gateway.clock.now_ms());
+        let reports = self
+            .lease
+            .record()
+            .map_or(&[][..], |record| &record.reports);
+        self.accepted
+            .retain(|window| reports.iter().any(|report| report.window == *window));
         Ok(())
     }
 
     fn log_holder(&self) {
         let record = self.lease.record();
+        let is_own = record.is_some_and(|record| record.holder == self.gateway.settings.box_name);
+        let event = if is_own {
+            "duties_taken"
+        } else {
+            "duties_held_elsewhere"
+        };
         let detail = json!({
             "holder": record.map(|record| &record.holder), "fence": record.map(|record| record.fence),
             "fixed_window": record.and_then(|record| record.fixed_window),
         });
-        self.gateway.log.line("duties_taken", detail);
+        self.gateway.log.line(event, detail);
     }
 }
--- a/crates/ivyweir-gateway/src/duties/orders.rs
+++ b/crates/ivyweir-gateway/src/duties/orders.rs
@@ -28,7 +28,9 @@
                 .filter(|order| order.pool == pool.name)
                 .cloned()
                 .collect();
-            let running = running.get(&pool.name).copied();
+            let running = running
+                .as_ref()
+                .map(|running| running.get(&pool.name).copied().unwrap_or(0.0));
             let view =
                 self.gateway
                     .pool_view(&pool.name, scaling, running, &drained_halls, &in_force);
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -8,7 +8,7 @@
 //! A box is silent if it does not answer as it should, and sourceless if it answers but hears the
 //! records from nobody; either is left alone, or shunned, for a while.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -313,6 +313,16 @@
         halls
     }
 
+    /// Whether a word of each other hall was heard lately.
+    pub fn hears_all_halls(&self, now_ms: u64) -> bool {
+        let tellers = lock(&self.words).tellers(now_ms);
+        let others = lock(&self.others);
+        let heard = tellers.iter().filter_map(|name| others.get(name));
+        let heard: HashSet<&Name> = heard.map(|record| &record.hall).collect();
+        let mut halls = others.values().map(|record| &record.hall);
+        halls.all(|hall| *hall == self.me.hall || heard.contains(hall))
+    }
+
     /// Number of other boxes that this one knows.
     pub fn others_count(&self) -> usize {
         lock(&self.others).len()
--- a/crates/ivyweir-gateway/src/state/supply.rs
+++ b/crates/ivyweir-gateway/src/state/supply.rs
@@ -8,15 +8,17 @@
 use super::{Gateway, lock};
 
 impl Gateway {
-    /// Requests under way over all boxes, by pool, as far as they were told.
-    pub fn fleet_running(&self) -> HashMap<Name, f64> {
+    /// Requests under way over all boxes, by pool; none where some hall was not heard lately.
+    pub fn fleet_running(&self) -> Option<HashMap<Name, f64>> {
         let now_ms = self.clock.now_ms();
+        if !self.peers.hears_all_halls(now_ms) {
+            return None;
+        }
         let mut word = self.peers.words_except(|_| false, now_ms);
         word.add(&self.own_word());
         let running = word.running.into_iter();
-        running
-            .map(|(pool, count)| (pool, f64::from(count)))
-            .collect()
+        let running = running.map(|(pool, count)| (pool, f64::from(count)));
+        Some(running.collect())
     }
 
     /// A pool as the holder of duties sees it.
--- a/crates/ivyweir-policy/src/gateway/duty/supply.rs
+++ b/crates/ivyweir-policy/src/gateway/duty/supply.rs
@@ -150,6 +150,8 @@
             self.rollout_at_ms = Some(now_ms);
         }
         let Some(running) = view.running else {
+            // What is heard of a part of the fleet would look like less work.
+            self.seen_since_ms = None;
             return;
         };
         if running > 0.0 {
--- a/crates/ivyweir-policy/src/gateway/word.rs
+++ b/crates/ivyweir-policy/src/gateway/word.rs
@@ -113,6 +113,12 @@
         self.told.retain(|_, told| told.is_fresh(now_ms));
     }
 
+    /// Who told anything lately.
+    pub fn tellers(&self, now_ms: u64) -> Vec<Name> {
+        let told = self.told.iter().filter(|(_, told)| told.is_fresh(now_ms));
+        told.map(|(from, _)| from.clone()).collect()
+    }
+
     /// The work and the repeats that others told lately.
     pub fn work_and_repeats(&self, now_ms: u64) -> (Work, Repeats) {
         let (mut work, mut repeats) = (Work::new(), Repeats::new());
--- a/crates/ivyweir-policy/tests/gateway_supply.rs
+++ b/crates/ivyweir-policy/tests/gateway_supply.rs
@@ -163,6 +163,17 @@
     assert_eq!((least, platform.lasting()), (FIRST * 4, FIRST * 4));
 }
 
+/// A holder that is cut off from other halls for a while hears a part of the work when it is back.
+#[test]
+fn a_holder_that_was_cut_off_waits_before_it_orders_again() {
+    let mut platform = Platform::new(Some(0.2));
+    platform.play(0..40_000, |_| Some(200.0));
+    let (before, given) = (platform.serving(), platform.given);
+    platform.play(40_000..65_000, |_| None);
+    let least = platform.play(65_000..68_500, |_| Some(20.0));
+    assert_eq!((least, platform.given), (before, given));
+}
+
 #[test]
 fn spot_upstreams_replace_others_once_they_serve() {
     let mut platform = Platform::new(Some(0.2));
