One run of a box's process, and one way to the record's reports and orders

Cause: a number that differs between runs of a process was drawn in three places (the lease, the count of usage, the list of boxes that joined), and 'the reports of the record, or none' stood twice, its twin for orders twice more. Ruled out: telling boxes apart by their start time (two boxes may start in the same millisecond, and clocks step). Change: the box has one run, and the lease says what the record holds. Behaviour stays.

--- a/crates/ivyweir-gateway/src/duties.rs
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -100,13 +100,12 @@
             lease_ms: settings.lease_ms,
             call_ms,
         };
-        let run = u64::from(rand::random::<u32>());
         let me = gateway.settings.box_name.clone();
         Self {
             store: Client::new(gateway.settings.store_addr),
             platform: Client::new(settings.addr),
             call_limit: Duration::from_millis(call_ms),
-            lease: Lease::new(me, run, terms),
+            lease: Lease::new(me, gateway.run, terms),
             hearing_since_ms: None,
             accepted: BTreeSet::new(),
             unsent: Vec::new(),
@@ -174,14 +173,8 @@
 
     /// Reports that are fixed and not known to be accepted, oldest first.
     fn open_reports(&self) -> impl Iterator<Item = &UsageReport> {
-        let reports = self
-            .lease
-            .record()
-            .map_or(&[][..], |record| &record.reports);
-        let accepted = &self.accepted;
-        reports
-            .iter()
-            .filter(|report| !accepted.contains(&report.window))
+        let reports = self.lease.reports().iter();
+        reports.filter(|report| !self.accepted.contains(&report.window))
     }
 
     async fn read(&mut self) -> Result<(), CallError> {
@@ -215,10 +208,7 @@
             status => return Err(CallError::refused(status)),
         };
         self.lease.see(stored, self.gateway.clock.now_ms());
-        let reports = self
-            .lease
-            .record()
-            .map_or(&[][..], |record| &record.reports);
+        let reports = self.lease.reports();
         self.accepted
             .retain(|window| reports.iter().any(|report| report.window == *window));
         Ok(())
--- a/crates/ivyweir-gateway/src/duties/calls.rs
+++ b/crates/ivyweir-gateway/src/duties/calls.rs
@@ -33,7 +33,7 @@
 
     pub(super) async fn send_orders(&mut self) -> Result<(), CallError> {
         // The others were planned while a write before them was open, and are planned again.
-        let recorded = self.lease.record().map_or(&[][..], |record| &record.orders);
+        let recorded = self.lease.orders();
         self.unsent.retain(|order| recorded.contains(order));
         loop {
             let next = self.unsent.first().cloned();
--- a/crates/ivyweir-gateway/src/duties/orders.rs
+++ b/crates/ivyweir-gateway/src/duties/orders.rs
@@ -22,12 +22,9 @@
             let Some(scaling) = &pool.scaling else {
                 continue;
             };
-            let in_force = self.lease.record().map_or(&[][..], |record| &record.orders);
-            let in_force: Vec<UpstreamOrder> = in_force
-                .iter()
-                .filter(|order| order.pool == pool.name)
-                .cloned()
-                .collect();
+            let in_force = self.lease.orders().iter();
+            let in_force = in_force.filter(|order| order.pool == pool.name);
+            let in_force: Vec<UpstreamOrder> = in_force.cloned().collect();
             let running = running
                 .as_ref()
                 .map(|running| running.get(&pool.name).copied().unwrap_or(0.0));
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -75,12 +75,12 @@
 }
 
 impl Peers {
-    /// This box, and the addresses at which it joins the others.
-    pub fn new(me: BoxRecord, seeds: Vec<SocketAddr>) -> Self {
+    /// This box in this `run` of its process, and the addresses at which it joins the others.
+    pub fn new(me: BoxRecord, run: u64, seeds: Vec<SocketAddr>) -> Self {
         let owners = Mutex::new(Arc::new(owners_among(&me, &HashMap::new())));
         let peers = Self {
             seeds: Mutex::default(),
-            joined: Mutex::new(Joined::new(u64::from(rand::random::<u32>()))),
+            joined: Mutex::new(Joined::new(run)),
             seed_lists: Mutex::new(SeedLists::new(me.hall.clone())),
             others: Mutex::default(),
             is_settled: AtomicBool::new(false),
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -60,6 +60,8 @@
 pub struct Gateway {
     /// The settings it started with.
     pub settings: Settings,
+    /// Differs between runs of this box's process.
+    pub run: u64,
     /// Steady clock.
     pub clock: Clock,
     /// Names on requests and answers.
@@ -118,13 +120,16 @@
             cpu_milli: (settings.machine.cpu_share * 1_000.0) as u32,
         };
         let own = hash64(&[me.name.as_bytes()]);
-        let peers = Peers::new(me, settings.seed_addrs.clone());
+        // Other readers of JSON keep 53 bits of a number.
+        let run = u64::from(rand::random::<u32>());
+        let peers = Peers::new(me, run, settings.seed_addrs.clone());
         Self {
             clock,
             dialect: adapter.dialect,
             codec: adapter.store,
             duty_codec: adapter.duties,
-            usage: Mutex::new(UsageCount::new(&settings)),
+            usage: Mutex::new(UsageCount::new(&settings, run)),
+            run,
             settings,
             log,
             metrics: Metrics::default(),
--- a/crates/ivyweir-gateway/src/state/usage.rs
+++ b/crates/ivyweir-gateway/src/state/usage.rs
@@ -17,16 +17,15 @@
 }
 
 impl UsageCount {
-    /// Nothing counted yet.
-    pub(super) fn new(settings: &Settings) -> Self {
+    /// Nothing counted yet in this run of the process.
+    pub(super) fn new(settings: &Settings, run: u64) -> Self {
         let usage = settings.duties.and_then(|duties| duties.usage);
         Self {
             terms: usage.map(|usage| usage.terms()),
             epoch: SteadyEpoch::default(),
-            // Other readers of JSON keep 53 bits of a number.
             table: UsageTable::new(BoxRun {
                 name: settings.box_name.clone(),
-                run: u64::from(rand::random::<u32>()),
+                run,
             }),
         }
     }
--- a/crates/ivyweir-policy/src/gateway/duty/lease.rs
+++ b/crates/ivyweir-policy/src/gateway/duty/lease.rs
@@ -6,6 +6,8 @@
 //! with the other's.
 
 use crate::Name;
+use crate::gateway::duty::supply::UpstreamOrder;
+use crate::gateway::duty::usage::UsageReport;
 use crate::gateway::duty::{DutyRecord, StoredDuties};
 
 /// Time for which a call that is already on its way may outlast its sender's lease.
@@ -102,6 +104,16 @@
         Some(&stored.record)
     }
 
+    /// The fixed reports of the record; none where there is no record.
+    pub fn reports(&self) -> &[UsageReport] {
+        self.record().map_or(&[], |record| &record.reports)
+    }
+
+    /// The orders in force by the record; none where there is no record.
+    pub fn orders(&self) -> &[UpstreamOrder] {
+        self.record().map_or(&[], |record| &record.orders)
+    }
+
     /// The fence under which this box may send a duty's call now, if it may.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
         let record = self.record().filter(|record| self.is_mine(record))?;
