Log and export the store era and the revisions known to each box

Cause: the logs of the incident show neither that the store was restored from a backup nor the revision that a box holds, requests or read a configuration at. A box that compares revisions across the restore therefore cannot be distinguished from one misled by a late listing.

Ruled out: a log line per answer, which would mean one per call. The revision is exported as a gauge per topic, and lines are logged only on state changes.

Change: a codec reads the era from the headers of the store's answers, and all calls to the store go through one client that records it. No decision depends on them.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -16,11 +16,11 @@
 
 /// Takes in all records of a topic, as of a revision.
 pub fn adopt_all(gateway: &Gateway, topic: Topic, revision: u64, entries: Vec<Entry>) {
-    adopt_entries(gateway, topic, entries);
+    adopt_entries(gateway, topic, revision, entries);
     gateway.histories.restart(topic, revision);
 }
 
-fn adopt_entries(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
+fn adopt_entries(gateway: &Gateway, topic: Topic, revision: u64, entries: Vec<Entry>) {
     let listed = entries.len();
     let items = readable_entries(gateway, topic, entries);
     if topic == Topic::Upstreams {
@@ -34,7 +34,9 @@
     if items.len() == listed {
         remove_all_but(gateway, topic, &items);
     }
-    items.into_iter().for_each(|item| adopt_item(gateway, item));
+    for item in items {
+        adopt_item(gateway, revision, item);
+    }
 }
 
 /// Forgets roll-outs and drained halls that a whole listing lacks: they were withdrawn unheard.
@@ -93,7 +95,7 @@
 pub fn adopt_changes(gateway: &Gateway, topic: Topic, revision: u64, changes: Vec<PassedChange>) {
     for change in changes.iter().cloned() {
         match change {
-            PassedChange::Put(item) => adopt_item(gateway, item),
+            PassedChange::Put(item) => adopt_item(gateway, revision, item),
             PassedChange::Gone(name) => remove(gateway, topic, &name),
         }
     }
@@ -101,9 +103,9 @@
     gateway.histories.push(topic, revision, changes, records);
 }
 
-fn adopt_item(gateway: &Gateway, item: Item) {
+fn adopt_item(gateway: &Gateway, revision: u64, item: Item) {
     match item {
-        Item::Site(site) => adopt_site(gateway, *site),
+        Item::Site(site) => adopt_site(gateway, revision, *site),
         Item::Upstream(record) => gateway.change_upstream(Source::Record, |fleet, now_ms| {
             let id = record.id.clone();
             vec![(id, fleet.put(record, now_ms))]
@@ -149,7 +151,7 @@
     });
 }
 
-fn adopt_site(gateway: &Gateway, mut site: Site) {
+fn adopt_site(gateway: &Gateway, revision: u64, mut site: Site) {
     let (version, routes) = (site.version, site.routes.len());
     for pool in &mut site.pools {
         if let Some(start) = pool.cold_start.take_if(|start| !start.is_sane()) {
@@ -158,6 +160,8 @@
         }
     }
     let adopted = gateway.adopt_site(SiteIndex::from(site));
-    let detail = json!({"version": version, "routes": routes, "adopted": adopted});
+    let detail = json!({
+        "version": version, "routes": routes, "adopted": adopted, "revision": revision,
+    });
     gateway.log.line("site_seen", detail);
 }
--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use snafu::Snafu;
 use tokio::time::timeout;
 
 use crate::channel::{Channel, SendError};
-use crate::dialect::{DialectError, Page, StoreCodec, Topic};
+use crate::dialect::DialectError;
 
 /// Time for the store to answer, beyond what it was asked to wait. A slow store takes some hundred
 /// milliseconds.
@@ -74,6 +74,8 @@
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -137,10 +139,14 @@
                 SendError::NotSent => lost("the connection closed before".into()),
                 SendError::Lost(e) => lost(e.to_string()),
             })?;
-            let status = answer.status();
-            let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
             let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
-            Ok(Answer { status, body })
+            Ok(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         };
         let answer = timeout(limit, whole)
             .await
@@ -151,24 +157,3 @@
         Ok(answer)
     }
 }
-
-/// Reads the page of a topic's records that starts behind `after`, or the first one.
-///
-/// # Errors
-///
-/// When there is no answer in time, or it is no page.
-pub async fn read_page(
-    client: &mut Client,
-    codec: &dyn StoreCodec,
-    topic: Topic,
-    after: Option<&str>,
-) -> Result<Page, CallError> {
-    let request = codec.list(topic, after);
-    let answer = client.call(request, ANSWER_LIMIT).await?;
-    if answer.status != StatusCode::OK {
-        return Err(CallError::refused(answer.status));
-    }
-    codec
-        .page(topic, &answer.body)
-        .map_err(CallError::unreadable)
-}
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -325,6 +325,10 @@
 
 /// The store's messages.
 pub trait StoreCodec: Send + Sync {
+    /// Reads the number of times the store has been restored from a backup from the headers of an
+    /// answer; `None` if they contain no valid number.
+    fn era(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Asks for a page of records.
     fn list(&self, topic: Topic, after: Option<&str>) -> Request<Bytes>;
 
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -10,9 +10,10 @@
 use tokio::time::sleep;
 
 use crate::adopt::adopt_rollout;
-use crate::client::{ANSWER_LIMIT, Answer, Client};
+use crate::client::ANSWER_LIMIT;
 use crate::state::Gateway;
 use crate::state::counts_of;
+use crate::store_client::{StoreAnswer, StoreClient};
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(100);
@@ -29,7 +30,7 @@
 
 /// Does the duties of roll-outs for the life of the process.
 pub async fn run(gateway: Arc<Gateway>) {
-    let mut client = Client::new(gateway.settings.store_addr);
+    let mut client = StoreClient::new(gateway.clone());
     loop {
         sleep(ROUND).await;
         let Some(own_delay_ms) = own_delay_ms(&gateway) else {
@@ -84,7 +85,7 @@
 /// Writes a roll-out's state to the store, and what came of it to the log.
 async fn write(
     gateway: &Arc<Gateway>,
-    client: &mut Client,
+    client: &mut StoreClient,
     order: RolloutOrder,
     duty: RolloutDuty,
 ) {
@@ -113,7 +114,7 @@
 }
 
 /// Takes in the record as it is now; returns whose write it is, or why it is not known.
-fn take_answer(gateway: &Gateway, answer: &Answer) -> Result<&'static str, String> {
+fn take_answer(gateway: &Gateway, answer: &StoreAnswer) -> Result<&'static str, String> {
     let outcome = match answer.status {
         StatusCode::OK => "written",
         StatusCode::CONFLICT => "conflict",
--- a/crates/ivyweir-gateway/src/duties.rs
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -23,6 +23,7 @@
 use crate::client::{ANSWER_LIMIT, CallError, Client};
 use crate::settings;
 use crate::state::Gateway;
+use crate::store_client::StoreClient;
 
 /// How often duties are looked at.
 const ROUND: Duration = Duration::from_millis(250);
@@ -53,7 +54,7 @@
 struct Worker {
     gateway: Arc<Gateway>,
     settings: settings::Duties,
-    store: Client,
+    store: StoreClient,
     platform: Client,
     call_limit: Duration,
     lease: Lease,
@@ -102,7 +103,7 @@
         };
         let me = gateway.settings.box_name.clone();
         Self {
-            store: Client::new(gateway.settings.store_addr),
+            store: StoreClient::new(gateway.clone()),
             platform: Client::new(settings.addr),
             call_limit: Duration::from_millis(call_ms),
             lease: Lease::new(me, gateway.run, terms),
--- a/crates/ivyweir-gateway/src/keep.rs
+++ b/crates/ivyweir-gateway/src/keep.rs
@@ -14,8 +14,9 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::client::{ANSWER_LIMIT, Answer, CallError, Client};
+use crate::client::{ANSWER_LIMIT, CallError};
 use crate::state::Gateway;
+use crate::store_client::{StoreAnswer, StoreClient};
 
 /// How often a box looks whether there is something to write.
 const ROUND: Duration = Duration::from_millis(250);
@@ -29,7 +30,7 @@
 /// Keeps quarantined requests for the life of the process.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut keeper = Keeper {
-        client: Client::new(gateway.settings.store_addr),
+        client: StoreClient::new(gateway.clone()),
         gateway,
         kept: HashSet::new(),
         looked_at_ms: None,
@@ -49,7 +50,7 @@
 
 struct Keeper {
     gateway: Arc<Gateway>,
-    client: Client,
+    client: StoreClient,
     /// Requests of which the store has a record, as far as is known.
     kept: HashSet<Fingerprint>,
     /// When the records were last read.
@@ -103,7 +104,7 @@
     }
 
     /// The records that can be read.
-    fn read(&self, answer: &Answer) -> Result<Vec<QuarantineRecord>, CallError> {
+    fn read(&self, answer: &StoreAnswer) -> Result<Vec<QuarantineRecord>, CallError> {
         let entries = self.gateway.codec.quarantines(&answer.body);
         let mut records = Vec::new();
         for entry in entries.map_err(CallError::unreadable)? {
@@ -146,7 +147,7 @@
         }
     }
 
-    async fn call(&mut self, request: Request<Bytes>) -> Result<Answer, CallError> {
+    async fn call(&mut self, request: Request<Bytes>) -> Result<StoreAnswer, CallError> {
         let answer = self.client.call(request, ANSWER_LIMIT).await;
         let outcome = if answer.is_ok() { "ok" } else { "failed" };
         let calls = &self.gateway.metrics.store_calls;
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod settings;
 pub mod settings_file;
 mod state;
+mod store_client;
 mod store_news;
 mod stream;
 mod sync;
@@ -254,6 +255,11 @@
         let site = gateway.site();
         belief("site_version", site.map_or(0, |site| site.site().version));
         belief("proof_age_ms", gateway.proof_age_ms().unwrap_or(u64::MAX));
+        belief("store_era", gateway.store_era().unwrap_or_default());
+        for topic in gateway.topics() {
+            let revision = gateway.histories.revision(*topic);
+            belief(&format!("revision_{}", topic.name()), revision);
+        }
         belief("requests_active", gateway.active());
         belief("requests_quarantined", gateway.quarantined().len() as u64);
         belief("log_lines_dropped", gateway.log.dropped());
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::header::{self, HeaderName};
-use hyper::{Method, Request};
+use hyper::{HeaderMap, Method, Request};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
 use ivyweir_policy::gateway::duty::usage::UsageReport;
@@ -43,6 +43,9 @@
     })
 }
 
+/// Header on the store's answers: the number of times it has been restored from a backup.
+pub const STORE_ERA: &str = "ivyweir-store-era";
+
 /// Where quarantined requests are kept.
 const QUARANTINES: &str = "/v1/quarantines";
 
@@ -118,6 +121,10 @@
 }
 
 impl StoreCodec for NativeCodec {
+    fn era(&self, headers: &HeaderMap) -> Option<u64> {
+        headers.get(STORE_ERA)?.to_str().ok()?.parse().ok()
+    }
+
     fn list(&self, topic: Topic, after: Option<&str>) -> Request<Bytes> {
         let topic = topic.name();
         let query = after.map_or_else(String::new, |after| format!("?after={after}"));
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -6,6 +6,7 @@
 mod rollouts;
 mod sending;
 mod statements;
+mod store_era;
 mod supply;
 mod unread;
 mod unreadable;
@@ -82,6 +83,8 @@
     pub histories: Histories,
     /// What followers of topics tell each other of the store.
     pub store_news: StoreNews,
+    /// The highest store era reported so far; `None` until an answer reports one.
+    store_era: Mutex<Option<u64>>,
     site: Mutex<Option<Arc<SiteIndex>>>,
     proof: Mutex<Proof>,
     upstreams: Mutex<Upstreams>,
@@ -137,6 +140,7 @@
             peers,
             histories: Histories::default(),
             store_news: StoreNews::default(),
+            store_era: Mutex::default(),
             site: Mutex::default(),
             proof: Mutex::default(),
             upstreams: Mutex::new(Upstreams::new(own)),
--- /dev/null
+++ b/crates/ivyweir-gateway/src/store_client.rs
@@ -0,0 +1,75 @@
+//! A client for the store that tracks the era reported by its answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Request, StatusCode};
+
+use crate::client::{ANSWER_LIMIT, CallError, Client};
+use crate::dialect::{Page, Topic};
+use crate::state::Gateway;
+
+/// An answer of the store with its whole body.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
+    /// The store's era as reported by this answer, else the last known one, else 0.
+    pub era: u64,
+}
+
+/// A client for the store on a single connection; calls are sequential.
+pub struct StoreClient {
+    gateway: Arc<Gateway>,
+    client: Client,
+}
+
+impl StoreClient {
+    /// Creates a client for the store in the gateway's settings.
+    pub fn new(gateway: Arc<Gateway>) -> Self {
+        let client = Client::new(gateway.settings.store_addr);
+        Self { gateway, client }
+    }
+
+    /// Makes a call and updates the gateway's store era from the answer.
+    ///
+    /// # Errors
+    ///
+    /// When no complete answer arrives within `limit`.
+    pub async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<StoreAnswer, CallError> {
+        let answer = self.client.call(request, limit).await?;
+        let reported = self.gateway.codec.era(&answer.headers);
+        Ok(StoreAnswer {
+            status: answer.status,
+            body: answer.body,
+            era: self.gateway.update_store_era(reported),
+        })
+    }
+
+    /// Reads the page of a topic's records that starts after `after`, or the first page if it is
+    /// `None`. Also returns the store's era.
+    ///
+    /// # Errors
+    ///
+    /// When no answer arrives in time, its status is not 200, or its body cannot be decoded as a page.
+    pub async fn read_page(
+        &mut self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> Result<(Page, u64), CallError> {
+        let request = self.gateway.codec.list(topic, after);
+        let answer = self.call(request, ANSWER_LIMIT).await?;
+        if answer.status != StatusCode::OK {
+            return Err(CallError::refused(answer.status));
+        }
+        let page = self.gateway.codec.page(topic, &answer.body);
+        Ok((page.map_err(CallError::unreadable)?, answer.era))
+    }
+}
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Topic;
 use crate::history::{Asker, HeardFrom};
 use crate::state::Gateway;
+use crate::store_client::StoreClient;
 
 use probe::Probes;
 
@@ -61,7 +62,7 @@
 }
 
 struct Follower {
-    client: Client,
+    client: StoreClient,
     /// The connection to the box that is asked.
     relay: Option<(BoxRecord, Client)>,
     gateway: Arc<Gateway>,
@@ -88,7 +89,7 @@
 impl Follower {
     fn new(gateway: Arc<Gateway>, topic: Topic) -> Self {
         Self {
-            client: Client::new(gateway.settings.store_addr),
+            client: StoreClient::new(gateway.clone()),
             relay: None,
             probes: Probes::new(
                 gateway.settings.bounds.unrenewed_ms(),
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -11,9 +11,10 @@
 use super::confirm::AnsweredBy;
 use super::{Follower, QUIET_WAIT_MS};
 use crate::adopt::{adopt_all, adopt_changes, readable_changes};
-use crate::client::{ANSWER_LIMIT, Answer, CallError, read_page};
+use crate::client::{ANSWER_LIMIT, CallError};
 use crate::dialect::{Changes, Entry, Topic};
 use crate::state::Gateway;
+use crate::store_client::StoreAnswer;
 
 /// How long a watch of the configuration waits. Each empty answer renews the proof that it is the
 /// newest, which must stay younger than the bound on withdrawn keys until the next one.
@@ -61,14 +62,13 @@
 
     /// All records of the topic, and the revision behind which the watch tells the rest.
     async fn read_pages(&mut self) -> Result<(Vec<Entry>, u64), CallError> {
-        let codec = &*self.gateway.codec;
-        let first = read_page(&mut self.client, codec, self.topic, None).await?;
+        let (first, _) = self.client.read_page(self.topic, None).await?;
         // What changes while pages are read is told by the watch from the first page on.
         let revision = first.revision;
         let mut entries = first.entries;
         let mut after = first.next_after;
         while let Some(last) = after {
-            let page = read_page(&mut self.client, codec, self.topic, Some(&last)).await?;
+            let (page, _) = self.client.read_page(self.topic, Some(&last)).await?;
             entries.extend(page.entries);
             after = page.next_after;
         }
@@ -116,7 +116,9 @@
         };
         self.succeeded();
         let Some(changes) = changes else {
-            let detail = json!({"topic": self.topic.name(), "since": since});
+            let detail = json!({
+                "topic": self.topic.name(), "since": since, "era": self.gateway.store_era(),
+            });
             self.gateway.log.line("store_history_gone", detail);
             return Ok(None);
         };
@@ -140,7 +142,7 @@
         &mut self,
         request: Request<Bytes>,
         wait_ms: u64,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<StoreAnswer, CallError> {
         let limit = if self.is_probing || self.failures > 0 {
             PROBE_LIMIT
         } else {
@@ -172,7 +174,7 @@
     }
 
     /// Reads the answer to a watch; none if the store no longer knows what was asked for.
-    fn read(&self, answer: &Answer) -> Result<Option<Changes>, CallError> {
+    fn read(&self, answer: &StoreAnswer) -> Result<Option<Changes>, CallError> {
         match answer.status {
             StatusCode::GONE => Ok(None),
             StatusCode::OK => {
