--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -57,7 +57,7 @@
 const DUTIES: &str = "/v1/duties";
 
 /// The record of duties as the store answers it.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct StoredRecord {
     /// The record.
     pub record: DutyRecord,
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -9,9 +9,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use ivyweir_gateway::dialect::{Item, Topic};
-use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage, StoredRecord};
+use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage, STORE_ERA, StoredRecord};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::QuarantineRecord;
@@ -35,6 +36,10 @@
     Refuse,
 }
 
+fn is_over(state: RolloutState) -> bool {
+    matches!(state, RolloutState::Completed | RolloutState::RolledBack)
+}
+
 /// A running store.
 #[derive(Clone)]
 pub struct RecordStore {
@@ -47,19 +52,41 @@
     news: watch::Sender<u64>,
 }
 
-#[derive(Default)]
-struct State {
+/// What a backup holds.
+#[derive(Debug, Clone, Default)]
+struct Contents {
     revision: u64,
-    /// Watches from before this are told that history is gone.
-    history_from: u64,
     records: BTreeMap<(&'static str, Name), Item>,
-    log: Vec<(u64, Topic, Value)>,
     /// Records of other writers, which cannot be read, by topic and name.
     foreign: BTreeMap<(&'static str, Name), Value>,
     /// Quarantined requests, by the name of their record.
     quarantines: BTreeMap<String, QuarantineRecord>,
     /// Who holds the duties, and the revision of that.
     duties: Option<StoredRecord>,
+}
+
+/// A write of an operator or an upstream.
+#[derive(Debug, Clone)]
+enum Write {
+    Put(Topic, Name, Item),
+    PutForeign(Topic, Name, Value),
+    Remove(Topic, Name),
+    LiftQuarantines,
+}
+
+#[derive(Default)]
+struct State {
+    contents: Contents,
+    /// Watches from before this are told that history is gone.
+    history_from: u64,
+    log: Vec<(u64, Topic, Value)>,
+    backup: Contents,
+    /// Writes of operators and upstreams since the backup.
+    written: Vec<Write>,
+    /// Those of them that the last restore lost.
+    lost: Vec<Write>,
+    /// How often the store was restored.
+    era: u64,
     fault: StoreFault,
     calls: u64,
 }
@@ -93,13 +120,32 @@
     /// Forgets all history: watches must list again.
     pub fn forget_history(&self) {
         let mut state = self.state();
-        state.revision += 1;
-        state.history_from = state.revision;
+        state.contents.revision += 1;
+        state.history_from = state.contents.revision;
         state.log.clear();
         drop(state);
         self.shared.news.send_modify(|count| *count += 1);
     }
 
+    /// Takes a backup in place of the last one; without one, an empty store is restored.
+    pub fn back_up(&self) {
+        let mut state = self.state();
+        state.backup = state.contents.clone();
+        state.written.clear();
+    }
+
+    /// Brings the store back from its backup: all later writes are lost, and their revisions are given out again.
+    pub fn restore(&self) {
+        self.state().restore();
+        self.shared.news.send_modify(|count| *count += 1);
+    }
+
+    /// Writes again what operators and upstreams wrote and the last restore lost; boxes' writes stay lost.
+    pub fn rewrite(&self) {
+        let lost = std::mem::take(&mut self.state().lost);
+        lost.into_iter().for_each(|write| self.write(write));
+    }
+
     /// Writes a configuration.
     pub fn put_site(&self, site: &Site) {
         self.put(
@@ -125,8 +171,7 @@
 
     /// Writes over a record as another writer may: with something that cannot be read.
     pub fn put_foreign(&self, topic: Topic, name: &str, record: Value) {
-        self.state().put_foreign(topic, name.into(), record);
-        self.shared.news.send_modify(|count| *count += 1);
+        self.write(Write::PutForeign(topic, name.into(), record));
     }
 
     /// Asks that the upstreams of a hall get nothing more.
@@ -162,18 +207,22 @@
 
     /// Names of the quarantined requests that are kept.
     pub fn quarantines(&self) -> Vec<String> {
-        self.state().quarantines.keys().cloned().collect()
+        self.state().contents.quarantines.keys().cloned().collect()
     }
 
     /// Lifts all quarantines, as an operator does.
     pub fn lift_quarantines(&self) {
-        self.state().quarantines.clear();
+        self.write(Write::LiftQuarantines);
     }
 
     /// How far the roll-out of a pool is.
     pub fn rollout_state(&self, pool: &str) -> Option<RolloutState> {
         let state = self.state();
-        match state.records.get(&(Topic::Rollouts.name(), pool.into())) {
+        match state
+            .contents
+            .records
+            .get(&(Topic::Rollouts.name(), pool.into()))
+        {
             Some(Item::Rollout(order)) => Some(order.state),
             _ => None,
         }
@@ -189,12 +238,15 @@
     }
 
     fn put(&self, topic: Topic, name: Name, item: Item) {
-        self.state().put(topic, name, item);
-        self.shared.news.send_modify(|count| *count += 1);
+        self.write(Write::Put(topic, name, item));
     }
 
     fn remove(&self, topic: Topic, name: &Name) {
-        self.state().remove(topic, name);
+        self.write(Write::Remove(topic, name.clone()));
+    }
+
+    fn write(&self, write: Write) {
+        self.state().write(write);
         self.shared.news.send_modify(|count| *count += 1);
     }
 }
@@ -206,45 +258,83 @@
 }
 
 impl State {
+    fn restore(&mut self) {
+        self.contents = self.backup.clone();
+        self.lost = std::mem::take(&mut self.written);
+        self.history_from = self.contents.revision;
+        self.log.clear();
+        self.era += 1;
+    }
+
+    /// Does a write of an operator or an upstream; one that changes nothing makes no revision.
+    fn write(&mut self, write: Write) {
+        self.written.push(write.clone());
+        match write {
+            Write::Put(topic, name, item) if self.holds(topic, &name, &item) => {}
+            Write::Put(topic, name, item) => self.put(topic, name, item),
+            Write::PutForeign(topic, name, record) => self.put_foreign(topic, name, record),
+            Write::Remove(topic, name) => self.remove(topic, &name),
+            Write::LiftQuarantines => self.contents.quarantines.clear(),
+        }
+    }
+
+    /// Whether a record is as an operator or an upstream is about to write it; how far a roll-out is, is not theirs.
+    fn holds(&self, topic: Topic, name: &Name, item: &Item) -> bool {
+        let known = self.contents.records.get(&(topic.name(), name.clone()));
+        match (known, item) {
+            (Some(Item::Rollout(known)), Item::Rollout(order)) => {
+                let same = known.target_version == order.target_version;
+                same && known.duration_ms == order.duration_ms && !is_over(known.state)
+            }
+            (known, item) => known == Some(item),
+        }
+    }
+
     fn put(&mut self, topic: Topic, name: Name, mut item: Item) {
-        self.revision += 1;
+        self.contents.revision += 1;
         if let Item::Rollout(order) = &mut item {
-            order.revision = self.revision;
+            order.revision = self.contents.revision;
         }
         let key = (topic.name(), name);
-        self.foreign.remove(&key);
-        self.records.insert(key, item.clone());
+        self.contents.foreign.remove(&key);
+        self.contents.records.insert(key, item.clone());
         self.note(topic, &RecordChange::Put(item));
     }
 
     fn put_foreign(&mut self, topic: Topic, name: Name, record: Value) {
-        self.revision += 1;
+        self.contents.revision += 1;
         let key = (topic.name(), name);
-        self.records.remove(&key);
+        self.contents.records.remove(&key);
         self.log
-            .push((self.revision, topic, json!({"put": record})));
-        self.foreign.insert(key, record);
+            .push((self.contents.revision, topic, json!({"put": record})));
+        self.contents.foreign.insert(key, record);
     }
 
     fn note(&mut self, topic: Topic, change: &RecordChange) {
         let change = serde_json::to_value(change).expect("changes are valid JSON");
-        self.log.push((self.revision, topic, change));
+        self.log.push((self.contents.revision, topic, change));
     }
 
     fn remove(&mut self, topic: Topic, name: &Name) {
-        if self.records.remove(&(topic.name(), name.clone())).is_some() {
-            self.revision += 1;
+        if self
+            .contents
+            .records
+            .remove(&(topic.name(), name.clone()))
+            .is_some()
+        {
+            self.contents.revision += 1;
             self.note(topic, &RecordChange::Gone(name.clone()));
         }
     }
 
     fn page(&self, topic: Topic) -> RecordPage {
-        let own = self.records.iter();
+        let own = self.contents.records.iter();
         let own = own.map(|(key, item)| {
             let record = serde_json::to_value(item).expect("records are valid JSON");
             (key, record)
         });
         let foreign = self
+            .contents
             .foreign
             .iter()
             .map(|(key, record)| (key, record.clone()));
@@ -253,7 +343,7 @@
         RecordPage {
             records: records.map(|(_, record)| record).collect(),
             next_after: None,
-            revision: self.revision,
+            revision: self.contents.revision,
         }
     }
 
@@ -264,26 +354,36 @@
             .filter(|(at, of, _)| *at > since && *of == topic);
         RecordChanges {
             changes: newer.map(|(_, _, change)| change.clone()).collect(),
-            revision: self.revision,
+            revision: self.contents.revision,
         }
     }
 
     /// Writes a roll-out's state under the revision that the writer saw.
     fn write_rollout(&mut self, order: RolloutOrder) -> (StatusCode, Option<Item>) {
         let key = (Topic::Rollouts.name(), order.pool.clone());
-        let Some(Item::Rollout(now)) = self.records.get(&key) else {
+        let Some(Item::Rollout(now)) = self.contents.records.get(&key) else {
             return (StatusCode::NOT_FOUND, None);
         };
         if now.revision != order.revision {
-            return (StatusCode::CONFLICT, self.records.get(&key).cloned());
+            return (
+                StatusCode::CONFLICT,
+                self.contents.records.get(&key).cloned(),
+            );
         }
         let pool = order.pool.clone();
         self.put(Topic::Rollouts, pool, Item::Rollout(order));
-        (StatusCode::OK, self.records.get(&key).cloned())
+        (StatusCode::OK, self.contents.records.get(&key).cloned())
     }
 }
 
 async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut answer = answer_request(shared, request).await;
+    let era = HeaderValue::from(shared.state().era);
+    answer.headers_mut().insert(STORE_ERA, era);
+    answer
+}
+
+async fn answer_request(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let fault = {
         let mut state = shared.state();
         state.calls += 1;
@@ -328,7 +428,7 @@
     name: &[&str],
     body: &[u8],
 ) -> Response<Full<Bytes>> {
-    let kept = &mut shared.state().quarantines;
+    let kept = &mut shared.state().contents.quarantines;
     match (method, name) {
         (&Method::GET, []) => answer_json(&kept.values().collect::<Vec<_>>()),
         (&Method::POST, [name]) if kept.contains_key(*name) => status(StatusCode::CONFLICT),
@@ -350,7 +450,7 @@
 /// Reads or writes who holds the duties, under the revision that the writer saw.
 fn duties(shared: &Shared, method: &Method, query: &str, body: &[u8]) -> Response<Full<Bytes>> {
     let mut state = shared.state();
-    let known = state.duties.as_ref().map(|stored| stored.revision);
+    let known = state.contents.duties.as_ref().map(|stored| stored.revision);
     let expected = match *method {
         Method::GET => None,
         Method::POST => Some(None),
@@ -361,14 +461,14 @@
     match (expected, serde_json::from_slice(body)) {
         (None, _) => {}
         (Some(expected), Ok(record)) if expected == known => {
-            state.revision += 1;
-            let revision = state.revision;
-            state.duties = Some(StoredRecord { record, revision });
+            state.contents.revision += 1;
+            let revision = state.contents.revision;
+            state.contents.duties = Some(StoredRecord { record, revision });
         }
         (Some(_), Ok(_)) => code = StatusCode::CONFLICT,
         (Some(_), Err(_)) => return status(StatusCode::BAD_REQUEST),
     }
-    let Some(stored) = &state.duties else {
+    let Some(stored) = &state.contents.duties else {
         return status(StatusCode::NOT_FOUND);
     };
     let mut answer = answer_json(stored);
@@ -388,7 +488,7 @@
     loop {
         let (gone, fault, changes) = {
             let state = shared.state();
-            let gone = since < state.history_from;
+            let gone = since < state.history_from || since > state.contents.revision;
             (gone, state.fault, state.changes(topic, since))
         };
         match fault {
