Compare store revisions together with their era

Symptom: boxes served an older configuration for seconds after a newer one was acknowledged (a withdrawn route was still served, a new one was refused with 404), and sent requests to an upstream 3 s after it had announced that it leaves.

Cause: a store that is restored from a backup continues from a lower revision. Boxes that follow another box kept asking for changes after the revision number that they had before the restore. The box they asked had nothing to report until its own number had passed theirs, and the proof that it sent along was fresh. A watch at the store has the same problem once the store has reused the number. Class of fault: positions in two different histories were compared as if they belonged to one.

Ruled out: the store's own late listing (the box that listed it adopted each configuration within 0.3 s), and boxes cut off from their relay (their proofs were 0.3 to 1.3 s old). Rejected as a fix: starting over after every lost answer, which would copy the whole list to each box after each cut connection.

Change: a revision consists of an era and a number, is ordered by era first, and is compared, stored and sent between boxes only in this form. A box that follows from an earlier era gets all records. A watch that is answered from a later era is listed again. Pages from two eras are rejected as a listing, and so is a listing from an earlier era than the known one. The state of a roll-out is written only under a revision of the store's current era.

New tests: three cases of what a box tells another one across a restore, and six of the order and text form of revisions.

Not covered yet: records that a restored store lacks for a moment, and writes by boxes that the restore lost.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -5,6 +5,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::revision::Revision;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState, RolloutTrack};
 use ivyweir_policy::gateway::site::{Site, SiteIndex};
 use ivyweir_policy::gateway::statement::Source;
@@ -15,12 +16,12 @@
 use crate::state::Gateway;
 
 /// Takes in all records of a topic, as of a revision.
-pub fn adopt_all(gateway: &Gateway, topic: Topic, revision: u64, entries: Vec<Entry>) {
+pub fn adopt_all(gateway: &Gateway, topic: Topic, revision: Revision, entries: Vec<Entry>) {
     adopt_entries(gateway, topic, revision, entries);
     gateway.histories.restart(topic, revision);
 }
 
-fn adopt_entries(gateway: &Gateway, topic: Topic, revision: u64, entries: Vec<Entry>) {
+fn adopt_entries(gateway: &Gateway, topic: Topic, revision: Revision, entries: Vec<Entry>) {
     let listed = entries.len();
     let items = readable_entries(gateway, topic, entries);
     if topic == Topic::Upstreams {
@@ -92,7 +93,12 @@
 }
 
 /// Takes in changes of a topic, up to a revision.
-pub fn adopt_changes(gateway: &Gateway, topic: Topic, revision: u64, changes: Vec<PassedChange>) {
+pub fn adopt_changes(
+    gateway: &Gateway,
+    topic: Topic,
+    revision: Revision,
+    changes: Vec<PassedChange>,
+) {
     for change in changes.iter().cloned() {
         match change {
             PassedChange::Put(item) => adopt_item(gateway, revision, item),
@@ -103,7 +109,7 @@
     gateway.histories.push(topic, revision, changes, records);
 }
 
-fn adopt_item(gateway: &Gateway, revision: u64, item: Item) {
+fn adopt_item(gateway: &Gateway, revision: Revision, item: Item) {
     match item {
         Item::Site(site) => adopt_site(gateway, revision, *site),
         Item::Upstream(record) => gateway.change_upstream(Source::Record, |fleet, now_ms| {
@@ -137,7 +143,7 @@
 pub fn adopt_rollout(gateway: &Gateway, order: RolloutOrder) {
     let detail = json!({
         "pool": order.pool, "target_version": order.target_version,
-        "state": order.state, "revision": order.revision,
+        "state": order.state, "revision": order.store_revision().to_string(),
     });
     gateway.log.line("rollout_seen", detail);
     if order.state == RolloutState::Completed {
@@ -151,7 +157,7 @@
     });
 }
 
-fn adopt_site(gateway: &Gateway, revision: u64, mut site: Site) {
+fn adopt_site(gateway: &Gateway, revision: Revision, mut site: Site) {
     let (version, routes) = (site.version, site.routes.len());
     for pool in &mut site.pools {
         if let Some(start) = pool.cold_start.take_if(|start| !start.is_sane()) {
@@ -161,7 +167,8 @@
     }
     let adopted = gateway.adopt_site(SiteIndex::from(site));
     let detail = json!({
-        "version": version, "routes": routes, "adopted": adopted, "revision": revision,
+        "version": version, "routes": routes, "adopted": adopted,
+        "revision": revision.to_string(),
     });
     gateway.log.line("site_seen", detail);
 }
--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -45,6 +45,10 @@
         /// The status.
         status: u16,
     },
+    /// The store was restored from a backup: the answer is from an era before the known one, or
+    /// the pages of a listing are from different eras.
+    #[snafu(display("the answer is from another era of the store"))]
+    EraMismatch,
     /// The answer cannot be read.
     #[snafu(display("the answer cannot be read: {detail}"))]
     Unreadable {
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -178,6 +178,15 @@
         }
     }
 
+    /// Sets the store era of a roll-out's revision; returns other records unchanged.
+    #[must_use]
+    pub fn with_era(mut self, era: u64) -> Self {
+        if let Self::Rollout(order) = &mut self {
+            order.era = era;
+        }
+        self
+    }
+
     /// The record of an upstream, if it is one.
     pub fn upstream(self) -> Option<UpstreamRecord> {
         match self {
@@ -270,6 +279,17 @@
     Gone(Name),
 }
 
+impl Change {
+    /// Sets the store era of a written record; returns removals unchanged.
+    #[must_use]
+    pub fn with_era(self, era: u64) -> Self {
+        match self {
+            Self::Put(entry) => Self::Put(entry.map(|item| item.with_era(era))),
+            Self::Gone(name) => Self::Gone(name),
+        }
+    }
+}
+
 /// What a watch saw.
 #[derive(Debug)]
 pub struct Changes {
--- a/crates/ivyweir-gateway/src/drive.rs
+++ b/crates/ivyweir-gateway/src/drive.rs
@@ -61,9 +61,13 @@
 
 /// What is to be written now that it is this box's turn.
 fn duties(gateway: &Gateway, own_delay_ms: u64) -> Vec<(RolloutOrder, RolloutDuty)> {
+    let era = gateway.store_era().unwrap_or_default();
     gateway.with_rollouts(|rollouts, now_ms| {
         rollouts
             .values()
+            // Revision numbers are reused after a restore, so one from another era may match a different
+            // write.
+            .filter(|track| track.order().era == era)
             .filter_map(|track| {
                 let due = track.duty(now_ms.saturating_sub(own_delay_ms));
                 let elapsed_ms = track.elapsed_ms(now_ms);
@@ -121,6 +125,8 @@
         status => return Err(format!("status {}", status.as_u16())),
     };
     let now = gateway.codec.rollout(&answer.body);
-    adopt_rollout(gateway, now.map_err(|e| e.to_string())?);
+    let mut now = now.map_err(|e| e.to_string())?;
+    now.era = answer.era;
+    adopt_rollout(gateway, now);
     Ok(outcome)
 }
--- a/crates/ivyweir-gateway/src/follow.rs
+++ b/crates/ivyweir-gateway/src/follow.rs
@@ -7,6 +7,7 @@
 use hyper::{Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::copies::Giver;
+use ivyweir_policy::gateway::revision::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -40,7 +41,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct FollowAnswer {
     /// The store's revision up to which this holds.
-    pub revision: u64,
+    pub revision: Revision,
     /// All records, for who is too far behind.
     pub whole: Option<Whole>,
     /// Changes in order.
@@ -59,9 +60,9 @@
 #[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 pub struct Vouches {
     /// Of upstreams.
-    pub upstreams: Option<u64>,
+    pub upstreams: Option<Revision>,
     /// Of drained halls.
-    pub drained_halls: Option<u64>,
+    pub drained_halls: Option<Revision>,
 }
 
 impl Vouches {
@@ -146,7 +147,7 @@
 /// Time for which a question waits while this box has no source.
 fn source_change_ms(question: &Question, why: NoSource) -> u64 {
     match question.asker {
-        _ if why == NoSource::NotYet && question.since == 0 => FIRST_ANSWER_MS,
+        _ if why == NoSource::NotYet && question.since.is_zero() => FIRST_ANSWER_MS,
         Asker::Follower => SOURCE_CHANGE_MS,
         Asker::Relay | Asker::Copier => ROOT_CHANGE_MS,
     }
@@ -196,7 +197,7 @@
     topic: Topic,
     from: Name,
     asker: Asker,
-    since: u64,
+    since: Revision,
     wait_ms: u64,
 }
 
@@ -229,7 +230,13 @@
 const COPIER: &str = "copier";
 
 /// The path and query at which the box `from` follows a topic.
-pub fn follow_path(topic: Topic, since: u64, wait_ms: u64, asker: Asker, from: &str) -> String {
+pub fn follow_path(
+    topic: Topic,
+    since: Revision,
+    wait_ms: u64,
+    asker: Asker,
+    from: &str,
+) -> String {
     let topic = topic.name();
     let asker = match asker {
         Asker::Relay => RELAY,
--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -8,6 +8,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::copies::{Copies, Giver};
 use ivyweir_policy::gateway::hall::Source;
+use ivyweir_policy::gateway::revision::Revision;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -32,10 +33,10 @@
 /// What a box can pass on of one topic.
 #[derive(Debug, Default)]
 struct History {
-    revision: u64,
+    revision: Revision,
     /// Who asks from before this needs everything.
-    floor: u64,
-    changes: VecDeque<(u64, PassedChange)>,
+    floor: Revision,
+    changes: VecDeque<(Revision, PassedChange)>,
     from: HeardFrom,
 }
 
@@ -79,9 +80,9 @@
 /// What a box that asks does not know yet.
 pub enum Behind {
     /// More than is kept; the revision of everything.
-    Whole(u64),
+    Whole(Revision),
     /// The changes, up to this revision.
-    Changes(u64, Vec<PassedChange>),
+    Changes(Revision, Vec<PassedChange>),
 }
 
 /// What this box knows of the store from its own questions.
@@ -121,7 +122,7 @@
 
 impl Histories {
     /// Takes in that a topic was read as a whole.
-    pub fn restart(&self, topic: Topic, revision: u64) {
+    pub fn restart(&self, topic: Topic, revision: Revision) {
         let mut topics = self.topics();
         let history = topics.entry(topic).or_default();
         history.revision = revision;
@@ -135,7 +136,13 @@
 
     /// Takes in changes of a topic that has so many `records` now. As many changes are kept: who is further behind
     /// is told less by getting everything.
-    pub fn push(&self, topic: Topic, revision: u64, changes: Vec<PassedChange>, records: usize) {
+    pub fn push(
+        &self,
+        topic: Topic,
+        revision: Revision,
+        changes: Vec<PassedChange>,
+        records: usize,
+    ) {
         let kept = records.max(CHANGES_KEPT);
         let mut topics = self.topics();
         let history = topics.entry(topic).or_default();
@@ -214,9 +221,10 @@
     }
 
     /// Takes in that a box knows a topic up to `since`: it may have got its copy.
-    pub fn note_copy(&self, topic: Topic, since: u64, name: &Name) {
-        let floor = self.topics().get(&topic).map_or(0, |history| history.floor);
-        if since > 0
+    pub fn note_copy(&self, topic: Topic, since: Revision, name: &Name) {
+        let floor = self.topics().get(&topic).map(|history| history.floor);
+        let floor = floor.unwrap_or_default();
+        if !since.is_zero()
             && since >= floor
             && let Some(copies) = self.copies().get_mut(&topic)
         {
@@ -257,13 +265,13 @@
     pub fn behind(
         &self,
         topic: Topic,
-        since: u64,
+        since: Revision,
         asker: Asker,
     ) -> Result<Option<Behind>, NoSource> {
         let topics = self.topics();
         let history = topics.get(&topic).ok_or(NoSource::ForNow)?;
         // Who knows nothing yet is better off with what was last heard; its proof tells the age.
-        let knows_nothing = since == 0 && history.floor > 0;
+        let knows_nothing = since.is_zero() && !history.floor.is_zero();
         if asker == Asker::Copier && !knows_nothing {
             return Err(NoSource::AtAll);
         }
@@ -281,7 +289,7 @@
     }
 
     /// Revision of the last change of a topic that this box knows; none where it is no source of the topic for who asks.
-    pub fn changed_at(&self, topic: Topic, asker: Asker) -> Option<u64> {
+    pub fn changed_at(&self, topic: Topic, asker: Asker) -> Option<Revision> {
         let topics = self.topics();
         let history = topics.get(&topic)?;
         self.check_source(history.from, asker).ok()?;
@@ -289,11 +297,11 @@
         Some(last.unwrap_or(history.floor))
     }
 
-    /// Revision up to which this box knows a topic; 0 where it knows nothing yet.
-    pub fn revision(&self, topic: Topic) -> u64 {
-        self.topics()
-            .get(&topic)
-            .map_or(0, |history| history.revision)
+    /// Revision up to which this box knows a topic; zero if it knows nothing yet.
+    pub fn revision(&self, topic: Topic) -> Revision {
+        let topics = self.topics();
+        let history = topics.get(&topic);
+        history.map_or_else(Revision::default, |history| history.revision)
     }
 
     /// Whether this box is a source for who asks.
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -258,7 +258,7 @@
         belief("store_era", gateway.store_era().unwrap_or_default());
         for topic in gateway.topics() {
             let revision = gateway.histories.revision(*topic);
-            belief(&format!("revision_{}", topic.name()), revision);
+            belief(&format!("revision_{}", topic.name()), revision.number);
         }
         belief("requests_active", gateway.active());
         belief("requests_quarantined", gateway.quarantined().len() as u64);
--- a/crates/ivyweir-gateway/src/state/store_era.rs
+++ b/crates/ivyweir-gateway/src/state/store_era.rs
@@ -19,6 +19,8 @@
             if previous.is_some() {
                 let detail = json!({"era": era, "era_before": previous});
                 self.log.line("store_restored", detail);
+                // Requests that are still open may wait for revisions that the store no longer has.
+                self.store_news.store_lost();
             }
         }
         era
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use ivyweir_policy::gateway::hall::{BoxRecord, Source};
+use ivyweir_policy::gateway::revision::Revision;
 use rand::Rng;
 use serde_json::json;
 use tokio::time::sleep;
@@ -121,7 +122,7 @@
     }
 
     /// Hears of changes once; returns where to go on, or none if the topic is to be read anew.
-    async fn hear(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+    async fn hear(&mut self, since: Option<Revision>) -> Result<Option<Revision>, Failed> {
         let gateway = self.gateway.clone();
         let source = gateway.peers.source(gateway.clock.now_ms());
         if source != Source::Store {
@@ -155,18 +156,21 @@
     /// Hears of changes from another box.
     async fn hear_box(
         &mut self,
-        since: Option<u64>,
+        since: Option<Revision>,
         other: BoxRecord,
         asker: Asker,
-    ) -> Result<Option<u64>, Failed> {
-        let next = self.ask_box(since.unwrap_or(0), other, asker).await?;
+    ) -> Result<Option<Revision>, Failed> {
+        let next = self
+            .ask_box(since.unwrap_or_default(), other, asker)
+            .await?;
         Ok(Some(next))
     }
 
     /// Hears of changes from the store.
-    async fn hear_store(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+    async fn hear_store(&mut self, since: Option<Revision>) -> Result<Option<Revision>, Failed> {
         self.is_catching_up = self.relay.take().is_some();
-        match since {
+        let era = self.gateway.store_era().unwrap_or_default();
+        match since.filter(|since| since.era == era) {
             None => self.list().await.map(Some),
             Some(since) => self.ask_store(since).await,
         }
--- a/crates/ivyweir-gateway/src/sync/probe.rs
+++ b/crates/ivyweir-gateway/src/sync/probe.rs
@@ -1,6 +1,7 @@
 //! Trying the store from a box that follows another, where that does not renew the proof.
 
 use ivyweir_policy::gateway::proof::Proof;
+use ivyweir_policy::gateway::revision::Revision;
 use rand::Rng;
 use serde_json::json;
 
@@ -92,7 +93,10 @@
     }
 
     /// Tries the store; a box that it answers stays with whoever it follows.
-    pub(super) async fn probe(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+    pub(super) async fn probe(
+        &mut self,
+        since: Option<Revision>,
+    ) -> Result<Option<Revision>, Failed> {
         let now_ms = self.gateway.clock.now_ms();
         let boxes = self.gateway.peers.others_count() as u64;
         self.probes.begin(boxes, now_ms);
@@ -114,7 +118,10 @@
     }
 
     /// Hears of changes from the store once, without waiting for any.
-    pub(super) async fn poll(&mut self, since: Option<u64>) -> Result<Option<u64>, Failed> {
+    pub(super) async fn poll(
+        &mut self,
+        since: Option<Revision>,
+    ) -> Result<Option<Revision>, Failed> {
         self.is_probing = true;
         let heard = self.hear_store(since).await;
         self.is_probing = false;
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -5,6 +5,7 @@
 
 use hyper::StatusCode;
 use ivyweir_policy::gateway::hall::BoxRecord;
+use ivyweir_policy::gateway::revision::Revision;
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -36,10 +37,10 @@
     /// Asks another box; returns where to go on.
     pub(super) async fn ask_box(
         &mut self,
-        since: u64,
+        since: Revision,
         relay: BoxRecord,
         asker: Asker,
-    ) -> Result<u64, Failed> {
+    ) -> Result<Revision, Failed> {
         let asked_at_ms = self.gateway.clock.now_ms();
         let answer = self.call_box(since, &relay, asker).await?;
         if matches!(&answer, Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE) {
@@ -106,7 +107,7 @@
     /// Asks what changed behind `since`; gives up where another follower finds the box lost.
     async fn call_box(
         &mut self,
-        since: u64,
+        since: Revision,
         relay: &BoxRecord,
         asker: Asker,
     ) -> Result<Result<Answer, CallError>, Failed> {
@@ -123,7 +124,7 @@
                 &mut other.insert((relay.clone(), client)).1
             }
         };
-        let limit_ms = if since == 0 || self.gateway.peers.is_young() {
+        let limit_ms = if since.is_zero() || self.gateway.peers.is_young() {
             COPY_LIMIT_MS
         } else {
             RELAY_ANSWER_LIMIT_MS
@@ -159,15 +160,16 @@
     /// Takes in an answer, and the proof that comes with it; returns where to go on.
     async fn take_in(
         &mut self,
-        since: u64,
+        since: Revision,
         asked_at_ms: u64,
         answer: FollowAnswer,
-    ) -> Result<u64, BoxCallError> {
+    ) -> Result<Revision, BoxCallError> {
         let gateway = self.gateway.clone();
         let proven_at_ms = answer.proven_at_ms(asked_at_ms, gateway.clock.now_ms());
         let is_proven = answer
             .proof_age_ms
             .is_some_and(|age_ms| age_ms <= RELAY_PROOF_MAX_MS);
+        gateway.update_store_era(Some(answer.revision.era));
         let mut revision = answer.revision.max(since);
         match answer.whole {
             Some(Whole::Here(items)) => self.adopt_copy(answer.revision, items),
@@ -208,7 +210,7 @@
 
     /// Whether this box knows of a topic what a relay knows whose last change of it has this revision; what is on its way
     /// is waited for. A topic that is not followed binds nothing.
-    async fn knows(&self, topic: Topic, changed_at: Option<u64>) -> bool {
+    async fn knows(&self, topic: Topic, changed_at: Option<Revision>) -> bool {
         if !self.gateway.topics().contains(&topic) {
             return true;
         }
@@ -225,15 +227,15 @@
     }
 
     /// Gets all records from a box that has them; returns their revision.
-    async fn copy_from(&self, giver: SocketAddr) -> Result<u64, BoxCallError> {
+    async fn copy_from(&self, giver: SocketAddr) -> Result<Revision, BoxCallError> {
         let me = &self.gateway.settings.box_name;
-        let path = follow_path(self.topic, 0, 0, Asker::Copier, me);
+        let path = follow_path(self.topic, Revision::default(), 0, Asker::Copier, me);
         let limit = Duration::from_millis(COPY_LIMIT_MS);
         let answer = Client::new(giver).call(question(giver, &path), limit).await;
         let answer = read_answer::<FollowAnswer>(answer)?;
         if let Some(Whole::Here(items)) = answer.whole {
             let detail = json!({
-                "topic": self.topic.name(), "giver": giver, "revision": answer.revision,
+                "topic": self.topic.name(), "giver": giver, "revision": answer.revision.to_string(),
                 "records": items.len(),
             });
             self.gateway.log.line("records_copied", detail);
@@ -242,7 +244,7 @@
         Ok(answer.revision)
     }
 
-    fn adopt_copy(&self, revision: u64, items: Vec<Item>) {
+    fn adopt_copy(&self, revision: Revision, items: Vec<Item>) {
         let entries = items.into_iter().map(Ok).collect();
         adopt_all(&self.gateway, self.topic, revision, entries);
     }
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, StatusCode};
+use ivyweir_policy::gateway::revision::Revision;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
@@ -39,7 +40,7 @@
 
 impl Follower {
     /// Lists the topic; returns the revision to watch from.
-    pub(super) async fn list(&mut self) -> Result<u64, ()> {
+    pub(super) async fn list(&mut self) -> Result<Revision, ()> {
         self.begin_question();
         let asked_at_ms = self.gateway.clock.now_ms();
         let (entries, revision) = match self.read_pages().await {
@@ -61,22 +62,31 @@
     }
 
     /// All records of the topic, and the revision behind which the watch tells the rest.
-    async fn read_pages(&mut self) -> Result<(Vec<Entry>, u64), CallError> {
-        let (first, _) = self.client.read_page(self.topic, None).await?;
+    async fn read_pages(&mut self) -> Result<(Vec<Entry>, Revision), CallError> {
+        let (first, era) = self.client.read_page(self.topic, None).await?;
+        if Some(era) < self.gateway.store_era() {
+            return Err(CallError::EraMismatch);
+        }
         // What changes while pages are read is told by the watch from the first page on.
-        let revision = first.revision;
+        let revision = Revision::new(era, first.revision);
         let mut entries = first.entries;
         let mut after = first.next_after;
         while let Some(last) = after {
-            let (page, _) = self.client.read_page(self.topic, Some(&last)).await?;
+            let (page, page_era) = self.client.read_page(self.topic, Some(&last)).await?;
+            if page_era != era {
+                return Err(CallError::EraMismatch);
+            }
             entries.extend(page.entries);
             after = page.next_after;
         }
-        Ok((entries, revision))
+        let entries = entries
+            .into_iter()
+            .map(|entry| entry.map(|item| item.with_era(era)));
+        Ok((entries.collect(), revision))
     }
 
     /// Watches once; returns where to go on, or none if the topic is to be listed again.
-    pub(super) async fn ask_store(&mut self, since: u64) -> Result<Option<u64>, ()> {
+    pub(super) async fn ask_store(&mut self, since: Revision) -> Result<Option<Revision>, ()> {
         let watched = self.watch(since).await;
         self.tell_store_answers(watched.is_ok());
         watched
@@ -93,21 +103,21 @@
         }
     }
 
-    async fn watch(&mut self, since: u64) -> Result<Option<u64>, ()> {
+    async fn watch(&mut self, since: Revision) -> Result<Option<Revision>, ()> {
         let asked_at_ms = self.gateway.clock.now_ms();
         let is_wanted = self.begin_question();
         let wait_ms = self.wait_ms(is_wanted);
-        let request = self.gateway.codec.watch(self.topic, since, wait_ms);
+        let request = self.gateway.codec.watch(self.topic, since.number, wait_ms);
         let mut answer = self.call_store(request, wait_ms).await;
         if self.failures == 0 && matches!(answer, Err(CallError::Lost { .. })) {
             // The store may cut a watch at any time; it is lost only if it does not answer then.
             let request = self
                 .gateway
                 .codec
-                .watch(self.topic, since, AFTER_FAILURE_WAIT_MS);
+                .watch(self.topic, since.number, AFTER_FAILURE_WAIT_MS);
             answer = self.call_store(request, AFTER_FAILURE_WAIT_MS).await;
         }
-        let changes = match answer.and_then(|answer| self.read(&answer)) {
+        let changes = match answer.and_then(|answer| self.read(since.era, &answer)) {
             Ok(changes) => changes,
             Err(e) => {
                 self.failed(&e);
@@ -117,15 +127,17 @@
         self.succeeded();
         let Some(changes) = changes else {
             let detail = json!({
-                "topic": self.topic.name(), "since": since, "era": self.gateway.store_era(),
+                "topic": self.topic.name(), "since": since.to_string(), "era": self.gateway.store_era(),
             });
             self.gateway.log.line("store_history_gone", detail);
             return Ok(None);
         };
-        let revision = changes.revision;
+        let revision = Revision::new(since.era, changes.revision);
         let quiet = changes.changes.is_empty();
         let answered_at_ms = self.gateway.clock.now_ms();
-        let changes = readable_changes(&self.gateway, self.topic, changes.changes);
+        let changes = changes.changes.into_iter();
+        let changes = changes.map(|change| change.with_era(since.era)).collect();
+        let changes = readable_changes(&self.gateway, self.topic, changes);
         adopt_changes(&self.gateway, self.topic, revision, changes);
         if self.confirmed(AnsweredBy::Store).await {
             let proven_at_ms = proven_at(asked_at_ms, answered_at_ms, wait_ms, quiet);
@@ -173,10 +185,13 @@
         call.await
     }
 
-    /// Reads the answer to a watch; none if the store no longer knows what was asked for.
-    fn read(&self, answer: &StoreAnswer) -> Result<Option<Changes>, CallError> {
+    /// Reads the answer to a watch from a revision of `era`; `None` if the topic must be listed again, because the store
+    /// no longer has the history or answers from another era.
+    fn read(&self, era: u64, answer: &StoreAnswer) -> Result<Option<Changes>, CallError> {
         match answer.status {
             StatusCode::GONE => Ok(None),
+            // After a restore, the same revision number stands for another change.
+            StatusCode::OK if answer.era != era => Ok(None),
             StatusCode::OK => {
                 let changes = self.gateway.codec.changes(self.topic, &answer.body);
                 changes.map(Some).map_err(CallError::unreadable)
--- a/crates/ivyweir-gateway/tests/histories.rs
+++ b/crates/ivyweir-gateway/tests/histories.rs
@@ -2,11 +2,17 @@
 
 use ivyweir_gateway::dialect::Topic;
 use ivyweir_gateway::history::{Asker, Behind, HeardFrom, Histories, NoSource, PassedChange};
+use ivyweir_policy::gateway::revision::Revision;
+
+/// A revision of era 1.
+fn rev(number: u64) -> Revision {
+    Revision::new(1, number)
+}
 
 /// How a box that hears the configuration from the store, and knows nothing of it yet, answers.
 fn answer(histories: &Histories, asker: Asker) -> Result<bool, NoSource> {
     histories.set_from(Topic::Site, HeardFrom::Store);
-    let behind = histories.behind(Topic::Site, 0, asker)?;
+    let behind = histories.behind(Topic::Site, Revision::default(), asker)?;
     Ok(behind.is_some())
 }
 
@@ -39,10 +45,10 @@
 fn who_knows_nothing_gets_what_was_last_heard() {
     let histories = Histories::default();
     histories.set_from(Topic::Site, HeardFrom::Store);
-    histories.restart(Topic::Site, 7);
+    histories.restart(Topic::Site, rev(7));
     histories.set_store_answers(false);
-    let behind = histories.behind(Topic::Site, 0, Asker::Relay);
-    assert!(matches!(behind, Ok(Some(Behind::Whole(7)))));
+    let behind = histories.behind(Topic::Site, Revision::default(), Asker::Relay);
+    assert!(matches!(behind, Ok(Some(Behind::Whole(revision))) if revision == rev(7)));
 }
 
 /// Changes that a follower is told while `records` upstreams register, so many at a time; none where it is told to get
@@ -51,15 +57,15 @@
     let histories = Histories::default();
     histories.set_from(Topic::Upstreams, HeardFrom::Store);
     histories.set_store_answers(true);
-    histories.restart(Topic::Upstreams, 1);
+    histories.restart(Topic::Upstreams, rev(1));
     let (mut since, mut told) = (1, 0);
     for known in (at_a_time..=records).step_by(at_a_time) {
         let changes = (0..at_a_time).map(|n| PassedChange::Gone(format!("u{n}").into()));
-        histories.push(Topic::Upstreams, since + 1, changes.collect(), known);
-        match histories.behind(Topic::Upstreams, since, Asker::Follower) {
+        histories.push(Topic::Upstreams, rev(since + 1), changes.collect(), known);
+        match histories.behind(Topic::Upstreams, rev(since), Asker::Follower) {
             Ok(Some(Behind::Changes(revision, changes))) => {
                 told += changes.len();
-                since = revision;
+                since = revision.number;
             }
             _ => return None,
         }
@@ -82,15 +88,46 @@
     let histories = Histories::default();
     histories.set_from(Topic::Upstreams, HeardFrom::Store);
     histories.set_store_answers(true);
-    histories.restart(Topic::Upstreams, 1);
+    histories.restart(Topic::Upstreams, rev(1));
     for revision in 2..=1_002 {
         let gone = vec![PassedChange::Gone("u".into())];
-        histories.push(Topic::Upstreams, revision, gone, 400);
+        histories.push(Topic::Upstreams, rev(revision), gone, 400);
     }
-    let behind = |since| histories.behind(Topic::Upstreams, since, Asker::Follower);
-    assert!(matches!(behind(500), Ok(Some(Behind::Whole(1_002)))));
-    let Ok(Some(Behind::Changes(1_002, changes))) = behind(700) else {
+    let behind = |since| histories.behind(Topic::Upstreams, rev(since), Asker::Follower);
+    assert!(matches!(behind(500), Ok(Some(Behind::Whole(revision))) if revision == rev(1_002)));
+    let Ok(Some(Behind::Changes(revision, changes))) = behind(700) else {
         panic!("the changes are kept");
     };
+    assert_eq!(revision, rev(1_002));
     assert_eq!(changes.len(), 302);
 }
+
+/// What a box that knows the upstreams up to `since` gets from a box that listed a restored store at revision 2.16 and
+/// received one change since.
+fn behind_after_restore(since: Revision) -> Option<Behind> {
+    let histories = Histories::default();
+    histories.set_from(Topic::Upstreams, HeardFrom::Store);
+    histories.set_store_answers(true);
+    histories.restart(Topic::Upstreams, Revision::new(2, 16));
+    let gone = vec![PassedChange::Gone("u".into())];
+    histories.push(Topic::Upstreams, Revision::new(2, 17), gone, 1);
+    let behind = histories.behind(Topic::Upstreams, since, Asker::Follower);
+    behind.expect("a source")
+}
+
+#[test]
+fn a_box_from_an_earlier_era_gets_all_records() {
+    let behind = behind_after_restore(Revision::new(1, 24));
+    assert!(matches!(behind, Some(Behind::Whole(revision)) if revision == Revision::new(2, 17)));
+}
+
+#[test]
+fn a_box_from_the_same_era_gets_changes() {
+    let behind = behind_after_restore(Revision::new(2, 16));
+    assert!(matches!(behind, Some(Behind::Changes(_, changes)) if changes.len() == 1));
+}
+
+#[test]
+fn a_box_from_a_later_era_gets_nothing() {
+    assert!(behind_after_restore(Revision::new(3, 1)).is_none());
+}
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod proof;
 pub mod quarantine;
 pub mod repeat;
+pub mod revision;
 pub mod rollout;
 pub mod site;
 pub mod slowness;
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/revision.rs
@@ -0,0 +1,64 @@
+//! Revisions of the store, with the era that they belong to.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// A revision of the store, ordered by era and then by number.
+///
+/// A store that is restored from a backup reuses the numbers of lost changes, so numbers of different eras cannot be
+/// compared.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(into = "String", try_from = "String")]
+pub struct Revision {
+    /// Number of times the store had been restored from a backup.
+    pub era: u64,
+    /// Revision number that the store assigned.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Creates a revision from an era and a number.
+    pub fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Whether this is revision 0 of era 0, which stands for a box that knows nothing yet.
+    pub fn is_zero(self) -> bool {
+        self == Self::default()
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        // Text without an era belongs to era 0.
+        let (era, number) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self::new(era.parse()?, number.parse()?))
+    }
+}
+
+impl From<Revision> for String {
+    fn from(revision: Revision) -> Self {
+        revision.to_string()
+    }
+}
+
+impl TryFrom<String> for Revision {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::revision::Revision;
 use crate::gateway::verdict::{Evidence, Findings, Tally};
 use crate::rank::mix;
 
@@ -78,6 +79,16 @@
     pub state: RolloutState,
     /// Revision of the record.
     pub revision: u64,
+    /// Era of the store that the revision belongs to.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl RolloutOrder {
+    /// Revision of the record, including its era.
+    pub fn store_revision(&self) -> Revision {
+        Revision::new(self.era, self.revision)
+    }
 }
 
 /// Which side of a roll-out serves a request.
@@ -130,7 +141,7 @@
 
     /// Takes in the order's record; an order for another version starts anew.
     pub fn update(&mut self, order: RolloutOrder, now_ms: u64) {
-        if order.revision <= self.order.revision {
+        if order.store_revision() <= self.order.store_revision() {
             return;
         }
         let same = order.target_version == self.order.target_version
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_revision.rs
@@ -0,0 +1,43 @@
+//! Order and text form of the store's revisions.
+
+use ivyweir_policy::gateway::revision::Revision;
+use proptest::prelude::*;
+
+macro_rules! ordered {
+    ($($name:ident: $earlier:expr, $later:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let revision = |(era, number)| Revision::new(era, number);
+            assert!(revision($earlier) < revision($later));
+        }
+    )*};
+}
+
+ordered! {
+    a_higher_number_in_the_same_era_is_greater: (1, 16), (1, 24);
+    a_later_era_outranks_a_higher_number: (1, 24), (2, 16);
+    zero_is_first: (0, 0), (0, 1);
+}
+
+proptest! {
+    #[test]
+    fn parsing_reverses_display(era: u64, number: u64) {
+        let revision = Revision::new(era, number);
+        prop_assert_eq!(revision.to_string().parse(), Ok(revision));
+    }
+}
+
+#[test]
+fn a_revision_is_serialized_as_a_string() {
+    let revision = Revision::new(2, 17);
+    let text = serde_json::to_string(&revision).expect("valid JSON");
+    assert_eq!(text, r#""2.17""#);
+    assert_eq!(serde_json::from_str::<Revision>(&text).ok(), Some(revision));
+}
+
+#[test]
+fn invalid_text_is_rejected() {
+    for text in ["", ".", "1.", ".1", "1.x", "1.2.3", "-1.2"] {
+        assert!(text.parse::<Revision>().is_err(), "{text}");
+    }
+}
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -15,6 +15,7 @@
         duration_ms: DURATION_MS,
         state,
         revision,
+        era: 0,
     }
 }
 
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -52,7 +52,7 @@
     news: watch::Sender<u64>,
 }
 
-/// What a backup holds.
+/// Data that a backup includes.
 #[derive(Debug, Clone, Default)]
 struct Contents {
     revision: u64,
@@ -65,7 +65,7 @@
     duties: Option<StoredRecord>,
 }
 
-/// A write of an operator or an upstream.
+/// A write by an operator or an upstream.
 #[derive(Debug, Clone)]
 enum Write {
     Put(Topic, Name, Item),
@@ -81,11 +81,11 @@
     history_from: u64,
     log: Vec<(u64, Topic, Value)>,
     backup: Contents,
-    /// Writes of operators and upstreams since the backup.
-    written: Vec<Write>,
-    /// Those of them that the last restore lost.
-    lost: Vec<Write>,
-    /// How often the store was restored.
+    /// Writes by operators and upstreams since the backup.
+    writes_since_backup: Vec<Write>,
+    /// Writes by operators and upstreams that the last restore lost.
+    lost_writes: Vec<Write>,
+    /// Number of times the store was restored.
     era: u64,
     fault: StoreFault,
     calls: u64,
@@ -127,22 +127,22 @@
         self.shared.news.send_modify(|count| *count += 1);
     }
 
-    /// Takes a backup in place of the last one; without one, an empty store is restored.
+    /// Replaces the backup with the current contents; the initial backup is empty.
     pub fn back_up(&self) {
         let mut state = self.state();
         state.backup = state.contents.clone();
-        state.written.clear();
+        state.writes_since_backup.clear();
     }
 
-    /// Brings the store back from its backup: all later writes are lost, and their revisions are given out again.
+    /// Restores the backup: later writes are lost, and their revision numbers are reused.
     pub fn restore(&self) {
         self.state().restore();
         self.shared.news.send_modify(|count| *count += 1);
     }
 
-    /// Writes again what operators and upstreams wrote and the last restore lost; boxes' writes stay lost.
-    pub fn rewrite(&self) {
-        let lost = std::mem::take(&mut self.state().lost);
+    /// Repeats the writes by operators and upstreams that the last restore lost; writes by boxes stay lost.
+    pub fn replay_lost_writes(&self) {
+        let lost = std::mem::take(&mut self.state().lost_writes);
         lost.into_iter().for_each(|write| self.write(write));
     }
 
@@ -196,6 +196,7 @@
             duration_ms,
             state: RolloutState::Ordered,
             revision: 0,
+            era: 0,
         };
         self.put(Topic::Rollouts, pool.into(), Item::Rollout(order));
     }
@@ -260,17 +261,17 @@
 impl State {
     fn restore(&mut self) {
         self.contents = self.backup.clone();
-        self.lost = std::mem::take(&mut self.written);
+        self.lost_writes = std::mem::take(&mut self.writes_since_backup);
         self.history_from = self.contents.revision;
         self.log.clear();
         self.era += 1;
     }
 
-    /// Does a write of an operator or an upstream; one that changes nothing makes no revision.
+    /// Applies a write by an operator or an upstream; putting a record that is already stored makes no revision.
     fn write(&mut self, write: Write) {
-        self.written.push(write.clone());
+        self.writes_since_backup.push(write.clone());
         match write {
-            Write::Put(topic, name, item) if self.holds(topic, &name, &item) => {}
+            Write::Put(topic, name, item) if self.is_already_stored(topic, &name, &item) => {}
             Write::Put(topic, name, item) => self.put(topic, name, item),
             Write::PutForeign(topic, name, record) => self.put_foreign(topic, name, record),
             Write::Remove(topic, name) => self.remove(topic, &name),
@@ -278,8 +279,9 @@
         }
     }
 
-    /// Whether a record is as an operator or an upstream is about to write it; how far a roll-out is, is not theirs.
-    fn holds(&self, topic: Topic, name: &Name, item: &Item) -> bool {
+    /// Whether putting `item` would change nothing. Of a roll-out that is not over, only the target version and the
+    /// duration are compared; one that is over is always written anew.
+    fn is_already_stored(&self, topic: Topic, name: &Name, item: &Item) -> bool {
         let known = self.contents.records.get(&(topic.name(), name.clone()));
         match (known, item) {
             (Some(Item::Rollout(known)), Item::Rollout(order)) => {
--- a/crates/ivyweird/tests/gateway_copies.rs
+++ b/crates/ivyweird/tests/gateway_copies.rs
@@ -11,6 +11,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 /// Upstreams that no route reaches: more than are given to whoever asks.
 const UPSTREAMS: usize = 300;
+/// Revision of a box that knows nothing yet.
+const ZERO_REVISION: &str = "0.0";
 
 /// Two boxes of a hall, and a long list of upstreams.
 fn town() -> Town {
@@ -30,11 +32,11 @@
 }
 
 /// Asks a box for the upstreams behind `since` in the name of the box `from`.
-fn ask(addr: SocketAddr, from: &str, since: u64, asker: &str) -> Option<Value> {
+fn ask(addr: SocketAddr, from: &str, since: &str, asker: &str) -> Option<Value> {
     ask_about("upstreams", addr, from, since, asker)
 }
 
-fn ask_about(topic: &str, addr: SocketAddr, from: &str, since: u64, asker: &str) -> Option<Value> {
+fn ask_about(topic: &str, addr: SocketAddr, from: &str, since: &str, asker: &str) -> Option<Value> {
     let path =
         format!("/peer/follow?topic={topic}&since={since}&wait_ms=0&asker={asker}&from={from}");
     let reply = get(addr, &path, &[]).expect("an answer");
@@ -47,7 +49,7 @@
     eventually("one box follows the other", || {
         let told = |n: usize| {
             let addr = town.boxes[n].peer_addr;
-            ask_about("rollouts", addr, "x", 1, "follower").is_some()
+            ask_about("rollouts", addr, "x", "0.1", "follower").is_some()
         };
         relay = usize::from(!told(0));
         told(relay) && !told(1 - relay)
@@ -65,17 +67,17 @@
     let (relay, follower) = relay_and_follower(&town);
     let addr = town.boxes[relay].peer_addr;
     let holder = town.boxes[follower].name.clone();
-    let mut revision = 0;
+    let mut revision = ZERO_REVISION.to_owned();
     // The last of the three is in the name of the other box, which then tells that it has its copy.
     for from in ["x1", "x2", &holder] {
-        let answer = ask(addr, from, 0, "follower").expect("all records");
+        let answer = ask(addr, from, ZERO_REVISION, "follower").expect("all records");
         assert!(records(&answer) > UPSTREAMS);
-        revision = answer["revision"].as_u64().expect("a revision");
+        revision = answer["revision"].as_str().expect("a revision").to_owned();
     }
-    ask(addr, &holder, revision, "follower");
-    let fourth = ask(addr, "x4", 0, "follower").expect("all records");
+    ask(addr, &holder, &revision, "follower");
+    let fourth = ask(addr, "x4", ZERO_REVISION, "follower").expect("all records");
     assert!(records(&fourth) > UPSTREAMS, "a place is free again");
-    let fifth = ask(addr, "x5", 0, "follower").expect("where all records are");
+    let fifth = ask(addr, "x5", ZERO_REVISION, "follower").expect("where all records are");
     let giver = fifth["whole"]["at"].as_str().expect("a box");
     assert_eq!(giver, town.boxes[follower].peer_addr.to_string());
 }
@@ -85,10 +87,10 @@
     let town = town();
     let (_, follower) = relay_and_follower(&town);
     let addr = town.boxes[follower].peer_addr;
-    let copy = ask(addr, "x1", 0, "copier").expect("all records");
+    let copy = ask(addr, "x1", ZERO_REVISION, "copier").expect("all records");
     assert!(records(&copy) > UPSTREAMS);
     // It is no source of what changes.
-    let revision = copy["revision"].as_u64().expect("a revision");
+    let revision = copy["revision"].as_str().expect("a revision");
     assert_eq!(ask(addr, "x1", revision, "copier"), None);
 }
 
