Treat listings of a recently restored store as incomplete

Symptom: none seen by callers yet; found by looking for the same cause elsewhere. A key withdrawn shortly before an outage would have been accepted again after it. A drained hall, or an upstream that had gone, would have received requests again.

Cause: after a restore, boxes treated the first listing as everything that the store had ever acknowledged. The listing lacks the writes of the last seconds until operators and upstreams have repeated them, which takes about two seconds. Class of fault: missing data is treated as data that never existed or was removed.

Ruled out: waiting until the configuration in the store is as new as the box's own (an even newer one may be lost too); letting each box resolve on its own what was missing (a change without a revision cannot be passed to others).

Change: for policy.store_settle_ms (2,000 by default) after a box sees a higher era, the box does not renew the proof of its configuration. Keyed requests are served under the proof from before the outage, and refused once that proof is too old. During this time a listing only adds records: those that it lacks are kept, and upstreams whose records were known to be gone stay out of use. The topics are then listed again in full. Revisions record whether they are settled, so boxes that follow another box receive all records again once. A seed tells a starting box how much of the time remains.

Conclusion: the cost is up to two seconds of refused keyed requests after an outage of 2.7 s or more, by reckoning. A fleet that starts as a whole right after a restore cannot detect the restore.

--- a/crates/ivyweir-gateway/src/adopt.rs
+++ b/crates/ivyweir-gateway/src/adopt.rs
@@ -15,24 +15,46 @@
 use crate::history::PassedChange;
 use crate::state::Gateway;
 
-/// Takes in all records of a topic, as of a revision.
-pub fn adopt_all(gateway: &Gateway, topic: Topic, revision: Revision, entries: Vec<Entry>) {
-    adopt_entries(gateway, topic, revision, entries);
+/// Whether a listing contains all records of its topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListingKind {
+    /// A record missing from the listing has been removed.
+    Complete,
+    /// The store was restored recently: the listing may lack current records and contain removed ones.
+    Incomplete,
+}
+
+/// Adopts the records that a topic listing contains as of a revision.
+pub fn adopt_all(
+    gateway: &Gateway,
+    topic: Topic,
+    revision: Revision,
+    kind: ListingKind,
+    entries: Vec<Entry>,
+) {
+    adopt_entries(gateway, topic, revision, kind, entries);
     gateway.histories.restart(topic, revision);
 }
 
-fn adopt_entries(gateway: &Gateway, topic: Topic, revision: Revision, entries: Vec<Entry>) {
+fn adopt_entries(
+    gateway: &Gateway,
+    topic: Topic,
+    revision: Revision,
+    kind: ListingKind,
+    entries: Vec<Entry>,
+) {
     let listed = entries.len();
     let items = readable_entries(gateway, topic, entries);
     if topic == Topic::Upstreams {
         let records: Vec<UpstreamRecord> = items.into_iter().filter_map(Item::upstream).collect();
-        gateway.change_upstream(Source::Record, |fleet, now_ms| {
-            fleet.replace(records, now_ms)
+        gateway.change_upstream(Source::Record, |fleet, now_ms| match kind {
+            ListingKind::Complete => fleet.replace(records, now_ms),
+            ListingKind::Incomplete => fleet.merge(records, now_ms),
         });
         return;
     }
     // A record that cannot be read may be one of those that are missing.
-    if items.len() == listed {
+    if items.len() == listed && kind == ListingKind::Complete {
         remove_all_but(gateway, topic, &items);
     }
     for item in items {
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -52,6 +52,9 @@
     up_ms: u64,
     /// Boxes of all halls that joined there lately, itself included.
     fleet_size: usize,
+    /// Time until a restored store has settled; `None` if it has. A box that starts cannot detect an earlier restore.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    store_settles_in_ms: Option<u64>,
 }
 
 /// Joins again and again for the life of the process.
@@ -122,6 +125,9 @@
         }
         gateway.peers.take_seed_list(seed, answer.news, now_ms);
         gateway.peers.set_fleet_size(answer.fleet_size);
+        if let Some(in_ms) = answer.store_settles_in_ms {
+            gateway.note_store_settles_in(in_ms);
+        }
         gateway.peers.note_joined(now_ms);
         Some(answer.up_ms)
     }
@@ -165,5 +171,6 @@
         news,
         up_ms: now_ms,
         fleet_size,
+        store_settles_in_ms: Some(gateway.store_settles_in_ms()).filter(|ms| *ms > 0),
     })
 }
--- a/crates/ivyweir-gateway/src/settings.rs
+++ b/crates/ivyweir-gateway/src/settings.rs
@@ -120,8 +120,13 @@
     pub avoid_failing: bool,
     /// Longest time for which an upstream that says so is left alone.
     pub max_backoff_ms: u64,
+    /// Time after a restore of the store during which operators and upstreams repeat the lost writes.
+    pub store_settle_ms: u64,
 }
 
+/// Upstreams write every one to two seconds; operators repeat their writes as soon as they see the restore.
+const STORE_SETTLE_MS: u64 = 2_000;
+
 /// Longest time for which an upstream is left alone on its own word. Overload passes within minutes; a time that a
 /// faulty upstream says, of days or years, would take it out of service until it starts again.
 const MAX_BACKOFF_MS: u64 = 600_000;
@@ -143,6 +148,7 @@
             hear_work: true,
             avoid_failing: true,
             max_backoff_ms: MAX_BACKOFF_MS,
+            store_settle_ms: STORE_SETTLE_MS,
         }
     }
 }
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -45,6 +45,7 @@
 use quarantine::Quarantine;
 pub use quarantine::{ReplacedWatch, Suspicion};
 pub use rollouts::counts_of;
+use store_era::StoreEra;
 use unread::UnreadHeaders;
 use unreadable::UnreadableRecords;
 use usage::UsageCount;
@@ -83,8 +84,7 @@
     pub histories: Histories,
     /// What followers of topics tell each other of the store.
     pub store_news: StoreNews,
-    /// The highest store era reported so far; `None` until an answer reports one.
-    store_era: Mutex<Option<u64>>,
+    store_era: Mutex<StoreEra>,
     site: Mutex<Option<Arc<SiteIndex>>>,
     proof: Mutex<Proof>,
     upstreams: Mutex<Upstreams>,
--- a/crates/ivyweir-gateway/src/state/proof.rs
+++ b/crates/ivyweir-gateway/src/state/proof.rs
@@ -14,7 +14,12 @@
 
 impl Gateway {
     /// Takes in that the store answered a question about the configuration asked at `asked_at_ms`.
+    ///
+    /// Does nothing if a restored store had not settled by then: it may have lost the withdrawal of a key.
     pub fn renew_proof(&self, asked_at_ms: i64) {
+        if !self.was_store_settled_at(asked_at_ms) {
+            return;
+        }
         lock(&self.proof).renew(asked_at_ms);
         self.histories.tell();
     }
--- a/crates/ivyweir-gateway/src/sync.rs
+++ b/crates/ivyweir-gateway/src/sync.rs
@@ -169,14 +169,21 @@
     /// Hears of changes from the store.
     async fn hear_store(&mut self, since: Option<Revision>) -> Result<Option<Revision>, Failed> {
         self.is_catching_up = self.relay.take().is_some();
-        let era = self.gateway.store_era().unwrap_or_default();
-        match since.filter(|since| since.era == era) {
+        match since.filter(|since| self.can_watch_from(*since)) {
             None => self.list().await.map(Some),
             Some(since) => self.ask_store(since).await,
         }
         .map_err(|()| Failed::Store)
     }
 
+    /// Whether the topic can be watched from a revision instead of being listed again.
+    ///
+    /// The revision must be of the store's era. An unsettled one requires a new listing once the store has settled.
+    fn can_watch_from(&self, since: Revision) -> bool {
+        let era = self.gateway.store_era().unwrap_or_default();
+        since.era == era && (since.is_settled || !self.gateway.is_store_settled())
+    }
+
     /// Takes in that the store answered.
     fn succeeded(&mut self) {
         self.count("ok");
--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -11,7 +11,7 @@
 
 use super::confirm::AnsweredBy;
 use super::{Failed, Follower, QUIET_WAIT_MS};
-use crate::adopt::{adopt_all, adopt_changes};
+use crate::adopt::{ListingKind, adopt_all, adopt_changes};
 use crate::box_call::{BoxCallError, question, read_answer};
 use crate::client::{Answer, CallError, Client};
 use crate::dialect::{Item, Topic};
@@ -80,7 +80,8 @@
         let Some(age_ms) = self.gateway.proof_age_ms() else {
             return;
         };
-        if age_ms <= RELAY_PROOF_MAX_MS {
+        // No box renews its proof until a restored store has settled.
+        if age_ms <= RELAY_PROOF_MAX_MS || !self.gateway.is_store_settled() {
             self.gateway.peers.note_source(&relay.name);
             return;
         }
@@ -246,7 +247,13 @@
 
     fn adopt_copy(&self, revision: Revision, items: Vec<Item>) {
         let entries = items.into_iter().map(Ok).collect();
-        adopt_all(&self.gateway, self.topic, revision, entries);
+        adopt_all(
+            &self.gateway,
+            self.topic,
+            revision,
+            ListingKind::Complete,
+            entries,
+        );
     }
 
     /// Takes in that the box that was to give all records did not; the relay names another one.
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -11,7 +11,7 @@
 
 use super::confirm::AnsweredBy;
 use super::{Follower, QUIET_WAIT_MS};
-use crate::adopt::{adopt_all, adopt_changes, readable_changes};
+use crate::adopt::{ListingKind, adopt_all, adopt_changes, readable_changes};
 use crate::client::{ANSWER_LIMIT, CallError};
 use crate::dialect::{Changes, Entry, Topic};
 use crate::state::Gateway;
@@ -43,7 +43,8 @@
     pub(super) async fn list(&mut self) -> Result<Revision, ()> {
         self.begin_question();
         let asked_at_ms = self.gateway.clock.now_ms();
-        let (entries, revision) = match self.read_pages().await {
+        let was_settled = self.gateway.is_store_settled();
+        let (entries, mut revision) = match self.read_pages().await {
             Ok(listing) => listing,
             Err(e) => {
                 self.tell_store_answers(false);
@@ -53,7 +54,13 @@
         };
         self.tell_store_answers(true);
         self.succeeded();
-        adopt_all(&self.gateway, self.topic, revision, entries);
+        revision.is_settled = was_settled && self.gateway.is_store_settled();
+        let kind = if revision.is_settled {
+            ListingKind::Complete
+        } else {
+            ListingKind::Incomplete
+        };
+        adopt_all(&self.gateway, self.topic, revision, kind, entries);
         if self.confirmed(AnsweredBy::Store).await {
             self.gateway.renew_proof(asked_at_ms.cast_signed());
         }
@@ -132,7 +139,10 @@
             self.gateway.log.line("store_history_gone", detail);
             return Ok(None);
         };
-        let revision = Revision::new(since.era, changes.revision);
+        let revision = Revision {
+            number: changes.revision,
+            ..since
+        };
         let quiet = changes.changes.is_empty();
         let answered_at_ms = self.gateway.clock.now_ms();
         let changes = changes.changes.into_iter();
@@ -200,8 +210,19 @@
         }
     }
 
-    /// How long a watch waits for changes; not at all where an answer is wanted at once.
+    /// How long a watch waits for changes: at most until the store settles, when the topic is listed again.
     fn wait_ms(&self, is_wanted: bool) -> u64 {
+        let settles_in_ms = self.gateway.store_settles_in_ms();
+        let wait_ms = self.settled_wait_ms(is_wanted);
+        if settles_in_ms > 0 {
+            wait_ms.min(settles_in_ms)
+        } else {
+            wait_ms
+        }
+    }
+
+    /// How long a watch of a settled store waits for changes; not at all if an answer is wanted at once.
+    fn settled_wait_ms(&self, is_wanted: bool) -> u64 {
         match self.topic {
             _ if is_wanted => AFTER_FAILURE_WAIT_MS,
             // After a failure the answer itself is news, so it must not wait for changes.
--- a/crates/ivyweir-policy/src/gateway/fleet.rs
+++ b/crates/ivyweir-policy/src/gateway/fleet.rs
@@ -134,6 +134,8 @@
     /// Incarnations that others replaced under their names, until they are taken.
     replaced: Vec<Arc<UpstreamRecord>>,
     left: RecentIds,
+    /// Upstreams that were removed some time after they lapsed.
+    forgotten: RecentIds,
     replaced_ids: RecentIds,
     pools: HashMap<Name, PoolIndex>,
     /// Members whose records are gone.
@@ -358,6 +360,29 @@
         changes
     }
 
+    /// Merges a listing that may lack current records and contain removed ones; returns what changed.
+    ///
+    /// Missing upstreams are kept, and lapsed or forgotten ones do not return.
+    pub fn merge(&mut self, records: Vec<UpstreamRecord>, now_ms: u64) -> Vec<(Name, FleetChange)> {
+        let mut changes = Vec::new();
+        for record in records {
+            if !record.is_leaving && self.is_lapsed_or_forgotten(&record.id) {
+                continue;
+            }
+            let id = record.id.clone();
+            changes.push((id, self.put(record, now_ms)));
+        }
+        changes.retain(|(_, change)| *change != FleetChange::Nothing);
+        changes
+    }
+
+    fn is_lapsed_or_forgotten(&self, id: &str) -> bool {
+        match self.members.get(id) {
+            Some(member) => !member.is_ready(),
+            None => self.forgotten.contains(id),
+        }
+    }
+
     /// Forgets upstreams that lapsed `grace_ms` ago or earlier; returns their ids.
     pub fn forget_lapsed(&mut self, grace_ms: u64, now_ms: u64) -> Vec<Name> {
         let is_gone = |id: &&Name| match self.members.get(*id).map(|m| m.standing) {
@@ -367,6 +392,7 @@
         let ids: Vec<Name> = self.lapsed.iter().filter(is_gone).cloned().collect();
         for id in &ids {
             self.remove(id);
+            self.forgotten.insert(id);
         }
         // A name outlasts its member, so that the next incarnation under it is known to be the later one.
         if self.ids.len() > self.members.len() + LEFT_KEPT {
--- a/crates/ivyweir-policy/src/gateway/revision.rs
+++ b/crates/ivyweir-policy/src/gateway/revision.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A revision of the store, ordered by era and then by number.
+/// Suffix of the era in the text form of an unsettled revision.
+const UNSETTLED_SUFFIX: &str = "~";
+
+/// A revision of the store, ordered by era, then unsettled before settled, and then by number.
 ///
 /// A store that is restored from a backup reuses the numbers of lost changes, so numbers of different eras cannot be
 /// compared.
@@ -17,25 +20,45 @@
 pub struct Revision {
     /// Number of times the store had been restored from a backup.
     pub era: u64,
+    /// Whether operators and upstreams had had time to repeat the writes lost by the last restore. Records read
+    /// earlier may be incomplete and are read again.
+    pub is_settled: bool,
     /// Revision number that the store assigned.
     pub number: u64,
 }
 
 impl Revision {
-    /// Creates a revision from an era and a number.
+    /// Creates a settled revision from an era and a number.
     pub fn new(era: u64, number: u64) -> Self {
-        Self { era, number }
+        Self {
+            era,
+            is_settled: true,
+            number,
+        }
+    }
+
+    /// Creates an unsettled revision from an era and a number.
+    pub fn unsettled(era: u64, number: u64) -> Self {
+        Self {
+            is_settled: false,
+            ..Self::new(era, number)
+        }
     }
 
     /// Whether this is revision 0 of era 0, which stands for a box that knows nothing yet.
     pub fn is_zero(self) -> bool {
-        self == Self::default()
+        self.era == 0 && self.number == 0
     }
 }
 
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.era, self.number)
+        let suffix = if self.is_settled {
+            ""
+        } else {
+            UNSETTLED_SUFFIX
+        };
+        write!(f, "{}{suffix}.{}", self.era, self.number)
     }
 }
 
@@ -45,7 +68,11 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         // Text without an era belongs to era 0.
         let (era, number) = text.split_once('.').unwrap_or(("0", text));
-        Ok(Self::new(era.parse()?, number.parse()?))
+        let number = number.parse()?;
+        Ok(match era.strip_suffix(UNSETTLED_SUFFIX) {
+            Some(era) => Self::unsettled(era.parse()?, number),
+            None => Self::new(era.parse()?, number),
+        })
     }
 }
 
--- a/crates/ivyweird/tests/gateway_restored.rs
+++ b/crates/ivyweird/tests/gateway_restored.rs
@@ -1,4 +1,4 @@
-//! A store that is restored from a backup: boxes' revisions are ahead of its own, and it gives them out again.
+//! Boxes whose revisions are ahead of a store restored from a backup, which reuses the revision numbers.
 
 use ivyweir_standins::edge::{
     GatewayProcess, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site,
@@ -7,18 +7,18 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
 const HALLS: [&str; 4] = ["hall-a", "hall-a", "hall-b", "hall-c"];
 
-/// How long the store is away, and how it is then.
+/// Whether the store fails while it is restored.
 #[derive(Clone, Copy)]
 enum Outage {
     None,
-    Is(StoreFault),
+    Fault(StoreFault),
 }
 
-/// Whether the store has given out all lost revisions again when boxes next ask it.
+/// Whether the store has reused all lost revision numbers before boxes ask it again.
 #[derive(Clone, Copy, PartialEq)]
 enum Revisions {
     Behind,
-    GivenOutAgain,
+    Reused,
 }
 
 fn status(town: &Town, number: usize, key: &str) -> u16 {
@@ -30,13 +30,13 @@
     get(town.addr(number), "/safe/x", &headers).map_or(0, |reply| reply.status)
 }
 
-fn all(town: &Town, what: &str, is_so: impl Fn(usize) -> bool) {
+fn eventually_at_all(town: &Town, what: &str, condition: impl Fn(usize) -> bool) {
     for number in 0..town.boxes.len() {
-        eventually(what, || is_so(number));
+        eventually(what, || condition(number));
     }
 }
 
-/// Boxes that all know of writes that the backup lacks.
+/// Starts boxes that have adopted writes missing from the backup.
 fn town() -> Town {
     let town = Town::with_boxes(BINARY, &HALLS);
     town.store.back_up();
@@ -45,24 +45,24 @@
     }
     let late = ScriptedUpstream::start("engines-late", "engines", "v1");
     town.store.put_upstream(&late.record());
-    all(&town, "the second key works", |number| {
+    eventually_at_all(&town, "the second key works", |number| {
         status(&town, number, "second") == 200
     });
-    all(&town, "the box knows the upstream", |number| {
-        has_seen(&town, number, &["Joined"])
+    eventually_at_all(&town, "the box knows the upstream", |number| {
+        has_logged_change(&town, number, &["Joined"])
     });
     town
 }
 
-fn has_seen(town: &Town, number: usize, changes: &[&str]) -> bool {
+fn has_logged_change(town: &Town, number: usize, changes: &[&str]) -> bool {
     let seen = town.boxes[number].lines_of("upstream_changed");
     let mut changed = seen.iter().filter_map(|line| line["change"].as_str());
     changed.any(|change| changes.contains(&change))
 }
 
-/// Restores the store while it is away like this, and writes to it.
+/// Restores the store during the given outage, and writes to it before or after boxes reach it again.
 fn restore(town: &Town, outage: Outage, revisions: Revisions, write: impl Fn(&Town)) {
-    if let Outage::Is(fault) = outage {
+    if let Outage::Fault(fault) = outage {
         town.store.set_fault(fault);
         eventually("the outage is noticed", || {
             let has_lost = |b: &GatewayProcess| !b.lines_of("store_lost").is_empty();
@@ -70,7 +70,7 @@
         });
     }
     town.store.restore();
-    if revisions == Revisions::GivenOutAgain {
+    if revisions == Revisions::Reused {
         write(town);
         for _ in 0..8 {
             town.store.drain_hall("hall-z");
@@ -88,10 +88,10 @@
     restore(&town, outage, revisions, |town| {
         town.store.put_site(&site(8, &["third"]));
     });
-    all(&town, "the new key works", |number| {
+    eventually_at_all(&town, "the new key works", |number| {
         status(&town, number, "third") == 200
     });
-    all(&town, "the withdrawn key is refused", |number| {
+    eventually_at_all(&town, "the withdrawn key is refused", |number| {
         let status = status(&town, number, KEY);
         assert_ne!(status, 200);
         status == 401
@@ -103,10 +103,10 @@
     restore(&town, outage, revisions, |town| {
         town.store.put_upstream(&town.services[0].leaving());
     });
-    all(&town, "the box knows that it leaves or left", |number| {
-        has_seen(&town, number, &["Leaving", "Lapsed"])
+    eventually_at_all(&town, "the box knows that it leaves or left", |number| {
+        has_logged_change(&town, number, &["Leaving", "Lapsed"])
     });
-    all(&town, "the box serves", |number| {
+    eventually_at_all(&town, "the box serves", |number| {
         status(&town, number, KEY) == 200
     });
     let before = town.services[0].seen().len();
@@ -118,7 +118,7 @@
     assert_eq!(town.services[0].seen().len(), before);
 }
 
-macro_rules! restored {
+macro_rules! restore_tests {
     ($($name:ident: $what:ident, $outage:expr, $revisions:expr;)*) => {$(
         #[test]
         fn $name() {
@@ -127,17 +127,17 @@
     )*};
 }
 
-restored! {
+restore_tests! {
     a_key_withdrawn_after_a_restore_is_refused_everywhere:
         a_withdrawn_key_is_refused, Outage::None, Revisions::Behind;
     a_key_withdrawn_after_a_restore_in_an_outage_is_refused_everywhere:
-        a_withdrawn_key_is_refused, Outage::Is(StoreFault::Refuse), Revisions::Behind;
-    a_key_withdrawn_at_a_revision_given_out_again_is_refused_everywhere:
-        a_withdrawn_key_is_refused, Outage::Is(StoreFault::Silent), Revisions::GivenOutAgain;
+        a_withdrawn_key_is_refused, Outage::Fault(StoreFault::Refuse), Revisions::Behind;
+    a_key_withdrawn_at_a_reused_revision_is_refused_everywhere:
+        a_withdrawn_key_is_refused, Outage::Fault(StoreFault::Silent), Revisions::Reused;
     an_upstream_that_leaves_after_a_restore_gets_no_more_work:
         a_leaving_upstream_gets_no_more_work, Outage::None, Revisions::Behind;
     an_upstream_that_leaves_after_a_restore_in_an_outage_gets_no_more_work:
-        a_leaving_upstream_gets_no_more_work, Outage::Is(StoreFault::Refuse), Revisions::Behind;
-    an_upstream_that_leaves_at_a_revision_given_out_again_gets_no_more_work:
-        a_leaving_upstream_gets_no_more_work, Outage::Is(StoreFault::Silent), Revisions::GivenOutAgain;
+        a_leaving_upstream_gets_no_more_work, Outage::Fault(StoreFault::Refuse), Revisions::Behind;
+    an_upstream_that_leaves_at_a_reused_revision_gets_no_more_work:
+        a_leaving_upstream_gets_no_more_work, Outage::Fault(StoreFault::Silent), Revisions::Reused;
 }
