A finished roll-out does not start again when the store loses its state

What callers saw: nothing yet; found in a review of all data that boxes keep in the store.

Cause: boxes write the state of a roll-out, so a restore loses it, while the order, which operators repeat, remains without a state or with an older one. A box treated that as a new order for the same version and moved the pool again, although the old version's upstreams had been stopped or the new version had been found bad.

Ruled out: ignoring orders of a later era, because a genuinely new order would be missed.

Change: when the same order comes back in a later era with less progress, the box keeps its state and writes it again, the root first.

Figures: nine unit tests cover the decision. A test with three real boxes fails before the change (the roll-out starts again: three steps were told anew) and passes after it.

Conclusion: an order that is repeated by hand for the same version and duration in the moment after a restore is treated as the old one.

--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -66,6 +66,21 @@
     RolledBack,
 }
 
+impl RolloutState {
+    /// Sort key for how far the roll-out has advanced.
+    fn progress(self) -> (u8, u64) {
+        match self {
+            Self::Ordered => (0, 0),
+            Self::Running { elapsed_ms } => (1, elapsed_ms),
+            Self::Completed | Self::RolledBack => (2, 0),
+        }
+    }
+
+    fn is_over(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
+
 /// An order to move a pool to another version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutOrder {
@@ -104,6 +119,8 @@
 #[derive(Debug)]
 pub struct RolloutTrack {
     order: RolloutOrder,
+    /// When this box detected that a restored store lacks the current state.
+    state_lost_at_ms: Option<u64>,
     /// May lie before the start of the box's clock.
     started_ms: i64,
     findings: Findings,
@@ -134,6 +151,7 @@
         Self {
             started_ms: start_of(elapsed_ms, now_ms),
             order,
+            state_lost_at_ms: None,
             findings: Findings::default(),
             condemned_at_ms: None,
         }
@@ -144,9 +162,20 @@
         if order.store_revision() <= self.order.store_revision() {
             return;
         }
-        let same = order.target_version == self.order.target_version
-            && order.duration_ms == self.order.duration_ms
-            && !(self.is_over() && order.state == RolloutState::Ordered);
+        let is_same_order = order.target_version == self.order.target_version
+            && order.duration_ms == self.order.duration_ms;
+        let is_after_restore = order.era > self.order.era || self.state_lost_at_ms.is_some();
+        // Adopting the older state would repeat a move whose old upstreams may have been stopped, or
+        // whose new version was found bad.
+        if is_same_order && is_after_restore && order.state.progress() < self.order.state.progress()
+        {
+            self.order.revision = order.revision;
+            self.order.era = order.era;
+            self.state_lost_at_ms = Some(now_ms);
+            return;
+        }
+        let same = is_same_order && !(self.is_over() && order.state == RolloutState::Ordered);
+        self.state_lost_at_ms = None;
         if same {
             if let RolloutState::Running { elapsed_ms } = order.state {
                 // A box that learned of the order late counts from too late until another one
@@ -166,10 +195,7 @@
 
     /// Whether nothing more is to be done.
     pub fn is_over(&self) -> bool {
-        matches!(
-            self.order.state,
-            RolloutState::Completed | RolloutState::RolledBack
-        )
+        self.order.state.is_over()
     }
 
     /// Time since the order.
@@ -244,7 +270,10 @@
     /// What is to be written at this time, which may lie in the past: who leaves it to others for a
     /// while asks for what was due then.
     pub fn duty(&self, now_ms: u64) -> RolloutDuty {
+        let is_rewrite_due = self.state_lost_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
         match self.order.state {
+            RolloutState::Completed if is_rewrite_due => RolloutDuty::Complete,
+            RolloutState::RolledBack if is_rewrite_due => RolloutDuty::RollBack,
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
             _ if self.condemned_at_ms.is_some_and(|at_ms| at_ms <= now_ms) => RolloutDuty::RollBack,
             _ if self.condemned_at_ms.is_some() => RolloutDuty::None,
@@ -253,6 +282,7 @@
             }
             _ if self.part(now_ms) >= COMPLETE_FROM => RolloutDuty::Complete,
             RolloutState::Ordered => RolloutDuty::Tell,
+            RolloutState::Running { .. } if is_rewrite_due => RolloutDuty::Tell,
             RolloutState::Running { elapsed_ms } => {
                 let told = elapsed_ms as f64 / self.order.duration_ms.max(1) as f64;
                 if step_at(told) < step_at(self.part(now_ms)) {
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -450,3 +450,75 @@
     assert_eq!(track.duty(40_000), RolloutDuty::Tell);
     assert!(sessions_on_new(&track, 62_500) > 900);
 }
+
+/// Tracks a roll-out in the `known` state, then receives its record in the `stored` state from a
+/// restored store.
+fn track_after_restore(known: RolloutState, stored: RolloutState) -> RolloutTrack {
+    let mut track = RolloutTrack::new(order(known, 40), 0);
+    let mut restored_order = order(stored, 16);
+    restored_order.era = 1;
+    track.update(restored_order, 1_000);
+    track
+}
+
+macro_rules! restored_states {
+    ($($name:ident: $known:expr, $stored:expr => $state:expr, $duty:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let track = track_after_restore($known, $stored);
+            assert_eq!(track.order().state, $state);
+            assert_eq!(track.duty(1_000), $duty);
+            assert_eq!((track.order().era, track.order().revision), (1, 16));
+        }
+    )*};
+}
+
+restored_states! {
+    a_completion_that_was_lost_is_written_again:
+        RolloutState::Completed, RolloutState::Ordered => RolloutState::Completed, RolloutDuty::Complete;
+    a_completion_restored_as_running_is_written_again:
+        RolloutState::Completed, running(20_000) => RolloutState::Completed, RolloutDuty::Complete;
+    a_rollback_that_was_lost_is_written_again:
+        RolloutState::RolledBack, RolloutState::Ordered => RolloutState::RolledBack, RolloutDuty::RollBack;
+    progress_that_was_lost_is_written_again:
+        running(14_000), RolloutState::Ordered => running(14_000), RolloutDuty::Tell;
+    a_completion_in_the_backup_is_not_written_again:
+        RolloutState::Completed, RolloutState::Completed => RolloutState::Completed, RolloutDuty::None;
+}
+
+#[test]
+fn an_order_repeated_after_a_restore_does_not_start_again() {
+    let mut track = track_after_restore(RolloutState::Completed, running(20_000));
+    let mut repeated = order(RolloutState::Ordered, 17);
+    repeated.era = 1;
+    track.update(repeated, 1_100);
+    assert_eq!(track.order().state, RolloutState::Completed);
+    assert_eq!(track.duty(1_100), RolloutDuty::Complete);
+}
+
+#[test]
+fn a_state_written_after_a_restore_is_not_written_twice() {
+    let mut track = track_after_restore(RolloutState::Completed, RolloutState::Ordered);
+    let mut written = order(RolloutState::Completed, 17);
+    written.era = 1;
+    track.update(written, 1_100);
+    assert_eq!(track.duty(1_100), RolloutDuty::None);
+}
+
+#[test]
+fn an_order_for_another_version_after_a_restore_starts() {
+    let mut track = RolloutTrack::new(order(RolloutState::Completed, 40), 0);
+    let mut next = order(RolloutState::Ordered, 16);
+    next.era = 1;
+    next.target_version = "v3".into();
+    track.update(next, 1_000);
+    assert_eq!(track.order().state, RolloutState::Ordered);
+}
+
+/// Guards against all boxes writing the state at once: a box that lets others go first asks what was
+/// due at an earlier time.
+#[test]
+fn a_lost_state_is_not_due_before_the_loss_is_detected() {
+    let track = track_after_restore(RolloutState::Completed, RolloutState::Ordered);
+    assert_eq!(track.duty(999), RolloutDuty::None);
+}
--- a/crates/ivyweird/tests/gateway_settling.rs
+++ b/crates/ivyweird/tests/gateway_settling.rs
@@ -1,7 +1,8 @@
 //! Boxes while a store restored from a backup lacks writes that operators and upstreams have not repeated yet.
 
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_standins::edge::{KEY, StoreFault, Town, eventually, get, site};
+use ivyweir_policy::gateway::rollout::RolloutState;
+use ivyweir_standins::edge::{KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site};
 use serde_json::{Value, json};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -163,3 +164,27 @@
         assert!(ready_ms + ROUNDING_MS >= restored_ms + SETTLE_MS);
     }
 }
+
+/// Guards against moving a pool again when a restored store lacks the completion of its roll-out.
+#[test]
+fn a_rollout_whose_completion_was_lost_does_not_start_again() {
+    let town = town(LONG_SETTLE_MS, "serve");
+    let new_upstream = ScriptedUpstream::start("services-new", "services", "v2");
+    town.store.put_upstream(&new_upstream.record());
+    town.store.back_up();
+    town.store.order_rollout("services", "v2", 2_000);
+    let is_completed = || town.store.rollout_state("services") == Some(RolloutState::Completed);
+    eventually("the roll-out is completed", is_completed);
+    restore(&town);
+    town.store.replay_lost_writes();
+    eventually("the completion is written again", is_completed);
+    for running_box in &town.boxes {
+        let restored_ms = epoch_ms(&running_box.lines_of("store_restored")[0]);
+        let steps = running_box.lines_of("rollout_step");
+        let mut steps_after_restore = steps.iter().filter(|step| epoch_ms(step) > restored_ms);
+        assert!(
+            steps_after_restore.all(|step| step["duty"] == "Complete"),
+            "{steps:?}"
+        );
+    }
+}
