Keep a quarantine whose record a store restore lost

What callers saw: nothing so far. Found by reviewing everything that boxes keep in the store.

Cause: when the record of a quarantined request was no longer listed, the box assumed that an operator had removed it. After a restore, the record may be missing because the store lost it, and all boxes would then have sent the request again.

Ruled out: keeping every quarantine ever recorded for its full duration. Operators lift a quarantine by removing its record.

Change: a listing from a different store era than the previous one lifts no quarantine. Records missing from it are written again.

Conclusion: a restore undoes a removal that no box saw before it, until the operator repeats the removal.

--- a/crates/ivyweir-gateway/src/keep.rs
+++ b/crates/ivyweir-gateway/src/keep.rs
@@ -33,6 +33,7 @@
         client: StoreClient::new(gateway.clone()),
         gateway,
         kept: HashSet::new(),
+        listed_era: 0,
         looked_at_ms: None,
     };
     loop {
@@ -53,6 +54,8 @@
     client: StoreClient,
     /// Requests of which the store has a record, as far as is known.
     kept: HashSet<Fingerprint>,
+    /// Store era of the last listing of the records.
+    listed_era: u64,
     /// When the records were last read.
     looked_at_ms: Option<u64>,
 }
@@ -78,13 +81,16 @@
 
     fn is_look_due(&self) -> bool {
         let now_ms = self.gateway.clock.now_ms();
+        let store_era = self.gateway.store_era();
         match self.looked_at_ms {
             None => true,
+            Some(_) if store_era.is_some_and(|era| era != self.listed_era) => true,
             Some(at_ms) => !self.kept.is_empty() && now_ms >= at_ms + LOOK_MS,
         }
     }
 
-    /// Reads the records: those that are gone were lifted by an operator, others may have outlasted all boxes.
+    /// Reads the records: those gone within an era of the store were lifted by an operator, others may have outlasted all
+    /// boxes.
     async fn look(&mut self) -> Result<(), CallError> {
         let request = self.gateway.codec.list_quarantines();
         let answer = self.call(request).await?;
@@ -95,8 +101,13 @@
             status => return Err(CallError::refused(status)),
         };
         let listed: HashSet<Fingerprint> = records.iter().map(|r| r.fingerprint).collect();
-        let lifted = self.kept.difference(&listed).copied();
-        self.gateway.lift_quarantines(lifted.collect());
+        // After a restore, a missing record may be lost rather than removed by an operator. Its quarantine
+        // stays in force, and `round` writes the record again.
+        if answer.era == self.listed_era {
+            let lifted = self.kept.difference(&listed).copied();
+            self.gateway.lift_quarantines(lifted.collect());
+        }
+        self.listed_era = answer.era;
         self.gateway.restore_quarantines(&records);
         self.kept = listed;
         self.looked_at_ms = Some(self.gateway.clock.now_ms());
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -269,3 +269,18 @@
         reply.is_some_and(|reply| reply.status == 200 && reply.is_whole)
     });
 }
+
+/// Guards against treating a record lost in a store restore as one that an operator removed.
+#[test]
+fn a_quarantine_that_a_restored_store_lost_is_kept_again() {
+    let (town, engines) = quarantined_town();
+    town.store.restore();
+    town.store.replay_lost_writes();
+    eventually("the store keeps it", || town.store.quarantines().len() == 1);
+    let ended = town.boxes[0].lines_of("quarantine_ended");
+    assert!(ended.is_empty(), "{ended:?}");
+    eventually("the box refuses it", || {
+        is_quarantined(post(&town, 0, "/stream/x", "again", HARMFUL))
+    });
+    assert_eq!(harmful_sends(&engines), ENDS);
+}
