End the duties lease when the store is restored, and never issue a fence twice

Observed by callers: nothing yet; found in a review of everything that boxes keep in the store.

Cause: a restore can revert or remove the record of duties and reuse its revision. The holder continued on its lease while another box took over the older record under a fence that had already been used. A conditional write could by coincidence match another holder's record. The newest window whose usage was fixed was reverted with the record, so its report could be fixed twice with different counts.

Ruled out: deriving fences from the record alone.

Change: a higher era ends a lease. Every box then waits as it does for another holder's lease, even if it finds no record. Fences carry the era in their upper bits and exceed the revision under which they are taken. The holder writes back what it knows of a newer record; orders that no box knows are planned anew. Boxes tell each other the newest window that was fixed.

Five cases test the lease and one tests what boxes tell each other.

Conclusion: nobody holds the duties for 3.5 s after a restore (a lease of 3 s and 0.5 s). A window that was fixed but told to no other box before its holder was lost can still be fixed twice.

--- a/crates/ivyweir-gateway/src/duties.rs
+++ b/crates/ivyweir-gateway/src/duties.rs
@@ -162,7 +162,7 @@
         };
         let gateway = &self.gateway;
         let windows = usage.terms().to_fix(
-            self.lease.record().and_then(|record| record.fixed_window),
+            gateway.fixed_usage_window(),
             gateway.first_usage_window(),
             hearing_ms,
             gateway.usage_epoch_ms(),
@@ -208,7 +208,11 @@
             StatusCode::NOT_FOUND => None,
             status => return Err(CallError::refused(status)),
         };
-        self.lease.see(stored, self.gateway.clock.now_ms());
+        self.lease
+            .see(stored, answer.era, self.gateway.clock.now_ms());
+        if let Some(window) = self.lease.record().and_then(|record| record.fixed_window) {
+            self.gateway.note_fixed_usage_window(window);
+        }
         let reports = self.lease.reports();
         self.accepted
             .retain(|window| reports.iter().any(|report| report.window == *window));
--- a/crates/ivyweir-gateway/src/state/usage.rs
+++ b/crates/ivyweir-gateway/src/state/usage.rs
@@ -58,6 +58,16 @@
         lock(&self.usage).table.first_window()
     }
 
+    /// Notes that the usage reports of this window and all earlier ones are fixed.
+    pub fn note_fixed_usage_window(&self, window: u64) {
+        lock(&self.usage).table.note_fixed_window(window);
+    }
+
+    /// The newest window whose usage report is known to have been fixed by any box.
+    pub fn fixed_usage_window(&self) -> Option<u64> {
+        lock(&self.usage).table.fixed_window()
+    }
+
     /// What another box is to be told of usage.
     pub fn usage_news_for(&self, peer: &Name, telling: Telling) -> Option<UsageNews> {
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-policy/src/gateway/duty.rs
+++ b/crates/ivyweir-policy/src/gateway/duty.rs
@@ -39,6 +39,13 @@
     pub orders: Vec<UpstreamOrder>,
 }
 
+impl DutyRecord {
+    /// Orders records by when they were written; newer records compare greater.
+    fn version(&self) -> (u64, u64) {
+        (self.fence, self.renewals)
+    }
+}
+
 /// A record and the store's revision of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredDuties {
--- a/crates/ivyweir-policy/src/gateway/duty/lease.rs
+++ b/crates/ivyweir-policy/src/gateway/duty/lease.rs
@@ -4,6 +4,10 @@
 //! sends only while its lease, counted from before its last write was asked for, outlasts the call. Another
 //! box takes over only when it has seen the record unchanged for longer than that. Neither compares its clock
 //! with the other's.
+//!
+//! After a restore from a backup, the store may hold an older record or none, and may reuse revisions. A restore
+//! therefore ends every lease: each box waits as it does for another box's lease, and fences include the store's era so
+//! that none is issued twice.
 
 use crate::Name;
 use crate::gateway::duty::supply::UpstreamOrder;
@@ -13,6 +17,9 @@
 /// Time for which a call that is already on its way may outlast its sender's lease.
 const IN_FLIGHT_MS: u64 = 500;
 
+/// Size of the range of fences reserved for each era. Revisions stay below it, so that the ranges do not overlap.
+const FENCES_PER_ERA: u64 = 1 << 32;
+
 /// How long leases last.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaseTerms {
@@ -69,6 +76,10 @@
     pending: Option<Pending>,
     held_until_ms: u64,
     highest_fence: u64,
+    /// Highest era of the store seen so far.
+    era: u64,
+    /// Newest record seen in any era; a restored store may have lost it.
+    newest_record: Option<DutyRecord>,
 }
 
 impl Lease {
@@ -82,6 +93,8 @@
             pending: None,
             held_until_ms: 0,
             highest_fence: 0,
+            era: 0,
+            newest_record: None,
         }
     }
 
@@ -91,10 +104,10 @@
             return LeaseStep::Read;
         };
         match &seen.stored {
-            None => LeaseStep::Take,
+            None if self.era == 0 => LeaseStep::Take,
             Some(stored) if self.is_mine(&stored.record) => LeaseStep::Held,
-            Some(_) if now_ms >= seen.since_ms + self.terms.takeover_ms() => LeaseStep::Take,
-            Some(_) => LeaseStep::Wait,
+            _ if now_ms >= seen.since_ms + self.terms.takeover_ms() => LeaseStep::Take,
+            _ => LeaseStep::Wait,
         }
     }
 
@@ -137,7 +150,11 @@
         if self.is_mine(&record) {
             record.renewals += 1;
         } else {
-            record.fence = record.fence.max(self.highest_fence) + 1;
+            if !self.is_from_current_era(&record) {
+                self.recover_lost_record(&mut record);
+            }
+            let highest = record.fence.max(self.highest_fence);
+            record.fence = highest.max(self.fence_lower_bound(revision)) + 1;
             record.renewals = 0;
             record.holder = self.me.clone();
             record.run = self.run;
@@ -150,11 +167,19 @@
         (record, revision)
     }
 
-    /// Takes in that the store has this record, or none: after a read, or with the answer to a write, done or
-    /// not.
-    pub fn see(&mut self, stored: Option<StoredDuties>, now_ms: u64) {
+    /// Processes the store's record, or its absence, as answered in `era` to a read or to a write, whether or not the
+    /// write was applied. Answers from an earlier era are ignored; a later era ends the lease.
+    pub fn see(&mut self, stored: Option<StoredDuties>, era: u64, now_ms: u64) {
+        if era < self.era {
+            return;
+        }
+        if era > self.era {
+            self.era = era;
+            self.doubt();
+        }
         if let Some(stored) = &stored {
             self.highest_fence = self.highest_fence.max(stored.record.fence);
+            self.update_newest_record(&stored.record);
         }
         let revision = |stored: &Option<StoredDuties>| stored.as_ref().map(|s| s.revision);
         let is_news = self
@@ -183,7 +208,37 @@
         self.pending = None;
     }
 
+    /// The exclusive lower bound of a fence taken at `revision`. A write requested before a restore may be applied
+    /// after it and put back a record with a lower fence. The revision still increases, so the bound includes it.
+    fn fence_lower_bound(&self, revision: Option<u64>) -> u64 {
+        match self.era {
+            0 => 0,
+            era => era * FENCES_PER_ERA + revision.unwrap_or(0),
+        }
+    }
+
+    fn update_newest_record(&mut self, record: &DutyRecord) {
+        let is_newer = |known: &DutyRecord| record.version() > known.version();
+        if self.newest_record.as_ref().is_none_or(is_newer) {
+            self.newest_record = Some(record.clone());
+        }
+    }
+
+    /// Replaces a missing record, or one from an earlier era, with the newest known record. If none is newer, clears
+    /// the orders, because the orders in force may have been lost in the restore.
+    fn recover_lost_record(&self, record: &mut DutyRecord) {
+        match &self.newest_record {
+            Some(newest) if newest.version() > record.version() => *record = newest.clone(),
+            _ => record.orders.clear(),
+        }
+    }
+
     fn is_mine(&self, record: &DutyRecord) -> bool {
-        record.holder == self.me && record.run == self.run
+        record.holder == self.me && record.run == self.run && self.is_from_current_era(record)
+    }
+
+    /// Whether the fence of a record was issued in the current era.
+    fn is_from_current_era(&self, record: &DutyRecord) -> bool {
+        record.fence > self.era * FENCES_PER_ERA
     }
 }
--- a/crates/ivyweir-policy/src/gateway/duty/usage.rs
+++ b/crates/ivyweir-policy/src/gateway/duty/usage.rs
@@ -74,6 +74,9 @@
     /// How much the teller has of the other's changes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub heard: Option<Heard>,
+    /// The newest window whose report the sender knows to be fixed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fixed_window: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -114,6 +117,8 @@
     rows: BTreeMap<(u64, BoxRun), Row>,
     changes: u64,
     peers: HashMap<Name, Peer>,
+    /// The newest window whose report is known to be fixed. A restore of the store may lose the record that says so.
+    fixed_window: Option<u64>,
 }
 
 impl UsageTable {
@@ -124,6 +129,7 @@
             rows: BTreeMap::new(),
             changes: 0,
             peers: HashMap::new(),
+            fixed_window: None,
         }
     }
 
@@ -181,6 +187,7 @@
             }),
             rows,
             heard: known.heard,
+            fixed_window: self.fixed_window,
         })
     }
 
@@ -188,6 +195,10 @@
     pub fn hear(&mut self, peer: &Name, news: UsageNews, is_near: bool, now_ms: u64) {
         let known = self.peers.entry(peer.clone()).or_default();
         known.at_ms = now_ms;
+        if let Some(window) = news.fixed_window {
+            self.note_fixed_window(window);
+        }
+        let known = self.peers.entry(peer.clone()).or_default();
         if let Some(told) = news.told {
             known.heard = Some(told);
             known.owed = true;
@@ -200,6 +211,19 @@
         }
     }
 
+    /// Notes that the reports of this window and all earlier ones are fixed.
+    pub fn note_fixed_window(&mut self, window: u64) {
+        if self.fixed_window < Some(window) {
+            self.fixed_window = Some(window);
+            self.changes += 1;
+        }
+    }
+
+    /// The newest window whose report is known to be fixed.
+    pub fn fixed_window(&self) -> Option<u64> {
+        self.fixed_window
+    }
+
     fn merge(&mut self, told: UsageRow, is_near: bool) {
         if told.counter == self.me {
             return;
--- a/crates/ivyweir-policy/tests/gateway_duties.rs
+++ b/crates/ivyweir-policy/tests/gateway_duties.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use ivyweir_policy::gateway::duty::lease::{Lease, LeaseStep, LeaseTerms};
+use ivyweir_policy::gateway::duty::supply::UpstreamOrder;
 use ivyweir_policy::gateway::duty::{DutyRecord, StoredDuties};
 use ivyweir_standins::edge::{DutyCall, DutyPromise};
 use rand::rngs::StdRng;
@@ -30,6 +31,8 @@
     stored: Option<StoredDuties>,
     revision: u64,
     late: Vec<Write>,
+    era: u64,
+    backup: (Option<StoredDuties>, u64),
 }
 
 impl Store {
@@ -41,6 +44,15 @@
         }
     }
 
+    fn back_up(&mut self) {
+        self.backup = (self.stored.clone(), self.revision);
+    }
+
+    fn restore(&mut self) {
+        (self.stored, self.revision) = self.backup.clone();
+        self.era += 1;
+    }
+
     fn do_late(&mut self, now_ms: u64) {
         let open = std::mem::take(&mut self.late).into_iter();
         let (due, late): (Vec<Write>, Vec<Write>) = open.partition(|write| write.at_ms <= now_ms);
@@ -118,7 +130,7 @@
             (Way::Sound, Some((record, revision))) => store.write(record, revision),
             (Way::Sound, None) => {}
         }
-        self.lease.see(store.stored.clone(), now_ms);
+        self.lease.see(store.stored.clone(), store.era, now_ms);
     }
 }
 
@@ -126,6 +138,13 @@
     Lease::new(format!("box-{number}").into(), run, TERMS)
 }
 
+/// How often the simulated store is restored from a backup.
+#[derive(Clone, Copy, PartialEq)]
+enum Restores {
+    Never,
+    Random,
+}
+
 struct Run {
     calls: Vec<DutyCall>,
     holders: usize,
@@ -133,13 +152,22 @@
 }
 
 /// Plays boxes that want the duties by turns, mostly one and at times several, and all troubles until `calm_ms`.
-fn play(boxes: usize, seed: u64, calm_ms: u64, end_ms: u64) -> Run {
+fn play(boxes: usize, seed: u64, calm_ms: u64, end_ms: u64, restores: Restores) -> Run {
     let mut rng = StdRng::seed_from_u64(seed);
+    // A separate generator keeps the other draws of a seed the same with and without restores.
+    let mut restore_rng = StdRng::seed_from_u64(seed);
     let mut store = Store::default();
     let mut fleet: Vec<SimBox> = (0..boxes).map(SimBox::new).collect();
     let mut calls: BTreeMap<(u64, usize), DutyCall> = BTreeMap::new();
     for now_ms in (0..end_ms).step_by(STEP_MS as usize) {
         store.do_late(now_ms);
+        if restores == Restores::Random && now_ms < calm_ms && now_ms.is_multiple_of(500) {
+            match restore_rng.random_range(0..20) {
+                0 => store.restore(),
+                1..8 => store.back_up(),
+                _ => {}
+            }
+        }
         if now_ms.is_multiple_of(2_000) {
             let is_calm = now_ms >= calm_ms;
             for sim in &mut fleet {
@@ -196,13 +224,13 @@
 }
 
 macro_rules! fleets {
-    ($($name:ident: $boxes:expr, seeds $seeds:expr;)*) => {$(
+    ($($name:ident: $boxes:expr, seeds $seeds:expr, $restores:expr;)*) => {$(
         #[test]
         fn $name() {
             let promise = DutyPromise { lease_ms: TERMS.lease_ms };
             let mut holders = 0;
             for seed in $seeds {
-                let run = play($boxes, seed, 90_000, 110_000);
+                let run = play($boxes, seed, 90_000, 110_000, $restores);
                 if let Err(breach) = promise.check(&run.calls) {
                     panic!("seed {seed}: {breach}");
                 }
@@ -215,10 +243,13 @@
 }
 
 fleets! {
-    two_boxes_never_hold_the_duties_at_once: 2, seeds 0..200_u64;
-    nor_do_nine: 9, seeds 0..100_u64;
-    nor_do_eighty: 80, seeds 0..12_u64;
-    nor_do_a_thousand: 1_000, seeds 0..2_u64;
+    two_boxes_never_hold_the_duties_at_once: 2, seeds 0..200_u64, Restores::Never;
+    nor_do_nine: 9, seeds 0..100_u64, Restores::Never;
+    nor_do_eighty: 80, seeds 0..12_u64, Restores::Never;
+    nor_do_a_thousand: 1_000, seeds 0..2_u64, Restores::Never;
+    two_boxes_never_hold_the_duties_at_once_across_restores: 2, seeds 0..200_u64, Restores::Random;
+    nine_boxes_never_hold_the_duties_at_once_across_restores: 9, seeds 0..100_u64, Restores::Random;
+    eighty_boxes_never_hold_the_duties_at_once_across_restores: 80, seeds 0..12_u64, Restores::Random;
 }
 
 fn record(holder: &str, fence: u64) -> DutyRecord {
@@ -238,15 +269,15 @@
 fn a_record_of_another_box_is_taken_over_only_when_it_stood_still_for_a_lease() {
     let mut lease = lease(0, 0);
     assert_eq!(lease.step(0), LeaseStep::Read);
-    lease.see(stored(record("other", 4), 10), 1_000);
+    lease.see(stored(record("other", 4), 10), 0, 1_000);
     assert_eq!(lease.step(4_400), LeaseStep::Wait);
-    lease.see(stored(record("other", 4), 11), 4_400);
+    lease.see(stored(record("other", 4), 11), 0, 4_400);
     assert_eq!(lease.step(7_800), LeaseStep::Wait);
     assert_eq!(lease.step(7_900), LeaseStep::Take);
     let (taken, revision) = lease.write(7_900, |_| {});
     assert_eq!((taken.fence, revision), (5, Some(11)));
     assert_eq!(lease.fence(7_950), None);
-    lease.see(stored(taken, 12), 7_980);
+    lease.see(stored(taken, 12), 0, 7_980);
     assert_eq!(lease.fence(7_980), Some(5));
     assert_eq!(lease.fence(9_900), Some(5));
     assert_eq!(lease.fence(9_901), None);
@@ -257,13 +288,13 @@
 #[test]
 fn a_write_whose_answer_was_lost_is_asked_for_again_as_it_was() {
     let mut lease = lease(0, 0);
-    lease.see(None, 0);
+    lease.see(None, 0, 0);
     let (first, _) = lease.write(100, |record| record.fixed_window = Some(1));
     let (again, _) = lease.write(900, |record| record.fixed_window = Some(2));
     assert_eq!(first, again);
-    lease.see(None, 950);
+    lease.see(None, 0, 950);
     assert_eq!(lease.write(1_000, |_| {}).0, first);
-    lease.see(stored(first, 3), 1_500);
+    lease.see(stored(first, 3), 0, 1_500);
     assert_eq!(lease.fence(2_100), Some(1));
     assert_eq!(lease.fence(2_101), None);
     let (next, revision) = lease.write(2_101, |record| record.fixed_window = Some(2));
@@ -274,10 +305,10 @@
 #[test]
 fn a_box_that_starts_again_holds_nothing_until_it_has_waited() {
     let mut before = lease(0, 0);
-    before.see(None, 0);
+    before.see(None, 0, 0);
     let (taken, _) = before.write(0, |_| {});
     let mut after = lease(0, 1);
-    after.see(stored(taken, 1), 100);
+    after.see(stored(taken, 1), 0, 100);
     assert_eq!(after.step(100), LeaseStep::Wait);
     assert_eq!(after.fence(100), None);
     assert_eq!(after.write(4_000, |_| {}).0.fence, 2);
@@ -286,13 +317,73 @@
 #[test]
 fn a_box_whose_fence_was_refused_reads_the_record_anew() {
     let mut lease = lease(0, 0);
-    lease.see(None, 0);
+    lease.see(None, 0, 0);
     let (taken, _) = lease.write(0, |_| {});
-    lease.see(stored(taken, 1), 10);
+    lease.see(stored(taken, 1), 0, 10);
     lease.doubt();
     assert_eq!(lease.step(20), LeaseStep::Read);
     assert_eq!(lease.fence(20), None);
     // Somebody removed the record meanwhile: no fence is given twice.
-    lease.see(None, 30);
+    lease.see(None, 0, 30);
     assert_eq!(lease.write(40, |_| {}).0.fence, 2);
 }
+
+/// The lease of a box that held the duties under fence 4 when a restore left `restored` in the store.
+fn lease_after_restore(restored: Option<StoredDuties>) -> Lease {
+    let mut lease = lease(0, 0);
+    lease.see(stored(record("other", 3), 4), 0, 0);
+    let (taken, _) = lease.write(4_000, |record| record.fixed_window = Some(8));
+    lease.see(stored(taken, 5), 0, 4_010);
+    assert_eq!(lease.fence(4_010), Some(4));
+    lease.see(restored, 1, 5_000);
+    lease
+}
+
+macro_rules! restored_records {
+    ($($name:ident: $restored:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut lease = lease_after_restore($restored);
+            assert_eq!(lease.fence(5_000), None);
+            assert_eq!(lease.step(8_400), LeaseStep::Wait);
+            assert_eq!(lease.step(8_500), LeaseStep::Take);
+            let (taken, _) = lease.write(8_500, |_| {});
+            assert!(taken.fence > 1 << 32, "the fence is not from the current era");
+            assert_eq!(taken.fixed_window, Some(8), "the lost window is not written back");
+            lease.see(stored(taken, 6), 1, 8_510);
+            assert_eq!(lease.step(8_510), LeaseStep::Held);
+        }
+    )*};
+}
+
+restored_records! {
+    a_holder_whose_record_was_lost_waits: None;
+    a_holder_whose_record_was_reverted_waits: stored(record("box-0", 2), 5);
+    a_holder_whose_record_was_replaced_by_an_earlier_holders_waits: stored(record("other", 3), 4);
+}
+
+#[test]
+fn an_answer_from_an_earlier_era_is_ignored() {
+    let mut lease = lease_after_restore(None);
+    let (taken, _) = lease.write(8_500, |_| {});
+    lease.see(stored(taken, 6), 1, 8_510);
+    lease.see(stored(record("other", 5), 9), 0, 8_520);
+    assert_eq!(lease.step(8_520), LeaseStep::Held);
+}
+
+#[test]
+fn orders_from_an_earlier_era_are_cleared_if_no_newer_record_is_known() {
+    let mut lease = lease(0, 0);
+    let order = UpstreamOrder {
+        pool: "writers".into(),
+        hall: "hall-a".into(),
+        is_spot: false,
+        count: 3,
+    };
+    let restored = DutyRecord {
+        orders: vec![order],
+        ..record("other", 4)
+    };
+    lease.see(stored(restored, 5), 1, 0);
+    assert!(lease.write(4_000, |_| {}).0.orders.is_empty());
+}
--- a/crates/ivyweir-policy/tests/gateway_usage.rs
+++ b/crates/ivyweir-policy/tests/gateway_usage.rs
@@ -249,3 +249,23 @@
     assert_eq!(epoch.epoch_ms(1_073_100, 63_000), 1_063_100);
     assert_eq!(epoch.epoch_ms(1_074_100, 64_000), 1_074_100);
 }
+
+#[test]
+fn the_newest_fixed_window_is_sent_to_other_boxes() {
+    let run = |name: &str| BoxRun {
+        name: name.into(),
+        run: 1,
+    };
+    let mut sender = UsageTable::new(run("a"));
+    let mut receiver = UsageTable::new(run("b"));
+    let mut send = |window, now_ms| {
+        sender.note_fixed_window(window);
+        let news = sender.news_for(&"b".into(), Telling::Rows, now_ms);
+        receiver.hear(&"a".into(), news.expect("news"), true, now_ms);
+        receiver.fixed_window()
+    };
+    assert_eq!(send(8, 0), Some(8));
+    assert_eq!(send(9, 2_000), Some(9));
+    receiver.note_fixed_window(3);
+    assert_eq!(receiver.fixed_window(), Some(9));
+}
--- a/crates/ivyweird/tests/gateway_duties.rs
+++ b/crates/ivyweird/tests/gateway_duties.rs
@@ -108,3 +108,25 @@
     });
     check(&platform);
 }
+
+/// Guards against a report that is fixed twice with different counts because a restore lost the record of duties.
+#[test]
+fn usage_is_reported_once_across_a_restore_of_the_store() {
+    let platform = DutyPlatform::start();
+    let town = town(&platform, &["hall-a", "hall-b", "hall-c"]);
+    ask(&town, 0, 3);
+    eventually("usage is reported", || reported(&platform.reports()) == 3);
+    town.store.restore();
+    town.store.replay_lost_writes();
+    eventually("all boxes detect the restore and box 1 is ready", || {
+        town.boxes
+            .iter()
+            .all(|b| !b.lines_of("store_restored").is_empty())
+            && town.is_ready(1)
+    });
+    ask(&town, 1, 5);
+    eventually("all usage is reported", || {
+        reported(&platform.reports()) == 8
+    });
+    check(&platform);
+}
