Random soak with a store that is restored from backups

Ruled out: nothing.

Change: new soak steps take a backup of the store and restore it, after up to 2.5 s in which it may be away, and repeat the lost writes up to 1.5 s later. For each upstream, the stand-in store repeats only the last write, since an upstream publishes its current state.

Figures: with 40 steps failed once: eight streams were answered by an upstream that had left, because the stand-in store repeated outdated records of it while a box was starting.

Conclusion: a short seeded run is part of the suite.

--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -1,6 +1,6 @@
 //! A store of records with watches, and the ways in which it fails.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -74,6 +74,18 @@
     LiftQuarantines,
 }
 
+impl Write {
+    /// Name of the upstream whose record this puts or removes, if any.
+    fn upstream_name(&self) -> Option<&Name> {
+        match self {
+            Self::Put(Topic::Upstreams, name, _)
+            | Self::PutForeign(Topic::Upstreams, name, _)
+            | Self::Remove(Topic::Upstreams, name) => Some(name),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     contents: Contents,
@@ -142,8 +154,15 @@
 
     /// Repeats the writes by operators and upstreams that the last restore lost; writes by boxes stay lost.
     pub fn replay_lost_writes(&self) {
-        let lost = std::mem::take(&mut self.state().lost_writes);
-        lost.into_iter().for_each(|write| self.write(write));
+        let mut lost = std::mem::take(&mut self.state().lost_writes);
+        // Only the last write for each upstream is repeated: upstreams publish their current state, not earlier ones.
+        let mut seen_upstreams = HashSet::new();
+        lost.reverse();
+        lost.retain(|write| match write.upstream_name() {
+            Some(name) => seen_upstreams.insert(name.clone()),
+            None => true,
+        });
+        lost.into_iter().rev().for_each(|write| self.write(write));
     }
 
     /// Writes a configuration.
--- a/crates/ivyweird/tests/gateway_soak/main.rs
+++ b/crates/ivyweird/tests/gateway_soak/main.rs
@@ -35,16 +35,22 @@
 /// heard that the limits had ended.
 const KEPT_LIMIT_SEEDS: [u64; 1] = [390_033];
 const KEPT_LIMIT_STEPS: u32 = 32;
+/// Seeds that failed once with restores of the store, each with its cause.
+/// 470,001: the stand-in store repeated outdated records of upstreams that had left.
+const KEPT_RESTORE_SEEDS: [u64; 1] = [470_001];
+const KEPT_RESTORE_STEPS: u32 = 40;
 const CI_SEED: u64 = 20_261_202;
 const CI_STEPS: u32 = 24;
 const EVENTS: u64 = 12;
 const HALLS: [&str; 3] = ["hall-a", "hall-a", "hall-b"];
 const BOXES: usize = HALLS.len();
-/// Kinds of faults, the first ones, those with upstreams that leave and fill up by their own word, and those with limits
-/// besides: kept seeds draw from as many as when they failed.
+/// Number of kinds of faults that a soak draws from. Each set includes the one before: basic faults, upstreams that
+/// announce that they leave or are full, rate limits that upstreams name, and restores of the store.
+/// Kept seeds draw from the same number as when they failed.
 const FIRST_KINDS: u32 = 14;
 const WORD_KINDS: u32 = 18;
 const LIMIT_KINDS: u32 = 21;
+const RESTORE_KINDS: u32 = 26;
 
 /// An upstream behind its proxy.
 struct Proxied {
@@ -122,6 +128,7 @@
             soak.add_upstream(pool);
         }
         soak.boxes.start_all();
+        soak.boxes.town.store.back_up();
         soak
     }
 
@@ -173,6 +180,8 @@
             17 => self.empty_out(),
             18 | 19 => self.name_limits(),
             20 => self.end_limits(),
+            21..=23 => self.boxes.town.store.back_up(),
+            24 | 25 => self.restore_store(),
             _ => self.boxes.town.store.set_fault(StoreFault::None),
         }
         thread::sleep(Duration::from_millis(self.random.random_range(50..400)));
@@ -287,6 +296,22 @@
             .for_each(|proxied| proxied.upstream.name_limit(None));
     }
 
+    /// Restores the store from its backup, with or without an outage, and repeats the lost writes after a delay.
+    fn restore_store(&mut self) {
+        let store = &self.boxes.town.store;
+        let fault = [StoreFault::None, StoreFault::Refuse, StoreFault::Silent]
+            [self.random.random_range(0..3)];
+        store.set_fault(fault);
+        thread::sleep(Duration::from_millis(self.random.random_range(0..2_500)));
+        store.restore();
+        if self.random.random_bool(0.5) {
+            store.set_fault(StoreFault::None);
+        }
+        thread::sleep(Duration::from_millis(self.random.random_range(0..1_500)));
+        store.replay_lost_writes();
+        store.set_fault(StoreFault::None);
+    }
+
     /// A new configuration: one more key, or one less.
     fn change_keys(&mut self) {
         self.version += 1;
@@ -405,3 +430,16 @@
     let (seed, steps) = seed_and_steps(CI_SEED + 2, CI_STEPS);
     soak(seed, steps, LIMIT_KINDS);
 }
+
+#[test]
+fn seeds_with_restores_that_failed_once_pass() {
+    for seed in KEPT_RESTORE_SEEDS {
+        soak(seed, KEPT_RESTORE_STEPS, RESTORE_KINDS);
+    }
+}
+
+#[test]
+fn promises_hold_across_restores_of_the_store() {
+    let (seed, steps) = seed_and_steps(CI_SEED + 3, CI_STEPS);
+    soak(seed, steps, RESTORE_KINDS);
+}
