Do not treat the first store era a box learns as a restore

What callers saw: nothing so far; found on a second review of the change. Boxes that start together would have refused requests with a key for two seconds.

Cause: a relay that has no data yet answers with revision zero. The era of that revision was taken for the era of the store, so the store's actual, higher era then looked like a restore.

Ruled out: waiting for the store's own answer, because most boxes never query the store.

Change: ignore the era of an answer with revision zero.

Conclusion: starting at any era is an ordinary start.

--- a/crates/ivyweir-gateway/src/sync/relay.rs
+++ b/crates/ivyweir-gateway/src/sync/relay.rs
@@ -170,7 +170,10 @@
         let is_proven = answer
             .proof_age_ms
             .is_some_and(|age_ms| age_ms <= RELAY_PROOF_MAX_MS);
-        gateway.update_store_era(Some(answer.revision.era));
+        // Revision zero means that the box has no data yet; its era is not the store's.
+        if !answer.revision.is_zero() {
+            gateway.update_store_era(Some(answer.revision.era));
+        }
         let mut revision = answer.revision.max(since);
         match answer.whole {
             Some(Whole::Here(items)) => self.adopt_copy(answer.revision, items),
--- a/crates/ivyweird/tests/gateway_settling.rs
+++ b/crates/ivyweird/tests/gateway_settling.rs
@@ -188,3 +188,20 @@
         );
     }
 }
+
+/// Guards against boxes that treat the first era they learn from the store as a restore.
+#[test]
+fn boxes_that_start_at_a_nonzero_era_detect_no_restore() {
+    let mut town = Town::start(BINARY);
+    town.store.back_up();
+    town.store.restore();
+    town.store.restore();
+    let store_addr = town.store.addr().to_string();
+    for hall in ["hall-a", "hall-a", "hall-b", "hall-b", "hall-c", "hall-c"] {
+        town.start_box(hall, &store_addr);
+    }
+    for number in 0..town.boxes.len() {
+        eventually("the box is ready", || town.is_ready(number));
+        assert!(!has_logged(&town, number, "store_restored"));
+    }
+}
