One way for tests to ask a box with a key, one meaning of a roll-out that is over

Cause: gateway_restored and gateway_settling each had the same function that gateway_store had too, and the stand-in of the store repeated which states of a roll-out are the last ones.

Ruled out: a module of the tests' own (the town of the stand-ins knows the address).

Change: Town::status; RolloutState::is_over is public. No check changed.

Conclusion: behaviour is as before.

--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    fn is_over(self) -> bool {
+    /// Whether the roll-out has ended.
+    pub fn is_over(self) -> bool {
         matches!(self, Self::Completed | Self::RolledBack)
     }
 }
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -36,10 +36,6 @@
     Refuse,
 }
 
-fn is_over(state: RolloutState) -> bool {
-    matches!(state, RolloutState::Completed | RolloutState::RolledBack)
-}
-
 /// A running store.
 #[derive(Clone)]
 pub struct RecordStore {
@@ -305,7 +301,7 @@
         match (known, item) {
             (Some(Item::Rollout(known)), Item::Rollout(order)) => {
                 let same = known.target_version == order.target_version;
-                same && known.duration_ms == order.duration_ms && !is_over(known.state)
+                same && known.duration_ms == order.duration_ms && !known.state.is_over()
             }
             (known, item) => known == Some(item),
         }
--- a/crates/ivyweir-standins/src/edge/town.rs
+++ b/crates/ivyweir-standins/src/edge/town.rs
@@ -139,6 +139,16 @@
         asked.is_ok_and(|reply| reply.status == 200)
     }
 
+    /// Status of a plain request with this key to a box; 0 if there is no answer.
+    pub fn status(&self, number: usize, key: &str) -> u16 {
+        let auth = format!("Bearer {key}");
+        let headers = [
+            ("ivyweir-request-id", "r1"),
+            ("authorization", auth.as_str()),
+        ];
+        get(self.addr(number), "/safe/x", &headers).map_or(0, |reply| reply.status)
+    }
+
     /// Where callers reach a box.
     pub fn addr(&self, number: usize) -> SocketAddr {
         self.boxes[number].caller_addr
--- a/crates/ivyweird/tests/gateway_restored.rs
+++ b/crates/ivyweird/tests/gateway_restored.rs
@@ -1,7 +1,7 @@
 //! Boxes whose revisions are ahead of a store restored from a backup, which reuses the revision numbers.
 
 use ivyweir_standins::edge::{
-    GatewayProcess, KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site,
+    GatewayProcess, KEY, ScriptedUpstream, StoreFault, Town, eventually, site,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -21,15 +21,6 @@
     Reused,
 }
 
-fn status(town: &Town, number: usize, key: &str) -> u16 {
-    let auth = format!("Bearer {key}");
-    let headers = [
-        ("ivyweir-request-id", "r1"),
-        ("authorization", auth.as_str()),
-    ];
-    get(town.addr(number), "/safe/x", &headers).map_or(0, |reply| reply.status)
-}
-
 fn eventually_at_all(town: &Town, what: &str, condition: impl Fn(usize) -> bool) {
     for number in 0..town.boxes.len() {
         eventually(what, || condition(number));
@@ -46,7 +37,7 @@
     let late = ScriptedUpstream::start("engines-late", "engines", "v1");
     town.store.put_upstream(&late.record());
     eventually_at_all(&town, "the second key works", |number| {
-        status(&town, number, "second") == 200
+        town.status(number, "second") == 200
     });
     eventually_at_all(&town, "the box knows the upstream", |number| {
         has_logged_change(&town, number, &["Joined"])
@@ -89,10 +80,10 @@
         town.store.put_site(&site(8, &["third"]));
     });
     eventually_at_all(&town, "the new key works", |number| {
-        status(&town, number, "third") == 200
+        town.status(number, "third") == 200
     });
     eventually_at_all(&town, "the withdrawn key is refused", |number| {
-        let status = status(&town, number, KEY);
+        let status = town.status(number, KEY);
         assert_ne!(status, 200);
         status == 401
     });
@@ -107,12 +98,12 @@
         has_logged_change(&town, number, &["Leaving", "Lapsed"])
     });
     eventually_at_all(&town, "the box serves", |number| {
-        status(&town, number, KEY) == 200
+        town.status(number, KEY) == 200
     });
     let before = town.services[0].seen().len();
     for number in 0..town.boxes.len() {
         for _ in 0..10 {
-            assert_eq!(status(&town, number, KEY), 200);
+            assert_eq!(town.status(number, KEY), 200);
         }
     }
     assert_eq!(town.services[0].seen().len(), before);
--- a/crates/ivyweird/tests/gateway_settling.rs
+++ b/crates/ivyweird/tests/gateway_settling.rs
@@ -2,7 +2,7 @@
 
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::rollout::RolloutState;
-use ivyweir_standins::edge::{KEY, ScriptedUpstream, StoreFault, Town, eventually, get, site};
+use ivyweir_standins::edge::{KEY, ScriptedUpstream, StoreFault, Town, eventually, site};
 use serde_json::{Value, json};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -27,15 +27,6 @@
     town
 }
 
-fn status(town: &Town, number: usize, key: &str) -> u16 {
-    let auth = format!("Bearer {key}");
-    let headers = [
-        ("ivyweir-request-id", "r1"),
-        ("authorization", auth.as_str()),
-    ];
-    get(town.addr(number), "/safe/x", &headers).map_or(0, |reply| reply.status)
-}
-
 fn has_logged(town: &Town, number: usize, event: &str) -> bool {
     !town.boxes[number].lines_of(event).is_empty()
 }
@@ -60,7 +51,7 @@
     let before = first_upstream_requests(town);
     for number in 0..town.boxes.len() {
         for _ in 0..20 {
-            assert_eq!(status(town, number, KEY), 200);
+            assert_eq!(town.status(number, KEY), 200);
         }
     }
     assert_eq!(first_upstream_requests(town), before);
@@ -70,7 +61,7 @@
     for number in 0..town.boxes.len() {
         let before = first_upstream_requests(town);
         eventually("the upstream is used", || {
-            status(town, number, KEY);
+            town.status(number, KEY);
             first_upstream_requests(town) > before
         });
     }
@@ -133,11 +124,11 @@
     town.store.restore();
     town.store.set_fault(StoreFault::None);
     for number in 0..HALLS.len() {
-        eventually("the key is refused", || status(&town, number, KEY) == 503);
+        eventually("the key is refused", || town.status(number, KEY) == 503);
     }
     town.store.replay_lost_writes();
     for number in 0..HALLS.len() {
-        assert_ne!(status(&town, number, KEY), 200);
+        assert_ne!(town.status(number, KEY), 200);
     }
 }
 
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -25,7 +25,7 @@
 
 /// A status that is not of a box that is catching up.
 fn settled_status(town: &Town, number: usize, key: &str) -> u16 {
-    status(town, number, key, "r1")
+    town.status(number, key)
 }
 
 #[test]
