What the stand-in store holds has a file of its own

Cause: record_store.rs had grown to 553 lines with three jobs: what tests ask of the store, its HTTP interface, and its contents, writes and backup.

Ruled out: a file each for writes and backup (they work on the same state).

Change: contents, writes, backup and restore move to record_store/state.rs, unchanged but for what the other file may see.

--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -1,6 +1,8 @@
 //! A store of records with watches, and the ways in which it fails.
 
-use std::collections::{BTreeMap, HashSet};
+mod state;
+
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,17 +14,17 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use ivyweir_gateway::dialect::{Item, Topic};
-use ivyweir_gateway::native::{RecordChange, RecordChanges, RecordPage, STORE_ERA, StoredRecord};
+use ivyweir_gateway::native::{STORE_ERA, StoredRecord};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::quarantine::QuarantineRecord;
 use ivyweir_policy::gateway::rollout::{RolloutOrder, RolloutState};
 use ivyweir_policy::gateway::site::Site;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 use super::town::serve_on_thread;
+use state::{State, Write};
 
 /// How the store fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -48,57 +50,6 @@
     news: watch::Sender<u64>,
 }
 
-/// Data that a backup includes.
-#[derive(Debug, Clone, Default)]
-struct Contents {
-    revision: u64,
-    records: BTreeMap<(&'static str, Name), Item>,
-    /// Records of other writers, which cannot be read, by topic and name.
-    foreign: BTreeMap<(&'static str, Name), Value>,
-    /// Quarantined requests, by the name of their record.
-    quarantines: BTreeMap<String, QuarantineRecord>,
-    /// Who holds the duties, and the revision of that.
-    duties: Option<StoredRecord>,
-}
-
-/// A write by an operator or an upstream.
-#[derive(Debug, Clone)]
-enum Write {
-    Put(Topic, Name, Item),
-    PutForeign(Topic, Name, Value),
-    Remove(Topic, Name),
-    LiftQuarantines,
-}
-
-impl Write {
-    /// Name of the upstream whose record this puts or removes, if any.
-    fn upstream_name(&self) -> Option<&Name> {
-        match self {
-            Self::Put(Topic::Upstreams, name, _)
-            | Self::PutForeign(Topic::Upstreams, name, _)
-            | Self::Remove(Topic::Upstreams, name) => Some(name),
-            _ => None,
-        }
-    }
-}
-
-#[derive(Default)]
-struct State {
-    contents: Contents,
-    /// Watches from before this are told that history is gone.
-    history_from: u64,
-    log: Vec<(u64, Topic, Value)>,
-    backup: Contents,
-    /// Writes by operators and upstreams since the backup.
-    writes_since_backup: Vec<Write>,
-    /// Writes by operators and upstreams that the last restore lost.
-    lost_writes: Vec<Write>,
-    /// Number of times the store was restored.
-    era: u64,
-    fault: StoreFault,
-    calls: u64,
-}
-
 impl RecordStore {
     /// Starts an empty store on a free port.
     pub fn start() -> Self {
@@ -273,126 +224,6 @@
     }
 }
 
-impl State {
-    fn restore(&mut self) {
-        self.contents = self.backup.clone();
-        self.lost_writes = std::mem::take(&mut self.writes_since_backup);
-        self.history_from = self.contents.revision;
-        self.log.clear();
-        self.era += 1;
-    }
-
-    /// Applies a write by an operator or an upstream; putting a record that is already stored makes no revision.
-    fn write(&mut self, write: Write) {
-        self.writes_since_backup.push(write.clone());
-        match write {
-            Write::Put(topic, name, item) if self.is_already_stored(topic, &name, &item) => {}
-            Write::Put(topic, name, item) => self.put(topic, name, item),
-            Write::PutForeign(topic, name, record) => self.put_foreign(topic, name, record),
-            Write::Remove(topic, name) => self.remove(topic, &name),
-            Write::LiftQuarantines => self.contents.quarantines.clear(),
-        }
-    }
-
-    /// Whether putting `item` would change nothing. Of a roll-out that is not over, only the target version and the
-    /// duration are compared; one that is over is always written anew.
-    fn is_already_stored(&self, topic: Topic, name: &Name, item: &Item) -> bool {
-        let known = self.contents.records.get(&(topic.name(), name.clone()));
-        match (known, item) {
-            (Some(Item::Rollout(known)), Item::Rollout(order)) => {
-                let same = known.target_version == order.target_version;
-                same && known.duration_ms == order.duration_ms && !known.state.is_over()
-            }
-            (known, item) => known == Some(item),
-        }
-    }
-
-    fn put(&mut self, topic: Topic, name: Name, mut item: Item) {
-        self.contents.revision += 1;
-        if let Item::Rollout(order) = &mut item {
-            order.revision = self.contents.revision;
-        }
-        let key = (topic.name(), name);
-        self.contents.foreign.remove(&key);
-        self.contents.records.insert(key, item.clone());
-        self.note(topic, &RecordChange::Put(item));
-    }
-
-    fn put_foreign(&mut self, topic: Topic, name: Name, record: Value) {
-        self.contents.revision += 1;
-        let key = (topic.name(), name);
-        self.contents.records.remove(&key);
-        self.log
-            .push((self.contents.revision, topic, json!({"put": record})));
-        self.contents.foreign.insert(key, record);
-    }
-
-    fn note(&mut self, topic: Topic, change: &RecordChange) {
-        let change = serde_json::to_value(change).expect("changes are valid JSON");
-        self.log.push((self.contents.revision, topic, change));
-    }
-
-    fn remove(&mut self, topic: Topic, name: &Name) {
-        if self
-            .contents
-            .records
-            .remove(&(topic.name(), name.clone()))
-            .is_some()
-        {
-            self.contents.revision += 1;
-            self.note(topic, &RecordChange::Gone(name.clone()));
-        }
-    }
-
-    fn page(&self, topic: Topic) -> RecordPage {
-        let own = self.contents.records.iter();
-        let own = own.map(|(key, item)| {
-            let record = serde_json::to_value(item).expect("records are valid JSON");
-            (key, record)
-        });
-        let foreign = self
-            .contents
-            .foreign
-            .iter()
-            .map(|(key, record)| (key, record.clone()));
-        let records = own.chain(foreign);
-        let records = records.filter(|((of, _), _)| *of == topic.name());
-        RecordPage {
-            records: records.map(|(_, record)| record).collect(),
-            next_after: None,
-            revision: self.contents.revision,
-        }
-    }
-
-    fn changes(&self, topic: Topic, since: u64) -> RecordChanges {
-        let newer = self
-            .log
-            .iter()
-            .filter(|(at, of, _)| *at > since && *of == topic);
-        RecordChanges {
-            changes: newer.map(|(_, _, change)| change.clone()).collect(),
-            revision: self.contents.revision,
-        }
-    }
-
-    /// Writes a roll-out's state under the revision that the writer saw.
-    fn write_rollout(&mut self, order: RolloutOrder) -> (StatusCode, Option<Item>) {
-        let key = (Topic::Rollouts.name(), order.pool.clone());
-        let Some(Item::Rollout(now)) = self.contents.records.get(&key) else {
-            return (StatusCode::NOT_FOUND, None);
-        };
-        if now.revision != order.revision {
-            return (
-                StatusCode::CONFLICT,
-                self.contents.records.get(&key).cloned(),
-            );
-        }
-        let pool = order.pool.clone();
-        self.put(Topic::Rollouts, pool, Item::Rollout(order));
-        (StatusCode::OK, self.contents.records.get(&key).cloned())
-    }
-}
-
 async fn answer(shared: &Shared, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let mut answer = answer_request(shared, request).await;
     let era = HeaderValue::from(shared.state().era);
