Count successive ends of upstreams within one millisecond apart

Cause: the ledger sorted ends of the same millisecond by the hash of the upstream, so the later of two successive ends could come first; the earlier one had then begun before it and counted as the same loss. Ruled out: a late or wrong probe, since all three ends were known. Change: ends of one time are sorted by when the request was sent there, which for successive ends is the order in which they happened. Test: two of three new cases of `quarantine_cases!` failed before (left [], right ["harm"]). A test cluster keeps its logs when its test fails.

--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -100,7 +100,10 @@
             Some(known) => *known = end,
             None => self.ends.push(end),
         }
-        self.ends.sort_by_key(|end| (end.at_ms, end.upstream));
+        // A request that is sent on may reach two upstreams that terminate within a millisecond; the
+        // one that it reached later comes second.
+        self.ends
+            .sort_by_key(|end| (end.at_ms, end.began_at_ms, end.upstream));
         if self.ends.len() > MAX_ENDS_PER_SUSPECT {
             let most = self.ends.iter().map(|end| end.upstream).max();
             self.ends.retain(|end| Some(end.upstream) != most);
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -69,6 +69,10 @@
 quarantine_cases! {
     two_ends_are_too_few: [(1, 100, 50, &["harm"]), (2, 200, 50, &["harm"])] => [];
     three_ends_one_after_the_other: [(1, 100, 50, &["harm"]), (2, 160, 50, &["harm"]), (3, 220, 50, &["harm"])] => ["harm"];
+    // Guards against counting successive ends as one loss where two of them have the same time.
+    three_ends_one_after_the_other_of_which_two_bear_the_same_time: [(3, 100, 1, &["harm"]), (2, 100, 0, &["harm"]), (1, 101, 1, &["harm"])] => ["harm"];
+    three_ends_one_after_the_other_that_all_bear_the_same_time: [(3, 100, 5, &["harm"]), (2, 100, 0, &["harm"]), (1, 100, 0, &["harm"])] => ["harm"];
+    two_ends_one_after_the_other_beside_a_third_at_the_same_time: [(3, 100, 1, &["harm"]), (2, 100, 0, &["harm"]), (1, 100, 20, &["harm"])] => [];
     three_ends_far_apart: [(1, 100, 50, &["harm"]), (2, 60_000, 50, &["harm"]), (3, 1_800_000, 50, &["harm"])] => ["harm"];
     three_ends_at_one_moment_are_one_loss: [(1, 100, 50, &["harm"]), (2, 110, 50, &["harm"]), (3, 130, 50, &["harm"])] => [];
     three_ends_of_requests_made_at_once_but_apart: [(1, 100, 50, &["harm"]), (2, 250, 250, &["harm"]), (3, 400, 400, &["harm"])] => ["harm"];
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -166,6 +166,10 @@
 impl Drop for TestCluster {
     fn drop(&mut self) {
         self.boxes.clear();
+        if thread::panicking() {
+            println!("logs of the boxes are kept in {}", self.folder.display());
+            return;
+        }
         // A folder that cannot be removed does not fail the test.
         let _ignored = std::fs::remove_dir_all(&self.folder);
     }
