--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
+    fn lose_run(&mut self) {
+        if std::mem::take(&mut self.is_running) {
+            self.gateway.record_lost_run(&self.upstream, self.key);
+        }
+        self.gateway.record_broken_connection(self.key.fingerprint);
+        liveness::probe(&self.gateway, &self.upstream);
+    }
+
     /// Records that the upstream has prefilled the prompt, as its response has begun.
     fn record_prefilled(&mut self) {
         self.is_prefilled = true;
@@ -123,18 +132,15 @@
     /// Records that the connection broke, and probes whether the upstream itself has terminated.
     pub fn record_broken_connection(&mut self) {
         self.record_outcome(true);
-        self.end_run(RunEnd::ConnectionLost);
-        self.gateway.record_broken_connection(self.key.fingerprint);
-        liveness::probe(&self.gateway, &self.upstream);
+        self.lose_run();
     }
 }
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        // The connection may have broken while a set-aside response was not being read.
+        // The connection may have broken while a set-aside response was not being read, or just before the caller left.
         if self.is_running && self.connection.as_ref().is_some_and(Connection::is_closed) {
-            liveness::probe(&self.gateway, &self.upstream);
-            self.end_run(RunEnd::ConnectionLost);
+            self.lose_run();
         }
         self.end_run(RunEnd::Cancelled);
         let remaining_ms = self.remaining_work_ms();
@@ -215,7 +221,7 @@
     };
     loop {
         let is_pooled = pooled.is_some();
-        let mut connection = match pooled.take() {
+        let connection = match pooled.take() {
             Some(connection) => connection,
             None => match connect(gateway, job, upstream, trace).await {
                 Some(connection) => connection,
@@ -242,6 +248,7 @@
         gateway.count_workspace_work(job, estimate, sent_at_ms);
         let limit = Duration::from_millis(options.head_timeout_ms);
         let mut replaced = gateway.watch_replacement(&upstream.id);
+        let connection = in_flight.connection.insert(connection);
         let result = tokio::select! {
             result = timeout(limit, connection.send(request)) => result,
             () = replaced.replaced(gateway) => {
@@ -253,7 +260,6 @@
         };
         match result {
             Ok(Ok(response)) => {
-                in_flight.connection = Some(connection);
                 let head = Head {
                     response,
                     after_ms: gateway.clock.now_ms() - sent_at_ms,
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -15,6 +15,7 @@
 use ivyweir_policy::Name;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Time limit for opening a connection. A lost SYN is retransmitted only after 1 s, so a new attempt
@@ -48,6 +49,19 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    closed: ClosedSignal,
+}
+
+/// Signals that a connection was closed, by either side.
+#[derive(Debug, Clone)]
+pub struct ClosedSignal(watch::Receiver<()>);
+
+impl ClosedSignal {
+    /// Waits until the connection is closed.
+    pub async fn closed(&mut self) {
+        // No value is ever sent; the task of the connection drops the sender when it ends.
+        while self.0.changed().await.is_ok() {}
+    }
 }
 
 impl Connection {
@@ -77,13 +91,16 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let (open, closed) = watch::channel(());
         tokio::spawn(async move {
             // Errors that affect a request are reported through the sender.
             let _reported_by_sender = connection.await;
+            drop(open);
         });
         // A connection reports itself as busy until its task has run once.
         sender.ready().await.map_err(io::Error::other)?;
-        Ok(Self { sender })
+        let closed = ClosedSignal(closed);
+        Ok(Self { sender, closed })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -109,6 +126,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns a signal that the connection was closed.
+    pub fn closed_signal(&self) -> ClosedSignal {
+        self.closed.clone()
+    }
+
     /// Returns whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -2,41 +2,93 @@
 //!
 //! A single connection may break while the upstream runs on: the network resets it, or the upstream closes it in the
 //! middle of a response. When the process terminates, all its connections break and nothing listens at its address.
+//! That takes a moment: until the listener is closed too, the kernel accepts connections to it. The connection that a
+//! probe opened is therefore watched. It breaks when the listener is closed, and the upstream is probed again.
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use tokio::time::{sleep, timeout};
 
-use crate::connection::Connection;
+use crate::connection::{ClosedSignal, Connection};
 use crate::state::Gateway;
 
 /// Time for which the connection opened by a probe is kept in the pool. The upstream is up, and another request is
 /// likely to be sent there in place of the one that broke.
 const PROBE_KEEP_ALIVE_MS: u64 = 1_000;
+/// Pause before an upstream that closed the connection of a probe is probed again; doubles each time. An upstream with
+/// too many connections closes new ones at once.
+const MIN_REPROBE_PAUSE: Duration = Duration::from_millis(2);
 
-/// Probes in the background whether an upstream still listens at its address. If several connections break at once,
-/// only one probe runs.
+/// What a probe found.
+enum ProbeResult {
+    /// Nothing listens at the address.
+    Refused,
+    /// A connection was opened.
+    Opened(ClosedSignal),
+    /// Neither, as after a timeout: the network path may be down.
+    Inconclusive,
+}
+
+/// Probes in the background whether an upstream still listens at its address, and watches it while the runs that were
+/// lost there may have been interrupted by its termination. If several connections break at once, only one probe runs.
 pub fn probe(gateway: &Arc<Gateway>, upstream: &Arc<UpstreamRecord>) {
     if !gateway.begin_termination_check(&upstream.id) {
         return;
     }
     let (gateway, upstream) = (gateway.clone(), upstream.clone());
     tokio::spawn(async move {
-        let opened = Connection::open(upstream.addr).await;
-        match opened {
-            Ok(channel) => {
-                let now_ms = gateway.clock.now_ms();
-                let channels = &gateway.channels;
-                channels.keep(&upstream.id, channel, PROBE_KEEP_ALIVE_MS, now_ms);
-            }
-            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                gateway.record_upstream_termination(&upstream);
-            }
-            // Any other error, such as a timeout, is inconclusive: the network path may be down.
-            Err(_) => {}
-        }
-        // Last: requests that wait for the probe act on its result.
+        let result = probe_once(&gateway, &upstream).await;
+        // Requests that wait for the probe act on its result.
         gateway.finish_termination_check(&upstream.id);
+        if let ProbeResult::Opened(closed) = result
+            && gateway.begin_watch(&upstream.id)
+        {
+            watch(&gateway, &upstream, Some(closed)).await;
+            gateway.finish_watch(&upstream.id);
+        }
     });
 }
+
+/// Opens a connection to an upstream, and records the termination of the upstream if nothing listens there.
+async fn probe_once(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
+    let (outcome, result) = match Connection::open(upstream.addr).await {
+        Ok(connection) => {
+            let closed = connection.closed_signal();
+            let now_ms = gateway.clock.now_ms();
+            let channels = &gateway.channels;
+            channels.keep(&upstream.id, connection, PROBE_KEEP_ALIVE_MS, now_ms);
+            ("opened", ProbeResult::Opened(closed))
+        }
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            gateway.record_upstream_termination(upstream);
+            ("refused", ProbeResult::Refused)
+        }
+        Err(_) => ("inconclusive", ProbeResult::Inconclusive),
+    };
+    let probes = &gateway.metrics.probes;
+    probes.with_label_values(&[&*upstream.pool, outcome]).inc();
+    result
+}
+
+/// Probes an upstream each time that the connection to it that is known to be open was closed, and at once if none is
+/// known, until it has terminated or no lost run counts as running there any more.
+async fn watch(gateway: &Gateway, upstream: &UpstreamRecord, mut open: Option<ClosedSignal>) {
+    let mut pause = Duration::ZERO;
+    while let Some(left) = gateway.lost_runs_expire_after(&upstream.id) {
+        if let Some(signal) = &mut open
+            && timeout(left, signal.closed()).await.is_err()
+        {
+            continue;
+        }
+        sleep(pause.min(left)).await;
+        pause = (pause * 2).max(MIN_REPROBE_PAUSE);
+        open = match probe_once(gateway, upstream).await {
+            ProbeResult::Refused => return,
+            ProbeResult::Opened(signal) => Some(signal),
+            ProbeResult::Inconclusive => None,
+        };
+    }
+}
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub unread_headers: IntCounterVec,
     /// Upstreams that terminated while they had requests of this box, by pool.
     pub upstream_ends: IntCounterVec,
+    /// Connections opened to find out whether an upstream terminated, by pool and outcome.
+    pub probes: IntCounterVec,
     /// Store records that became invalid, by topic and fault. Each is counted once, when it becomes
     /// invalid.
     pub unreadable_records: IntCounterVec,
@@ -100,6 +102,11 @@
             "upstreams that ended while requests were there, by pool",
             &["pool"],
         );
+        let probes = counter(
+            "ivyweir_probes_total",
+            "connections opened to find out whether an upstream terminated, by pool and outcome",
+            &["pool", "outcome"],
+        );
         let unreadable_records = counter(
             "ivyweir_unreadable_records_total",
             "records of the store that turned unreadable, by topic and fault",
@@ -179,6 +186,7 @@
             upstream_statements,
             unread_headers,
             upstream_ends,
+            probes,
             unreadable_records,
             store_calls,
             duty_calls,
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -148,6 +148,9 @@
     if gateway.has_load_control() {
         detail["over_share"] = json!(gateway.over_share(job));
     }
+    if gateway.containment(job.fingerprint).is_some() {
+        detail["contained"] = json!(true);
+    }
     detail
 }
 
@@ -216,7 +219,8 @@
     }
 }
 
-/// Chooses an upstream for a job: one that was not tried, or else any but the last one tried.
+/// Chooses an upstream for a job: one that was not tried, or else any but the last one tried. A contained job may only
+/// be sent to upstreams to which its connections broke.
 ///
 /// # Errors
 ///
@@ -236,14 +240,15 @@
     if gateway.suspicion(job.fingerprint) == Suspicion::UpstreamEnded {
         request.isolation_hash = Some(job.fingerprint.bits());
     }
-    let choose_untried = |tried: &[Name]| {
-        let scope = Scope {
-            pool: &job.pool,
-            side: job.side,
-            tried,
-        };
-        gateway.choose_upstream(&scope, &request)
+    let scope = |tried| Scope {
+        pool: &job.pool,
+        side: job.side,
+        tried,
     };
+    if let Some(containment) = gateway.containment(job.fingerprint) {
+        return gateway.choose_contained(&containment, &scope(tried), &request);
+    }
+    let choose_untried = |tried| gateway.choose_upstream(&scope(tried), &request);
     choose_untried(tried)
         .or_else(|_| choose_untried(tried.last().map_or(&[], std::slice::from_ref)))
 }
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -4,7 +4,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::pace::PrefillPace;
 use ivyweir_policy::gateway::placement::PlacementRequest;
-use ivyweir_policy::gateway::quarantine::Fingerprint;
+use ivyweir_policy::gateway::quarantine::{Containment, Fingerprint};
 use ivyweir_policy::gateway::quota::{self, QuotaShare};
 use ivyweir_policy::gateway::upstreams::{Choice, ChooseError, Scope, SendDenied, SendRules};
 use ivyweir_policy::gateway::work::Estimate;
@@ -74,11 +74,40 @@
         Ok(choice)
     }
 
+    /// Chooses an upstream for a contained request: one of those to which its connections broke.
+    ///
+    /// # Errors
+    ///
+    /// If none of them accepts the request. They back off from it, as it were, until one of its broken connections no
+    /// longer counts.
+    pub fn choose_contained(
+        &self,
+        containment: &Containment,
+        scope: &Scope,
+        request: &PlacementRequest,
+    ) -> Result<Choice, ChooseError> {
+        let now_ms = self.clock.now_ms();
+        let rules = self.send_rules(scope.pool, now_ms);
+        let mut upstreams = lock(&self.upstreams);
+        let target = self.rollout_target(scope.pool);
+        let among = &containment.upstreams;
+        let choice = upstreams.choose_among(among, scope, request, target.as_ref(), &rules, now_ms);
+        choice.map_err(|why| match why {
+            ChooseError::AllBackingOff { .. } => why,
+            _ => {
+                let for_ms = containment.until_ms.saturating_sub(now_ms.cast_signed());
+                ChooseError::AllBackingOff {
+                    for_ms: for_ms.max(1).unsigned_abs(),
+                }
+            }
+        })
+    }
+
     /// Checks whether a request may be sent to an upstream now and, if so, counts it.
     ///
     /// # Errors
     ///
-    /// If the request is quarantined, or a change since the upstream was chosen forbids the send.
+    /// If the request is quarantined or contained, or a change since the upstream was chosen forbids the send.
     pub fn begin_send(
         &self,
         upstream: &UpstreamRecord,
@@ -87,6 +116,11 @@
         if self.is_quarantined(fingerprint) {
             return Err(SendDenied::Quarantined);
         }
+        if let Some(containment) = self.containment(fingerprint)
+            && !containment.allows(&upstream.id)
+        {
+            return Err(SendDenied::Contained);
+        }
         let now_ms = self.clock.now_ms();
         let rules = self.send_rules(&upstream.pool, now_ms);
         lock(&self.upstreams).begin_send(&upstream.id, &rules, now_ms)
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -8,7 +8,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
-    EndObservation, Fingerprint, InterruptedRun, Ledger, LedgerSync, LedgerUpdate,
+    Containment, EndObservation, Fingerprint, InterruptedRun, Ledger, LedgerSync, LedgerUpdate,
     QuarantineChanges, QuarantineRecord, RunEnd, RunKey, RunRegistry, UpstreamEnd,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
@@ -35,6 +35,8 @@
     exchange: LedgerSync,
     /// Upstreams with a check in progress whether they terminated.
     checking: HashSet<Name>,
+    /// Upstreams that are watched after such a check.
+    watched: HashSet<Name>,
 }
 
 impl Default for Quarantine {
@@ -45,6 +47,7 @@
             // The random id lets other boxes detect that this box restarted.
             exchange: LedgerSync::new(u64::from(rand::random::<u32>())),
             checking: HashSet::new(),
+            watched: HashSet::new(),
         }
     }
 }
@@ -98,6 +101,32 @@
         quarantine.runs.end(upstream, key, end, now_ms);
     }
 
+    /// Records that a request was lost with its connection. Whether its upstream terminated is not known yet.
+    pub fn record_lost_run(&self, upstream: &UpstreamRecord, key: RunKey) {
+        let is_planned = self.is_termination_planned(upstream);
+        let now_ms = self.clock.now_ms();
+        let is_contained = {
+            let Quarantine { runs, ledger, .. } = &mut *lock(&self.quarantine);
+            let run = runs.end(&upstream.id, key, RunEnd::ConnectionLost, now_ms);
+            // Without a run, the termination of the upstream was recorded before the connection was seen to break.
+            run.filter(|_| !is_planned)
+                .is_some_and(|run| ledger.connection_broke(&observation(&upstream.id, &run)))
+        };
+        if is_contained {
+            let detail = json!({"fingerprint": key.fingerprint.to_string()});
+            self.log.line("contained", detail);
+            self.urgent_update.notify_one();
+        }
+    }
+
+    /// The containment of a request that may have terminated several upstreams.
+    pub fn containment(&self, fingerprint: Fingerprint) -> Option<Containment> {
+        let now_ms = self.ledger_now_ms();
+        lock(&self.quarantine)
+            .ledger
+            .containment(fingerprint, now_ms)
+    }
+
     /// Records that a request received a complete response.
     pub fn record_run_completion(&self, fingerprint: Fingerprint) {
         let now_ms = self.clock.now_ms();
@@ -176,6 +205,26 @@
         self.termination_checks.send_modify(|count| *count += 1);
     }
 
+    /// Starts to watch whether an upstream terminates; returns `false` if it is watched already.
+    pub fn begin_watch(&self, upstream: &Name) -> bool {
+        lock(&self.quarantine).watched.insert(upstream.clone())
+    }
+
+    /// Stops to watch an upstream.
+    pub fn finish_watch(&self, upstream: &Name) {
+        lock(&self.quarantine).watched.remove(upstream);
+    }
+
+    /// Time until no lost run counts as running at an upstream any more; `None` if none does.
+    pub fn lost_runs_expire_after(&self, upstream: &Name) -> Option<Duration> {
+        let now_ms = self.clock.now_ms();
+        let expires_ms = lock(&self.quarantine).runs.lost_runs_expire_ms(upstream)?;
+        let left_ms = expires_ms
+            .checked_sub(now_ms)
+            .filter(|left_ms| *left_ms > 0)?;
+        Some(Duration::from_millis(left_ms))
+    }
+
     /// Waits for a check in progress whether an upstream terminated, for a limited time. If it did, the request whose
     /// connection broke is placed apart from the others that ran there; if not, it is placed by load.
     pub async fn wait_for_termination_check(&self, upstream: &Name) {
@@ -240,18 +289,8 @@
     }
 
     fn add_termination_to_ledger(&self, upstream: &UpstreamRecord, interrupted: &[InterruptedRun]) {
-        let upstream = hash64(&[upstream.id.as_bytes()]);
-        let observation = |run: &InterruptedRun| EndObservation {
-            fingerprint: run.key.fingerprint,
-            end: UpstreamEnd {
-                upstream,
-                try_hash: run.key.try_hash,
-                began_at_ms: run.began_at_ms.cast_signed(),
-                at_ms: run.at_ms.cast_signed(),
-            },
-            completed_at_ms: run.completed_at_ms.map(u64::cast_signed),
-        };
-        let observations: Vec<EndObservation> = interrupted.iter().map(observation).collect();
+        let observations = interrupted.iter().map(|run| observation(&upstream.id, run));
+        let observations: Vec<EndObservation> = observations.collect();
         let changes = lock(&self.quarantine).ledger.upstream_ended(&observations);
         self.report_quarantine_changes(changes);
     }
@@ -320,3 +359,17 @@
         self.clock.now_ms().cast_signed()
     }
 }
+
+/// The observation of a run that was interrupted by the termination of its upstream.
+fn observation(upstream_id: &Name, run: &InterruptedRun) -> EndObservation {
+    EndObservation {
+        fingerprint: run.key.fingerprint,
+        end: UpstreamEnd {
+            upstream: hash64(&[upstream_id.as_bytes()]),
+            try_hash: run.key.try_hash,
+            began_at_ms: run.began_at_ms.cast_signed(),
+            at_ms: run.at_ms.cast_signed(),
+        },
+        completed_at_ms: run.completed_at_ms.map(u64::cast_signed),
+    }
+}
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -65,7 +65,11 @@
             if !matches!(outcome, AttemptOutcome::NotRun { arrived: false }) {
                 self.sent += 1;
             }
-            self.tried.push(choice.upstream.id.clone());
+            let upstream = choice.upstream.id.clone();
+            if matches!(outcome, AttemptOutcome::Lost) {
+                self.gateway.wait_for_termination_check(&upstream).await;
+            }
+            self.tried.push(upstream);
             if let AttemptOutcome::Answered(reply) = outcome {
                 record_head(&self.gateway, &self.job, &reply, self.model);
                 if reply.response.status().is_success() {
--- a/crates/ivyweir-policy/src/gateway/quarantine.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine.rs
@@ -11,15 +11,19 @@
 //! termination is attributed to the request with the most terminations; and a request that was
 //! present at a termination is placed by its own hash, so that requests that were together are
 //! spread over different upstreams.
+//!
+//! A broken connection may precede the termination of its upstream, and it takes a moment to find
+//! out. Until then it counts as a possible termination: a request with three of them is sent only
+//! to the upstreams where they occurred ([`Containment`]).
 
 mod fingerprint;
 mod ledger;
 mod runs;
+mod suspect;
 mod sync;
 
 pub use fingerprint::{Fingerprint, RequestContent};
-pub use ledger::{
-    EndObservation, Ledger, QuarantineChanges, QuarantineRecord, SuspectUpdate, UpstreamEnd,
-};
+pub use ledger::{Containment, EndObservation, Ledger, QuarantineChanges, QuarantineRecord};
 pub use runs::{InterruptedRun, RunEnd, RunKey, RunRegistry};
+pub use suspect::{SuspectUpdate, UpstreamEnd};
 pub use sync::{LedgerSync, LedgerUpdate};
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -8,6 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
+use super::suspect::{EndUpdate, Suspect, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms};
+use crate::hash::hash64;
 
 /// Terminations after which a request is quarantined. A request at two terminations may have met a
 /// power cut and a spot reclaim. With a sixth of a pool lost at a time, one stream in 216 is
@@ -17,47 +19,13 @@
 /// requests are harmful at the same time, an innocent one may have been at more terminations than
 /// either, and those of the harmful ones would be attributed to it.
 const UNCONDITIONAL_QUARANTINE_ENDS: usize = 5;
-/// Limit of terminations remembered for a request; further ones add no information.
-const MAX_ENDS_PER_SUSPECT: usize = 32;
 /// Limit of remembered requests.
 const MAX_SUSPECTS: usize = 1_024;
-/// Terminations closer to each other than this count as one, since they may be a single loss of
-/// many upstreams, such as a power failure of a hall; boxes detect such terminations within some 30
-/// ms. They are independent all the same where the request was sent to the second upstream after
-/// the first had terminated, or where two different tries of a request that never completed were
-/// running.
-const INDEPENDENT_END_GAP_MS: i64 = 100;
-/// Difference up to which two observations of the termination of an upstream are the same; ages are
-/// rounded when boxes exchange them.
-const SAME_END_TOLERANCE_MS: i64 = 50;
 /// Time since its last termination for which a request is remembered, quarantined or not. A caller
 /// that repeats a harmful request every hour terminates three upstreams each time; a request whose
 /// cause was fixed in the meantime is refused no longer than this.
 const RETENTION_MS: i64 = 3_600_000;
 
-/// The termination of an upstream while a request was running there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UpstreamEnd {
-    /// Hash of the upstream's incarnation.
-    pub upstream: u64,
-    /// Hash of the id of the interrupted try.
-    pub try_hash: u32,
-    /// When the request was sent to the upstream, by the clock of this box.
-    pub began_at_ms: i64,
-    /// When the upstream terminated.
-    pub at_ms: i64,
-}
-
-impl UpstreamEnd {
-    /// Whether this termination has another cause than an earlier one, as far as their times and
-    /// tries tell.
-    fn is_independent_of(&self, earlier: &Self, has_completed: bool) -> bool {
-        self.began_at_ms >= earlier.at_ms
-            || self.at_ms - earlier.at_ms >= INDEPENDENT_END_GAP_MS
-            || !has_completed && self.try_hash != earlier.try_hash
-    }
-}
-
 /// Observation of a request that was running at an upstream when it terminated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndObservation {
@@ -69,142 +37,6 @@
     pub completed_at_ms: Option<i64>,
 }
 
-/// Known state of a request.
-#[derive(Debug, Clone, Default)]
-struct Suspect {
-    /// Terminations since the request last completed.
-    ends: Vec<UpstreamEnd>,
-    /// When it last completed, as far as is known, or when an operator lifted its quarantine.
-    cleared_at_ms: Option<i64>,
-    /// Whether another box quarantined the request. That box saw the terminations as independent;
-    /// in the local record their times may be too close to each other.
-    is_quarantined_elsewhere: bool,
-    /// Number of the ledger change that last modified this entry.
-    last_change: u64,
-}
-
-impl Suspect {
-    /// Adds a termination; returns whether it changed the entry. The order in which terminations
-    /// are added makes no difference.
-    fn add_end(&mut self, end: UpstreamEnd) -> bool {
-        if self.cleared_at_ms.is_some_and(|at_ms| end.at_ms <= at_ms) {
-            return false;
-        }
-        let known = self
-            .ends
-            .iter_mut()
-            .find(|known| known.upstream == end.upstream);
-        match known {
-            // An upstream terminates once, so the latest observation replaces earlier ones.
-            Some(known) if known.at_ms + SAME_END_TOLERANCE_MS >= end.at_ms => return false,
-            Some(known) => *known = end,
-            None => self.ends.push(end),
-        }
-        // A request that is sent on may reach two upstreams that terminate within a millisecond; the
-        // one that it reached later comes second.
-        self.ends
-            .sort_by_key(|end| (end.at_ms, end.began_at_ms, end.upstream));
-        if self.ends.len() > MAX_ENDS_PER_SUSPECT {
-            let most = self.ends.iter().map(|end| end.upstream).max();
-            self.ends.retain(|end| Some(end.upstream) != most);
-            return Some(end.upstream) != most;
-        }
-        true
-    }
-
-    /// Records that the request completed; returns whether that changed the entry.
-    fn clear(&mut self, at_ms: i64) -> bool {
-        if self.cleared_at_ms.is_some_and(|known_ms| known_ms >= at_ms) {
-            return false;
-        }
-        self.cleared_at_ms = Some(at_ms);
-        self.ends.retain(|end| end.at_ms > at_ms);
-        self.is_quarantined_elsewhere &= !self.ends.is_empty();
-        true
-    }
-
-    /// Number of independent terminations that are not attributed to another request.
-    fn unattributed_ends(&self, attributed: &HashSet<u64>) -> usize {
-        let unattributed = self
-            .ends
-            .iter()
-            .filter(|end| !attributed.contains(&end.upstream));
-        if self.is_quarantined_elsewhere {
-            return unattributed.count();
-        }
-        let has_completed = self.cleared_at_ms.is_some();
-        let mut last: Option<&UpstreamEnd> = None;
-        let mut count = 0;
-        for end in unattributed {
-            if last.is_none_or(|last| end.is_independent_of(last, has_completed)) {
-                count += 1;
-                last = Some(end);
-            }
-        }
-        count
-    }
-
-    fn last_ms(&self) -> i64 {
-        let last_end_ms = self.ends.last().map(|end| end.at_ms);
-        last_end_ms.max(self.cleared_at_ms).unwrap_or(i64::MIN)
-    }
-}
-
-/// Termination of an upstream as sent to another box. Clocks of boxes differ, so times are sent as
-/// ages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndUpdate {
-    /// Hash of the upstream's incarnation.
-    #[serde(rename = "u")]
-    upstream: u64,
-    /// Hash of the id of the interrupted try.
-    #[serde(rename = "t")]
-    try_hash: u32,
-    /// Time since the termination, in milliseconds.
-    #[serde(rename = "ago")]
-    ago_ms: i64,
-    /// Time for which the request had been at the upstream, in milliseconds.
-    #[serde(rename = "ran")]
-    ran_ms: i64,
-}
-
-impl EndUpdate {
-    fn of(end: &UpstreamEnd, now_ms: i64) -> Self {
-        Self {
-            upstream: end.upstream,
-            try_hash: end.try_hash,
-            ago_ms: now_ms - end.at_ms,
-            ran_ms: end.at_ms - end.began_at_ms,
-        }
-    }
-
-    /// Converts the ages to times of the clock of this box.
-    fn resolve(&self, now_ms: i64) -> UpstreamEnd {
-        let at_ms = now_ms.saturating_sub(self.ago_ms);
-        UpstreamEnd {
-            upstream: self.upstream,
-            try_hash: self.try_hash,
-            began_at_ms: at_ms.saturating_sub(self.ran_ms),
-            at_ms,
-        }
-    }
-}
-
-/// Entry of the ledger as sent to another box.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectUpdate {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Terminations since the request last completed.
-    pub ends: Vec<EndUpdate>,
-    /// Time since the request last completed, in milliseconds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cleared_ago_ms: Option<i64>,
-    /// Whether the sending box refuses the request.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_quarantined: bool,
-}
-
 /// A quarantine as kept in the store, for the case that all boxes lose their ledgers at once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRecord {
@@ -222,15 +54,12 @@
     fn to_update(&self, epoch_ms: u64) -> SuspectUpdate {
         let ago_ms = epoch_ms.saturating_sub(self.last_end_epoch_ms);
         let ago_ms = ago_ms.min(RETENTION_MS.unsigned_abs() / 2).cast_signed();
-        let end = |upstream: &u64| EndUpdate {
-            upstream: *upstream,
-            try_hash: 0,
-            ago_ms,
-            ran_ms: 0,
-        };
+        let end = |upstream: &u64| EndUpdate::from_store(*upstream, ago_ms);
         SuspectUpdate {
             fingerprint: self.fingerprint,
             ends: self.upstreams.iter().map(end).collect(),
+            unconfirmed: Vec::new(),
+            is_transient: false,
             cleared_ago_ms: None,
             is_quarantined: true,
         }
@@ -253,6 +82,22 @@
     }
 }
 
+/// The upstreams to which a request may be sent while it is not known whether it terminated them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Containment {
+    /// Hashes of the upstreams to which its connections broke.
+    pub upstreams: Vec<u64>,
+    /// When the first of them no longer counts as a possible termination, by the clock of this box.
+    pub until_ms: i64,
+}
+
+impl Containment {
+    /// Whether the request may be sent to an upstream.
+    pub fn allows(&self, upstream_id: &str) -> bool {
+        self.upstreams.contains(&hash64(&[upstream_id.as_bytes()]))
+    }
+}
+
 /// Merged observations of requests that were running at terminating upstreams.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -276,10 +121,56 @@
         self.evaluate_if(is_changed)
     }
 
+    /// Records that the connection of a request broke and that it is not known whether its upstream
+    /// terminated. Returns whether the request is contained now.
+    pub fn connection_broke(&mut self, observation: &EndObservation) -> bool {
+        let EndObservation {
+            fingerprint, end, ..
+        } = *observation;
+        self.change(fingerprint, |suspect| {
+            let completed_at_ms = observation.completed_at_ms;
+            let is_cleared = completed_at_ms.is_some_and(|ms| suspect.clear(ms));
+            suspect.add_unconfirmed(end) | is_cleared
+        });
+        self.containment(fingerprint, end.at_ms).is_some()
+    }
+
+    /// Returns the containment of a request that is quarantined if the upstreams to which its
+    /// connections broke have terminated. It is sent to no other upstream until that is known.
+    pub fn containment(&self, fingerprint: Fingerprint, now_ms: i64) -> Option<Containment> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let unconfirmed: Vec<&UpstreamEnd> = suspect.unconfirmed(now_ms).collect();
+        let is_possible = suspect.ends().len() + unconfirmed.len() >= QUARANTINE_ENDS;
+        if !is_possible || self.is_quarantined(fingerprint) {
+            return None;
+        }
+        let until_ms = unconfirmed
+            .iter()
+            .map(|end| unconfirmed_until_ms(end))
+            .min()?;
+        let attributed = self.attributed_ends();
+        let is_contained = suspect.possible_ends(&attributed, now_ms) >= QUARANTINE_ENDS;
+        is_contained.then(|| Containment {
+            upstreams: unconfirmed.iter().map(|end| end.upstream).collect(),
+            until_ms,
+        })
+    }
+
+    /// Terminations that are attributed to quarantined requests.
+    fn attributed_ends(&self) -> HashSet<u64> {
+        let suspects = self.quarantined.iter().filter_map(|f| self.suspects.get(f));
+        suspects
+            .flat_map(|suspect| suspect.ends().iter().map(|end| end.upstream))
+            .collect()
+    }
+
     /// Records that a request completed. Requests without recorded terminations are not remembered.
     pub fn completed(&mut self, fingerprint: Fingerprint, at_ms: i64) -> QuarantineChanges {
-        let is_suspect = |suspect: &Suspect| !suspect.ends.is_empty();
-        if !self.suspects.get(&fingerprint).is_some_and(is_suspect) {
+        if !self
+            .suspects
+            .get(&fingerprint)
+            .is_some_and(Suspect::is_suspected)
+        {
             return QuarantineChanges::default();
         }
         let is_changed = self.change(fingerprint, |suspect| suspect.clear(at_ms));
@@ -294,7 +185,7 @@
     /// Whether an upstream terminated while the request was running there since it last completed.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let suspect = self.suspects.get(&fingerprint);
-        suspect.is_some_and(|suspect| !suspect.ends.is_empty())
+        suspect.is_some_and(|suspect| !suspect.ends().is_empty())
     }
 
     /// Fingerprints of the refused requests.
@@ -326,15 +217,8 @@
         let last = changed
             .last()
             .map_or(since, |(_, suspect)| suspect.last_change);
-        let to_update = |(fingerprint, suspect): (&Fingerprint, &Suspect)| SuspectUpdate {
-            fingerprint: *fingerprint,
-            ends: suspect
-                .ends
-                .iter()
-                .map(|end| EndUpdate::of(end, now_ms))
-                .collect(),
-            cleared_ago_ms: suspect.cleared_at_ms.map(|at_ms| now_ms - at_ms),
-            is_quarantined: self.is_quarantined(*fingerprint),
+        let to_update = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
+            suspect.to_update(*fingerprint, self.is_quarantined(*fingerprint), now_ms)
         };
         let updates = changed.into_iter().map(to_update).collect();
         (updates, if is_all { self.last_change } else { last })
@@ -344,9 +228,7 @@
     pub fn merge(&mut self, updates: Vec<SuspectUpdate>, now_ms: i64) -> QuarantineChanges {
         let mut is_changed = false;
         for update in updates {
-            is_changed |= self.change(update.fingerprint, |suspect| {
-                merge_entry(suspect, &update, now_ms)
-            });
+            is_changed |= self.change(update.fingerprint, |suspect| suspect.merge(&update, now_ms));
         }
         self.evaluate_if(is_changed)
     }
@@ -377,11 +259,11 @@
     ) -> Option<QuarantineRecord> {
         let suspect = self.suspects.get(&fingerprint);
         let suspect = suspect.filter(|_| self.is_quarantined(fingerprint))?;
-        let last_ms = suspect.ends.last()?.at_ms;
+        let last_ms = suspect.ends().last()?.at_ms;
         let ago_ms = now_ms.saturating_sub(last_ms).max(0).unsigned_abs();
         Some(QuarantineRecord {
             fingerprint,
-            upstreams: suspect.ends.iter().map(|end| end.upstream).collect(),
+            upstreams: suspect.ends().iter().map(|end| end.upstream).collect(),
             last_end_epoch_ms: epoch_ms.saturating_sub(ago_ms),
         })
     }
@@ -389,8 +271,10 @@
     /// Removes entries past their retention time.
     pub fn sweep(&mut self, now_ms: i64) -> QuarantineChanges {
         let before = self.suspects.len();
-        let is_kept = |suspect: &Suspect| now_ms - suspect.last_ms() < RETENTION_MS;
-        self.suspects.retain(|_, suspect| is_kept(suspect));
+        self.suspects.retain(|_, suspect| {
+            suspect.expire_unconfirmed(now_ms);
+            !suspect.is_empty() && now_ms.saturating_sub(suspect.last_ms()) < RETENTION_MS
+        });
         self.evaluate_if(self.suspects.len() != before)
     }
 
@@ -419,7 +303,7 @@
     fn evict_one(&mut self) {
         let least = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
             let is_quarantined = self.quarantined.contains(*fingerprint);
-            (is_quarantined, suspect.ends.len(), suspect.last_ms())
+            (is_quarantined, suspect.ends().len(), suspect.last_ms())
         };
         let least = self.suspects.iter().min_by_key(least);
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
@@ -443,8 +327,9 @@
         let mut attributed = HashSet::new();
         loop {
             let candidates = self.suspects.iter();
-            let candidates = candidates
-                .filter(|(f, s)| s.ends.len() >= QUARANTINE_ENDS && !self.quarantined.contains(f));
+            let candidates = candidates.filter(|(f, s)| {
+                s.ends().len() >= QUARANTINE_ENDS && !self.quarantined.contains(f)
+            });
             let counts: Vec<(Fingerprint, usize)> = candidates
                 .map(|(fingerprint, suspect)| {
                     (*fingerprint, suspect.unattributed_ends(&attributed))
@@ -459,12 +344,8 @@
                 self.quarantined.insert(*fingerprint);
             }
             for fingerprint in &self.quarantined {
-                attributed.extend(
-                    self.suspects[fingerprint]
-                        .ends
-                        .iter()
-                        .map(|end| end.upstream),
-                );
+                let ends = self.suspects[fingerprint].ends();
+                attributed.extend(ends.iter().map(|end| end.upstream));
             }
         }
         let unconditional = self.suspects.iter();
@@ -481,7 +362,7 @@
     fn quarantine_changes(&mut self, before: &HashSet<Fingerprint>) -> QuarantineChanges {
         let new = self.quarantined.difference(before);
         let quarantined: Vec<(Fingerprint, usize)> =
-            new.map(|f| (*f, self.suspects[f].ends.len())).collect();
+            new.map(|f| (*f, self.suspects[f].ends().len())).collect();
         let released = before.difference(&self.quarantined).copied().collect();
         for (fingerprint, _) in &quarantined {
             if let Some(suspect) = self.suspects.get_mut(fingerprint) {
@@ -495,17 +376,3 @@
         }
     }
 }
-
-/// Merges a received entry into a known one; returns whether that changed it.
-fn merge_entry(suspect: &mut Suspect, update: &SuspectUpdate, now_ms: i64) -> bool {
-    let mut is_changed = update
-        .cleared_ago_ms
-        .is_some_and(|ago_ms| suspect.clear(now_ms.saturating_sub(ago_ms)));
-    for end in &update.ends {
-        is_changed |= suspect.add_end(end.resolve(now_ms));
-    }
-    let is_newly_quarantined =
-        update.is_quarantined && !suspect.is_quarantined_elsewhere && !suspect.ends.is_empty();
-    suspect.is_quarantined_elsewhere |= is_newly_quarantined;
-    is_changed | is_newly_quarantined
-}
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a request whose connection broke still counts as running at its upstream. In this
 /// time the box determines whether the upstream terminated, or learns of its next incarnation.
-const LOST_RUN_RETENTION_MS: u64 = 2_000;
+pub(super) const LOST_RUN_RETENTION_MS: u64 = 2_000;
 /// The same for a request that the box cancelled, for a larger model or because its caller
 /// disconnected. The upstream learns of a cancellation within a few milliseconds and drops most
 /// such requests; a termination half a second later has another cause.
@@ -105,14 +105,23 @@
         });
     }
 
-    /// Records how a run ended.
-    pub fn end(&mut self, upstream: &Name, key: RunKey, end: RunEnd, now_ms: u64) {
-        let Some(runs) = self.by_upstream.get_mut(upstream) else {
-            return;
-        };
+    /// Records how a run ended. Returns it as an interrupted one, in case its upstream turns out to
+    /// have terminated; `None` where that is recorded already.
+    pub fn end(
+        &mut self,
+        upstream: &Name,
+        key: RunKey,
+        end: RunEnd,
+        now_ms: u64,
+    ) -> Option<InterruptedRun> {
+        let runs = self.by_upstream.get_mut(upstream)?;
         let is_active = |run: &Run| run.key == key && run.ended.is_none();
-        let Some(at) = runs.iter().position(is_active) else {
-            return;
+        let at = runs.iter().position(is_active)?;
+        let interrupted = InterruptedRun {
+            key,
+            began_at_ms: runs[at].began_at_ms,
+            at_ms: now_ms,
+            completed_at_ms: self.completed.at_ms.get(&key.fingerprint).copied(),
         };
         match end {
             RunEnd::Settled => drop(runs.swap_remove(at)),
@@ -126,6 +135,7 @@
         if runs.is_empty() {
             self.by_upstream.remove(upstream);
         }
+        Some(interrupted)
     }
 
     /// Records that a request completed.
@@ -143,6 +153,14 @@
         self.broken_at_ms.contains_key(&fingerprint)
     }
 
+    /// Time at which the last of the runs that ended without an answer no longer counts as running at
+    /// an upstream.
+    pub fn lost_runs_expire_ms(&self, upstream: &str) -> Option<u64> {
+        let runs = self.by_upstream.get(upstream)?;
+        let ended = runs.iter().filter_map(|run| run.ended);
+        ended.map(|(_, until_ms)| until_ms).max()
+    }
+
     /// Records that an upstream terminated; returns the requests that were running there, each
     /// once.
     pub fn upstream_ended(&mut self, upstream: &str, now_ms: u64) -> Vec<InterruptedRun> {
--- /dev/null
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -0,0 +1,311 @@
+//! What a box knows of one request during which upstreams terminated.
+
+use std::collections::HashSet;
+
+use serde::{Deserialize, Serialize};
+
+use super::Fingerprint;
+use super::runs::LOST_RUN_RETENTION_MS;
+
+/// Limit of terminations remembered for a request; further ones add no information.
+const MAX_ENDS_PER_SUSPECT: usize = 32;
+/// Terminations closer to each other than this count as one, since they may be a single loss of
+/// many upstreams, such as a power failure of a hall; boxes detect such terminations within some 30
+/// ms. They are independent all the same where the request was sent to the second upstream after
+/// the first had terminated, or where two different tries of a request that never completed were
+/// running.
+const INDEPENDENT_END_GAP_MS: i64 = 100;
+/// Difference up to which two observations of the termination of an upstream are the same; ages are
+/// rounded when boxes exchange them.
+const SAME_END_TOLERANCE_MS: i64 = 50;
+/// The termination of an upstream while a request was running there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamEnd {
+    /// Hash of the upstream's incarnation.
+    pub upstream: u64,
+    /// Hash of the id of the interrupted try.
+    pub try_hash: u32,
+    /// When the request was sent to the upstream, by the clock of this box.
+    pub began_at_ms: i64,
+    /// When the upstream terminated.
+    pub at_ms: i64,
+}
+
+impl UpstreamEnd {
+    /// Orders terminations by time. A request that is sent on may reach two upstreams that terminate
+    /// within a millisecond; the one that it reached later comes second.
+    fn sort_key(&self) -> (i64, i64, u64) {
+        (self.at_ms, self.began_at_ms, self.upstream)
+    }
+
+    /// Whether this termination has another cause than an earlier one, as far as their times and
+    /// tries tell.
+    fn is_independent_of(&self, earlier: &Self, has_completed: bool) -> bool {
+        self.began_at_ms >= earlier.at_ms
+            || self.at_ms - earlier.at_ms >= INDEPENDENT_END_GAP_MS
+            || !has_completed && self.try_hash != earlier.try_hash
+    }
+}
+
+/// Known state of a request.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Suspect {
+    /// Terminations since the request last completed.
+    ends: Vec<UpstreamEnd>,
+    /// Broken connections since then to upstreams that are not known to have terminated.
+    unconfirmed: Vec<UpstreamEnd>,
+    /// Whether there ever was a termination. Otherwise the entry is dropped with its broken connections.
+    has_had_ends: bool,
+    /// When it last completed, as far as is known, or when an operator lifted its quarantine.
+    cleared_at_ms: Option<i64>,
+    /// Whether another box quarantined the request. That box saw the terminations as independent;
+    /// in the local record their times may be too close to each other.
+    is_quarantined_elsewhere: bool,
+    /// Number of the ledger change that last modified this entry.
+    pub(super) last_change: u64,
+}
+
+impl Suspect {
+    /// Terminations since the request last completed, in order.
+    pub(super) fn ends(&self) -> &[UpstreamEnd] {
+        &self.ends
+    }
+
+    /// Broken connections that may still turn out to be terminations.
+    pub(super) fn unconfirmed(&self, now_ms: i64) -> impl Iterator<Item = &UpstreamEnd> {
+        self.unconfirmed
+            .iter()
+            .filter(move |end| now_ms < unconfirmed_until_ms(end))
+    }
+
+    /// Whether a termination or a broken connection counts against the request.
+    pub(super) fn is_suspected(&self) -> bool {
+        !self.ends.is_empty() || !self.unconfirmed.is_empty()
+    }
+
+    /// Adds a termination; returns whether it changed the entry. The order in which terminations
+    /// are added makes no difference.
+    pub(super) fn add_end(&mut self, end: UpstreamEnd) -> bool {
+        if self.cleared_at_ms.is_some_and(|at_ms| end.at_ms <= at_ms) {
+            return false;
+        }
+        self.has_had_ends = true;
+        self.unconfirmed
+            .retain(|broken| broken.upstream != end.upstream);
+        let known = self
+            .ends
+            .iter_mut()
+            .find(|known| known.upstream == end.upstream);
+        match known {
+            // An upstream terminates once, so the latest observation replaces earlier ones.
+            Some(known) if known.at_ms + SAME_END_TOLERANCE_MS >= end.at_ms => return false,
+            Some(known) => *known = end,
+            None => self.ends.push(end),
+        }
+        self.ends.sort_by_key(UpstreamEnd::sort_key);
+        if self.ends.len() > MAX_ENDS_PER_SUSPECT {
+            let most = self.ends.iter().map(|end| end.upstream).max();
+            self.ends.retain(|end| Some(end.upstream) != most);
+            return Some(end.upstream) != most;
+        }
+        true
+    }
+
+    /// Adds a broken connection to an upstream that may have terminated; returns whether it changed
+    /// the entry.
+    pub(super) fn add_unconfirmed(&mut self, end: UpstreamEnd) -> bool {
+        let is_cleared = self.cleared_at_ms.is_some_and(|at_ms| end.at_ms <= at_ms);
+        if is_cleared || self.ends.iter().any(|known| known.upstream == end.upstream) {
+            return false;
+        }
+        let of_upstream = |known: &&mut UpstreamEnd| known.upstream == end.upstream;
+        match self.unconfirmed.iter_mut().find(of_upstream) {
+            // The same break as told by another box; its time varies with that of the message.
+            Some(known) if known.try_hash == end.try_hash => return false,
+            Some(known) if known.at_ms >= end.at_ms => return false,
+            Some(known) => *known = end,
+            None => self.unconfirmed.push(end),
+        }
+        self.unconfirmed.sort_by_key(UpstreamEnd::sort_key);
+        if self.unconfirmed.len() > MAX_ENDS_PER_SUSPECT {
+            self.unconfirmed.remove(0);
+        }
+        true
+    }
+
+    /// Removes broken connections that count no more.
+    pub(super) fn expire_unconfirmed(&mut self, now_ms: i64) {
+        self.unconfirmed
+            .retain(|end| now_ms < unconfirmed_until_ms(end));
+    }
+
+    /// Whether the entry contains nothing worth keeping.
+    pub(super) fn is_empty(&self) -> bool {
+        !self.has_had_ends && self.unconfirmed.is_empty()
+    }
+
+    /// Records that the request completed; returns whether that changed the entry.
+    pub(super) fn clear(&mut self, at_ms: i64) -> bool {
+        if self.cleared_at_ms.is_some_and(|known_ms| known_ms >= at_ms) {
+            return false;
+        }
+        self.cleared_at_ms = Some(at_ms);
+        self.ends.retain(|end| end.at_ms > at_ms);
+        self.unconfirmed.retain(|end| end.at_ms > at_ms);
+        self.is_quarantined_elsewhere &= !self.ends.is_empty();
+        true
+    }
+
+    /// Number of independent terminations that are not attributed to another request.
+    pub(super) fn unattributed_ends(&self, attributed: &HashSet<u64>) -> usize {
+        self.count_independent(self.ends.iter(), attributed)
+    }
+
+    /// Number of independent terminations there are if all broken connections turn out to be some.
+    pub(super) fn possible_ends(&self, attributed: &HashSet<u64>, now_ms: i64) -> usize {
+        let mut possible: Vec<&UpstreamEnd> = self.ends.iter().collect();
+        possible.extend(self.unconfirmed(now_ms));
+        possible.sort_by_key(|end| end.sort_key());
+        self.count_independent(possible.into_iter(), attributed)
+    }
+
+    fn count_independent<'a>(
+        &self,
+        ends: impl Iterator<Item = &'a UpstreamEnd>,
+        attributed: &HashSet<u64>,
+    ) -> usize {
+        let unattributed = ends.filter(|end| !attributed.contains(&end.upstream));
+        if self.is_quarantined_elsewhere {
+            return unattributed.count();
+        }
+        let has_completed = self.cleared_at_ms.is_some();
+        let mut last: Option<&UpstreamEnd> = None;
+        let mut count = 0;
+        for end in unattributed {
+            if last.is_none_or(|last| end.is_independent_of(last, has_completed)) {
+                count += 1;
+                last = Some(end);
+            }
+        }
+        count
+    }
+
+    /// Builds the entry as sent to another box.
+    pub(super) fn to_update(
+        &self,
+        fingerprint: Fingerprint,
+        is_quarantined: bool,
+        now_ms: i64,
+    ) -> SuspectUpdate {
+        let to_update = |end: &UpstreamEnd| EndUpdate::of(end, now_ms);
+        SuspectUpdate {
+            fingerprint,
+            ends: self.ends.iter().map(to_update).collect(),
+            unconfirmed: self.unconfirmed(now_ms).map(to_update).collect(),
+            is_transient: !self.has_had_ends,
+            cleared_ago_ms: self.cleared_at_ms.map(|at_ms| now_ms - at_ms),
+            is_quarantined,
+        }
+    }
+
+    /// Merges a received entry; returns whether that changed this one.
+    pub(super) fn merge(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
+        self.has_had_ends |= !update.is_transient;
+        let mut is_changed = update
+            .cleared_ago_ms
+            .is_some_and(|ago_ms| self.clear(now_ms.saturating_sub(ago_ms)));
+        for end in &update.ends {
+            is_changed |= self.add_end(end.resolve(now_ms));
+        }
+        for end in &update.unconfirmed {
+            is_changed |= self.add_unconfirmed(end.resolve(now_ms));
+        }
+        let is_newly_quarantined =
+            update.is_quarantined && !self.is_quarantined_elsewhere && !self.ends.is_empty();
+        self.is_quarantined_elsewhere |= is_newly_quarantined;
+        is_changed | is_newly_quarantined
+    }
+
+    pub(super) fn last_ms(&self) -> i64 {
+        let ends = self.ends.iter().chain(&self.unconfirmed);
+        let last_end_ms = ends.map(|end| end.at_ms).max();
+        last_end_ms.max(self.cleared_at_ms).unwrap_or(i64::MIN)
+    }
+}
+
+/// Time until which a broken connection may turn out to be a termination: as long as its request
+/// counts as running there.
+pub(super) fn unconfirmed_until_ms(end: &UpstreamEnd) -> i64 {
+    end.at_ms + LOST_RUN_RETENTION_MS.cast_signed()
+}
+
+/// Termination of an upstream as sent to another box. Clocks of boxes differ, so times are sent as
+/// ages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndUpdate {
+    /// Hash of the upstream's incarnation.
+    #[serde(rename = "u")]
+    upstream: u64,
+    /// Hash of the id of the interrupted try.
+    #[serde(rename = "t")]
+    try_hash: u32,
+    /// Time since the termination, in milliseconds.
+    #[serde(rename = "ago")]
+    ago_ms: i64,
+    /// Time for which the request had been at the upstream, in milliseconds.
+    #[serde(rename = "ran")]
+    ran_ms: i64,
+}
+
+impl EndUpdate {
+    /// Builds the entry of a record in the store, which keeps no more of a termination.
+    pub(super) fn from_store(upstream: u64, ago_ms: i64) -> Self {
+        Self {
+            upstream,
+            try_hash: 0,
+            ago_ms,
+            ran_ms: 0,
+        }
+    }
+
+    fn of(end: &UpstreamEnd, now_ms: i64) -> Self {
+        Self {
+            upstream: end.upstream,
+            try_hash: end.try_hash,
+            ago_ms: now_ms - end.at_ms,
+            ran_ms: end.at_ms - end.began_at_ms,
+        }
+    }
+
+    /// Converts the ages to times of the clock of this box.
+    fn resolve(&self, now_ms: i64) -> UpstreamEnd {
+        let at_ms = now_ms.saturating_sub(self.ago_ms);
+        UpstreamEnd {
+            upstream: self.upstream,
+            try_hash: self.try_hash,
+            began_at_ms: at_ms.saturating_sub(self.ran_ms),
+            at_ms,
+        }
+    }
+}
+
+/// Entry of the ledger as sent to another box.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectUpdate {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// Terminations since the request last completed.
+    pub ends: Vec<EndUpdate>,
+    /// Broken connections to upstreams that are not known to have terminated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unconfirmed: Vec<EndUpdate>,
+    /// Whether the sending box knows of no termination, before the last completion or after it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_transient: bool,
+    /// Time since the request last completed, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cleared_ago_ms: Option<i64>,
+    /// Whether the sending box refuses the request.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_quarantined: bool,
+}
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -124,6 +124,9 @@
     Cold,
     /// The request was running at several upstreams when they terminated.
     Quarantined,
+    /// The connections of the request to several upstreams broke; it is sent to no other one until it is known whether
+    /// these terminated.
+    Contained,
 }
 
 /// A chosen upstream with the figures behind the choice.
--- a/crates/ivyweir-policy/src/gateway/upstreams/choice.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams/choice.rs
@@ -7,6 +7,7 @@
 use crate::gateway::fleet::UpstreamRecord;
 use crate::gateway::occupancy::PoolOccupancy;
 use crate::gateway::placement::{self, Candidate, PlacementRequest};
+use crate::hash::hash64;
 
 impl Upstreams {
     /// Chooses an upstream.
@@ -38,6 +39,30 @@
             .ok_or(ChooseError::NoUpstream)
     }
 
+    /// Chooses an upstream for a request that may only be sent to those with these hashes of their ids, tried or not.
+    ///
+    /// # Errors
+    ///
+    /// If none of them can accept the request now.
+    pub fn choose_among(
+        &mut self,
+        id_hashes: &[u64],
+        scope: &Scope,
+        ask: &PlacementRequest,
+        target: Option<&RolloutTarget>,
+        rules: &SendRules,
+        now_ms: u64,
+    ) -> Result<Choice, ChooseError> {
+        let mut records = self.usable(scope, target);
+        records.retain(|record| id_hashes.contains(&hash64(&[record.id.as_bytes()])));
+        if records.is_empty() {
+            return Err(ChooseError::NoUpstream);
+        }
+        let records = self.filter_sendable(records, rules, now_ms)?;
+        self.choose_from(&records, None, ask, now_ms)
+            .ok_or(ChooseError::NoUpstream)
+    }
+
     /// Chooses among records. `partition_len` is the number of leading records that come from a key's partition, if the
     /// records are a sample of a large pool.
     pub(super) fn choose_from(
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::test_cluster::serve_until;
+use super::test_cluster::serve_until_with_linger;
 use crate::loopback::unique_ip;
 
 type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -118,6 +118,8 @@
     /// Notified when the simulated process exits.
     exit_signal: Arc<Notify>,
     has_exited: AtomicBool,
+    /// Time for which the listener outlives the connections when the process exits.
+    listener_linger_ms: Arc<AtomicU64>,
     /// Whether responses announce that the upstream is leaving.
     advertises_leaving: AtomicBool,
     /// The `retry-after` value of refusals.
@@ -161,6 +163,7 @@
             actions_by_body: Mutex::default(),
             exit_signal: Arc::default(),
             has_exited: AtomicBool::new(false),
+            listener_linger_ms: Arc::default(),
             advertises_leaving: AtomicBool::new(false),
             retry_after: Mutex::default(),
             limit: Mutex::default(),
@@ -171,7 +174,11 @@
         });
         let serving = shared.clone();
         let listener = TcpListener::bind(addr).expect("address can be bound");
-        let addr = serve_until(listener, shared.exit_signal.clone(), move |request| {
+        let (exit_signal, linger_ms) = (
+            shared.exit_signal.clone(),
+            shared.listener_linger_ms.clone(),
+        );
+        let addr = serve_until_with_linger(listener, exit_signal, linger_ms, move |request| {
             let shared = serving.clone();
             async move { answer(shared, request).await }
         });
@@ -204,6 +211,13 @@
         *lock(&self.shared.default_action) = action;
     }
 
+    /// Makes the listener outlive the connections by this time when the simulated process exits.
+    pub fn set_listener_linger_ms(&self, linger_ms: u64) {
+        self.shared
+            .listener_linger_ms
+            .store(linger_ms, Ordering::SeqCst);
+    }
+
     /// Announces in all further responses that the upstream is leaving; its registry record is unchanged.
     pub fn advertise_leaving(&self) {
         self.shared.advertises_leaving.store(true, Ordering::SeqCst);
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -385,6 +385,25 @@
     end: Arc<Notify>,
     answer: F,
 ) -> SocketAddr
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
+    A: Future<Output = Result<Response<B>, E>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
+{
+    serve_until_with_linger(listener, end, Arc::default(), answer)
+}
+
+/// Serves HTTP on a thread until `end` is notified, which closes all connections at once, and the listener after
+/// `listener_linger_ms` more. Meanwhile the kernel accepts connections that nobody reads.
+pub fn serve_until_with_linger<F, A, B, E>(
+    listener: std::net::TcpListener,
+    end: Arc<Notify>,
+    listener_linger_ms: Arc<AtomicU64>,
+    answer: F,
+) -> SocketAddr
 where
     F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
     A: Future<Output = Result<Response<B>, E>> + Send + 'static,
@@ -398,12 +417,14 @@
         .expect("listener can be set to non-blocking");
     let addr = listener.local_addr().expect("listener has a local address");
     thread::spawn(move || {
-        runtime().block_on(async move {
-            let listener = TcpListener::from_std(listener)
+        let mut lingering = None;
+        runtime().block_on(async {
+            let accepting = listener.try_clone().expect("listener handle can be cloned");
+            let accepting = TcpListener::from_std(accepting)
                 .expect("listener can be registered with the runtime");
             let serving = async {
                 loop {
-                    let Ok((stream, _)) = listener.accept().await else {
+                    let Ok((stream, _)) = accepting.accept().await else {
                         continue;
                     };
                     let service = service_fn(answer.clone());
@@ -419,7 +440,18 @@
                 () = serving => {}
                 () = end.notified() => {}
             }
+            // The runtime closes the connections when it is dropped, after this future.
+            let linger_ms = listener_linger_ms.load(Ordering::SeqCst);
+            if linger_ms > 0 {
+                lingering = Some((listener, Duration::from_millis(linger_ms)));
+            } else {
+                drop(listener);
+            }
         });
+        if let Some((listener, linger)) = lingering {
+            thread::sleep(linger);
+            drop(listener);
+        }
     });
     addr
 }
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -169,6 +169,65 @@
     a_call_that_may_not_be_repeated_is_sent_no_more_after_three_tries: "services", "/unsafe/x", UpstreamAction::Exit { after_events: 0 }, tries 3;
 }
 
+/// Tries of a caller after which it gives up.
+const MOST_TRIES: usize = 40;
+
+/// Sends the harmful request until it is refused, to each of these boxes in turn.
+fn post_until_refused(town: &TestCluster, boxes: &[usize], path: &str, pause: Duration) {
+    let is_refused = |n: usize| {
+        let number = boxes[n % boxes.len()];
+        let reply = post(town, number, path, &format!("try-{n}"), HARMFUL);
+        thread::sleep(pause);
+        is_quarantined(reply)
+    };
+    assert!((0..MOST_TRIES).any(is_refused), "it is not refused");
+}
+
+// Guards against sending a request on while it is not known whether the upstreams at which its connections broke have
+// ended: their listeners still accept connections that nobody reads.
+macro_rules! listeners_that_linger {
+    ($($name:ident: $pool:expr, $path:expr, $act:expr, linger_ms $linger_ms:expr, boxes $boxes:expr, pause $pause:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut town = TestCluster::start(Path::new(BINARY));
+            let upstreams = fragile(&mut town, $pool, $act);
+            for upstream in &upstreams {
+                upstream.set_listener_linger_ms($linger_ms);
+            }
+            for hall in &["hall-a", "hall-a", "hall-b"][..$boxes] {
+                town.add_box(hall);
+            }
+            let boxes: Vec<usize> = (0..$boxes).collect();
+            post_until_refused(&town, &boxes, $path, $pause);
+            assert_eq!(harmful_sends(&upstreams), ENDS);
+            for number in 0..$boxes {
+                let other = post(&town, number, $path, "harmless", b"another body").expect("an answer");
+                assert_eq!((other.status, other.is_complete), (200, true));
+            }
+        }
+    )*};
+}
+
+const AT_ONCE: Duration = Duration::ZERO;
+const BEFORE_ITS_HEAD: UpstreamAction = UpstreamAction::Exit { after_events: 0 };
+
+listeners_that_linger! {
+    a_stream_lost_before_its_head_whose_listeners_linger_3_ms: "engines", "/stream/x", BEFORE_ITS_HEAD, linger_ms 3, boxes 1, pause AT_ONCE;
+    a_stream_lost_before_its_head_whose_listeners_linger_20_ms: "engines", "/stream/x", BEFORE_ITS_HEAD, linger_ms 20, boxes 1, pause AT_ONCE;
+    a_stream_lost_before_its_head_whose_listeners_linger_80_ms: "engines", "/stream/x", BEFORE_ITS_HEAD, linger_ms 80, boxes 1, pause AT_ONCE;
+    a_stream_lost_before_its_head_whose_listeners_linger_500_ms: "engines", "/stream/x", BEFORE_ITS_HEAD, linger_ms 500, boxes 1, pause AT_ONCE;
+    a_stream_lost_behind_an_event_whose_listeners_linger_3_ms: "engines", "/stream/x", STREAM_THAT_ENDS, linger_ms 3, boxes 1, pause AT_ONCE;
+    a_stream_lost_behind_an_event_whose_listeners_linger_80_ms: "engines", "/stream/x", STREAM_THAT_ENDS, linger_ms 80, boxes 1, pause AT_ONCE;
+    a_stream_lost_behind_an_event_whose_listeners_linger_500_ms: "engines", "/stream/x", STREAM_THAT_ENDS, linger_ms 500, boxes 1, pause AT_ONCE;
+    a_call_that_may_not_be_repeated_whose_listeners_linger_3_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 3, boxes 1, pause AT_ONCE;
+    a_call_that_may_not_be_repeated_whose_listeners_linger_80_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 80, boxes 1, pause AT_ONCE;
+    a_call_that_may_not_be_repeated_whose_listeners_linger_500_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 500, boxes 1, pause AT_ONCE;
+    a_call_that_may_be_repeated_whose_listeners_linger_80_ms: "services", "/safe/x", BEFORE_ITS_HEAD, linger_ms 80, boxes 1, pause AT_ONCE;
+    a_stream_at_three_boxes_whose_listeners_linger_80_ms: "engines", "/stream/x", BEFORE_ITS_HEAD, linger_ms 80, boxes 3, pause COMES_AGAIN_AFTER;
+    a_call_at_three_boxes_whose_listeners_linger_80_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 80, boxes 3, pause COMES_AGAIN_AFTER;
+    a_call_at_three_boxes_whose_listeners_linger_500_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 500, boxes 3, pause COMES_AGAIN_AFTER;
+}
+
 #[test]
 fn other_boxes_refuse_what_ended_upstreams_of_one() {
     let mut town = TestCluster::start(Path::new(BINARY));
