Notice the end of an upstream whose caller left just before

Callers saw: a request whose caller leaves before its upstream ends, and which comes again, ended an upstream each time and was never refused. Cause: the box takes the request away and closes its connection, so only another request's broken connection could make it probe the upstream within the 0.15 s in which the run still counts; a connection that broke before the head of the response, with the caller leaving at once, was not looked at either.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -35,6 +35,8 @@
     key: RunKey,
     /// Whether the request was sent and its run at the upstream has not ended.
     is_running: bool,
+    /// Whether the response is dropped for that of another upstream.
+    is_discarded: bool,
 }
 
 impl InFlightRequest {
@@ -57,6 +59,7 @@
             is_prefilled: false,
             key,
             is_running: false,
+            is_discarded: false,
         }
     }
 
@@ -71,6 +74,12 @@
         self.end_run(RunEnd::Settled);
     }
 
+    /// Records that the response is not needed, because that of another upstream is relayed. Responses are discarded
+    /// often, so their upstreams are not watched for it.
+    pub fn discard(&mut self) {
+        self.is_discarded = true;
+    }
+
     /// Records that the complete response arrived. A failure does not clear the request of suspicion, as the upstream
     /// may never have begun to run it.
     pub fn complete(&mut self, is_success: bool) {
@@ -142,7 +151,12 @@
         if self.is_running && self.connection.as_ref().is_some_and(Connection::is_closed) {
             self.lose_run();
         }
-        self.end_run(RunEnd::Cancelled);
+        if self.is_running {
+            self.end_run(RunEnd::Cancelled);
+            if !self.is_discarded {
+                liveness::watch_cancelled(&self.gateway, &self.upstream);
+            }
+        }
         let remaining_ms = self.remaining_work_ms();
         self.gateway.with_load(&self.upstream.id, |load, _| {
             load.end(self.band, remaining_ms);
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -170,6 +170,14 @@
         Some(kept.swap_remove(newest_ready).connection)
     }
 
+    /// Returns a signal that an idle connection to an upstream was closed, if there is one.
+    pub fn closed_signal(&self, upstream_id: &str) -> Option<ClosedSignal> {
+        let idle = self.idle.lock().expect("invariant: no holder panics");
+        let open = idle.get(upstream_id)?.iter();
+        let newest = open.rev().find(|c| !c.connection.is_closed())?;
+        Some(newest.connection.closed_signal())
+    }
+
     /// Returns a connection to the pool for `keep_alive_ms`. Its last response must have been read to the end.
     pub fn keep(
         &self,
--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -52,6 +52,19 @@
     });
 }
 
+/// Watches an upstream in the background while a run that was cancelled there may be interrupted by its termination.
+pub fn watch_cancelled(gateway: &Arc<Gateway>, upstream: &Arc<UpstreamRecord>) {
+    if !gateway.begin_watch(&upstream.id) {
+        return;
+    }
+    let (gateway, upstream) = (gateway.clone(), upstream.clone());
+    tokio::spawn(async move {
+        let closed = gateway.channels.closed_signal(&upstream.id);
+        watch(&gateway, &upstream, closed).await;
+        gateway.finish_watch(&upstream.id);
+    });
+}
+
 /// Opens a connection to an upstream, and records the termination of the upstream if nothing listens there.
 async fn probe_once(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
     let (outcome, result) = match Connection::open(upstream.addr).await {
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -109,7 +109,7 @@
     let mut fallback = None;
     let mut has_response = false;
     loop {
-        let reply = match next_reply(gateway, &job, &mut state, &mut trace).await {
+        let mut reply = match next_reply(gateway, &job, &mut state, &mut trace).await {
             Ok(reply) => *reply,
             Err(reason) => match fallback.take() {
                 Some(smaller) => {
@@ -129,7 +129,10 @@
         record_head(gateway, &job, &reply, state.model);
         match reply_action(gateway, &job, &mut state, &reply, &mut trace) {
             ReplyAction::Relay => {}
-            ReplyAction::Retry => continue,
+            ReplyAction::Retry => {
+                reply.in_flight.discard();
+                continue;
+            }
             ReplyAction::Escalate(larger) => {
                 let model = std::mem::replace(&mut state.model, larger);
                 fallback = Some(FallbackReply { reply, model });
@@ -140,6 +143,9 @@
         if !is_success && let Some(smaller) = fallback.take() {
             return Ok(relay_fallback(gateway, job, smaller, &state, trace, active));
         }
+        if let Some(smaller) = &mut fallback {
+            smaller.reply.in_flight.discard();
+        }
         if job.route.kind.is_stream() && is_success {
             return Ok(relay(
                 gateway,
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -52,6 +52,11 @@
         /// Number of events sent before it exits.
         after_events: u64,
     },
+    /// Never responds and exits after this time, also if the caller disconnects before.
+    ExitLater {
+        /// Time until it exits in milliseconds.
+        after_ms: u64,
+    },
     /// Responds with a stream of events.
     Stream {
         /// Number of the last event of the stream.
@@ -404,6 +409,13 @@
             shared.exit();
             std::future::pending().await
         }
+        UpstreamAction::ExitLater { after_ms } => {
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(after_ms)).await;
+                shared.exit();
+            });
+            std::future::pending().await
+        }
         UpstreamAction::Exit { after_events } => {
             let exiting = shared.clone();
             let events = event_stream(active, 0, after_events, 1, None);
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -14,13 +14,15 @@
 //! with the requests that were there: one of them was at every one.
 
 use std::collections::HashSet;
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
 use ivyweir_standins::edge::{
-    KEY, Reply, ScriptedUpstream, TestCluster, UpstreamAction, call, eventually, post_stream,
+    HOST, KEY, Reply, ScriptedUpstream, TestCluster, UpstreamAction, call, eventually, post_stream,
 };
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
@@ -228,6 +230,44 @@
     a_call_at_three_boxes_whose_listeners_linger_500_ms: "services", "/unsafe/x", BEFORE_ITS_HEAD, linger_ms 500, boxes 3, pause COMES_AGAIN_AFTER;
 }
 
+/// Sends the harmful request and disconnects after a while.
+fn post_and_leave(town: &TestCluster, path: &str, id: &str, after: Duration) {
+    let mut connection = TcpStream::connect(town.addr(0)).expect("the box listens");
+    let length = HARMFUL.len();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nivyweir-request-id: {id}\r\n\
+         ivyweir-model: *\r\ncontent-length: {length}\r\n\r\n"
+    );
+    let request = [head.as_bytes(), HARMFUL].concat();
+    connection.write_all(&request).expect("the box reads");
+    thread::sleep(after);
+}
+
+// Guards against forgetting a request whose caller left before its upstream ended.
+macro_rules! callers_that_leave {
+    ($($name:ident: $pool:expr, $path:expr, after_ms $after_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut town = TestCluster::start(Path::new(BINARY));
+            let upstreams = fragile(&mut town, $pool, UpstreamAction::ExitLater { after_ms: 40 });
+            town.add_box("hall-a");
+            for n in 0..ENDS {
+                post_and_leave(&town, $path, &format!("leaves-{n}"), Duration::from_millis($after_ms));
+                thread::sleep(COMES_AGAIN_AFTER);
+            }
+            assert_eq!(harmful_sends(&upstreams), ENDS);
+            assert!(is_quarantined(post(&town, 0, $path, "again", HARMFUL)));
+            assert_eq!(harmful_sends(&upstreams), ENDS);
+        }
+    )*};
+}
+
+callers_that_leave! {
+    a_stream_whose_caller_leaves_before_its_upstream_ends: "engines", "/stream/x", after_ms 20;
+    a_call_whose_caller_leaves_before_its_upstream_ends: "services", "/unsafe/x", after_ms 20;
+    a_call_whose_caller_leaves_about_when_its_upstream_ends: "services", "/unsafe/x", after_ms 40;
+}
+
 #[test]
 fn other_boxes_refuse_what_ended_upstreams_of_one() {
     let mut town = TestCluster::start(Path::new(BINARY));
