Let a box that stops report what it finds out to the others

Callers saw: two boxes that stopped had requests under which upstreams ended, and a third one sent the same request to three more upstreams: five in all. Cause: a box that stops answers others with 503, so that they take another relay; where it was a relay it still waited for their calls, and of pairs of relays only one side calls. What it found out in its last quarter of a second went with it in any case. Evidence: logs of the failing test: `peer_lost` for the box right after `stopping`, `upstream_ended` there 1.7 s later, which no other box ever logs. Change: a box that stops reports to the relay that its hall has after it, or to the relays of all other halls, and reports its ledger once more before it exits, within its grace; no caller waits for this.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -209,6 +209,11 @@
     while gateway.active_requests() > 0 && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
+    // Other boxes may be sent a request that terminated an upstream here, so they have to hear of it.
+    while !gateway.is_ledger_reported() && Instant::now() < deadline {
+        gateway.request_report();
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
     // Gives the kernel time to send the last responses.
     sleep(DRAIN_POLL_INTERVAL).await;
 }
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -296,13 +296,27 @@
 
     /// The relay of a hall, unless it is this box itself.
     pub fn relay(&self, hall: &str, now_ms: u64) -> Option<BoxRecord> {
+        let me = (*self.me.hall == *hall).then_some(&self.me);
+        let relay = self.relay_among_others_and(me, hall, now_ms)?;
+        (relay.name != self.me.name).then_some(relay)
+    }
+
+    /// The relay of a hall for the other boxes once this one stops.
+    pub fn relay_after_me(&self, hall: &str, now_ms: u64) -> Option<BoxRecord> {
+        self.relay_among_others_and(None, hall, now_ms)
+    }
+
+    fn relay_among_others_and(
+        &self,
+        me: Option<&BoxRecord>,
+        hall: &str,
+        now_ms: u64,
+    ) -> Option<BoxRecord> {
         let others = lock(&self.others);
         let unresponsive = lock(&self.unresponsive);
         let in_hall = others.values().filter(|record| &*record.hall == hall);
         let usable = in_hall.filter(|record| !unresponsive.is_backing_off(&record.name, now_ms));
-        let me = (*self.me.hall == *hall).then_some(&self.me);
-        let relay = relay_of(usable.chain(me))?;
-        (relay.name != self.me.name).then(|| relay.clone())
+        relay_of(usable.chain(me)).cloned()
     }
 
     /// The root from which this box receives records as its hall's relay, unless it is the root
--- a/crates/ivyweir-gateway/src/reports.rs
+++ b/crates/ivyweir-gateway/src/reports.rs
@@ -62,8 +62,8 @@
         // A quarantine or a departure is sent at once: until it arrives, another box may still send
         // a request.
         let _woken = timeout(interval, gateway.wait_for_urgent_update()).await;
-        let now_ms = gateway.clock.now_ms();
-        let mut report = match gateway.peers.relay(&gateway.settings.hall, now_ms) {
+        let ledger_change = gateway.ledger_change();
+        let mut report = match relay_to_report_to(&gateway) {
             Some(relay) => {
                 let own = gateway.local_report();
                 let sent = std::mem::replace(&mut last_sent, own.clone());
@@ -87,6 +87,18 @@
         report.work.retain(|_, work_ms| *work_ms > 0.0);
         report.backlog.retain(|_, load| !load.is_zero());
         gateway.apply_remote_report(report);
+        gateway.record_ledger_reported(ledger_change);
+    }
+}
+
+/// Returns the relay of this box's hall, unless it is this box. A box that stops refuses the calls of others, so they
+/// have another relay, and it reports to that one.
+fn relay_to_report_to(gateway: &Gateway) -> Option<BoxRecord> {
+    let (hall, now_ms) = (&gateway.settings.hall, gateway.clock.now_ms());
+    if gateway.stopping_for_ms().is_some() {
+        gateway.peers.relay_after_me(hall, now_ms)
+    } else {
+        gateway.peers.relay(hall, now_ms)
     }
 }
 
@@ -108,8 +120,9 @@
             continue;
         };
         // Each pair of relays exchanges reports once per interval. A relay always calls its root,
-        // as it must detect its loss.
-        if polls(own_hall, &hall) || root.as_ref() == Some(&relay) {
+        // as it must detect its loss. A relay that stops refuses calls, so it makes them all.
+        let is_stopping = gateway.stopping_for_ms().is_some();
+        if is_stopping || polls(own_hall, &hall) || root.as_ref() == Some(&relay) {
             let report = hall_report(gateway);
             let message = own_message(gateway, &relay.name, true, report, UpdateContent::Rows);
             send_report(gateway, clients, &relay, &message).await;
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -37,6 +37,8 @@
     checking: HashSet<Name>,
     /// Upstreams that are watched after such a check.
     watched: HashSet<Name>,
+    /// Change of the ledger up to which other boxes were last sent it.
+    reported_change: u64,
 }
 
 impl Default for Quarantine {
@@ -48,6 +50,7 @@
             exchange: LedgerSync::new(u64::from(rand::random::<u32>())),
             checking: HashSet::new(),
             watched: HashSet::new(),
+            reported_change: 0,
         }
     }
 }
@@ -308,6 +311,28 @@
         })
     }
 
+    /// Number of the last change of the ledger.
+    pub fn ledger_change(&self) -> u64 {
+        lock(&self.quarantine).ledger.last_change()
+    }
+
+    /// Records that other boxes were sent the ledger up to a change, whether they received it or not.
+    pub fn record_ledger_reported(&self, change: u64) {
+        lock(&self.quarantine).reported_change = change;
+    }
+
+    /// Whether other boxes were sent all of the ledger, and no more changes are expected from what broke here.
+    pub fn is_ledger_reported(&self) -> bool {
+        let quarantine = lock(&self.quarantine);
+        let is_settled = quarantine.checking.is_empty() && quarantine.watched.is_empty();
+        is_settled && quarantine.reported_change >= quarantine.ledger.last_change()
+    }
+
+    /// Requests a report to other boxes as soon as possible.
+    pub fn request_report(&self) {
+        self.urgent_update.notify_one();
+    }
+
     /// Update for another box on requests during which upstreams terminated.
     pub fn ledger_update_for(&self, peer: &Name) -> Option<LedgerUpdate> {
         let now_ms = self.ledger_now_ms();
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -268,6 +268,33 @@
     a_call_whose_caller_leaves_about_when_its_upstream_ends: "services", "/unsafe/x", after_ms 40;
 }
 
+/// Guards against losing the ends that a box sees last before it stops.
+#[test]
+fn ends_seen_by_boxes_that_stop_are_added_up() {
+    let mut town = TestCluster::start(Path::new(BINARY));
+    // Upstreams end later than a box that stops goes on accepting requests.
+    let ends_later = UpstreamAction::ExitLater { after_ms: 1_700 };
+    let services = fragile(&mut town, "services", ends_later);
+    for service in &services {
+        service.set_listener_linger_ms(20);
+    }
+    for hall in ["hall-a", "hall-a", "hall-b"] {
+        town.add_box(hall);
+    }
+    for number in 0..2 {
+        thread::scope(|scope| {
+            let town = &town;
+            scope.spawn(move || post(town, number, "/unsafe/x", "first", HARMFUL));
+            thread::sleep(Duration::from_millis(50));
+            town.boxes[number].signal("TERM");
+        });
+        let stopped = town.boxes[number].wait_exit(Duration::from_secs(10));
+        assert_eq!(stopped, Some(0));
+    }
+    post_until_refused(&town, &[2], "/unsafe/x", COMES_AGAIN_AFTER);
+    assert_eq!(harmful_sends(&services), ENDS);
+}
+
 #[test]
 fn other_boxes_refuse_what_ended_upstreams_of_one() {
     let mut town = TestCluster::start(Path::new(BINARY));
