Lay an end to the request that reached the limit first

Callers saw: a request that was innocent and met a harmful one once was refused with it. Cause: of requests with as many ends all were refused, whether they had been together each time or once; a quarantine that already explained one of the ends was forgotten at each evaluation. Change: of requests with as many ends those that reached the limit first are refused, and their ends are laid to them; within 0.1 s they cannot be told apart, as before. Test: one of two new cases failed before (left ["harm", "b"], right ["harm"]).

--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use super::suspect::{EndUpdate, Suspect, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms};
+use super::suspect::{
+    EndUpdate, INDEPENDENT_END_GAP_MS, Suspect, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms,
+};
 use crate::hash::hash64;
 
 /// Terminations after which a request is quarantined. A request at two terminations may have met a
@@ -330,19 +332,13 @@
             let candidates = candidates.filter(|(f, s)| {
                 s.ends().len() >= QUARANTINE_ENDS && !self.quarantined.contains(f)
             });
-            let counts: Vec<(Fingerprint, usize)> = candidates
-                .map(|(fingerprint, suspect)| {
-                    (*fingerprint, suspect.unattributed_ends(&attributed))
-                })
-                .collect();
-            let most = counts.iter().map(|(_, count)| *count).max();
-            let Some(most) = most.filter(|most| *most >= QUARANTINE_ENDS) else {
+            let unattributed =
+                candidates.map(|(f, suspect)| (*f, suspect.unattributed_ends(&attributed)));
+            let harmful = most_harmful(unattributed.collect());
+            if harmful.is_empty() {
                 break;
-            };
-            // Requests that were together at every termination cannot be told apart.
-            for (fingerprint, _) in counts.iter().filter(|(_, count)| *count == most) {
-                self.quarantined.insert(*fingerprint);
             }
+            self.quarantined.extend(harmful);
             for fingerprint in &self.quarantined {
                 let ends = self.suspects[fingerprint].ends();
                 attributed.extend(ends.iter().map(|end| end.upstream));
@@ -350,7 +346,7 @@
         }
         let unconditional = self.suspects.iter();
         let unconditional = unconditional.filter(|(_, suspect)| {
-            suspect.unattributed_ends(&none_attributed) >= UNCONDITIONAL_QUARANTINE_ENDS
+            suspect.unattributed_ends(&none_attributed).len() >= UNCONDITIONAL_QUARANTINE_ENDS
         });
         self.quarantined
             .extend(unconditional.map(|(fingerprint, _)| *fingerprint));
@@ -376,3 +372,25 @@
         }
     }
 }
+
+/// Returns those of some requests, with the times of their independent terminations, that have the
+/// most and enough to be quarantined. Of several, a request that reached the limit later than another
+/// one may have done so only because it was there when the other one terminated an upstream. Requests
+/// that reached it together, such as those that were together at every termination, cannot be told
+/// apart.
+fn most_harmful(unattributed: Vec<(Fingerprint, Vec<i64>)>) -> Vec<Fingerprint> {
+    let Some(most) = unattributed.iter().map(|(_, ends)| ends.len()).max() else {
+        return Vec::new();
+    };
+    let limit_reached = unattributed
+        .into_iter()
+        .filter(|(_, ends)| ends.len() == most)
+        .filter_map(|(f, ends)| Some((f, *ends.get(QUARANTINE_ENDS - 1)?)));
+    let limit_reached: Vec<(Fingerprint, i64)> = limit_reached.collect();
+    let first_ms = limit_reached.iter().map(|(_, at_ms)| *at_ms).min();
+    let is_together = |at_ms: i64| first_ms.is_some_and(|ms| at_ms - ms < INDEPENDENT_END_GAP_MS);
+    let together = limit_reached
+        .into_iter()
+        .filter(|(_, at_ms)| is_together(*at_ms));
+    together.map(|(fingerprint, _)| fingerprint).collect()
+}
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -14,7 +14,7 @@
 /// ms. They are independent all the same where the request was sent to the second upstream after
 /// the first had terminated, or where two different tries of a request that never completed were
 /// running.
-const INDEPENDENT_END_GAP_MS: i64 = 100;
+pub(super) const INDEPENDENT_END_GAP_MS: i64 = 100;
 /// Difference up to which two observations of the termination of an upstream are the same; ages are
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
@@ -156,9 +156,9 @@
         true
     }
 
-    /// Number of independent terminations that are not attributed to another request.
-    pub(super) fn unattributed_ends(&self, attributed: &HashSet<u64>) -> usize {
-        self.count_independent(self.ends.iter(), attributed)
+    /// Times of the independent terminations that are not attributed to another request.
+    pub(super) fn unattributed_ends(&self, attributed: &HashSet<u64>) -> Vec<i64> {
+        self.independent_ends(self.ends.iter(), attributed)
     }
 
     /// Number of independent terminations there are if all broken connections turn out to be some.
@@ -166,28 +166,29 @@
         let mut possible: Vec<&UpstreamEnd> = self.ends.iter().collect();
         possible.extend(self.unconfirmed(now_ms));
         possible.sort_by_key(|end| end.sort_key());
-        self.count_independent(possible.into_iter(), attributed)
+        self.independent_ends(possible.into_iter(), attributed)
+            .len()
     }
 
-    fn count_independent<'a>(
+    fn independent_ends<'a>(
         &self,
         ends: impl Iterator<Item = &'a UpstreamEnd>,
         attributed: &HashSet<u64>,
-    ) -> usize {
+    ) -> Vec<i64> {
         let unattributed = ends.filter(|end| !attributed.contains(&end.upstream));
         if self.is_quarantined_elsewhere {
-            return unattributed.count();
+            return unattributed.map(|end| end.at_ms).collect();
         }
         let has_completed = self.cleared_at_ms.is_some();
         let mut last: Option<&UpstreamEnd> = None;
-        let mut count = 0;
+        let mut times_ms = Vec::new();
         for end in unattributed {
             if last.is_none_or(|last| end.is_independent_of(last, has_completed)) {
-                count += 1;
+                times_ms.push(end.at_ms);
                 last = Some(end);
             }
         }
-        count
+        times_ms
     }
 
     /// Builds the entry as sent to another box.
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -83,6 +83,13 @@
     who_was_there_each_time_cannot_be_told_apart: [
         (1, 100, 50, &["harm", "b"]), (2, 200, 50, &["harm", "b"]), (3, 300, 50, &["harm", "b"])
     ] => ["harm", "b"];
+    // Guards against refusing a request that has as many ends as a quarantined one only with one of the latter's.
+    who_has_as_many_ends_later_only_with_one_of_the_harmful_one_is_innocent: [
+        (1, 100, 50, &["harm"]), (2, 200, 50, &["harm"]), (3, 300, 50, &["harm", "b"]), (4, 410, 50, &["b"]), (5, 520, 50, &["b"])
+    ] => ["harm"];
+    who_has_as_many_ends_at_the_same_moment_cannot_be_told_apart: [
+        (1, 100, 50, &["harm"]), (2, 200, 50, &["harm"]), (4, 150, 50, &["b"]), (5, 250, 50, &["b"]), (3, 350, 50, &["harm", "b"])
+    ] => ["harm", "b"];
     two_harmful_ones_are_both_found: [
         (1, 100, 50, &["harm", "c"]), (2, 200, 50, &["harm"]), (3, 300, 50, &["harm", "b"]), (4, 400, 50, &["harm"]),
         (5, 500, 50, &["b", "c"]), (6, 600, 50, &["b"]), (7, 700, 50, &["b"])
