--- a/crates/ivyweir-standins/src/edge/gateway_process.rs
+++ b/crates/ivyweir-standins/src/edge/gateway_process.rs
@@ -91,6 +91,7 @@
         let file = folder.join(format!("{name}.json"));
         fs::write(&file, settings.to_string()).expect("test folder is writable");
         let log_file = folder.join(format!("{name}.log"));
+        keep_earlier_log(&log_file);
         let log = fs::File::create(&log_file).expect("test folder is writable");
         let child = Command::new(binary)
             .arg("--gateway")
@@ -186,6 +187,16 @@
     }
 }
 
+/// Renames the log of an earlier process of the box, so that the logs of all its processes can be read.
+fn keep_earlier_log(log_file: &Path) {
+    let free = (1..).map(|n| log_file.with_extension(format!("{n}.log")));
+    let mut free = free.skip_while(|file| file.exists());
+    if let Some(earlier) = free.next() {
+        // There is none at the first start.
+        let _ignored = fs::rename(log_file, earlier);
+    }
+}
+
 impl Drop for GatewayProcess {
     fn drop(&mut self) {
         self.kill();
