Tell a completion or an end to other boxes once

Cause: a completion's time is told as an age, comes out later by the transit time, and the later one won; so each message was news. Ends did the same above 50 ms of transit. Change: completions have an id among boxes (an optional field), ends are recognized by upstream, try and running time with the earliest time kept. Tests: the four `slow_exchange_cases!` failed before (2,000 of 2,000 rounds had something to tell).

--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -63,6 +63,7 @@
             unconfirmed: Vec::new(),
             is_transient: false,
             cleared_ago_ms: None,
+            cleared_id: 0,
             is_quarantined: true,
         }
     }
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -6,6 +6,7 @@
 
 use super::Fingerprint;
 use super::runs::LOST_RUN_RETENTION_MS;
+use crate::hash::hash64;
 
 /// Limit of terminations remembered for a request; further ones add no information.
 const MAX_ENDS_PER_SUSPECT: usize = 32;
@@ -18,6 +19,8 @@
 /// Difference up to which two observations of the termination of an upstream are the same; ages are
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
+/// The same for completions of a request.
+const SAME_TIME_TOLERANCE_MS: u64 = SAME_END_TOLERANCE_MS.unsigned_abs();
 /// The termination of an upstream while a request was running there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UpstreamEnd {
@@ -38,6 +41,13 @@
         (self.at_ms, self.began_at_ms, self.upstream)
     }
 
+    /// Whether another one is the same observation, as told by another box: its times vary with the
+    /// transit times of messages.
+    fn is_observed_as(&self, other: &Self) -> bool {
+        let ran_ms = self.at_ms - self.began_at_ms;
+        self.try_hash == other.try_hash && ran_ms == other.at_ms - other.began_at_ms
+    }
+
     /// Whether this termination has another cause than an earlier one, as far as their times and
     /// tries tell.
     fn is_independent_of(&self, earlier: &Self, has_completed: bool) -> bool {
@@ -47,6 +57,33 @@
     }
 }
 
+/// The last completion of a request, or the lifting of its quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Clearance {
+    at_ms: i64,
+    /// Identifies it among boxes, whose times for it differ by the transit times of messages; 0 where
+    /// it is unknown.
+    id: u32,
+}
+
+impl Clearance {
+    /// Creates the clearance of a request by an event on this box.
+    fn new(at_ms: i64) -> Self {
+        let id = hash64(&[&at_ms.to_le_bytes()]) as u32;
+        Self { at_ms, id }
+    }
+
+    /// Whether this one, as told by another box, replaces a known one. If it did so each time that its
+    /// time is later, boxes would tell each other the same one for ever, later each time.
+    fn replaces(&self, known: &Self) -> bool {
+        let is_same_time = self.at_ms.abs_diff(known.at_ms) <= SAME_TIME_TOLERANCE_MS;
+        if is_same_time {
+            return self.id > known.id;
+        }
+        (self.id == 0 || self.id != known.id) && self.at_ms > known.at_ms
+    }
+}
+
 /// Known state of a request.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspect {
@@ -57,7 +94,7 @@
     /// Whether there ever was a termination. Otherwise the entry is dropped with its broken connections.
     has_had_ends: bool,
     /// When it last completed, as far as is known, or when an operator lifted its quarantine.
-    cleared_at_ms: Option<i64>,
+    cleared: Option<Clearance>,
     /// Whether another box quarantined the request. That box saw the terminations as independent;
     /// in the local record their times may be too close to each other.
     is_quarantined_elsewhere: bool,
@@ -86,7 +123,7 @@
     /// Adds a termination; returns whether it changed the entry. The order in which terminations
     /// are added makes no difference.
     pub(super) fn add_end(&mut self, end: UpstreamEnd) -> bool {
-        if self.cleared_at_ms.is_some_and(|at_ms| end.at_ms <= at_ms) {
+        if self.is_cleared_after(&end) {
             return false;
         }
         self.has_had_ends = true;
@@ -97,6 +134,13 @@
             .iter_mut()
             .find(|known| known.upstream == end.upstream);
         match known {
+            // Retold, an observation only becomes later, so the earliest time is the closest.
+            Some(known) if known.is_observed_as(&end) => {
+                if end.at_ms + SAME_END_TOLERANCE_MS >= known.at_ms {
+                    return false;
+                }
+                *known = end;
+            }
             // An upstream terminates once, so the latest observation replaces earlier ones.
             Some(known) if known.at_ms + SAME_END_TOLERANCE_MS >= end.at_ms => return false,
             Some(known) => *known = end,
@@ -114,14 +158,14 @@
     /// Adds a broken connection to an upstream that may have terminated; returns whether it changed
     /// the entry.
     pub(super) fn add_unconfirmed(&mut self, end: UpstreamEnd) -> bool {
-        let is_cleared = self.cleared_at_ms.is_some_and(|at_ms| end.at_ms <= at_ms);
-        if is_cleared || self.ends.iter().any(|known| known.upstream == end.upstream) {
+        if self.is_cleared_after(&end)
+            || self.ends.iter().any(|known| known.upstream == end.upstream)
+        {
             return false;
         }
         let of_upstream = |known: &&mut UpstreamEnd| known.upstream == end.upstream;
         match self.unconfirmed.iter_mut().find(of_upstream) {
-            // The same break as told by another box; its time varies with that of the message.
-            Some(known) if known.try_hash == end.try_hash => return false,
+            Some(known) if known.is_observed_as(&end) => return false,
             Some(known) if known.at_ms >= end.at_ms => return false,
             Some(known) => *known = end,
             None => self.unconfirmed.push(end),
@@ -146,16 +190,24 @@
 
     /// Records that the request completed; returns whether that changed the entry.
     pub(super) fn clear(&mut self, at_ms: i64) -> bool {
-        if self.cleared_at_ms.is_some_and(|known_ms| known_ms >= at_ms) {
+        if self.cleared.is_some_and(|known| known.at_ms >= at_ms) {
             return false;
         }
-        self.cleared_at_ms = Some(at_ms);
-        self.ends.retain(|end| end.at_ms > at_ms);
-        self.unconfirmed.retain(|end| end.at_ms > at_ms);
-        self.is_quarantined_elsewhere &= !self.ends.is_empty();
+        self.set_cleared(Clearance::new(at_ms));
         true
     }
 
+    fn set_cleared(&mut self, clearance: Clearance) {
+        self.cleared = Some(clearance);
+        self.ends.retain(|end| end.at_ms > clearance.at_ms);
+        self.unconfirmed.retain(|end| end.at_ms > clearance.at_ms);
+        self.is_quarantined_elsewhere &= !self.ends.is_empty();
+    }
+
+    fn is_cleared_after(&self, end: &UpstreamEnd) -> bool {
+        self.cleared.is_some_and(|known| end.at_ms <= known.at_ms)
+    }
+
     /// Times of the independent terminations that are not attributed to another request.
     pub(super) fn unattributed_ends(&self, attributed: &HashSet<u64>) -> Vec<i64> {
         self.independent_ends(self.ends.iter(), attributed)
@@ -179,7 +231,7 @@
         if self.is_quarantined_elsewhere {
             return unattributed.map(|end| end.at_ms).collect();
         }
-        let has_completed = self.cleared_at_ms.is_some();
+        let has_completed = self.cleared.is_some();
         let mut last: Option<&UpstreamEnd> = None;
         let mut times_ms = Vec::new();
         for end in unattributed {
@@ -204,7 +256,8 @@
             ends: self.ends.iter().map(to_update).collect(),
             unconfirmed: self.unconfirmed(now_ms).map(to_update).collect(),
             is_transient: !self.has_had_ends,
-            cleared_ago_ms: self.cleared_at_ms.map(|at_ms| now_ms - at_ms),
+            cleared_ago_ms: self.cleared.map(|known| now_ms - known.at_ms),
+            cleared_id: self.cleared.map_or(0, |known| known.id),
             is_quarantined,
         }
     }
@@ -212,9 +265,7 @@
     /// Merges a received entry; returns whether that changed this one.
     pub(super) fn merge(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
         self.has_had_ends |= !update.is_transient;
-        let mut is_changed = update
-            .cleared_ago_ms
-            .is_some_and(|ago_ms| self.clear(now_ms.saturating_sub(ago_ms)));
+        let mut is_changed = self.merge_clearance(update, now_ms);
         for end in &update.ends {
             is_changed |= self.add_end(end.resolve(now_ms));
         }
@@ -227,10 +278,30 @@
         is_changed | is_newly_quarantined
     }
 
+    /// Applies the clearance of a received entry; returns whether it replaced the known one.
+    fn merge_clearance(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
+        let Some(ago_ms) = update.cleared_ago_ms else {
+            return false;
+        };
+        let mut told = Clearance {
+            at_ms: now_ms.saturating_sub(ago_ms),
+            id: update.cleared_id,
+        };
+        if let Some(known) = self.cleared {
+            if !told.replaces(&known) {
+                return false;
+            }
+            told.at_ms = told.at_ms.max(known.at_ms);
+        }
+        self.set_cleared(told);
+        true
+    }
+
     pub(super) fn last_ms(&self) -> i64 {
         let ends = self.ends.iter().chain(&self.unconfirmed);
         let last_end_ms = ends.map(|end| end.at_ms).max();
-        last_end_ms.max(self.cleared_at_ms).unwrap_or(i64::MIN)
+        let cleared_at_ms = self.cleared.map(|known| known.at_ms);
+        last_end_ms.max(cleared_at_ms).unwrap_or(i64::MIN)
     }
 }
 
@@ -306,7 +377,14 @@
     /// Time since the request last completed, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cleared_ago_ms: Option<i64>,
+    /// Identifies the completion; 0 where it is unknown.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cleared_id: u32,
     /// Whether the sending box refuses the request.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_quarantined: bool,
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -397,6 +397,61 @@
     assert_eq!(next_update(&mut boxes, 1, 0), None);
 }
 
+/// Sends the updates of two boxes to each other, each of which takes `transit_ms`; returns whether there was one.
+fn exchange_slowly(boxes: &mut [SimBox], now_ms: &mut i64, transit_ms: i64) -> bool {
+    let mut is_any = false;
+    for (from, to) in [(0, 1), (1, 0)] {
+        let name = boxes[to].name.clone();
+        let sender = &mut boxes[from];
+        let update = sender.sync.update_for(&name, &sender.ledger, *now_ms);
+        let from = sender.name.clone();
+        *now_ms += transit_ms;
+        is_any |= update
+            .as_ref()
+            .is_some_and(|update| !update.suspects.is_empty());
+        if let Some(update) = update {
+            let receiver = &mut boxes[to];
+            let ledger = &mut receiver.ledger;
+            receiver.sync.receive(&from, update, ledger, *now_ms);
+        }
+    }
+    is_any
+}
+
+macro_rules! slow_exchange_cases {
+    ($($name:ident: transit_ms $transit_ms:expr, answered_ms $answered_ms:expr;)*) => {$(
+        /// Guards against a time of completion that grows with each message that tells it: it outgrew the ends after it.
+        #[test]
+        fn $name() {
+            let mut boxes = sim_boxes(2);
+            let first = observation_of(fingerprint_of("harm"), end(9, 100, 50));
+            for sim in &mut boxes {
+                sim.ledger.upstream_ended(&[first]);
+            }
+            for (sim, at_ms) in boxes.iter_mut().zip($answered_ms) {
+                sim.ledger.completed(fingerprint_of("harm"), at_ms);
+            }
+            for n in 0..3 {
+                let end = end(n, 400 + 200 * n as i64, 10);
+                boxes[0].ledger.upstream_ended(&[observation_of(fingerprint_of("harm"), end)]);
+            }
+            let mut now_ms = 1_000;
+            let rounds = (0..2_000).filter(|_| exchange_slowly(&mut boxes, &mut now_ms, $transit_ms));
+            assert!(rounds.count() <= 4, "boxes tell each other the same again and again");
+            for sim in &boxes {
+                assert!(sim.ledger.is_quarantined(fingerprint_of("harm")), "{}", sim.name);
+            }
+        }
+    )*};
+}
+
+slow_exchange_cases! {
+    a_completion_is_told_once: transit_ms 2, answered_ms [200, 200];
+    a_completion_is_told_once_over_a_slow_path: transit_ms 120, answered_ms [200, 200];
+    two_completions_are_told_once: transit_ms 2, answered_ms [200, 201];
+    two_completions_far_apart_are_told_once: transit_ms 2, answered_ms [200, 380];
+}
+
 #[test]
 fn a_box_that_starts_anew_is_told_everything() {
     let mut boxes = sim_boxes(2);
