Let a box that stops wait for its own findings only

Cause: a box that stops waited until its whole ledger was reported, which other boxes' entries change at any time. Change: it waits for its probes and watches, notes the ledger's last change, and waits for the report of that.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -209,13 +209,23 @@
     while gateway.active_requests() > 0 && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // Other boxes may be sent a request that terminated an upstream here, so they have to hear of it.
-    while !gateway.is_ledger_reported() && Instant::now() < deadline {
+    report_terminations(gateway, deadline).await;
+    // Gives the kernel time to send the last responses.
+    sleep(DRAIN_POLL_INTERVAL).await;
+}
+
+/// Waits until it is known whether the upstreams of lost requests have terminated, and other boxes were sent that: they may
+/// be sent these requests next.
+async fn report_terminations(gateway: &Gateway, deadline: Instant) {
+    while !gateway.has_finished_checks() && Instant::now() < deadline {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    // Later changes come from other boxes.
+    let change = gateway.ledger_change();
+    while gateway.reported_ledger_change() < change && Instant::now() < deadline {
         gateway.request_report();
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // Gives the kernel time to send the last responses.
-    sleep(DRAIN_POLL_INTERVAL).await;
 }
 
 /// Periodically removes expired state, handles suspensions of the machine, and logs changes of
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -321,11 +321,15 @@
         lock(&self.quarantine).reported_change = change;
     }
 
-    /// Whether other boxes were sent all of the ledger, and no more changes are expected from what broke here.
-    pub fn is_ledger_reported(&self) -> bool {
+    /// The change of the ledger up to which other boxes were last sent it.
+    pub fn reported_ledger_change(&self) -> u64 {
+        lock(&self.quarantine).reported_change
+    }
+
+    /// Whether no upstream is being checked or watched.
+    pub fn has_finished_checks(&self) -> bool {
         let quarantine = lock(&self.quarantine);
-        let is_settled = quarantine.checking.is_empty() && quarantine.watched.is_empty();
-        is_settled && quarantine.reported_change >= quarantine.ledger.last_change()
+        quarantine.checking.is_empty() && quarantine.watched.is_empty()
     }
 
     /// Requests a report to other boxes as soon as possible.
