Tell a box that starts which requests are quarantined before it serves

Callers saw: a request that all boxes refused was served by a box that had just started, for up to a second, and ended up to eight upstreams there. Cause: quarantines come with the reports of others, 0.25 s apart; a box serves 0.02 s after its start, and one that is its hall's relay waits until the others have found it again. Test: `a_box_that_starts_refuses_at_once_what_others_refuse` failed before at box 0.

--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::gateway::membership::{MembershipCursor, MembershipUpdate, Uptimes};
+use ivyweir_policy::gateway::quarantine::SuspectUpdate;
 use ivyweir_policy::gateway::relay::BoxRecord;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -55,6 +56,10 @@
     /// Time until a restored store has settled; `None` if it has. A box that starts cannot detect an earlier restore.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     store_settles_in_ms: Option<u64>,
+    /// Requests during which upstreams terminated. A box that starts is sent them with the first list, since the first
+    /// report of another box may come after its first requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    suspects: Vec<SuspectUpdate>,
 }
 
 /// Joins periodically for the lifetime of the process.
@@ -125,6 +130,7 @@
         }
         gateway.peers.apply_seed_list(seed, response.update, now_ms);
         gateway.peers.set_fleet_size(response.fleet_size);
+        gateway.merge_ledger_snapshot(response.suspects);
         if let Some(in_ms) = response.store_settles_in_ms {
             gateway.note_store_settles_in(in_ms);
         }
@@ -163,6 +169,10 @@
     };
     let now_ms = gateway.clock.now_ms();
     let hall = message.from.hall.clone();
+    let suspects = match message.cursor {
+        Some(_) => Vec::new(),
+        None => gateway.ledger_snapshot(),
+    };
     gateway.peers.add_joined(message.from, now_ms);
     let (update, fleet_size) = gateway.peers.with_joined(now_ms, |joined| {
         let update = joined.update_for(&hall, message.cursor, now_ms);
@@ -173,5 +183,6 @@
         up_ms: now_ms,
         fleet_size,
         store_settles_in_ms: Some(gateway.store_settles_in_ms()).filter(|ms| *ms > 0),
+        suspects,
     })
 }
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -9,7 +9,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
     Containment, EndObservation, Fingerprint, InterruptedRun, Ledger, LedgerSync, LedgerUpdate,
-    QuarantineChanges, QuarantineRecord, RunEnd, RunKey, RunRegistry, UpstreamEnd,
+    QuarantineChanges, QuarantineRecord, RunEnd, RunKey, RunRegistry, SuspectUpdate, UpstreamEnd,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::hash::hash64;
@@ -311,6 +311,19 @@
         })
     }
 
+    /// Requests during which upstreams terminated, for a box that starts.
+    pub fn ledger_snapshot(&self) -> Vec<SuspectUpdate> {
+        let now_ms = self.ledger_now_ms();
+        lock(&self.quarantine).ledger.snapshot(now_ms)
+    }
+
+    /// Applies what another box knows of requests during which upstreams terminated.
+    pub fn merge_ledger_snapshot(&self, suspects: Vec<SuspectUpdate>) {
+        let now_ms = self.ledger_now_ms();
+        let changes = lock(&self.quarantine).ledger.merge(suspects, now_ms);
+        self.report_quarantine_changes(changes);
+    }
+
     /// Number of the last change of the ledger.
     pub fn ledger_change(&self) -> u64 {
         lock(&self.quarantine).ledger.last_change()
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -3,6 +3,7 @@
 //! Merging entries of two ledgers is commutative and idempotent, so boxes that exchange their
 //! ledgers converge to the same one.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
@@ -11,6 +12,7 @@
 use super::suspect::{
     EndUpdate, INDEPENDENT_END_GAP_MS, Suspect, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms,
 };
+use super::sync::MAX_ENTRIES_PER_UPDATE;
 use crate::hash::hash64;
 
 /// Terminations after which a request is quarantined. A request at two terminations may have met a
@@ -227,6 +229,22 @@
         (updates, if is_all { self.last_change } else { last })
     }
 
+    /// Returns the entries of requests during which upstreams terminated, for a box that starts: as
+    /// many as fit into a message, quarantined requests first, then those with the most terminations.
+    pub fn snapshot(&self, now_ms: i64) -> Vec<SuspectUpdate> {
+        let suspects = self.suspects.iter();
+        let mut suspects: Vec<_> = suspects.filter(|(_, s)| !s.ends().is_empty()).collect();
+        suspects.sort_unstable_by_key(|(fingerprint, suspect)| {
+            let is_quarantined = self.is_quarantined(**fingerprint);
+            Reverse((is_quarantined, suspect.ends().len(), suspect.last_ms()))
+        });
+        suspects.truncate(MAX_ENTRIES_PER_UPDATE);
+        let to_update = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
+            suspect.to_update(*fingerprint, self.is_quarantined(*fingerprint), now_ms)
+        };
+        suspects.into_iter().map(to_update).collect()
+    }
+
     /// Merges entries received from another box.
     pub fn merge(&mut self, updates: Vec<SuspectUpdate>, now_ms: i64) -> QuarantineChanges {
         let mut is_changed = false;
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -21,6 +21,7 @@
 const SAME_END_TOLERANCE_MS: i64 = 50;
 /// The same for completions of a request.
 const SAME_TIME_TOLERANCE_MS: u64 = SAME_END_TOLERANCE_MS.unsigned_abs();
+
 /// The termination of an upstream while a request was running there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UpstreamEnd {
--- a/crates/ivyweir-policy/src/gateway/quarantine/sync.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/sync.rs
@@ -14,7 +14,7 @@
 /// Limit of entries in one message, some 30 bytes each. One terminating upstream interrupts 64
 /// requests; at the rate at which boxes exchange messages, the 40 upstreams of a hall are covered
 /// within 3 s.
-const MAX_ENTRIES_PER_UPDATE: usize = 256;
+pub(super) const MAX_ENTRIES_PER_UPDATE: usize = 256;
 /// Limit of peers for which acknowledgements are kept.
 const MAX_PEERS: usize = 1_024;
 
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -119,6 +119,19 @@
     /// Starts a box that reaches the store at `store_addr`, without waiting until it is ready.
     pub fn start_box(&mut self, hall: &str, store_addr: &str) -> usize {
         let number = self.boxes.len();
+        let started = self.start_process(number, hall, store_addr);
+        self.boxes.push(started);
+        number
+    }
+
+    /// Kills a box and starts another process of it, without waiting until that is ready.
+    pub fn restart_box(&mut self, number: usize, hall: &str) {
+        self.boxes[number].kill();
+        let store_addr = self.store.addr().to_string();
+        self.boxes[number] = self.start_process(number, hall, &store_addr);
+    }
+
+    fn start_process(&self, number: usize, hall: &str, store_addr: &str) -> GatewayProcess {
         let name = format!("box-{number}");
         let seed_addrs = self.seed_addrs();
         let spec = BoxSpec {
@@ -132,9 +145,7 @@
             contracts: &self.contracts,
             memory_mb: self.memory_mb,
         };
-        let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
-        self.boxes.push(started);
-        number
+        GatewayProcess::start(&self.binary, &self.folder, &spec)
     }
 
     /// Returns the seed addresses for a box started now.
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -296,6 +296,30 @@
     assert_eq!(harmful_sends(&services), ENDS);
 }
 
+/// Guards against serving a quarantined request at a box that has just started and has no report of another one yet.
+#[test]
+fn a_box_that_starts_refuses_at_once_what_others_refuse() {
+    let halls = ["hall-a", "hall-a", "hall-b"];
+    let mut town = TestCluster::start(Path::new(BINARY));
+    let engines = fragile(&mut town, "engines", STREAM_THAT_ENDS);
+    for hall in halls {
+        town.add_box(hall);
+    }
+    post_until_refused(&town, &[0], "/stream/x", AT_ONCE);
+    for number in 0..halls.len() {
+        eventually("the box refuses it", || {
+            !town.boxes[number].event_lines("quarantined").is_empty()
+        });
+    }
+    for (number, hall) in halls.iter().enumerate() {
+        town.restart_box(number, hall);
+        // A request that comes before the box knows its configuration waits for that.
+        let reply = post(&town, number, "/stream/x", "again", HARMFUL);
+        assert!(is_quarantined(reply), "box {number}");
+    }
+    assert_eq!(harmful_sends(&engines), ENDS);
+}
+
 #[test]
 fn other_boxes_refuse_what_ended_upstreams_of_one() {
     let mut town = TestCluster::start(Path::new(BINARY));
