--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::test_cluster::serve_until_with_linger;
+use super::test_cluster::serve_until;
 use crate::loopback::unique_ip;
 
 type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -183,7 +183,7 @@
             shared.exit_signal.clone(),
             shared.listener_linger_ms.clone(),
         );
-        let addr = serve_until_with_linger(listener, exit_signal, linger_ms, move |request| {
+        let addr = serve_until(listener, exit_signal, linger_ms, move |request| {
             let shared = serving.clone();
             async move { answer(shared, request).await }
         });
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -454,29 +454,12 @@
     E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
 {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback port can be bound");
-    serve_until(listener, Arc::default(), answer)
-}
-
-/// Serves HTTP on a thread until `end` is notified, which closes the listener and all connections at once.
-pub fn serve_until<F, A, B, E>(
-    listener: std::net::TcpListener,
-    end: Arc<Notify>,
-    answer: F,
-) -> SocketAddr
-where
-    F: Fn(Request<Incoming>) -> A + Clone + Send + 'static,
-    A: Future<Output = Result<Response<B>, E>> + Send + 'static,
-    B: Body + Send + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    E: Into<Box<dyn std::error::Error + Send + Sync>> + 'static,
-{
-    serve_until_with_linger(listener, end, Arc::default(), answer)
+    serve_until(listener, Arc::default(), Arc::default(), answer)
 }
 
 /// Serves HTTP on a thread until `end` is notified, which closes all connections at once, and the listener after
 /// `listener_linger_ms` more. Meanwhile the kernel accepts connections that nobody reads.
-pub fn serve_until_with_linger<F, A, B, E>(
+pub fn serve_until<F, A, B, E>(
     listener: std::net::TcpListener,
     end: Arc<Notify>,
     listener_linger_ms: Arc<AtomicU64>,
