--- a/crates/ivyweird/tests/common/soak.rs
+++ b/crates/ivyweird/tests/common/soak.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -50,7 +51,10 @@
         for upstream in town.engines.iter().chain(&town.services) {
             town.store.put_upstream(&upstream.leaving_record());
         }
-        let name = format!("ivyweir-{name}-{}-{seed}", std::process::id());
+        // Soaks of one process may be given the same seed.
+        static SOAK_COUNT: AtomicU64 = AtomicU64::new(0);
+        let number = SOAK_COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("ivyweir-{name}-{}-{number}-{seed}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
         let store_addr = town.store.addr().to_string();
--- a/crates/ivyweird/tests/quarantine_soak.rs
+++ b/crates/ivyweird/tests/quarantine_soak.rs
@@ -93,8 +93,7 @@
 
 impl Soak {
     fn start(seed: u64, conduct: Conduct) -> Self {
-        let name = format!("quarantine-soak-{conduct:?}");
-        let boxes = Boxes::new(&name, seed, &HALLS);
+        let boxes = Boxes::new("quarantine-soak", seed, &HALLS);
         let mut soak = Self {
             random: StdRng::seed_from_u64(seed),
             harsh_random: StdRng::seed_from_u64(!seed),
