--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -297,21 +297,17 @@
     /// The relay of a hall, unless it is this box itself.
     pub fn relay(&self, hall: &str, now_ms: u64) -> Option<BoxRecord> {
         let me = (*self.me.hall == *hall).then_some(&self.me);
-        let relay = self.relay_among_others_and(me, hall, now_ms)?;
+        let relay = self.elect_relay(me, hall, now_ms)?;
         (relay.name != self.me.name).then_some(relay)
     }
 
     /// The relay of a hall for the other boxes once this one stops.
     pub fn relay_after_me(&self, hall: &str, now_ms: u64) -> Option<BoxRecord> {
-        self.relay_among_others_and(None, hall, now_ms)
+        self.elect_relay(None, hall, now_ms)
     }
 
-    fn relay_among_others_and(
-        &self,
-        me: Option<&BoxRecord>,
-        hall: &str,
-        now_ms: u64,
-    ) -> Option<BoxRecord> {
+    /// The relay of a hall among the usable other boxes and, if given, this one.
+    fn elect_relay(&self, me: Option<&BoxRecord>, hall: &str, now_ms: u64) -> Option<BoxRecord> {
         let others = lock(&self.others);
         let unresponsive = lock(&self.unresponsive);
         let in_hall = others.values().filter(|record| &*record.hall == hall);
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -78,8 +78,8 @@
     ///
     /// # Errors
     ///
-    /// If none of them accepts the request. They back off from it, as it were, until one of its broken connections no
-    /// longer counts.
+    /// If none of them accepts the request. Where they do not back off themselves, the error states the time until one of
+    /// the broken connections no longer counts.
     pub fn choose_contained(
         &self,
         containment: &Containment,
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -20,7 +20,7 @@
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
 /// The same for completions of a request.
-const SAME_TIME_TOLERANCE_MS: u64 = SAME_END_TOLERANCE_MS.unsigned_abs();
+const SAME_CLEARANCE_TOLERANCE_MS: u64 = SAME_END_TOLERANCE_MS.unsigned_abs();
 
 /// The termination of an upstream while a request was running there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,7 +44,7 @@
 
     /// Whether another one is the same observation, as told by another box: its times vary with the
     /// transit times of messages.
-    fn is_observed_as(&self, other: &Self) -> bool {
+    fn is_same_observation(&self, other: &Self) -> bool {
         let ran_ms = self.at_ms - self.began_at_ms;
         self.try_hash == other.try_hash && ran_ms == other.at_ms - other.began_at_ms
     }
@@ -77,8 +77,8 @@
     /// Whether this one, as told by another box, replaces a known one. If it did so each time that its
     /// time is later, boxes would tell each other the same one for ever, later each time.
     fn replaces(&self, known: &Self) -> bool {
-        let is_same_time = self.at_ms.abs_diff(known.at_ms) <= SAME_TIME_TOLERANCE_MS;
-        if is_same_time {
+        let is_close = self.at_ms.abs_diff(known.at_ms) <= SAME_CLEARANCE_TOLERANCE_MS;
+        if is_close {
             return self.id > known.id;
         }
         (self.id == 0 || self.id != known.id) && self.at_ms > known.at_ms
@@ -136,7 +136,7 @@
             .find(|known| known.upstream == end.upstream);
         match known {
             // Retold, an observation only becomes later, so the earliest time is the closest.
-            Some(known) if known.is_observed_as(&end) => {
+            Some(known) if known.is_same_observation(&end) => {
                 if end.at_ms + SAME_END_TOLERANCE_MS >= known.at_ms {
                     return false;
                 }
@@ -166,7 +166,7 @@
         }
         let of_upstream = |known: &&mut UpstreamEnd| known.upstream == end.upstream;
         match self.unconfirmed.iter_mut().find(of_upstream) {
-            Some(known) if known.is_observed_as(&end) => return false,
+            Some(known) if known.is_same_observation(&end) => return false,
             Some(known) if known.at_ms >= end.at_ms => return false,
             Some(known) => *known = end,
             None => self.unconfirmed.push(end),
