Give the upstreams of a test cluster addresses of their own

Cause: upstreams shared 127.0.0.1 with boxes and stores of other tests; one got a port at which an ended box or store was still called. Evidence: gateway_path with a print of what upstreams receive, 8 at a time: 3 of 120 runs failed, and the extra requests are GET /peer/follow, POST /peer/join and GET /v1/records of other clusters. Ruled out: a second send by the box (its log; sends 1). Change: stand-ins only; upstreams of a cluster listen on own loopback addresses, as those of soaks do. The checks stay.

--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -73,7 +73,8 @@
         std::fs::create_dir_all(&folder).expect("temporary folder is writable");
         let store = RecordStore::start();
         let upstream = |pool: &str, n: usize| {
-            let upstream = ScriptedUpstream::start(&format!("{pool}-{n}"), pool, "v1");
+            // Boxes and stores listen on the shared loopback address, and are called there after they ended.
+            let upstream = ScriptedUpstream::start_on_own_ip(&format!("{pool}-{n}"), pool, "v1");
             store.put_upstream(&upstream.record());
             upstream
         };
