--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -6,6 +6,7 @@
 mod duty_invariant;
 mod duty_platform;
 mod gateway_process;
+mod path_proxy;
 mod peer_filter;
 mod rate_limit_invariant;
 mod record_store;
@@ -15,6 +16,7 @@
 pub use duty_invariant::{DutyCall, DutyInvariant, DutyViolation};
 pub use duty_platform::DutyPlatform;
 pub use gateway_process::{BoxSpec, GatewayProcess, gateway_settings};
+pub use path_proxy::{PathFault, PathProxies};
 pub use peer_filter::PeerFilter;
 pub use rate_limit_invariant::{Arrival, RateLimitInvariant, RateLimitViolation};
 pub use record_store::{RecordStore, StoreFault};
--- a/crates/ivyweir-standins/src/edge/gateway_process.rs
+++ b/crates/ivyweir-standins/src/edge/gateway_process.rs
@@ -137,6 +137,11 @@
         );
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the complete log output.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log_file).unwrap_or_default()
