Find the process behind a proxied connection by socket diagnostics

Cause: the stand-in scanned the whole table of TCP sockets for each connection, 30 ms with 16,000 entries, which held up all boxes of a test. Change: the kernel is asked for the one socket; the scan of descriptors is shared.

--- a/crates/ivyweir-standins/src/edge/path_proxy.rs
+++ b/crates/ivyweir-standins/src/edge/path_proxy.rs
@@ -1,17 +1,17 @@
 //! TCP proxies in front of upstreams that fail for the connections of selected processes only.
 //!
-//! The process behind a connection is found in `/proc`: the table of TCP sockets names the inode of the socket at the
-//! other end, and the process has a file descriptor for it.
+//! The kernel tells the inode of the socket at the other end of a connection, and the process behind it has a file
+//! descriptor for that inode.
 
 use std::collections::HashMap;
 use std::fs;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::io::{self, Read};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use socket2::SockRef;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -21,10 +21,16 @@
 use crate::loopback::unique_ip;
 
 const BUFFER_BYTES: usize = 16 << 10;
-/// Field of the local address in a line of `/proc/net/tcp`, after the number of the line.
-const LOCAL_ADDR_FIELD: usize = 1;
-/// Field of the inode in a line of `/proc/net/tcp`.
-const INODE_FIELD: usize = 9;
+const AF_NETLINK: i32 = 16;
+const NETLINK_SOCK_DIAG: i32 = 4;
+const SOCK_DIAG_BY_FAMILY: u16 = 20;
+const NLM_F_REQUEST: u16 = 1;
+const AF_INET: u8 = 2;
+const IPPROTO_TCP: u8 = 6;
+/// Length of the netlink header and `inet_diag_req_v2`.
+const DIAG_REQUEST_BYTES: usize = 72;
+/// Offset of the inode in the netlink header and `inet_diag_msg`.
+const DIAG_INODE_OFFSET: usize = 84;
 
 /// Fault of the paths from a process to upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +58,7 @@
     changes: watch::Sender<u64>,
     /// Processes whose connections are told apart.
     processes: Arc<Mutex<Vec<u32>>>,
+    owners: Arc<Mutex<SocketOwners>>,
 }
 
 impl PathProxies {
@@ -72,7 +79,7 @@
                 let listener = TcpListener::from_std(listener).expect("listener is registered");
                 loop {
                     if let Ok((client, from)) = listener.accept().await {
-                        tokio::spawn(proxies.clone().serve(client, from, target));
+                        tokio::spawn(proxies.clone().serve(client, from, addr, target));
                     }
                 }
             });
@@ -107,21 +114,44 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    fn fault_of(&self, pid: Option<u32>, target: SocketAddr) -> Option<PathFault> {
+    /// Returns the fault of a connection. Its process is looked up once there are faults.
+    fn fault_of(&self, path: &Path) -> Option<PathFault> {
+        if lock(&self.faults).is_empty() {
+            return None;
+        }
+        let pid = *path.pid.get_or_init(|| {
+            let processes = lock(&self.processes).clone();
+            let (SocketAddr::V4(from), SocketAddr::V4(to)) = (path.from, path.to) else {
+                return None;
+            };
+            // There is none if the process closed the connection.
+            let inode = socket_inode(from, to).ok()?;
+            lock(&self.owners).find(inode, &processes, path.opened_at)
+        });
         let faults = lock(&self.faults);
         let of_process = faults.get(&pid?)?;
+        let target = path.target;
         let targets = of_process.targets.as_ref();
         let concerns = targets.is_none_or(|targets| targets.contains(&target));
         concerns.then_some(of_process.fault)
     }
 
-    async fn serve(self, client: TcpStream, from: SocketAddr, target: SocketAddr) {
-        let processes = lock(&self.processes).clone();
-        let pid = process_of(from, &processes);
-        if matches!(
-            self.fault_of(pid, target),
-            Some(PathFault::Reset | PathFault::RefuseNew)
-        ) {
+    async fn serve(
+        self,
+        client: TcpStream,
+        from: SocketAddr,
+        addr: SocketAddr,
+        target: SocketAddr,
+    ) {
+        let path = Path {
+            proxies: self,
+            from,
+            to: addr,
+            opened_at: Instant::now(),
+            pid: OnceLock::new(),
+            target,
+        };
+        if matches!(path.fault(), Some(PathFault::Reset | PathFault::RefuseNew)) {
             reset(&client);
             return;
         }
@@ -129,11 +159,6 @@
             return;
         };
         let _nodelay_result = (client.set_nodelay(true), server.set_nodelay(true));
-        let path = Path {
-            proxies: self,
-            pid,
-            target,
-        };
         let client_socket = SockRef::from(&client).try_clone();
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = server.into_split();
@@ -150,13 +175,19 @@
 /// Path of one connection.
 struct Path {
     proxies: PathProxies,
-    pid: Option<u32>,
+    /// Address of the process that opened the connection.
+    from: SocketAddr,
+    /// Address of the proxy.
+    to: SocketAddr,
+    opened_at: Instant,
+    /// The process; `None` if it is none of those that are told apart.
+    pid: OnceLock<Option<u32>>,
     target: SocketAddr,
 }
 
 impl Path {
     fn fault(&self) -> Option<PathFault> {
-        self.proxies.fault_of(self.pid, self.target)
+        self.proxies.fault_of(self)
     }
 
     /// Copies data until the connection ends; returns whether a fault resets it.
@@ -191,31 +222,81 @@
     let _linger_result = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// Returns which of these processes has the socket at `addr`.
-fn process_of(addr: SocketAddr, processes: &[u32]) -> Option<u32> {
-    let inode = socket_inode(addr)?;
-    let link = format!("socket:[{inode}]");
-    let owns = |pid: &u32| has_descriptor(*pid, &link).unwrap_or(false);
-    processes.iter().copied().find(owns)
+/// The process of each socket inode, for the processes that are told apart.
+#[derive(Debug, Default)]
+struct SocketOwners {
+    scan_began: Option<Instant>,
+    by_inode: HashMap<u64, u32>,
+}
+
+impl SocketOwners {
+    /// Returns which of these processes has a socket, as found by a scan that began after `since`.
+    fn find(&mut self, inode: u64, processes: &[u32], since: Instant) -> Option<u32> {
+        let known = self.by_inode.get(&inode).copied();
+        if known.is_some() || self.scan_began.is_some_and(|began| began >= since) {
+            return known;
+        }
+        self.scan_began = Some(Instant::now());
+        self.by_inode = scan(processes);
+        self.by_inode.get(&inode).copied()
+    }
+}
+
+/// Returns the processes that have sockets, by inode.
+fn scan(processes: &[u32]) -> HashMap<u64, u32> {
+    let mut by_inode = HashMap::new();
+    for pid in processes {
+        // A process that has ended has no sockets.
+        let descriptors = fs::read_dir(format!("/proc/{pid}/fd"));
+        for descriptor in descriptors.into_iter().flatten() {
+            let link = descriptor.and_then(|entry| fs::read_link(entry.path()));
+            let link = link.map(|link| link.to_string_lossy().into_owned());
+            let inode = link.ok().and_then(|link| parse_inode(&link));
+            by_inode.extend(inode.map(|inode| (inode, *pid)));
+        }
+    }
+    by_inode
 }
 
-fn socket_inode(addr: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(addr) = addr else {
-        return None;
-    };
-    let ip = u32::from_ne_bytes(Ipv4Addr::octets(addr.ip()));
-    let local = format!("{ip:08X}:{:04X}", addr.port());
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let lines = table.lines().map(|line| line.split_whitespace());
-    let mut lines = lines.map(|fields| fields.collect::<Vec<_>>());
-    let line = lines.find(|fields| fields.get(LOCAL_ADDR_FIELD) == Some(&local.as_str()))?;
-    line.get(INODE_FIELD).map(|inode| (*inode).to_owned())
+fn parse_inode(link: &str) -> Option<u64> {
+    let inode = link.strip_prefix("socket:[")?.strip_suffix(']')?;
+    inode.parse().ok()
 }
 
-fn has_descriptor(pid: u32, link: &str) -> io::Result<bool> {
-    let descriptors = fs::read_dir(format!("/proc/{pid}/fd"))?;
-    let mut links = descriptors.filter_map(|entry| fs::read_link(entry.ok()?.path()).ok());
-    Ok(links.any(|target| target.to_string_lossy() == link))
+/// Returns the inode of the TCP socket that is bound to `local` and connected to `remote`, by a query of the kernel's
+/// socket diagnostics.
+fn socket_inode(local: SocketAddrV4, remote: SocketAddrV4) -> io::Result<u64> {
+    let mut request = Vec::with_capacity(DIAG_REQUEST_BYTES);
+    request.extend((DIAG_REQUEST_BYTES as u32).to_ne_bytes());
+    request.extend(SOCK_DIAG_BY_FAMILY.to_ne_bytes());
+    request.extend(NLM_F_REQUEST.to_ne_bytes());
+    // Sequence number and port of the sender.
+    request.extend([0; 8]);
+    request.extend([AF_INET, IPPROTO_TCP, 0, 0]);
+    // All states of connections.
+    request.extend(u32::MAX.to_ne_bytes());
+    request.extend(local.port().to_be_bytes());
+    request.extend(remote.port().to_be_bytes());
+    for addr in [local, remote] {
+        request.extend(addr.ip().octets());
+        // The rest of an IPv6 address.
+        request.extend([0; 12]);
+    }
+    // Any interface, and no cookie.
+    request.extend([0; 4]);
+    request.extend([u8::MAX; 8]);
+    let mut socket = Socket::new(
+        Domain::from(AF_NETLINK),
+        Type::RAW,
+        Some(Protocol::from(NETLINK_SOCK_DIAG)),
+    )?;
+    socket.send(&request)?;
+    let mut response = [0; 512];
+    let length = socket.read(&mut response)?;
+    let inode = response[..length].get(DIAG_INODE_OFFSET..DIAG_INODE_OFFSET + 4);
+    let inode = inode.and_then(|bytes| bytes.try_into().ok());
+    let inode = inode.ok_or_else(|| io::Error::other("no such socket"))?;
+    Ok(u32::from_ne_bytes(inode).into())
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
