--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -16,6 +16,7 @@
 
 use crate::dialect::RequestMetadata;
 use crate::error_response::ErrorReason;
+use crate::handover::HandedOver;
 use crate::job::{self, Job};
 use crate::log::Trace;
 use crate::relay_buffer::{BodyRead, RelayBuffers};
@@ -55,7 +56,14 @@
     let seed = job::request_seed(&metadata);
     let pool = route.pool(seed).ok_or(ErrorReason::NoUpstream)?.clone();
     let side = gateway.rollout_side(&pool, metadata.session, seed);
-    let budget_ms = metadata.budget_ms.unwrap_or(route.timeout_ms);
+    let handed_over = head.extensions.get::<Arc<HandedOver>>().cloned();
+    let elapsed_ms = handed_over.as_ref().map_or(0, |handed| handed.elapsed_ms);
+    let arrived_ms = arrived_ms.saturating_sub(elapsed_ms);
+    let stated_ms = match &handed_over {
+        Some(handed) => handed.budget_ms,
+        None => metadata.budget_ms,
+    };
+    let budget_ms = stated_ms.unwrap_or(route.timeout_ms);
     let deadline_ms = arrived_ms + budget_ms.min(route.timeout_ms);
     let fingerprint = Fingerprint::of(&RequestContent {
         method: head.method.as_str(),
@@ -89,6 +97,7 @@
         deadline_ms,
         side,
         seed,
+        handed_over,
         fingerprint,
     })
 }
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -16,29 +16,73 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use crate::connection::{Connection, SendError, keep_alive_ms};
+use crate::connection::{self, Connection, SendError, keep_alive_ms};
 use crate::dialect::{ForwardMetadata, ResponseMetadata};
+use crate::handover::HandoverGuard;
 use crate::job::Job;
 use crate::liveness;
 use crate::log::Trace;
 use crate::state::{Gateway, Suspicion};
 
-/// Guard for a request at an upstream. It counts towards the upstream's load until it is dropped, and owns the
-/// connection.
+/// Time limit for opening a connection where another box can serve the request instead.
+const HANDOVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Guard for a request at an upstream or at another box. It counts towards the load there until it is dropped, and owns
+/// the connection.
 pub struct InFlightRequest {
     gateway: Arc<Gateway>,
-    pub upstream: Arc<UpstreamRecord>,
+    place: Place,
     connection: Option<Connection>,
+}
+
+/// Where a request is in progress.
+enum Place {
+    Upstream(Run),
+    /// Another box, which does all accounting.
+    Box(HandoverGuard),
+}
+
+/// The run of a request at an upstream.
+struct Run {
+    upstream: Arc<UpstreamRecord>,
     estimate: Estimate,
     band: Band,
     is_prefilled: bool,
     key: RunKey,
     /// Whether the request was sent and its run at the upstream has not ended.
     is_running: bool,
+    /// Whether the request counts as using the path to the upstream.
+    uses_path: bool,
     /// Whether the response is dropped for that of another upstream.
     is_discarded: bool,
 }
 
+impl Run {
+    fn remaining_work_ms(&self) -> f64 {
+        if self.is_prefilled {
+            self.estimate.decode_ms
+        } else {
+            self.estimate.total_ms()
+        }
+    }
+
+    fn end(&mut self, gateway: &Gateway, end: RunEnd) {
+        if std::mem::take(&mut self.is_running) {
+            gateway.record_run_end(&self.upstream.id, self.key, end);
+        }
+    }
+
+    /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
+    fn lose(&mut self, gateway: &Arc<Gateway>) {
+        if std::mem::take(&mut self.is_running) {
+            gateway.record_lost_run(&self.upstream, self.key);
+        }
+        gateway.record_broken_connection(self.key.fingerprint);
+        gateway.suspect_path(&self.upstream.id);
+        liveness::probe(gateway, &self.upstream);
+    }
+}
+
 impl InFlightRequest {
     fn new(
         gateway: Arc<Gateway>,
@@ -50,75 +94,105 @@
         gateway.with_load(&upstream.id, |load, _| {
             load.begin(band, estimate.total_ms());
         });
-        Self {
-            gateway,
+        let run = Run {
             upstream,
-            connection: None,
             estimate,
             band,
             is_prefilled: false,
             key,
             is_running: false,
+            uses_path: false,
             is_discarded: false,
+        };
+        Self {
+            gateway,
+            place: Place::Upstream(run),
+            connection: None,
+        }
+    }
+
+    /// Creates the guard for a request that is handed over to another box.
+    pub fn at_box(gateway: Arc<Gateway>, guard: HandoverGuard) -> Self {
+        Self {
+            gateway,
+            place: Place::Box(guard),
+            connection: None,
+        }
+    }
+
+    /// The upstream; `None` if the request is at another box.
+    pub fn upstream(&self) -> Option<&Arc<UpstreamRecord>> {
+        match &self.place {
+            Place::Upstream(run) => Some(&run.upstream),
+            Place::Box(_) => None,
+        }
+    }
+
+    /// Id of the upstream, or name of the other box.
+    pub fn place(&self) -> &Name {
+        match &self.place {
+            Place::Upstream(run) => &run.upstream.id,
+            Place::Box(guard) => guard.helper(),
         }
     }
 
+    /// Sets the connection that carries the request.
+    pub fn set_connection(&mut self, connection: Connection) -> &mut Connection {
+        self.connection.insert(connection)
+    }
+
     /// Records that the request is being sent.
     fn record_sent(&mut self) {
-        self.is_running = true;
-        self.gateway.record_run_start(&self.upstream.id, self.key);
+        if let Place::Upstream(run) = &mut self.place {
+            run.is_running = true;
+            self.gateway.record_run_start(&run.upstream.id, run.key);
+            if !std::mem::replace(&mut run.uses_path, true) {
+                self.gateway.begin_path_use(&run.upstream.id);
+            }
+        }
+    }
+
+    /// Records that data arrived.
+    pub fn record_contact(&self) {
+        if let Place::Upstream(run) = &self.place {
+            self.gateway.record_contact(&run.upstream.id);
+        }
     }
 
     /// Records that the upstream does not run the request any more.
     pub fn settle(&mut self) {
-        self.end_run(RunEnd::Settled);
+        if let Place::Upstream(run) = &mut self.place {
+            run.end(&self.gateway, RunEnd::Settled);
+        }
     }
 
     /// Records that the response is not needed, because that of another upstream is relayed. Responses are discarded
     /// often, so their upstreams are not watched for it.
     pub fn discard(&mut self) {
-        self.is_discarded = true;
+        if let Place::Upstream(run) = &mut self.place {
+            run.is_discarded = true;
+        }
     }
 
     /// Records that the complete response arrived. A failure does not clear the request of suspicion, as the upstream
     /// may never have begun to run it.
     pub fn complete(&mut self, is_success: bool) {
         self.settle();
-        if is_success {
-            self.gateway.record_run_completion(self.key.fingerprint);
+        if let Place::Upstream(run) = &self.place
+            && is_success
+        {
+            self.gateway.record_run_completion(run.key.fingerprint);
         }
     }
 
-    fn end_run(&mut self, end: RunEnd) {
-        if std::mem::take(&mut self.is_running) {
-            let id = &self.upstream.id;
-            self.gateway.record_run_end(id, self.key, end);
-        }
-    }
-
-    /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
-    fn lose_run(&mut self) {
-        if std::mem::take(&mut self.is_running) {
-            self.gateway.record_lost_run(&self.upstream, self.key);
-        }
-        self.gateway.record_broken_connection(self.key.fingerprint);
-        liveness::probe(&self.gateway, &self.upstream);
-    }
-
     /// Records that the upstream has prefilled the prompt, as its response has begun.
     fn record_prefilled(&mut self) {
-        self.is_prefilled = true;
-        let prefilled_ms = self.estimate.prefill_ms;
-        let id = &self.upstream.id;
-        self.gateway
-            .with_load(id, |load, _| load.progress(self.band, prefilled_ms));
-    }
-
-    fn remaining_work_ms(&self) -> f64 {
-        if self.is_prefilled {
-            self.estimate.decode_ms
-        } else {
-            self.estimate.total_ms()
+        if let Place::Upstream(run) = &mut self.place {
+            run.is_prefilled = true;
+            let (band, prefilled_ms) = (run.band, run.estimate.prefill_ms);
+            self.gateway.with_load(&run.upstream.id, |load, _| {
+                load.progress(band, prefilled_ms)
+            });
         }
     }
 
@@ -126,40 +200,54 @@
     pub fn release_connection(&mut self, keep_alive_ms: Option<u64>) {
         if let (Some(connection), Some(keep_alive_ms)) = (self.connection.take(), keep_alive_ms) {
             let now_ms = self.gateway.clock.now_ms();
-            let channels = &self.gateway.channels;
-            channels.keep(&self.upstream.id, connection, keep_alive_ms, now_ms);
+            let channels = match self.place {
+                Place::Upstream(_) => &self.gateway.channels,
+                Place::Box(_) => &self.gateway.helper_channels,
+            };
+            channels.keep(self.place(), connection, keep_alive_ms, now_ms);
         }
     }
 
     /// Records for the upstream's load statistics whether the request failed.
     pub fn record_outcome(&self, failed: bool) {
-        let id = &self.upstream.id;
-        self.gateway
-            .with_load(id, |load, now_ms| load.record_outcome(failed, now_ms));
+        if let Place::Upstream(run) = &self.place {
+            self.gateway.with_load(&run.upstream.id, |load, now_ms| {
+                load.record_outcome(failed, now_ms)
+            });
+        }
     }
 
     /// Records that the connection broke, and probes whether the upstream itself has terminated.
     pub fn record_broken_connection(&mut self) {
         self.record_outcome(true);
-        self.lose_run();
+        if let Place::Upstream(run) = &mut self.place {
+            run.lose(&self.gateway);
+        }
     }
 }
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        let run = match &mut self.place {
+            Place::Upstream(run) => run,
+            Place::Box(guard) => return guard.end(&self.gateway),
+        };
         // The connection may have broken while a set-aside response was not being read, or just before the caller left.
-        if self.is_running && self.connection.as_ref().is_some_and(Connection::is_closed) {
-            self.lose_run();
+        if run.is_running && self.connection.as_ref().is_some_and(Connection::is_closed) {
+            run.lose(&self.gateway);
         }
-        if self.is_running {
-            self.end_run(RunEnd::Cancelled);
-            if !self.is_discarded {
-                liveness::watch_cancelled(&self.gateway, &self.upstream);
+        if run.is_running {
+            run.end(&self.gateway, RunEnd::Cancelled);
+            if !run.is_discarded {
+                liveness::watch_cancelled(&self.gateway, &run.upstream);
             }
         }
-        let remaining_ms = self.remaining_work_ms();
-        self.gateway.with_load(&self.upstream.id, |load, _| {
-            load.end(self.band, remaining_ms);
+        if run.uses_path {
+            self.gateway.end_path_use(&run.upstream.id);
+        }
+        let remaining_ms = run.remaining_work_ms();
+        self.gateway.with_load(&run.upstream.id, |load, _| {
+            load.end(run.band, remaining_ms);
         });
     }
 }
@@ -262,9 +350,15 @@
         gateway.count_workspace_work(job, estimate, sent_at_ms);
         let limit = Duration::from_millis(options.head_timeout_ms);
         let mut replaced = gateway.watch_replacement(&upstream.id);
-        let connection = in_flight.connection.insert(connection);
+        let mut path = gateway.watch_path(&upstream.id);
+        let connection = in_flight.set_connection(connection);
         let result = tokio::select! {
             result = timeout(limit, connection.send(request)) => result,
+            () = path.hangs(gateway), if job.route.kind.is_repeatable() => {
+                trace.fail("path_hangs", json!({"upstream": upstream.id}));
+                count_attempt(gateway, job, "lost");
+                return AttemptOutcome::Lost;
+            }
             () = replaced.replaced(gateway) => {
                 in_flight.record_broken_connection();
                 trace.fail("upstream_replaced", json!({"upstream": upstream.id}));
@@ -278,8 +372,9 @@
                     response,
                     after_ms: gateway.clock.now_ms() - sent_at_ms,
                     forecast: options.forecast,
+                    band,
                 };
-                let outcome = classify_response(gateway, job, in_flight, head, trace);
+                let outcome = classify_response(gateway, job, upstream, in_flight, head, trace);
                 if matches!(outcome, AttemptOutcome::NotRun { .. }) {
                     gateway.retract_workspace_work(job, estimate, sent_at_ms);
                 }
@@ -321,19 +416,26 @@
 
 /// Opens a connection, or records and logs the failure.
 async fn connect(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     job: &Job,
     upstream: &UpstreamRecord,
     trace: &mut Trace,
 ) -> Option<Connection> {
-    match Connection::open(upstream.addr).await {
+    let limit = if job.may_be_handed_over(gateway) {
+        HANDOVER_CONNECT_TIMEOUT
+    } else {
+        connection::CONNECT_TIMEOUT
+    };
+    match Connection::open_within(upstream.addr, limit).await {
         Ok(connection) => Some(connection),
         Err(e) => {
             let detail = json!({"upstream": upstream.id, "error": e.to_string()});
             trace.fail("connect_failed", detail);
-            if e.kind() == io::ErrorKind::ConnectionRefused {
+            // With other boxes, the check of the path finds out whether the upstream terminated.
+            if e.kind() == io::ErrorKind::ConnectionRefused && gateway.peers.peer_count() == 0 {
                 gateway.record_upstream_termination(upstream);
             }
+            gateway.suspect_path(&upstream.id);
             gateway.with_load(&upstream.id, |load, now_ms| {
                 load.record_connection_failure(now_ms)
             });
@@ -350,12 +452,15 @@
     after_ms: u64,
     /// Forecast of this time.
     forecast: Option<Forecast>,
+    /// Band of the request.
+    band: Band,
 }
 
 /// Records the head of a response and decides whether the response is usable.
 fn classify_response(
     gateway: &Arc<Gateway>,
     job: &Job,
+    record: &UpstreamRecord,
     mut in_flight: InFlightRequest,
     head: Head,
     trace: &mut Trace,
@@ -364,16 +469,18 @@
         response,
         after_ms: head_after_ms,
         forecast,
+        band,
     } = head;
     let status = response.status().as_u16();
-    gateway.note_unread_headers(&in_flight.upstream.id, response.headers());
+    gateway.note_unread_headers(&record.id, response.headers());
     let metadata = gateway
         .dialect
         .response_metadata(status, response.headers());
     let keep_alive_ms = keep_alive_ms(response.headers());
     let is_framed = is_framed(response.headers());
+    in_flight.record_contact();
     in_flight.record_prefilled();
-    let upstream: &Name = &in_flight.upstream.id.clone();
+    let upstream: &Name = &record.id;
     let is_genuine = !metadata.not_run && is_response_to(job, &metadata, status);
     let statement = Statement {
         response_time_ms: is_genuine.then_some(head_after_ms),
@@ -400,7 +507,7 @@
     }
     if metadata.not_run {
         trace.fail("upstream_refused", detail);
-        let slots = in_flight.upstream.slots;
+        let slots = record.slots;
         gateway.record_room_refusal(&job.pool, upstream, statement.load, slots);
         in_flight.settle();
         in_flight.record_outcome(true);
@@ -419,12 +526,7 @@
     gateway.record_room_answer(&job.pool, head_after_ms);
     count_attempt(gateway, job, "answered");
     if let Some(forecast) = forecast.filter(|_| response.status().is_success()) {
-        gateway.record_forecast(
-            &in_flight.upstream,
-            in_flight.band,
-            &forecast,
-            head_after_ms,
-        );
+        gateway.record_forecast(record, band, &forecast, head_after_ms);
     }
     AttemptOutcome::Answered(Box::new(Reply {
         response,
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -47,7 +47,7 @@
     let (mut head, body) = response.into_parts();
     let left_ms = job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     let limit = Duration::from_millis(left_ms);
-    let upstream = in_flight.upstream.id.clone();
+    let upstream = in_flight.place().clone();
     let buffer = job.open_buffer(gateway.relay_buffers.as_ref());
     let mut replaced = gateway.watch_replacement(&upstream);
     let body = tokio::select! {
@@ -74,6 +74,7 @@
             return Err(upstream);
         }
     };
+    in_flight.record_contact();
     in_flight.complete(is_framed && head.status.is_success());
     in_flight.release_connection(keep_alive_ms);
     strip_hop_by_hop(&mut head.headers);
@@ -89,7 +90,9 @@
     }
     // Statuses such as 429 and 503 tell the caller that the request was not run. Only the
     // upstream's own statement establishes that, and it was evaluated earlier.
-    if is_not_run_status(head.status.as_u16()) {
+    // Another box states it too.
+    let is_at_upstream = in_flight.upstream().is_some();
+    if is_at_upstream && is_not_run_status(head.status.as_u16()) {
         return Ok(ErrorReason::ResponseLost.into_response(false));
     }
     let bytes = match &buffer {
--- a/crates/ivyweir-gateway/src/canary.rs
+++ b/crates/ivyweir-gateway/src/canary.rs
@@ -9,6 +9,9 @@
 
 /// Records the head of a response for its upstream and version. A stream that did not fail is sampled later.
 pub fn record_head(gateway: &Gateway, job: &Job, reply: &Reply, model: usize) {
+    let Some(upstream) = reply.in_flight.upstream() else {
+        return;
+    };
     let failed = reply.response.status().is_server_error();
     reply.in_flight.record_outcome(failed);
     if reply.response.status().is_success() {
@@ -16,7 +19,7 @@
     }
     if failed || !job.route.kind.is_stream() {
         let sample = AnswerSample {
-            upstream: &reply.in_flight.upstream.id,
+            upstream: &upstream.id,
             failed,
             is_final: true,
             lane: job.lane(model),
@@ -26,7 +29,7 @@
             running: reply.metadata.running(),
             queue: reply.metadata.waiting_per_running(),
         };
-        record_sample(gateway, job, &reply.in_flight.upstream, &sample);
+        record_sample(gateway, job, upstream, &sample);
     }
 }
 
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -20,7 +20,7 @@
 
 /// Time limit for opening a connection. A lost SYN is retransmitted only after 1 s, so a new attempt
 /// succeeds sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which the kernel closes a connection with unacknowledged data (`TCP_USER_TIMEOUT`).
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keepalive probe.
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -5,9 +5,11 @@
 //! Implementations are stateless and make no decisions.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request};
 use ivyweir_policy::Name;
@@ -356,6 +358,10 @@
     /// Reads the metadata of an upstream's response.
     fn response_metadata(&self, status: u16, headers: &HeaderMap) -> ResponseMetadata;
 
+    /// Builds a request without effect, by which an upstream at `addr` is found to respond; `None` if there is none for
+    /// upstreams of this kind.
+    fn ping(&self, is_engine: bool, addr: SocketAddr) -> Option<Request<Full<Bytes>>>;
+
     /// Returns the response headers that have one of the dialect's prefixes but are not read by
     /// [`response_metadata`](Self::response_metadata).
     fn unread_headers<'h>(&self, headers: &'h HeaderMap) -> Vec<&'h HeaderName>;
--- a/crates/ivyweir-gateway/src/error_response.rs
+++ b/crates/ivyweir-gateway/src/error_response.rs
@@ -148,6 +148,7 @@
             response = response.header(header::CONNECTION, "close");
         }
         response
+            .extension(self)
             .body(full_body(body))
             .expect("invariant: status and headers are valid")
     }
--- /dev/null
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -0,0 +1,374 @@
+//! Hands requests over to another box, where this one has no path to the upstreams, and serves those of other boxes.
+//!
+//! A request is handed over as the caller sent it, so the other box makes all decisions and counts it. It is never
+//! handed over again. The connection between the boxes carries one request at a time: if it ends, the other box cancels
+//! the request.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::helpers::Declined;
+use serde_json::json;
+use tokio::time::timeout;
+
+use crate::attempt::{AttemptOutcome, InFlightRequest, Reply};
+use crate::connection::{Connection, SendError, keep_alive_ms};
+use crate::error_response::ErrorReason;
+use crate::job::Job;
+use crate::log::Trace;
+use crate::pipeline;
+use crate::response::{ResponseBody, status_only};
+use crate::state::Gateway;
+
+/// HTTP path of requests that are handed over.
+pub const HANDOVER_PATH: &str = "/peer/request";
+/// Method of the caller's request.
+const METHOD: HeaderName = HeaderName::from_static("ivyweir-peer-method");
+/// URI of the caller's request, in origin form.
+const URI: HeaderName = HeaderName::from_static("ivyweir-peer-uri");
+/// Time for which the caller waits, from the arrival of its request.
+const BUDGET_MS: HeaderName = HeaderName::from_static("ivyweir-peer-budget-ms");
+/// Time since the arrival of the caller's request.
+const ELAPSED_MS: HeaderName = HeaderName::from_static("ivyweir-peer-elapsed-ms");
+/// Number of upstreams that the request was sent to before.
+const SENDS: HeaderName = HeaderName::from_static("ivyweir-peer-sends");
+/// Index of the model, from the smallest, if the other box is not to choose it.
+const MODEL: HeaderName = HeaderName::from_static("ivyweir-peer-model");
+/// Whether the box that hands the request over has counted it.
+const COUNTED: HeaderName = HeaderName::from_static("ivyweir-peer-counted");
+/// Whether the box served the request, in the response.
+const OUTCOME: HeaderName = HeaderName::from_static("ivyweir-peer-outcome");
+const SERVED: &str = "served";
+const BUSY: &str = "busy";
+const UNABLE: &str = "unable";
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Time limit for a connection to another box.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Number of boxes that are asked to serve a request.
+const MAX_HELPERS: usize = 5;
+/// Time for which an idle connection to another box is kept.
+const KEEP_ALIVE_MS: u64 = 4_000;
+/// Requests of other boxes that a box with a whole core serves at once.
+const MAX_ACCEPTED_PER_CORE: f64 = 1_024.0;
+/// Lower bound of that number.
+const MIN_ACCEPTED: u64 = 64;
+
+/// A request that another box handed over.
+#[derive(Debug)]
+pub struct HandedOver {
+    /// Time for which the caller waits, from the arrival of its request.
+    pub budget_ms: Option<u64>,
+    /// Time since the arrival of the caller's request.
+    pub elapsed_ms: u64,
+    /// Number of upstreams that the request was sent to before.
+    pub sends: u32,
+    /// Whether the other box has counted the request.
+    pub is_counted: bool,
+    /// Index of the model, from the smallest, if this box is not to choose it.
+    pub model: Option<usize>,
+    /// Requests of other boxes that this box is serving.
+    accepted: Arc<AtomicU64>,
+}
+
+impl Drop for HandedOver {
+    fn drop(&mut self) {
+        self.accepted.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request that was handed over while it is in progress.
+#[derive(Debug)]
+pub struct HandoverGuard {
+    helper: Name,
+    pool: Name,
+}
+
+impl HandoverGuard {
+    /// Records the end of the request.
+    pub fn end(&self, gateway: &Gateway) {
+        gateway.with_helpers(&self.pool, |helpers| helpers.end_request(&self.helper));
+    }
+
+    /// Name of the box that serves the request.
+    pub fn helper(&self) -> &Name {
+        &self.helper
+    }
+}
+
+/// State of a request when it is handed over.
+#[derive(Debug, Clone, Copy)]
+pub struct HandoverOptions {
+    /// Number of upstreams that the request was sent to before.
+    pub sends: u32,
+    /// Whether this box has counted the request.
+    pub is_counted: bool,
+    /// Index of the model, from the smallest, if the other box is not to choose it.
+    pub model: Option<usize>,
+    /// Id of the event after which a stream resumes.
+    pub resume_after: Option<u64>,
+    /// Time limit for the head of the response.
+    pub head_timeout_ms: u64,
+}
+
+/// Asks other boxes to serve a request, one after another, until one accepts it.
+pub async fn send(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    options: HandoverOptions,
+    trace: &mut Trace,
+) -> AttemptOutcome {
+    let mut tried = Vec::new();
+    while tried.len() < MAX_HELPERS {
+        let seed = rand::random();
+        let Some(helper) = gateway.choose_helper(&job.pool, &tried, seed) else {
+            break;
+        };
+        let outcome = send_to(gateway, job, &helper, options, trace).await;
+        let label = match outcome {
+            AttemptOutcome::Answered(_) => "answered",
+            AttemptOutcome::NotRun { .. } => "declined",
+            AttemptOutcome::Lost => "lost",
+        };
+        gateway.metrics.handovers.with_label_values(&[label]).inc();
+        if !matches!(outcome, AttemptOutcome::NotRun { .. }) {
+            return outcome;
+        }
+        tried.push(helper);
+    }
+    trace.step("no_helper", json!({"asked": tried}));
+    AttemptOutcome::NotRun { arrived: false }
+}
+
+async fn send_to(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    helper: &Name,
+    options: HandoverOptions,
+    trace: &mut Trace,
+) -> AttemptOutcome {
+    const NOT_RUN: AttemptOutcome = AttemptOutcome::NotRun { arrived: false };
+    let Some(addr) = gateway.peers.addr_of(helper) else {
+        return NOT_RUN;
+    };
+    let now_ms = || gateway.clock.now_ms();
+    let decline = |why| {
+        gateway.with_helpers(&job.pool, |helpers| {
+            helpers.record_declined(helper, why, now_ms());
+        });
+    };
+    let mut pooled = gateway.helper_channels.take(helper, gateway.clock.now_ms());
+    gateway.with_helpers(&job.pool, |helpers| helpers.begin_request(helper));
+    let guard = HandoverGuard {
+        helper: helper.clone(),
+        pool: job.pool.clone(),
+    };
+    let mut in_flight = InFlightRequest::at_box(gateway.clone(), guard);
+    let sent_at_ms = gateway.clock.now_ms();
+    let limit = Duration::from_millis(options.head_timeout_ms);
+    loop {
+        let is_pooled = pooled.is_some();
+        let connection = match pooled.take() {
+            Some(connection) => connection,
+            None => match Connection::open_within(addr, CONNECT_TIMEOUT).await {
+                Ok(connection) => connection,
+                Err(_) => {
+                    decline(Declined::Unavailable);
+                    return NOT_RUN;
+                }
+            },
+        };
+        let request = request(gateway, job, options);
+        let connection = in_flight.set_connection(connection);
+        let response = match timeout(limit, connection.send(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent)) if is_pooled => continue,
+            Ok(Err(SendError::NotSent)) => {
+                decline(Declined::Unavailable);
+                return NOT_RUN;
+            }
+            Ok(Err(SendError::ResponseLost(e))) => {
+                decline(Declined::Unavailable);
+                trace.fail(
+                    "handover_lost",
+                    json!({"box": helper, "error": e.to_string()}),
+                );
+                return AttemptOutcome::Lost;
+            }
+            Err(_) => {
+                decline(Declined::Unavailable);
+                trace.fail("handover_late", json!({"box": helper}));
+                return AttemptOutcome::Lost;
+            }
+        };
+        let outcome = response.headers().get(&OUTCOME);
+        match outcome.and_then(|value| value.to_str().ok()) {
+            Some(SERVED) => gateway.with_helpers(&job.pool, |helpers| {
+                helpers.record_accepted(helper, now_ms());
+            }),
+            Some(BUSY) => {
+                decline(Declined::Busy);
+                return NOT_RUN;
+            }
+            Some(_) => {
+                decline(Declined::Unable);
+                return NOT_RUN;
+            }
+            // A box that stops, or whose build does not know such requests.
+            None => {
+                decline(Declined::Unavailable);
+                return NOT_RUN;
+            }
+        }
+        let status = response.status().as_u16();
+        trace.step("handed_over", json!({"box": helper, "status": status}));
+        return AttemptOutcome::Answered(Box::new(reply(gateway, response, in_flight, sent_at_ms)));
+    }
+}
+
+fn reply(
+    gateway: &Gateway,
+    mut response: Response<Incoming>,
+    in_flight: InFlightRequest,
+    sent_at_ms: u64,
+) -> Reply {
+    let status = response.status().as_u16();
+    response.headers_mut().remove(&OUTCOME);
+    let metadata = gateway
+        .dialect
+        .response_metadata(status, response.headers());
+    Reply {
+        metadata,
+        in_flight,
+        keep_alive_ms: keep_alive_ms(response.headers()).map(|ms| ms.min(KEEP_ALIVE_MS)),
+        is_framed: true,
+        head_after_ms: gateway.clock.now_ms() - sent_at_ms,
+        response,
+    }
+}
+
+/// Builds the request to the other box.
+fn request(gateway: &Gateway, job: &Job, options: HandoverOptions) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(HANDOVER_PATH);
+    let headers = request.headers_mut();
+    *headers = job.head.headers.clone();
+    let uri = job.head.uri.to_string();
+    set(headers, METHOD, Some(job.head.method.as_str()));
+    set(headers, URI, Some(&uri));
+    set_number(headers, BUDGET_MS, job.metadata.budget_ms);
+    let elapsed_ms = gateway.clock.now_ms().saturating_sub(job.arrived_ms);
+    set_number(headers, ELAPSED_MS, Some(elapsed_ms));
+    set_number(headers, SENDS, Some(options.sends.into()));
+    set_number(headers, MODEL, options.model.map(|model| model as u64));
+    set_number(headers, COUNTED, Some(options.is_counted.into()));
+    if options.resume_after.is_some() {
+        set_number(headers, LAST_EVENT_ID, options.resume_after);
+    }
+    let key = job.metadata.key.as_ref().map(|key| format!("Bearer {key}"));
+    set(headers, header::AUTHORIZATION, key.as_deref());
+    request
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
+    match value.and_then(|value| HeaderValue::from_str(value).ok()) {
+        Some(value) => drop(headers.insert(name, value)),
+        None => drop(headers.remove(name)),
+    }
+}
+
+fn set_number(headers: &mut HeaderMap, name: HeaderName, value: Option<u64>) {
+    match value {
+        Some(value) => drop(headers.insert(name, HeaderValue::from(value))),
+        None => drop(headers.remove(name)),
+    }
+}
+
+/// Handles a request that another box hands over.
+pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let Some((request, handed_over)) = accept(&gateway, request) else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let accepted = gateway.accepted_handovers.load(Ordering::Relaxed);
+    if accepted > max_accepted(&gateway) {
+        return declined(BUSY);
+    }
+    if gateway.may_be_cut_off() {
+        return declined(UNABLE);
+    }
+    let mut request = request;
+    request.extensions_mut().insert(Arc::new(handed_over));
+    let mut response = pipeline::handle(gateway, request).await;
+    let outcome = match response.extensions().get::<ErrorReason>() {
+        Some(reason) if is_local(*reason) => UNABLE,
+        _ => SERVED,
+    };
+    let outcome = HeaderValue::from_static(outcome);
+    response.headers_mut().insert(OUTCOME, outcome);
+    response
+}
+
+/// Restores the caller's request, and counts it as accepted.
+fn accept(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+) -> Option<(Request<Incoming>, HandedOver)> {
+    let (mut head, body) = request.into_parts();
+    let mut take = |name: HeaderName| {
+        let value = head.headers.remove(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let number = |value: Option<String>| value?.parse::<u64>().ok();
+    let method = take(METHOD)?;
+    let uri = take(URI)?;
+    let budget_ms = number(take(BUDGET_MS));
+    let elapsed_ms = number(take(ELAPSED_MS))?;
+    let sends = number(take(SENDS))?;
+    let is_counted = number(take(COUNTED))? != 0;
+    let model = number(take(MODEL)).and_then(|model| usize::try_from(model).ok());
+    head.method = method.parse().ok()?;
+    head.uri = uri.parse().ok()?;
+    gateway.accepted_handovers.fetch_add(1, Ordering::Relaxed);
+    let handed_over = HandedOver {
+        budget_ms,
+        elapsed_ms,
+        sends: u32::try_from(sends).ok()?,
+        is_counted,
+        model,
+        accepted: gateway.accepted_handovers.clone(),
+    };
+    Some((Request::from_parts(head, body), handed_over))
+}
+
+/// Number of requests of other boxes that this box serves at once.
+fn max_accepted(gateway: &Gateway) -> u64 {
+    let cores = gateway.settings.machine.cpu_share;
+    ((cores * MAX_ACCEPTED_PER_CORE) as u64).max(MIN_ACCEPTED)
+}
+
+fn declined(outcome: &'static str) -> Response<ResponseBody> {
+    let mut response = status_only(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    response
+}
+
+/// Whether another box may serve a request that this one refuses for this reason.
+fn is_local(reason: ErrorReason) -> bool {
+    matches!(
+        reason,
+        ErrorReason::NotCurrent
+            | ErrorReason::Starting
+            | ErrorReason::Stopping
+            | ErrorReason::NoUpstream
+            | ErrorReason::BuffersFull
+    )
+}
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -2,8 +2,12 @@
 //!
 //! The formats of the values are fixed: whole numbers, comma-separated lists and `ID:TOKENS` pairs.
 
-use hyper::HeaderMap;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::statement::{
     DeclaredLimit, ReportedLoad, RetryAfter, Source, Statement,
@@ -19,6 +23,10 @@
 pub struct HeaderNames {
     /// Path of the load balancer's readiness check.
     pub ready_path: &'static str,
+    /// Request target by which an engine is found to respond, `*` for the server as a whole; `None` if there is none.
+    pub engine_ping: Option<&'static str>,
+    /// The same for a plain service.
+    pub service_ping: Option<&'static str>,
     /// Contract that calls for load control and bounded buffers, if the platform has contracts.
     pub load_contract: Option<&'static str>,
     /// Id of one try of a request, on requests and responses.
@@ -67,6 +75,8 @@
 const UNAVAILABLE: u16 = 503;
 /// Value of the leaving header if the upstream is about to leave.
 const LEAVING: &str = "1";
+/// Request target of `OPTIONS` requests that concern the server as a whole.
+const SERVER_TARGET: &str = "*";
 const BEARER: &str = "Bearer ";
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -88,6 +98,25 @@
         self.names.ready_path
     }
 
+    fn ping(&self, is_engine: bool, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
+        let names = &self.names;
+        let target = if is_engine {
+            names.engine_ping
+        } else {
+            names.service_ping
+        }?;
+        let method = if target == SERVER_TARGET {
+            Method::OPTIONS
+        } else {
+            Method::GET
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(target)
+            .header(header::HOST, addr.to_string());
+        request.body(Full::default()).ok()
+    }
+
     fn features(&self, contracts: &[Name]) -> Features {
         let calls_for_load_control = contracts
             .iter()
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -19,8 +19,10 @@
 
 use crate::caller_io::CallerConnection;
 use crate::dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata};
+use crate::handover::HandedOver;
 use crate::relay_buffer::{RelayBuffer, RelayBuffers};
 use crate::settings::Settings;
+use crate::state::Gateway;
 
 /// Hop-by-hop headers that `http` has constants for.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -62,6 +64,8 @@
     pub side: Option<Side>,
     /// Seed for all choices made by hash; see [`request_seed`].
     pub seed: u64,
+    /// Set if another box handed the request over.
+    pub handed_over: Option<Arc<HandedOver>>,
     /// Identifies the request by its content, so that it is the same for all retries.
     pub fingerprint: Fingerprint,
 }
@@ -73,6 +77,11 @@
         workspace_priority.unwrap_or(self.route.priority)
     }
 
+    /// Whether another box can be asked to serve it. A request is handed over once at most.
+    pub fn may_be_handed_over(&self, gateway: &Gateway) -> bool {
+        self.handed_over.is_none() && gateway.peers.peer_count() > 0
+    }
+
     /// Returns the time at which its response is late.
     pub fn target_ms(&self) -> u64 {
         self.arrived_ms + self.route.latency_aim_ms
--- a/crates/ivyweir-gateway/src/larger_model.rs
+++ b/crates/ivyweir-gateway/src/larger_model.rs
@@ -66,7 +66,8 @@
 
 /// Counts the relay of a reply if its confidence is low and there is a larger model.
 pub fn count_relayed(gateway: &Gateway, job: &Job, model: usize, reply: &Reply) {
-    if is_doubtful(gateway, job, model, reply) {
+    let is_at_upstream = reply.in_flight.upstream().is_some();
+    if is_at_upstream && is_doubtful(gateway, job, model, reply) {
         let labels = &[&*job.route.name];
         let relayed = &gateway.metrics.low_confidence_relayed;
         relayed.with_label_values(labels).inc();
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod duties;
 mod error_response;
 mod follow;
+mod handover;
 pub mod headers;
 pub mod history;
 mod job;
@@ -40,6 +41,7 @@
 pub mod message;
 mod metrics;
 pub mod native;
+mod path_check;
 mod peers;
 mod pipeline;
 mod quarantine_sync;
@@ -61,6 +63,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::{Clock, SuspensionDetector};
@@ -178,6 +181,7 @@
     }
     tokio::spawn(rollout_driver::run(gateway.clone()));
     tokio::spawn(quarantine_sync::run(gateway.clone()));
+    tokio::spawn(path_check::monitor(gateway.clone()));
     if let Some(duties) = gateway.settings.duties {
         tokio::spawn(duties::run(gateway.clone(), duties));
     }
@@ -288,6 +292,9 @@
             set_gauge("relay_bytes_limit", figures.limit_bytes);
         }
         set_gauge("requests_active", gateway.active_requests());
+        set_gauge("paths_lost", gateway.is_cut_off().into());
+        let accepted = gateway.accepted_handovers.load(Ordering::Relaxed);
+        set_gauge("handovers_accepted", accepted);
         set_gauge("requests_quarantined", gateway.quarantined().len() as u64);
         set_gauge("log_lines_dropped", gateway.log.dropped());
         (StatusCode::OK, gateway.metrics.text())
--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -1,7 +1,8 @@
 //! Probes an upstream after a connection to it broke, to find out whether its process has terminated.
 //!
 //! A single connection may break while the upstream runs on: the network resets it, or the upstream closes it in the
-//! middle of a response. When the process terminates, all its connections break and nothing listens at its address.
+//! middle of a response. When the process terminates, all its connections break and nothing listens at its address, for
+//! any box.
 //! That takes a moment: until the listener is closed too, the kernel accepts connections to it. The connection that a
 //! probe opened is therefore watched. It breaks when the listener is closed, and the upstream is probed again.
 
@@ -13,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{ClosedSignal, Connection};
+use crate::path_check;
 use crate::state::Gateway;
 
 /// Time for which the connection opened by a probe is kept in the pool. The upstream is up, and another request is
@@ -66,7 +68,7 @@
 }
 
 /// Opens a connection to an upstream, and records the termination of the upstream if nothing listens there.
-async fn probe_once(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
+async fn probe_once(gateway: &Arc<Gateway>, upstream: &UpstreamRecord) -> ProbeResult {
     let (outcome, result) = match Connection::open(upstream.addr).await {
         Ok(connection) => {
             let closed = connection.closed_signal();
@@ -76,8 +78,13 @@
             ("opened", ProbeResult::Opened(closed))
         }
         Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            gateway.record_upstream_termination(upstream);
-            ("refused", ProbeResult::Refused)
+            if path_check::is_terminated(gateway, upstream).await {
+                gateway.record_upstream_termination(upstream);
+                ("refused", ProbeResult::Refused)
+            } else {
+                gateway.suspect_path(&upstream.id);
+                ("inconclusive", ProbeResult::Inconclusive)
+            }
         }
         Err(_) => ("inconclusive", ProbeResult::Inconclusive),
     };
@@ -88,7 +95,7 @@
 
 /// Probes an upstream each time that the connection to it that is known to be open was closed, and at once if none is
 /// known, until it has terminated or no lost run counts as running there any more.
-async fn watch(gateway: &Gateway, upstream: &UpstreamRecord, mut open: Option<ClosedSignal>) {
+async fn watch(gateway: &Arc<Gateway>, upstream: &UpstreamRecord, mut open: Option<ClosedSignal>) {
     let mut pause = Duration::ZERO;
     while let Some(left) = gateway.lost_runs_expire_after(&upstream.id) {
         if let Some(signal) = &mut open
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub upstream_ends: IntCounterVec,
     /// Connections opened to find out whether an upstream terminated, by pool and outcome.
     pub probes: IntCounterVec,
+    /// Requests that were handed over to other boxes, by outcome.
+    pub handovers: IntCounterVec,
     /// Store records that became invalid, by topic and fault. Each is counted once, when it becomes
     /// invalid.
     pub unreadable_records: IntCounterVec,
@@ -102,6 +104,11 @@
             "upstreams that ended while requests were there, by pool",
             &["pool"],
         );
+        let handovers = counter(
+            "ivyweir_handovers_total",
+            "requests handed over to other boxes by outcome",
+            &["outcome"],
+        );
         let probes = counter(
             "ivyweir_probes_total",
             "connections opened to find out whether an upstream terminated, by pool and outcome",
@@ -187,6 +194,7 @@
             unread_headers,
             upstream_ends,
             probes,
+            handovers,
             unreadable_records,
             store_calls,
             duty_calls,
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -22,6 +22,8 @@
 pub fn dialect() -> HeaderDialect {
     HeaderDialect::new(HeaderNames {
         ready_path: "/readyz",
+        engine_ping: Some("*"),
+        service_ping: Some("*"),
         load_contract: Some("pressure"),
         request_id: HeaderName::from_static("ivyweir-request-id"),
         budget_ms: HeaderName::from_static("ivyweir-budget-ms"),
--- /dev/null
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -0,0 +1,258 @@
+//! Checks the paths to suspected upstreams: this box probes them, and asks other boxes to probe those that it does not
+//! reach.
+//!
+//! A box that is cut off from the upstreams detects in this way that they are up, and hands its requests over instead of
+//! waiting for one connection after another.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::reachability::{CheckedPath, PeerProbes, ProbeResult};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use crate::box_call;
+use crate::client::Client;
+use crate::connection::{Connection, keep_alive_ms};
+use crate::response::{self, ResponseBody, status_only};
+use crate::state::Gateway;
+
+/// HTTP path of the request to probe upstreams.
+pub const PROBE_PATH: &str = "/peer/probe";
+/// Time limit for the response of an upstream to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time limit for the results of another box, which includes its probes.
+const PEER_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval at which silent upstreams are looked for and those without a path are probed.
+const MONITOR_INTERVAL: Duration = Duration::from_millis(100);
+/// Upstreams without a path that are probed in one interval.
+const PROBES_PER_INTERVAL: usize = 2;
+/// Upstreams that are checked in addition to the suspected ones.
+const EXTRA_UPSTREAMS: usize = 2;
+/// Further upstreams that are checked after some paths failed and others did not.
+const FURTHER_UPSTREAMS: usize = 16;
+/// Boxes that are asked to probe upstreams.
+const ASKED_BOXES: usize = 3;
+/// Rounds in which boxes are asked, as those of one round may be cut off too.
+const ASK_ROUNDS: usize = 2;
+/// Age of data from any upstream up to which it shows that this box has a path.
+const CONTACT_MAX_AGE_MS: u64 = 100;
+/// Upstreams that are probed to find out whether this box has a path.
+const CONTROL_UPSTREAMS: usize = 2;
+/// Time for which the connection opened by a probe is kept in the pool.
+const PROBE_KEEP_ALIVE_MS: u64 = 1_000;
+/// Maximum size of a message between boxes.
+const MAX_MESSAGE_BYTES: usize = 64 << 10;
+/// Maximum number of upstreams that are probed for another box at once.
+const MAX_PROBES_FOR_PEER: usize = 32;
+
+/// A request to probe upstreams.
+#[derive(Debug, Serialize, Deserialize)]
+struct ProbeRequest {
+    upstreams: Vec<Name>,
+}
+
+/// Checks the paths to the suspected upstreams in the background.
+pub fn start(gateway: &Arc<Gateway>) {
+    let gateway = gateway.clone();
+    tokio::spawn(async move {
+        while let Some(records) = gateway.begin_path_check(EXTRA_UPSTREAMS) {
+            let mut results = check(&gateway, &records).await;
+            if gateway.apply_path_check(&results, false) {
+                let checked: Vec<Name> = results.iter().map(|(name, _)| name.clone()).collect();
+                let further = gateway.random_upstreams(FURTHER_UPSTREAMS, &checked);
+                results.extend(check(&gateway, &further).await);
+                gateway.apply_path_check(&results, true);
+            }
+            gateway.end_path_check();
+        }
+    });
+}
+
+/// Probes upstreams, and records the termination of those at whose addresses nothing listens.
+async fn check(gateway: &Gateway, records: &[Arc<UpstreamRecord>]) -> Vec<(Name, CheckedPath)> {
+    let own = join_all(records.iter().map(|record| probe(gateway, record))).await;
+    let failed = records.iter().zip(&own);
+    let failed = failed.filter(|(_, result)| **result != ProbeResult::Reached);
+    let failed: Vec<Name> = failed.map(|(record, _)| record.id.clone()).collect();
+    let has_path = failed.len() < own.len();
+    let others = if failed.is_empty() {
+        Vec::new()
+    } else {
+        ask_boxes(gateway, &failed).await
+    };
+    let mut results = Vec::new();
+    for (record, own) in records.iter().zip(own) {
+        let checked = CheckedPath::new(&record.id, own, &others);
+        if checked.is_terminated(has_path) {
+            gateway.record_upstream_termination(record);
+        }
+        if own != ProbeResult::Reached {
+            let detail = json!({
+                "upstream": record.id, "result": format!("{own:?}"),
+                "others": checked.others.map(|result| format!("{result:?}")),
+            });
+            gateway.log.line("upstream_not_reached", detail);
+        }
+        results.push((record.id.clone(), checked));
+    }
+    results
+}
+
+/// Probes an upstream on a new connection.
+pub async fn probe(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
+    let result = timeout(PROBE_TIMEOUT, exchange(gateway, upstream)).await;
+    let result = result.unwrap_or(ProbeResult::Silent);
+    let outcome = match result {
+        ProbeResult::Reached => "reached",
+        ProbeResult::Refused => "refused",
+        ProbeResult::Broken => "broken",
+        ProbeResult::Silent => "silent",
+    };
+    let probes = &gateway.metrics.probes;
+    probes.with_label_values(&[&*upstream.pool, outcome]).inc();
+    result
+}
+
+/// Opens a connection to an upstream and exchanges a message without effect, if the dialect has one.
+async fn exchange(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
+    let mut connection = match Connection::open_within(upstream.addr, PROBE_TIMEOUT).await {
+        Ok(connection) => connection,
+        Err(e) => return failure(&e),
+    };
+    let site = gateway.site();
+    let pool = site.as_ref().and_then(|site| site.pool(&upstream.pool));
+    let is_engine = pool.is_some_and(|pool| pool.is_engine);
+    let mut keep_ms = Some(PROBE_KEEP_ALIVE_MS);
+    if let Some(ping) = gateway.dialect.ping(is_engine, upstream.addr) {
+        let Ok(response) = connection.send(ping).await else {
+            return ProbeResult::Broken;
+        };
+        let keep_alive_ms = keep_alive_ms(response.headers());
+        keep_ms = keep_alive_ms.map(|ms| ms.min(PROBE_KEEP_ALIVE_MS));
+        let body = http_body_util::BodyExt::collect(response.into_body()).await;
+        if body.is_err() {
+            keep_ms = None;
+        }
+    }
+    if let Some(keep_ms) = keep_ms {
+        let now_ms = gateway.clock.now_ms();
+        let channels = &gateway.channels;
+        channels.keep(&upstream.id, connection, keep_ms, now_ms);
+    }
+    ProbeResult::Reached
+}
+
+fn failure(error: &io::Error) -> ProbeResult {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        io::ErrorKind::TimedOut => ProbeResult::Silent,
+        _ => ProbeResult::Broken,
+    }
+}
+
+/// Asks other boxes to probe upstreams, until one of them has a path.
+async fn ask_boxes(gateway: &Gateway, upstreams: &[Name]) -> Vec<PeerProbes> {
+    let boxes = gateway.peers.responsive_boxes(gateway.clock.now_ms());
+    let mut asked = Vec::new();
+    let mut answers: Vec<PeerProbes> = Vec::new();
+    for _ in 0..ASK_ROUNDS {
+        let left: Vec<Name> = boxes
+            .iter()
+            .filter(|b| !asked.contains(*b))
+            .cloned()
+            .collect();
+        let chosen: Vec<Name> = left
+            .choose_multiple(&mut rand::rng(), ASKED_BOXES)
+            .cloned()
+            .collect();
+        let addrs = chosen.iter().filter_map(|name| gateway.peers.addr_of(name));
+        let round = join_all(addrs.map(|addr| ask(addr, upstreams))).await;
+        answers.extend(round.into_iter().flatten());
+        asked.extend(chosen);
+        if answers.iter().any(|probes| probes.has_path) {
+            break;
+        }
+    }
+    answers
+}
+
+async fn ask(addr: SocketAddr, upstreams: &[Name]) -> Option<PeerProbes> {
+    let message = ProbeRequest {
+        upstreams: upstreams.to_vec(),
+    };
+    let mut client = Client::new(addr);
+    let call = box_call::post(&mut client, PROBE_PATH, &message, PEER_PROBE_TIMEOUT);
+    timeout(PEER_PROBE_TIMEOUT, call).await.ok()?.ok()
+}
+
+/// Handles the request of another box to probe upstreams.
+pub async fn handle(gateway: &Gateway, request: Request<Incoming>) -> Response<ResponseBody> {
+    let message = box_call::read_message::<ProbeRequest>(request, MAX_MESSAGE_BYTES);
+    let Some(message) = message.await else {
+        return status_only(StatusCode::BAD_REQUEST);
+    };
+    let mut records = gateway.upstream_records(|id| message.upstreams.iter().any(|u| **u == *id));
+    records.truncate(MAX_PROBES_FOR_PEER);
+    if gateway.is_cut_off() {
+        return response::peer_message(&PeerProbes::default());
+    }
+    let results = join_all(records.iter().map(|record| probe(gateway, record))).await;
+    let has_path =
+        results.contains(&ProbeResult::Reached) || has_path(gateway, &message.upstreams).await;
+    let names = records.iter().map(|record| record.id.clone());
+    response::peer_message(&PeerProbes {
+        has_path,
+        results: names.zip(results).collect(),
+    })
+}
+
+/// Whether this box has a path to any upstream other than `except`.
+async fn has_path(gateway: &Gateway, except: &[Name]) -> bool {
+    if gateway.has_contact_within(CONTACT_MAX_AGE_MS) {
+        return true;
+    }
+    let controls = gateway.random_upstreams(CONTROL_UPSTREAMS, except);
+    let results = join_all(controls.iter().map(|record| probe(gateway, record))).await;
+    results.contains(&ProbeResult::Reached)
+}
+
+/// Whether an upstream that refused a connection has terminated, by what other boxes find at its address.
+pub async fn is_terminated(gateway: &Arc<Gateway>, upstream: &UpstreamRecord) -> bool {
+    if gateway.peers.peer_count() == 0 {
+        return true;
+    }
+    let upstreams = [upstream.id.clone()];
+    let others = ask_boxes(gateway, &upstreams).await;
+    let checked = CheckedPath::new(&upstream.id, ProbeResult::Refused, &others);
+    let has_path = checked.others.is_none() && has_path(gateway, &upstreams).await;
+    checked.is_terminated(has_path)
+}
+
+/// Looks for silent upstreams and probes those without a path, for the lifetime of the process.
+pub async fn monitor(gateway: Arc<Gateway>) {
+    loop {
+        sleep(MONITOR_INTERVAL).await;
+        gateway.suspect_silent_paths();
+        if !gateway.has_path_trouble() {
+            continue;
+        }
+        for upstream in gateway.due_path_probes(PROBES_PER_INTERVAL) {
+            let gateway = gateway.clone();
+            tokio::spawn(async move {
+                if probe(&gateway, &upstream).await == ProbeResult::Reached {
+                    gateway.record_reached(&upstream.id);
+                }
+            });
+        }
+    }
+}
--- a/crates/ivyweir-gateway/src/peers.rs
+++ b/crates/ivyweir-gateway/src/peers.rs
@@ -344,6 +344,15 @@
         halls.all(|hall| *hall == self.me.hall || reported_halls.contains(hall))
     }
 
+    /// Names of the known other boxes that are not in back-off for being unresponsive.
+    pub fn responsive_boxes(&self, now_ms: u64) -> Vec<Name> {
+        let others = lock(&self.others);
+        let unresponsive = lock(&self.unresponsive);
+        let names = others.keys();
+        let responsive = names.filter(|name| !unresponsive.is_backing_off(name, now_ms));
+        responsive.cloned().collect()
+    }
+
     /// Number of other known boxes.
     pub fn peer_count(&self) -> usize {
         lock(&self.others).len()
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -103,9 +103,7 @@
     mut trace: Trace,
     active: ActiveRequest,
 ) -> Result<Response<ResponseBody>, ErrorReason> {
-    gateway.count_request(&job.pool);
-    gateway.count_room_arrival(&job);
-    let mut state = RetryState::default();
+    let mut state = RetryState::new(&job);
     let mut fallback = None;
     let mut has_response = false;
     loop {
@@ -121,7 +119,9 @@
                 }
             },
         };
-        if !std::mem::replace(&mut has_response, true)
+        let is_at_upstream = reply.in_flight.upstream().is_some();
+        if is_at_upstream
+            && !std::mem::replace(&mut has_response, true)
             && let Some(workspace) = &job.workspace
         {
             gateway.count_usage(&workspace.name);
@@ -187,7 +187,7 @@
     active: ActiveRequest,
 ) -> Response<ResponseBody> {
     let detail = json!({
-        "upstream": reply.in_flight.upstream.id, "model": model,
+        "upstream": reply.in_flight.place(), "model": model,
         "confidence": reply.metadata.confidence, "head_after_ms": reply.head_after_ms,
         "leaving": reply.metadata.statement.is_leaving, "limit_per_s": reply.metadata.statement.limit.map(DeclaredLimit::requests_per_s),
     });
@@ -218,13 +218,21 @@
     reply: &Reply,
     trace: &mut Trace,
 ) -> ReplyAction {
+    // Another box has done all that can be done.
+    if reply.in_flight.upstream().is_none() {
+        return ReplyAction::Relay;
+    }
     let status = reply.response.status();
     if status.is_server_error() && take_retry(gateway, job, state) {
         trace.step("sent_again", json!({"after_status": status.as_u16()}));
-        state.tried.push(reply.in_flight.upstream.id.clone());
+        state.tried.push(reply.in_flight.place().clone());
         state.may_have_run = true;
         return ReplyAction::Retry;
     }
+    let is_model_given = job.handed_over.as_ref().is_some_and(|h| h.model.is_some());
+    if is_model_given {
+        return ReplyAction::Relay;
+    }
     let Some(larger) = escalation_target(gateway, job, state, reply, trace) else {
         return ReplyAction::Relay;
     };
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt::{self, AttemptOptions, AttemptOutcome, Reply};
 use crate::error_response::ErrorReason;
+use crate::handover::{self, HandoverOptions};
 use crate::job::Job;
 use crate::log::Trace;
 use crate::room;
@@ -20,6 +21,9 @@
 /// Number of unreachable upstreams after which a request is refused in any case. If half of a pool is gone, one
 /// request in 16 meets four of these in a row, and one in 65,000 meets sixteen.
 const UNREACHABLE_HARD_LIMIT: u32 = 16;
+/// Work by which an upstream that this box reaches may exceed the least of one that it does not reach before requests
+/// are handed over.
+const MAX_EXTRA_WORK_MS: f64 = 300.0;
 /// Time limit for the head of the response to a repeatable request while another attempt is left, as a multiple of
 /// the latency target.
 const HEAD_TIMEOUT_FACTOR: u64 = 4;
@@ -37,11 +41,34 @@
     pub may_have_run: bool,
     /// Index of the model, from the smallest.
     pub model: usize,
+    /// Whether the request was counted as one for its pool.
+    is_counted: bool,
+    /// Whether other boxes were asked to serve the request and declined.
+    is_declined: bool,
     /// Figures of the pool's capacity that led to the refusal, if it was refused for lack of it.
     pub capacity: Option<Value>,
 }
 
 impl RetryState {
+    /// Creates the state of a job before its first attempt by this box.
+    pub fn new(job: &Job) -> Self {
+        let handed_over = job.handed_over.as_ref();
+        Self {
+            sent: handed_over.map_or(0, |handed| handed.sends),
+            is_counted: handed_over.is_some_and(|handed| handed.is_counted),
+            model: handed_over.and_then(|handed| handed.model).unwrap_or(0),
+            ..Self::default()
+        }
+    }
+
+    /// Counts the job as a request for its pool, once.
+    fn count(&mut self, gateway: &Gateway, job: &Job) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            gateway.count_request(&job.pool);
+            gateway.count_room_arrival(job);
+        }
+    }
+
     /// Details of the log line about a refusal.
     pub fn refusal_detail(&self, reason: ErrorReason) -> Value {
         let mut detail = json!({"reason": reason.name(), "sends": self.sent});
@@ -59,6 +86,15 @@
     state: &mut RetryState,
     trace: &mut Trace,
 ) -> Result<Box<Reply>, ErrorReason> {
+    // The box that handed the job over may find one with a path.
+    let is_untried = state.tried.is_empty() && !state.may_have_run;
+    if job.handed_over.is_some() && is_untried && lacks_path(gateway, job, &[], state.model) {
+        return Err(ErrorReason::NoUpstream);
+    }
+    if let Some(reply) = hand_over(gateway, job, state, trace).await? {
+        return Ok(reply);
+    }
+    state.count(gateway, job);
     gateway.record_workspace_demand(job);
     let mut waiter: Option<Waiter> = None;
     let mut room_waiter: Option<RoomWaiter> = None;
@@ -80,6 +116,9 @@
                 ErrorReason::ResponseLost,
             ));
         }
+        if let Some(reply) = hand_over(gateway, job, state, trace).await? {
+            return Ok(reply);
+        }
         if !is_admitted {
             is_admitted = room::admit_or_wait(gateway, job, state, &mut room_waiter, trace).await?;
             continue;
@@ -135,6 +174,80 @@
     }
 }
 
+/// Asks other boxes to serve a job if this one has no path to upstreams that could. Returns `None` if it has, or if no
+/// other box accepts the job.
+///
+/// # Errors
+///
+/// If the response was lost and the job may not run again, or if this box is cut off and no other one accepts the job.
+async fn hand_over(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    state: &mut RetryState,
+    trace: &mut Trace,
+) -> Result<Option<Box<Reply>>, ErrorReason> {
+    while !state.is_declined
+        && !gateway.is_quarantined(job.fingerprint)
+        && hands_over(gateway, job, &state.tried, state.model)
+    {
+        let now_ms = gateway.clock.now_ms();
+        let options = HandoverOptions {
+            sends: state.sent,
+            is_counted: state.is_counted,
+            model: (state.model > 0).then_some(state.model),
+            resume_after: None,
+            head_timeout_ms: head_timeout_ms(job, state, now_ms),
+        };
+        match handover::send(gateway, job, options, trace).await {
+            AttemptOutcome::Answered(reply) => {
+                state.sent += 1;
+                return Ok(Some(reply));
+            }
+            AttemptOutcome::NotRun { .. } => state.is_declined = true,
+            AttemptOutcome::Lost => {
+                state.count(gateway, job);
+                record_lost(gateway, job, state)?;
+            }
+        }
+    }
+    if state.is_declined && gateway.is_cut_off() {
+        return Err(failure_reason(
+            state,
+            ErrorReason::NoUpstream,
+            ErrorReason::ResponseLost,
+        ));
+    }
+    Ok(None)
+}
+
+/// Whether a job is handed over, if another box can be asked.
+pub fn hands_over(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> bool {
+    job.may_be_handed_over(gateway) && lacks_path(gateway, job, tried, model)
+}
+
+/// Whether this box has no path to the upstreams that are left for a job, or only to much busier ones than others, or
+/// may have lost all paths.
+fn lacks_path(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> bool {
+    if !gateway.has_path_trouble() {
+        return false;
+    }
+    if gateway.may_be_cut_off() {
+        return true;
+    }
+    let avoided = gateway.avoided_upstreams();
+    if avoided.is_empty() {
+        return false;
+    }
+    let Ok(best) = choose_among_untried(gateway, job, tried, model) else {
+        return false;
+    };
+    let reachable = [tried, &avoided].concat();
+    match choose_among_untried(gateway, job, &reachable, model) {
+        Ok(reached) => reached.work_before_ms > best.work_before_ms + MAX_EXTRA_WORK_MS,
+        Err(_) => true,
+    }
+}
+
 /// Returns the figures that decided, for the log.
 fn chosen_detail(gateway: &Gateway, job: &Job, choice: &Choice, model: usize) -> Value {
     let mut detail = json!({
@@ -230,6 +343,26 @@
     job: &Job,
     tried: &[Name],
     model: usize,
+) -> Result<Choice, ChooseError> {
+    if gateway.has_path_trouble() {
+        let avoided = [tried, &gateway.avoided_upstreams()].concat();
+        if let Ok(choice) = choose_among_untried(gateway, job, &avoided, model) {
+            return Ok(choice);
+        }
+    }
+    choose_among_untried(gateway, job, tried, model).or_else(|_| {
+        let last = tried.last().map_or(&[][..], std::slice::from_ref);
+        choose_among_untried(gateway, job, last, model)
+    })
+}
+
+/// Chooses an upstream that was not tried. A contained job may only be sent to upstreams to which its connections
+/// broke, tried or not.
+fn choose_among_untried(
+    gateway: &Gateway,
+    job: &Job,
+    tried: &[Name],
+    model: usize,
 ) -> Result<Choice, ChooseError> {
     let estimate = gateway.estimate(job, model);
     let mut request = job.placement_request(model, estimate, &gateway.settings);
@@ -240,17 +373,15 @@
     if gateway.suspicion(job.fingerprint) == Suspicion::UpstreamEnded {
         request.isolation_hash = Some(job.fingerprint.bits());
     }
-    let scope = |tried| Scope {
+    let scope = Scope {
         pool: &job.pool,
         side: job.side,
         tried,
     };
-    if let Some(containment) = gateway.containment(job.fingerprint) {
-        return gateway.choose_contained(&containment, &scope(tried), &request);
+    match gateway.containment(job.fingerprint) {
+        Some(containment) => gateway.choose_contained(&containment, &scope, &request),
+        None => gateway.choose_upstream(&scope, &request),
     }
-    let choose_untried = |tried| gateway.choose_upstream(&scope(tried), &request);
-    choose_untried(tried)
-        .or_else(|_| choose_untried(tried.last().map_or(&[], std::slice::from_ref)))
 }
 
 /// Returns the refusal reason of a request that no upstream can take.
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -20,7 +20,7 @@
 use crate::caller_io::{CallerConnection, CallerIo};
 use crate::response::{ResponseBody, plain_text, status_only};
 use crate::state::Gateway;
-use crate::{follow, join, pipeline, reports};
+use crate::{follow, handover, join, path_check, pipeline, reports};
 
 /// Idle timeout of callers' connections if the configuration is not known or sets none.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -165,6 +165,8 @@
     }
     let path = request.uri().path().to_owned();
     match path.as_str() {
+        handover::HANDOVER_PATH => handover::handle(gateway, request).await,
+        path_check::PROBE_PATH => path_check::handle(&gateway, request).await,
         reports::REPORT_PATH => reports::handle(&gateway, request).await,
         join::JOIN_PATH => join::handle(&gateway, request).await,
         follow::FOLLOW_PATH => follow::handle(&gateway, request.uri().query()).await,
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -3,6 +3,7 @@
 mod forecasts;
 mod freshness;
 mod load_control;
+mod paths;
 mod placement;
 mod quarantine;
 mod queues;
@@ -26,10 +27,12 @@
 use ivyweir_policy::gateway::cascade::SustainedShare;
 use ivyweir_policy::gateway::fleet::{Fleet, FleetChange};
 use ivyweir_policy::gateway::freshness::FreshnessProof;
+use ivyweir_policy::gateway::helpers::Helpers;
 use ivyweir_policy::gateway::occupancy::PoolOccupancy;
 use ivyweir_policy::gateway::pace::PrefillPace;
 use ivyweir_policy::gateway::peer_report::{PeerReport, Running, Work};
 use ivyweir_policy::gateway::placement::UpstreamLoad;
+use ivyweir_policy::gateway::reachability::Reachability;
 use ivyweir_policy::gateway::relay::BoxRecord;
 use ivyweir_policy::gateway::retry_budget::{FleetCounts, RetryBudget};
 use ivyweir_policy::gateway::rollout::RolloutTracker;
@@ -61,6 +64,7 @@
 use crate::store_events::StoreEvents;
 
 pub use forecasts::forecast_json;
+pub use paths::PathWatch;
 pub use quarantine::{ReplacementWatch, Suspicion};
 pub use queues::Waiter;
 pub use rollouts::tally_json;
@@ -96,6 +100,10 @@
     pub relay_buffers: Option<Arc<RelayBuffers>>,
     /// Idle connections to upstreams.
     pub channels: ConnectionPool,
+    /// Idle connections to boxes that requests were handed over to.
+    pub helper_channels: ConnectionPool,
+    /// Requests of other boxes that this box is serving.
+    pub accepted_handovers: Arc<AtomicU64>,
     /// Membership and reports of the other boxes.
     pub peers: Peers,
     /// Recent changes of the topics, for boxes that follow this one.
@@ -128,6 +136,12 @@
     unreadable_records: Mutex<UnreadableRecords>,
     /// Headers of responses that no code reads.
     unread_headers: Mutex<UnreadHeaders>,
+    /// Paths to the upstreams.
+    paths: Mutex<Reachability>,
+    /// Number of checks of the paths, and of changes that concern all of them.
+    path_changes: watch::Sender<u64>,
+    /// Boxes that requests are handed over to, by pool.
+    helpers: Mutex<HashMap<Name, Helpers>>,
     /// Number of updates in which incarnations of upstreams were replaced.
     replacements: watch::Sender<u64>,
     /// Number of finished checks whether an upstream terminated.
@@ -177,6 +191,8 @@
             log,
             metrics,
             channels: ConnectionPool::default(),
+            helper_channels: ConnectionPool::default(),
+            accepted_handovers: Arc::default(),
             peers,
             histories: Histories::default(),
             store_events: StoreEvents::default(),
@@ -196,6 +212,9 @@
             rooms: Mutex::default(),
             unreadable_records: Mutex::default(),
             unread_headers: Mutex::default(),
+            paths: Mutex::default(),
+            path_changes: watch::Sender::default(),
+            helpers: Mutex::default(),
             replacements: watch::Sender::default(),
             termination_checks: watch::Sender::default(),
             urgent_update: Notify::new(),
@@ -439,6 +458,7 @@
         self.channels.sweep(|id| upstreams.contains(id), now_ms);
         let known = |id: &str| upstreams.contains(id);
         lock(&self.rooms).retain_upstreams(known);
+        self.sweep_paths(known);
         drop(upstreams);
         if let Some(buffers) = &self.relay_buffers {
             buffers.sweep();
--- /dev/null
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -0,0 +1,224 @@
+//! Paths from this box to the upstreams, and the boxes that serve requests where there are none.
+
+use std::sync::Arc;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::helpers::Helpers;
+use ivyweir_policy::gateway::reachability::{CheckedPath, PathChange};
+use rand::seq::IteratorRandom;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::{Gateway, lock};
+use crate::path_check;
+
+/// Number of suspected upstreams that are probed in one check.
+const MAX_SUSPECTS_CHECKED: usize = 6;
+
+/// Watches for the loss of the path to an upstream while a request waits there.
+pub struct PathWatch {
+    upstream: Name,
+    changes: watch::Receiver<u64>,
+}
+
+impl PathWatch {
+    /// Waits until it is known that the path transfers no data.
+    pub async fn hangs(&mut self, gateway: &Gateway) {
+        loop {
+            // The sender is never dropped before the `Gateway`.
+            let _changed = self.changes.changed().await;
+            if lock(&gateway.paths).is_hanging(&self.upstream) {
+                return;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Records that a request is sent to an upstream.
+    pub fn begin_path_use(&self, upstream: &Name) {
+        let now_ms = self.clock.now_ms();
+        lock(&self.paths).begin_request(upstream, now_ms);
+    }
+
+    /// Records the end of a request at an upstream.
+    pub fn end_path_use(&self, upstream: &Name) {
+        lock(&self.paths).end_request(upstream);
+    }
+
+    /// Records that data arrived from an upstream on an open connection.
+    pub fn record_contact(&self, upstream: &Name) {
+        let now_ms = self.clock.now_ms();
+        let change = lock(&self.paths).record_contact(upstream, now_ms);
+        self.report_path_change(change);
+    }
+
+    /// Records that an upstream responded to a probe on a new connection.
+    pub fn record_reached(&self, upstream: &Name) {
+        let now_ms = self.clock.now_ms();
+        let change = lock(&self.paths).record_reached(upstream, now_ms);
+        self.report_path_change(change);
+    }
+
+    /// Records that a connection to an upstream failed, and starts a check of the paths unless one is in progress.
+    /// Without other boxes nothing could be checked or done.
+    pub fn suspect_path(self: &Arc<Self>, upstream: &Name) {
+        if self.peers.peer_count() > 0 && lock(&self.paths).suspect(upstream) {
+            path_check::start(self);
+        }
+    }
+
+    /// Suspects upstreams that are silent, and starts a check of the paths if there are any.
+    pub fn suspect_silent_paths(self: &Arc<Self>) {
+        let now_ms = self.clock.now_ms();
+        if self.peers.peer_count() > 0 && lock(&self.paths).suspect_silent(now_ms) {
+            path_check::start(self);
+        }
+    }
+
+    /// Starts a check; returns the upstreams to probe: the suspected ones, and `others` at random.
+    pub fn begin_path_check(&self, others: usize) -> Option<Vec<Arc<UpstreamRecord>>> {
+        let now_ms = self.clock.now_ms();
+        let suspects = lock(&self.paths).begin_check(now_ms)?;
+        let mut records = self.upstream_records(|id| suspects.iter().any(|name| **name == *id));
+        let is_known = |name: &&Name| records.iter().any(|record| record.id == **name);
+        let unknown: Vec<&Name> = suspects.iter().filter(|name| !is_known(name)).collect();
+        lock(&self.paths).clear_suspicion(&unknown);
+        records.truncate(MAX_SUSPECTS_CHECKED);
+        records.extend(self.random_upstreams(others, &suspects));
+        Some(records)
+    }
+
+    /// Records of known upstreams other than `except`, at most `limit`.
+    pub fn random_upstreams(&self, limit: usize, except: &[Name]) -> Vec<Arc<UpstreamRecord>> {
+        let mut upstreams = lock(&self.upstreams);
+        let members = upstreams.fleet().members();
+        let members = members.filter(|member| !except.contains(&member.record.id));
+        let records = members.map(|member| member.record.clone());
+        records.choose_multiple(&mut rand::rng(), limit)
+    }
+
+    /// Records of the known upstreams with these ids.
+    pub fn upstream_records(&self, is_wanted: impl Fn(&str) -> bool) -> Vec<Arc<UpstreamRecord>> {
+        let mut upstreams = lock(&self.upstreams);
+        let members = upstreams.fleet().members();
+        let members = members.filter(|member| is_wanted(&member.record.id));
+        members.map(|member| member.record.clone()).collect()
+    }
+
+    /// Applies the results of a check of the paths; `is_wide` if many upstreams were checked. Returns whether other
+    /// upstreams are worth a check too.
+    pub fn apply_path_check(&self, results: &[(Name, CheckedPath)], is_wide: bool) -> bool {
+        let now_ms = self.clock.now_ms();
+        let (change, wants_wide_check) = {
+            let mut paths = lock(&self.paths);
+            let change = paths.apply_check(results, is_wide, now_ms);
+            (change, paths.wants_wide_check(results, now_ms))
+        };
+        self.report_path_change(change);
+        wants_wide_check
+    }
+
+    /// Ends a check of the paths.
+    pub fn end_path_check(&self) {
+        lock(&self.paths).end_check();
+        self.path_changes.send_modify(|count| *count += 1);
+    }
+
+    fn report_path_change(&self, change: PathChange) {
+        let event = match change {
+            PathChange::None => return,
+            PathChange::CutOff => "paths_lost",
+            PathChange::Restored => "paths_restored",
+        };
+        self.log.line(event, json!({}));
+        self.path_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Upstreams to probe now because there is no path to them. If all paths are lost, these include others, as any of
+    /// them may be reached first.
+    pub fn due_path_probes(&self, limit: usize) -> Vec<Arc<UpstreamRecord>> {
+        let now_ms = self.clock.now_ms();
+        let (due, is_cut_off) = {
+            let mut paths = lock(&self.paths);
+            (paths.due_probes(limit, now_ms), paths.is_cut_off())
+        };
+        let mut records = if due.is_empty() {
+            Vec::new()
+        } else {
+            self.upstream_records(|id| due.iter().any(|name| **name == *id))
+        };
+        if is_cut_off {
+            let missing = limit.saturating_sub(records.len());
+            records.extend(self.random_upstreams(missing, &due));
+        }
+        records
+    }
+
+    /// Whether a path to an upstream fails or is in doubt.
+    pub fn has_path_trouble(&self) -> bool {
+        lock(&self.paths).has_trouble()
+    }
+
+    /// Whether this box is cut off from all upstreams.
+    pub fn is_cut_off(&self) -> bool {
+        lock(&self.paths).is_cut_off()
+    }
+
+    /// Whether this box is cut off from all upstreams, or may be as far as is known until a check ends.
+    pub fn may_be_cut_off(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        lock(&self.paths).may_be_cut_off(now_ms)
+    }
+
+    /// Whether data arrived from any upstream within the last `max_age_ms`.
+    pub fn has_contact_within(&self, max_age_ms: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        lock(&self.paths).has_contact_within(max_age_ms, now_ms)
+    }
+
+    /// Upstreams that requests are not sent to from here.
+    pub fn avoided_upstreams(&self) -> Vec<Name> {
+        lock(&self.paths).avoided()
+    }
+
+    /// Returns a watch for the loss of the path to an upstream.
+    pub fn watch_path(&self, upstream: &Name) -> PathWatch {
+        PathWatch {
+            upstream: upstream.clone(),
+            changes: self.path_changes.subscribe(),
+        }
+    }
+
+    /// Waits until a check of the paths in progress ends, but not beyond the receiver's own time limit.
+    pub async fn path_check_ended(&self) {
+        let mut changes = self.path_changes.subscribe();
+        if lock(&self.paths).is_checking() {
+            // The sender is never dropped before the `Gateway`.
+            let _changed = changes.changed().await;
+        }
+    }
+
+    /// Chooses the box that serves a request in place of this one.
+    pub fn choose_helper(&self, pool: &Name, tried: &[Name], seed: u64) -> Option<Name> {
+        let now_ms = self.clock.now_ms();
+        let candidates = self.peers.responsive_boxes(now_ms);
+        self.with_helpers(pool, |helpers| {
+            helpers.choose(&candidates, tried, seed, now_ms).cloned()
+        })
+    }
+
+    /// Calls `work` with what is known of the other boxes as helpers for requests for a pool.
+    pub fn with_helpers<T>(&self, pool: &Name, work: impl FnOnce(&mut Helpers) -> T) -> T {
+        work(lock(&self.helpers).entry(pool.clone()).or_default())
+    }
+
+    /// Removes expired state of paths and helpers.
+    pub(super) fn sweep_paths(&self, is_known: impl Fn(&str) -> bool) {
+        let now_ms = self.clock.now_ms();
+        lock(&self.paths).sweep(is_known);
+        lock(&self.helpers).retain(|_, helpers| !helpers.sweep(now_ms));
+        self.helper_channels.sweep(|_| true, now_ms);
+    }
+}
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -228,7 +228,7 @@
         Some(Duration::from_millis(left_ms))
     }
 
-    /// Waits for a check in progress whether an upstream terminated, for a limited time. If it did, the request whose
+    /// Waits for checks in progress whether an upstream terminated and whether there are paths, for a limited time. If it did, the request whose
     /// connection broke is placed apart from the others that ran there; if not, it is placed by load.
     pub async fn wait_for_termination_check(&self, upstream: &Name) {
         let mut checks = self.termination_checks.subscribe();
@@ -237,6 +237,7 @@
                 // The sender is never dropped before the `Gateway`.
                 let _changed = checks.changed().await;
             }
+            self.path_check_ended().await;
         };
         let _in_time = timeout(TERMINATION_CHECK_TIMEOUT, finished).await;
     }
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -24,7 +24,7 @@
 use crate::relay_buffer::{BodyRead, RelayBuffer};
 use crate::response::ResponseBody;
 use crate::retry::RetryState;
-use crate::state::{ActiveRequest, Gateway, ReplacementWatch};
+use crate::state::{ActiveRequest, Gateway, PathWatch, ReplacementWatch};
 
 /// Smallest number of intervals between events from which their mean is used.
 const MIN_PACE_INTERVALS: u32 = 2;
@@ -69,7 +69,8 @@
         job,
         buffer: buffer.clone(),
         source: Source {
-            replaced: gateway.watch_replacement(&in_flight.upstream.id),
+            replaced: gateway.watch_replacement(in_flight.place()),
+            path: gateway.watch_path(in_flight.place()),
             body,
             in_flight,
             keep_alive_ms,
@@ -108,6 +109,8 @@
     in_flight: InFlightRequest,
     /// Resolves when another incarnation replaces the upstream.
     replaced: ReplacementWatch,
+    /// Resolves when the path to the upstream is found to transfer no data.
+    path: PathWatch,
     keep_alive_ms: Option<u64>,
     /// Whether the end of the body is known other than by the end of the connection.
     is_framed: bool,
@@ -177,7 +180,7 @@
                 }
                 ReadResult::Broke(error) => {
                     self.record_broken_source(&error);
-                    let upstream = self.source.in_flight.upstream.id.clone();
+                    let upstream = self.source.in_flight.place().clone();
                     self.gateway.wait_for_termination_check(&upstream).await;
                     if !self.resume(self.resume_until_ms()).await {
                         return Some(Err(self.abort("upstream connection broke")));
@@ -198,6 +201,7 @@
         let deadline_ms = self.read_deadline_ms();
         let until_ms = self.stall_at_ms().unwrap_or(deadline_ms).min(deadline_ms);
         let until = self.gateway.clock.instant(until_ms);
+        let may_resume = !self.source.ignores_stalls && self.may_resume();
         let source = &mut self.source;
         let read = tokio::select! {
             biased;
@@ -205,9 +209,11 @@
             () = source.replaced.replaced(&self.gateway) => {
                 return ReadResult::Broke("upstream was replaced by another incarnation".into());
             }
+            () = source.path.hangs(&self.gateway), if may_resume => return ReadResult::Stalled,
         };
         if read.is_ok() {
             self.source.last_read_ms = self.gateway.clock.now_ms();
+            self.source.in_flight.record_contact();
         }
         match read {
             Err(_) if until_ms < deadline_ms => ReadResult::Stalled,
@@ -230,15 +236,23 @@
 
     /// Returns the time at which the source counts as stalled; `None` if the stream may not be resumed elsewhere.
     fn stall_at_ms(&self) -> Option<u64> {
-        let RouteKind::Stream {
-            resumable: true,
-            gap_aim_ms,
-        } = self.job.route.kind
-        else {
+        let RouteKind::Stream { gap_aim_ms, .. } = self.job.route.kind else {
             return None;
         };
-        let has_another = !self.source.ignores_stalls && self.sent < self.job.route.max_attempts;
-        has_another.then_some(self.source.last_read_ms + STALL_TIMEOUT_GAPS * gap_aim_ms)
+        let may_resume = !self.source.ignores_stalls && self.may_resume();
+        may_resume.then_some(self.source.last_read_ms + STALL_TIMEOUT_GAPS * gap_aim_ms)
+    }
+
+    /// Whether the stream may be resumed at another upstream.
+    fn may_resume(&self) -> bool {
+        let is_resumable = matches!(
+            self.job.route.kind,
+            RouteKind::Stream {
+                resumable: true,
+                ..
+            }
+        );
+        is_resumable && self.sent < self.job.route.max_attempts
     }
 
     /// Returns the time until which the caller is expected to wait for the next event.
@@ -288,13 +302,12 @@
         self.source
             .in_flight
             .release_connection(self.source.keep_alive_ms);
-        let upstream = self.source.in_flight.upstream.clone();
         let pace_ms = self.pace_ms();
         // The pace of a longer stream was sampled before.
         let is_unsampled = self.events < PACE_SAMPLE_EVENTS;
         self.record_sample(true, pace_ms.filter(|_| is_unsampled), Span::Start);
         let detail = json!({
-            "upstream": upstream.id, "events": self.events, "pace_ms": pace_ms,
+            "upstream": self.source.in_flight.place(), "events": self.events, "pace_ms": pace_ms,
             "longest_pause_ms": self.longest_pause_ms,
             "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
         });
@@ -312,7 +325,9 @@
 
     /// Records a sample of the stream for the version of its upstream.
     fn record_sample(&self, is_final: bool, pace_ms: Option<f64>, span: Span) {
-        let upstream = &self.source.in_flight.upstream;
+        let Some(upstream) = self.source.in_flight.upstream() else {
+            return;
+        };
         let sample = AnswerSample {
             upstream: &upstream.id,
             failed: false,
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -9,12 +9,13 @@
 use super::{Source, Stream};
 use crate::attempt::{self, AttemptOptions, AttemptOutcome, Reply};
 use crate::canary::record_head;
-use crate::retry::{choose_upstream, take_attempt};
+use crate::handover::{self, HandoverOptions};
+use crate::retry::{choose_upstream, hands_over, take_attempt};
 
 impl Stream {
     /// Records that the connection to the source broke.
     pub(super) fn record_broken_source(&mut self, error: &str) {
-        let upstream = self.source.in_flight.upstream.id.clone();
+        let upstream = self.source.in_flight.place().clone();
         let detail = json!({
             "upstream": upstream, "error": error, "behind_event": self.last_event_id,
         });
@@ -25,7 +26,7 @@
 
     /// Records that the source sends no data although its connection is open.
     pub(super) fn record_stall(&mut self) {
-        let upstream = self.source.in_flight.upstream.id.clone();
+        let upstream = self.source.in_flight.place().clone();
         let silent_ms = self.gateway.clock.now_ms() - self.source.last_read_ms;
         let detail = json!({
             "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.last_event_id,
@@ -41,9 +42,25 @@
         if !self.job.route.kind.is_repeatable() {
             return false;
         }
+        let mut is_declined = false;
         while !self.gateway.is_quarantined(self.job.fingerprint)
             && self.sent < self.job.route.max_attempts
         {
+            if !is_declined && hands_over(&self.gateway, &self.job, &self.tried, self.model) {
+                if !take_attempt(&self.gateway, &self.job, self.sent) {
+                    return false;
+                }
+                match self.hand_over_rest().await {
+                    AttemptOutcome::Answered(reply) if reply.response.status().is_success() => {
+                        self.sent += 1;
+                        self.switch_source(*reply);
+                        return true;
+                    }
+                    AttemptOutcome::NotRun { .. } => is_declined = true,
+                    AttemptOutcome::Answered(_) | AttemptOutcome::Lost => self.sent += 1,
+                }
+                continue;
+            }
             let choice = match choose_upstream(&self.gateway, &self.job, &self.tried, self.model) {
                 Ok(choice) => choice,
                 Err(ChooseError::AllBackingOff { for_ms })
@@ -94,9 +111,22 @@
         attempt::send(&self.gateway, &self.job, &choice.upstream, options, trace).await
     }
 
+    /// Asks another box for the events after the last one.
+    async fn hand_over_rest(&mut self) -> AttemptOutcome {
+        let now_ms = self.gateway.clock.now_ms();
+        let options = HandoverOptions {
+            sends: self.sent,
+            is_counted: true,
+            model: Some(self.model),
+            resume_after: self.last_event_id,
+            head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
+        };
+        handover::send(&self.gateway, &self.job, options, &mut self.trace).await
+    }
+
     /// Makes an upstream's reply the source of the stream.
     fn switch_source(&mut self, reply: Reply) {
-        let upstream = &reply.in_flight.upstream.id;
+        let upstream = reply.in_flight.place();
         let detail = json!({
             "upstream": upstream, "behind_event": self.last_event_id,
             "leaving": reply.metadata.statement.is_leaving,
@@ -108,7 +138,8 @@
         self.partial.clear();
         self.source = Source {
             running: reply.metadata.running(),
-            replaced: self.gateway.watch_replacement(&reply.in_flight.upstream.id),
+            replaced: self.gateway.watch_replacement(reply.in_flight.place()),
+            path: self.gateway.watch_path(reply.in_flight.place()),
             body: reply.response.into_body(),
             in_flight: reply.in_flight,
             keep_alive_ms: reply.keep_alive_ms,
--- a/crates/ivyweir-standins/src/edge/path_proxy.rs
+++ b/crates/ivyweir-standins/src/edge/path_proxy.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::io::{self, Read};
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,8 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
-use tokio::sync::watch;
+use tokio::sync::{OnceCell, watch};
+use tokio::task::spawn_blocking;
 
 use crate::loopback::unique_ip;
 
@@ -115,27 +116,32 @@
     }
 
     /// Returns the fault of a connection. Its process is looked up once there are faults.
-    fn fault_of(&self, path: &Path) -> Option<PathFault> {
+    async fn fault_of(&self, path: &Path) -> Option<PathFault> {
         if lock(&self.faults).is_empty() {
             return None;
         }
-        let pid = *path.pid.get_or_init(|| {
-            let processes = lock(&self.processes).clone();
-            let (SocketAddr::V4(from), SocketAddr::V4(to)) = (path.from, path.to) else {
-                return None;
-            };
-            // There is none if the process closed the connection.
-            let inode = socket_inode(from, to).ok()?;
-            lock(&self.owners).find(inode, &processes, path.opened_at)
-        });
+        let pid = *path.pid.get_or_init(|| self.find_process(path)).await;
         let faults = lock(&self.faults);
         let of_process = faults.get(&pid?)?;
-        let target = path.target;
         let targets = of_process.targets.as_ref();
-        let concerns = targets.is_none_or(|targets| targets.contains(&target));
+        let concerns = targets.is_none_or(|targets| targets.contains(&path.target));
         concerns.then_some(of_process.fault)
     }
 
+    /// Finds the process that opened a connection; `None` if it has closed it, or is not one that is told apart.
+    async fn find_process(&self, path: &Path) -> Option<u32> {
+        let (SocketAddr::V4(from), SocketAddr::V4(to)) = (path.from, path.to) else {
+            return None;
+        };
+        let (proxies, opened_at) = (self.clone(), path.opened_at);
+        let found = spawn_blocking(move || {
+            let inode = socket_inode(from, to).ok()?;
+            let processes = lock(&proxies.processes).clone();
+            lock(&proxies.owners).find(inode, &processes, opened_at)
+        });
+        found.await.ok().flatten()
+    }
+
     async fn serve(
         self,
         client: TcpStream,
@@ -148,10 +154,13 @@
             from,
             to: addr,
             opened_at: Instant::now(),
-            pid: OnceLock::new(),
+            pid: OnceCell::new(),
             target,
         };
-        if matches!(path.fault(), Some(PathFault::Reset | PathFault::RefuseNew)) {
+        if matches!(
+            path.fault().await,
+            Some(PathFault::Reset | PathFault::RefuseNew)
+        ) {
             reset(&client);
             return;
         }
@@ -181,13 +190,13 @@
     to: SocketAddr,
     opened_at: Instant,
     /// The process; `None` if it is none of those that are told apart.
-    pid: OnceLock<Option<u32>>,
+    pid: OnceCell<Option<u32>>,
     target: SocketAddr,
 }
 
 impl Path {
-    fn fault(&self) -> Option<PathFault> {
-        self.proxies.fault_of(self)
+    async fn fault(&self) -> Option<PathFault> {
+        self.proxies.fault_of(self).await
     }
 
     /// Copies data until the connection ends; returns whether a fault resets it.
@@ -195,7 +204,7 @@
         let mut changes = self.proxies.changes.subscribe();
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
-            let fault = self.fault();
+            let fault = self.fault().await;
             if fault == Some(PathFault::Reset) {
                 return true;
             }
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use tokio::sync::Notify;
@@ -335,6 +335,10 @@
 }
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    // A box that looks whether the upstream responds.
+    if request.method() == Method::OPTIONS {
+        return Ok(Response::new(full_body(String::new())));
+    }
     let active = ActiveGuard::new(&shared);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
--- a/crates/ivyweird/tests/gateway_partition.rs
+++ b/crates/ivyweird/tests/gateway_partition.rs
@@ -1,8 +1,8 @@
 //! Boxes whose paths to upstreams fail while callers, the store and other boxes reach them.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,8 @@
 /// First attempts of 100 that are served at the boxes with a fault.
 const MIN_SERVED_PERCENT: usize = 95;
 
+static CLUSTERS: Mutex<()> = Mutex::new(());
+
 /// Outcome of one first attempt.
 #[derive(Debug, Clone)]
 struct Attempt {
@@ -204,6 +206,8 @@
 
 /// Cuts boxes off while callers send, and checks what the callers got.
 fn check_cut(cut: &Cut) {
+    // Each cluster has as many processes as the machine has cores, so they run one after another.
+    let _alone = CLUSTERS.lock().unwrap_or_else(PoisonError::into_inner);
     let setup = Setup::start();
     let (stop, ids) = (AtomicBool::new(false), AtomicUsize::new(0));
     let stop = Arc::new(stop);
