Bound the rejections of brittle upstreams over all boxes

Cause: upstreams may say in their responses that they fail above a number of rejections per second, which nobody read.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -508,6 +508,7 @@
     if metadata.not_run {
         trace.fail("upstream_refused", detail);
         let slots = record.slots;
+        gateway.record_rejection(upstream);
         gateway.record_room_refusal(&job.pool, upstream, statement.load, slots);
         in_flight.settle();
         in_flight.record_outcome(true);
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -57,6 +57,8 @@
     pub leaving: HeaderName,
     /// Request rate that the upstream accepts from all boxes together, per second, as a decimal number.
     pub limit: HeaderName,
+    /// Number of rejections per second above which the upstream fails.
+    pub brittle: HeaderName,
     /// The model's confidence in its response, 0 to 100.
     pub confidence: HeaderName,
     /// Present if the request did not run and will not run.
@@ -189,6 +191,7 @@
                     .then(|| parse_retry_after(headers))
                     .flatten(),
                 limit: parse_limit(headers, &names.limit),
+                brittle: parse_brittle(headers, &names.brittle),
                 ..Statement::new(Source::Answer)
             },
             confidence: header_text(headers, &names.confidence)
@@ -216,6 +219,7 @@
             &self.load,
             &self.leaving,
             &self.limit,
+            &self.brittle,
             &self.confidence,
             &self.not_run,
         ];
@@ -279,6 +283,13 @@
     Some(lowest.map_or(DeclaredLimit::Unreadable, DeclaredLimit::Per1000S))
 }
 
+/// Returns the lowest valid number of rejections per second above which the upstream fails.
+fn parse_brittle(headers: &HeaderMap, name: &HeaderName) -> Option<u32> {
+    let values = headers.get_all(name).iter();
+    let numbers = values.filter_map(|value| value.to_str().ok()?.trim().parse().ok());
+    numbers.min()
+}
+
 /// Parses a decimal rate per second as a whole number per 1,000 seconds. It is rounded down, so that it never exceeds
 /// the stated rate.
 fn parse_rate_per_1000_s(value: &str) -> Option<u32> {
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -8,6 +8,7 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use ivyweir_policy::gateway::brittle::BrittleUpdate;
 use ivyweir_policy::gateway::membership::{MembershipCursor, MembershipUpdate, Uptimes};
 use ivyweir_policy::gateway::quarantine::SuspectUpdate;
 use ivyweir_policy::gateway::relay::BoxRecord;
@@ -60,6 +61,9 @@
     /// report of another box may come after its first requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     suspects: Vec<SuspectUpdate>,
+    /// Pools whose upstreams fail if they reject many requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    brittle: Vec<BrittleUpdate>,
 }
 
 /// Joins periodically for the lifetime of the process.
@@ -131,6 +135,7 @@
         gateway.peers.apply_seed_list(seed, response.update, now_ms);
         gateway.peers.set_fleet_size(response.fleet_size);
         gateway.merge_ledger_snapshot(response.suspects);
+        gateway.apply_brittle_pools(&response.brittle);
         if let Some(in_ms) = response.store_settles_in_ms {
             gateway.note_store_settles_in(in_ms);
         }
@@ -184,5 +189,6 @@
         fleet_size,
         store_settles_in_ms: Some(gateway.store_settles_in_ms()).filter(|ms| *ms > 0),
         suspects,
+        brittle: gateway.recent_brittle_pools(),
     })
 }
--- a/crates/ivyweir-gateway/src/native.rs
+++ b/crates/ivyweir-gateway/src/native.rs
@@ -39,6 +39,7 @@
         load: HeaderName::from_static("ivyweir-load"),
         leaving: HeaderName::from_static("ivyweir-leaving"),
         limit: HeaderName::from_static("ivyweir-limit"),
+        brittle: HeaderName::from_static("ivyweir-brittle"),
         confidence: HeaderName::from_static("ivyweir-confidence"),
         not_run: HeaderName::from_static("ivyweir-not-run"),
         system_only: Vec::new(),
--- a/crates/ivyweir-gateway/src/reports.rs
+++ b/crates/ivyweir-gateway/src/reports.rs
@@ -175,6 +175,7 @@
     }
     gateway.apply_departures(&message.departures);
     gateway.apply_limits(&message.limits);
+    gateway.apply_brittle_pools(&message.brittle);
     if let Some(update) = message.quarantine {
         gateway.apply_ledger_update(&message.from, update);
     }
@@ -230,6 +231,7 @@
         report,
         departures: gateway.recent_departures(),
         limits: gateway.recent_limits(),
+        brittle: gateway.recent_brittle_pools(),
         quarantine: gateway.ledger_update_for(to),
         usage: gateway.usage_update_for(to, content),
     }
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -226,8 +226,11 @@
 }
 
 /// Whether this box has no path to the upstreams that are left for a job, or only to much busier ones than others, or
-/// may have lost all paths.
+/// may have lost all paths, or owns no slot of upstreams that are brittle.
 fn lacks_path(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> bool {
+    if gateway.owns_no_brittle_slots(&job.pool) {
+        return true;
+    }
     if !gateway.has_path_trouble() {
         return false;
     }
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -127,7 +127,7 @@
     }
 
     /// The rules for sends to the upstreams of a pool at this time.
-    fn send_rules(&self, pool: &Name, now_ms: u64) -> SendRules {
+    pub(super) fn send_rules(&self, pool: &Name, now_ms: u64) -> SendRules {
         let site = self.site();
         let cold_start = site.and_then(|site| site.pool(pool)?.cold_start);
         let may_own = quota::may_own(now_ms, self.peers.since_joined_ms(now_ms));
--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -1,6 +1,7 @@
 //! Statements of upstreams about themselves: their application, and their propagation to other boxes.
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::brittle::BrittleUpdate;
 use ivyweir_policy::gateway::fleet::FleetChange;
 use ivyweir_policy::gateway::rate_limit::{LimitChange, LimitUpdate};
 use ivyweir_policy::gateway::statement::{DeclaredLimit, Source, Statement};
@@ -84,6 +85,36 @@
         lock(&self.upstreams).recent_limits(now_ms)
     }
 
+    /// Applies what another box knows of brittle pools.
+    pub fn apply_brittle_pools(&self, updates: &[BrittleUpdate]) {
+        if !updates.is_empty() {
+            let now_ms = self.clock.now_ms();
+            lock(&self.upstreams).apply_brittle_pools(updates, now_ms);
+        }
+    }
+
+    /// The pools whose upstreams are brittle, for propagation to other boxes.
+    pub fn recent_brittle_pools(&self) -> Vec<BrittleUpdate> {
+        let now_ms = self.clock.now_ms();
+        lock(&self.upstreams).recent_brittle_pools(now_ms)
+    }
+
+    /// Whether the upstreams of a pool are brittle and this box may use none of their slots.
+    pub fn owns_no_brittle_slots(&self, pool: &Name) -> bool {
+        let now_ms = self.clock.now_ms();
+        if !lock(&self.upstreams).is_brittle(pool, now_ms) {
+            return false;
+        }
+        let rules = self.send_rules(pool, now_ms);
+        lock(&self.upstreams).owns_no_brittle_slots(pool, &rules, now_ms)
+    }
+
+    /// Records that an upstream rejected a request for want of room.
+    pub fn record_rejection(&self, id: &Name) {
+        let now_ms = self.clock.now_ms();
+        lock(&self.upstreams).record_rejection(id, now_ms);
+    }
+
     /// Waits until there is an update that other boxes need immediately.
     pub async fn wait_for_urgent_update(&self) {
         self.urgent_update.notified().await;
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod backlog;
 pub mod backoff;
+pub mod brittle;
 pub mod canary;
 pub mod cascade;
 pub mod cold;
--- a/crates/ivyweir-policy/src/gateway/peer_report.rs
+++ b/crates/ivyweir-policy/src/gateway/peer_report.rs
@@ -6,6 +6,7 @@
 
 use crate::Name;
 use crate::gateway::backlog::{Backlog, add_backlog};
+use crate::gateway::brittle::BrittleUpdate;
 use crate::gateway::canary::{Tally, add_tally};
 use crate::gateway::duty::usage::UsageUpdate;
 use crate::gateway::quarantine::LedgerUpdate;
@@ -201,6 +202,9 @@
     /// Rate limits for all boxes together that upstreams recently stated.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitUpdate>,
+    /// Pools whose upstreams fail if they reject many requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub brittle: Vec<BrittleUpdate>,
     /// Update on requests during which upstreams terminated.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub quarantine: Option<LedgerUpdate>,
--- a/crates/ivyweir-policy/src/gateway/statement.rs
+++ b/crates/ivyweir-policy/src/gateway/statement.rs
@@ -84,6 +84,8 @@
     pub retry_after: Option<RetryAfter>,
     /// Whether it limits the requests that it accepts.
     pub limit: Option<DeclaredLimit>,
+    /// Rejections per second above which each upstream of its pool fails, if they are brittle.
+    pub brittle: Option<u32>,
     /// Time since the upstream made the report, according to the box that forwarded it.
     pub age_ms: u64,
     /// Time from the request to the answer with this report. None if the answer may not be the request's own, or says
@@ -100,6 +102,7 @@
             load: None,
             retry_after: None,
             limit: None,
+            brittle: None,
             age_ms: 0,
             response_time_ms: None,
         }
--- a/crates/ivyweir-policy/src/gateway/upstreams.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams.rs
@@ -18,6 +18,7 @@
 use crate::Name;
 use crate::gateway::backlog::{Backlog, reported_backlog};
 use crate::gateway::backoff::Backoff;
+use crate::gateway::brittle::{BrittlePools, RejectionRisk};
 use crate::gateway::cold::RecentSends;
 use crate::gateway::departures::Departures;
 use crate::gateway::fleet::{Fleet, MemberState, UpstreamRecord};
@@ -42,6 +43,8 @@
     /// Halls whose upstreams receive no requests.
     drained_halls: BTreeSet<Name>,
     departures: Departures,
+    /// Pools whose upstreams fail if they reject many requests.
+    brittle_pools: BrittlePools,
     /// Upstreams that declared a limit.
     limited: HashSet<Name>,
     /// Seed that differs between boxes.
@@ -68,6 +71,7 @@
     sends: RecentSends,
     backoff: Backoff,
     limit: Limit,
+    rejection_risk: RejectionRisk,
 }
 
 impl UpstreamState {
@@ -326,6 +330,7 @@
                 sends: RecentSends::default(),
                 backoff: Backoff::default(),
                 limit: Limit::default(),
+                rejection_risk: RejectionRisk::default(),
             })
     }
 }
--- a/crates/ivyweir-policy/src/gateway/upstreams/admission.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams/admission.rs
@@ -4,7 +4,9 @@
 
 use super::{ChooseError, SendDenied, SendRules, Upstreams};
 use crate::Name;
+use crate::gateway::brittle::{BrittleLoad, RECHECK_MS};
 use crate::gateway::fleet::UpstreamRecord;
+use crate::hash::hash64;
 
 impl Upstreams {
     /// Checks whether an upstream may be sent a request now. The check is made at the time of the send, since the state
@@ -25,19 +27,30 @@
             return Err(SendDenied::HallDrained);
         }
         let is_cold = member.cold_for_ms(now_ms) > 0;
-        self.check_limits(id, rules, is_cold, now_ms)
+        let record = member.record.clone();
+        self.check_limits(&record, rules, is_cold, 0, now_ms)
     }
 
-    /// Checks an upstream's back-off and this box's shares of its limit and of its cold rate.
+    /// Checks an upstream's back-off and this box's shares of its limit, of its cold rate and, if it is brittle, of its
+    /// room. `uncounted` is 1 if the request does not yet count towards the upstream's load.
     fn check_limits(
         &mut self,
-        id: &Name,
+        record: &UpstreamRecord,
         rules: &SendRules,
         is_cold: bool,
+        uncounted: u32,
         now_ms: u64,
     ) -> Result<(), SendDenied> {
         let cold_limit = rules.cold_limit.filter(|_| is_cold);
-        let state = self.state_mut(id);
+        if let Some(load) = self.brittle_load(record, rules, uncounted, now_ms)
+            && !self
+                .state_mut(&record.id)
+                .rejection_risk
+                .allows_send(&load, now_ms)
+        {
+            return Err(SendDenied::Limited { for_ms: RECHECK_MS });
+        }
+        let state = self.state_mut(&record.id);
         let for_ms = state.backoff.remaining_ms(now_ms);
         if for_ms > 0 {
             return Err(SendDenied::Backoff { for_ms });
@@ -52,6 +65,43 @@
         Ok(())
     }
 
+    /// What decides whether a request may be sent to an upstream that is brittle; `None` if it is not.
+    fn brittle_load(
+        &mut self,
+        record: &UpstreamRecord,
+        rules: &SendRules,
+        uncounted: u32,
+        now_ms: u64,
+    ) -> Option<BrittleLoad> {
+        let rejections_per_s = self.brittle_pools.rejections_per_s(&record.pool, now_ms)?;
+        let state = self.state_mut(&record.id);
+        let (id_hash, in_flight) = (state.id_hash, state.load.in_flight());
+        let slots = record.slots.max(1);
+        Some(BrittleLoad {
+            own_slots: rules.sharing.own_parts(id_hash, slots),
+            own_rejections: rules.sharing.own_parts(id_hash, rejections_per_s),
+            own_requests: in_flight + uncounted,
+        })
+    }
+
+    /// Whether the upstreams of a pool are brittle.
+    pub fn is_brittle(&self, pool: &str, now_ms: u64) -> bool {
+        let stated = self.brittle_pools.rejections_per_s(pool, now_ms);
+        stated.is_some()
+    }
+
+    /// Whether the upstreams of a pool are brittle and this box owns no slot of any of them.
+    pub fn owns_no_brittle_slots(&self, pool: &Name, rules: &SendRules, now_ms: u64) -> bool {
+        if !self.is_brittle(pool, now_ms) {
+            return false;
+        }
+        let upstreams = self.fleet.usable(pool, |_| true);
+        !upstreams.iter().any(|upstream| {
+            let id_hash = hash64(&[upstream.id.as_bytes()]);
+            rules.sharing.own_parts(id_hash, upstream.slots.max(1)) > 0
+        })
+    }
+
     /// Checks a send and, if it is allowed, counts it.
     ///
     /// # Errors
@@ -64,6 +114,13 @@
         now_ms: u64,
     ) -> Result<(), SendDenied> {
         self.may_send(id, rules, now_ms)?;
+        let record = self.fleet.member(id).map(|member| member.record.clone());
+        if let Some(record) = record
+            && let Some(load) = self.brittle_load(&record, rules, 0, now_ms)
+        {
+            let risk = &mut self.state_mut(id).rejection_risk;
+            risk.record_send(&load, now_ms);
+        }
         let state = self.state_mut(id);
         state.backoff.record_send();
         state.limit.record_send(now_ms);
@@ -87,7 +144,7 @@
         for record in records {
             let member = self.fleet.member(&record.id);
             let is_cold = member.is_some_and(|member| member.cold_for_ms(now_ms) > 0);
-            match self.check_limits(&record.id, rules, is_cold, now_ms) {
+            match self.check_limits(&record, rules, is_cold, 1, now_ms) {
                 Ok(()) => sendable.push(record),
                 Err(SendDenied::Backoff { for_ms } | SendDenied::Limited { for_ms }) => {
                     shortest_ms = Some(shortest_ms.map_or(for_ms, |ms| ms.min(for_ms)));
--- a/crates/ivyweir-policy/src/gateway/upstreams/statements.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams/statements.rs
@@ -2,6 +2,7 @@
 
 use super::Upstreams;
 use crate::Name;
+use crate::gateway::brittle::BrittleUpdate;
 use crate::gateway::fleet::FleetChange;
 use crate::gateway::rate_limit::{LimitChange, LimitUpdate};
 use crate::gateway::statement::{DeclaredLimit, RetryAfter, Statement};
@@ -34,6 +35,12 @@
             let state = self.state_mut(id);
             state.load.record_report(load.running, load.waiting, now_ms);
         }
+        if let Some(rejections_per_s) = statement.brittle
+            && let Some(member) = self.fleet.member(id)
+        {
+            let pool = &member.record.pool;
+            self.brittle_pools.record(pool, rejections_per_s, now_ms);
+        }
         if let Some(RetryAfter::ForMs(for_ms)) = statement.retry_after {
             let box_seed = self.box_seed;
             let state = self.state_mut(id);
@@ -88,6 +95,26 @@
         }
     }
 
+    /// Records that an upstream rejected a request for want of room.
+    pub fn record_rejection(&mut self, id: &Name, now_ms: u64) {
+        self.state_mut(id).rejection_risk.record_rejection(now_ms);
+    }
+
+    /// The pools whose upstreams are brittle, for propagation to other boxes.
+    pub fn recent_brittle_pools(&self, now_ms: u64) -> Vec<BrittleUpdate> {
+        self.brittle_pools.recent(now_ms)
+    }
+
+    /// Applies what another box knows of brittle pools.
+    pub fn apply_brittle_pools(&mut self, updates: &[BrittleUpdate], now_ms: u64) {
+        for update in updates {
+            let stated_at_ms = now_ms.saturating_sub(update.age_ms);
+            let rejections_per_s = update.rejections_per_s;
+            self.brittle_pools
+                .record(&update.pool, rejections_per_s, stated_at_ms);
+        }
+    }
+
     /// The latest limits of upstreams, for propagation to other boxes.
     pub fn recent_limits(&self, now_ms: u64) -> Vec<LimitUpdate> {
         let limited = self.limited.iter();
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -27,6 +27,9 @@
 /// the head as well.
 const TRUNCATION_DELAY: Duration = Duration::from_millis(20);
 
+/// Number of requests that an upstream runs at once, according to its record.
+const SLOTS: u32 = 8;
+
 /// How an upstream handles a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum UpstreamAction {
@@ -38,6 +41,11 @@
     WrongId,
     /// Refuses the request as not run.
     NotRun,
+    /// Responds with status 200 after this time, and refuses requests as not run while it runs as many as it has slots.
+    Slots {
+        /// Time of a request in milliseconds.
+        work_ms: u64,
+    },
     /// Responds that the address now belongs to another incarnation.
     OtherIncarnation,
     /// Closes the connection without a response.
@@ -292,7 +300,7 @@
         addr,
         hall: "hall-a".into(),
         version: version.into(),
-        slots: 8,
+        slots: SLOTS,
         is_leaving: false,
         cold_remaining_ms: 0,
         is_spot: false,
@@ -343,6 +351,14 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let action = shared.action_for(&body);
+    let action = match action {
+        UpstreamAction::Slots { .. }
+            if shared.active_requests.load(Ordering::SeqCst) > u64::from(SLOTS) =>
+        {
+            UpstreamAction::NotRun
+        }
+        action => action,
+    };
     let retry_after = (action == UpstreamAction::NotRun).then(|| lock(&shared.retry_after).clone());
     let limit = lock(&shared.limit).clone();
     lock(&shared.received_requests).push(ReceivedRequest {
@@ -384,6 +400,7 @@
         UpstreamAction::Answer(status) => {
             *answer.status_mut() = StatusCode::from_u16(status).expect("valid status code")
         }
+        UpstreamAction::Slots { work_ms } => sleep(Duration::from_millis(work_ms)).await,
         UpstreamAction::Unsigned => drop(headers.remove("ivyweir-signature")),
         UpstreamAction::WrongId => {
             let other = "another-request".parse().expect("valid header value");
