Spread handed-over requests by load and hints, and check more paths after some failed

Change: boxes name others that can serve when they decline and when they ask, and tell how many requests of others they serve; the less loaded of two is taken, and all are used while most can serve. After some paths failed, or came back, many are checked. TCP_USER_TIMEOUT is 3 s, beyond a second of silence.

--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -21,8 +21,9 @@
 /// Time limit for opening a connection. A lost SYN is retransmitted only after 1 s, so a new attempt
 /// succeeds sooner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which the kernel closes a connection with unacknowledged data (`TCP_USER_TIMEOUT`).
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which the kernel closes a connection with unacknowledged data or keepalive probes (`TCP_USER_TIMEOUT`).
+/// A peer may be silent for a second and more, and its last retransmission is due up to twice as late.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Idle time before the first TCP keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between TCP keepalive probes.
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -4,6 +4,7 @@
 //! handed over again. The connection between the boxes carries one request at a time: if it ends, the other box cancels
 //! the request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -45,6 +46,13 @@
 const COUNTED: HeaderName = HeaderName::from_static("ivyweir-peer-counted");
 /// Whether the box served the request, in the response.
 const OUTCOME: HeaderName = HeaderName::from_static("ivyweir-peer-outcome");
+/// Other boxes that can serve such requests, in requests and in responses of boxes that decline: a list of
+/// `NAME@ADDRESS`.
+const HINTS: HeaderName = HeaderName::from_static("ivyweir-peer-hints");
+/// Pool of the request's upstreams.
+const POOL: HeaderName = HeaderName::from_static("ivyweir-peer-pool");
+/// Number of requests of other boxes that a box serves, in the response.
+const LOAD: HeaderName = HeaderName::from_static("ivyweir-peer-load");
 const SERVED: &str = "served";
 const BUSY: &str = "busy";
 const UNABLE: &str = "unable";
@@ -53,7 +61,7 @@
 /// Time limit for a connection to another box.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Number of boxes that are asked to serve a request.
-const MAX_HELPERS: usize = 5;
+const MAX_HELPERS: usize = 8;
 /// Time for which an idle connection to another box is kept.
 const KEEP_ALIVE_MS: u64 = 4_000;
 /// Requests of other boxes that a box with a whole core serves at once.
@@ -155,7 +163,7 @@
     trace: &mut Trace,
 ) -> AttemptOutcome {
     const NOT_RUN: AttemptOutcome = AttemptOutcome::NotRun { arrived: false };
-    let Some(addr) = gateway.peers.addr_of(helper) else {
+    let Some(addr) = gateway.helper_addr(helper) else {
         return NOT_RUN;
     };
     let now_ms = || gateway.clock.now_ms();
@@ -211,14 +219,16 @@
         let outcome = response.headers().get(&OUTCOME);
         match outcome.and_then(|value| value.to_str().ok()) {
             Some(SERVED) => gateway.with_helpers(&job.pool, |helpers| {
-                helpers.record_accepted(helper, now_ms());
+                helpers.record_accepted(helper, load(response.headers()), now_ms());
             }),
-            Some(BUSY) => {
-                decline(Declined::Busy);
-                return NOT_RUN;
-            }
-            Some(_) => {
-                decline(Declined::Unable);
+            Some(outcome) => {
+                decline(if outcome == BUSY {
+                    Declined::Busy
+                } else {
+                    Declined::Unable
+                });
+                let hints = parse_hints(response.headers());
+                gateway.record_helper_hints(&job.pool, hints);
                 return NOT_RUN;
             }
             // A box that stops, or whose build does not know such requests.
@@ -241,6 +251,7 @@
 ) -> Reply {
     let status = response.status().as_u16();
     response.headers_mut().remove(&OUTCOME);
+    response.headers_mut().remove(&LOAD);
     let metadata = gateway
         .dialect
         .response_metadata(status, response.headers());
@@ -264,6 +275,8 @@
     let uri = job.head.uri.to_string();
     set(headers, METHOD, Some(job.head.method.as_str()));
     set(headers, URI, Some(&uri));
+    set(headers, POOL, Some(&job.pool));
+    set(headers, HINTS, format_hints(gateway, &job.pool).as_deref());
     set_number(headers, BUDGET_MS, job.metadata.budget_ms);
     let elapsed_ms = gateway.clock.now_ms().saturating_sub(job.arrived_ms);
     set_number(headers, ELAPSED_MS, Some(elapsed_ms));
@@ -294,26 +307,34 @@
 
 /// Handles a request that another box hands over.
 pub async fn handle(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let Some((request, handed_over)) = accept(&gateway, request) else {
+    let pool = request.headers().get(&POOL);
+    let pool: Name = pool
+        .and_then(|pool| pool.to_str().ok())
+        .unwrap_or("")
+        .into();
+    let hints = parse_hints(request.headers());
+    gateway.record_helper_hints(&pool, hints);
+    let Some((mut request, handed_over)) = accept(&gateway, request) else {
         return status_only(StatusCode::BAD_REQUEST);
     };
     let accepted = gateway.accepted_handovers.load(Ordering::Relaxed);
     if accepted > max_accepted(&gateway) {
-        return declined(BUSY);
+        return declined(&gateway, &pool, BUSY);
     }
     if gateway.may_be_cut_off() {
-        return declined(UNABLE);
+        return declined(&gateway, &pool, UNABLE);
     }
-    let mut request = request;
     request.extensions_mut().insert(Arc::new(handed_over));
-    let mut response = pipeline::handle(gateway, request).await;
-    let outcome = match response.extensions().get::<ErrorReason>() {
-        Some(reason) if is_local(*reason) => UNABLE,
-        _ => SERVED,
-    };
-    let outcome = HeaderValue::from_static(outcome);
-    response.headers_mut().insert(OUTCOME, outcome);
-    response
+    let mut response = pipeline::handle(gateway.clone(), request).await;
+    match response.extensions().get::<ErrorReason>() {
+        Some(reason) if is_local(*reason) => declined(&gateway, &pool, UNABLE),
+        _ => {
+            let served = HeaderValue::from_static(SERVED);
+            response.headers_mut().insert(OUTCOME, served);
+            set_number(response.headers_mut(), LOAD, Some(accepted));
+            response
+        }
+    }
 }
 
 /// Restores the caller's request, and counts it as accepted.
@@ -327,6 +348,8 @@
         value.to_str().ok().map(str::to_owned)
     };
     let number = |value: Option<String>| value?.parse::<u64>().ok();
+    take(POOL);
+    take(HINTS);
     let method = take(METHOD)?;
     let uri = take(URI)?;
     let budget_ms = number(take(BUDGET_MS));
@@ -354,13 +377,36 @@
     ((cores * MAX_ACCEPTED_PER_CORE) as u64).max(MIN_ACCEPTED)
 }
 
-fn declined(outcome: &'static str) -> Response<ResponseBody> {
+/// Declines a request, and names boxes that may serve it.
+fn declined(gateway: &Gateway, pool: &Name, outcome: &'static str) -> Response<ResponseBody> {
     let mut response = status_only(StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
     headers.insert(OUTCOME, HeaderValue::from_static(outcome));
+    set(headers, HINTS, format_hints(gateway, pool).as_deref());
     response
 }
 
+fn format_hints(gateway: &Gateway, pool: &Name) -> Option<String> {
+    let hints = gateway.helper_hints(pool).into_iter();
+    let hints: Vec<String> = hints.map(|(name, addr)| format!("{name}@{addr}")).collect();
+    (!hints.is_empty()).then(|| hints.join(","))
+}
+
+fn load(headers: &HeaderMap) -> u32 {
+    let load = headers.get(&LOAD).and_then(|value| value.to_str().ok());
+    load.and_then(|load| load.parse().ok()).unwrap_or(0)
+}
+
+fn parse_hints(headers: &HeaderMap) -> Vec<(Name, SocketAddr)> {
+    let hints = headers.get(&HINTS).and_then(|value| value.to_str().ok());
+    let hints = hints.into_iter().flat_map(|hints| hints.split(','));
+    let parsed = hints.filter_map(|hint| {
+        let (name, addr) = hint.rsplit_once('@')?;
+        Some((name.into(), addr.parse().ok()?))
+    });
+    parsed.collect()
+}
+
 /// Whether another box may serve a request that this one refuses for this reason.
 fn is_local(reason: ErrorReason) -> bool {
     matches!(
--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -78,6 +78,16 @@
     });
 }
 
+/// Checks the paths to many upstreams in the background.
+pub fn start_wide(gateway: &Arc<Gateway>) {
+    let gateway = gateway.clone();
+    tokio::spawn(async move {
+        let records = gateway.random_upstreams(FURTHER_UPSTREAMS, &[]);
+        let results = check(&gateway, &records).await;
+        gateway.apply_path_check(&results, true);
+    });
+}
+
 /// Probes upstreams, and records the termination of those at whose addresses nothing listens.
 async fn check(gateway: &Gateway, records: &[Arc<UpstreamRecord>]) -> Vec<(Name, CheckedPath)> {
     let own = join_all(records.iter().map(|record| probe(gateway, record))).await;
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -19,6 +19,7 @@
 mod usage;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -142,6 +143,8 @@
     path_changes: watch::Sender<u64>,
     /// Boxes that requests are handed over to, by pool.
     helpers: Mutex<HashMap<Name, Helpers>>,
+    /// Addresses of boxes that others named as able to serve requests.
+    hinted_boxes: Mutex<HashMap<Name, SocketAddr>>,
     /// Number of updates in which incarnations of upstreams were replaced.
     replacements: watch::Sender<u64>,
     /// Number of finished checks whether an upstream terminated.
@@ -215,6 +218,7 @@
             paths: Mutex::default(),
             path_changes: watch::Sender::default(),
             helpers: Mutex::default(),
+            hinted_boxes: Mutex::default(),
             replacements: watch::Sender::default(),
             termination_checks: watch::Sender::default(),
             urgent_update: Notify::new(),
--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -1,5 +1,6 @@
 //! Paths from this box to the upstreams, and the boxes that serve requests where there are none.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
@@ -16,6 +17,11 @@
 /// Number of suspected upstreams that are probed in one check.
 const MAX_SUSPECTS_CHECKED: usize = 6;
 
+/// Number of boxes that a box names as able to serve.
+const MAX_HINTS: usize = 6;
+/// Number of boxes known from hints only that are remembered.
+const MAX_HINTED_BOXES: usize = 64;
+
 /// Watches for the loss of the path to an upstream while a request waits there.
 pub struct PathWatch {
     upstream: Name,
@@ -48,14 +54,14 @@
     }
 
     /// Records that data arrived from an upstream on an open connection.
-    pub fn record_contact(&self, upstream: &Name) {
+    pub fn record_contact(self: &Arc<Self>, upstream: &Name) {
         let now_ms = self.clock.now_ms();
         let change = lock(&self.paths).record_contact(upstream, now_ms);
         self.report_path_change(change);
     }
 
     /// Records that an upstream responded to a probe on a new connection.
-    pub fn record_reached(&self, upstream: &Name) {
+    pub fn record_reached(self: &Arc<Self>, upstream: &Name) {
         let now_ms = self.clock.now_ms();
         let change = lock(&self.paths).record_reached(upstream, now_ms);
         self.report_path_change(change);
@@ -109,7 +115,11 @@
 
     /// Applies the results of a check of the paths; `is_wide` if many upstreams were checked. Returns whether other
     /// upstreams are worth a check too.
-    pub fn apply_path_check(&self, results: &[(Name, CheckedPath)], is_wide: bool) -> bool {
+    pub fn apply_path_check(
+        self: &Arc<Self>,
+        results: &[(Name, CheckedPath)],
+        is_wide: bool,
+    ) -> bool {
         let now_ms = self.clock.now_ms();
         let (change, wants_wide_check) = {
             let mut paths = lock(&self.paths);
@@ -126,13 +136,16 @@
         self.path_changes.send_modify(|count| *count += 1);
     }
 
-    fn report_path_change(&self, change: PathChange) {
-        let event = match change {
+    fn report_path_change(self: &Arc<Self>, change: PathChange) {
+        match change {
             PathChange::None => return,
-            PathChange::CutOff => "paths_lost",
-            PathChange::Restored => "paths_restored",
-        };
-        self.log.line(event, json!({}));
+            PathChange::CutOff => self.log.line("paths_lost", json!({})),
+            PathChange::Restored => {
+                self.log.line("paths_restored", json!({}));
+                // Some of the paths may still fail.
+                path_check::start_wide(self);
+            }
+        }
         self.path_changes.send_modify(|count| *count += 1);
     }
 
@@ -203,12 +216,48 @@
     /// Chooses the box that serves a request in place of this one.
     pub fn choose_helper(&self, pool: &Name, tried: &[Name], seed: u64) -> Option<Name> {
         let now_ms = self.clock.now_ms();
-        let candidates = self.peers.responsive_boxes(now_ms);
+        let mut candidates = self.peers.responsive_boxes(now_ms);
+        let hinted = lock(&self.hinted_boxes);
+        let unlisted = hinted.keys().filter(|name| !candidates.contains(name));
+        let unlisted: Vec<Name> = unlisted.cloned().collect();
+        drop(hinted);
+        candidates.extend(unlisted);
         self.with_helpers(pool, |helpers| {
             helpers.choose(&candidates, tried, seed, now_ms).cloned()
         })
     }
 
+    /// The address at which a box listens for other boxes, which may be known from a hint only.
+    pub fn helper_addr(&self, name: &Name) -> Option<SocketAddr> {
+        let listed = self.peers.addr_of(name);
+        listed.or_else(|| lock(&self.hinted_boxes).get(name).copied())
+    }
+
+    /// Boxes that are known to be able to serve requests for a pool, with their addresses.
+    pub fn helper_hints(&self, pool: &Name) -> Vec<(Name, SocketAddr)> {
+        let now_ms = self.clock.now_ms();
+        let good = self.with_helpers(pool, |helpers| helpers.known_good(MAX_HINTS, now_ms));
+        let hints = good.into_iter();
+        let hints = hints.filter_map(|name| Some((name.clone(), self.helper_addr(&name)?)));
+        hints.collect()
+    }
+
+    /// Records that another box names these as able to serve requests for a pool.
+    pub fn record_helper_hints(&self, pool: &Name, hints: Vec<(Name, SocketAddr)>) {
+        let now_ms = self.clock.now_ms();
+        for (name, addr) in hints {
+            if name == self.settings.box_name {
+                continue;
+            }
+            let mut hinted = lock(&self.hinted_boxes);
+            if hinted.len() < MAX_HINTED_BOXES {
+                hinted.insert(name.clone(), addr);
+            }
+            drop(hinted);
+            self.with_helpers(pool, |helpers| helpers.record_hint(&name, now_ms));
+        }
+    }
+
     /// Calls `work` with what is known of the other boxes as helpers for requests for a pool.
     pub fn with_helpers<T>(&self, pool: &Name, work: impl FnOnce(&mut Helpers) -> T) -> T {
         work(lock(&self.helpers).entry(pool.clone()).or_default())
@@ -219,6 +268,9 @@
         let now_ms = self.clock.now_ms();
         lock(&self.paths).sweep(is_known);
         lock(&self.helpers).retain(|_, helpers| !helpers.sweep(now_ms));
+        if !self.has_path_trouble() {
+            lock(&self.hinted_boxes).clear();
+        }
         self.helper_channels.sweep(|_| true, now_ms);
     }
 }
--- /dev/null
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -0,0 +1,174 @@
+//! Checks of the paths to upstreams.
+
+use std::collections::HashMap;
+
+use ivyweir_policy::Name;
+use ivyweir_policy::gateway::reachability::{
+    CheckedPath, PathChange, PeerProbes, ProbeResult, Reachability,
+};
+
+use ProbeResult::{Broken, Reached, Refused, Silent};
+
+fn name(number: usize) -> Name {
+    format!("upstream-{number}").into()
+}
+
+fn others(results: &[(usize, ProbeResult)], has_path: bool) -> PeerProbes {
+    PeerProbes {
+        has_path,
+        results: results
+            .iter()
+            .map(|(n, result)| (name(*n), *result))
+            .collect(),
+    }
+}
+
+/// Checks upstreams by their numbers: results of this box, and of another one with a path.
+fn check(results: &[(usize, ProbeResult, ProbeResult)]) -> Vec<(Name, CheckedPath)> {
+    let checked = |(n, own, other): &(usize, ProbeResult, ProbeResult)| {
+        let path = CheckedPath::new(&name(*n), *own, &[others(&[(*n, *other)], true)]);
+        (name(*n), path)
+    };
+    results.iter().map(checked).collect()
+}
+
+macro_rules! endings {
+    ($($name:ident: $own:expr, $others:expr, has_path $has_path:expr => $is_terminated:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let checked = CheckedPath::new(&name(0), $own, &$others);
+            assert_eq!(checked.is_terminated($has_path), $is_terminated);
+        }
+    )*};
+}
+
+endings! {
+    an_upstream_that_refuses_all_has_terminated:
+        Refused, [others(&[(0, Refused)], true)], has_path true => true;
+    an_upstream_that_another_box_reaches_has_not_terminated:
+        Refused, [others(&[(0, Refused)], true), others(&[(0, Reached)], true)], has_path true => false;
+    refusals_of_a_box_without_paths_show_nothing:
+        Refused, [others(&[(0, Refused)], false)], has_path false => false;
+    a_box_with_paths_decides_alone_where_no_other_can:
+        Refused, [others(&[(0, Refused)], false)], has_path true => true;
+    a_broken_connection_is_no_termination:
+        Broken, [others(&[(0, Refused)], true)], has_path true => false;
+    a_silent_upstream_has_not_terminated:
+        Silent, [others(&[(0, Silent)], true)], has_path true => false;
+}
+
+#[test]
+fn a_box_that_reaches_nothing_that_others_reach_is_cut_off() {
+    let mut paths = Reachability::default();
+    paths.begin_request(&name(0), 0);
+    assert!(paths.suspect(&name(0)));
+    assert_eq!(paths.begin_check(10), Some(vec![name(0)]));
+    let results = check(&[(0, Silent, Reached), (1, Silent, Reached)]);
+    assert_eq!(paths.apply_check(&results, false, 160), PathChange::CutOff);
+    paths.end_check();
+    assert!(paths.is_cut_off() && paths.is_hanging(&name(0)) && paths.is_hanging(&name(7)));
+}
+
+#[test]
+fn a_box_is_not_cut_off_while_other_upstreams_send_data() {
+    let mut paths = Reachability::default();
+    paths.begin_request(&name(0), 0);
+    paths.begin_request(&name(5), 0);
+    paths.suspect(&name(0));
+    paths.begin_check(10);
+    paths.record_contact(&name(5), 50);
+    let results = check(&[(0, Silent, Reached), (1, Silent, Reached)]);
+    assert_eq!(paths.apply_check(&results, false, 160), PathChange::None);
+    assert!(paths.wants_wide_check(&results, 160));
+    paths.end_check();
+    assert!(!paths.is_cut_off() && paths.is_hanging(&name(0)) && !paths.is_hanging(&name(5)));
+    assert_eq!(paths.avoided().len(), 2);
+}
+
+#[test]
+fn upstreams_that_nobody_reaches_leave_the_paths_alone() {
+    let mut paths = Reachability::default();
+    paths.begin_request(&name(0), 0);
+    paths.suspect(&name(0));
+    paths.begin_check(10);
+    let results = check(&[(0, Silent, Silent), (1, Refused, Refused)]);
+    assert_eq!(paths.apply_check(&results, true, 160), PathChange::None);
+    paths.end_check();
+    assert!(!paths.has_trouble() && !paths.is_hanging(&name(0)));
+}
+
+#[test]
+fn requests_on_open_connections_go_on_where_new_ones_are_refused() {
+    let mut paths = Reachability::default();
+    paths.begin_request(&name(0), 0);
+    paths.suspect(&name(1));
+    paths.begin_check(10);
+    let results = check(&[(1, Refused, Reached), (2, Broken, Reached)]);
+    assert_eq!(paths.apply_check(&results, false, 20), PathChange::CutOff);
+    paths.end_check();
+    assert!(!paths.is_hanging(&name(0)));
+    // Data on an old connection does not show that new ones can be opened.
+    assert_eq!(paths.record_contact(&name(0), 30), PathChange::None);
+    assert!(paths.is_cut_off());
+}
+
+#[test]
+fn a_response_to_a_probe_restores_the_paths() {
+    let mut paths = Reachability::default();
+    paths.suspect(&name(0));
+    paths.begin_check(10);
+    let results = check(&[(0, Refused, Reached), (1, Refused, Reached)]);
+    paths.apply_check(&results, false, 20);
+    paths.end_check();
+    assert_eq!(paths.due_probes(8, 100), Vec::<Name>::new());
+    assert_eq!(paths.due_probes(8, 220).len(), 2);
+    assert_eq!(paths.record_reached(&name(0), 230), PathChange::Restored);
+    assert!(!paths.is_cut_off());
+    // The other one is probed at once.
+    assert_eq!(paths.due_probes(8, 231), [name(1)]);
+    paths.record_reached(&name(1), 232);
+    assert!(!paths.has_trouble());
+}
+
+#[test]
+fn silence_is_checked_only_where_requests_wait_and_not_all_the_time() {
+    let mut paths = Reachability::default();
+    assert!(!paths.suspect_silent(10_000));
+    paths.begin_request(&name(0), 10_000);
+    assert!(!paths.suspect_silent(10_150));
+    assert!(paths.suspect_silent(10_200));
+    paths.begin_check(10_200);
+    paths.apply_check(&check(&[(0, Reached, Reached)]), false, 10_210);
+    paths.end_check();
+    assert!(!paths.has_trouble());
+    assert!(!paths.suspect_silent(10_900));
+    assert!(paths.suspect_silent(11_200));
+}
+
+#[test]
+fn one_silent_upstream_is_checked_later_than_all() {
+    let mut paths = Reachability::default();
+    paths.begin_request(&name(0), 0);
+    paths.begin_request(&name(1), 0);
+    for now_ms in (0..600).step_by(20) {
+        paths.record_contact(&name(1), now_ms);
+        assert!(!paths.suspect_silent(now_ms));
+    }
+    paths.record_contact(&name(1), 600);
+    assert!(paths.suspect_silent(600));
+    assert_eq!(paths.begin_check(600), Some(vec![name(0)]));
+}
+
+#[test]
+fn what_is_not_known_any_more_is_forgotten() {
+    let mut paths = Reachability::default();
+    paths.suspect(&name(0));
+    paths.begin_check(0);
+    paths.apply_check(&check(&[(0, Refused, Reached)]), true, 10);
+    paths.end_check();
+    assert!(paths.has_trouble());
+    paths.sweep(|_| false);
+    assert!(paths.avoided().is_empty());
+    let known: HashMap<Name, ()> = HashMap::new();
+    paths.sweep(|id| known.contains_key(id));
+}
