Keep the promise of a refusal that another box makes

Cause, by reading: a repeatable request that may have run at an upstream of the first box could be refused as not run by the box that it was handed over to, and its number was counted for ever if the number of sends could not be parsed. Change: the first box says that the response was lost; the count begins after parsing. Not measured: found by reading.

--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -90,7 +90,7 @@
     }
     // Statuses such as 429 and 503 tell the caller that the request was not run. Only the
     // upstream's own statement establishes that, and it was evaluated earlier.
-    // Another box states it too.
+    // Another box states that of its own attempts; those of this box were evaluated earlier too.
     let is_at_upstream = in_flight.upstream().is_some();
     if is_at_upstream && is_not_run_status(head.status.as_u16()) {
         return Ok(ErrorReason::ResponseLost.into_response(false));
@@ -123,6 +123,7 @@
     }
 }
 
-fn is_not_run_status(status: u16) -> bool {
+/// Whether a status tells the caller that the request was not run.
+pub fn is_not_run_status(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -216,33 +216,33 @@
                 return AttemptOutcome::Lost;
             }
         };
-        let outcome = response.headers().get(&OUTCOME);
-        match outcome.and_then(|value| value.to_str().ok()) {
-            Some(SERVED) => gateway.with_helpers(&job.pool, |helpers| {
-                helpers.record_accepted(helper, load(response.headers()), now_ms());
-            }),
-            Some(outcome) => {
-                decline(if outcome == BUSY {
-                    Declined::Busy
-                } else {
-                    Declined::Unable
-                });
-                let hints = parse_hints(response.headers());
-                gateway.record_helper_hints(&job.pool, hints);
-                return NOT_RUN;
-            }
-            // A box that stops, or whose build does not know such requests.
-            None => {
-                decline(Declined::Unavailable);
-                return NOT_RUN;
-            }
+        if let Some(why) = declined_why(&response) {
+            decline(why);
+            let hints = parse_hints(response.headers());
+            gateway.record_helper_hints(&job.pool, hints);
+            return NOT_RUN;
         }
+        gateway.with_helpers(&job.pool, |helpers| {
+            helpers.record_accepted(helper, load(response.headers()), now_ms());
+        });
         let status = response.status().as_u16();
         trace.step("handed_over", json!({"box": helper, "status": status}));
         return AttemptOutcome::Answered(Box::new(reply(gateway, response, in_flight, sent_at_ms)));
     }
 }
 
+/// Why a box did not serve the request; `None` if it did.
+fn declined_why(response: &Response<Incoming>) -> Option<Declined> {
+    let outcome = response.headers().get(&OUTCOME);
+    match outcome.and_then(|value| value.to_str().ok()) {
+        Some(SERVED) => None,
+        Some(BUSY) => Some(Declined::Busy),
+        Some(_) => Some(Declined::Unable),
+        // A box that stops, or whose build does not know such requests.
+        None => Some(Declined::Unavailable),
+    }
+}
+
 fn reply(
     gateway: &Gateway,
     mut response: Response<Incoming>,
@@ -354,7 +354,7 @@
     let uri = take(URI)?;
     let budget_ms = number(take(BUDGET_MS));
     let elapsed_ms = number(take(ELAPSED_MS))?;
-    let sends = number(take(SENDS))?;
+    let sends = u32::try_from(number(take(SENDS))?).ok()?;
     let is_counted = number(take(COUNTED))? != 0;
     let model = number(take(MODEL)).and_then(|model| usize::try_from(model).ok());
     head.method = method.parse().ok()?;
@@ -363,7 +363,7 @@
     let handed_over = HandedOver {
         budget_ms,
         elapsed_ms,
-        sends: u32::try_from(sends).ok()?,
+        sends,
         is_counted,
         model,
         accepted: gateway.accepted_handovers.clone(),
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -10,7 +10,7 @@
 
 use crate::admit::admit;
 use crate::attempt::Reply;
-use crate::buffer::buffer_response;
+use crate::buffer::{buffer_response, is_not_run_status};
 use crate::canary::record_head;
 use crate::error_response::ErrorReason;
 use crate::job::Job;
@@ -143,6 +143,13 @@
         if !is_success && let Some(smaller) = fallback.take() {
             return Ok(relay_fallback(gateway, job, smaller, &state, trace, active));
         }
+        // The other box did not run the request, but an upstream may have run it before.
+        if !is_at_upstream
+            && state.may_have_run
+            && is_not_run_status(reply.response.status().as_u16())
+        {
+            return Err(ErrorReason::ResponseLost);
+        }
         if let Some(smaller) = &mut fallback {
             smaller.reply.in_flight.discard();
         }
