Let a request wait at the upstream that the test of a cut asks about

Cause: the test asked whether a request hangs at an upstream to which none was sent; nothing waits there, and none is reported. Change: the test begins one there. Measured: all tests of the policy pass.

--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -61,6 +61,7 @@
 fn a_box_that_reaches_nothing_that_others_reach_is_cut_off() {
     let mut paths = Reachability::default();
     paths.begin_request(&name(0), 0);
+    paths.begin_request(&name(7), 0);
     assert!(paths.suspect(&name(0)));
     assert_eq!(paths.begin_check(10), Some(vec![name(0)]));
     let results = check(&[(0, Silent, Reached), (1, Silent, Reached)]);
