--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::{HeaderMap, Response, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::forecast::Forecast;
 use ivyweir_policy::gateway::quarantine::{RunEnd, RunKey};
@@ -16,7 +17,7 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use crate::connection::{self, Connection, SendError, keep_alive_ms};
+use crate::connection::{self, Connection, SendError, framing, keep_alive_ms};
 use crate::dialect::{ForwardMetadata, ResponseMetadata};
 use crate::handover::HandoverGuard;
 use crate::job::Job;
@@ -262,8 +263,8 @@
     pub in_flight: InFlightRequest,
     /// Time for which the connection may be kept idle afterwards; `None` if it must be closed.
     pub keep_alive_ms: Option<u64>,
-    /// Whether the end of the body is known other than by the end of the connection.
-    pub is_framed: bool,
+    /// How the body shows its end.
+    pub framing: Framing,
     /// Time from sending the request to the head of the response.
     pub head_after_ms: u64,
 }
@@ -477,7 +478,7 @@
         .dialect
         .response_metadata(status, response.headers());
     let keep_alive_ms = keep_alive_ms(response.headers());
-    let is_framed = is_framed(response.headers());
+    let framing = framing(response.headers());
     in_flight.record_contact();
     in_flight.record_prefilled();
     let upstream: &Name = &record.id;
@@ -534,16 +535,11 @@
         metadata,
         in_flight,
         keep_alive_ms,
-        is_framed,
+        framing,
         head_after_ms,
     }))
 }
 
-/// Returns whether the body length is known from a header or from chunked encoding.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Returns whether a response was produced by the upstream for this request: it echoes the request id, and it is
 /// signed if it is a success.
 fn is_response_to(job: &Job, metadata: &ResponseMetadata, status: u16) -> bool {
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::statement::DeclaredLimit;
 use serde_json::json;
 use tokio::time::timeout;
@@ -40,7 +41,7 @@
         response,
         mut in_flight,
         keep_alive_ms,
-        is_framed,
+        framing,
         metadata,
         ..
     } = reply;
@@ -75,12 +76,12 @@
         }
     };
     in_flight.record_contact();
-    in_flight.complete(is_framed && head.status.is_success());
+    in_flight.complete(framing != Framing::Connection && head.status.is_success());
     in_flight.release_connection(keep_alive_ms);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let detail = json!({
-        "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(),
+        "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(), "framing": framing.name(),
         "leaving": metadata.statement.is_leaving, "limit_per_s": metadata.statement.limit.map(DeclaredLimit::requests_per_s),
     });
     if head.status.is_server_error() {
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::TokioIo;
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::answer_end::Framing;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -210,6 +211,17 @@
     }
 }
 
+/// Returns how a response body shows its end. Of both headers, the transfer encoding counts.
+pub fn framing(headers: &HeaderMap) -> Framing {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        Framing::Chunks
+    } else if headers.contains_key(header::CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
+    }
+}
+
 /// Returns how long a connection may stay idle according to the response headers; `None` if the server
 /// closes it or its timeout is too short to reuse the connection.
 pub fn keep_alive_ms(headers: &HeaderMap) -> Option<u64> {
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::attempt::{AttemptOutcome, InFlightRequest, Reply};
-use crate::connection::{Connection, SendError, keep_alive_ms};
+use crate::connection::{Connection, SendError, framing, keep_alive_ms};
 use crate::error_response::ErrorReason;
 use crate::job::Job;
 use crate::log::Trace;
@@ -259,7 +259,7 @@
         metadata,
         in_flight,
         keep_alive_ms: keep_alive_ms(response.headers()).map(|ms| ms.min(KEEP_ALIVE_MS)),
-        is_framed: true,
+        framing: framing(response.headers()),
         head_after_ms: gateway.clock.now_ms() - sent_at_ms,
         response,
     }
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::{Response, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::site::RouteKind;
 use serde_json::json;
@@ -55,7 +56,7 @@
         in_flight,
         keep_alive_ms,
         metadata,
-        is_framed,
+        framing,
         ..
     } = reply;
     let (mut head, body) = response.into_parts();
@@ -74,7 +75,7 @@
             body,
             in_flight,
             keep_alive_ms,
-            is_framed,
+            framing,
             running: metadata.running(),
             last_read_ms: gateway.clock.now_ms(),
             ignores_stalls: false,
@@ -112,8 +113,7 @@
     /// Resolves when the path to the upstream is found to transfer no data.
     path: PathWatch,
     keep_alive_ms: Option<u64>,
-    /// Whether the end of the body is known other than by the end of the connection.
-    is_framed: bool,
+    framing: Framing,
     /// Number of requests that the upstream ran when its response began.
     running: u32,
     /// Time at which data was last received.
@@ -298,7 +298,9 @@
     /// Records that the stream ended normally.
     fn finish(&mut self) {
         self.ended = true;
-        self.source.in_flight.complete(self.source.is_framed);
+        self.source
+            .in_flight
+            .complete(self.source.framing != Framing::Connection);
         self.source
             .in_flight
             .release_connection(self.source.keep_alive_ms);
@@ -309,6 +311,7 @@
         let detail = json!({
             "upstream": self.source.in_flight.place(), "events": self.events, "pace_ms": pace_ms,
             "longest_pause_ms": self.longest_pause_ms,
+            "framing": self.source.framing.name(), "open_event_bytes": self.partial.len(),
             "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
         });
         self.trace.step("stream_ended", detail);
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -143,7 +143,7 @@
             body: reply.response.into_body(),
             in_flight: reply.in_flight,
             keep_alive_ms: reply.keep_alive_ms,
-            is_framed: reply.is_framed,
+            framing: reply.framing,
             last_read_ms: self.gateway.clock.now_ms(),
             ignores_stalls: false,
         };
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! The types perform no I/O and read no clock: the current time is passed in by the caller. The gateway's I/O is in
 //! `ivyweir-gateway`.
 
+pub mod answer_end;
 pub mod backlog;
 pub mod backoff;
 pub mod brittle;
