Reproduce streams that are cut inside an event and end as complete

New stand-ins script the line ends, the framing, the pieces and the end of a body: by its length, its last chunk or its connection, cleanly, by a reset or by the exit of the process.

All streams whose upstream ends inside an event are passed on as complete, with the torn event, under every framing and line end, to callers of HTTP/1.0 and 1.1, also at the upstream of another box and from a larger model. Events whose lines do not end with LF are held back until the body ends. Plain answers without a length whose upstream exits are cut short. Whole streams and resets pass.

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -5,6 +5,7 @@
 
 mod duty_invariant;
 mod duty_platform;
+mod event_script;
 mod gateway_process;
 mod path_proxy;
 mod peer_filter;
@@ -15,6 +16,7 @@
 
 pub use duty_invariant::{DutyCall, DutyInvariant, DutyViolation};
 pub use duty_platform::DutyPlatform;
+pub use event_script::{BodyEnd, BodyFraming, EventScript, LineEnd, PlainScript};
 pub use gateway_process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use path_proxy::{PathFault, PathProxies};
 pub use peer_filter::PeerFilter;
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -11,13 +11,16 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::http::Extensions;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use socket2::Socket;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::event_script::{ConnectionControl, EventScript, PlainScript};
 use super::test_cluster::serve_until;
 use crate::loopback::unique_ip;
 
@@ -76,6 +79,10 @@
         /// Confidence of the model in its response.
         confidence: Option<u8>,
     },
+    /// Responds with events behind the one that the request names.
+    Events(EventScript),
+    /// Responds with status 200 and a plain body.
+    Plain(PlainScript),
     /// Responds with a stream of large events without a delay.
     LargeEvents {
         /// Number of the last event of the stream.
@@ -452,13 +459,23 @@
             if let Some(confidence) = confidence {
                 headers.insert("ivyweir-confidence", u16::from(confidence).into());
             }
-            let last = head.headers.get("last-event-id");
-            let last: u64 = last
-                .and_then(|id| id.to_str().ok()?.parse().ok())
-                .unwrap_or(0);
+            let last = last_event_id(&head.headers);
             *answer.body_mut() = event_stream(active, last, events, gap_ms, truncate_after);
             return Ok(answer);
         }
+        UpstreamAction::Events(script) => {
+            let control = connection_control(&shared, &head.extensions);
+            let last = last_event_id(&head.headers);
+            let event_stream = HeaderValue::from_static("text/event-stream");
+            headers.insert(CONTENT_TYPE, event_stream);
+            script.write_to(&mut answer, last, control, active);
+            return Ok(answer);
+        }
+        UpstreamAction::Plain(script) => {
+            let control = connection_control(&shared, &head.extensions);
+            script.write_to(&mut answer, echo, control, active);
+            return Ok(answer);
+        }
         UpstreamAction::LargeEvents {
             events,
             event_bytes,
@@ -471,6 +488,22 @@
     Ok(answer)
 }
 
+/// Number of the event behind which a stream is to resume; 0 if it is to begin.
+fn last_event_id(headers: &HeaderMap) -> u64 {
+    let last = headers.get("last-event-id");
+    let last = last.and_then(|id| id.to_str().ok()?.parse().ok());
+    last.unwrap_or(0)
+}
+
+fn connection_control(shared: &Arc<Shared>, extensions: &Extensions) -> ConnectionControl {
+    let socket = extensions.get::<Arc<Socket>>();
+    let exiting = shared.clone();
+    ConnectionControl {
+        socket: socket.expect("the server adds the socket").clone(),
+        exit: Box::new(move || exiting.exit()),
+    }
+}
+
 /// Streams the events after `last` up to `events`. The text of an event contains its number.
 fn event_stream(
     active: ActiveGuard,
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -21,6 +21,7 @@
     CallerLimits, PoolShare, PoolSpec, Route, RouteKind, SiteConfig, Workspace,
 };
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Notify;
@@ -459,7 +460,8 @@
 }
 
 /// Serves HTTP on a thread until `end` is notified, which closes all connections at once, and the listener after
-/// `listener_linger_ms` more. Meanwhile the kernel accepts connections that nobody reads.
+/// `listener_linger_ms` more. Meanwhile the kernel accepts connections that nobody reads. Each request has the
+/// `Arc<Socket>` of its connection as an extension.
 pub fn serve_until<F, A, B, E>(
     listener: std::net::TcpListener,
     end: Arc<Notify>,
@@ -489,7 +491,14 @@
                     let Ok((stream, _)) = accepting.accept().await else {
                         continue;
                     };
-                    let service = service_fn(answer.clone());
+                    let Ok(socket) = SockRef::from(&stream).try_clone() else {
+                        continue;
+                    };
+                    let (answer, socket) = (answer.clone(), Arc::new(socket));
+                    let service = service_fn(move |mut request: Request<Incoming>| {
+                        request.extensions_mut().insert(socket.clone());
+                        answer(request)
+                    });
                     let connection =
                         server::Builder::new().serve_connection(TokioIo::new(stream), service);
                     tokio::spawn(async move {
