Decide in one place what the end of an answer's body means

What callers saw: a stream whose upstream cut it inside an event arrived framed as complete, with part of the event, and was not resumed; events whose lines end with CRLF or CR came only when the body ended; part of a plain answer without length or chunks passed for all of it when its upstream exited.

Cause: the end of a body was taken for its completion. The HTTP client reports the end of a body without length or chunks when its connection ends, and of a framed one after its length or last chunk; neither says that the events in it are whole. The relay passed on what was left behind the last event and ended the answer. It knew LF as the only line end.

Change: SourceEnd::meaning decides from the framing, from whether an event is open and from the state of the upstream; streams and plain answers ask it. An end inside an event is a break under every framing and is handled as a broken connection. A body that ends with its connection, with no event open, is checked by a connection to its upstream. Streams are no longer resumed behind events without a numeric id, which began the stream anew. The version of the upstream's response no longer decides how the caller's answer is framed. A connection that ended with its body is not kept.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -478,7 +478,7 @@
         .dialect
         .response_metadata(status, response.headers());
     let keep_alive_ms = keep_alive_ms(response.headers());
-    let framing = framing(response.headers());
+    let framing = framing(&response);
     in_flight.record_contact();
     in_flight.record_prefilled();
     let upstream: &Name = &record.id;
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -1,17 +1,19 @@
 //! Buffers a response that is not a stream before it is passed on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Response, header};
+use hyper::{Response, Version, header};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::statement::DeclaredLimit;
 use serde_json::json;
 use tokio::time::timeout;
 
+use crate::answer_end;
 use crate::attempt::Reply;
 use crate::error_response::ErrorReason;
 use crate::job::{Job, strip_hop_by_hop};
@@ -32,7 +34,7 @@
 ///
 /// Returns the upstream's name if the response is not received completely.
 pub async fn buffer_response(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     job: &Job,
     reply: Reply,
     trace: &mut Trace,
@@ -76,8 +78,19 @@
         }
     };
     in_flight.record_contact();
-    in_flight.complete(framing != Framing::Connection && head.status.is_success());
-    in_flight.release_connection(keep_alive_ms);
+    if let Err(cause) = answer_end::check(gateway, &in_flight, framing, false, trace).await {
+        in_flight.record_broken_connection();
+        trace.fail(
+            "answer_broke_off",
+            json!({"upstream": upstream, "error": cause.text()}),
+        );
+        return Err(upstream);
+    }
+    let is_framed = framing != Framing::Connection;
+    in_flight.complete(is_framed && head.status.is_success());
+    in_flight.release_connection(keep_alive_ms.filter(|_| is_framed));
+    // The version of the upstream decides nothing about the caller's connection.
+    head.version = Version::HTTP_11;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let detail = json!({
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::TokioIo;
@@ -211,11 +211,13 @@
     }
 }
 
-/// Returns how a response body shows its end. Of both headers, the transfer encoding counts.
-pub fn framing(headers: &HeaderMap) -> Framing {
+/// Returns how a response body shows its end. Of both headers, the transfer encoding counts; a response that has no body
+/// by its status needs neither.
+pub fn framing(response: &Response<Incoming>) -> Framing {
+    let headers = response.headers();
     if headers.contains_key(header::TRANSFER_ENCODING) {
         Framing::Chunks
-    } else if headers.contains_key(header::CONTENT_LENGTH) {
+    } else if headers.contains_key(header::CONTENT_LENGTH) || response.body().is_end_stream() {
         Framing::Length
     } else {
         Framing::Connection
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -259,7 +259,7 @@
         metadata,
         in_flight,
         keep_alive_ms: keep_alive_ms(response.headers()).map(|ms| ms.min(KEEP_ALIVE_MS)),
-        framing: framing(response.headers()),
+        framing: framing(&response),
         head_after_ms: gateway.clock.now_ms() - sent_at_ms,
         response,
     }
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod admit;
+mod answer_end;
 mod apply;
 mod attempt;
 mod box_call;
--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ivyweir_policy::gateway::answer_end::UpstreamState;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +25,9 @@
 /// too many connections closes new ones at once.
 const MIN_REPROBE_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time limit for the check of an upstream behind the end of an answer, which waits for it.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// What a probe found.
 enum ProbeResult {
     /// Nothing listens at the address.
@@ -54,6 +58,20 @@
     });
 }
 
+/// Finds out whether an upstream still runs after the body of its answer ended with the connection.
+pub async fn state_after_end(
+    gateway: &Arc<Gateway>,
+    upstream: &Arc<UpstreamRecord>,
+) -> UpstreamState {
+    if gateway.is_termination_planned(upstream) {
+        return UpstreamState::Leaving;
+    }
+    match timeout(END_CHECK_TIMEOUT, probe_once(gateway, upstream)).await {
+        Ok(ProbeResult::Refused) => UpstreamState::Terminated,
+        Ok(ProbeResult::Opened(_) | ProbeResult::Inconclusive) | Err(_) => UpstreamState::Running,
+    }
+}
+
 /// Watches an upstream in the background while a run that was cancelled there may be interrupted by its termination.
 pub fn watch_cancelled(gateway: &Arc<Gateway>, upstream: &Arc<UpstreamRecord>) {
     if !gateway.begin_watch(&upstream.id) {
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub upstream_ends: IntCounterVec,
     /// Connections opened to find out whether an upstream terminated, by pool and outcome.
     pub probes: IntCounterVec,
+    /// Bodies of answers that were read to their end, by framing and what the end means.
+    pub answer_ends: IntCounterVec,
     /// Requests that were handed over to other boxes, by outcome.
     pub handovers: IntCounterVec,
     /// Store records that became invalid, by topic and fault. Each is counted once, when it becomes
@@ -104,6 +106,11 @@
             "upstreams that ended while requests were there, by pool",
             &["pool"],
         );
+        let answer_ends = counter(
+            "ivyweir_answer_ends_total",
+            "bodies of answers read to their end by framing and meaning",
+            &["framing", "meaning"],
+        );
         let handovers = counter(
             "ivyweir_handovers_total",
             "requests handed over to other boxes by outcome",
@@ -194,6 +201,7 @@
             unread_headers,
             upstream_ends,
             probes,
+            answer_ends,
             handovers,
             unreadable_records,
             store_calls,
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -300,7 +300,7 @@
     }
 
     /// Whether the termination of an upstream was expected: it announced its departure, or its version was replaced.
-    fn is_termination_planned(&self, upstream: &UpstreamRecord) -> bool {
+    pub fn is_termination_planned(&self, upstream: &UpstreamRecord) -> bool {
         let is_known = lock(&self.upstreams).fleet().member(&upstream.id).is_some();
         !is_known || self.is_version_replaced(upstream)
     }
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -1,31 +1,38 @@
 //! Relays a stream event by event, and resumes it at another upstream if it breaks off.
+//!
+//! Only whole events are passed on, so a caller that received part of a stream can resume it too.
 
 mod ahead;
 mod resume;
+mod source;
 
 use std::io;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{Response, header};
+use hyper::{Response, Version, header};
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::answer_end::Framing;
+use ivyweir_policy::gateway::answer_end::BreakCause;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
+use ivyweir_policy::gateway::event_stream::{StreamPosition, events};
 use ivyweir_policy::gateway::site::RouteKind;
 use serde_json::json;
 use tokio::time::timeout_at;
 
-use crate::attempt::{InFlightRequest, Reply};
+use crate::answer_end;
+use crate::attempt::Reply;
 use crate::canary::record_sample;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
 use crate::relay_buffer::{BodyRead, RelayBuffer};
 use crate::response::ResponseBody;
 use crate::retry::RetryState;
-use crate::state::{ActiveRequest, Gateway, PathWatch, ReplacementWatch};
+use crate::state::{ActiveRequest, Gateway};
+
+use self::source::Source;
 
 /// Smallest number of intervals between events from which their mean is used.
 const MIN_PACE_INTERVALS: u32 = 2;
@@ -51,38 +58,19 @@
     trace: Trace,
     active: ActiveRequest,
 ) -> Response<ResponseBody> {
-    let Reply {
-        response,
-        in_flight,
-        keep_alive_ms,
-        metadata,
-        framing,
-        ..
-    } = reply;
-    let (mut head, body) = response.into_parts();
+    let (source, mut head) = Source::new(gateway, reply);
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
-    let last_event_id = job.metadata.last_event_id;
+    // The version of the upstream decides nothing about the caller's connection.
+    head.version = Version::HTTP_11;
     let buffer = job.open_buffer(gateway.relay_buffers.as_ref());
     let buffer = buffer.map(Arc::new);
     let stream = Stream {
         gateway: gateway.clone(),
-        job,
         buffer: buffer.clone(),
-        source: Source {
-            replaced: gateway.watch_replacement(in_flight.place()),
-            path: gateway.watch_path(in_flight.place()),
-            body,
-            in_flight,
-            keep_alive_ms,
-            framing,
-            running: metadata.running(),
-            last_read_ms: gateway.clock.now_ms(),
-            ignores_stalls: false,
-        },
-        partial: BytesMut::new(),
-        last_event_id,
-        events: 0,
+        position: StreamPosition::after(job.metadata.last_event_id),
+        job,
+        source,
         first_event_ms: 0,
         last_event_ms: 0,
         longest_pause_ms: 0,
@@ -104,24 +92,6 @@
     Response::from_parts(head, StreamBody::new(Box::pin(frames)).boxed_unsync())
 }
 
-/// The upstream response that the stream is currently read from.
-struct Source {
-    body: Incoming,
-    in_flight: InFlightRequest,
-    /// Resolves when another incarnation replaces the upstream.
-    replaced: ReplacementWatch,
-    /// Resolves when the path to the upstream is found to transfer no data.
-    path: PathWatch,
-    keep_alive_ms: Option<u64>,
-    framing: Framing,
-    /// Number of requests that the upstream ran when its response began.
-    running: u32,
-    /// Time at which data was last received.
-    last_read_ms: u64,
-    /// Whether stalls are ignored, because no other upstream took over the stream.
-    ignores_stalls: bool,
-}
-
 /// A stream that is being relayed to the caller.
 struct Stream {
     gateway: Arc<Gateway>,
@@ -129,10 +99,8 @@
     source: Source,
     /// Counts the bytes held for the caller; `None` if buffers are not bounded.
     buffer: Option<Arc<RelayBuffer>>,
-    /// Bytes after the last complete event.
-    partial: BytesMut,
-    last_event_id: Option<u64>,
-    events: u32,
+    /// What the caller has received.
+    position: StreamPosition,
     first_event_ms: u64,
     last_event_ms: u64,
     longest_pause_ms: u64,
@@ -170,19 +138,23 @@
             match self.read().await {
                 ReadResult::Events(events) => return Some(Ok(Frame::data(self.deliver(events)))),
                 ReadResult::Partial | ReadResult::NoRoom => {}
-                ReadResult::End => {
-                    self.finish();
-                    if self.partial.is_empty() {
-                        return None;
+                ReadResult::End => match self.check_end().await {
+                    Ok(()) => {
+                        self.finish();
+                        if self.source.partial.is_empty() {
+                            return None;
+                        }
+                        let rest = self.source.partial.split().freeze();
+                        return Some(Ok(Frame::data(self.deliver(rest))));
                     }
-                    let rest = self.partial.split().freeze();
-                    return Some(Ok(Frame::data(self.deliver(rest))));
-                }
+                    Err(cause) => {
+                        if !self.resume_after_break(cause.text()).await {
+                            return Some(Err(self.abort(cause.text())));
+                        }
+                    }
+                },
                 ReadResult::Broke(error) => {
-                    self.record_broken_source(&error);
-                    let upstream = self.source.in_flight.place().clone();
-                    self.gateway.wait_for_termination_check(&upstream).await;
-                    if !self.resume(self.resume_until_ms()).await {
+                    if !self.resume_after_break(&error).await {
                         return Some(Err(self.abort("upstream connection broke")));
                     }
                 }
@@ -196,6 +168,21 @@
         }
     }
 
+    /// Checks that the body of the source, which was read to its end, is the complete rest of the stream.
+    async fn check_end(&mut self) -> Result<(), BreakCause> {
+        let source = &self.source;
+        let is_event_open = source.is_event_open();
+        let trace = &mut self.trace;
+        answer_end::check(
+            &self.gateway,
+            &source.in_flight,
+            source.framing,
+            is_event_open,
+            trace,
+        )
+        .await
+    }
+
     /// Reads from the upstream until data, its end, an error, a stall or the deadline.
     async fn read(&mut self) -> ReadResult {
         let deadline_ms = self.read_deadline_ms();
@@ -226,7 +213,11 @@
                     if let Some(buffer) = &self.buffer {
                         buffer.receive(data.len());
                     }
-                    self.split_events(data)
+                    let Some(whole) = self.source.receive(data) else {
+                        return ReadResult::Partial;
+                    };
+                    self.record_events(&whole);
+                    ReadResult::Events(whole)
                 }
                 // Trailers are not relayed.
                 Err(_) => ReadResult::Partial,
@@ -252,6 +243,7 @@
                 ..
             }
         );
+        let is_resumable = is_resumable && self.position.can_be_resumed();
         is_resumable && self.sent < self.job.route.max_attempts
     }
 
@@ -264,54 +256,49 @@
         resume_until_ms.min(self.job.deadline_ms)
     }
 
-    /// Splits the complete events off the received data.
-    fn split_events(&mut self, data: Bytes) -> ReadResult {
-        let complete = if self.partial.is_empty() && data.ends_with(b"\n\n") {
-            data
-        } else {
-            self.partial.extend_from_slice(&data);
-            let Some(end) = last_event_end(&self.partial) else {
-                return ReadResult::Partial;
-            };
-            self.partial.split_to(end).freeze()
-        };
+    /// Records what is passed on to the caller.
+    fn record_events(&mut self, whole: &[u8]) {
+        if !self.source.has_events() {
+            self.position.record_other_bytes();
+            return;
+        }
+        for event in events(whole) {
+            if !self.position.record(event) {
+                continue;
+            }
+            self.record_event_time();
+            match self.position.events() {
+                PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Start),
+                LONG_PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Long),
+                _ => {}
+            }
+        }
+    }
+
+    /// Records that an event was passed on now.
+    fn record_event_time(&mut self) {
         let now_ms = self.gateway.clock.now_ms();
-        if self.events == 0 {
+        if self.position.events() == 1 {
             self.first_event_ms = now_ms;
         } else {
             let interval_ms = now_ms.saturating_sub(self.last_event_ms);
             self.longest_pause_ms = self.longest_pause_ms.max(interval_ms);
         }
         self.last_event_ms = now_ms;
-        for id in event_ids(&complete) {
-            self.events += 1;
-            self.last_event_id = Some(id);
-            match self.events {
-                PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Start),
-                LONG_PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Long),
-                _ => {}
-            }
-        }
-        ReadResult::Events(complete)
     }
 
     /// Records that the stream ended normally.
     fn finish(&mut self) {
         self.ended = true;
-        self.source
-            .in_flight
-            .complete(self.source.framing != Framing::Connection);
-        self.source
-            .in_flight
-            .release_connection(self.source.keep_alive_ms);
+        self.source.complete();
         let pace_ms = self.pace_ms();
         // The pace of a longer stream was sampled before.
-        let is_unsampled = self.events < PACE_SAMPLE_EVENTS;
+        let is_unsampled = self.position.events() < PACE_SAMPLE_EVENTS;
         self.record_sample(true, pace_ms.filter(|_| is_unsampled), Span::Start);
         let detail = json!({
-            "upstream": self.source.in_flight.place(), "events": self.events, "pace_ms": pace_ms,
+            "upstream": self.source.in_flight.place(), "events": self.position.events(), "pace_ms": pace_ms,
             "longest_pause_ms": self.longest_pause_ms,
-            "framing": self.source.framing.name(), "open_event_bytes": self.partial.len(),
+            "framing": self.source.framing.name(),
             "first_after_ms": self.first_event_ms.saturating_sub(self.job.arrived_ms),
         });
         self.trace.step("stream_ended", detail);
@@ -321,7 +308,7 @@
     /// paused: the upstream went on meanwhile, so the events after a pause arrive faster than it generates them.
     fn pace_ms(&self) -> Option<f64> {
         let span_ms = self.last_event_ms.saturating_sub(self.first_event_ms);
-        let intervals = self.events.saturating_sub(1);
+        let intervals = self.position.events().saturating_sub(1);
         let is_known = self.paused_ms == 0 && intervals >= MIN_PACE_INTERVALS;
         is_known.then(|| span_ms as f64 / f64::from(intervals))
     }
@@ -352,7 +339,7 @@
     /// Aborts the stream. The returned error makes the caller's connection break off.
     fn abort(&mut self, why: &'static str) -> io::Error {
         self.ended = true;
-        let detail = json!({"reason": why, "behind_event": self.last_event_id});
+        let detail = json!({"reason": why, "behind_event": self.position.last_id()});
         self.trace.fail("stream_broken_off", detail);
         io::Error::other(why)
     }
@@ -365,17 +352,3 @@
         None => body.frame().await.into(),
     }
 }
-
-/// Returns the end of the last complete event, after an empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let at = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
-    Some(at + 2)
-}
-
-/// Returns the ids of events, in order.
-fn event_ids(events: &[u8]) -> impl Iterator<Item = u64> {
-    events.split(|byte| *byte == b'\n').filter_map(|line| {
-        let id = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(id).ok()?.trim().parse().ok()
-    })
-}
--- a/crates/ivyweir-gateway/src/stream/ahead.rs
+++ b/crates/ivyweir-gateway/src/stream/ahead.rs
@@ -97,7 +97,7 @@
         if paused_ms > 0 {
             self.source.last_read_ms += paused_ms;
             self.paused_ms += paused_ms;
-            if self.events > 0 {
+            if self.position.events() > 0 {
                 self.last_event_ms += paused_ms;
             }
         }
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::{Source, Stream};
+use super::Stream;
+use super::source::Source;
 use crate::attempt::{self, AttemptOptions, AttemptOutcome, Reply};
 use crate::canary::record_head;
 use crate::handover::{self, HandoverOptions};
@@ -14,10 +15,10 @@
 
 impl Stream {
     /// Records that the connection to the source broke.
-    pub(super) fn record_broken_source(&mut self, error: &str) {
+    fn record_broken_source(&mut self, error: &str) {
         let upstream = self.source.in_flight.place().clone();
         let detail = json!({
-            "upstream": upstream, "error": error, "behind_event": self.last_event_id,
+            "upstream": upstream, "error": error, "behind_event": self.position.last_id(),
         });
         self.trace.fail("stream_broke", detail);
         self.source.in_flight.record_broken_connection();
@@ -29,17 +30,25 @@
         let upstream = self.source.in_flight.place().clone();
         let silent_ms = self.gateway.clock.now_ms() - self.source.last_read_ms;
         let detail = json!({
-            "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.last_event_id,
+            "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.position.last_id(),
         });
         self.trace.fail("stream_silent", detail);
         self.source.in_flight.record_outcome(true);
         self.tried.push(upstream);
     }
 
+    /// Records that the source broke, and resumes the stream once it is known whether the upstream terminated.
+    pub(super) async fn resume_after_break(&mut self, error: &str) -> bool {
+        self.record_broken_source(error);
+        let upstream = self.source.in_flight.place().clone();
+        self.gateway.wait_for_termination_check(&upstream).await;
+        self.resume(self.resume_until_ms()).await
+    }
+
     /// Resumes the stream at another upstream; returns whether one responds. If all are backing off, waits until
     /// `resume_until_ms` for one, since the caller already has the previous events and would have to request them again.
     pub(super) async fn resume(&mut self, resume_until_ms: u64) -> bool {
-        if !self.job.route.kind.is_repeatable() {
+        if !self.job.route.kind.is_repeatable() || !self.position.can_be_resumed() {
             return false;
         }
         let mut is_declined = false;
@@ -103,7 +112,7 @@
         let now_ms = self.gateway.clock.now_ms();
         let options = AttemptOptions {
             model: self.model,
-            resume_after: self.last_event_id,
+            resume_after: self.position.last_id(),
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
             forecast: choice.forecast,
         };
@@ -118,7 +127,7 @@
             sends: self.sent,
             is_counted: true,
             model: Some(self.model),
-            resume_after: self.last_event_id,
+            resume_after: self.position.last_id(),
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
         };
         handover::send(&self.gateway, &self.job, options, &mut self.trace).await
@@ -128,24 +137,13 @@
     fn switch_source(&mut self, reply: Reply) {
         let upstream = reply.in_flight.place();
         let detail = json!({
-            "upstream": upstream, "behind_event": self.last_event_id,
+            "upstream": upstream, "behind_event": self.position.last_id(),
             "leaving": reply.metadata.statement.is_leaving,
         });
         self.trace.step("resumed", detail);
         if let Some(buffer) = &self.buffer {
-            buffer.discard(self.partial.len());
+            buffer.discard(self.source.partial.len());
         }
-        self.partial.clear();
-        self.source = Source {
-            running: reply.metadata.running(),
-            replaced: self.gateway.watch_replacement(reply.in_flight.place()),
-            path: self.gateway.watch_path(reply.in_flight.place()),
-            body: reply.response.into_body(),
-            in_flight: reply.in_flight,
-            keep_alive_ms: reply.keep_alive_ms,
-            framing: reply.framing,
-            last_read_ms: self.gateway.clock.now_ms(),
-            ignores_stalls: false,
-        };
+        (self.source, _) = Source::new(&self.gateway, reply);
     }
 }
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod copies;
 pub mod departures;
 pub mod duty;
+pub mod event_stream;
 pub mod fleet;
 pub mod forecast;
 pub mod freshness;
