Reset callers of HTTP/1.0 whose answer breaks off

What callers saw: a stream that broke off reached a caller of HTTP/1.0 as a whole one, since it knows no chunks and takes the end of the connection for that of the answer.

Cause: the box drops the connection, and the kernel then ends it in order.

Change: while such an answer is incomplete, the socket is set to reset when it is closed, which holds also where the process is killed. The socket wrapper, which existed for bounded buffers only, serves all callers.

--- a/crates/ivyweir-gateway/src/caller_io.rs
+++ b/crates/ivyweir-gateway/src/caller_io.rs
@@ -1,4 +1,4 @@
-//! Sockets of callers whose answers are buffered within bounds.
+//! Sockets of callers.
 //!
 //! A caller's progress is seen as writes to its socket. One that reads less than its kernel needs to accept more data
 //! cannot be told from one that reads nothing.
@@ -28,6 +28,8 @@
     last_write_ms: AtomicU64,
     is_ended: AtomicBool,
     ended: Notify,
+    /// Whether the caller would take the end of the connection for the end of its answer, which is not complete.
+    is_unframed: AtomicBool,
 }
 
 impl CallerConnection {
@@ -37,6 +39,17 @@
         self.ended.notify_one();
     }
 
+    /// Records that the answer is framed by the connection alone. Until it is complete, the end of the connection is a
+    /// reset, also if this process is killed.
+    pub fn begin_unframed(&self) {
+        self.is_unframed.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that such an answer is complete.
+    pub fn complete_unframed(&self) {
+        self.is_unframed.store(false, Ordering::Relaxed);
+    }
+
     /// Time at which bytes were last written to the socket; 0 if none were.
     pub fn last_write_ms(&self) -> u64 {
         self.last_write_ms.load(Ordering::Relaxed)
@@ -48,30 +61,50 @@
     }
 }
 
-/// A caller's socket that records when bytes are written to it.
+/// A caller's socket that records when bytes are written to it, and resets an answer that breaks off where nothing else
+/// would show that.
 pub struct CallerIo {
     stream: TcpStream,
     connection: Arc<CallerConnection>,
     clock: Clock,
+    /// Whether the kernel resets the connection when the socket is closed.
+    resets: bool,
 }
 
 impl CallerIo {
-    /// Limits the socket's send buffer and wraps it.
+    /// Wraps a socket.
+    pub fn new(stream: TcpStream, connection: Arc<CallerConnection>, clock: Clock) -> Self {
+        Self {
+            stream,
+            connection,
+            clock,
+            resets: false,
+        }
+    }
+
+    /// Limits the socket's send buffer.
     ///
     /// # Errors
     ///
     /// Fails if the socket's option cannot be set, as the caller has disconnected already.
-    pub fn new(
-        stream: TcpStream,
-        connection: Arc<CallerConnection>,
-        clock: Clock,
-    ) -> io::Result<Self> {
-        SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)?;
-        Ok(Self {
-            stream,
-            connection,
-            clock,
-        })
+    pub fn limit_send_buffer(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+    }
+
+    /// Lets the kernel reset the connection when the socket is closed, or not.
+    fn set_reset(&mut self, resets: bool) {
+        if std::mem::replace(&mut self.resets, resets) != resets {
+            let linger = resets.then_some(Duration::ZERO);
+            // Fails only if the caller has disconnected already.
+            let _ignored = SockRef::from(&self.stream).set_linger(linger);
+        }
+    }
+
+    /// Prepares the socket for bytes of an answer that the connection alone frames.
+    fn prepare_write(&mut self) {
+        if self.connection.is_unframed.load(Ordering::Relaxed) {
+            self.set_reset(true);
+        }
     }
 
     fn record(&self, written: &Poll<io::Result<usize>>) {
@@ -88,7 +121,7 @@
         if self.connection.is_ended.load(Ordering::Relaxed) {
             // Resets the connection: the kernel frees its send buffer at once, and an answer whose end is marked only
             // by the end of the connection does not look complete. Without the option, the buffer lingers.
-            let _ignored = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            self.set_reset(true);
         }
     }
 }
@@ -109,6 +142,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write();
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record(&written);
         written
@@ -119,6 +153,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write();
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record(&written);
         written
@@ -134,6 +169,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP server shuts a connection down only behind a complete answer.
+        let is_unframed = self.connection.is_unframed.load(Ordering::Relaxed);
+        self.set_reset(is_unframed);
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -44,7 +44,7 @@
     pub head: Parts,
     /// The complete body.
     pub body: Bytes,
-    /// The caller's connection; `None` if buffers are not bounded.
+    /// The caller's connection; `None` if another box handed the request over.
     pub caller: Option<Arc<CallerConnection>>,
     /// Metadata from the caller's headers.
     pub metadata: RequestMetadata,
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
@@ -67,13 +66,10 @@
             idle_timeout: Duration::from_millis(idle_ms),
             permit,
         };
-        if gateway.relay_buffers.is_none() {
-            connection.spawn(stream, None, &graceful);
-            continue;
-        }
         let caller = Arc::new(CallerConnection::default());
-        if let Ok(stream) = CallerIo::new(stream, caller.clone(), gateway.clock.clone()) {
-            connection.spawn(stream, Some(caller), &graceful);
+        let io = CallerIo::new(stream, caller.clone(), gateway.clock.clone());
+        if gateway.relay_buffers.is_none() || io.limit_send_buffer().is_ok() {
+            connection.spawn(io, caller, &graceful);
         }
     }
     graceful.shutdown().await;
@@ -87,12 +83,8 @@
 }
 
 impl CallerServer {
-    /// Spawns the task that serves the connection until the caller disconnects or, if buffers are bounded, until
-    /// `caller` is ended.
-    fn spawn<I>(self, io: I, caller: Option<Arc<CallerConnection>>, graceful: &GracefulShutdown)
-    where
-        I: AsyncRead + AsyncWrite + Send + Unpin + 'static,
-    {
+    /// Spawns the task that serves the connection until the caller disconnects or `caller` is ended.
+    fn spawn(self, io: CallerIo, caller: Arc<CallerConnection>, graceful: &GracefulShutdown) {
         let Self {
             gateway,
             idle_timeout,
@@ -101,9 +93,7 @@
         let of_requests = caller.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
             let gateway = gateway.clone();
-            if let Some(caller) = &of_requests {
-                request.extensions_mut().insert(caller.clone());
-            }
+            request.extensions_mut().insert(of_requests.clone());
             async move { Ok::<_, Infallible>(pipeline::handle(gateway, request).await) }
         });
         let connection = http1::Builder::new()
@@ -113,16 +103,10 @@
             .serve_connection(TokioIo::new(io), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            let ended = async {
-                match caller {
-                    Some(caller) => caller.ended().await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 // An error means that the caller has disconnected, so there is nobody to report it to.
                 _ignored = watched => {}
-                () = ended => {}
+                () = caller.ended() => {}
             }
             drop(permit);
         });
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -24,6 +24,7 @@
 
 use crate::answer_end;
 use crate::attempt::Reply;
+use crate::caller_io::CallerConnection;
 use crate::canary::record_sample;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
@@ -63,6 +64,7 @@
     head.headers.remove(header::CONTENT_LENGTH);
     // The version of the upstream decides nothing about the caller's connection.
     head.version = Version::HTTP_11;
+    let unframed = UnframedAnswer::begin(&job);
     let buffer = job.open_buffer(gateway.relay_buffers.as_ref());
     let buffer = buffer.map(Arc::new);
     let stream = Stream {
@@ -82,16 +84,44 @@
         ended: false,
     };
     if let Some(buffer) = buffer {
-        let body = ahead::relay_ahead(stream, buffer, active);
+        let body = ahead::relay_ahead(stream, buffer, active, unframed);
         return Response::from_parts(head, body);
     }
-    let frames = unfold((stream, active), |(mut stream, active)| async move {
-        let frame = stream.next().await?;
-        Some((frame, (stream, active)))
+    let state = (stream, active, unframed);
+    let frames = unfold(state, |(mut stream, active, unframed)| async move {
+        let Some(frame) = stream.next().await else {
+            unframed.complete();
+            return None;
+        };
+        Some((frame, (stream, active, unframed)))
     });
     Response::from_parts(head, StreamBody::new(Box::pin(frames)).boxed_unsync())
 }
 
+/// A stream whose caller knows of no chunks, so that only the end of the connection shows the end of the answer.
+struct UnframedAnswer {
+    caller: Option<Arc<CallerConnection>>,
+}
+
+impl UnframedAnswer {
+    /// Lets the caller's connection end with a reset until the answer is complete, if it is unframed.
+    fn begin(job: &Job) -> Self {
+        let is_unframed = job.head.version < Version::HTTP_11;
+        let caller = job.caller.clone().filter(|_| is_unframed);
+        if let Some(caller) = &caller {
+            caller.begin_unframed();
+        }
+        Self { caller }
+    }
+
+    /// Lets the caller's connection end as usual.
+    fn complete(&self) {
+        if let Some(caller) = &self.caller {
+            caller.complete_unframed();
+        }
+    }
+}
+
 /// A stream that is being relayed to the caller.
 struct Stream {
     gateway: Arc<Gateway>,
--- a/crates/ivyweir-gateway/src/stream/ahead.rs
+++ b/crates/ivyweir-gateway/src/stream/ahead.rs
@@ -9,7 +9,7 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc::{self, UnboundedSender};
 
-use super::Stream;
+use super::{Stream, UnframedAnswer};
 use crate::relay_buffer::{NoStreamRoom, RelayBuffer};
 use crate::response::ResponseBody;
 use crate::state::ActiveRequest;
@@ -32,23 +32,27 @@
     stream: Stream,
     buffer: Arc<RelayBuffer>,
     active: ActiveRequest,
+    unframed: UnframedAnswer,
 ) -> ResponseBody {
     let (sender, receiver) = mpsc::unbounded_channel();
     tokio::spawn(run(stream, buffer, sender));
     let frames = unfold(
-        (receiver, active, false),
-        |(mut receiver, active, has_failed)| async move {
+        (receiver, active, unframed, false),
+        |(mut receiver, active, unframed, has_failed)| async move {
             if has_failed {
                 return None;
             }
             let frame = match receiver.recv().await {
-                Some(Relayed::End) => return None,
+                Some(Relayed::End) => {
+                    unframed.complete();
+                    return None;
+                }
                 Some(Relayed::Frame(frame)) => frame,
                 // The task ended without the end of the stream, which must not look complete.
                 None => Err(io::Error::other("stream ended early")),
             };
             let has_failed = frame.is_err();
-            Some((frame, (receiver, active, has_failed)))
+            Some((frame, (receiver, active, unframed, has_failed)))
         },
     );
     StreamBody::new(Box::pin(frames)).boxed_unsync()
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -288,6 +288,23 @@
     events_of_mixed_line_ends_are_passed_on_as_they_come: Mixed;
 }
 
+/// Guards against an answer that a killed box ends as complete.
+#[test]
+fn a_box_that_is_killed_resets_a_caller_of_an_older_version() {
+    let mut cluster = cluster();
+    let long = EventScript {
+        gap_ms: 100,
+        ..script(LineEnd::Lf, BodyFraming::Chunks)
+    };
+    answer_first(&cluster.engines, &long);
+    let mut caller = send_http_1_0(cluster.addr(0), ONCE);
+    let mut first = [0; 1];
+    caller.read_exact(&mut first).expect("a head");
+    cluster.boxes[0].kill();
+    let mut rest = Vec::new();
+    assert!(caller.read_to_end(&mut rest).is_err());
+}
+
 /// A box whose links to all engines are reset, and another one that serves for it.
 fn cluster_with_a_cut_box() -> (TestCluster, PathProxies) {
     let proxies = PathProxies::default();
