Hold replies of plain services to their length

What callers of the chat path saw: a reply of a plain service that was shorter than its content length, or without one and cut by the exit of the service, was passed on and billed as whole.

Cause: the HTTP client does not compare a body with its length, and the end of a body was taken for its completion, as in the gateway.

Change: the client of services checks the length and asks SourceEnd::meaning about the rest, with a connection to the service where only that can tell.

By reading: engines' answers are held to a finish reason and to [DONE], and messages of the store, boxes and raters are JSON objects.

--- a/crates/ivyweir-service/src/lib.rs
+++ b/crates/ivyweir-service/src/lib.rs
@@ -13,14 +13,19 @@
 
 use std::fmt;
 use std::io;
+use std::net::TcpStream;
 use std::time::Duration;
 
-use attohttpc::header::HeaderName;
-use attohttpc::{Method, ProxySettings, RequestBuilder};
+use attohttpc::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
+use ivyweir_policy::gateway::answer_end::{AnswerEnd, Framing, SourceEnd, UpstreamState};
 
 /// Timeout for connecting to a service. Round trips to services take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time limit for the check of a service behind the end of its reply, which waits for it.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Hop-by-unforwarded headers and others that apply only to one connection; they are not forwarded.
 const UNFORWARDED_HEADERS: &[&str] = &[
     "connection",
@@ -132,7 +137,16 @@
                 value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
             })
             .collect();
+        let framing = framing(&response);
+        let length = response
+            .headers()
+            .get(CONTENT_LENGTH)
+            .and_then(|length| length.to_str().ok()?.parse().ok());
         let body = response.bytes().map_err(|e| transport_error(&e))?;
+        let has_body = call.method != "HEAD" && !matches!(status, 204 | 304);
+        if has_body {
+            check_end(addr, framing, length, &body)?;
+        }
         Ok(Reply {
             status,
             headers,
@@ -141,6 +155,56 @@
     }
 }
 
+fn framing(response: &Response) -> Framing {
+    let headers = response.headers();
+    if headers.contains_key(TRANSFER_ENCODING) {
+        Framing::Chunks
+    } else if headers.contains_key(CONTENT_LENGTH) {
+        Framing::Length
+    } else {
+        Framing::Connection
+    }
+}
+
+/// Checks that a body is complete. The HTTP client does not compare it with its length.
+fn check_end(
+    addr: &str,
+    framing: Framing,
+    length: Option<u64>,
+    body: &[u8],
+) -> Result<(), CallError> {
+    let incomplete = |detail: &str| CallError {
+        may_have_run: true,
+        detail: detail.to_owned(),
+    };
+    if framing == Framing::Length && length != Some(body.len() as u64) {
+        return Err(incomplete("body ended before its length"));
+    }
+    let mut end = SourceEnd {
+        framing,
+        is_event_open: false,
+        upstream: UpstreamState::Unchecked,
+    };
+    if end.meaning() == AnswerEnd::Unknown {
+        end.upstream = state_after_end(addr);
+    }
+    match end.meaning() {
+        AnswerEnd::Complete | AnswerEnd::Unknown => Ok(()),
+        AnswerEnd::Broken(cause) => Err(incomplete(cause.text())),
+    }
+}
+
+/// Finds out whether a service still listens after its body ended with the connection.
+fn state_after_end(addr: &str) -> UpstreamState {
+    let Ok(addr) = addr.parse() else {
+        return UpstreamState::Running;
+    };
+    match TcpStream::connect_timeout(&addr, END_CHECK_TIMEOUT) {
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => UpstreamState::Terminated,
+        _ => UpstreamState::Running,
+    }
+}
+
 fn is_forwarded(name: &str) -> bool {
     !UNFORWARDED_HEADERS
         .iter()
