--- a/crates/ivyweir-standins/src/edge/path_proxy.rs
+++ b/crates/ivyweir-standins/src/edge/path_proxy.rs
@@ -168,15 +168,16 @@
             return;
         };
         let _nodelay_result = (client.set_nodelay(true), server.set_nodelay(true));
-        let client_socket = SockRef::from(&client).try_clone();
-        let (client_read, client_write) = client.into_split();
-        let (server_read, server_write) = server.into_split();
+        let (mut client_read, mut client_write) = client.into_split();
+        let (mut server_read, mut server_write) = server.into_split();
         let broke = tokio::select! {
-            broke = path.copy(client_read, server_write) => broke,
-            broke = path.copy(server_read, client_write) => broke,
+            broke = path.copy(&mut client_read, &mut server_write) => broke,
+            broke = path.copy(&mut server_read, &mut client_write) => broke,
         };
-        if let (true, Ok(client)) = (broke, client_socket) {
-            let _linger_result = client.set_linger(Some(Duration::ZERO));
+        if broke {
+            reset(client_write.as_ref());
+            // Dropping it would end the connection in order before the reset.
+            client_write.forget();
         }
     }
 }
@@ -199,8 +200,8 @@
         self.proxies.fault_of(self).await
     }
 
-    /// Copies data until the connection ends; returns whether a fault resets it.
-    async fn copy(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) -> bool {
+    /// Copies data until the connection ends; returns whether it is to be reset, by a fault or as its other end was.
+    async fn copy(&self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf) -> bool {
         let mut changes = self.proxies.changes.subscribe();
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
@@ -217,8 +218,10 @@
                 _changed = changes.changed() => continue,
                 read = from.read(&mut buffer) => read,
             };
-            let Ok(read @ 1..) = read else {
-                return false;
+            let read = match read {
+                Ok(0) => return false,
+                Ok(read) => read,
+                Err(_) => return true,
             };
             if to.write_all(&buffer[..read]).await.is_err() {
                 return false;
