Count the sends of a request over all boxes

A stream that its upstreams broke off was sent 6 times where 3 are allowed.

Cause: each box counted from the number that it was given, and one that declined did not say what it had used. The first box counted a hand-over as one send.

Change: SendCount goes with the request. A box that declines reports its sends and the upstreams that rejected the request, which are not asked again; after a wait for the time they named they may be. The box that hands over grants a number of sends and keeps one back for requests that may be repeated, so that the count holds also where the other box is lost. A failure that another box passes on is repeated by the first one if sends are left. Once the route's sends are used up, or a box that reaches all upstreams finds none left, its refusal is the answer. New headers between boxes are optional: older ones ignore them.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -121,6 +121,9 @@
         let request = job.upstream_request(&*gateway.dialect, &forward);
         let sent_at_ms = gateway.clock.now_ms();
         in_flight.record_sent();
+        if let Some(handed_over) = &job.handed_over {
+            handed_over.record_send(&upstream.id);
+        }
         gateway.count_workspace_work(job, estimate, sent_at_ms);
         let limit = Duration::from_millis(options.head_timeout_ms);
         let mut replaced = gateway.watch_replacement(&upstream.id);
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -6,8 +6,8 @@
 
 mod headers;
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::helpers::Declined;
+use ivyweir_policy::gateway::send_count::SendCount;
 use serde_json::json;
 use tokio::time::timeout;
 
@@ -26,11 +27,13 @@
 use crate::log::Trace;
 use crate::pipeline;
 use crate::response::{ResponseBody, status_only};
+use crate::retry::take_attempt;
 use crate::state::Gateway;
 
 use self::headers::{
-    BUDGET_MS, BUSY, COUNTED, ELAPSED_MS, HINTS, LOAD, METHOD, MODEL, OUTCOME, POOL, SENDS, SERVED,
-    UNABLE, URI, format_hints, load, parse_hints, request, set, set_number,
+    BUDGET_MS, BUSY, COUNTED, ELAPSED_MS, HINTS, LIMIT, LOAD, METHOD, MODEL, OUTCOME, POOL,
+    REJECTED, SENDS, SERVED, TRIED, UNABLE, URI, format_hints, number, parse_hints, parse_ids,
+    request, set, set_ids, set_number, set_sends, split_ids,
 };
 
 /// HTTP path of requests that are handed over.
@@ -55,14 +58,57 @@
     pub elapsed_ms: u64,
     /// Number of upstreams that the request was sent to before.
     pub sends: u32,
+    /// Number of sends in all that this box may bring the request to; `None` for those of the route.
+    pub limit: Option<u32>,
+    /// Upstreams that rejected the request and are not asked again.
+    pub rejected: Vec<Name>,
+    /// Upstreams that the request was sent to before.
+    pub tried: Vec<Name>,
     /// Whether the other box has counted the request.
     pub is_counted: bool,
     /// Index of the model, from the smallest, if this box is not to choose it.
     pub model: Option<usize>,
+    /// Upstreams that this box sent the request to.
+    reached: Mutex<Vec<Name>>,
+    /// Set if this box refuses the request.
+    refusal: OnceLock<Refusal>,
     /// Requests of other boxes that this box is serving.
     accepted: Arc<AtomicU64>,
 }
 
+/// State of a request when it is refused on behalf of another box.
+#[derive(Debug)]
+struct Refusal {
+    sends: SendCount,
+    /// Whether the request has been sent as often as its route allows.
+    is_last: bool,
+}
+
+impl HandedOver {
+    /// Records that this box sends the request to an upstream.
+    pub fn record_send(&self, upstream: &Name) {
+        let mut reached = self.reached.lock().expect("invariant: no holder panics");
+        if !reached.contains(upstream) {
+            reached.push(upstream.clone());
+        }
+    }
+
+    fn reached(&self) -> Vec<Name> {
+        let reached = self.reached.lock().expect("invariant: no holder panics");
+        reached.clone()
+    }
+
+    /// Records the sends of a request that this box refuses.
+    pub fn record_refusal(&self, job: &Job, sends: &SendCount) {
+        let refusal = Refusal {
+            sends: sends.clone(),
+            is_last: sends.sent() >= job.route.max_attempts,
+        };
+        // A request is refused once.
+        let _ignored = self.refusal.set(refusal);
+    }
+}
+
 impl Drop for HandedOver {
     fn drop(&mut self) {
         self.accepted.fetch_sub(1, Ordering::Relaxed);
@@ -91,8 +137,6 @@
 /// State of a request when it is handed over.
 #[derive(Debug, Clone, Copy)]
 pub struct HandoverOptions {
-    /// Number of upstreams that the request was sent to before.
-    pub sends: u32,
     /// Whether this box has counted the request.
     pub is_counted: bool,
     /// Index of the model, from the smallest, if the other box is not to choose it.
@@ -103,20 +147,33 @@
     pub head_timeout_ms: u64,
 }
 
-/// Asks other boxes to serve a request, one after another, until one accepts it.
+/// Attempts of a request, to which those of other boxes are added.
+pub struct Attempts<'a> {
+    /// Number of sends, and the upstreams that rejected the request.
+    pub sends: &'a mut SendCount,
+    /// Upstreams that the request was sent to.
+    pub tried: &'a mut Vec<Name>,
+}
+
+/// Asks other boxes to serve a request, one after another, until one accepts it or no sends are left. Counts the sends of
+/// the other boxes.
 pub async fn send(
     gateway: &Arc<Gateway>,
     job: &Job,
-    options: HandoverOptions,
+    mut options: HandoverOptions,
+    attempts: Attempts<'_>,
     trace: &mut Trace,
 ) -> AttemptOutcome {
-    let mut tried = Vec::new();
-    while tried.len() < MAX_HELPERS {
+    let Attempts { sends, tried } = attempts;
+    let mut asked = Vec::new();
+    while asked.len() < MAX_HELPERS && !sends.is_used_up() {
         let seed = rand::random();
-        let Some(helper) = gateway.choose_helper(&job.pool, &tried, seed) else {
+        let Some(helper) = gateway.choose_helper(&job.pool, &asked, seed) else {
             break;
         };
-        let outcome = send_to(gateway, job, &helper, options, trace).await;
+        let sent = sends.sent();
+        let attempts = Attempts { sends, tried };
+        let outcome = send_to(gateway, job, &helper, options, attempts, trace).await;
         let label = match outcome {
             AttemptOutcome::Answered(_) => "answered",
             AttemptOutcome::NotRun { .. } => "declined",
@@ -126,9 +183,17 @@
         if !matches!(outcome, AttemptOutcome::NotRun { .. }) {
             return outcome;
         }
-        tried.push(helper);
+        asked.push(helper);
+        if sends.sent() > sent {
+            // The next send is a repeat.
+            if !take_attempt(gateway, job, sends) {
+                break;
+            }
+            options.is_counted = true;
+        }
     }
-    trace.step("no_helper", json!({"asked": tried}));
+    let detail = json!({"asked": asked, "sends": sends.sent(), "rejected": sends.rejected()});
+    trace.step("no_helper", detail);
     AttemptOutcome::NotRun { arrived: false }
 }
 
@@ -137,9 +202,11 @@
     job: &Job,
     helper: &Name,
     options: HandoverOptions,
+    attempts: Attempts<'_>,
     trace: &mut Trace,
 ) -> AttemptOutcome {
     const NOT_RUN: AttemptOutcome = AttemptOutcome::NotRun { arrived: false };
+    let Attempts { sends, tried } = attempts;
     let Some(addr) = gateway.helper_addr(helper) else {
         return NOT_RUN;
     };
@@ -170,7 +237,7 @@
                 }
             },
         };
-        let request = request(gateway, job, options);
+        let request = request(gateway, job, options, sends, tried);
         let connection = in_flight.set_connection(connection);
         let response = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
@@ -180,6 +247,7 @@
                 return NOT_RUN;
             }
             Ok(Err(SendError::ResponseLost(e))) => {
+                sends.use_grant(grant(job, sends));
                 decline(Declined::Unavailable);
                 trace.fail(
                     "handover_lost",
@@ -188,19 +256,32 @@
                 return AttemptOutcome::Lost;
             }
             Err(_) => {
+                sends.use_grant(grant(job, sends));
                 decline(Declined::Unavailable);
                 trace.fail("handover_late", json!({"box": helper}));
                 return AttemptOutcome::Lost;
             }
         };
+        for upstream in parse_ids(response.headers(), &TRIED) {
+            if !tried.contains(&upstream) {
+                tried.push(upstream);
+            }
+        }
         if let Some(why) = declined_why(&response) {
             decline(why);
             let hints = parse_hints(response.headers());
             gateway.record_helper_hints(&job.pool, hints);
+            let sent = number(response.headers(), &SENDS);
+            sends.merge(sent.unwrap_or(0), parse_ids(response.headers(), &REJECTED));
             return NOT_RUN;
         }
+        sends.use_grant(grant(job, sends));
         gateway.with_helpers(&job.pool, |helpers| {
-            helpers.record_accepted(helper, load(response.headers()), now_ms());
+            helpers.record_accepted(
+                helper,
+                number(response.headers(), &LOAD).unwrap_or(0),
+                now_ms(),
+            );
         });
         let status = response.status().as_u16();
         trace.step("handed_over", json!({"box": helper, "status": status}));
@@ -208,6 +289,11 @@
     }
 }
 
+/// Number of sends in all that another box may bring a request to.
+fn grant(job: &Job, sends: &SendCount) -> u32 {
+    sends.grant(job.route.kind.is_repeatable())
+}
+
 /// Why a box did not serve the request; `None` if it did.
 fn declined_why(response: &Response<Incoming>) -> Option<Declined> {
     let outcome = response.headers().get(&OUTCOME);
@@ -229,6 +315,7 @@
     let status = response.status().as_u16();
     response.headers_mut().remove(&OUTCOME);
     response.headers_mut().remove(&LOAD);
+    response.headers_mut().remove(&TRIED);
     let metadata = gateway
         .dialect
         .response_metadata(status, response.headers());
@@ -261,17 +348,36 @@
     if gateway.may_be_cut_off() {
         return declined(&gateway, &pool, UNABLE);
     }
-    request.extensions_mut().insert(Arc::new(handed_over));
+    let handed_over = Arc::new(handed_over);
+    request.extensions_mut().insert(handed_over.clone());
     let mut response = pipeline::handle(gateway.clone(), request).await;
-    match response.extensions().get::<ErrorReason>() {
-        Some(reason) if is_local(*reason) => declined(&gateway, &pool, UNABLE),
+    let mut response = match response.extensions().get::<ErrorReason>() {
+        Some(reason) if is_local(*reason) && !is_final(&gateway, &handed_over) => {
+            let mut response = declined(&gateway, &pool, UNABLE);
+            if let Some(refusal) = handed_over.refusal.get() {
+                set_sends(response.headers_mut(), &refusal.sends);
+            }
+            response
+        }
         _ => {
             let served = HeaderValue::from_static(SERVED);
             response.headers_mut().insert(OUTCOME, served);
             set_number(response.headers_mut(), LOAD, Some(accepted));
             response
         }
-    }
+    };
+    set_ids(response.headers_mut(), TRIED, &handed_over.reached());
+    response
+}
+
+/// Whether no other box is to be asked for a request that this one refuses: upstreams rejected it, and it may not be sent
+/// again, or this box reaches all upstreams and found no other one for it.
+fn is_final(gateway: &Gateway, handed_over: &HandedOver) -> bool {
+    handed_over.refusal.get().is_some_and(|refusal| {
+        let sends = &refusal.sends;
+        let has_asked_all = !sends.is_used_up() && !gateway.has_path_trouble();
+        !sends.rejected().is_empty() && (refusal.is_last || has_asked_all)
+    })
 }
 
 /// Restores the caller's request, and counts it as accepted.
@@ -292,6 +398,9 @@
     let budget_ms = number(take(BUDGET_MS));
     let elapsed_ms = number(take(ELAPSED_MS))?;
     let sends = u32::try_from(number(take(SENDS))?).ok()?;
+    let limit = number(take(LIMIT)).and_then(|limit| u32::try_from(limit).ok());
+    let rejected = split_ids(take(REJECTED).as_deref());
+    let tried = split_ids(take(TRIED).as_deref());
     let is_counted = number(take(COUNTED))? != 0;
     let model = number(take(MODEL)).and_then(|model| usize::try_from(model).ok());
     head.method = method.parse().ok()?;
@@ -301,8 +410,13 @@
         budget_ms,
         elapsed_ms,
         sends,
+        limit,
+        rejected,
+        tried,
         is_counted,
         model,
+        reached: Mutex::default(),
+        refusal: OnceLock::new(),
         accepted: gateway.accepted_handovers.clone(),
     };
     Some((Request::from_parts(head, body), handed_over))
--- a/crates/ivyweir-gateway/src/handover/headers.rs
+++ b/crates/ivyweir-gateway/src/handover/headers.rs
@@ -7,8 +7,9 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::send_count::SendCount;
 
-use super::{HANDOVER_PATH, HandoverOptions};
+use super::{HANDOVER_PATH, HandoverOptions, grant};
 use crate::job::Job;
 use crate::state::Gateway;
 
@@ -20,8 +21,16 @@
 pub(super) const BUDGET_MS: HeaderName = HeaderName::from_static("ivyweir-peer-budget-ms");
 /// Time since the arrival of the caller's request.
 pub(super) const ELAPSED_MS: HeaderName = HeaderName::from_static("ivyweir-peer-elapsed-ms");
-/// Number of upstreams that the request was sent to before.
+/// Number of upstreams that the request was sent to before, in requests and in responses of boxes that decline.
 pub(super) const SENDS: HeaderName = HeaderName::from_static("ivyweir-peer-sends");
+/// Number of sends in all that the other box may bring the request to.
+pub(super) const LIMIT: HeaderName = HeaderName::from_static("ivyweir-peer-limit");
+/// Upstreams that rejected the request and are not asked again, in requests and in responses of boxes that decline: a
+/// list of ids.
+pub(super) const REJECTED: HeaderName = HeaderName::from_static("ivyweir-peer-rejected");
+/// Upstreams that the request was sent to before, so that others are preferred, and in responses those that the other box
+/// sent it to: a list of ids.
+pub(super) const TRIED: HeaderName = HeaderName::from_static("ivyweir-peer-tried");
 /// Index of the model, from the smallest, if the other box is not to choose it.
 pub(super) const MODEL: HeaderName = HeaderName::from_static("ivyweir-peer-model");
 /// Whether the box that hands the request over has counted it.
@@ -45,6 +54,8 @@
     gateway: &Gateway,
     job: &Job,
     options: HandoverOptions,
+    sends: &SendCount,
+    tried: &[Name],
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = Method::POST;
@@ -59,7 +70,9 @@
     set_number(headers, BUDGET_MS, job.metadata.budget_ms);
     let elapsed_ms = gateway.clock.now_ms().saturating_sub(job.arrived_ms);
     set_number(headers, ELAPSED_MS, Some(elapsed_ms));
-    set_number(headers, SENDS, Some(options.sends.into()));
+    set_sends(headers, sends);
+    set_ids(headers, TRIED, tried);
+    set_number(headers, LIMIT, Some(grant(job, sends).into()));
     set_number(headers, MODEL, options.model.map(|model| model as u64));
     set_number(headers, COUNTED, Some(options.is_counted.into()));
     if options.resume_after.is_some() {
@@ -70,6 +83,16 @@
     request
 }
 
+pub(super) fn set_sends(headers: &mut HeaderMap, sends: &SendCount) {
+    set_number(headers, SENDS, Some(sends.sent().into()));
+    set_ids(headers, REJECTED, sends.rejected());
+}
+
+pub(super) fn set_ids(headers: &mut HeaderMap, name: HeaderName, ids: &[Name]) {
+    let ids = (!ids.is_empty()).then(|| ids.join(","));
+    set(headers, name, ids.as_deref());
+}
+
 pub(super) fn set(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
     match value.and_then(|value| HeaderValue::from_str(value).ok()) {
         Some(value) => drop(headers.insert(name, value)),
@@ -90,9 +113,18 @@
     (!hints.is_empty()).then(|| hints.join(","))
 }
 
-pub(super) fn load(headers: &HeaderMap) -> u32 {
-    let load = headers.get(&LOAD).and_then(|value| value.to_str().ok());
-    load.and_then(|load| load.parse().ok()).unwrap_or(0)
+pub(super) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u32> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+pub(super) fn parse_ids(headers: &HeaderMap, name: &HeaderName) -> Vec<Name> {
+    let ids = headers.get(name);
+    split_ids(ids.and_then(|value| value.to_str().ok()))
+}
+
+pub(super) fn split_ids(ids: Option<&str>) -> Vec<Name> {
+    let ids = ids.into_iter().flat_map(|ids| ids.split(','));
+    ids.filter(|id| !id.is_empty()).map(Name::from).collect()
 }
 
 pub(super) fn parse_hints(headers: &HeaderMap) -> Vec<(Name, SocketAddr)> {
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -12,6 +12,7 @@
 use ivyweir_policy::gateway::quarantine::{Fingerprint, RunKey};
 use ivyweir_policy::gateway::relay_buffer::ReaderLimits;
 use ivyweir_policy::gateway::rollout::Side;
+use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::site::{Route, Workspace};
 use ivyweir_policy::gateway::urgency::Band;
 use ivyweir_policy::gateway::work::{self, Estimate, Tokens};
@@ -77,6 +78,19 @@
         workspace_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns the count of its sends before its first one by this box.
+    pub fn send_count(&self) -> SendCount {
+        let limit = self.route.max_attempts;
+        match &self.handed_over {
+            None => SendCount::new(0, limit, Vec::new()),
+            Some(handed) => SendCount::new(
+                handed.sends,
+                handed.limit.unwrap_or(limit).min(limit),
+                handed.rejected.clone(),
+            ),
+        }
+    }
+
     /// Whether another box can be asked to serve it. A request is handed over once at most.
     pub fn may_be_handed_over(&self, gateway: &Gateway) -> bool {
         self.handed_over.is_none() && gateway.peers.peer_count() > 0
--- a/crates/ivyweir-gateway/src/larger_model.rs
+++ b/crates/ivyweir-gateway/src/larger_model.rs
@@ -98,7 +98,7 @@
     } else {
         state.model
     };
-    let Ok(choice) = choose_upstream(gateway, job, &[], compared) else {
+    let Ok(choice) = choose_upstream(gateway, job, &[], &[], compared) else {
         return (Escalation::Withhold(Withheld::NoUpstream), None);
     };
     let (wait_ms, occupancy) = if has_load_control {
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -114,6 +114,9 @@
                     return Ok(relay_fallback(gateway, job, smaller, &state, trace, active));
                 }
                 None => {
+                    if let Some(handed_over) = &job.handed_over {
+                        handed_over.record_refusal(&job, &state.sends);
+                    }
                     trace.fail("refused", state.refusal_detail(reason));
                     return Err(reason);
                 }
@@ -225,17 +228,19 @@
     reply: &Reply,
     trace: &mut Trace,
 ) -> ReplyAction {
-    // Another box has done all that can be done.
-    if reply.in_flight.upstream().is_none() {
-        return ReplyAction::Relay;
-    }
     let status = reply.response.status();
-    if status.is_server_error() && take_retry(gateway, job, state) {
+    let is_at_box = reply.in_flight.upstream().is_none();
+    // Another box that says so has found that no upstream runs the request.
+    let is_refused = is_at_box && is_not_run_status(status.as_u16());
+    if status.is_server_error() && !is_refused && take_retry(gateway, job, state) {
         trace.step("sent_again", json!({"after_status": status.as_u16()}));
         state.tried.push(reply.in_flight.place().clone());
         state.may_have_run = true;
         return ReplyAction::Retry;
     }
+    if is_at_box {
+        return ReplyAction::Relay;
+    }
     let is_model_given = job.handed_over.as_ref().is_some_and(|h| h.model.is_some());
     if is_model_given {
         return ReplyAction::Relay;
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::upstreams::{Choice, ChooseError, Scope};
 use ivyweir_policy::gateway::wait::spread_retry_after_ms;
 use serde_json::{Value, json};
 
 use crate::attempt::{self, AttemptOptions, AttemptOutcome, Reply};
 use crate::error_response::ErrorReason;
-use crate::handover::{self, HandoverOptions};
+use crate::handover::{self, Attempts, HandoverOptions};
 use crate::job::Job;
 use crate::log::Trace;
 use crate::room;
@@ -33,8 +34,8 @@
 pub struct RetryState {
     /// Upstreams that were tried, in order; others are preferred.
     pub tried: Vec<Name>,
-    /// Number of attempts that reached an upstream.
-    pub sent: u32,
+    /// Attempts that reached an upstream, of all boxes that had the request.
+    pub sends: SendCount,
     /// Number of attempts in which no byte of the request was sent.
     unreachable: u32,
     /// Whether an upstream may have run the request.
@@ -54,7 +55,8 @@
     pub fn new(job: &Job) -> Self {
         let handed_over = job.handed_over.as_ref();
         Self {
-            sent: handed_over.map_or(0, |handed| handed.sends),
+            sends: job.send_count(),
+            tried: handed_over.map_or_else(Vec::new, |handed| handed.tried.clone()),
             is_counted: handed_over.is_some_and(|handed| handed.is_counted),
             model: handed_over.and_then(|handed| handed.model).unwrap_or(0),
             ..Self::default()
@@ -71,7 +73,7 @@
 
     /// Details of the log line about a refusal.
     pub fn refusal_detail(&self, reason: ErrorReason) -> Value {
-        let mut detail = json!({"reason": reason.name(), "sends": self.sent});
+        let mut detail = json!({"reason": reason.name(), "sends": self.sends.sent()});
         if let Some(capacity) = &self.capacity {
             detail["capacity"] = capacity.clone();
         }
@@ -87,9 +89,11 @@
     trace: &mut Trace,
 ) -> Result<Box<Reply>, ErrorReason> {
     // The box that handed the job over may find one with a path.
-    let is_untried = state.tried.is_empty() && !state.may_have_run;
-    if job.handed_over.is_some() && is_untried && lacks_path(gateway, job, &[], state.model) {
-        return Err(ErrorReason::NoUpstream);
+    if let Some(handed_over) = &job.handed_over {
+        let is_untried = state.tried == handed_over.tried && !state.may_have_run;
+        if is_untried && lacks_path(gateway, job, &state.tried, state.model) {
+            return Err(ErrorReason::NoUpstream);
+        }
     }
     if let Some(reply) = hand_over(gateway, job, state, trace).await? {
         return Ok(reply);
@@ -123,7 +127,8 @@
             is_admitted = room::admit_or_wait(gateway, job, state, &mut room_waiter, trace).await?;
             continue;
         }
-        let choice = match choose_upstream(gateway, job, &state.tried, state.model) {
+        let rejected = state.sends.rejected();
+        let choice = match choose_upstream(gateway, job, &state.tried, rejected, state.model) {
             Ok(choice) => choice,
             Err(ChooseError::AllBackingOff { for_ms })
                 if should_wait(gateway, job, state, for_ms, &waiter) =>
@@ -131,6 +136,7 @@
                 trace.step("waits", json!({"backing_off_for_ms": for_ms}));
                 let waiter = waiter.get_or_insert_with(|| gateway.join_queue(job));
                 waiter.wait(for_ms).await;
+                state.sends.forget_rejections();
                 continue;
             }
             Err(why) => {
@@ -151,13 +157,17 @@
         };
         match attempt::send(gateway, job, &choice.upstream, options, trace).await {
             AttemptOutcome::Answered(reply) => {
-                state.sent += 1;
+                state.sends.record_send();
                 return Ok(reply);
             }
             AttemptOutcome::NotRun { arrived } => {
                 // A request that reached no upstream has not used the place that was granted to it.
                 is_admitted = !arrived || !gateway.has_room_control(&job.pool);
-                state.tried.push(choice.upstream.id.clone());
+                let upstream = &choice.upstream.id;
+                state.tried.push(upstream.clone());
+                if arrived {
+                    state.sends.record_rejection(upstream);
+                }
                 record_not_run(gateway, job, state, arrived)?;
             }
             AttemptOutcome::Lost => {
@@ -168,6 +178,7 @@
                 gateway
                     .wait_for_termination_check(&choice.upstream.id)
                     .await;
+                state.sends.record_send();
                 record_lost(gateway, job, state)?;
             }
         }
@@ -192,30 +203,27 @@
     {
         let now_ms = gateway.clock.now_ms();
         let options = HandoverOptions {
-            sends: state.sent,
             is_counted: state.is_counted,
             model: (state.model > 0).then_some(state.model),
             resume_after: None,
             head_timeout_ms: head_timeout_ms(job, state, now_ms),
         };
-        match handover::send(gateway, job, options, trace).await {
-            AttemptOutcome::Answered(reply) => {
-                state.sent += 1;
-                return Ok(Some(reply));
-            }
+        let sent = state.sends.sent();
+        let attempts = Attempts {
+            sends: &mut state.sends,
+            tried: &mut state.tried,
+        };
+        let outcome = handover::send(gateway, job, options, attempts, trace).await;
+        // Another box has counted a request that it sent.
+        state.is_counted |= state.sends.sent() > sent;
+        match outcome {
+            AttemptOutcome::Answered(reply) => return Ok(Some(reply)),
             AttemptOutcome::NotRun { .. } => state.is_declined = true,
-            AttemptOutcome::Lost => {
-                state.count(gateway, job);
-                record_lost(gateway, job, state)?;
-            }
+            AttemptOutcome::Lost => record_lost(gateway, job, state)?,
         }
     }
-    if state.is_declined && gateway.is_cut_off() {
-        return Err(failure_reason(
-            state,
-            ErrorReason::NoUpstream,
-            ErrorReason::ResponseLost,
-        ));
+    if state.is_declined && (gateway.is_cut_off() || state.sends.is_used_up()) {
+        return Err(not_run_reason(gateway, job, state));
     }
     Ok(None)
 }
@@ -292,8 +300,7 @@
     arrived: bool,
 ) -> Result<(), ErrorReason> {
     let tries_another = if arrived {
-        state.sent += 1;
-        take_attempt(gateway, job, state.sent)
+        take_attempt(gateway, job, &state.sends)
     } else {
         state.unreachable += 1;
         may_try_another(gateway, job, state) && (!job.is_authenticated || gateway.may_serve_keys())
@@ -301,11 +308,16 @@
     if tries_another {
         return Ok(());
     }
-    let why = match choose_upstream(gateway, job, &[], state.model) {
+    Err(not_run_reason(gateway, job, state))
+}
+
+/// Returns the reason to fail with where no upstream that was asked has run the job, and no other one is.
+fn not_run_reason(gateway: &Gateway, job: &Job, state: &RetryState) -> ErrorReason {
+    let why = match choose_upstream(gateway, job, &[], &[], state.model) {
         Err(why @ ChooseError::AllBackingOff { .. }) => refusal_reason(job, why),
         _ => ErrorReason::NoUpstream,
     };
-    Err(failure_reason(state, why, ErrorReason::ResponseLost))
+    failure_reason(state, why, ErrorReason::ResponseLost)
 }
 
 /// Returns whether another upstream is tried after unreachable ones. Nothing was sent to them, so this costs only
@@ -323,7 +335,6 @@
 
 /// Records that an upstream may have run the job. Fails if the job may not run again.
 fn record_lost(gateway: &Gateway, job: &Job, state: &mut RetryState) -> Result<(), ErrorReason> {
-    state.sent += 1;
     state.may_have_run = true;
     if take_retry(gateway, job, state) {
         return Ok(());
@@ -335,8 +346,8 @@
     }
 }
 
-/// Chooses an upstream for a job: one that was not tried, or else any but the last one tried. A contained job may only
-/// be sent to upstreams to which its connections broke.
+/// Chooses an upstream for a job: one that was not tried, or else any but the last one tried and those that rejected the
+/// job. A contained job may only be sent to upstreams to which its connections broke.
 ///
 /// # Errors
 ///
@@ -345,6 +356,7 @@
     gateway: &Gateway,
     job: &Job,
     tried: &[Name],
+    rejected: &[Name],
     model: usize,
 ) -> Result<Choice, ChooseError> {
     if gateway.has_path_trouble() {
@@ -353,10 +365,17 @@
             return Ok(choice);
         }
     }
-    choose_among_untried(gateway, job, tried, model).or_else(|_| {
-        let last = tried.last().map_or(&[][..], std::slice::from_ref);
-        choose_among_untried(gateway, job, last, model)
-    })
+    if let Ok(choice) = choose_among_untried(gateway, job, tried, model) {
+        return Ok(choice);
+    }
+    let last = tried.last().map_or(&[][..], std::slice::from_ref);
+    let any_but_last = choose_among_untried(gateway, job, last, model)?;
+    if !rejected.contains(&any_but_last.upstream.id) {
+        return Ok(any_but_last);
+    }
+    let excluded = [last, rejected].concat();
+    // Where only upstreams are left that rejected the job, it is not a matter of waiting for them.
+    choose_among_untried(gateway, job, &excluded, model).map_err(|_| ChooseError::NoUpstream)
 }
 
 /// Chooses an upstream that was not tried. A contained job may only be sent to upstreams to which its connections
@@ -412,10 +431,10 @@
     }
 }
 
-/// Takes a retry from the pool's budget, if the job has attempts left after `sent` and its deadline has not passed.
-/// Returns whether it did.
-pub fn take_attempt(gateway: &Gateway, job: &Job, sent: u32) -> bool {
-    sent < job.route.max_attempts
+/// Takes a retry from the pool's budget, if the job has attempts left and its deadline has not passed. Returns whether it
+/// did.
+pub fn take_attempt(gateway: &Gateway, job: &Job, sends: &SendCount) -> bool {
+    !sends.is_used_up()
         && gateway.clock.now_ms() < job.deadline_ms
         && gateway.try_take_retry(&job.pool)
 }
@@ -423,7 +442,7 @@
 /// Takes a retry from the pool's budget for a request that may have run, if it may run again and has attempts left.
 /// Returns whether it did.
 pub fn take_retry(gateway: &Gateway, job: &Job, state: &RetryState) -> bool {
-    job.route.kind.is_repeatable() && take_attempt(gateway, job, state.sent)
+    job.route.kind.is_repeatable() && take_attempt(gateway, job, &state.sends)
 }
 
 /// Returns the time limit for the head of the response: the time left until the deadline, or less if another attempt
@@ -431,7 +450,7 @@
 fn head_timeout_ms(job: &Job, state: &RetryState, now_ms: u64) -> u64 {
     let left_ms = job.deadline_ms.saturating_sub(now_ms);
     let is_repeatable_unary = !job.route.kind.is_stream() && job.route.kind.is_repeatable();
-    if is_repeatable_unary && state.sent + 1 < job.route.max_attempts {
+    if is_repeatable_unary && state.sends.has_more_than_one_left() {
         left_ms.min(job.route.latency_aim_ms * HEAD_TIMEOUT_FACTOR)
     } else {
         left_ms
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use ivyweir_policy::gateway::answer_end::BreakCause;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::event_stream::{StreamPosition, events};
+use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::site::RouteKind;
 use serde_json::json;
 use tokio::time::timeout_at;
@@ -77,7 +78,7 @@
         last_event_ms: 0,
         longest_pause_ms: 0,
         model,
-        sent: attempts.sent,
+        sends: attempts.sends.clone(),
         tried: attempts.tried.clone(),
         trace,
         paused_ms: 0,
@@ -135,7 +136,7 @@
     last_event_ms: u64,
     longest_pause_ms: u64,
     model: usize,
-    sent: u32,
+    sends: SendCount,
     tried: Vec<Name>,
     trace: Trace,
     /// Time during which the stream was not read because its buffer was full.
@@ -274,7 +275,7 @@
             }
         );
         let is_resumable = is_resumable && self.position.can_be_resumed();
-        is_resumable && self.sent < self.job.route.max_attempts
+        is_resumable && !self.sends.is_used_up()
     }
 
     /// Returns the time until which the caller is expected to wait for the next event.
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -10,7 +10,7 @@
 use super::source::Source;
 use crate::attempt::{self, AttemptOptions, AttemptOutcome, Reply};
 use crate::canary::record_head;
-use crate::handover::{self, HandoverOptions};
+use crate::handover::{self, Attempts, HandoverOptions};
 use crate::retry::{choose_upstream, hands_over, take_attempt};
 
 impl Stream {
@@ -52,25 +52,29 @@
             return false;
         }
         let mut is_declined = false;
-        while !self.gateway.is_quarantined(self.job.fingerprint)
-            && self.sent < self.job.route.max_attempts
-        {
+        while !self.gateway.is_quarantined(self.job.fingerprint) && !self.sends.is_used_up() {
             if !is_declined && hands_over(&self.gateway, &self.job, &self.tried, self.model) {
-                if !take_attempt(&self.gateway, &self.job, self.sent) {
+                if !take_attempt(&self.gateway, &self.job, &self.sends) {
                     return false;
                 }
                 match self.hand_over_rest().await {
                     AttemptOutcome::Answered(reply) if reply.response.status().is_success() => {
-                        self.sent += 1;
                         self.switch_source(*reply);
                         return true;
                     }
                     AttemptOutcome::NotRun { .. } => is_declined = true,
-                    AttemptOutcome::Answered(_) | AttemptOutcome::Lost => self.sent += 1,
+                    AttemptOutcome::Answered(_) | AttemptOutcome::Lost => {}
                 }
                 continue;
             }
-            let choice = match choose_upstream(&self.gateway, &self.job, &self.tried, self.model) {
+            let rejected = self.sends.rejected();
+            let choice = match choose_upstream(
+                &self.gateway,
+                &self.job,
+                &self.tried,
+                rejected,
+                self.model,
+            ) {
                 Ok(choice) => choice,
                 Err(ChooseError::AllBackingOff { for_ms })
                     if self
@@ -80,18 +84,21 @@
                     self.trace
                         .step("waits", json!({"backing_off_for_ms": for_ms}));
                     sleep(Duration::from_millis(for_ms)).await;
+                    self.sends.forget_rejections();
                     continue;
                 }
                 Err(_) => return false,
             };
-            if !take_attempt(&self.gateway, &self.job, self.sent) {
+            if !take_attempt(&self.gateway, &self.job, &self.sends) {
                 return false;
             }
             let outcome = self.request_rest(&choice).await;
-            if !matches!(outcome, AttemptOutcome::NotRun { arrived: false }) {
-                self.sent += 1;
-            }
             let upstream = choice.upstream.id.clone();
+            match outcome {
+                AttemptOutcome::NotRun { arrived: false } => {}
+                AttemptOutcome::NotRun { arrived: true } => self.sends.record_rejection(&upstream),
+                AttemptOutcome::Answered(_) | AttemptOutcome::Lost => self.sends.record_send(),
+            }
             if matches!(outcome, AttemptOutcome::Lost) {
                 self.gateway.wait_for_termination_check(&upstream).await;
             }
@@ -124,13 +131,17 @@
     async fn hand_over_rest(&mut self) -> AttemptOutcome {
         let now_ms = self.gateway.clock.now_ms();
         let options = HandoverOptions {
-            sends: self.sent,
             is_counted: true,
             model: Some(self.model),
             resume_after: self.position.last_id(),
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
         };
-        handover::send(&self.gateway, &self.job, options, &mut self.trace).await
+        let attempts = Attempts {
+            sends: &mut self.sends,
+            tried: &mut self.tried,
+        };
+        let trace = &mut self.trace;
+        handover::send(&self.gateway, &self.job, options, attempts, trace).await
     }
 
     /// Makes an upstream's reply the source of the stream.
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod revision;
 pub mod rollout;
 pub mod room;
+pub mod send_count;
 pub mod share;
 pub mod site;
 pub mod slowness;
--- a/crates/ivyweird/tests/common/mod.rs
+++ b/crates/ivyweird/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What the tests with real boxes share.
 #![allow(dead_code)]
 
+pub mod cut_box;
 pub mod soak;
 
 use ivyweir_operator::Client;
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -1,5 +1,7 @@
 //! Answers whose source ends early, and whole ones that show their end in unusual ways.
 
+mod common;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -7,11 +9,13 @@
 
 use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_standins::edge::{
-    BodyEnd, BodyFraming, EventScript, HOST, KEY, LineEnd, PathFault, PathProxies, PlainScript,
-    ScriptedUpstream, TestCluster, UpstreamAction, eventually, get, post_stream, site_config,
+    BodyEnd, BodyFraming, EventScript, HOST, KEY, LineEnd, PlainScript, ScriptedUpstream,
+    TestCluster, UpstreamAction, get, post_stream, site_config,
 };
 
-const BINARY: &str = env!("CARGO_BIN_EXE_ivyweird");
+use common::BINARY;
+use common::cut_box::CutBoxCluster;
+
 const AUTH: (&str, &str) = ("authorization", "Bearer key-of-the-studio");
 const EVENTS: u64 = 10;
 /// Number of the event after which a stream ends early.
@@ -305,36 +309,10 @@
     assert!(caller.read_to_end(&mut rest).is_err());
 }
 
-/// A box whose links to all engines are reset, and another one that serves for it.
-fn cluster_with_a_cut_box() -> (TestCluster, PathProxies) {
-    let proxies = PathProxies::default();
-    let mut cluster = TestCluster::start(BINARY);
-    put_site(&cluster);
-    for upstream in cluster.engines.iter().chain(&cluster.services) {
-        let mut record = upstream.record();
-        record.addr = proxies.start_proxy(record.addr);
-        cluster.store.put_upstream(&record);
-    }
-    for hall in ["hall-a", "hall-b"] {
-        let number = cluster.add_box(hall);
-        proxies.add_process(cluster.boxes[number].pid());
-    }
+/// A box whose paths to all upstreams are reset, and another one that serves for it.
+fn cluster_with_cut_box() -> CutBoxCluster {
     let whole = UpstreamAction::Events(script(LineEnd::Lf, BodyFraming::Connection));
-    for engine in &cluster.engines {
-        engine.set_action(whole.clone());
-    }
-    for number in 0..2 {
-        eventually("the boxes know each other", || {
-            !cluster.boxes[number].event_lines("boxes_heard").is_empty()
-        });
-    }
-    proxies.set_fault(cluster.boxes[0].pid(), PathFault::Reset);
-    eventually("requests are handed over", || {
-        let reply = post_stream(cluster.addr(0), RESUMED, "before");
-        reply.is_ok_and(|reply| reply.is_complete)
-            && !cluster.boxes[0].event_lines("handed_over").is_empty()
-    });
-    (cluster, proxies)
+    CutBoxCluster::start(&["hall-a", "hall-b"], 2, put_site, &whole)
 }
 
 macro_rules! handed_over_streams {
@@ -342,7 +320,7 @@
         /// Guards against an event that is cut off at the upstream of the box that serves for another one.
         #[test]
         fn $name() {
-            let (cluster, _proxies) = cluster_with_a_cut_box();
+            let CutBoxCluster { cluster, .. } = cluster_with_cut_box();
             let before = sends(&cluster.engines);
             let first = torn(LineEnd::Lf, BodyFraming::$framing);
             answer_first(&cluster.engines, &first);
