Send nothing from a box whose paths are in doubt

Cause, from the logs of a failing run: checks of the paths ended with nothing reached, neither suspected upstreams nor others, but no other box with a path answered, so the box concluded nothing, cleared the suspicion and went on sending. Each broken connection counted towards containment at once.

Change: such a check is unresolved. Suspicion stays, the check is repeated after 25 to 400 ms, and until data arrives from any upstream requests are handed over or, if all boxes decline, wait once for the check in progress and are refused as not run. A broken connection counts towards containment only once a check in progress finds that the paths are not lost.

--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -60,11 +60,11 @@
 
     /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
     fn lose(&mut self, gateway: &Arc<Gateway>) {
+        gateway.suspect_path(&self.upstream.id);
         if std::mem::take(&mut self.is_running) {
             gateway.record_lost_run(&self.upstream, self.key);
         }
         gateway.record_broken_connection(self.key.fingerprint);
-        gateway.suspect_path(&self.upstream.id);
         liveness::probe(gateway, &self.upstream);
     }
 }
--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -44,6 +44,10 @@
 const ASKED_BOXES: usize = 3;
 /// Rounds in which boxes are asked, as those of one round may be cut off too.
 const ASK_ROUNDS: usize = 2;
+/// Pause before a check is repeated that could not tell why it reached nothing; doubles each time.
+const MIN_RECHECK_PAUSE: Duration = Duration::from_millis(25);
+/// Upper bound of that pause.
+const MAX_RECHECK_PAUSE: Duration = Duration::from_millis(400);
 /// Age of data from any upstream up to which it shows that this box has a path.
 const CONTACT_MAX_AGE_MS: u64 = 100;
 /// Upstreams that are probed to find out whether this box has a path.
@@ -65,6 +69,7 @@
 pub fn start(gateway: &Arc<Gateway>) {
     let gateway = gateway.clone();
     tokio::spawn(async move {
+        let mut pause = MIN_RECHECK_PAUSE;
         while let Some(records) = gateway.begin_path_check(EXTRA_UPSTREAMS) {
             let mut results = check(&gateway, &records).await;
             if gateway.apply_path_check(&results, false) {
@@ -74,6 +79,10 @@
                 gateway.apply_path_check(&results, true);
             }
             gateway.end_path_check();
+            if gateway.is_path_check_unresolved() {
+                sleep(pause).await;
+                pause = (pause * 2).min(MAX_RECHECK_PAUSE);
+            }
         }
     });
 }
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -46,6 +46,8 @@
     is_counted: bool,
     /// Whether other boxes were asked to serve the request and declined.
     is_declined: bool,
+    /// Whether the request has waited for a check of this box's paths since.
+    has_waited_for_check: bool,
     /// Figures of the pool's capacity that led to the refusal, if it was refused for lack of it.
     pub capacity: Option<Value>,
 }
@@ -186,21 +188,33 @@
 }
 
 /// Asks other boxes to serve a job if this one has no path to upstreams that could. Returns `None` if it has, or if no
-/// other box accepts the job.
+/// other box accepts the job. While it is not known whether this box has lost its paths, the job is not sent from here.
 ///
 /// # Errors
 ///
-/// If the response was lost and the job may not run again, or if this box is cut off and no other one accepts the job.
+/// If the response was lost and the job may not run again, or if no other box accepts the job and this one is cut off or
+/// may be.
 async fn hand_over(
     gateway: &Arc<Gateway>,
     job: &Job,
     state: &mut RetryState,
     trace: &mut Trace,
 ) -> Result<Option<Box<Reply>>, ErrorReason> {
-    while !state.is_declined
-        && !gateway.is_quarantined(job.fingerprint)
+    while !gateway.is_quarantined(job.fingerprint)
         && hands_over(gateway, job, &state.tried, state.model)
     {
+        if state.is_declined {
+            let is_refused = gateway.is_cut_off() || state.sends.is_used_up();
+            if !is_refused && !gateway.may_be_cut_off() {
+                break;
+            }
+            if is_refused || std::mem::replace(&mut state.has_waited_for_check, true) {
+                return Err(not_run_reason(gateway, job, state));
+            }
+            gateway.wait_for_path_check().await;
+            state.is_declined = false;
+            continue;
+        }
         let now_ms = gateway.clock.now_ms();
         let options = HandoverOptions {
             is_counted: state.is_counted,
@@ -222,7 +236,7 @@
             AttemptOutcome::Lost => record_lost(gateway, job, state)?,
         }
     }
-    if state.is_declined && (gateway.is_cut_off() || state.sends.is_used_up()) {
+    if state.sends.is_used_up() {
         return Err(not_run_reason(gateway, job, state));
     }
     Ok(None)
--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
@@ -10,6 +11,7 @@
 use rand::seq::IteratorRandom;
 use serde_json::json;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::{Gateway, lock};
 use crate::path_check;
@@ -17,6 +19,8 @@
 /// Number of suspected upstreams that are probed in one check.
 const MAX_SUSPECTS_CHECKED: usize = 6;
 
+/// Longest time for which a request that no other box accepts waits for a check of the paths.
+const PATH_CHECK_WAIT: Duration = Duration::from_millis(500);
 /// Number of boxes that a box names as able to serve.
 const MAX_HINTS: usize = 6;
 /// Number of boxes known from hints only that are remembered.
@@ -185,6 +189,11 @@
         lock(&self.paths).may_be_cut_off(now_ms)
     }
 
+    /// Whether the last check of the paths could not tell why it reached nothing.
+    pub fn is_path_check_unresolved(&self) -> bool {
+        lock(&self.paths).is_unresolved()
+    }
+
     /// Whether data arrived from any upstream within the last `max_age_ms`.
     pub fn has_contact_within(&self, max_age_ms: u64) -> bool {
         let now_ms = self.clock.now_ms();
@@ -213,6 +222,11 @@
         }
     }
 
+    /// Waits for a check of the paths in progress, for a limited time.
+    pub async fn wait_for_path_check(&self) {
+        let _in_time = timeout(PATH_CHECK_WAIT, self.path_check_ended()).await;
+    }
+
     /// Chooses the box that serves a request in place of this one.
     pub fn choose_helper(&self, pool: &Name, tried: &[Name], seed: u64) -> Option<Name> {
         let now_ms = self.clock.now_ms();
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -104,19 +104,38 @@
         quarantine.runs.end(upstream, key, end, now_ms);
     }
 
-    /// Records that a request was lost with its connection. Whether its upstream terminated is not known yet.
-    pub fn record_lost_run(&self, upstream: &UpstreamRecord, key: RunKey) {
+    /// Records that a request was lost with its connection. Whether its upstream terminated is not known yet. Where all
+    /// paths of this box are in doubt, it counts against the request only if a check finds that they are not lost.
+    pub fn record_lost_run(self: &Arc<Self>, upstream: &UpstreamRecord, key: RunKey) {
         let is_planned = self.is_termination_planned(upstream);
         let now_ms = self.clock.now_ms();
-        let is_contained = {
-            let Quarantine { runs, ledger, .. } = &mut *lock(&self.quarantine);
-            let run = runs.end(&upstream.id, key, RunEnd::ConnectionLost, now_ms);
-            // Without a run, the termination of the upstream was recorded before the connection was seen to break.
-            run.filter(|_| !is_planned)
-                .is_some_and(|run| ledger.connection_broke(&observation(&upstream.id, &run)))
+        let run = {
+            let runs = &mut lock(&self.quarantine).runs;
+            runs.end(&upstream.id, key, RunEnd::ConnectionLost, now_ms)
         };
+        // Without a run, the termination of the upstream was recorded before the connection was seen to break.
+        let Some(run) = run.filter(|_| !is_planned) else {
+            return;
+        };
+        let observation = observation(&upstream.id, &run);
+        if !self.may_be_cut_off() {
+            self.record_unconfirmed_end(&observation);
+            return;
+        }
+        let gateway = self.clone();
+        tokio::spawn(async move {
+            gateway.wait_for_path_check().await;
+            if !gateway.may_be_cut_off() {
+                gateway.record_unconfirmed_end(&observation);
+            }
+        });
+    }
+
+    /// Records that the connection of a request broke, and that its upstream may have terminated.
+    fn record_unconfirmed_end(&self, observation: &EndObservation) {
+        let is_contained = lock(&self.quarantine).ledger.connection_broke(observation);
         if is_contained {
-            let detail = json!({"fingerprint": key.fingerprint.to_string()});
+            let detail = json!({"fingerprint": observation.fingerprint.to_string()});
             self.log.line("contained", detail);
             self.urgent_update.notify_one();
         }
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -52,7 +52,16 @@
             return false;
         }
         let mut is_declined = false;
+        let mut has_waited_for_check = false;
         while !self.gateway.is_quarantined(self.job.fingerprint) && !self.sends.is_used_up() {
+            if is_declined && self.gateway.may_be_cut_off() {
+                if std::mem::replace(&mut has_waited_for_check, true) {
+                    return false;
+                }
+                self.gateway.wait_for_path_check().await;
+                is_declined = false;
+                continue;
+            }
             if !is_declined && hands_over(&self.gateway, &self.job, &self.tried, self.model) {
                 if !take_attempt(&self.gateway, &self.job, &self.sends) {
                     return false;
--- a/crates/ivyweir-policy/src/gateway/reachability.rs
+++ b/crates/ivyweir-policy/src/gateway/reachability.rs
@@ -163,6 +163,8 @@
     next_silence_check_ms: u64,
     next_wide_check_ms: u64,
     cut: Option<Cut>,
+    /// Whether the last check reached nothing and no other box could tell why.
+    is_unresolved: bool,
     suspects: usize,
     faults: usize,
 }
@@ -187,6 +189,7 @@
     /// Records that data arrived from an upstream on an open connection.
     pub fn record_contact(&mut self, upstream: &Name, now_ms: u64) -> PathChange {
         self.last_contact_ms = Some(now_ms);
+        self.is_unresolved = false;
         let Some(path) = self.paths.get_mut(upstream) else {
             return PathChange::None;
         };
@@ -265,8 +268,8 @@
         }
     }
 
-    /// Applies the results of a check. Suspected upstreams that were not checked stay suspected. `is_wide` if as many
-    /// upstreams were checked as is worth while.
+    /// Applies the results of a check. Suspected upstreams that were not checked stay suspected, and all do if the check
+    /// reached nothing and no other box could tell why. `is_wide` if as many upstreams were checked as is worth while.
     pub fn apply_check(
         &mut self,
         results: &[(Name, CheckedPath)],
@@ -275,6 +278,11 @@
     ) -> PathChange {
         let began_ms = self.check.as_ref().map_or(now_ms, |check| check.began_ms);
         let has_contact = self.last_contact_ms.is_some_and(|at_ms| at_ms >= began_ms);
+        // Data that was under way may have arrived during the check; what arrives later ends the doubt.
+        self.is_unresolved = self.is_inconclusive(results);
+        if self.is_unresolved {
+            return PathChange::None;
+        }
         for (name, checked) in results {
             let path = self.paths.entry(name.clone()).or_default();
             if std::mem::take(&mut path.is_suspect) {
@@ -311,6 +319,16 @@
         PathChange::None
     }
 
+    /// Whether neither suspected upstreams nor others were reached, and no other box with a path to any responded. A request
+    /// that ends upstreams leaves those that were not suspected.
+    fn is_inconclusive(&self, results: &[(Name, CheckedPath)]) -> bool {
+        let is_suspect = |name: &Name| self.paths.get(name).is_some_and(|path| path.is_suspect);
+        let has_failed =
+            |checked: &CheckedPath| checked.own != ProbeResult::Reached && checked.others.is_none();
+        results.iter().any(|(name, _)| !is_suspect(name))
+            && results.iter().all(|(_, checked)| has_failed(checked))
+    }
+
     /// Returns whether other upstreams are worth a check too: some paths fail, and that was not checked
     /// recently.
     pub fn wants_wide_check(&mut self, results: &[(Name, CheckedPath)], now_ms: u64) -> bool {
@@ -346,6 +364,7 @@
     /// Records that an upstream responded to a probe on a new connection.
     pub fn record_reached(&mut self, upstream: &Name, now_ms: u64) -> PathChange {
         self.last_contact_ms = Some(now_ms);
+        self.is_unresolved = false;
         if let Some(path) = self.paths.get_mut(upstream) {
             path.last_contact_ms = Some(now_ms);
             if path.fault.take().is_some() {
@@ -387,9 +406,14 @@
         self.cut.is_some()
     }
 
+    /// Whether the last check could not tell why it reached nothing.
+    pub fn is_unresolved(&self) -> bool {
+        self.is_unresolved
+    }
+
     /// Whether this box is cut off from all upstreams, or may be as far as is known until a check ends.
     pub fn may_be_cut_off(&self, now_ms: u64) -> bool {
-        if self.cut.is_some() {
+        if self.cut.is_some() || self.is_unresolved {
             return true;
         }
         let is_silent = self
--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -173,3 +173,58 @@
     let known: HashMap<Name, ()> = HashMap::new();
     paths.sweep(|id| known.contains_key(id));
 }
+
+/// Results of this box alone: no other box with a path responded.
+fn check_alone(results: &[(usize, ProbeResult)]) -> Vec<(Name, CheckedPath)> {
+    let checked =
+        |(n, own): &(usize, ProbeResult)| (name(*n), CheckedPath::new(&name(*n), *own, &[]));
+    results.iter().map(checked).collect()
+}
+
+macro_rules! unresolved {
+    ($($name:ident: suspects $suspects:expr, results $results:expr => $is_unresolved:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut paths = Reachability::default();
+            for suspect in $suspects {
+                paths.suspect(&name(suspect));
+            }
+            paths.begin_check(1_000);
+            assert_eq!(paths.apply_check(&$results, false, 1_020), PathChange::None);
+            paths.end_check();
+            assert_eq!(paths.is_unresolved(), $is_unresolved);
+            assert_eq!(paths.may_be_cut_off(1_020), $is_unresolved);
+            // The check is repeated if it was not resolved.
+            assert_eq!(paths.begin_check(1_045).is_some(), $is_unresolved);
+        }
+    )*};
+}
+
+unresolved! {
+    a_check_that_reaches_nothing_and_that_no_other_box_explains_leaves_all_paths_in_doubt:
+        suspects [0], results check_alone(&[(0, Broken), (1, Broken), (2, Silent)]) => true;
+    upstreams_that_a_request_ends_leave_others_that_are_reached:
+        suspects [0, 1], results check_alone(&[(0, Broken), (1, Refused), (2, Reached)]) => false;
+    a_check_of_suspected_upstreams_alone_shows_nothing_of_the_others:
+        suspects [0, 1], results check_alone(&[(0, Broken), (1, Refused)]) => false;
+    what_another_box_tells_is_no_doubt:
+        suspects [0], results check(&[(0, Broken, Refused), (1, Broken, Refused)]) => false;
+}
+
+#[test]
+fn data_from_any_upstream_ends_the_doubt() {
+    for is_probe in [true, false] {
+        let mut paths = Reachability::default();
+        paths.suspect(&name(0));
+        paths.begin_check(1_000);
+        paths.apply_check(&check_alone(&[(0, Broken), (1, Broken)]), false, 1_020);
+        paths.end_check();
+        assert!(paths.may_be_cut_off(1_020));
+        if is_probe {
+            paths.record_reached(&name(5), 1_030);
+        } else {
+            paths.record_contact(&name(5), 1_030);
+        }
+        assert!(!paths.may_be_cut_off(1_030));
+    }
+}
