Send a request once also where its route allows no attempt

A route whose attempts are configured as 0 was served with one send, since only repeats were checked against them. The count of sends would have refused it before the first; it now allows one at least. Found by reading, one case added.

--- a/crates/ivyweir-policy/src/gateway/send_count.rs
+++ b/crates/ivyweir-policy/src/gateway/send_count.rs
@@ -14,11 +14,12 @@
 }
 
 impl SendCount {
-    /// Creates the count of a request that was sent `sent` times before and may be sent `limit` times in all.
+    /// Creates the count of a request that was sent `sent` times before and may be sent `limit` times in all, but once at
+    /// least.
     pub fn new(sent: u32, limit: u32, rejected: Vec<Name>) -> Self {
         Self {
             sent,
-            limit,
+            limit: limit.max(1),
             rejected,
         }
     }
--- a/crates/ivyweir-policy/tests/gateway_send_count.rs
+++ b/crates/ivyweir-policy/tests/gateway_send_count.rs
@@ -22,6 +22,7 @@
     one_of_two_is_kept_back: sent 1, limit 3, repeatable true => 2;
     the_last_is_not: sent 2, limit 3, repeatable true => 3;
     an_only_one_is_not: sent 0, limit 1, repeatable true => 1;
+    a_request_is_sent_once_at_least: sent 0, limit 0, repeatable true => 1;
     none_is_where_nothing_may_be_repeated: sent 0, limit 3, repeatable false => 3;
 }
 
