Do not count a stream that was cut in order as a lost run

What callers saw: a request whose streams three upstreams cut inside an event was contained, as if it might have ended them, and was then sent to these upstreams only.

Cause: an event that is open at the end of a body with a length or chunks is a break, and was recorded as a broken connection, although the connection to the upstream is open and the upstream runs on.

Change: such an end settles the run and counts as a failure of the upstream's load statistics. Ends with the connection are recorded as before.

--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// Records that the upstream ended the response early, in order and on an open connection, so that it still runs.
+    pub fn record_early_end(&mut self) {
+        self.record_outcome(true);
+        self.settle();
+    }
+
     /// Records that the connection broke, and probes whether the upstream itself has terminated.
     pub fn record_broken_connection(&mut self) {
         self.record_outcome(true);
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -179,13 +179,13 @@
                         return Some(Ok(Frame::data(self.deliver(rest))));
                     }
                     Err(cause) => {
-                        if !self.resume_after_break(cause.text()).await {
+                        if !self.resume_after_break(cause.text(), true).await {
                             return Some(Err(self.abort(cause.text())));
                         }
                     }
                 },
                 ReadResult::Broke(error) => {
-                    if !self.resume_after_break(&error).await {
+                    if !self.resume_after_break(&error, false).await {
                         return Some(Err(self.abort("upstream connection broke")));
                     }
                 }
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -14,14 +14,14 @@
 use crate::retry::{choose_upstream, hands_over, take_attempt};
 
 impl Stream {
-    /// Records that the connection to the source broke.
-    fn record_broken_source(&mut self, error: &str) {
+    /// Records that the source broke; `has_ended` if its body was read to its end.
+    fn record_broken_source(&mut self, error: &str, has_ended: bool) {
         let upstream = self.source.in_flight.place().clone();
         let detail = json!({
             "upstream": upstream, "error": error, "behind_event": self.position.last_id(),
         });
         self.trace.fail("stream_broke", detail);
-        self.source.in_flight.record_broken_connection();
+        self.source.record_break(has_ended);
         self.tried.push(upstream);
     }
 
@@ -37,9 +37,10 @@
         self.tried.push(upstream);
     }
 
-    /// Records that the source broke, and resumes the stream once it is known whether the upstream terminated.
-    pub(super) async fn resume_after_break(&mut self, error: &str) -> bool {
-        self.record_broken_source(error);
+    /// Records that the source broke, and resumes the stream once it is known whether the upstream terminated. `has_ended`
+    /// if the body was read to its end.
+    pub(super) async fn resume_after_break(&mut self, error: &str, has_ended: bool) -> bool {
+        self.record_broken_source(error, has_ended);
         let upstream = self.source.in_flight.place().clone();
         self.gateway.wait_for_termination_check(&upstream).await;
         self.resume(self.resume_until_ms()).await
--- a/crates/ivyweir-gateway/src/stream/source.rs
+++ b/crates/ivyweir-gateway/src/stream/source.rs
@@ -85,6 +85,15 @@
         Some(whole)
     }
 
+    /// Records that the stream broke off; `has_ended` if the body was read to its end.
+    pub(super) fn record_break(&mut self, has_ended: bool) {
+        if has_ended && self.framing != Framing::Connection {
+            self.in_flight.record_early_end();
+        } else {
+            self.in_flight.record_broken_connection();
+        }
+    }
+
     /// Records that the body is complete, and lets the connection be used again unless it ended with the body.
     pub(super) fn complete(&mut self) {
         let is_framed = self.framing != Framing::Connection;
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -10,7 +10,7 @@
 use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_standins::edge::{
     BodyEnd, BodyFraming, EventScript, HOST, KEY, LineEnd, PlainScript, ScriptedUpstream,
-    TestCluster, UpstreamAction, get, post_stream, site_config,
+    TestCluster, UpstreamAction, eventually, get, post_stream, site_config,
 };
 
 use common::BINARY;
@@ -180,6 +180,37 @@
     assert_eq!(received, Received { text, is_complete });
 }
 
+/// Guards against a request that is contained as one that ends upstreams, though each of them runs on.
+#[test]
+fn a_request_whose_streams_are_cut_off_in_order_is_not_contained() {
+    let mut cluster = TestCluster::start(BINARY);
+    for number in 2..5 {
+        let id = format!("engines-{number}");
+        let engine = ScriptedUpstream::start_on_own_ip(&id, "engines", "v1");
+        cluster.store.put_upstream(&engine.record());
+        cluster.engines.push(engine);
+    }
+    cluster.add_box("hall-a");
+    let torn = torn(LineEnd::Lf, BodyFraming::Chunks);
+    for engine in &cluster.engines {
+        engine.set_action(UpstreamAction::Events(torn.clone()));
+    }
+    for _ in 0..2 {
+        let received = ask(cluster.addr(0), RESUMED, "1.1");
+        assert!(!received.is_complete);
+        assert_eq!(received.text, torn.text_up_to(LAST_SENT));
+    }
+    let asked = cluster.engines.iter();
+    let asked = asked.filter(|engine| !engine.received_requests().is_empty());
+    assert!(asked.count() >= 3);
+    eventually("the lines are written", || {
+        cluster.boxes[0].event_lines("stream_broken_off").len() == 2
+    });
+    for event in ["contained", "quarantined", "upstream_ended"] {
+        assert!(cluster.boxes[0].event_lines(event).is_empty(), "{event}");
+    }
+}
+
 /// Guards against a stream without ids that begins anew behind events that were passed on.
 #[test]
 fn a_stream_without_ids_is_not_resumed_behind_its_first_event() {
