Take an upstream for terminated unless something shows that it runs

What callers saw: a stream without length or chunks whose upstream exited between two events was complete where the other boxes, asked whether they reach the upstream, did not answer within 150 ms.

Cause: a check that ran out of time counted as a sign that the upstream runs.

Change: where nothing listens at the upstream's address, the answer is broken unless another box reaches the upstream in time. The time for the other boxes no longer includes that of the own connection.

Also, a send from a box whose request others declined after rejections takes a repeat from the budget, and the next box is asked before a repeat is taken for it.

--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -166,11 +166,15 @@
 ) -> AttemptOutcome {
     let Attempts { sends, tried } = attempts;
     let mut asked = Vec::new();
+    let mut is_repeat = false;
     while asked.len() < MAX_HELPERS && !sends.is_used_up() {
         let seed = rand::random();
         let Some(helper) = gateway.choose_helper(&job.pool, &asked, seed) else {
             break;
         };
+        if std::mem::take(&mut is_repeat) && !take_attempt(gateway, job, sends) {
+            break;
+        }
         let sent = sends.sent();
         let attempts = Attempts { sends, tried };
         let outcome = send_to(gateway, job, &helper, options, attempts, trace).await;
@@ -185,10 +189,7 @@
         }
         asked.push(helper);
         if sends.sent() > sent {
-            // The next send is a repeat.
-            if !take_attempt(gateway, job, sends) {
-                break;
-            }
+            is_repeat = true;
             options.is_counted = true;
         }
     }
--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -25,7 +25,7 @@
 /// too many connections closes new ones at once.
 const MIN_REPROBE_PAUSE: Duration = Duration::from_millis(2);
 
-/// Time limit for the check of an upstream behind the end of an answer, which waits for it.
+/// Time limit for a connection to an upstream behind the end of an answer, which waits for it, and for other boxes.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// What a probe found.
@@ -58,17 +58,27 @@
     });
 }
 
-/// Finds out whether an upstream still runs after the body of its answer ended with the connection.
-pub async fn state_after_end(
-    gateway: &Arc<Gateway>,
-    upstream: &Arc<UpstreamRecord>,
-) -> UpstreamState {
+/// Finds out whether an upstream still runs after the body of its answer ended with the connection. Where nothing listens
+/// at its address, it has terminated unless another box reaches it: part of an answer must not pass for all of it.
+pub async fn state_after_end(gateway: &Arc<Gateway>, upstream: &UpstreamRecord) -> UpstreamState {
     if gateway.is_termination_planned(upstream) {
         return UpstreamState::Leaving;
     }
-    match timeout(END_CHECK_TIMEOUT, probe_once(gateway, upstream)).await {
-        Ok(ProbeResult::Refused) => UpstreamState::Terminated,
-        Ok(ProbeResult::Opened(_) | ProbeResult::Inconclusive) | Err(_) => UpstreamState::Running,
+    match Connection::open_within(upstream.addr, END_CHECK_TIMEOUT).await {
+        Ok(connection) => {
+            let now_ms = gateway.clock.now_ms();
+            let channels = &gateway.channels;
+            channels.keep(&upstream.id, connection, PROBE_KEEP_ALIVE_MS, now_ms);
+            UpstreamState::Running
+        }
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            let others = path_check::is_reached_by_others(gateway, upstream);
+            match timeout(END_CHECK_TIMEOUT, others).await {
+                Ok(true) => UpstreamState::Running,
+                Ok(false) | Err(_) => UpstreamState::Terminated,
+            }
+        }
+        Err(_) => UpstreamState::Running,
     }
 }
 
--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -257,6 +257,13 @@
     checked.is_terminated(has_path)
 }
 
+/// Whether another box reaches an upstream.
+pub async fn is_reached_by_others(gateway: &Gateway, upstream: &UpstreamRecord) -> bool {
+    let others = ask_boxes(gateway, std::slice::from_ref(&upstream.id)).await;
+    let checked = CheckedPath::new(&upstream.id, ProbeResult::Refused, &others);
+    checked.others == Some(ProbeResult::Reached)
+}
+
 /// Looks for silent upstreams and probes those without a path, for the lifetime of the process.
 pub async fn monitor(gateway: Arc<Gateway>) {
     loop {
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -232,7 +232,14 @@
         state.is_counted |= state.sends.sent() > sent;
         match outcome {
             AttemptOutcome::Answered(reply) => return Ok(Some(reply)),
-            AttemptOutcome::NotRun { .. } => state.is_declined = true,
+            AttemptOutcome::NotRun { .. } => {
+                state.is_declined = true;
+                // A send from here would be a repeat.
+                let is_repeat = state.sends.sent() > sent;
+                if is_repeat && !take_attempt(gateway, job, &state.sends) {
+                    return Err(not_run_reason(gateway, job, state));
+                }
+            }
             AttemptOutcome::Lost => record_lost(gateway, job, state)?,
         }
     }
