--- a/crates/ivyweird/tests/answer_ends_soak/main.rs
+++ b/crates/ivyweird/tests/answer_ends_soak/main.rs
@@ -30,6 +30,9 @@
 const CI_SEED: u64 = 20_261_204;
 const CI_STEPS: u32 = 120;
 const CI_BOXES: usize = 4;
+/// Seeds that failed once, and their steps.
+const KEPT_SEEDS: [u64; 2] = [6_403, 6_407];
+const KEPT_STEPS: u32 = 60;
 const HALLS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 const EVENTS: u64 = 8;
 const EVENT_GAP_MS: u64 = 5;
@@ -369,3 +372,10 @@
     let boxes = boxes.and_then(|boxes| boxes.parse().ok());
     soak(seed, steps, boxes.unwrap_or(CI_BOXES));
 }
+
+#[test]
+fn seeds_that_failed_once_pass() {
+    for seed in KEPT_SEEDS {
+        soak(seed, KEPT_STEPS, CI_BOXES);
+    }
+}
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -340,6 +340,36 @@
     assert!(caller.read_to_end(&mut rest).is_err());
 }
 
+/// Guards against an upstream that counts as running because no other box tells that it has exited.
+#[test]
+fn a_stream_that_ends_with_its_upstream_is_resumed_though_no_other_box_answers() {
+    let mut cluster = cluster();
+    cluster.add_box("hall-b");
+    for running in &cluster.boxes {
+        eventually("the boxes know each other", || {
+            !running.event_lines("boxes_heard").is_empty()
+        });
+    }
+    cluster.boxes[1].signal("STOP");
+    let whole = script(LineEnd::Lf, BodyFraming::Connection);
+    let exits = EventScript {
+        last_sent: Some(LAST_SENT),
+        end: BodyEnd::Exit,
+        ..whole.clone()
+    };
+    cluster.engines[0].set_action(UpstreamAction::Events(exits));
+    cluster.engines[1].set_action(UpstreamAction::Events(whole.clone()));
+    for n in 0..50 {
+        let reply = post_stream(cluster.addr(0), RESUMED, &format!("r{n}")).expect("a head");
+        assert!(reply.is_complete);
+        assert_eq!(reply.text(), whole.text_up_to(EVENTS));
+        if cluster.engines[0].has_exited() {
+            return;
+        }
+    }
+    panic!("the first engine was never asked");
+}
+
 /// A box whose paths to all upstreams are reset, and another one that serves for it.
 fn cluster_with_cut_box() -> CutBoxCluster {
     let whole = UpstreamAction::Events(script(LineEnd::Lf, BodyFraming::Connection));
