Write what was received before a stream breaks off

What callers saw: where a stream broke off in the moment in which its head or events were received, the connection closed without them.

Cause: the HTTP server drops the head and the frames that it has not written when the body fails.

Change: the body lets the server run once before it fails, so that it writes what it has.

--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -21,6 +21,7 @@
 use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::site::RouteKind;
 use serde_json::json;
+use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
 use crate::answer_end;
@@ -164,7 +165,7 @@
         }
         loop {
             if let Err(why) = self.wait_for_room().await {
-                return Some(Err(self.abort(why)));
+                return Some(Err(self.abort(why).await));
             }
             match self.read().await {
                 ReadResult::Events(events) => return Some(Ok(Frame::data(self.deliver(events)))),
@@ -180,13 +181,13 @@
                     }
                     Err(cause) => {
                         if !self.resume_after_break(cause.text(), true).await {
-                            return Some(Err(self.abort(cause.text())));
+                            return Some(Err(self.abort(cause.text()).await));
                         }
                     }
                 },
                 ReadResult::Broke(error) => {
                     if !self.resume_after_break(&error, false).await {
-                        return Some(Err(self.abort("upstream connection broke")));
+                        return Some(Err(self.abort("upstream connection broke").await));
                     }
                 }
                 ReadResult::Stalled => {
@@ -194,7 +195,9 @@
                     // Does not wait for a free upstream, as the source may continue by itself in the meantime.
                     self.source.ignores_stalls = !self.resume(0).await;
                 }
-                ReadResult::DeadlineExceeded => return Some(Err(self.abort("deadline exceeded"))),
+                ReadResult::DeadlineExceeded => {
+                    return Some(Err(self.abort("deadline exceeded").await));
+                }
             }
         }
     }
@@ -368,14 +371,20 @@
     }
 
     /// Aborts the stream. The returned error makes the caller's connection break off.
-    fn abort(&mut self, why: &'static str) -> io::Error {
+    async fn abort(&mut self, why: &'static str) -> io::Error {
         self.ended = true;
+        write_before_error().await;
         let detail = json!({"reason": why, "behind_event": self.position.last_id()});
         self.trace.fail("stream_broken_off", detail);
         io::Error::other(why)
     }
 }
 
+/// Lets the HTTP server write the head and the frames that it has, which it drops when the body fails.
+async fn write_before_error() {
+    yield_now().await;
+}
+
 /// Reads the next frame of a body, if there is room for it in the buffer.
 async fn next_frame(body: &mut Incoming, buffer: Option<&RelayBuffer>) -> BodyRead<Incoming> {
     match buffer {
--- a/crates/ivyweir-gateway/src/stream/ahead.rs
+++ b/crates/ivyweir-gateway/src/stream/ahead.rs
@@ -9,7 +9,7 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc::{self, UnboundedSender};
 
-use super::{Stream, UnframedAnswer};
+use super::{Stream, UnframedAnswer, write_before_error};
 use crate::relay_buffer::{NoStreamRoom, RelayBuffer};
 use crate::response::ResponseBody;
 use crate::state::ActiveRequest;
@@ -52,6 +52,9 @@
                 None => Err(io::Error::other("stream ended early")),
             };
             let has_failed = frame.is_err();
+            if has_failed {
+                write_before_error().await;
+            }
             Some((frame, (receiver, active, unframed, has_failed)))
         },
     );
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -180,6 +180,24 @@
     assert_eq!(received, Received { text, is_complete });
 }
 
+/// Guards against whole events that are dropped with the torn one behind them, and against a head that is.
+#[test]
+fn what_was_received_before_a_break_is_passed_on() {
+    let cluster = cluster();
+    for last_sent in [0, LAST_SENT] {
+        let at_once = EventScript {
+            last_sent: Some(last_sent),
+            piece_bytes: 1 << 16,
+            ..torn(LineEnd::Lf, BodyFraming::Length)
+        };
+        answer_first(&cluster.engines, &at_once);
+        let received = ask(cluster.addr(0), ONCE, "1.1");
+        let text = at_once.text_up_to(last_sent);
+        let is_complete = false;
+        assert_eq!(received, Received { text, is_complete });
+    }
+}
+
 /// Guards against a request that is contained as one that ends upstreams, though each of them runs on.
 #[test]
 fn a_request_whose_streams_are_cut_off_in_order_is_not_contained() {
