Reproduce prompt parts that terminate one upstream after the other

Callers saw half of the streams of a route fail for half a minute: requests that have one part of their prompts in common terminate each upstream that begins to answer them, and no two of them are alike, so the quarantine of whole requests never sees one three times.

The stand-in upstreams may now exit on a part of the prompt, and a pool of them starts again as new incarnations.

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -11,6 +11,7 @@
 mod peer_filter;
 mod rate_limit_invariant;
 mod record_store;
+mod restarting_pool;
 mod scripted_upstream;
 mod test_cluster;
 
@@ -22,6 +23,7 @@
 pub use peer_filter::PeerFilter;
 pub use rate_limit_invariant::{Arrival, RateLimitInvariant, RateLimitViolation};
 pub use record_store::{RecordStore, StoreFault};
+pub use restarting_pool::RestartingPool;
 pub use scripted_upstream::{ANSWERED_BY, ReceivedRequest, ScriptedUpstream, UpstreamAction};
 pub use test_cluster::{
     HOST, KEY, KeptConnection, Reply, TestCluster, WORKSPACE, any_port, call, event_ids,
--- a/crates/ivyweir-standins/src/edge/scripted_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/scripted_upstream.rs
@@ -1,5 +1,6 @@
 //! Upstream that handles each request as scripted by a test and records the requests it receives.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -135,6 +136,8 @@
     default_action: Mutex<UpstreamAction>,
     /// Actions for requests with specific bodies; these take precedence over all others.
     actions_by_body: Mutex<Vec<(Bytes, UpstreamAction)>>,
+    /// Actions for requests whose prompts have specific parts, used where no action by body applies.
+    actions_by_prompt_part: Mutex<Vec<(Name, UpstreamAction)>>,
     /// Notified when the simulated process exits.
     exit_signal: Arc<Notify>,
     has_exited: AtomicBool,
@@ -181,6 +184,7 @@
             name: id.into(),
             default_action: Mutex::new(UpstreamAction::Answer(200)),
             actions_by_body: Mutex::default(),
+            actions_by_prompt_part: Mutex::default(),
             exit_signal: Arc::default(),
             has_exited: AtomicBool::new(false),
             listener_linger_ms: Arc::default(),
@@ -273,6 +277,31 @@
         *lock(&self.shared.actions_by_body) = actions_by_body.collect();
     }
 
+    /// Sets the action for requests whose prompt has this part, anywhere but in the last place.
+    pub fn set_action_for_prompt_part(&self, part: &str, action: UpstreamAction) {
+        lock(&self.shared.actions_by_prompt_part).push((part.into(), action));
+    }
+
+    /// Starts the next incarnation at the address of this one, which has exited. It does what this one does by default,
+    /// by body and by prompt part.
+    pub fn restart(&self, started_at_ms: u64) -> Self {
+        let name = self.record.name().clone();
+        let UpstreamRecord {
+            addr,
+            pool,
+            version,
+            ..
+        } = &self.record;
+        let id = UpstreamRecord::incarnation_id(&name, started_at_ms);
+        let mut next = Self::start_at(*addr, &id, pool, version);
+        next.record.registered_as = Some(name);
+        let (from, to) = (&self.shared, &next.shared);
+        lock(&to.default_action).clone_from(&lock(&from.default_action));
+        lock(&to.actions_by_body).clone_from(&lock(&from.actions_by_body));
+        lock(&to.actions_by_prompt_part).clone_from(&lock(&from.actions_by_prompt_part));
+        next
+    }
+
     /// Simulates the exit of the process: closes the listener and all connections.
     pub fn exit(&self) {
         self.shared.exit();
@@ -321,13 +350,18 @@
         self.exit_signal.notify_one();
     }
 
-    /// Returns the action for a request with this body.
-    fn action_for(&self, body: &Bytes) -> UpstreamAction {
+    /// Returns the action for a request with this body and these prompt parts.
+    fn action_for(&self, body: &Bytes, parts: &HashSet<&str>) -> UpstreamAction {
         let actions_by_body = lock(&self.actions_by_body);
         if let Some((_, action)) = actions_by_body.iter().find(|(known, _)| known == body) {
             return action.clone();
         }
         drop(actions_by_body);
+        let by_part = lock(&self.actions_by_prompt_part);
+        if let Some((_, action)) = by_part.iter().find(|(part, _)| parts.contains(&**part)) {
+            return action.clone();
+        }
+        drop(by_part);
         let next = lock(&self.next_actions).pop();
         next.unwrap_or_else(|| lock(&self.default_action).clone())
     }
@@ -357,7 +391,7 @@
     let active = ActiveGuard::new(&shared);
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let action = shared.action_for(&body);
+    let action = shared.action_for(&body, &shared_parts(&head.headers));
     let action = match action {
         UpstreamAction::Slots { .. }
             if shared.active_requests.load(Ordering::SeqCst) > u64::from(SLOTS) =>
@@ -488,6 +522,16 @@
     Ok(answer)
 }
 
+/// Ids of the prompt's parts but the last one.
+fn shared_parts(headers: &HeaderMap) -> HashSet<&str> {
+    let parts = headers.get("ivyweir-prompt-parts");
+    let parts = parts.and_then(|parts| parts.to_str().ok());
+    let shared = parts.and_then(|parts| parts.rsplit_once(','));
+    let shared = shared.map_or("", |(shared, _)| shared);
+    let ids = shared.split(',').filter_map(|part| part.split_once(':'));
+    ids.map(|(id, _)| id).collect()
+}
+
 /// Number of the event behind which a stream is to resume; 0 if it is to begin.
 fn last_event_id(headers: &HeaderMap) -> u64 {
     let last = headers.get("last-event-id");
--- /dev/null
+++ b/crates/ivyweird/tests/gateway_prompt_parts.rs
@@ -0,0 +1,331 @@
+//! Prompts with a part that terminates each upstream which begins to answer on it, whatever else the request holds.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ivyweir_standins::edge::{
+    BodyEnd, EventScript, KEY, Reply, RestartingPool, ScriptedUpstream, TestCluster,
+    UpstreamAction, call,
+};
+
+use common::BINARY;
+
+const ENGINES: usize = 24;
+/// Time for which an engine that exited is not there.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Time from the head of a harmful request's answer to the exit of its engine.
+const EXIT_DELAY_MS: u64 = 60;
+/// Exits under a part after which requests with it are sent a few times more at most.
+const EXITS: usize = 5;
+const MORE_SENDS: usize = 3;
+/// Share of the sound requests that are served at the first attempt once the part is known.
+const SERVED_SHARE: f64 = 0.95;
+/// Time from the first harmful request until that share is checked: the exits are over, and the engines are back.
+const SETTLING: Duration = Duration::from_secs(3);
+/// Time for which requests come.
+const RUN_TIME: Duration = Duration::from_secs(9);
+const SOUND_CALLERS: u64 = 10;
+/// Parts under which engines exit.
+const HARMFUL: [&str; 2] = ["bad0", "bad1"];
+
+/// Builds the parts of prompt number `number` of a caller, all but the own one in order.
+type PartsOf = fn(caller: u64, number: u64) -> Vec<String>;
+
+/// A harmful part in the first place.
+fn first(_: u64, number: u64) -> Vec<String> {
+    vec!["bad0".into(), format!("e{}", number % 4)]
+}
+
+/// A harmful part behind the one that all prompts share, with another part behind it.
+fn middle(_: u64, number: u64) -> Vec<String> {
+    vec!["a0".into(), "bad0".into(), format!("e{}", number % 4)]
+}
+
+/// A harmful part in the last shared place, behind two that sound prompts have.
+fn last_shared(caller: u64, number: u64) -> Vec<String> {
+    vec![
+        "a0".into(),
+        format!("c{}", (caller + number) % SOUND_CALLERS),
+        "bad0".into(),
+    ]
+}
+
+/// Two harmful parts, never in one prompt.
+fn two(caller: u64, number: u64) -> Vec<String> {
+    let part = HARMFUL[(number % 2) as usize];
+    vec![
+        "a0".into(),
+        format!("c{}", (caller + number) % SOUND_CALLERS),
+        part.into(),
+    ]
+}
+
+fn sound(caller: u64, _: u64) -> Vec<String> {
+    vec![
+        "a0".into(),
+        format!("c{caller}"),
+        format!("e{}", caller % 4),
+    ]
+}
+
+struct Town {
+    cluster: TestCluster,
+    pool: RestartingPool,
+}
+
+impl Town {
+    fn start(boxes: usize) -> Self {
+        let mut cluster = TestCluster::start(BINARY);
+        for engine in std::mem::take(&mut cluster.engines) {
+            cluster.store.put_upstream(&engine.leaving_record());
+        }
+        let answers = UpstreamAction::Events(EventScript {
+            gap_ms: 25,
+            ..EventScript::whole(8)
+        });
+        let exits = UpstreamAction::Events(EventScript {
+            last_sent: Some(0),
+            gap_ms: EXIT_DELAY_MS,
+            end: BodyEnd::Exit,
+            ..EventScript::whole(8)
+        });
+        let engines = (0..ENGINES).map(|n| {
+            let engine =
+                ScriptedUpstream::start_incarnation(&format!("engine-{n}"), 0, "engines", "v1");
+            engine.set_action(answers.clone());
+            for part in HARMFUL {
+                engine.set_action_for_prompt_part(part, exits.clone());
+            }
+            engine
+        });
+        let pool = RestartingPool::start(&cluster.store, engines.collect(), RESTART_DELAY);
+        for n in 0..boxes {
+            cluster.add_box(["hall-a", "hall-b", "hall-c"][n % 3]);
+        }
+        Self { cluster, pool }
+    }
+
+    fn addrs(&self) -> Vec<SocketAddr> {
+        (0..self.cluster.boxes.len())
+            .map(|n| self.cluster.addr(n))
+            .collect()
+    }
+
+    /// Requests with this part that reached an engine, and when the engines exited under them.
+    fn harm(&self, part: &str) -> Harm {
+        let mut harm = Harm::default();
+        for engine in self.pool.incarnations() {
+            let seen = engine.received_requests();
+            let has_part = |parts: &str| parts.contains(&format!("{part}:"));
+            let of_part = seen
+                .iter()
+                .filter(|seen| seen.header("ivyweir-prompt-parts").is_some_and(has_part));
+            let sends: Vec<Instant> = of_part.map(|seen| seen.received_at).collect();
+            let exit = sends.iter().min().copied();
+            harm.exits
+                .extend(exit.map(|at| at + Duration::from_millis(EXIT_DELAY_MS)));
+            harm.sends.extend(sends);
+        }
+        harm.exits.sort();
+        harm
+    }
+}
+
+#[derive(Default)]
+struct Harm {
+    sends: Vec<Instant>,
+    exits: Vec<Instant>,
+}
+
+impl Harm {
+    /// Sends after the exit that is the last one allowed.
+    fn late_sends(&self) -> usize {
+        let Some(last) = self.exits.get(EXITS - 1) else {
+            return 0;
+        };
+        self.sends.iter().filter(|at| *at > last).count()
+    }
+}
+
+/// Sound requests of a span, and those of them that were served at the first attempt.
+#[derive(Default)]
+struct Served {
+    asked: AtomicU64,
+    whole: AtomicU64,
+}
+
+impl Served {
+    fn share(&self) -> f64 {
+        let (asked, whole) = (&self.asked, &self.whole);
+        whole.load(Ordering::SeqCst) as f64 / asked.load(Ordering::SeqCst).max(1) as f64
+    }
+}
+
+struct Calls {
+    addrs: Vec<SocketAddr>,
+    until: Instant,
+    /// Sound requests that are sent from this time on count.
+    counted_from: Instant,
+    served: Served,
+    refused: AtomicU64,
+}
+
+fn ask(addr: SocketAddr, id: &str, mut parts: Vec<String>) -> Option<Reply> {
+    parts.push(format!("own-{id}"));
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part}:50")).collect();
+    let parts = parts.join(",");
+    let auth = format!("Bearer {KEY}");
+    let headers = [
+        ("ivyweir-request-id", id),
+        ("authorization", auth.as_str()),
+        ("ivyweir-prompt-parts", parts.as_str()),
+    ];
+    call(
+        addr,
+        "POST",
+        "/stream/x",
+        &headers,
+        Bytes::from(id.to_owned()),
+    )
+    .ok()
+}
+
+fn start_sound(calls: &Arc<Calls>) -> Vec<JoinHandle<()>> {
+    let callers = (0..SOUND_CALLERS).map(|caller| {
+        let calls = calls.clone();
+        thread::spawn(move || {
+            for number in 0.. {
+                let at = Instant::now();
+                if at >= calls.until {
+                    return;
+                }
+                let addr = calls.addrs[(caller + number) as usize % calls.addrs.len()];
+                let reply = ask(addr, &format!("s-{caller}-{number}"), sound(caller, number));
+                let is_whole = reply
+                    .as_ref()
+                    .is_some_and(|r| r.status == 200 && r.is_complete);
+                if reply.is_some_and(|r| r.text().contains("quarantined")) {
+                    calls.refused.fetch_add(1, Ordering::SeqCst);
+                }
+                if at >= calls.counted_from {
+                    calls.served.asked.fetch_add(1, Ordering::SeqCst);
+                    calls
+                        .served
+                        .whole
+                        .fetch_add(u64::from(is_whole), Ordering::SeqCst);
+                }
+                if !is_whole {
+                    thread::sleep(Duration::from_millis(20));
+                }
+            }
+        })
+    });
+    callers.collect()
+}
+
+/// Sends a harmful request each `gap`, without waiting for its answer.
+fn start_harmful(calls: &Arc<Calls>, parts: PartsOf, gap: Duration) -> JoinHandle<()> {
+    let calls = calls.clone();
+    thread::spawn(move || {
+        let mut sent = Vec::new();
+        for number in 0.. {
+            if Instant::now() >= calls.until {
+                break;
+            }
+            let addr = calls.addrs[(number * 7) as usize % calls.addrs.len()];
+            sent.push(thread::spawn(move || {
+                ask(addr, &format!("h-{number}"), parts(number, number));
+            }));
+            thread::sleep(gap);
+        }
+        for caller in sent {
+            caller.join().expect("no caller panics");
+        }
+    })
+}
+
+/// Lets engines exit for another cause, one each `gap`.
+fn start_other_exits(town: &Town, calls: &Arc<Calls>, gap: Duration) {
+    let mut number = 0;
+    while Instant::now() < calls.until {
+        thread::sleep(gap);
+        let engines = town.pool.incarnations();
+        let mut running = engines.iter().filter(|engine| !engine.has_exited());
+        if let Some(engine) = running.nth(number * 5 % ENGINES / 2) {
+            engine.exit();
+        }
+        number += 1;
+    }
+}
+
+/// Time before the first harmful request.
+const BEFORE: Duration = Duration::from_millis(500);
+
+fn check(boxes: usize, parts: PartsOf, gap_ms: u64, other_exits_gap_ms: Option<u64>) {
+    let town = Town::start(boxes);
+    let start = Instant::now();
+    let calls = Arc::new(Calls {
+        addrs: town.addrs(),
+        until: start + RUN_TIME,
+        counted_from: start + BEFORE + SETTLING,
+        served: Served::default(),
+        refused: AtomicU64::new(0),
+    });
+    let mut callers = start_sound(&calls);
+    thread::sleep(BEFORE);
+    callers.push(start_harmful(&calls, parts, Duration::from_millis(gap_ms)));
+    if let Some(gap_ms) = other_exits_gap_ms {
+        start_other_exits(&town, &calls, Duration::from_millis(gap_ms));
+    }
+    for caller in callers {
+        caller.join().expect("no caller panics");
+    }
+    let mut late_sends = Vec::new();
+    for part in HARMFUL {
+        let harm = town.harm(part);
+        println!(
+            "{part}: {} exits, {} sends, {} of them late",
+            harm.exits.len(),
+            harm.sends.len(),
+            harm.late_sends()
+        );
+        late_sends.push(harm.late_sends());
+    }
+    let (share, refused) = (calls.served.share(), calls.refused.load(Ordering::SeqCst));
+    println!("sound: {share:.3} served, {refused} refused as harmful");
+    assert!(
+        late_sends.iter().all(|late| *late <= MORE_SENDS),
+        "sends after the fifth exit: {late_sends:?}"
+    );
+    assert_eq!(refused, 0, "sound requests were refused as harmful");
+    assert!(
+        share >= SERVED_SHARE,
+        "{share:.3} of the sound requests were served"
+    );
+}
+
+macro_rules! harmful_parts {
+    ($($name:ident: $boxes:expr, $parts:ident, each $gap_ms:expr, other exits $other:expr;)*) => {$(
+        /// Guards against a part of prompts that terminates one upstream after the other, in requests that differ.
+        #[test]
+        fn $name() {
+            check($boxes, $parts, $gap_ms, $other);
+        }
+    )*};
+}
+
+harmful_parts! {
+    a_harmful_first_part_is_sent_no_more: 3, first, each 120, other exits None;
+    a_harmful_middle_part_is_sent_no_more: 3, middle, each 120, other exits None;
+    a_harmful_last_shared_part_is_sent_no_more: 3, last_shared, each 120, other exits None;
+    a_harmful_part_at_one_box_is_sent_no_more: 1, middle, each 120, other exits None;
+    two_harmful_parts_are_sent_no_more: 3, two, each 100, other exits None;
+    a_harmful_part_that_seldom_comes_is_sent_no_more: 3, last_shared, each 700, other exits None;
+    a_harmful_part_beside_other_exits_is_sent_no_more: 3, middle, each 120, other exits Some(600);
+}
