Log the shared parts of prompts with requests and with ended upstreams

The logs could not tell whether upstreams end under whole requests or under something that many requests share: they named whole requests only.

`admitted` lists the fingerprints of a prompt's shared parts, by pool, and `upstream_ended` those of the requests that were there.

--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request::Parts;
-use ivyweir_policy::gateway::quarantine::{Fingerprint, RequestContent};
+use ivyweir_policy::gateway::quarantine::{Fingerprint, RequestContent, RequestIdentity};
 use ivyweir_policy::gateway::relay_buffer::ReaderLimits;
 use ivyweir_policy::gateway::site::{Access, Route, SiteIndex, Workspace};
 use serde_json::json;
@@ -18,7 +18,7 @@
 use crate::error_response::ErrorReason;
 use crate::handover::HandedOver;
 use crate::job::{self, Job};
-use crate::log::Trace;
+use crate::log::{Trace, fingerprint_texts};
 use crate::relay_buffer::{BodyRead, RelayBuffers};
 use crate::state::Gateway;
 
@@ -72,6 +72,8 @@
         workspace: workspace.as_ref().map(|w| &*w.name),
         body: &body,
     });
+    let shared_parts = metadata.shared_parts().iter().map(|part| part.id_hash);
+    let identity = RequestIdentity::new(fingerprint, &pool, shared_parts);
     trace.step(
         "admitted",
         json!({
@@ -79,6 +81,7 @@
             "workspace_priority": workspace.as_ref().and_then(|w| w.priority), "route_priority": route.priority, "site_version": site.site().version,
             "proof_age_ms": gateway.proof_age_ms(), "budget_ms": budget_ms,
             "side": side.map(|s| format!("{s:?}")), "fingerprint": fingerprint.to_string(),
+            "parts": fingerprint_texts(&*identity.parts),
         }),
     );
     let class = site.class(&route, workspace.as_deref());
@@ -98,7 +101,7 @@
         side,
         seed,
         handed_over,
-        fingerprint,
+        identity,
     })
 }
 
--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -89,7 +89,7 @@
     // connection. A request whose connection just broke gets a new connection at once: if many upstreams terminate
     // at the same time, a pooled connection may lead to another terminated one, and the request would be suspected of
     // that termination too.
-    let mut pooled = if gateway.suspicion(job.fingerprint) != Suspicion::None {
+    let mut pooled = if gateway.suspicion(job.identity.request) != Suspicion::None {
         None
     } else {
         let now_ms = gateway.clock.now_ms();
@@ -111,7 +111,7 @@
             );
             return AttemptOutcome::NotRun { arrived: false };
         }
-        if let Err(why) = gateway.begin_send(upstream, job.fingerprint) {
+        if let Err(why) = gateway.begin_send(upstream, job.identity.request) {
             let detail = json!({"upstream": upstream.id, "why": format!("{why:?}")});
             trace.fail("withheld", detail);
             count_attempt(gateway, job, "withheld");
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -53,6 +53,16 @@
     pub session: Option<u64>,
 }
 
+impl RequestMetadata {
+    /// The parts of the prompt that others may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        match self.prompt_parts.split_last() {
+            Some((_, shared)) => shared,
+            None => &[],
+        }
+    }
+}
+
 /// Metadata that the gateway adds to a request that it forwards.
 #[derive(Debug, Clone, Copy)]
 pub struct ForwardMetadata<'a> {
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -54,7 +54,7 @@
 
     fn end(&mut self, gateway: &Gateway, end: RunEnd) {
         if std::mem::take(&mut self.is_running) {
-            gateway.record_run_end(&self.upstream.id, self.key, end);
+            gateway.record_run_end(&self.upstream.id, &self.key, end);
         }
     }
 
@@ -62,9 +62,9 @@
     fn lose(&mut self, gateway: &Arc<Gateway>) {
         gateway.suspect_path(&self.upstream.id);
         if std::mem::take(&mut self.is_running) {
-            gateway.record_lost_run(&self.upstream, self.key);
+            gateway.record_lost_run(&self.upstream, &self.key);
         }
-        gateway.record_broken_connection(self.key.fingerprint);
+        gateway.record_broken_connection(self.key.identity.request);
         liveness::probe(gateway, &self.upstream);
     }
 }
@@ -132,7 +132,8 @@
     pub fn record_sent(&mut self) {
         if let Place::Upstream(run) = &mut self.place {
             run.is_running = true;
-            self.gateway.record_run_start(&run.upstream.id, run.key);
+            self.gateway
+                .record_run_start(&run.upstream.id, run.key.clone());
             if !std::mem::replace(&mut run.uses_path, true) {
                 self.gateway.begin_path_use(&run.upstream.id);
             }
@@ -168,7 +169,7 @@
         if let Place::Upstream(run) = &self.place
             && is_success
         {
-            self.gateway.record_run_completion(run.key.fingerprint);
+            self.gateway.record_run_completion(&run.key.identity);
         }
     }
 
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Request, Uri};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::placement::PlacementRequest;
-use ivyweir_policy::gateway::quarantine::{Fingerprint, RunKey};
+use ivyweir_policy::gateway::quarantine::{RequestIdentity, RunKey};
 use ivyweir_policy::gateway::relay_buffer::ReaderLimits;
 use ivyweir_policy::gateway::rollout::Side;
 use ivyweir_policy::gateway::send_count::SendCount;
@@ -19,7 +19,7 @@
 use ivyweir_policy::hash::{hash64, mix};
 
 use crate::caller_io::CallerConnection;
-use crate::dialect::{Dialect, ForwardMetadata, PromptPart, RequestMetadata};
+use crate::dialect::{Dialect, ForwardMetadata, RequestMetadata};
 use crate::handover::HandedOver;
 use crate::relay_buffer::{RelayBuffer, RelayBuffers};
 use crate::settings::Settings;
@@ -67,8 +67,9 @@
     pub seed: u64,
     /// Set if another box handed the request over.
     pub handed_over: Option<Arc<HandedOver>>,
-    /// Identifies the request by its content, so that it is the same for all retries.
-    pub fingerprint: Fingerprint,
+    /// Identifies the request by its content, so that it is the same for all retries, and the shared parts of its
+    /// prompt.
+    pub identity: RequestIdentity,
 }
 
 impl Job {
@@ -114,7 +115,7 @@
     /// Returns the key under which its run at an upstream is tracked.
     pub fn run_key(&self) -> RunKey {
         RunKey {
-            fingerprint: self.fingerprint,
+            identity: self.identity.clone(),
             try_hash: self.seed as u32,
         }
     }
@@ -139,7 +140,11 @@
         settings: &'a Settings,
     ) -> PlacementRequest<'a> {
         let policy = &settings.policy;
-        let affinity_part = self.shared_parts().last().filter(|_| policy.draw_shared);
+        let affinity_part = self
+            .metadata
+            .shared_parts()
+            .last()
+            .filter(|_| policy.draw_shared);
         PlacementRequest {
             prefix: affinity_part.map(|part| mix(part.id_hash, model as u64)),
             engine: self.tokens().map(|_| estimate),
@@ -176,13 +181,6 @@
         dialect.add_forward_headers(request.headers_mut(), forward);
         request
     }
-
-    fn shared_parts(&self) -> &[PromptPart] {
-        match self.metadata.prompt_parts.split_last() {
-            Some((_, shared)) => shared,
-            None => &[],
-        }
-    }
 }
 
 /// Converts the caller's request head to the one that is forwarded: the URI in origin form, without hop-by-hop
--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
+use ivyweir_policy::gateway::quarantine::Fingerprint;
 use serde_json::{Map, Value};
 
 use crate::clock::{Clock, epoch_ms};
@@ -162,6 +163,16 @@
     }
 }
 
+/// Fingerprints as texts for a log line.
+pub fn fingerprint_texts<'a>(
+    fingerprints: impl IntoIterator<Item = &'a Fingerprint>,
+) -> Vec<String> {
+    fingerprints
+        .into_iter()
+        .map(Fingerprint::to_string)
+        .collect()
+}
+
 /// Buffered lines of one request, written or discarded when it ends.
 #[derive(Debug)]
 pub struct Trace {
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -115,7 +115,7 @@
                 ErrorReason::DeadlineExceeded,
             ));
         }
-        if gateway.is_quarantined(job.fingerprint) {
+        if gateway.is_quarantined(job.identity.request) {
             return Err(failure_reason(
                 state,
                 ErrorReason::Quarantined,
@@ -200,7 +200,7 @@
     state: &mut RetryState,
     trace: &mut Trace,
 ) -> Result<Option<Box<Reply>>, ErrorReason> {
-    while !gateway.is_quarantined(job.fingerprint)
+    while !gateway.is_quarantined(job.identity.request)
         && hands_over(gateway, job, &state.tried, state.model)
     {
         if state.is_declined {
@@ -293,7 +293,7 @@
     if gateway.has_load_control() {
         detail["over_share"] = json!(gateway.over_share(job));
     }
-    if gateway.containment(job.fingerprint).is_some() {
+    if gateway.containment(job.identity.request).is_some() {
         detail["contained"] = json!(true);
     }
     detail
@@ -413,15 +413,15 @@
         request.band = gateway.urgency(job, estimate).band();
         request.forecast = true;
     }
-    if gateway.suspicion(job.fingerprint) == Suspicion::UpstreamEnded {
-        request.isolation_hash = Some(job.fingerprint.bits());
+    if gateway.suspicion(job.identity.request) == Suspicion::UpstreamEnded {
+        request.isolation_hash = Some(job.identity.request.bits());
     }
     let scope = Scope {
         pool: &job.pool,
         side: job.side,
         tried,
     };
-    match gateway.containment(job.fingerprint) {
+    match gateway.containment(job.identity.request) {
         Some(containment) => gateway.choose_contained(&containment, &scope, &request),
         None => gateway.choose_upstream(&scope, &request),
     }
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tracks which requests run on which upstream and which were running when it terminated, and quarantines requests
 //! that repeatedly terminate upstreams.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +9,8 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
     Containment, EndObservation, Fingerprint, InterruptedRun, Ledger, LedgerSync, LedgerUpdate,
-    QuarantineChanges, QuarantineRecord, RunEnd, RunKey, RunRegistry, SuspectUpdate, UpstreamEnd,
+    QuarantineChanges, QuarantineRecord, RequestIdentity, RunEnd, RunKey, RunRegistry,
+    SuspectUpdate, UpstreamEnd,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::hash::hash64;
@@ -19,8 +20,9 @@
 
 use super::{Gateway, lock};
 use crate::clock::epoch_ms;
+use crate::log::fingerprint_texts;
 
-/// Maximum number of requests listed in the log event for a terminated upstream; most engines run no more at once.
+/// Maximum number of requests, and of shared parts of their prompts, listed in the log event for a terminated upstream; most engines run no more at once.
 const MAX_LOGGED_FINGERPRINTS: usize = 64;
 
 /// Maximum time that a request waits for the check whether its upstream terminated: three round trips to the farthest
@@ -98,7 +100,7 @@
     }
 
     /// Records that a request no longer runs on an upstream.
-    pub fn record_run_end(&self, upstream: &Name, key: RunKey, end: RunEnd) {
+    pub fn record_run_end(&self, upstream: &Name, key: &RunKey, end: RunEnd) {
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
         quarantine.runs.end(upstream, key, end, now_ms);
@@ -106,7 +108,7 @@
 
     /// Records that a request was lost with its connection. Whether its upstream terminated is not known yet. Where all
     /// paths of this box are in doubt, it counts against the request only if a check finds that they are not lost.
-    pub fn record_lost_run(self: &Arc<Self>, upstream: &UpstreamRecord, key: RunKey) {
+    pub fn record_lost_run(self: &Arc<Self>, upstream: &UpstreamRecord, key: &RunKey) {
         let is_planned = self.is_termination_planned(upstream);
         let now_ms = self.clock.now_ms();
         let run = {
@@ -150,7 +152,8 @@
     }
 
     /// Records that a request received a complete response.
-    pub fn record_run_completion(&self, fingerprint: Fingerprint) {
+    pub fn record_run_completion(&self, identity: &RequestIdentity) {
+        let fingerprint = identity.request;
         let now_ms = self.clock.now_ms();
         let changes = {
             let mut quarantine = lock(&self.quarantine);
@@ -299,11 +302,15 @@
         }
         let ends = &self.metrics.upstream_ends;
         ends.with_label_values(&[&*upstream.pool]).inc();
-        let logged = interrupted.iter().take(MAX_LOGGED_FINGERPRINTS);
-        let fingerprints: Vec<String> = logged.map(|run| run.key.fingerprint.to_string()).collect();
+        let logged = || interrupted.iter().take(MAX_LOGGED_FINGERPRINTS);
+        let fingerprints = fingerprint_texts(logged().map(|run| &run.key.identity.request));
+        let parts: BTreeSet<Fingerprint> = logged()
+            .flat_map(|run| run.key.identity.parts.iter().copied())
+            .collect();
+        let parts = fingerprint_texts(parts.iter().take(MAX_LOGGED_FINGERPRINTS));
         let detail = json!({
             "upstream": upstream.id, "pool": upstream.pool, "requests": interrupted.len(),
-            "fingerprints": fingerprints, "planned": is_planned,
+            "fingerprints": fingerprints, "parts": parts, "planned": is_planned,
         });
         self.log.line("upstream_ended", detail);
         if !is_planned {
@@ -425,7 +432,7 @@
 /// The observation of a run that was interrupted by the termination of its upstream.
 fn observation(upstream_id: &Name, run: &InterruptedRun) -> EndObservation {
     EndObservation {
-        fingerprint: run.key.fingerprint,
+        fingerprint: run.key.identity.request,
         end: UpstreamEnd {
             upstream: hash64(&[upstream_id.as_bytes()]),
             try_hash: run.key.try_hash,
--- a/crates/ivyweir-policy/src/gateway/quarantine.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine.rs
@@ -22,7 +22,7 @@
 mod suspect;
 mod sync;
 
-pub use fingerprint::{Fingerprint, RequestContent};
+pub use fingerprint::{Fingerprint, MAX_TRACKED_PARTS, RequestContent, RequestIdentity};
 pub use ledger::{Containment, EndObservation, Ledger, QuarantineChanges, QuarantineRecord};
 pub use runs::{InterruptedRun, RunEnd, RunKey, RunRegistry};
 pub use suspect::{SuspectUpdate, UpstreamEnd};
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::Fingerprint;
+use super::{Fingerprint, RequestIdentity};
 use crate::Name;
 
 /// Time for which a request whose connection broke still counts as running at its upstream. In this
@@ -29,17 +29,17 @@
 }
 
 /// Identifies one try of a request at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunKey {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// Identity of the request.
+    pub identity: RequestIdentity,
     /// Hash of the id of the try. A try is at one upstream at a time, or at two while a larger
     /// model is asked.
     pub try_hash: u32,
 }
 
 /// A request that was running at an upstream when it terminated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InterruptedRun {
     /// The interrupted try.
     pub key: RunKey,
@@ -82,6 +82,10 @@
 }
 
 impl CompletedRequests {
+    fn last_ms(&self, fingerprint: Fingerprint) -> Option<u64> {
+        self.at_ms.get(&fingerprint).copied()
+    }
+
     fn record(&mut self, fingerprint: Fingerprint, now_ms: u64) {
         if self.at_ms.insert(fingerprint, now_ms).is_none() {
             self.order.push_back(fingerprint);
@@ -110,18 +114,18 @@
     pub fn end(
         &mut self,
         upstream: &Name,
-        key: RunKey,
+        key: &RunKey,
         end: RunEnd,
         now_ms: u64,
     ) -> Option<InterruptedRun> {
         let runs = self.by_upstream.get_mut(upstream)?;
-        let is_active = |run: &Run| run.key == key && run.ended.is_none();
+        let is_active = |run: &Run| run.key == *key && run.ended.is_none();
         let at = runs.iter().position(is_active)?;
         let interrupted = InterruptedRun {
-            key,
+            key: key.clone(),
             began_at_ms: runs[at].began_at_ms,
             at_ms: now_ms,
-            completed_at_ms: self.completed.at_ms.get(&key.fingerprint).copied(),
+            completed_at_ms: self.completed.last_ms(key.identity.request),
         };
         match end {
             RunEnd::Settled => drop(runs.swap_remove(at)),
@@ -167,14 +171,14 @@
         let runs = self.by_upstream.remove(upstream).unwrap_or_default();
         let active = runs.iter().filter(|run| !run.is_expired(now_ms));
         let interrupted = active.map(|run| InterruptedRun {
-            key: run.key,
+            key: run.key.clone(),
             began_at_ms: run.began_at_ms,
             at_ms: run.ended.map_or(now_ms, |(ended_at_ms, _)| ended_at_ms),
-            completed_at_ms: self.completed.at_ms.get(&run.key.fingerprint).copied(),
+            completed_at_ms: self.completed.last_ms(run.key.identity.request),
         });
         let mut interrupted: Vec<InterruptedRun> = interrupted.collect();
-        interrupted.sort_unstable_by_key(|run| (run.key.fingerprint, run.at_ms));
-        interrupted.dedup_by_key(|run| run.key.fingerprint);
+        interrupted.sort_unstable_by_key(|run| (run.key.identity.request, run.at_ms));
+        interrupted.dedup_by_key(|run| run.key.identity.request);
         interrupted
     }
 
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -2,8 +2,8 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::quarantine::{
-    EndObservation, Fingerprint, Ledger, LedgerSync, RequestContent, RunEnd, RunKey, RunRegistry,
-    UpstreamEnd,
+    EndObservation, Fingerprint, Ledger, LedgerSync, RequestContent, RequestIdentity, RunEnd,
+    RunKey, RunRegistry, UpstreamEnd,
 };
 use proptest::prelude::*;
 
@@ -249,7 +249,7 @@
     let upstream = Name::from("u");
     let mut runs = RunRegistry::default();
     let run_key = |name: &str| RunKey {
-        fingerprint: fingerprint_of(name),
+        identity: RequestIdentity::new(fingerprint_of(name), "engines", [].into_iter()),
         try_hash: 1,
     };
     for (name, began_ms) in [
@@ -262,24 +262,26 @@
     ] {
         runs.begin(&upstream, run_key(name), began_ms);
     }
-    runs.end(&upstream, run_key("answered"), RunEnd::Settled, 1_000);
+    runs.end(&upstream, &run_key("answered"), RunEnd::Settled, 1_000);
     runs.end(
         &upstream,
-        run_key("long gone"),
+        &run_key("long gone"),
         RunEnd::ConnectionLost,
         1_000,
     );
-    runs.end(&upstream, run_key("broken"), RunEnd::ConnectionLost, 4_000);
-    runs.end(&upstream, run_key("taken away"), RunEnd::Cancelled, 4_400);
+    runs.end(&upstream, &run_key("broken"), RunEnd::ConnectionLost, 4_000);
+    runs.end(&upstream, &run_key("taken away"), RunEnd::Cancelled, 4_400);
     runs.end(
         &upstream,
-        run_key("just taken away"),
+        &run_key("just taken away"),
         RunEnd::Cancelled,
         4_900,
     );
     runs.sweep(4_500);
     let in_flight = runs.upstream_ended(&upstream, 5_000);
-    let found = in_flight.iter().map(|run| (run.key.fingerprint, run.at_ms));
+    let found = in_flight
+        .iter()
+        .map(|run| (run.key.identity.request, run.at_ms));
     let mut found: Vec<_> = found.collect();
     found.sort_unstable();
     let mut expected = vec![
