--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -111,7 +111,7 @@
             );
             return AttemptOutcome::NotRun { arrived: false };
         }
-        if let Err(why) = gateway.begin_send(upstream, job.identity.request) {
+        if let Err(why) = gateway.begin_send(upstream, &job.identity) {
             let detail = json!({"upstream": upstream.id, "why": format!("{why:?}")});
             trace.fail("withheld", detail);
             count_attempt(gateway, job, "withheld");
@@ -136,6 +136,11 @@
                 count_attempt(gateway, job, "lost");
                 return AttemptOutcome::Lost;
             }
+            () = gateway.until_quarantined(&job.identity) => {
+                trace.fail("quarantined_at_upstream", json!({"upstream": upstream.id}));
+                count_attempt(gateway, job, "lost");
+                return AttemptOutcome::Lost;
+            }
             () = replaced.replaced(gateway) => {
                 in_flight.record_broken_connection();
                 trace.fail("upstream_replaced", json!({"upstream": upstream.id}));
--- a/crates/ivyweir-gateway/src/error_response.rs
+++ b/crates/ivyweir-gateway/src/error_response.rs
@@ -46,6 +46,11 @@
     },
     /// Upstreams terminated during earlier attempts of the request, so it is quarantined.
     Quarantined,
+    /// Upstreams terminated under a part of the request's prompt, so the part is quarantined.
+    PartQuarantined {
+        /// Time until a request with the part is let through to try it.
+        retry_after_ms: u64,
+    },
     /// The deadline passed before any upstream accepted the request.
     DeadlineExceededNotRun,
     /// The deadline passed while an upstream may have been processing the request.
@@ -90,6 +95,7 @@
             | Self::BuffersFull
             | Self::NoCapacity { .. }
             | Self::Quarantined
+            | Self::PartQuarantined { .. }
             | Self::DeadlineExceededNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -114,6 +120,7 @@
             Self::BuffersFull => "buffers_full",
             Self::NoCapacity { .. } => "no_capacity",
             Self::Quarantined => "quarantined",
+            Self::PartQuarantined { .. } => "prompt_part_quarantined",
             Self::DeadlineExceededNotRun => "late_not_run",
             Self::DeadlineExceeded => "late",
             Self::ResponseLost => "answer_lost",
@@ -127,9 +134,9 @@
             Self::NoUpstream | Self::DeadlineExceededNotRun => Some(RETRY_AFTER_MS),
             Self::HallsDrained => Some(RETRY_AFTER_DRAINED_MS),
             Self::AllCold => Some(RETRY_AFTER_COLD_MS),
-            Self::AllBackingOff { retry_after_ms } | Self::NoCapacity { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::AllBackingOff { retry_after_ms }
+            | Self::NoCapacity { retry_after_ms }
+            | Self::PartQuarantined { retry_after_ms } => Some(retry_after_ms),
             Self::Quarantined => Some(RETRY_AFTER_QUARANTINED_MS),
             _ => None,
         }
--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::gateway::brittle::BrittleUpdate;
 use ivyweir_policy::gateway::membership::{MembershipCursor, MembershipUpdate, Uptimes};
-use ivyweir_policy::gateway::quarantine::SuspectUpdate;
+use ivyweir_policy::gateway::quarantine::{SuspectUpdate, split_by_kind};
 use ivyweir_policy::gateway::relay::BoxRecord;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -61,6 +61,9 @@
     /// report of another box may come after its first requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     suspects: Vec<SuspectUpdate>,
+    /// Parts of prompts during which upstreams terminated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<SuspectUpdate>,
     /// Pools whose upstreams fail if they reject many requests.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     brittle: Vec<BrittleUpdate>,
@@ -134,7 +137,7 @@
         }
         gateway.peers.apply_seed_list(seed, response.update, now_ms);
         gateway.peers.set_fleet_size(response.fleet_size);
-        gateway.merge_ledger_snapshot(response.suspects);
+        gateway.merge_ledger_snapshot([response.suspects, response.parts].concat());
         gateway.apply_brittle_pools(&response.brittle);
         if let Some(in_ms) = response.store_settles_in_ms {
             gateway.note_store_settles_in(in_ms);
@@ -174,10 +177,10 @@
     };
     let now_ms = gateway.clock.now_ms();
     let hall = message.from.hall.clone();
-    let suspects = match message.cursor {
+    let (suspects, parts) = split_by_kind(match message.cursor {
         Some(_) => Vec::new(),
         None => gateway.ledger_snapshot(),
-    };
+    });
     gateway.peers.add_joined(message.from, now_ms);
     let (update, fleet_size) = gateway.peers.with_joined(now_ms, |joined| {
         let update = joined.update_for(&hall, message.cursor, now_ms);
@@ -189,6 +192,7 @@
         fleet_size,
         store_settles_in_ms: Some(gateway.store_settles_in_ms()).filter(|ms| *ms > 0),
         suspects,
+        parts,
         brittle: gateway.recent_brittle_pools(),
     })
 }
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -70,6 +70,7 @@
 
 use clock::{Clock, SuspensionDetector};
 use hyper::StatusCode;
+use ivyweir_policy::gateway::quarantine::SuspectKind;
 use log::Log;
 use serde_json::json;
 use state::Gateway;
@@ -297,7 +298,9 @@
         set_gauge("paths_lost", gateway.is_cut_off().into());
         let accepted = gateway.accepted_handovers.load(Ordering::Relaxed);
         set_gauge("handovers_accepted", accepted);
-        set_gauge("requests_quarantined", gateway.quarantined().len() as u64);
+        let quarantined = |kind| gateway.quarantined_count(kind) as u64;
+        set_gauge("requests_quarantined", quarantined(SuspectKind::Request));
+        set_gauge("prompt_parts_quarantined", quarantined(SuspectKind::Part));
         set_gauge("log_lines_dropped", gateway.log.dropped());
         (StatusCode::OK, gateway.metrics.text())
     }
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::quarantine::Refusal;
 use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::upstreams::{Choice, ChooseError, Scope};
 use ivyweir_policy::gateway::wait::spread_retry_after_ms;
@@ -102,6 +103,7 @@
     }
     state.count(gateway, job);
     gateway.record_workspace_demand(job);
+    gateway.take_part_trial(&job.identity);
     let mut waiter: Option<Waiter> = None;
     let mut room_waiter: Option<RoomWaiter> = None;
     // Whether the capacity of the pool allows the next send.
@@ -115,12 +117,9 @@
                 ErrorReason::DeadlineExceeded,
             ));
         }
-        if gateway.is_quarantined(job.identity.request) {
-            return Err(failure_reason(
-                state,
-                ErrorReason::Quarantined,
-                ErrorReason::ResponseLost,
-            ));
+        if let Some(refusal) = gateway.refusal(&job.identity) {
+            let reason = quarantine_reason(&refusal);
+            return Err(failure_reason(state, reason, ErrorReason::ResponseLost));
         }
         if let Some(reply) = hand_over(gateway, job, state, trace).await? {
             return Ok(reply);
@@ -137,7 +136,10 @@
             {
                 trace.step("waits", json!({"backing_off_for_ms": for_ms}));
                 let waiter = waiter.get_or_insert_with(|| gateway.join_queue(job));
-                waiter.wait(for_ms).await;
+                tokio::select! {
+                    () = waiter.wait(for_ms) => {}
+                    () = gateway.until_quarantined(&job.identity) => {}
+                }
                 state.sends.forget_rejections();
                 continue;
             }
@@ -200,7 +202,7 @@
     state: &mut RetryState,
     trace: &mut Trace,
 ) -> Result<Option<Box<Reply>>, ErrorReason> {
-    while !gateway.is_quarantined(job.identity.request)
+    while !gateway.is_quarantined(&job.identity)
         && hands_over(gateway, job, &state.tried, state.model)
     {
         if state.is_declined {
@@ -296,6 +298,9 @@
     if gateway.containment(job.identity.request).is_some() {
         detail["contained"] = json!(true);
     }
+    if let Some(part) = gateway.contained_part(&job.identity) {
+        detail["contained_part"] = json!(part.to_string());
+    }
     detail
 }
 
@@ -416,6 +421,9 @@
     if gateway.suspicion(job.identity.request) == Suspicion::UpstreamEnded {
         request.isolation_hash = Some(job.identity.request.bits());
     }
+    if let Some(part) = gateway.contained_part(&job.identity) {
+        request.isolation_hash = Some(part.bits());
+    }
     let scope = Scope {
         pool: &job.pool,
         side: job.side,
@@ -439,6 +447,15 @@
     }
 }
 
+fn quarantine_reason(refusal: &Refusal) -> ErrorReason {
+    match refusal {
+        Refusal::Request(_) => ErrorReason::Quarantined,
+        Refusal::Part { retry_in_ms, .. } => ErrorReason::PartQuarantined {
+            retry_after_ms: *retry_in_ms,
+        },
+    }
+}
+
 /// Returns the reason to fail with, depending on whether the request may have run.
 pub fn failure_reason(
     state: &RetryState,
--- a/crates/ivyweir-gateway/src/room.rs
+++ b/crates/ivyweir-gateway/src/room.rs
@@ -37,7 +37,10 @@
                 trace.step("waits", figures(gateway, job, &decision));
             }
             let waiter = waiter.get_or_insert_with(|| gateway.join_room(job, &decision.outlook));
-            waiter.wait(for_ms).await;
+            tokio::select! {
+                () = waiter.wait(for_ms) => {}
+                () = gateway.until_quarantined(&job.identity) => {}
+            }
             Ok(false)
         }
         Admission::Refuse { retry_after_ms } => {
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -149,6 +149,8 @@
     replacements: watch::Sender<u64>,
     /// Number of finished checks whether an upstream terminated.
     termination_checks: watch::Sender<u64>,
+    /// Number of times that requests or parts were quarantined.
+    quarantine_changes: watch::Sender<u64>,
     /// Notified when there is an update that other boxes need immediately.
     urgent_update: Notify,
     synced_topics: Mutex<Vec<Topic>>,
@@ -221,6 +223,7 @@
             hinted_boxes: Mutex::default(),
             replacements: watch::Sender::default(),
             termination_checks: watch::Sender::default(),
+            quarantine_changes: watch::Sender::default(),
             urgent_update: Notify::new(),
             synced_topics: Mutex::default(),
             stopping_since_ms: AtomicU64::new(0),
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -4,7 +4,7 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::pace::PrefillPace;
 use ivyweir_policy::gateway::placement::PlacementRequest;
-use ivyweir_policy::gateway::quarantine::{Containment, Fingerprint};
+use ivyweir_policy::gateway::quarantine::{Containment, RequestIdentity};
 use ivyweir_policy::gateway::quota::{self, QuotaShare};
 use ivyweir_policy::gateway::upstreams::{Choice, ChooseError, Scope, SendDenied, SendRules};
 use ivyweir_policy::gateway::work::Estimate;
@@ -111,12 +111,12 @@
     pub fn begin_send(
         &self,
         upstream: &UpstreamRecord,
-        fingerprint: Fingerprint,
+        identity: &RequestIdentity,
     ) -> Result<(), SendDenied> {
-        if self.is_quarantined(fingerprint) {
+        if self.is_quarantined(identity) {
             return Err(SendDenied::Quarantined);
         }
-        if let Some(containment) = self.containment(fingerprint)
+        if let Some(containment) = self.containment(identity.request)
             && !containment.allows(&upstream.id)
         {
             return Err(SendDenied::Contained);
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -9,8 +9,8 @@
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::quarantine::{
     Containment, EndObservation, Fingerprint, InterruptedRun, Ledger, LedgerSync, LedgerUpdate,
-    QuarantineChanges, QuarantineRecord, RequestIdentity, RunEnd, RunKey, RunRegistry,
-    SuspectUpdate, UpstreamEnd,
+    NewQuarantine, QuarantineChanges, QuarantineRecord, Refusal, RequestIdentity, RunEnd, RunKey,
+    RunRegistry, SuspectKind, SuspectUpdate, UpstreamEnd,
 };
 use ivyweir_policy::gateway::rollout::RolloutState;
 use ivyweir_policy::hash::hash64;
@@ -137,7 +137,7 @@
     fn record_unconfirmed_end(&self, observation: &EndObservation) {
         let is_contained = lock(&self.quarantine).ledger.connection_broke(observation);
         if is_contained {
-            let detail = json!({"fingerprint": observation.fingerprint.to_string()});
+            let detail = json!({"fingerprint": observation.identity.request.to_string()});
             self.log.line("contained", detail);
             self.urgent_update.notify_one();
         }
@@ -153,24 +153,65 @@
 
     /// Records that a request received a complete response.
     pub fn record_run_completion(&self, identity: &RequestIdentity) {
-        let fingerprint = identity.request;
         let now_ms = self.clock.now_ms();
         let changes = {
             let mut quarantine = lock(&self.quarantine);
-            quarantine.runs.record_completion(fingerprint, now_ms);
+            quarantine.runs.record_completion(identity.request, now_ms);
             quarantine
                 .ledger
-                .completed(fingerprint, now_ms.cast_signed())
+                .run_completed(identity, now_ms.cast_signed())
         };
         self.report_quarantine_changes(changes);
     }
 
-    /// Whether a request is quarantined.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        lock(&self.quarantine).ledger.is_quarantined(fingerprint)
+    /// The part of its prompt for which a request is placed by the part's fingerprint and not by load.
+    pub fn contained_part(&self, identity: &RequestIdentity) -> Option<Fingerprint> {
+        let now_ms = self.ledger_now_ms();
+        lock(&self.quarantine)
+            .ledger
+            .contained_part(identity, now_ms)
+    }
+
+    /// Whether a request is quarantined, or a part of its prompt is.
+    pub fn is_quarantined(&self, identity: &RequestIdentity) -> bool {
+        self.refusal(identity).is_some()
+    }
+
+    /// Returns why a request is refused; `None` if it is not.
+    pub fn refusal(&self, identity: &RequestIdentity) -> Option<Refusal> {
+        let now_ms = self.ledger_now_ms();
+        lock(&self.quarantine).ledger.refusal(identity, now_ms)
+    }
+
+    /// Waits until a request is quarantined, or a part of its prompt is.
+    pub async fn until_quarantined(&self, identity: &RequestIdentity) {
+        let mut changes = self.quarantine_changes.subscribe();
+        while !self.is_quarantined(identity) {
+            // The sender is never dropped before the `Gateway`.
+            let _changed = changes.changed().await;
+        }
     }
 
-    /// The quarantined requests.
+    /// Lets a request through that is refused only for a part of its prompt, if it is time to try the part. Only the root
+    /// does, so that one box tries at a time.
+    pub fn take_part_trial(&self, identity: &RequestIdentity) {
+        if !self.histories.is_root() {
+            return;
+        }
+        let now_ms = self.ledger_now_ms();
+        let is_let_through = lock(&self.quarantine).ledger.take_trial(identity, now_ms);
+        if is_let_through {
+            let detail = json!({"fingerprint": identity.request.to_string()});
+            self.log.line("quarantine_trial", detail);
+        }
+    }
+
+    /// Number of quarantined requests or parts.
+    pub fn quarantined_count(&self, kind: SuspectKind) -> usize {
+        lock(&self.quarantine).ledger.quarantined_count(kind)
+    }
+
+    /// The quarantined requests and parts.
     pub fn quarantined(&self) -> HashSet<Fingerprint> {
         lock(&self.quarantine).ledger.quarantined().collect()
     }
@@ -410,11 +451,21 @@
     }
 
     fn report_quarantine_changes(&self, changes: QuarantineChanges) {
-        if !changes.quarantined.is_empty() {
+        if !changes.quarantined.is_empty() || changes.is_part_suspected {
             self.urgent_update.notify_one();
         }
-        for (fingerprint, ends) in changes.quarantined {
-            let detail = json!({"fingerprint": fingerprint.to_string(), "upstream_ends": ends});
+        if !changes.quarantined.is_empty() {
+            self.quarantine_changes.send_modify(|count| *count += 1);
+        }
+        for NewQuarantine {
+            fingerprint,
+            kind,
+            ends,
+        } in changes.quarantined
+        {
+            let detail = json!({
+                "fingerprint": fingerprint.to_string(), "kind": kind.name(), "upstream_ends": ends,
+            });
             self.log.line("quarantined", detail);
         }
         for fingerprint in changes.released {
@@ -432,7 +483,7 @@
 /// The observation of a run that was interrupted by the termination of its upstream.
 fn observation(upstream_id: &Name, run: &InterruptedRun) -> EndObservation {
     EndObservation {
-        fingerprint: run.key.identity.request,
+        identity: run.key.identity.clone(),
         end: UpstreamEnd {
             upstream: hash64(&[upstream_id.as_bytes()]),
             try_hash: run.key.try_hash,
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -54,7 +54,7 @@
         }
         let mut is_declined = false;
         let mut has_waited_for_check = false;
-        while !self.gateway.is_quarantined(self.job.identity.request) && !self.sends.is_used_up() {
+        while !self.gateway.is_quarantined(&self.job.identity) && !self.sends.is_used_up() {
             if is_declined && self.gateway.may_be_cut_off() {
                 if std::mem::replace(&mut has_waited_for_check, true) {
                     return false;
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -1,4 +1,5 @@
-//! Requests that were running at upstreams when these terminated, as known to the fleet.
+//! Requests that were running at upstreams when these terminated, and the shared parts of their prompts, as known to
+//! the fleet.
 //!
 //! Merging entries of two ledgers is commutative and idempotent, so boxes that exchange their
 //! ledgers converge to the same one.
@@ -8,22 +9,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Fingerprint;
+use super::attribution::Attribution;
+use super::completions::{Completion, ProvenParts};
 use super::suspect::{
-    EndUpdate, INDEPENDENT_END_GAP_MS, Suspect, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms,
+    EndUpdate, QUARANTINE_ENDS, Suspect, SuspectKind, SuspectUpdate, UpstreamEnd,
+    unconfirmed_until_ms,
 };
 use super::sync::MAX_ENTRIES_PER_UPDATE;
+use super::{Fingerprint, RequestIdentity};
 use crate::hash::hash64;
 
-/// Terminations after which a request is quarantined. A request at two terminations may have met a
-/// power cut and a spot reclaim. With a sixth of a pool lost at a time, one stream in 216 is
-/// calculated to meet three such losses in a row.
-const QUARANTINE_ENDS: usize = 3;
-/// Terminations after which a request is quarantined whatever else was running each time. Where two
-/// requests are harmful at the same time, an innocent one may have been at more terminations than
-/// either, and those of the harmful ones would be attributed to it.
-const UNCONDITIONAL_QUARANTINE_ENDS: usize = 5;
-/// Limit of remembered requests.
+/// Limit of remembered requests, and of remembered parts.
 const MAX_SUSPECTS: usize = 1_024;
 /// Time since its last termination for which a request is remembered, quarantined or not. A caller
 /// that repeats a harmful request every hour terminates three upstreams each time; a request whose
@@ -31,10 +27,10 @@
 const RETENTION_MS: i64 = 3_600_000;
 
 /// Observation of a request that was running at an upstream when it terminated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndObservation {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// Identity of the request.
+    pub identity: RequestIdentity,
     /// The termination.
     pub end: UpstreamEnd,
     /// When the request last completed before the termination, where the box remembers it.
@@ -44,9 +40,12 @@
 /// A quarantine as kept in the store, for the case that all boxes lose their ledgers at once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRecord {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     pub fingerprint: Fingerprint,
-    /// Hashes of the upstreams that terminated while the request was running there.
+    /// What it is.
+    #[serde(default, skip_serializing_if = "SuspectKind::is_request")]
+    pub kind: SuspectKind,
+    /// Hashes of the upstreams that terminated while the request, or one with the part, was running there.
     pub upstreams: Vec<u64>,
     /// When the last of them terminated, in milliseconds since 1970 by the clock of the writer.
     pub last_end_epoch_ms: u64,
@@ -61,6 +60,8 @@
         let end = |upstream: &u64| EndUpdate::from_store(*upstream, ago_ms);
         SuspectUpdate {
             fingerprint: self.fingerprint,
+            kind: self.kind,
+            completions: Vec::new(),
             ends: self.upstreams.iter().map(end).collect(),
             unconfirmed: Vec::new(),
             is_transient: false,
@@ -71,13 +72,26 @@
     }
 }
 
-/// Quarantines that a change of the ledger started or ended.
+/// A request or part that is refused from now on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewQuarantine {
+    /// Its fingerprint.
+    pub fingerprint: Fingerprint,
+    /// What it is.
+    pub kind: SuspectKind,
+    /// Number of terminations while it was running.
+    pub ends: usize,
+}
+
+/// Quarantines that a change of the ledger started or ended, and parts that it holds to few upstreams.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QuarantineChanges {
-    /// Requests refused from now on, with the number of their terminations.
-    pub quarantined: Vec<(Fingerprint, usize)>,
-    /// Requests served again.
+    /// Requests and parts refused from now on.
+    pub quarantined: Vec<NewQuarantine>,
+    /// Requests and parts served again.
     pub released: Vec<Fingerprint>,
+    /// Whether a part was at one more termination and is not proven sound, so that other boxes should be told at once.
+    pub is_part_suspected: bool,
 }
 
 impl QuarantineChanges {
@@ -87,6 +101,20 @@
     }
 }
 
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Upstreams terminated under the request itself.
+    Request(Fingerprint),
+    /// Upstreams terminated under a part of its prompt.
+    Part {
+        /// Fingerprint of the part.
+        part: Fingerprint,
+        /// Time until a request with the part is let through to try it.
+        retry_in_ms: u64,
+    },
+}
+
 /// The upstreams to which a request may be sent while it is not known whether it terminated them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Containment {
@@ -103,11 +131,12 @@
     }
 }
 
-/// Merged observations of requests that were running at terminating upstreams.
+/// Merged observations of requests and parts that were running at terminating upstreams.
 #[derive(Debug, Default)]
 pub struct Ledger {
     suspects: HashMap<Fingerprint, Suspect>,
-    quarantined: HashSet<Fingerprint>,
+    attribution: Attribution,
+    proven_parts: ProvenParts,
     last_change: u64,
 }
 
@@ -115,29 +144,42 @@
     /// Records that an upstream terminated while these requests were running there.
     pub fn upstream_ended(&mut self, observations: &[EndObservation]) -> QuarantineChanges {
         let mut is_changed = false;
+        let mut is_part_suspected = false;
         for observation in observations {
-            is_changed |= self.change(observation.fingerprint, |suspect| {
-                let is_cleared = observation
-                    .completed_at_ms
-                    .is_some_and(|ms| suspect.clear(ms));
+            let request = observation.identity.request;
+            is_changed |= self.change(request, SuspectKind::Request, |suspect| {
+                let completed_at_ms = observation.completed_at_ms;
+                let is_cleared = completed_at_ms.is_some_and(|ms| suspect.clear(ms));
                 suspect.add_end(observation.end) | is_cleared
             });
         }
-        self.evaluate_if(is_changed)
+        for (part, end) in ends_of_parts(observations) {
+            if self.change(part, SuspectKind::Part, |suspect| suspect.add_end(end)) {
+                is_changed = true;
+                is_part_suspected |= self.is_unproven(part);
+            }
+        }
+        QuarantineChanges {
+            is_part_suspected,
+            ..self.evaluate_if(is_changed)
+        }
     }
 
     /// Records that the connection of a request broke and that it is not known whether its upstream
     /// terminated. Returns whether the request is contained now.
     pub fn connection_broke(&mut self, observation: &EndObservation) -> bool {
-        let EndObservation {
-            fingerprint, end, ..
-        } = *observation;
-        self.change(fingerprint, |suspect| {
+        let EndObservation { identity, end, .. } = observation;
+        self.change(identity.request, SuspectKind::Request, |suspect| {
             let completed_at_ms = observation.completed_at_ms;
             let is_cleared = completed_at_ms.is_some_and(|ms| suspect.clear(ms));
-            suspect.add_unconfirmed(end) | is_cleared
+            suspect.add_unconfirmed(*end) | is_cleared
         });
-        self.containment(fingerprint, end.at_ms).is_some()
+        for part in &*identity.parts {
+            self.change(*part, SuspectKind::Part, |suspect| {
+                suspect.add_unconfirmed(*end)
+            });
+        }
+        self.containment(identity.request, end.at_ms).is_some()
     }
 
     /// Returns the containment of a request that is quarantined if the upstreams to which its
@@ -161,9 +203,35 @@
         })
     }
 
-    /// Terminations that are attributed to quarantined requests.
+    /// The part for which a request is held to one upstream at a time, which its fingerprint determines: of those that
+    /// may have terminated upstreams and are neither refused nor proven sound by enough completions, the one with the
+    /// most terminations.
+    pub fn contained_part(&self, identity: &RequestIdentity, now_ms: i64) -> Option<Fingerprint> {
+        let possible = |part: &&Fingerprint| {
+            let suspect = self.suspects.get(part);
+            suspect.is_some_and(|suspect| {
+                let unconfirmed = suspect.unconfirmed(now_ms).count();
+                suspect.is_unproven(suspect.ends().len() + unconfirmed)
+            })
+        };
+        let possible: Vec<&Fingerprint> = identity.parts.iter().filter(possible).collect();
+        if possible.is_empty() {
+            return None;
+        }
+        let attributed = self.attributed_ends();
+        let ends = possible.into_iter().filter_map(|part| {
+            let suspect = &self.suspects[part];
+            let ends = suspect.possible_ends(&attributed, now_ms);
+            let is_contained = suspect.is_unproven(ends) || self.attribution.is_tied(*part);
+            is_contained.then_some((suspect.ends().len(), *part))
+        });
+        ends.max().map(|(_, part)| part)
+    }
+
+    /// Terminations that are attributed to harmful requests and parts.
     fn attributed_ends(&self) -> HashSet<u64> {
-        let suspects = self.quarantined.iter().filter_map(|f| self.suspects.get(f));
+        let suspects = self.attribution.harmful();
+        let suspects = suspects.filter_map(|f| self.suspects.get(&f));
         suspects
             .flat_map(|suspect| suspect.ends().iter().map(|end| end.upstream))
             .collect()
@@ -171,20 +239,65 @@
 
     /// Records that a request completed. Requests without recorded terminations are not remembered.
     pub fn completed(&mut self, fingerprint: Fingerprint, at_ms: i64) -> QuarantineChanges {
-        if !self
-            .suspects
-            .get(&fingerprint)
-            .is_some_and(Suspect::is_suspected)
-        {
+        let suspect = self.suspects.get(&fingerprint);
+        let Some(kind) = suspect.filter(|s| s.is_suspected()).map(Suspect::kind) else {
             return QuarantineChanges::default();
-        }
-        let is_changed = self.change(fingerprint, |suspect| suspect.clear(at_ms));
+        };
+        let is_changed = self.change(fingerprint, kind, |suspect| suspect.clear(at_ms));
         self.evaluate_if(is_changed)
     }
 
-    /// Whether a request is refused.
+    /// Records that a run of a request completed, which clears the request and speaks for the parts of its prompt.
+    pub fn run_completed(&mut self, identity: &RequestIdentity, at_ms: i64) -> QuarantineChanges {
+        let changes = self.completed(identity.request, at_ms);
+        let id = hash64(&[&identity.request.bits().to_le_bytes(), &at_ms.to_le_bytes()]) as u32;
+        let completion = Completion { at_ms, id };
+        let mut is_changed = false;
+        for part in &*identity.parts {
+            self.proven_parts.record(*part, completion);
+            if self.suspects.contains_key(part) {
+                is_changed |= self.change(*part, SuspectKind::Part, |suspect| {
+                    suspect.add_completion(completion)
+                });
+            }
+        }
+        let QuarantineChanges {
+            quarantined,
+            released,
+            ..
+        } = self.evaluate_if(is_changed);
+        QuarantineChanges {
+            quarantined: [changes.quarantined, quarantined].concat(),
+            released: [changes.released, released].concat(),
+            is_part_suspected: false,
+        }
+    }
+
+    /// Whether a request or a part is refused wherever it comes.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.quarantined.contains(&fingerprint)
+        self.attribution.quarantined.contains(&fingerprint)
+    }
+
+    /// Returns why a request is refused; `None` if it is not.
+    pub fn refusal(&self, identity: &RequestIdentity, now_ms: i64) -> Option<Refusal> {
+        if self.is_quarantined(identity.request) {
+            return Some(Refusal::Request(identity.request));
+        }
+        let part = self.attribution.refused_part(&identity.parts)?;
+        let suspect = self.suspects.get(&part)?;
+        let retry_in_ms = suspect.trial_due_in_ms(now_ms).unsigned_abs();
+        let is_refused = !suspect.is_on_trial(identity.request);
+        is_refused.then_some(Refusal::Part { part, retry_in_ms })
+    }
+
+    /// Lets a request through that is refused only for a part, if it is time to try whether the part still terminates
+    /// upstreams. Returns whether it does.
+    pub fn take_trial(&mut self, identity: &RequestIdentity, now_ms: i64) -> bool {
+        let Some(Refusal::Part { part, .. }) = self.refusal(identity, now_ms) else {
+            return false;
+        };
+        let suspect = self.suspects.get_mut(&part);
+        suspect.is_some_and(|suspect| suspect.take_trial(identity.request, now_ms))
     }
 
     /// Whether an upstream terminated while the request was running there since it last completed.
@@ -193,9 +306,16 @@
         suspect.is_some_and(|suspect| !suspect.ends().is_empty())
     }
 
-    /// Fingerprints of the refused requests.
+    /// Fingerprints of the requests and parts to which terminations are attributed.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> {
-        self.quarantined.iter().copied()
+        self.attribution.harmful()
+    }
+
+    /// Number of requests or parts to which terminations are attributed.
+    pub fn quarantined_count(&self, kind: SuspectKind) -> usize {
+        let suspects = self.attribution.harmful();
+        let suspects = suspects.filter_map(|f| self.suspects.get(&f));
+        suspects.filter(|suspect| suspect.kind() == kind).count()
     }
 
     /// Number of the last change.
@@ -223,7 +343,8 @@
             .last()
             .map_or(since, |(_, suspect)| suspect.last_change);
         let to_update = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
-            suspect.to_update(*fingerprint, self.is_quarantined(*fingerprint), now_ms)
+            let is_harmful = self.attribution.is_harmful(*fingerprint);
+            suspect.to_update(*fingerprint, is_harmful, now_ms)
         };
         let updates = changed.into_iter().map(to_update).collect();
         (updates, if is_all { self.last_change } else { last })
@@ -235,12 +356,13 @@
         let suspects = self.suspects.iter();
         let mut suspects: Vec<_> = suspects.filter(|(_, s)| !s.ends().is_empty()).collect();
         suspects.sort_unstable_by_key(|(fingerprint, suspect)| {
-            let is_quarantined = self.is_quarantined(**fingerprint);
-            Reverse((is_quarantined, suspect.ends().len(), suspect.last_ms()))
+            let is_harmful = self.attribution.is_harmful(**fingerprint);
+            Reverse((is_harmful, suspect.ends().len(), suspect.last_ms()))
         });
         suspects.truncate(MAX_ENTRIES_PER_UPDATE);
         let to_update = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
-            suspect.to_update(*fingerprint, self.is_quarantined(*fingerprint), now_ms)
+            let is_harmful = self.attribution.is_harmful(*fingerprint);
+            suspect.to_update(*fingerprint, is_harmful, now_ms)
         };
         suspects.into_iter().map(to_update).collect()
     }
@@ -248,10 +370,18 @@
     /// Merges entries received from another box.
     pub fn merge(&mut self, updates: Vec<SuspectUpdate>, now_ms: i64) -> QuarantineChanges {
         let mut is_changed = false;
+        let mut is_part_suspected = false;
         for update in updates {
-            is_changed |= self.change(update.fingerprint, |suspect| suspect.merge(&update, now_ms));
+            let (fingerprint, kind) = (update.fingerprint, update.kind);
+            if self.change(fingerprint, kind, |suspect| suspect.merge(&update, now_ms)) {
+                is_changed = true;
+                is_part_suspected |= kind == SuspectKind::Part && self.is_unproven(fingerprint);
+            }
+        }
+        QuarantineChanges {
+            is_part_suspected,
+            ..self.evaluate_if(is_changed)
         }
-        self.evaluate_if(is_changed)
     }
 
     /// Merges quarantines read from the store.
@@ -270,8 +400,8 @@
         self.completed(fingerprint, now_ms)
     }
 
-    /// Returns the quarantine record of a request for the store; `None` where the request is not
-    /// refused.
+    /// Returns the quarantine record of a request or part for the store; `None` where no terminations are attributed to
+    /// it.
     pub fn record(
         &self,
         fingerprint: Fingerprint,
@@ -279,11 +409,12 @@
         epoch_ms: u64,
     ) -> Option<QuarantineRecord> {
         let suspect = self.suspects.get(&fingerprint);
-        let suspect = suspect.filter(|_| self.is_quarantined(fingerprint))?;
+        let suspect = suspect.filter(|_| self.attribution.is_harmful(fingerprint))?;
         let last_ms = suspect.ends().last()?.at_ms;
         let ago_ms = now_ms.saturating_sub(last_ms).max(0).unsigned_abs();
         Some(QuarantineRecord {
             fingerprint,
+            kind: suspect.kind(),
             upstreams: suspect.ends().iter().map(|end| end.upstream).collect(),
             last_end_epoch_ms: epoch_ms.saturating_sub(ago_ms),
         })
@@ -291,6 +422,7 @@
 
     /// Removes entries past their retention time.
     pub fn sweep(&mut self, now_ms: i64) -> QuarantineChanges {
+        self.proven_parts.sweep(now_ms);
         let before = self.suspects.len();
         self.suspects.retain(|_, suspect| {
             suspect.expire_unconfirmed(now_ms);
@@ -299,13 +431,23 @@
         self.evaluate_if(self.suspects.len() != before)
     }
 
+    /// Whether too few answers were completed on a part for its terminations.
+    fn is_unproven(&self, part: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&part);
+        suspect.is_some_and(|suspect| suspect.is_unproven(suspect.ends().len()))
+    }
+
     /// Modifies an entry; returns whether that changed it.
     fn change(
         &mut self,
         fingerprint: Fingerprint,
+        kind: SuspectKind,
         change: impl FnOnce(&mut Suspect) -> bool,
     ) -> bool {
-        let suspect = self.suspects.entry(fingerprint).or_default();
+        let suspect = self
+            .suspects
+            .entry(fingerprint)
+            .or_insert_with(|| Suspect::new(kind, self.proven_parts.of(fingerprint)));
         let is_changed = change(suspect);
         if is_changed {
             self.last_change += 1;
@@ -314,19 +456,23 @@
             self.suspects.remove(&fingerprint);
         }
         if self.suspects.len() > MAX_SUSPECTS {
-            self.evict_one();
+            self.evict_one_of(kind);
         }
         is_changed
     }
 
-    /// Evicts the request with the fewest terminations, the oldest of them first; quarantined ones
-    /// last.
-    fn evict_one(&mut self) {
+    /// Evicts the request or part with the fewest terminations if there are too many, the oldest of them first; those
+    /// to which terminations are attributed last.
+    fn evict_one_of(&mut self, kind: SuspectKind) {
+        let of_kind = || self.suspects.iter().filter(|(_, s)| s.kind() == kind);
+        if of_kind().count() <= MAX_SUSPECTS {
+            return;
+        }
         let least = |(fingerprint, suspect): &(&Fingerprint, &Suspect)| {
-            let is_quarantined = self.quarantined.contains(*fingerprint);
-            (is_quarantined, suspect.ends().len(), suspect.last_ms())
+            let is_harmful = self.attribution.is_harmful(**fingerprint);
+            (is_harmful, suspect.ends().len(), suspect.last_ms())
         };
-        let least = self.suspects.iter().min_by_key(least);
+        let least = of_kind().min_by_key(least);
         if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.suspects.remove(&fingerprint);
         }
@@ -340,76 +486,43 @@
         }
     }
 
-    /// Attributes each termination to the request with the most terminations, and quarantines the
-    /// requests that reach the limit this way.
+    /// Attributes all terminations anew. A newly refused request or part is marked as changed, so that it is sent to
+    /// other boxes again.
     fn evaluate(&mut self) -> QuarantineChanges {
-        let before = std::mem::take(&mut self.quarantined);
-        let none_attributed = HashSet::new();
-        let mut attributed = HashSet::new();
-        loop {
-            let candidates = self.suspects.iter();
-            let candidates = candidates.filter(|(f, s)| {
-                s.ends().len() >= QUARANTINE_ENDS && !self.quarantined.contains(f)
-            });
-            let unattributed =
-                candidates.map(|(f, suspect)| (*f, suspect.unattributed_ends(&attributed)));
-            let harmful = most_harmful(unattributed.collect());
-            if harmful.is_empty() {
-                break;
-            }
-            self.quarantined.extend(harmful);
-            for fingerprint in &self.quarantined {
-                let ends = self.suspects[fingerprint].ends();
-                attributed.extend(ends.iter().map(|end| end.upstream));
-            }
-        }
-        let unconditional = self.suspects.iter();
-        let unconditional = unconditional.filter(|(_, suspect)| {
-            suspect.unattributed_ends(&none_attributed).len() >= UNCONDITIONAL_QUARANTINE_ENDS
-        });
-        self.quarantined
-            .extend(unconditional.map(|(fingerprint, _)| *fingerprint));
-        self.quarantine_changes(&before)
-    }
-
-    /// Compares with the requests refused before. A newly refused request is marked as changed, so
-    /// that it is sent to other boxes again.
-    fn quarantine_changes(&mut self, before: &HashSet<Fingerprint>) -> QuarantineChanges {
-        let new = self.quarantined.difference(before);
-        let quarantined: Vec<(Fingerprint, usize)> =
-            new.map(|f| (*f, self.suspects[f].ends().len())).collect();
-        let released = before.difference(&self.quarantined).copied().collect();
-        for (fingerprint, _) in &quarantined {
+        let before: HashSet<Fingerprint> = self.attribution.harmful().collect();
+        self.attribution = Attribution::of(&self.suspects);
+        let after: HashSet<Fingerprint> = self.attribution.harmful().collect();
+        let mut quarantined = Vec::new();
+        for fingerprint in after.difference(&before) {
             if let Some(suspect) = self.suspects.get_mut(fingerprint) {
                 self.last_change += 1;
                 suspect.last_change = self.last_change;
+                quarantined.push(NewQuarantine {
+                    fingerprint: *fingerprint,
+                    kind: suspect.kind(),
+                    ends: suspect.ends().len(),
+                });
             }
         }
         QuarantineChanges {
             quarantined,
-            released,
+            released: before.difference(&after).copied().collect(),
+            is_part_suspected: false,
         }
     }
 }
 
-/// Returns those of some requests, with the times of their independent terminations, that have the
-/// most and enough to be quarantined. Of several, a request that reached the limit later than another
-/// one may have done so only because it was there when the other one terminated an upstream. Requests
-/// that reached it together, such as those that were together at every termination, cannot be told
-/// apart.
-fn most_harmful(unattributed: Vec<(Fingerprint, Vec<i64>)>) -> Vec<Fingerprint> {
-    let Some(most) = unattributed.iter().map(|(_, ends)| ends.len()).max() else {
-        return Vec::new();
-    };
-    let limit_reached = unattributed
-        .into_iter()
-        .filter(|(_, ends)| ends.len() == most)
-        .filter_map(|(f, ends)| Some((f, *ends.get(QUARANTINE_ENDS - 1)?)));
-    let limit_reached: Vec<(Fingerprint, i64)> = limit_reached.collect();
-    let first_ms = limit_reached.iter().map(|(_, at_ms)| *at_ms).min();
-    let is_together = |at_ms: i64| first_ms.is_some_and(|ms| at_ms - ms < INDEPENDENT_END_GAP_MS);
-    let together = limit_reached
-        .into_iter()
-        .filter(|(_, at_ms)| is_together(*at_ms));
-    together.map(|(fingerprint, _)| fingerprint).collect()
+/// The parts of the requests that were running at an upstream when it terminated, each with the termination as seen by
+/// the run that began first: a part that was there before another upstream terminated tells nothing of the order.
+fn ends_of_parts(observations: &[EndObservation]) -> HashMap<Fingerprint, UpstreamEnd> {
+    let mut ends: HashMap<Fingerprint, UpstreamEnd> = HashMap::new();
+    for EndObservation { identity, end, .. } in observations {
+        for part in &*identity.parts {
+            let known = ends.entry(*part).or_insert(*end);
+            if end.began_at_ms < known.began_at_ms {
+                *known = *end;
+            }
+        }
+    }
+    ends
 }
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -1,13 +1,22 @@
-//! What a box knows of one request during which upstreams terminated.
+//! What a box knows of one request, or of one shared part of prompts, during which upstreams terminated.
 
 use std::collections::HashSet;
 
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
+use super::completions::{Completion, CompletionUpdate, Completions};
 use super::runs::LOST_RUN_RETENTION_MS;
 use crate::hash::hash64;
 
+/// Terminations after which a suspect is quarantined. A request at two terminations may have met a
+/// power cut and a spot reclaim. With a sixth of a pool lost at a time, one stream in 216 is
+/// calculated to meet three such losses in a row.
+pub(super) const QUARANTINE_ENDS: usize = 3;
+/// Completions on a part for each of which half a termination more is needed to quarantine it. A part
+/// under which every other run terminates its upstream is quarantined after twice as many as one under
+/// which every run does.
+const COMPLETIONS_PER_END: usize = 2;
 /// Limit of terminations remembered for a request; further ones add no information.
 const MAX_ENDS_PER_SUSPECT: usize = 32;
 /// Terminations closer to each other than this count as one, since they may be a single loss of
@@ -16,6 +25,8 @@
 /// the first had terminated, or where two different tries of a request that never completed were
 /// running.
 pub(super) const INDEPENDENT_END_GAP_MS: i64 = 100;
+/// Time after the last termination under a quarantined part in which no request with it is let through.
+const TRIAL_INTERVAL_MS: i64 = 600_000;
 /// Difference up to which two observations of the termination of an upstream are the same; ages are
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
@@ -85,9 +96,42 @@
     }
 }
 
-/// Known state of a request.
-#[derive(Debug, Clone, Default)]
+/// What is suspected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum SuspectKind {
+    /// A request, by its whole content. One complete answer clears it.
+    #[default]
+    Request,
+    /// A part of prompts that several requests share. Answers that are completed on it are weighed
+    /// against terminations.
+    Part,
+}
+
+impl SuspectKind {
+    /// Whether it is a request.
+    pub fn is_request(&self) -> bool {
+        *self == Self::Request
+    }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Part => "part",
+        }
+    }
+}
+
+/// Known state of a request or of a part.
+#[derive(Debug, Clone)]
 pub(super) struct Suspect {
+    kind: SuspectKind,
+    /// The last answers that were completed on a part.
+    completions: Completions,
+    /// The last request that was let through to find out whether a quarantined part still terminates
+    /// upstreams, and when.
+    trial: Option<(Fingerprint, i64)>,
     /// Terminations since the request last completed.
     ends: Vec<UpstreamEnd>,
     /// Broken connections since then to upstreams that are not known to have terminated.
@@ -104,6 +148,71 @@
 }
 
 impl Suspect {
+    /// Creates the state of a suspect without terminations; `completions` are those on a part.
+    pub(super) fn new(kind: SuspectKind, completions: Completions) -> Self {
+        Self {
+            kind,
+            completions,
+            trial: None,
+            ends: Vec::new(),
+            unconfirmed: Vec::new(),
+            has_had_ends: false,
+            cleared: None,
+            is_quarantined_elsewhere: false,
+            last_change: 0,
+        }
+    }
+
+    pub(super) fn kind(&self) -> SuspectKind {
+        self.kind
+    }
+
+    /// Number of terminations that suffice to quarantine it.
+    pub(super) fn needed_ends(&self) -> usize {
+        QUARANTINE_ENDS + self.completions.len() / COMPLETIONS_PER_END
+    }
+
+    /// Whether so few answers were completed on a part that it is held to few upstreams, if it was at
+    /// this number of terminations.
+    pub(super) fn is_unproven(&self, ends: usize) -> bool {
+        self.completions.len() < ends * COMPLETIONS_PER_END
+    }
+
+    /// Records a completion on a part; returns whether that changed the entry. Where as many as are
+    /// kept came after the last termination, further ones tell nothing.
+    pub(super) fn add_completion(&mut self, completion: Completion) -> bool {
+        let last_end_ms = self.ends.last().map(|end| end.at_ms);
+        let settled_until_ms = self.completions.settled_until_ms();
+        if settled_until_ms.is_some_and(|ms| last_end_ms.is_none_or(|end_ms| ms > end_ms)) {
+            return false;
+        }
+        self.completions.add(completion)
+    }
+
+    /// Whether a request is the one that was let through last.
+    pub(super) fn is_on_trial(&self, request: Fingerprint) -> bool {
+        self.trial.is_some_and(|(tried, _)| tried == request)
+    }
+
+    /// Lets a request through if the last termination is long ago, and so is the last such request or
+    /// an answer was completed since it. Returns whether it does.
+    pub(super) fn take_trial(&mut self, request: Fingerprint, now_ms: i64) -> bool {
+        if self.trial_due_in_ms(now_ms) > 0 {
+            return false;
+        }
+        self.trial = Some((request, now_ms));
+        true
+    }
+
+    /// Time until the next request is let through.
+    pub(super) fn trial_due_in_ms(&self, now_ms: i64) -> i64 {
+        let last_end_ms = self.ends.last().map(|end| end.at_ms);
+        let trial_ms = self.trial.map(|(_, at_ms)| at_ms);
+        let trial_ms = trial_ms.filter(|at_ms| self.completions.last_ms() <= Some(*at_ms));
+        let last_ms = last_end_ms.max(trial_ms);
+        last_ms.map_or(0, |ms| (ms + TRIAL_INTERVAL_MS - now_ms).max(0))
+    }
+
     /// Terminations since the request last completed, in order.
     pub(super) fn ends(&self) -> &[UpstreamEnd] {
         &self.ends
@@ -148,6 +257,10 @@
             None => self.ends.push(end),
         }
         self.ends.sort_by_key(UpstreamEnd::sort_key);
+        if self.ends.len() > MAX_ENDS_PER_SUSPECT && self.kind == SuspectKind::Part {
+            // Only those after the last completions count.
+            return self.ends.remove(0).upstream != end.upstream;
+        }
         if self.ends.len() > MAX_ENDS_PER_SUSPECT {
             let most = self.ends.iter().map(|end| end.upstream).max();
             self.ends.retain(|end| Some(end.upstream) != most);
@@ -209,8 +322,9 @@
         self.cleared.is_some_and(|known| end.at_ms <= known.at_ms)
     }
 
-    /// Times of the independent terminations that are not attributed to another request.
-    pub(super) fn unattributed_ends(&self, attributed: &HashSet<u64>) -> Vec<i64> {
+    /// Times of the independent terminations that count against the suspect: those that are not attributed to another
+    /// one, and under a part those behind which few answers were completed.
+    pub(super) fn counted_ends(&self, attributed: &HashSet<u64>) -> Vec<i64> {
         self.independent_ends(self.ends.iter(), attributed)
     }
 
@@ -228,11 +342,16 @@
         ends: impl Iterator<Item = &'a UpstreamEnd>,
         attributed: &HashSet<u64>,
     ) -> Vec<i64> {
-        let unattributed = ends.filter(|end| !attributed.contains(&end.upstream));
+        let settled_until_ms = self.completions.settled_until_ms();
+        let unattributed = ends.filter(|end| {
+            let is_settled = settled_until_ms.is_some_and(|ms| end.at_ms <= ms);
+            !is_settled && !attributed.contains(&end.upstream)
+        });
         if self.is_quarantined_elsewhere {
             return unattributed.map(|end| end.at_ms).collect();
         }
-        let has_completed = self.cleared.is_some();
+        // Runs of a part that are interrupted at one moment are those of different requests.
+        let has_completed = self.cleared.is_some() || self.kind == SuspectKind::Part;
         let mut last: Option<&UpstreamEnd> = None;
         let mut times_ms = Vec::new();
         for end in unattributed {
@@ -252,8 +371,13 @@
         now_ms: i64,
     ) -> SuspectUpdate {
         let to_update = |end: &UpstreamEnd| EndUpdate::of(end, now_ms);
+        let completions = self.completions.iter();
         SuspectUpdate {
             fingerprint,
+            kind: self.kind,
+            completions: completions
+                .map(|completion| CompletionUpdate::of(completion, now_ms))
+                .collect(),
             ends: self.ends.iter().map(to_update).collect(),
             unconfirmed: self.unconfirmed(now_ms).map(to_update).collect(),
             is_transient: !self.has_had_ends,
@@ -267,6 +391,9 @@
     pub(super) fn merge(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
         self.has_had_ends |= !update.is_transient;
         let mut is_changed = self.merge_clearance(update, now_ms);
+        for completion in &update.completions {
+            is_changed |= self.completions.add(completion.resolve(now_ms));
+        }
         for end in &update.ends {
             is_changed |= self.add_end(end.resolve(now_ms));
         }
@@ -365,8 +492,14 @@
 /// Entry of the ledger as sent to another box.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectUpdate {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or part.
     pub fingerprint: Fingerprint,
+    /// What it is.
+    #[serde(default, skip_serializing_if = "SuspectKind::is_request")]
+    pub kind: SuspectKind,
+    /// The last answers that were completed on a part.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub completions: Vec<CompletionUpdate>,
     /// Terminations since the request last completed.
     pub ends: Vec<EndUpdate>,
     /// Broken connections to upstreams that are not known to have terminated.
--- a/crates/ivyweir-policy/src/gateway/quarantine/sync.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/sync.rs
@@ -30,9 +30,12 @@
 /// Ledger changes that one box sends to another.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerUpdate {
-    /// Changed entries.
+    /// Changed entries of requests.
     pub suspects: Vec<SuspectUpdate>,
-    /// Position in the sender's ledger up to which `suspects` is complete.
+    /// Changed entries of parts of prompts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<SuspectUpdate>,
+    /// Position in the sender's ledger up to which both are complete.
     #[serde(rename = "told")]
     pub sent_up_to: LedgerPosition,
     /// Position in the receiver's ledger up to which the sender has received its changes.
@@ -50,6 +53,13 @@
     acknowledged: LedgerPosition,
 }
 
+/// Separates entries of requests from those of parts. They are sent in fields of their own, because a box whose build
+/// knows of requests only would take parts for requests.
+pub fn split_by_kind(suspects: Vec<SuspectUpdate>) -> (Vec<SuspectUpdate>, Vec<SuspectUpdate>) {
+    let is_request = |suspect: &SuspectUpdate| suspect.kind.is_request();
+    suspects.into_iter().partition(is_request)
+}
+
 /// Replication state of this box's ledger, by peer.
 #[derive(Debug)]
 pub struct LedgerSync {
@@ -87,8 +97,10 @@
         if suspects.is_empty() && is_received_acked {
             return None;
         }
+        let (suspects, parts) = split_by_kind(suspects);
         Some(LedgerUpdate {
             suspects,
+            parts,
             sent_up_to: LedgerPosition {
                 ledger: ledger_id,
                 change,
@@ -106,10 +118,11 @@
         now_ms: i64,
     ) -> QuarantineChanges {
         let state = self.peer(peer);
-        state.is_received_acked = update.suspects.is_empty();
+        let suspects = [update.suspects, update.parts].concat();
+        state.is_received_acked = suspects.is_empty();
         state.received = update.sent_up_to;
         state.acknowledged = update.received_up_to;
-        ledger.merge(update.suspects, now_ms)
+        ledger.merge(suspects, now_ms)
     }
 
     fn peer(&mut self, name: &Name) -> &mut PeerState {
--- a/crates/ivyweir-policy/tests/gateway_containment.rs
+++ b/crates/ivyweir-policy/tests/gateway_containment.rs
@@ -3,7 +3,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::quarantine::{
-    EndObservation, Fingerprint, Ledger, LedgerSync, RequestContent, UpstreamEnd,
+    EndObservation, Fingerprint, Ledger, LedgerSync, RequestContent, RequestIdentity, UpstreamEnd,
 };
 use proptest::prelude::*;
 
@@ -23,7 +23,7 @@
 /// The loss at `at_ms` of a request that was sent `ran_ms` earlier.
 fn observation(name: &str, upstream: u64, at_ms: i64, ran_ms: i64) -> EndObservation {
     EndObservation {
-        fingerprint: fingerprint_of(name),
+        identity: RequestIdentity::new(fingerprint_of(name), "engines", [].into_iter()),
         end: UpstreamEnd {
             upstream,
             try_hash: 1,
--- a/crates/ivyweir-policy/tests/gateway_quarantine.rs
+++ b/crates/ivyweir-policy/tests/gateway_quarantine.rs
@@ -29,7 +29,7 @@
 
 fn observation_of(fingerprint: Fingerprint, end: UpstreamEnd) -> EndObservation {
     EndObservation {
-        fingerprint,
+        identity: RequestIdentity::new(fingerprint, "engines", [].into_iter()),
         end,
         completed_at_ms: None,
     }
@@ -428,7 +428,7 @@
             let mut boxes = sim_boxes(2);
             let first = observation_of(fingerprint_of("harm"), end(9, 100, 50));
             for sim in &mut boxes {
-                sim.ledger.upstream_ended(&[first]);
+                sim.ledger.upstream_ended(std::slice::from_ref(&first));
             }
             for (sim, at_ms) in boxes.iter_mut().zip($answered_ms) {
                 sim.ledger.completed(fingerprint_of("harm"), at_ms);
