Weigh terminations under a part against chance and against runs elsewhere

A model of boxes and upstreams showed three ways to be wrong. Several harmful parts hid each other. Bursts of ends within 0.1 s counted once.

A part is quarantined after three terminations, or as many as its runs meet by chance once in 100,000 times at the rate at which other runs are interrupted (own, attributed and probably harmful ends left out), and one more for each three answers completed on it and each two other upstreams that are running it. Suspects on which no answer was completed go first; only those with the same ends are tied. Ends of different tries within 0.1 s are independent while no answer was completed on the part, as they are for requests. A run that was answered for a second speaks for its parts as a completion does. Trials of a quarantined part begin 30 s after its last end, one request at the root, each unanswered one doubling the time.

--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -13,6 +13,9 @@
 use crate::liveness;
 use crate::state::Gateway;
 
+/// Time for which a run is answered until that speaks for the parts of its prompt.
+const LASTING_MS: u64 = 1_000;
+
 /// Guard for a request at an upstream or at another box. It counts towards the load there until it is dropped, and owns
 /// the connection.
 pub struct InFlightRequest {
@@ -34,6 +37,9 @@
     estimate: Estimate,
     band: Band,
     is_prefilled: bool,
+    /// When it will have been answered for so long that it speaks for the parts of its prompt; `None` before its
+    /// response begins and once that was recorded.
+    lasts_from_ms: Option<u64>,
     key: RunKey,
     /// Whether the request was sent and its run at the upstream has not ended.
     is_running: bool,
@@ -58,6 +64,13 @@
         }
     }
 
+    fn record_lasting(&mut self, gateway: &Gateway) {
+        let now_ms = gateway.clock.now_ms();
+        if self.lasts_from_ms.take_if(|ms| now_ms >= *ms).is_some() {
+            gateway.record_lasting_run(&self.key);
+        }
+    }
+
     /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
     fn lose(&mut self, gateway: &Arc<Gateway>) {
         gateway.suspect_path(&self.upstream.id);
@@ -86,6 +99,7 @@
             estimate,
             band,
             is_prefilled: false,
+            lasts_from_ms: None,
             key,
             is_running: false,
             uses_path: false,
@@ -141,9 +155,10 @@
     }
 
     /// Records that data arrived.
-    pub fn record_contact(&self) {
-        if let Place::Upstream(run) = &self.place {
+    pub fn record_contact(&mut self) {
+        if let Place::Upstream(run) = &mut self.place {
             self.gateway.record_contact(&run.upstream.id);
+            run.record_lasting(&self.gateway);
         }
     }
 
@@ -169,7 +184,7 @@
         if let Place::Upstream(run) = &self.place
             && is_success
         {
-            self.gateway.record_run_completion(&run.key.identity);
+            self.gateway.record_run_completion(&run.key);
         }
     }
 
@@ -177,6 +192,7 @@
     pub fn record_prefilled(&mut self) {
         if let Place::Upstream(run) = &mut self.place {
             run.is_prefilled = true;
+            run.lasts_from_ms = Some(self.gateway.clock.now_ms() + LASTING_MS);
             let (band, prefilled_ms) = (run.band, run.estimate.prefill_ms);
             self.gateway.with_load(&run.upstream.id, |load, _| {
                 load.progress(band, prefilled_ms)
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -26,6 +26,8 @@
 /// Work by which an upstream that this box reaches may exceed the least of one that it does not reach before requests
 /// are handed over.
 const MAX_EXTRA_WORK_MS: f64 = 300.0;
+/// Least `Retry-After` of a request that is refused for a part of its prompt: one request at a time tries the part.
+const MIN_PART_RETRY_AFTER_MS: u64 = 5_000;
 /// Time limit for the head of the response to a repeatable request while another attempt is left, as a multiple of
 /// the latency target.
 const HEAD_TIMEOUT_FACTOR: u64 = 4;
@@ -451,7 +453,7 @@
     match refusal {
         Refusal::Request(_) => ErrorReason::Quarantined,
         Refusal::Part { retry_in_ms, .. } => ErrorReason::PartQuarantined {
-            retry_after_ms: *retry_in_ms,
+            retry_after_ms: (*retry_in_ms).max(MIN_PART_RETRY_AFTER_MS),
         },
     }
 }
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -97,6 +97,7 @@
         let now_ms = self.clock.now_ms();
         let mut quarantine = lock(&self.quarantine);
         quarantine.runs.begin(upstream, key, now_ms);
+        quarantine.ledger.run_started(now_ms.cast_signed());
     }
 
     /// Records that a request no longer runs on an upstream.
@@ -152,18 +153,25 @@
     }
 
     /// Records that a request received a complete response.
-    pub fn record_run_completion(&self, identity: &RequestIdentity) {
+    pub fn record_run_completion(&self, run: &RunKey) {
         let now_ms = self.clock.now_ms();
         let changes = {
             let mut quarantine = lock(&self.quarantine);
-            quarantine.runs.record_completion(identity.request, now_ms);
             quarantine
-                .ledger
-                .run_completed(identity, now_ms.cast_signed())
+                .runs
+                .record_completion(run.identity.request, now_ms);
+            quarantine.ledger.run_completed(run, now_ms.cast_signed())
         };
         self.report_quarantine_changes(changes);
     }
 
+    /// Records that a run has been answered for a while.
+    pub fn record_lasting_run(&self, run: &RunKey) {
+        let now_ms = self.ledger_now_ms();
+        let changes = lock(&self.quarantine).ledger.run_lasted(run, now_ms);
+        self.report_quarantine_changes(changes);
+    }
+
     /// The part of its prompt for which a request is placed by the part's fingerprint and not by load.
     pub fn contained_part(&self, identity: &RequestIdentity) -> Option<Fingerprint> {
         let now_ms = self.ledger_now_ms();
@@ -362,7 +370,12 @@
     fn add_termination_to_ledger(&self, upstream: &UpstreamRecord, interrupted: &[InterruptedRun]) {
         let observations = interrupted.iter().map(|run| observation(&upstream.id, run));
         let observations: Vec<EndObservation> = observations.collect();
-        let changes = lock(&self.quarantine).ledger.upstream_ended(&observations);
+        let changes = {
+            let Quarantine { runs, ledger, .. } = &mut *lock(&self.quarantine);
+            let parts = observations.iter().flat_map(|o| o.identity.parts.iter());
+            ledger.set_running_parts(runs.running_parts(parts.copied()));
+            ledger.upstream_ended(&observations)
+        };
         self.report_quarantine_changes(changes);
     }
 
@@ -432,8 +445,13 @@
         let now_ms = self.ledger_now_ms();
         let changes = {
             let Quarantine {
-                ledger, exchange, ..
+                runs,
+                ledger,
+                exchange,
+                ..
             } = &mut *lock(&self.quarantine);
+            let parts = update.parts.iter().map(|part| part.fingerprint);
+            ledger.set_running_parts(runs.running_parts(parts));
             exchange.receive(peer, update, ledger, now_ms)
         };
         self.report_quarantine_changes(changes);
--- a/crates/ivyweir-policy/src/gateway/quarantine.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine.rs
@@ -20,6 +20,7 @@
 mod attribution;
 mod completions;
 mod fingerprint;
+mod interruptions;
 mod ledger;
 mod runs;
 mod suspect;
--- a/crates/ivyweir-policy/src/gateway/quarantine/attribution.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/attribution.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashMap, HashSet};
 
 use super::Fingerprint;
-use super::suspect::{INDEPENDENT_END_GAP_MS, Suspect, SuspectKind};
+use super::interruptions::Interruptions;
+use super::suspect::{INDEPENDENT_END_GAP_MS, QUARANTINE_ENDS, Suspect, SuspectKind};
 
 /// Terminations after which a request is quarantined whatever else was running each time. Where two
 /// requests are harmful at the same time, an innocent one may have been at more terminations than
@@ -36,27 +37,32 @@
 
 impl Attribution {
     /// Attributes each termination to the suspects with the most evidence against them.
-    pub(super) fn of(suspects: &HashMap<Fingerprint, Suspect>) -> Self {
+    pub(super) fn of(
+        suspects: &HashMap<Fingerprint, Suspect>,
+        interruptions: &Interruptions,
+    ) -> Self {
         let none_attributed = HashSet::new();
+        let explained = ends_of_unproven_parts(suspects);
         let mut attribution = Self::default();
         let mut attributed = HashSet::new();
         loop {
             let candidates = suspects.iter();
             let candidates = candidates.filter(|(f, suspect)| {
-                suspect.ends().len() >= suspect.needed_ends() && !attribution.is_harmful(**f)
+                suspect.ends().len() >= suspect.needed_ends(0) && !attribution.is_harmful(**f)
             });
             let evidence = candidates.filter_map(|(f, suspect)| {
-                Some((*f, suspect.kind(), Evidence::of(suspect, &attributed)?))
+                let evidence = Evidence::of(suspect, interruptions, &explained, &attributed)?;
+                Some((*f, evidence))
             });
-            let harmful = most_harmful(evidence.collect());
+            let harmful = most_harmful(&evidence.collect::<Vec<_>>());
             if harmful.is_empty() {
                 break;
             }
-            for (fingerprint, _) in &harmful {
+            for fingerprint in &harmful {
                 let ends = suspects[fingerprint].ends();
                 attributed.extend(ends.iter().map(|end| end.upstream));
             }
-            attribution.add(harmful);
+            attribution.add(harmful, suspects);
         }
         let unconditional = suspects.iter().filter(|(_, suspect)| {
             suspect.kind() == SuspectKind::Request
@@ -67,18 +73,22 @@
         attribution
     }
 
-    fn add(&mut self, harmful: Vec<(Fingerprint, SuspectKind)>) {
-        let of_kind = |kind| {
-            let of_kind = harmful.iter().filter(move |(_, k)| *k == kind);
-            of_kind.map(|(fingerprint, _)| *fingerprint)
-        };
-        let parts: Vec<Fingerprint> = of_kind(SuspectKind::Part).collect();
-        let has_request = of_kind(SuspectKind::Request).next().is_some();
-        self.quarantined.extend(of_kind(SuspectKind::Request));
-        match &parts[..] {
-            [] => {}
-            [part] if !has_request => drop(self.quarantined.insert(*part)),
-            _ => self.ties.push(Tie { parts, has_request }),
+    /// Adds suspects that are equally harmful. Those with the same terminations cannot be told apart.
+    fn add(&mut self, mut harmful: Vec<Fingerprint>, suspects: &HashMap<Fingerprint, Suspect>) {
+        let is_request = |f: &Fingerprint| suspects[f].kind() == SuspectKind::Request;
+        while let Some(first) = harmful.pop() {
+            let is_same = |f: &Fingerprint| suspects[f].has_same_ends(&suspects[&first]);
+            let (mut together, others): (Vec<_>, Vec<_>) = harmful.into_iter().partition(is_same);
+            harmful = others;
+            together.push(first);
+            let (requests, parts): (Vec<_>, Vec<_>) = together.into_iter().partition(is_request);
+            let has_request = !requests.is_empty();
+            self.quarantined.extend(requests);
+            match &parts[..] {
+                [] => {}
+                [part] if !has_request => drop(self.quarantined.insert(*part)),
+                _ => self.ties.push(Tie { parts, has_request }),
+            }
         }
     }
 
@@ -108,9 +118,22 @@
     }
 }
 
+/// Terminations that may be those of harmful parts: under each of some parts there were several, and no answer was
+/// completed on it. Of several harmful parts, none is taken for sound because the others interrupt as many runs.
+fn ends_of_unproven_parts(suspects: &HashMap<Fingerprint, Suspect>) -> HashSet<u64> {
+    let unproven = suspects
+        .values()
+        .filter(|suspect| suspect.kind() == SuspectKind::Part && suspect.never_completed());
+    let unproven = unproven.filter(|suspect| suspect.ends().len() >= QUARANTINE_ENDS);
+    let ends = unproven.flat_map(|suspect| suspect.ends().iter());
+    ends.map(|end| end.upstream).collect()
+}
+
 /// Evidence against a suspect that suffices to quarantine it.
 #[derive(Debug, Clone, Copy)]
 struct Evidence {
+    /// Whether no answer is known that was completed.
+    never_completed: bool,
     /// Terminations beyond those that suffice.
     excess: usize,
     /// When they sufficed.
@@ -118,29 +141,42 @@
 }
 
 impl Evidence {
-    fn of(suspect: &Suspect, attributed: &HashSet<u64>) -> Option<Self> {
-        let needed = suspect.needed_ends();
+    fn of(
+        suspect: &Suspect,
+        interruptions: &Interruptions,
+        explained: &HashSet<u64>,
+        attributed: &HashSet<u64>,
+    ) -> Option<Self> {
+        let mut needed = suspect.needed_ends(0);
+        if suspect.may_be_there_by_chance() {
+            let has_explanation = |upstream| {
+                explained.contains(&upstream)
+                    || attributed.contains(&upstream)
+                    || suspect.ends().iter().any(|end| end.upstream == upstream)
+            };
+            needed = suspect.needed_ends(interruptions.ends_beyond_chance(has_explanation));
+        }
         let times_ms = suspect.counted_ends(attributed);
         Some(Self {
+            never_completed: suspect.never_completed(),
             excess: times_ms.len().checked_sub(needed)?,
             sufficient_at_ms: *times_ms.get(needed - 1)?,
         })
     }
 }
 
-/// Returns the suspects with the most evidence against them. Of several, one against which it
+/// Returns the suspects with the most evidence against them: those on which no answer was completed first. Of several, one against which it
 /// sufficed later than against another one may have been there only because it was when the other one
 /// terminated an upstream. Those against which it sufficed together cannot be told apart.
-fn most_harmful(
-    evidence: Vec<(Fingerprint, SuspectKind, Evidence)>,
-) -> Vec<(Fingerprint, SuspectKind)> {
-    let most = evidence.iter().map(|(_, _, evidence)| evidence.excess);
-    let Some(most) = most.max() else {
-        return Vec::new();
-    };
-    let strongest = || evidence.iter().filter(|(_, _, e)| e.excess == most);
-    let first_ms = strongest().map(|(_, _, e)| e.sufficient_at_ms).min();
+fn most_harmful(evidence: &[(Fingerprint, Evidence)]) -> Vec<Fingerprint> {
+    let strength = |evidence: &Evidence| (evidence.never_completed, evidence.excess);
+    let most = evidence
+        .iter()
+        .map(|(_, evidence)| strength(evidence))
+        .max();
+    let strongest = || evidence.iter().filter(|(_, e)| Some(strength(e)) == most);
+    let first_ms = strongest().map(|(_, e)| e.sufficient_at_ms).min();
     let is_together = |at_ms: i64| first_ms.is_some_and(|ms| at_ms - ms < INDEPENDENT_END_GAP_MS);
-    let together = strongest().filter(|(_, _, e)| is_together(e.sufficient_at_ms));
-    together.map(|(f, kind, _)| (*f, *kind)).collect()
+    let together = strongest().filter(|(_, e)| is_together(e.sufficient_at_ms));
+    together.map(|(fingerprint, _)| *fingerprint).collect()
 }
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -11,12 +11,13 @@
 
 use super::attribution::Attribution;
 use super::completions::{Completion, ProvenParts};
+use super::interruptions::Interruptions;
 use super::suspect::{
     EndUpdate, QUARANTINE_ENDS, Suspect, SuspectKind, SuspectUpdate, UpstreamEnd,
     unconfirmed_until_ms,
 };
 use super::sync::MAX_ENTRIES_PER_UPDATE;
-use super::{Fingerprint, RequestIdentity};
+use super::{Fingerprint, RequestIdentity, RunKey};
 use crate::hash::hash64;
 
 /// Limit of remembered requests, and of remembered parts.
@@ -137,14 +138,26 @@
     suspects: HashMap<Fingerprint, Suspect>,
     attribution: Attribution,
     proven_parts: ProvenParts,
+    interruptions: Interruptions,
+    running_parts: HashMap<Fingerprint, usize>,
     last_change: u64,
 }
 
 impl Ledger {
+    /// Records that a request was sent to an upstream.
+    pub fn run_started(&mut self, at_ms: i64) {
+        self.interruptions.record_start(at_ms);
+    }
+
     /// Records that an upstream terminated while these requests were running there.
     pub fn upstream_ended(&mut self, observations: &[EndObservation]) -> QuarantineChanges {
         let mut is_changed = false;
         let mut is_part_suspected = false;
+        if let Some(EndObservation { end, .. }) = observations.first() {
+            let interrupted = observations.len();
+            self.interruptions
+                .record_end(end.at_ms, end.upstream, interrupted);
+        }
         for observation in observations {
             let request = observation.identity.request;
             is_changed |= self.change(request, SuspectKind::Request, |suspect| {
@@ -248,24 +261,13 @@
     }
 
     /// Records that a run of a request completed, which clears the request and speaks for the parts of its prompt.
-    pub fn run_completed(&mut self, identity: &RequestIdentity, at_ms: i64) -> QuarantineChanges {
-        let changes = self.completed(identity.request, at_ms);
-        let id = hash64(&[&identity.request.bits().to_le_bytes(), &at_ms.to_le_bytes()]) as u32;
-        let completion = Completion { at_ms, id };
-        let mut is_changed = false;
-        for part in &*identity.parts {
-            self.proven_parts.record(*part, completion);
-            if self.suspects.contains_key(part) {
-                is_changed |= self.change(*part, SuspectKind::Part, |suspect| {
-                    suspect.add_completion(completion)
-                });
-            }
-        }
+    pub fn run_completed(&mut self, run: &RunKey, at_ms: i64) -> QuarantineChanges {
+        let changes = self.completed(run.identity.request, at_ms);
         let QuarantineChanges {
             quarantined,
             released,
             ..
-        } = self.evaluate_if(is_changed);
+        } = self.run_lasted(run, at_ms);
         QuarantineChanges {
             quarantined: [changes.quarantined, quarantined].concat(),
             released: [changes.released, released].concat(),
@@ -273,6 +275,30 @@
         }
     }
 
+    /// Records that a run has been answered for a while, which speaks for the parts of its prompt as its completion does.
+    pub fn run_lasted(&mut self, run: &RunKey, at_ms: i64) -> QuarantineChanges {
+        let id = hash64(&[
+            &run.identity.request.bits().to_le_bytes(),
+            &run.try_hash.to_le_bytes(),
+        ]) as u32;
+        let completion = Completion { at_ms, id };
+        let mut is_changed = false;
+        for part in &*run.identity.parts {
+            self.proven_parts.record(*part, completion);
+            if self.suspects.contains_key(part) {
+                is_changed |= self.change(*part, SuspectKind::Part, |suspect| {
+                    suspect.add_completion(completion)
+                });
+            }
+        }
+        self.evaluate_if(is_changed)
+    }
+
+    /// Sets the number of upstreams at which this box is running each of the parts that the next observations are about.
+    pub fn set_running_parts(&mut self, running: HashMap<Fingerprint, usize>) {
+        self.running_parts = running;
+    }
+
     /// Whether a request or a part is refused wherever it comes.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.attribution.quarantined.contains(&fingerprint)
@@ -448,6 +474,9 @@
             .suspects
             .entry(fingerprint)
             .or_insert_with(|| Suspect::new(kind, self.proven_parts.of(fingerprint)));
+        if let Some(upstreams) = self.running_parts.get(&fingerprint) {
+            suspect.set_running_elsewhere(*upstreams);
+        }
         let is_changed = change(suspect);
         if is_changed {
             self.last_change += 1;
@@ -490,13 +519,14 @@
     /// other boxes again.
     fn evaluate(&mut self) -> QuarantineChanges {
         let before: HashSet<Fingerprint> = self.attribution.harmful().collect();
-        self.attribution = Attribution::of(&self.suspects);
+        self.attribution = Attribution::of(&self.suspects, &self.interruptions);
         let after: HashSet<Fingerprint> = self.attribution.harmful().collect();
         let mut quarantined = Vec::new();
         for fingerprint in after.difference(&before) {
             if let Some(suspect) = self.suspects.get_mut(fingerprint) {
                 self.last_change += 1;
                 suspect.last_change = self.last_change;
+                suspect.confirm();
                 quarantined.push(NewQuarantine {
                     fingerprint: *fingerprint,
                     kind: suspect.kind(),
--- a/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/runs.rs
@@ -1,6 +1,6 @@
 //! Requests that a box is running, or was running until recently, by upstream.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use super::{Fingerprint, RequestIdentity};
 use crate::Name;
@@ -182,6 +182,25 @@
         interrupted
     }
 
+    /// Number of upstreams that are running requests with each of these parts.
+    pub fn running_parts(
+        &self,
+        parts: impl IntoIterator<Item = Fingerprint>,
+    ) -> HashMap<Fingerprint, usize> {
+        let mut running: HashMap<Fingerprint, usize> =
+            parts.into_iter().map(|part| (part, 0)).collect();
+        for runs in self.by_upstream.values() {
+            let active = runs.iter().filter(|run| run.ended.is_none());
+            let parts = active.flat_map(|run| run.key.identity.parts.iter());
+            for part in parts.collect::<HashSet<_>>() {
+                if let Some(upstreams) = running.get_mut(part) {
+                    *upstreams += 1;
+                }
+            }
+        }
+        running
+    }
+
     /// Removes runs and broken connections past their retention time.
     pub fn sweep(&mut self, now_ms: u64) {
         self.broken_at_ms
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -13,10 +13,12 @@
 /// power cut and a spot reclaim. With a sixth of a pool lost at a time, one stream in 216 is
 /// calculated to meet three such losses in a row.
 pub(super) const QUARANTINE_ENDS: usize = 3;
-/// Completions on a part for each of which half a termination more is needed to quarantine it. A part
+/// Answers that were completed on a part for which one termination more is needed to quarantine it. A part
 /// under which every other run terminates its upstream is quarantined after twice as many as one under
 /// which every run does.
-const COMPLETIONS_PER_END: usize = 2;
+const COMPLETIONS_PER_END: usize = 3;
+/// The same for other upstreams that are running requests with the part.
+const RUNNING_PER_END: usize = 2;
 /// Limit of terminations remembered for a request; further ones add no information.
 const MAX_ENDS_PER_SUSPECT: usize = 32;
 /// Terminations closer to each other than this count as one, since they may be a single loss of
@@ -25,8 +27,11 @@
 /// the first had terminated, or where two different tries of a request that never completed were
 /// running.
 pub(super) const INDEPENDENT_END_GAP_MS: i64 = 100;
-/// Time after the last termination under a quarantined part in which no request with it is let through.
-const TRIAL_INTERVAL_MS: i64 = 600_000;
+/// Time after the last termination under a quarantined part in which no request with it is let through; it doubles with
+/// each such request under which another upstream terminates.
+const TRIAL_INTERVAL_MS: i64 = 30_000;
+/// Largest such time.
+const MAX_TRIAL_INTERVAL_MS: i64 = 1_800_000;
 /// Difference up to which two observations of the termination of an upstream are the same; ages are
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
@@ -129,9 +134,13 @@
     kind: SuspectKind,
     /// The last answers that were completed on a part.
     completions: Completions,
+    /// Number of other upstreams at which this box was running a part when one terminated: they have not, so far.
+    running_elsewhere: usize,
     /// The last request that was let through to find out whether a quarantined part still terminates
     /// upstreams, and when.
     trial: Option<(Fingerprint, i64)>,
+    /// Number of such requests since an answer was last completed.
+    trials: u32,
     /// Terminations since the request last completed.
     ends: Vec<UpstreamEnd>,
     /// Broken connections since then to upstreams that are not known to have terminated.
@@ -140,8 +149,8 @@
     has_had_ends: bool,
     /// When it last completed, as far as is known, or when an operator lifted its quarantine.
     cleared: Option<Clearance>,
-    /// Whether another box quarantined the request. That box saw the terminations as independent;
-    /// in the local record their times may be too close to each other.
+    /// Whether another box quarantined the request, or any box the part. That box saw the terminations as
+    /// independent; in the local record their times may be too close to each other.
     is_quarantined_elsewhere: bool,
     /// Number of the ledger change that last modified this entry.
     pub(super) last_change: u64,
@@ -153,7 +162,9 @@
         Self {
             kind,
             completions,
+            running_elsewhere: 0,
             trial: None,
+            trials: 0,
             ends: Vec::new(),
             unconfirmed: Vec::new(),
             has_had_ends: false,
@@ -167,15 +178,44 @@
         self.kind
     }
 
-    /// Number of terminations that suffice to quarantine it.
-    pub(super) fn needed_ends(&self) -> usize {
-        QUARANTINE_ENDS + self.completions.len() / COMPLETIONS_PER_END
+    /// Records the number of other upstreams at which this box was running a part when one terminated.
+    pub(super) fn set_running_elsewhere(&mut self, upstreams: usize) {
+        self.running_elsewhere = upstreams;
+    }
+
+    /// Whether both were at the terminations of the same upstreams.
+    pub(super) fn has_same_ends(&self, other: &Self) -> bool {
+        let is_shared = |end: &UpstreamEnd| other.ends.iter().any(|o| o.upstream == end.upstream);
+        self.ends.len() == other.ends.len() && self.ends.iter().all(is_shared)
+    }
+
+    /// Number of terminations that suffice to quarantine it, if so many could be there by chance.
+    pub(super) fn needed_ends(&self, by_chance: usize) -> usize {
+        QUARANTINE_ENDS.max(by_chance)
+            + self.completions.len() / COMPLETIONS_PER_END
+            + self.running_elsewhere / RUNNING_PER_END
+    }
+
+    /// Whether no answer is known that was completed on a part.
+    pub(super) fn never_completed(&self) -> bool {
+        self.completions.len() == 0
+    }
+
+    /// Whether it is to be ruled out that a part was at its terminations by chance.
+    pub(super) fn may_be_there_by_chance(&self) -> bool {
+        self.kind == SuspectKind::Part && !self.is_quarantined_elsewhere
+    }
+
+    /// Records that this box quarantined a part. It remains so until answers complete on it, also where runs are
+    /// interrupted more often later.
+    pub(super) fn confirm(&mut self) {
+        self.is_quarantined_elsewhere |= self.kind == SuspectKind::Part;
     }
 
     /// Whether so few answers were completed on a part that it is held to few upstreams, if it was at
     /// this number of terminations.
     pub(super) fn is_unproven(&self, ends: usize) -> bool {
-        self.completions.len() < ends * COMPLETIONS_PER_END
+        self.completions.len() + self.running_elsewhere < ends * COMPLETIONS_PER_END
     }
 
     /// Records a completion on a part; returns whether that changed the entry. Where as many as are
@@ -189,9 +229,16 @@
         self.completions.add(completion)
     }
 
-    /// Whether a request is the one that was let through last.
+    /// Whether a request is the one that was let through last, and nothing was lost since.
     pub(super) fn is_on_trial(&self, request: Fingerprint) -> bool {
-        self.trial.is_some_and(|(tried, _)| tried == request)
+        let last_ms = self
+            .ends
+            .iter()
+            .chain(&self.unconfirmed)
+            .map(|end| end.at_ms)
+            .max();
+        self.trial
+            .is_some_and(|(tried, at_ms)| tried == request && last_ms.is_none_or(|ms| ms < at_ms))
     }
 
     /// Lets a request through if the last termination is long ago, and so is the last such request or
@@ -200,17 +247,29 @@
         if self.trial_due_in_ms(now_ms) > 0 {
             return false;
         }
+        let is_first = self.unanswered_trial_ms().is_none();
+        self.trials = if is_first { 1 } else { self.trials + 1 };
         self.trial = Some((request, now_ms));
         true
     }
 
+    /// When the last request was let through, unless an answer was completed since.
+    fn unanswered_trial_ms(&self) -> Option<i64> {
+        let trial_ms = self.trial.map(|(_, at_ms)| at_ms)?;
+        (self.completions.last_ms() <= Some(trial_ms)).then_some(trial_ms)
+    }
+
     /// Time until the next request is let through.
     pub(super) fn trial_due_in_ms(&self, now_ms: i64) -> i64 {
         let last_end_ms = self.ends.last().map(|end| end.at_ms);
-        let trial_ms = self.trial.map(|(_, at_ms)| at_ms);
-        let trial_ms = trial_ms.filter(|at_ms| self.completions.last_ms() <= Some(*at_ms));
+        let trial_ms = self.unanswered_trial_ms();
+        let interval_ms = match trial_ms {
+            Some(_) => TRIAL_INTERVAL_MS << self.trials.min(16),
+            None => TRIAL_INTERVAL_MS,
+        };
+        let interval_ms = interval_ms.min(MAX_TRIAL_INTERVAL_MS);
         let last_ms = last_end_ms.max(trial_ms);
-        last_ms.map_or(0, |ms| (ms + TRIAL_INTERVAL_MS - now_ms).max(0))
+        last_ms.map_or(0, |ms| (ms + interval_ms - now_ms).max(0))
     }
 
     /// Terminations since the request last completed, in order.
@@ -350,8 +409,7 @@
         if self.is_quarantined_elsewhere {
             return unattributed.map(|end| end.at_ms).collect();
         }
-        // Runs of a part that are interrupted at one moment are those of different requests.
-        let has_completed = self.cleared.is_some() || self.kind == SuspectKind::Part;
+        let has_completed = self.cleared.is_some() || !self.never_completed();
         let mut last: Option<&UpstreamEnd> = None;
         let mut times_ms = Vec::new();
         for end in unattributed {
