Let boxes agree on the time of a termination that two of them saw

A random case of boxes_agree_whatever_order_they_talk_in: two boxes saw the end of one upstream 50 ms apart, each kept its own time, and by one of them another request reached the limit together with the harmful one. One box refused a request that the others served.

The earlier time of a termination is now kept also where the difference is too small to tell other boxes, and a message that was received is followed by a new attribution.

--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -393,20 +393,20 @@
         suspects.into_iter().map(to_update).collect()
     }
 
-    /// Merges entries received from another box.
+    /// Merges entries received from another box. All terminations are attributed anew, also where only times became
+    /// closer to those of other boxes, so that boxes that know the same agree.
     pub fn merge(&mut self, updates: Vec<SuspectUpdate>, now_ms: i64) -> QuarantineChanges {
-        let mut is_changed = false;
         let mut is_part_suspected = false;
+        let is_told = !updates.is_empty();
         for update in updates {
             let (fingerprint, kind) = (update.fingerprint, update.kind);
             if self.change(fingerprint, kind, |suspect| suspect.merge(&update, now_ms)) {
-                is_changed = true;
                 is_part_suspected |= kind == SuspectKind::Part && self.is_unproven(fingerprint);
             }
         }
         QuarantineChanges {
             is_part_suspected,
-            ..self.evaluate_if(is_changed)
+            ..self.evaluate_if(is_told)
         }
     }
 
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -303,12 +303,15 @@
             .iter_mut()
             .find(|known| known.upstream == end.upstream);
         match known {
-            // Retold, an observation only becomes later, so the earliest time is the closest.
+            // Retold, an observation only becomes later, so the earliest time is the closest. Boxes that know it are not
+            // told of a small difference.
             Some(known) if known.is_same_observation(&end) => {
-                if end.at_ms + SAME_END_TOLERANCE_MS >= known.at_ms {
-                    return false;
+                let is_news = end.at_ms + SAME_END_TOLERANCE_MS < known.at_ms;
+                if end.at_ms < known.at_ms {
+                    *known = end;
+                    self.ends.sort_by_key(UpstreamEnd::sort_key);
                 }
-                *known = end;
+                return is_news;
             }
             // An upstream terminates once, so the latest observation replaces earlier ones.
             Some(known) if known.at_ms + SAME_END_TOLERANCE_MS >= end.at_ms => return false,
