Let other boxes send where this one owns too little of a limit

What upstreams take of all boxes is divided by the identity of boxes, so the parts of the others lay idle.

A request that no upstream accepts because this box has used up its parts is handed over: one hop, at most three boxes asked, the sends counted as in any handover. A box that is asked for its parts and has none left declines at once (`no_share`). After a round in which all declined none is asked for 0.1 s, so that a limit that is used up everywhere costs few messages; the request then waits here as before. Limits are enforced where the request is sent, so a fleet sends no more than before.

--- a/crates/ivyweir-gateway/src/error_response.rs
+++ b/crates/ivyweir-gateway/src/error_response.rs
@@ -36,6 +36,8 @@
         /// Time after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// Other boxes own the parts of the upstreams' limits or cold rates that are left; the request did not run.
+    NoShare,
     /// Answers and bodies hold as much memory as new requests may use, and ending slow readers frees too little. The
     /// request did not run.
     BuffersFull,
@@ -92,6 +94,7 @@
             | Self::HallsDrained
             | Self::AllCold
             | Self::AllBackingOff { .. }
+            | Self::NoShare
             | Self::BuffersFull
             | Self::NoCapacity { .. }
             | Self::Quarantined
@@ -117,6 +120,7 @@
             Self::HallsDrained => "halls_drained",
             Self::AllCold => "all_cold",
             Self::AllBackingOff { .. } => "backing_off",
+            Self::NoShare => "no_share",
             Self::BuffersFull => "buffers_full",
             Self::NoCapacity { .. } => "no_capacity",
             Self::Quarantined => "quarantined",
@@ -129,7 +133,9 @@
 
     fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::NotCurrent | Self::Stopping | Self::BuffersFull => Some(RETRY_AFTER_OTHER_BOX_MS),
+            Self::NotCurrent | Self::Stopping | Self::NoShare | Self::BuffersFull => {
+                Some(RETRY_AFTER_OTHER_BOX_MS)
+            }
             Self::Starting => Some(RETRY_AFTER_STARTUP_MS),
             Self::NoUpstream | Self::DeadlineExceededNotRun => Some(RETRY_AFTER_MS),
             Self::HallsDrained => Some(RETRY_AFTER_DRAINED_MS),
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -31,9 +31,9 @@
 use crate::state::Gateway;
 
 use self::headers::{
-    BUDGET_MS, BUSY, COUNTED, ELAPSED_MS, HINTS, LIMIT, LOAD, METHOD, MODEL, OUTCOME, POOL,
-    REJECTED, SENDS, SERVED, TRIED, UNABLE, URI, format_hints, number, parse_hints, parse_ids,
-    request, set, set_ids, set_number, set_sends, split_ids,
+    BUDGET_MS, BUSY, COUNTED, ELAPSED_MS, FOR_SHARE, HINTS, LIMIT, LOAD, METHOD, MODEL, OUTCOME,
+    POOL, REJECTED, SENDS, SERVED, TRIED, UNABLE, URI, format_hints, number, parse_hints,
+    parse_ids, request, set, set_ids, set_number, set_sends, split_ids,
 };
 
 /// HTTP path of requests that are handed over.
@@ -42,6 +42,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Number of boxes that are asked to serve a request.
 const MAX_HELPERS: usize = 8;
+/// The same where they are asked for their parts of the upstreams' limits.
+const MAX_SHARE_HELPERS: usize = 3;
 /// Time for which an idle connection to another box is kept.
 const KEEP_ALIVE_MS: u64 = 4_000;
 /// Requests of other boxes that a box with a whole core serves at once.
@@ -66,6 +68,8 @@
     pub tried: Vec<Name>,
     /// Whether the other box has counted the request.
     pub is_counted: bool,
+    /// Whether this box is asked only for its part of the upstreams' limits.
+    pub is_for_share: bool,
     /// Index of the model, from the smallest, if this box is not to choose it.
     pub model: Option<usize>,
     /// Upstreams that this box sent the request to.
@@ -145,6 +149,19 @@
     pub resume_after: Option<u64>,
     /// Time limit for the head of the response.
     pub head_timeout_ms: u64,
+    /// Whether other boxes are asked only for their parts of the upstreams' limits.
+    pub is_for_share: bool,
+}
+
+impl HandoverOptions {
+    /// Number of boxes that are asked.
+    fn max_helpers(&self) -> usize {
+        if self.is_for_share {
+            MAX_SHARE_HELPERS
+        } else {
+            MAX_HELPERS
+        }
+    }
 }
 
 /// Attempts of a request, to which those of other boxes are added.
@@ -167,7 +184,7 @@
     let Attempts { sends, tried } = attempts;
     let mut asked = Vec::new();
     let mut is_repeat = false;
-    while asked.len() < MAX_HELPERS && !sends.is_used_up() {
+    while asked.len() < options.max_helpers() && !sends.is_used_up() {
         let seed = rand::random();
         let Some(helper) = gateway.choose_helper(&job.pool, &asked, seed) else {
             break;
@@ -354,7 +371,9 @@
     let mut response = pipeline::handle(gateway.clone(), request).await;
     let mut response = match response.extensions().get::<ErrorReason>() {
         Some(reason) if is_local(*reason) && !is_final(&gateway, &handed_over) => {
-            let mut response = declined(&gateway, &pool, UNABLE);
+            let is_busy = *reason == ErrorReason::NoShare;
+            let outcome = if is_busy { BUSY } else { UNABLE };
+            let mut response = declined(&gateway, &pool, outcome);
             if let Some(refusal) = handed_over.refusal.get() {
                 set_sends(response.headers_mut(), &refusal.sends);
             }
@@ -403,6 +422,7 @@
     let rejected = split_ids(take(REJECTED).as_deref());
     let tried = split_ids(take(TRIED).as_deref());
     let is_counted = number(take(COUNTED))? != 0;
+    let is_for_share = take(FOR_SHARE).is_some();
     let model = number(take(MODEL)).and_then(|model| usize::try_from(model).ok());
     head.method = method.parse().ok()?;
     head.uri = uri.parse().ok()?;
@@ -415,6 +435,7 @@
         rejected,
         tried,
         is_counted,
+        is_for_share,
         model,
         reached: Mutex::default(),
         refusal: OnceLock::new(),
@@ -446,6 +467,7 @@
             | ErrorReason::Starting
             | ErrorReason::Stopping
             | ErrorReason::NoUpstream
+            | ErrorReason::NoShare
             | ErrorReason::BuffersFull
     )
 }
--- a/crates/ivyweir-gateway/src/handover/headers.rs
+++ b/crates/ivyweir-gateway/src/handover/headers.rs
@@ -33,6 +33,8 @@
 pub(super) const TRIED: HeaderName = HeaderName::from_static("ivyweir-peer-tried");
 /// Index of the model, from the smallest, if the other box is not to choose it.
 pub(super) const MODEL: HeaderName = HeaderName::from_static("ivyweir-peer-model");
+/// Present if the other box is asked only for its part of the upstreams' limits, and declines if it has none left.
+pub(super) const FOR_SHARE: HeaderName = HeaderName::from_static("ivyweir-peer-for-share");
 /// Whether the box that hands the request over has counted it.
 pub(super) const COUNTED: HeaderName = HeaderName::from_static("ivyweir-peer-counted");
 /// Whether the box served the request, in the response.
@@ -75,6 +77,7 @@
     set_number(headers, LIMIT, Some(grant(job, sends).into()));
     set_number(headers, MODEL, options.model.map(|model| model as u64));
     set_number(headers, COUNTED, Some(options.is_counted.into()));
+    set_number(headers, FOR_SHARE, options.is_for_share.then_some(1));
     if options.resume_after.is_some() {
         set_number(headers, LAST_EVENT_ID, options.resume_after);
     }
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -49,6 +49,8 @@
     is_counted: bool,
     /// Whether other boxes were asked to serve the request and declined.
     is_declined: bool,
+    /// Whether other boxes were asked to send the request because this one owns too little of the upstreams' limits.
+    has_asked_for_share: bool,
     /// Whether the request has waited for a check of this box's paths since.
     has_waited_for_check: bool,
     /// Figures of the pool's capacity that led to the refusal, if it was refused for lack of it.
@@ -133,6 +135,15 @@
         let rejected = state.sends.rejected();
         let choice = match choose_upstream(gateway, job, &state.tried, rejected, state.model) {
             Ok(choice) => choice,
+            Err(ChooseError::AllBackingOff { .. } | ChooseError::AllCold)
+                if may_lack_share(gateway, job, state)
+                    && gateway.lacks_share(job, &state.tried) =>
+            {
+                if let Some(reply) = hand_over_for_share(gateway, job, state, trace).await? {
+                    return Ok(reply);
+                }
+                continue;
+            }
             Err(ChooseError::AllBackingOff { for_ms })
                 if should_wait(gateway, job, state, for_ms, &waiter) =>
             {
@@ -225,6 +236,7 @@
             model: (state.model > 0).then_some(state.model),
             resume_after: None,
             head_timeout_ms: head_timeout_ms(job, state, now_ms),
+            is_for_share: false,
         };
         let sent = state.sends.sent();
         let attempts = Attempts {
@@ -253,6 +265,57 @@
     Ok(None)
 }
 
+/// Whether a job that no upstream accepts from this box may still be sent by another one that owns more of their limits.
+fn may_lack_share(gateway: &Gateway, job: &Job, state: &RetryState) -> bool {
+    let handed_over = job.handed_over.as_ref();
+    let is_untried = handed_over.is_none_or(|handed_over| state.tried == handed_over.tried);
+    let is_for_share = handed_over.is_some_and(|handed_over| handed_over.is_for_share);
+    let may_ask =
+        is_for_share || job.may_be_handed_over(gateway) && gateway.may_ask_for_share(&job.pool);
+    may_ask && is_untried && !state.has_asked_for_share && !state.may_have_run
+}
+
+/// Asks other boxes to send a job where this one owns too little of the upstreams' limits. A job that was handed over
+/// for that goes back, since the other box may ask another one. Returns `None` if no box sends it.
+///
+/// # Errors
+///
+/// If the job was handed over for that, or its response was lost and it may not run again.
+async fn hand_over_for_share(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    state: &mut RetryState,
+    trace: &mut Trace,
+) -> Result<Option<Box<Reply>>, ErrorReason> {
+    state.has_asked_for_share = true;
+    if job.handed_over.as_ref().is_some_and(|h| h.is_for_share) {
+        return Err(ErrorReason::NoShare);
+    }
+    let now_ms = gateway.clock.now_ms();
+    let options = HandoverOptions {
+        is_counted: state.is_counted,
+        model: (state.model > 0).then_some(state.model),
+        resume_after: None,
+        head_timeout_ms: head_timeout_ms(job, state, now_ms),
+        is_for_share: true,
+    };
+    let attempts = Attempts {
+        sends: &mut state.sends,
+        tried: &mut state.tried,
+    };
+    match handover::send(gateway, job, options, attempts, trace).await {
+        AttemptOutcome::Answered(reply) => Ok(Some(reply)),
+        AttemptOutcome::NotRun { .. } => {
+            gateway.record_share_declined(&job.pool);
+            Ok(None)
+        }
+        AttemptOutcome::Lost => {
+            record_lost(gateway, job, state)?;
+            Ok(None)
+        }
+    }
+}
+
 /// Whether a job is handed over, if another box can be asked.
 pub fn hands_over(gateway: &Gateway, job: &Job, tried: &[Name], model: usize) -> bool {
     job.may_be_handed_over(gateway) && lacks_path(gateway, job, tried, model)
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -149,6 +149,8 @@
     replacements: watch::Sender<u64>,
     /// Number of finished checks whether an upstream terminated.
     termination_checks: watch::Sender<u64>,
+    /// When other boxes last declined to send requests of a pool for this one.
+    share_declined_ms: Mutex<HashMap<Name, u64>>,
     /// Number of times that requests or parts were quarantined.
     quarantine_changes: watch::Sender<u64>,
     /// Notified when there is an update that other boxes need immediately.
@@ -223,6 +225,7 @@
             hinted_boxes: Mutex::default(),
             replacements: watch::Sender::default(),
             termination_checks: watch::Sender::default(),
+            share_declined_ms: Mutex::default(),
             quarantine_changes: watch::Sender::default(),
             urgent_update: Notify::new(),
             synced_topics: Mutex::default(),
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -13,6 +13,10 @@
 use super::{Gateway, lock};
 use crate::job::Job;
 
+/// Time for which no other box is asked to send requests of a pool after those that were asked declined. Where a limit
+/// is used up at all boxes, this bounds the messages about it.
+const SHARE_DECLINED_PAUSE_MS: u64 = 100;
+
 impl Gateway {
     /// The drained halls.
     pub fn drained_halls(&self) -> Vec<Name> {
@@ -103,6 +107,34 @@
         })
     }
 
+    /// Whether this box may send a request to no upstream now because other boxes own the parts of their limits or cold
+    /// rates that are left.
+    pub fn lacks_share(&self, job: &Job, tried: &[Name]) -> bool {
+        let scope = Scope {
+            pool: &job.pool,
+            side: job.side,
+            tried,
+        };
+        let now_ms = self.clock.now_ms();
+        let rules = self.send_rules(scope.pool, now_ms);
+        let mut upstreams = lock(&self.upstreams);
+        let target = self.rollout_target(scope.pool);
+        upstreams.lacks_share(&scope, target.as_ref(), &rules, now_ms)
+    }
+
+    /// Whether other boxes may be asked to send requests for this one: not right after all that were asked declined.
+    pub fn may_ask_for_share(&self, pool: &Name) -> bool {
+        let now_ms = self.clock.now_ms();
+        let declined_ms = lock(&self.share_declined_ms).get(pool).copied();
+        declined_ms.is_none_or(|ms| now_ms >= ms + SHARE_DECLINED_PAUSE_MS)
+    }
+
+    /// Records that all boxes that were asked declined to send a request for this one.
+    pub fn record_share_declined(&self, pool: &Name) {
+        let now_ms = self.clock.now_ms();
+        lock(&self.share_declined_ms).insert(pool.clone(), now_ms);
+    }
+
     /// Checks whether a request may be sent to an upstream now and, if so, counts it.
     ///
     /// # Errors
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -145,6 +145,7 @@
             model: Some(self.model),
             resume_after: self.position.last_id(),
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
+            is_for_share: false,
         };
         let attempts = Attempts {
             sends: &mut self.sends,
--- a/crates/ivyweir-policy/src/gateway/upstreams/admission.rs
+++ b/crates/ivyweir-policy/src/gateway/upstreams/admission.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{ChooseError, SendDenied, SendRules, Upstreams};
+use super::{ChooseError, RolloutTarget, Scope, SendDenied, SendRules, Upstreams};
 use crate::Name;
 use crate::gateway::brittle::{BrittleLoad, RECHECK_MS};
 use crate::gateway::fleet::UpstreamRecord;
@@ -102,6 +102,29 @@
         })
     }
 
+    /// Whether no upstream may be sent a request now, and one would be if this box owned more of its limit or of its cold
+    /// rate. Other boxes may own parts that they do not use.
+    pub fn lacks_share(
+        &mut self,
+        scope: &Scope,
+        target: Option<&RolloutTarget>,
+        rules: &SendRules,
+        now_ms: u64,
+    ) -> bool {
+        let mut is_starved = false;
+        for record in self.usable(scope, target) {
+            if scope.tried.contains(&record.id) {
+                continue;
+            }
+            match self.may_send(&record.id, rules, now_ms) {
+                Ok(()) => return false,
+                Err(SendDenied::Limited { .. } | SendDenied::Cold) => is_starved = true,
+                Err(_) => {}
+            }
+        }
+        is_starved
+    }
+
     /// Checks a send and, if it is allowed, counts it.
     ///
     /// # Errors
