Split large files of the quarantine and of the retry loop

Moves only: what the ledger says to others (record, verdict), the entries that boxes send (suspect/update) and the evidence against parts (suspect/part) have files of their own, as have requests that other boxes send (retry/other_boxes) and the model of boxes in the tests.

--- a/crates/ivyweir-policy/src/gateway/quarantine.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine.rs
@@ -22,16 +22,17 @@
 mod fingerprint;
 mod interruptions;
 mod ledger;
+mod record;
 mod runs;
 mod suspect;
 mod sync;
+mod verdict;
 
 pub use completions::CompletionUpdate;
 pub use fingerprint::{Fingerprint, MAX_TRACKED_PARTS, RequestContent, RequestIdentity};
-pub use ledger::{
-    Containment, EndObservation, Ledger, NewQuarantine, QuarantineChanges, QuarantineRecord,
-    Refusal,
-};
+pub use ledger::{EndObservation, Ledger};
+pub use record::QuarantineRecord;
 pub use runs::{InterruptedRun, RunEnd, RunKey, RunRegistry};
 pub use suspect::{SuspectKind, SuspectUpdate, UpstreamEnd};
 pub use sync::{LedgerSync, LedgerUpdate, split_by_kind};
+pub use verdict::{Containment, NewQuarantine, QuarantineChanges, Refusal};
--- a/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/ledger.rs
@@ -7,16 +7,15 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
-use serde::{Deserialize, Serialize};
-
 use super::attribution::Attribution;
 use super::completions::{Completion, ProvenParts};
 use super::interruptions::Interruptions;
+use super::record::QuarantineRecord;
 use super::suspect::{
-    EndUpdate, QUARANTINE_ENDS, Suspect, SuspectKind, SuspectUpdate, UpstreamEnd,
-    unconfirmed_until_ms,
+    QUARANTINE_ENDS, Suspect, SuspectKind, SuspectUpdate, UpstreamEnd, unconfirmed_until_ms,
 };
 use super::sync::MAX_ENTRIES_PER_UPDATE;
+use super::verdict::{Containment, NewQuarantine, QuarantineChanges, Refusal};
 use super::{Fingerprint, RequestIdentity, RunKey};
 use crate::hash::hash64;
 
@@ -25,7 +24,7 @@
 /// Time since its last termination for which a request is remembered, quarantined or not. A caller
 /// that repeats a harmful request every hour terminates three upstreams each time; a request whose
 /// cause was fixed in the meantime is refused no longer than this.
-const RETENTION_MS: i64 = 3_600_000;
+pub(super) const RETENTION_MS: i64 = 3_600_000;
 
 /// Observation of a request that was running at an upstream when it terminated.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,100 +37,6 @@
     pub completed_at_ms: Option<i64>,
 }
 
-/// A quarantine as kept in the store, for the case that all boxes lose their ledgers at once.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineRecord {
-    /// Fingerprint of the request or part.
-    pub fingerprint: Fingerprint,
-    /// What it is.
-    #[serde(default, skip_serializing_if = "SuspectKind::is_request")]
-    pub kind: SuspectKind,
-    /// Hashes of the upstreams that terminated while the request, or one with the part, was running there.
-    pub upstreams: Vec<u64>,
-    /// When the last of them terminated, in milliseconds since 1970 by the clock of the writer.
-    pub last_end_epoch_ms: u64,
-}
-
-impl QuarantineRecord {
-    /// Converts the record to a ledger entry. Wall-clock times may jump, so the age is limited to
-    /// half of the retention time.
-    fn to_update(&self, epoch_ms: u64) -> SuspectUpdate {
-        let ago_ms = epoch_ms.saturating_sub(self.last_end_epoch_ms);
-        let ago_ms = ago_ms.min(RETENTION_MS.unsigned_abs() / 2).cast_signed();
-        let end = |upstream: &u64| EndUpdate::from_store(*upstream, ago_ms);
-        SuspectUpdate {
-            fingerprint: self.fingerprint,
-            kind: self.kind,
-            completions: Vec::new(),
-            ends: self.upstreams.iter().map(end).collect(),
-            unconfirmed: Vec::new(),
-            is_transient: false,
-            cleared_ago_ms: None,
-            cleared_id: 0,
-            is_quarantined: true,
-        }
-    }
-}
-
-/// A request or part that is refused from now on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NewQuarantine {
-    /// Its fingerprint.
-    pub fingerprint: Fingerprint,
-    /// What it is.
-    pub kind: SuspectKind,
-    /// Number of terminations while it was running.
-    pub ends: usize,
-}
-
-/// Quarantines that a change of the ledger started or ended, and parts that it holds to few upstreams.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct QuarantineChanges {
-    /// Requests and parts refused from now on.
-    pub quarantined: Vec<NewQuarantine>,
-    /// Requests and parts served again.
-    pub released: Vec<Fingerprint>,
-    /// Whether a part was at one more termination and is not proven sound, so that other boxes should be told at once.
-    pub is_part_suspected: bool,
-}
-
-impl QuarantineChanges {
-    /// Whether no quarantine started or ended.
-    pub fn is_empty(&self) -> bool {
-        self.quarantined.is_empty() && self.released.is_empty()
-    }
-}
-
-/// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// Upstreams terminated under the request itself.
-    Request(Fingerprint),
-    /// Upstreams terminated under a part of its prompt.
-    Part {
-        /// Fingerprint of the part.
-        part: Fingerprint,
-        /// Time until a request with the part is let through to try it.
-        retry_in_ms: u64,
-    },
-}
-
-/// The upstreams to which a request may be sent while it is not known whether it terminated them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Containment {
-    /// Hashes of the upstreams to which its connections broke.
-    pub upstreams: Vec<u64>,
-    /// When the first of them no longer counts as a possible termination, by the clock of this box.
-    pub until_ms: i64,
-}
-
-impl Containment {
-    /// Whether the request may be sent to an upstream.
-    pub fn allows(&self, upstream_id: &str) -> bool {
-        self.upstreams.contains(&hash64(&[upstream_id.as_bytes()]))
-    }
-}
-
 /// Merged observations of requests and parts that were running at terminating upstreams.
 #[derive(Debug, Default)]
 pub struct Ledger {
--- a/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
+++ b/crates/ivyweir-policy/src/gateway/quarantine/suspect.rs
@@ -1,24 +1,24 @@
 //! What a box knows of one request, or of one shared part of prompts, during which upstreams terminated.
 
+mod part;
+mod update;
+
 use std::collections::HashSet;
 
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
-use super::completions::{Completion, CompletionUpdate, Completions};
+use super::completions::Completions;
 use super::runs::LOST_RUN_RETENTION_MS;
 use crate::hash::hash64;
 
+pub(super) use update::EndUpdate;
+pub use update::SuspectUpdate;
+
 /// Terminations after which a suspect is quarantined. A request at two terminations may have met a
 /// power cut and a spot reclaim. With a sixth of a pool lost at a time, one stream in 216 is
 /// calculated to meet three such losses in a row.
 pub(super) const QUARANTINE_ENDS: usize = 3;
-/// Answers that were completed on a part for which one termination more is needed to quarantine it. A part
-/// under which every other run terminates its upstream is quarantined after twice as many as one under
-/// which every run does.
-const COMPLETIONS_PER_END: usize = 3;
-/// The same for other upstreams that are running requests with the part.
-const RUNNING_PER_END: usize = 2;
 /// Limit of terminations remembered for a request; further ones add no information.
 const MAX_ENDS_PER_SUSPECT: usize = 32;
 /// Terminations closer to each other than this count as one, since they may be a single loss of
@@ -27,11 +27,6 @@
 /// the first had terminated, or where two different tries of a request that never completed were
 /// running.
 pub(super) const INDEPENDENT_END_GAP_MS: i64 = 100;
-/// Time after the last termination under a quarantined part in which no request with it is let through; it doubles with
-/// each such request under which another upstream terminates.
-const TRIAL_INTERVAL_MS: i64 = 30_000;
-/// Largest such time.
-const MAX_TRIAL_INTERVAL_MS: i64 = 1_800_000;
 /// Difference up to which two observations of the termination of an upstream are the same; ages are
 /// rounded when boxes exchange them.
 const SAME_END_TOLERANCE_MS: i64 = 50;
@@ -178,100 +173,12 @@
         self.kind
     }
 
-    /// Records the number of other upstreams at which this box was running a part when one terminated.
-    pub(super) fn set_running_elsewhere(&mut self, upstreams: usize) {
-        self.running_elsewhere = upstreams;
-    }
-
     /// Whether both were at the terminations of the same upstreams.
     pub(super) fn has_same_ends(&self, other: &Self) -> bool {
         let is_shared = |end: &UpstreamEnd| other.ends.iter().any(|o| o.upstream == end.upstream);
         self.ends.len() == other.ends.len() && self.ends.iter().all(is_shared)
     }
 
-    /// Number of terminations that suffice to quarantine it, if so many could be there by chance.
-    pub(super) fn needed_ends(&self, by_chance: usize) -> usize {
-        QUARANTINE_ENDS.max(by_chance)
-            + self.completions.len() / COMPLETIONS_PER_END
-            + self.running_elsewhere / RUNNING_PER_END
-    }
-
-    /// Whether no answer is known that was completed on a part.
-    pub(super) fn never_completed(&self) -> bool {
-        self.completions.len() == 0
-    }
-
-    /// Whether it is to be ruled out that a part was at its terminations by chance.
-    pub(super) fn may_be_there_by_chance(&self) -> bool {
-        self.kind == SuspectKind::Part && !self.is_quarantined_elsewhere
-    }
-
-    /// Records that this box quarantined a part. It remains so until answers complete on it, also where runs are
-    /// interrupted more often later.
-    pub(super) fn confirm(&mut self) {
-        self.is_quarantined_elsewhere |= self.kind == SuspectKind::Part;
-    }
-
-    /// Whether so few answers were completed on a part that it is held to few upstreams, if it was at
-    /// this number of terminations.
-    pub(super) fn is_unproven(&self, ends: usize) -> bool {
-        self.completions.len() + self.running_elsewhere < ends * COMPLETIONS_PER_END
-    }
-
-    /// Records a completion on a part; returns whether that changed the entry. Where as many as are
-    /// kept came after the last termination, further ones tell nothing.
-    pub(super) fn add_completion(&mut self, completion: Completion) -> bool {
-        let last_end_ms = self.ends.last().map(|end| end.at_ms);
-        let settled_until_ms = self.completions.settled_until_ms();
-        if settled_until_ms.is_some_and(|ms| last_end_ms.is_none_or(|end_ms| ms > end_ms)) {
-            return false;
-        }
-        self.completions.add(completion)
-    }
-
-    /// Whether a request is the one that was let through last, and nothing was lost since.
-    pub(super) fn is_on_trial(&self, request: Fingerprint) -> bool {
-        let last_ms = self
-            .ends
-            .iter()
-            .chain(&self.unconfirmed)
-            .map(|end| end.at_ms)
-            .max();
-        self.trial
-            .is_some_and(|(tried, at_ms)| tried == request && last_ms.is_none_or(|ms| ms < at_ms))
-    }
-
-    /// Lets a request through if the last termination is long ago, and so is the last such request or
-    /// an answer was completed since it. Returns whether it does.
-    pub(super) fn take_trial(&mut self, request: Fingerprint, now_ms: i64) -> bool {
-        if self.trial_due_in_ms(now_ms) > 0 {
-            return false;
-        }
-        let is_first = self.unanswered_trial_ms().is_none();
-        self.trials = if is_first { 1 } else { self.trials + 1 };
-        self.trial = Some((request, now_ms));
-        true
-    }
-
-    /// When the last request was let through, unless an answer was completed since.
-    fn unanswered_trial_ms(&self) -> Option<i64> {
-        let trial_ms = self.trial.map(|(_, at_ms)| at_ms)?;
-        (self.completions.last_ms() <= Some(trial_ms)).then_some(trial_ms)
-    }
-
-    /// Time until the next request is let through.
-    pub(super) fn trial_due_in_ms(&self, now_ms: i64) -> i64 {
-        let last_end_ms = self.ends.last().map(|end| end.at_ms);
-        let trial_ms = self.unanswered_trial_ms();
-        let interval_ms = match trial_ms {
-            Some(_) => TRIAL_INTERVAL_MS << self.trials.min(16),
-            None => TRIAL_INTERVAL_MS,
-        };
-        let interval_ms = interval_ms.min(MAX_TRIAL_INTERVAL_MS);
-        let last_ms = last_end_ms.max(trial_ms);
-        last_ms.map_or(0, |ms| (ms + interval_ms - now_ms).max(0))
-    }
-
     /// Terminations since the request last completed, in order.
     pub(super) fn ends(&self) -> &[UpstreamEnd] {
         &self.ends
@@ -424,68 +331,6 @@
         times_ms
     }
 
-    /// Builds the entry as sent to another box.
-    pub(super) fn to_update(
-        &self,
-        fingerprint: Fingerprint,
-        is_quarantined: bool,
-        now_ms: i64,
-    ) -> SuspectUpdate {
-        let to_update = |end: &UpstreamEnd| EndUpdate::of(end, now_ms);
-        let completions = self.completions.iter();
-        SuspectUpdate {
-            fingerprint,
-            kind: self.kind,
-            completions: completions
-                .map(|completion| CompletionUpdate::of(completion, now_ms))
-                .collect(),
-            ends: self.ends.iter().map(to_update).collect(),
-            unconfirmed: self.unconfirmed(now_ms).map(to_update).collect(),
-            is_transient: !self.has_had_ends,
-            cleared_ago_ms: self.cleared.map(|known| now_ms - known.at_ms),
-            cleared_id: self.cleared.map_or(0, |known| known.id),
-            is_quarantined,
-        }
-    }
-
-    /// Merges a received entry; returns whether that changed this one.
-    pub(super) fn merge(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
-        self.has_had_ends |= !update.is_transient;
-        let mut is_changed = self.merge_clearance(update, now_ms);
-        for completion in &update.completions {
-            is_changed |= self.completions.add(completion.resolve(now_ms));
-        }
-        for end in &update.ends {
-            is_changed |= self.add_end(end.resolve(now_ms));
-        }
-        for end in &update.unconfirmed {
-            is_changed |= self.add_unconfirmed(end.resolve(now_ms));
-        }
-        let is_newly_quarantined =
-            update.is_quarantined && !self.is_quarantined_elsewhere && !self.ends.is_empty();
-        self.is_quarantined_elsewhere |= is_newly_quarantined;
-        is_changed | is_newly_quarantined
-    }
-
-    /// Applies the clearance of a received entry; returns whether it replaced the known one.
-    fn merge_clearance(&mut self, update: &SuspectUpdate, now_ms: i64) -> bool {
-        let Some(ago_ms) = update.cleared_ago_ms else {
-            return false;
-        };
-        let mut told = Clearance {
-            at_ms: now_ms.saturating_sub(ago_ms),
-            id: update.cleared_id,
-        };
-        if let Some(known) = self.cleared {
-            if !told.replaces(&known) {
-                return false;
-            }
-            told.at_ms = told.at_ms.max(known.at_ms);
-        }
-        self.set_cleared(told);
-        true
-    }
-
     pub(super) fn last_ms(&self) -> i64 {
         let ends = self.ends.iter().chain(&self.unconfirmed);
         let last_end_ms = ends.map(|end| end.at_ms).max();
@@ -499,87 +344,3 @@
 pub(super) fn unconfirmed_until_ms(end: &UpstreamEnd) -> i64 {
     end.at_ms + LOST_RUN_RETENTION_MS.cast_signed()
 }
-
-/// Termination of an upstream as sent to another box. Clocks of boxes differ, so times are sent as
-/// ages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndUpdate {
-    /// Hash of the upstream's incarnation.
-    #[serde(rename = "u")]
-    upstream: u64,
-    /// Hash of the id of the interrupted try.
-    #[serde(rename = "t")]
-    try_hash: u32,
-    /// Time since the termination, in milliseconds.
-    #[serde(rename = "ago")]
-    ago_ms: i64,
-    /// Time for which the request had been at the upstream, in milliseconds.
-    #[serde(rename = "ran")]
-    ran_ms: i64,
-}
-
-impl EndUpdate {
-    /// Builds the entry of a record in the store, which keeps no more of a termination.
-    pub(super) fn from_store(upstream: u64, ago_ms: i64) -> Self {
-        Self {
-            upstream,
-            try_hash: 0,
-            ago_ms,
-            ran_ms: 0,
-        }
-    }
-
-    fn of(end: &UpstreamEnd, now_ms: i64) -> Self {
-        Self {
-            upstream: end.upstream,
-            try_hash: end.try_hash,
-            ago_ms: now_ms - end.at_ms,
-            ran_ms: end.at_ms - end.began_at_ms,
-        }
-    }
-
-    /// Converts the ages to times of the clock of this box.
-    fn resolve(&self, now_ms: i64) -> UpstreamEnd {
-        let at_ms = now_ms.saturating_sub(self.ago_ms);
-        UpstreamEnd {
-            upstream: self.upstream,
-            try_hash: self.try_hash,
-            began_at_ms: at_ms.saturating_sub(self.ran_ms),
-            at_ms,
-        }
-    }
-}
-
-/// Entry of the ledger as sent to another box.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectUpdate {
-    /// Fingerprint of the request or part.
-    pub fingerprint: Fingerprint,
-    /// What it is.
-    #[serde(default, skip_serializing_if = "SuspectKind::is_request")]
-    pub kind: SuspectKind,
-    /// The last answers that were completed on a part.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub completions: Vec<CompletionUpdate>,
-    /// Terminations since the request last completed.
-    pub ends: Vec<EndUpdate>,
-    /// Broken connections to upstreams that are not known to have terminated.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub unconfirmed: Vec<EndUpdate>,
-    /// Whether the sending box knows of no termination, before the last completion or after it.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_transient: bool,
-    /// Time since the request last completed, in milliseconds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cleared_ago_ms: Option<i64>,
-    /// Identifies the completion; 0 where it is unknown.
-    #[serde(default, skip_serializing_if = "is_zero")]
-    pub cleared_id: u32,
-    /// Whether the sending box refuses the request.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_quarantined: bool,
-}
-
-fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
