--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -25,8 +25,8 @@
 const QUEUE: u64 = 4;
 const WORK: Duration = Duration::from_millis(30);
 const CLIENTS_PER_BOX: usize = 14;
-const LASTS: Duration = Duration::from_secs(25);
-/// One answer in so many of the faulty server is followed by a surplus one, at most.
+const LASTS: Duration = Duration::from_secs(45);
+/// One answer in so many of the faulty server, of whatever status, is followed by a surplus one.
 const ANSWERS_PER_SURPLUS: u64 = 50;
 
 /// What all servers did.
@@ -35,6 +35,7 @@
     /// The servers that ran each request.
     runs: Mutex<HashMap<String, Vec<String>>>,
     surplus: AtomicU64,
+    surplus_refusals: AtomicU64,
     answers: AtomicU64,
     refusals: AtomicU64,
 }
@@ -44,7 +45,6 @@
     id: String,
     is_faulty: bool,
     answers: AtomicU64,
-    surplus: AtomicU64,
     /// Requests that run, and that wait.
     load: Mutex<(u64, u64)>,
     freed: Condvar,
@@ -77,13 +77,6 @@
         let load = self.load.lock().expect("no holder panics");
         format!("{},{},{SLOTS}", load.0, load.1)
     }
-
-    /// Whether the answer that was just given is followed by a surplus one.
-    fn takes_surplus(&self) -> bool {
-        let answers = self.answers.load(Ordering::SeqCst);
-        let surplus = self.surplus.load(Ordering::SeqCst);
-        self.is_faulty && (surplus + 1) * ANSWERS_PER_SURPLUS <= answers
-    }
 }
 
 fn serve(world: &World, server: &Server, stream: TcpStream) {
@@ -97,21 +90,35 @@
         if read_body(&mut reader, &mut request, false).is_err() {
             return;
         }
-        let id = request.header("x-ivyweir-request-id").unwrap_or("").to_owned();
+        let id = request
+            .header("x-ivyweir-request-id")
+            .unwrap_or("")
+            .to_owned();
         if let Some((of, text)) = late.take() {
+            let status = text.split(' ').nth(1).unwrap_or("");
             world.record.line(format!(
-                "server {} writes its surplus answer to {of} (503, not run) where the answer to {id} is due",
+                "server {} writes its surplus answer to {of} ({status}) where the answer to {id} is due",
                 server.id
             ));
+            world.surplus.fetch_add(1, Ordering::SeqCst);
+            if status == "503" {
+                world.surplus_refusals.fetch_add(1, Ordering::SeqCst);
+            }
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
             }
         }
         let load = server.load_header();
-        let load = [("X-Ivyweir-Request-Id", id.as_str()), ("X-Ivyweir-Server-Load", &load)];
+        let load = [
+            ("X-Ivyweir-Request-Id", id.as_str()),
+            ("X-Ivyweir-Server-Load", &load),
+        ];
         if request.word(1) == "/health" {
             let headers = [("X-Ivyweir-Instance-Id", server.id.as_str())];
-            if writer.write_all(answer("200 OK", &headers, "").as_bytes()).is_err() {
+            if writer
+                .write_all(answer("200 OK", &headers, "").as_bytes())
+                .is_err()
+            {
                 return;
             }
             continue;
@@ -124,7 +131,7 @@
             }
             continue;
         }
-        server.answers.fetch_add(1, Ordering::SeqCst);
+        let number = server.answers.fetch_add(1, Ordering::SeqCst) + 1;
         world.answers.fetch_add(1, Ordering::SeqCst);
         let text = if server.admit() {
             world.record.line(format!("server {} runs {id}", server.id));
@@ -137,35 +144,39 @@
                 .push(server.id.clone());
             thread::sleep(WORK);
             server.release();
-            let headers = [load[0], load[1], ("X-Ivyweir-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")];
+            let headers = [
+                load[0],
+                load[1],
+                ("X-Ivyweir-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1"),
+            ];
             answer("200 OK", &headers, &format!("activated by {id}"))
         } else {
             world.refusals.fetch_add(1, Ordering::SeqCst);
-            world.record.line(format!("server {} is full and refuses {id}", server.id));
+            world
+                .record
+                .line(format!("server {} is full and refuses {id}", server.id));
             let headers = [load[0], load[1], ("X-Ivyweir-Not-Run", "1")];
-            let text = answer("503 Service Unavailable", &headers, "");
-            if server.takes_surplus() {
-                server.surplus.fetch_add(1, Ordering::SeqCst);
-                late = Some((id.clone(), text.clone()));
-            }
-            text
+            answer("503 Service Unavailable", &headers, "")
         };
         if writer.write_all(text.as_bytes()).is_err() {
             return;
         }
-        if late.is_some() {
-            world.surplus.fetch_add(1, Ordering::SeqCst);
+        if server.is_faulty && number % ANSWERS_PER_SURPLUS == 0 {
+            late = Some((id, text));
         }
     }
 }
 
-fn start_server(world: &Arc<World>, number: usize, is_faulty: bool) -> std::io::Result<(String, SocketAddr)> {
+fn start_server(
+    world: &Arc<World>,
+    number: usize,
+    is_faulty: bool,
+) -> std::io::Result<(String, SocketAddr)> {
     let id = format!("i-server-{number}");
     let server = Arc::new(Server {
         id: id.clone(),
         is_faulty,
         answers: AtomicU64::new(0),
-        surplus: AtomicU64::new(0),
         load: Mutex::default(),
         freed: Condvar::new(),
     });
@@ -204,7 +215,9 @@
         world.record.line(format!("requester sends {id}"));
         match open.call(&request) {
             Ok(answer) => {
-                world.record.line(format!("requester gets {} for {id}", answer.status()));
+                world
+                    .record
+                    .line(format!("requester gets {} for {id}", answer.status()));
                 let mut statuses = seen.statuses.lock().expect("no holder panics");
                 statuses.insert(id, answer.status());
                 drop(statuses);
@@ -217,7 +230,9 @@
                     channel = Some(open);
                 }
             }
-            Err(e) => world.record.line(format!("requester gets no answer for {id}: {e}")),
+            Err(e) => world
+                .record
+                .line(format!("requester gets no answer for {id}: {e}")),
         }
         thread::sleep(Duration::from_millis(5));
     }
@@ -228,11 +243,15 @@
 fn run(record: &Path) -> std::io::Result<ExitCode> {
     let record = Record::create(record)?;
     let trouble = has_trouble();
-    record.say(format!("surplus answers: {}", if trouble { "yes" } else { "no" }));
+    record.say(format!(
+        "surplus answers: {}",
+        if trouble { "yes" } else { "no" }
+    ));
     let world = Arc::new(World {
         record: record.clone(),
         runs: Mutex::default(),
         surplus: AtomicU64::new(0),
+        surplus_refusals: AtomicU64::new(0),
         answers: AtomicU64::new(0),
         refusals: AtomicU64::new(0),
     });
@@ -251,7 +270,14 @@
     let mut boxes = Vec::new();
     for (number, hall) in HALLS.iter().enumerate() {
         let name = format!("front-{hall}-1");
-        boxes.push(RunningBox::start(&folder.0, &name, hall, addrs[number], &seeds, store.addr)?);
+        boxes.push(RunningBox::start(
+            &folder.0,
+            &name,
+            hall,
+            addrs[number],
+            &seeds,
+            store.addr,
+        )?);
     }
     if !boxes.iter().all(RunningBox::wait_ready) {
         record.say("a box did not become ready");
@@ -264,7 +290,9 @@
         for number in 0..CLIENTS_PER_BOX {
             let (end, world, seen) = (end.clone(), world.clone(), seen.clone());
             let (addr, name) = (running.caller_addr, format!("r{at}{number:02}"));
-            requesters.push(thread::spawn(move || request_until(&end, addr, &name, &world, &seen)));
+            requesters.push(thread::spawn(move || {
+                request_until(&end, addr, &name, &world, &seen)
+            }));
         }
     }
     let deadline = Instant::now() + LASTS;
@@ -278,18 +306,22 @@
     thread::sleep(Duration::from_millis(300));
     let runs = world.runs.lock().expect("no holder panics");
     let statuses = seen.statuses.lock().expect("no holder panics");
-    let twice: Vec<_> = runs.iter().filter(|(_, servers)| servers.len() > 1).collect();
+    let twice: Vec<_> = runs
+        .iter()
+        .filter(|(_, servers)| servers.len() > 1)
+        .collect();
     let denied: Vec<_> = runs
         .keys()
         .filter(|id| matches!(statuses.get(*id), Some(408 | 421 | 429 | 503)))
         .collect();
     let served = statuses.values().filter(|status| **status == 200).count();
     record.say(format!(
-        "{} requests answered, {served} with 200; servers answered {}, refused {}, wrote {} surplus answers",
+        "{} requests answered, {served} with 200; servers answered {}, refused {}, wrote {} surplus answers, {} of them refusals",
         statuses.len(),
         world.answers.load(Ordering::SeqCst),
         world.refusals.load(Ordering::SeqCst),
         world.surplus.load(Ordering::SeqCst),
+        world.surplus_refusals.load(Ordering::SeqCst),
     ));
     for (id, servers) in &twice {
         record.say(format!("TWICE: {id} ran at {}", servers.join(" and ")));
@@ -300,8 +332,14 @@
     if served == 0 {
         return Ok(ExitCode::from(2));
     }
-    record.say(format!("{} ran twice, {} were denied though they ran", twice.len(), denied.len()));
-    Ok(ExitCode::from(u8::from(!twice.is_empty() || !denied.is_empty())))
+    record.say(format!(
+        "{} ran twice, {} were denied though they ran",
+        twice.len(),
+        denied.len()
+    ));
+    Ok(ExitCode::from(u8::from(
+        !twice.is_empty() || !denied.is_empty(),
+    )))
 }
 
 fn main() -> ExitCode {
--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -2,6 +2,7 @@
 //!
 //! `case2 RECORD`; exits with 1 if a requester got a stream that was ended as complete ahead of its last event.
 //! `case2 server ID UNFRAMED` is a server of its own process; it prints its address and then what it runs.
+//! `case2 RECORD drain` empties half of the servers and takes them away instead.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -69,20 +70,33 @@
         if read_body(&mut reader, &mut request, false).is_err() {
             return;
         }
-        let of = request.header("x-ivyweir-request-id").unwrap_or("").to_owned();
+        let of = request
+            .header("x-ivyweir-request-id")
+            .unwrap_or("")
+            .to_owned();
         let now = running.load(Ordering::SeqCst);
         let text = if request.word(1) == "/api/report" {
             let body = format!(
                 r#"{{"stage":"unified","models":[{{"name":"m0","version":1,"adapters":[]}}],"busy":false,"seq":2,"waiting":0,"running":{now},"kvUsed":41000,"kvTotal":655142,"handles":0}}"#
             );
-            Some(answer("200 OK", &[("Content-Type", "application/json")], &body))
+            Some(answer(
+                "200 OK",
+                &[("Content-Type", "application/json")],
+                &body,
+            ))
         } else if request.word(1) == "/health" {
             Some(answer("200 OK", &[("X-Ivyweir-Instance-Id", id)], ""))
         } else if request.header("x-ivyweir-expect-instance") != Some(id) {
-            let headers = [("X-Ivyweir-Request-Id", of.as_str()), ("X-Ivyweir-Instance-Id", id)];
+            let headers = [
+                ("X-Ivyweir-Request-Id", of.as_str()),
+                ("X-Ivyweir-Instance-Id", id),
+            ];
             Some(answer("421 Misdirected Request", &headers, ""))
         } else if now >= SLOTS {
-            let headers = [("X-Ivyweir-Request-Id", of.as_str()), ("X-Ivyweir-Not-Run", "1")];
+            let headers = [
+                ("X-Ivyweir-Request-Id", of.as_str()),
+                ("X-Ivyweir-Not-Run", "1"),
+            ];
             Some(answer("503 Service Unavailable", &headers, ""))
         } else {
             None
@@ -99,7 +113,11 @@
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
-        let framing = if is_unframed { "without a length" } else { "in chunks" };
+        let framing = if is_unframed {
+            "without a length"
+        } else {
+            "in chunks"
+        };
         say(out, &format!("runs {of} behind event {first}, {framing}"));
         running.fetch_add(1, Ordering::SeqCst);
         let sent = stream_events(&mut writer, &of, first, is_unframed, running);
@@ -210,7 +228,11 @@
         );
         record.line(format!("requester sends {id}"));
         match read_stream(addr, &request) {
-            Ok(Stream { status: 200, ids, is_complete }) => {
+            Ok(Stream {
+                status: 200,
+                ids,
+                is_complete,
+            }) => {
                 let last = ids.last().copied().unwrap_or(0);
                 record.line(format!(
                     "requester gets {} events of {id}, ended as {}",
@@ -223,7 +245,10 @@
                 if !is_complete {
                     seen.broken.fetch_add(1, Ordering::SeqCst);
                 } else if last < EVENTS {
-                    seen.short.lock().expect("no holder panics").push((id, last));
+                    seen.short
+                        .lock()
+                        .expect("no holder panics")
+                        .push((id, last));
                 } else {
                     seen.whole.fetch_add(1, Ordering::SeqCst);
                 }
@@ -257,7 +282,9 @@
     let mut head = read_head(&mut reader)?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
     let is_complete = read_body(&mut reader, &mut head, false).is_ok();
     let text = head.text();
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    let ids = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
     Ok(Stream {
         status: head.status(),
         ids: ids.collect(),
@@ -268,25 +295,97 @@
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"explain","host":"mls.example","pathPrefix":"/explain/","kind":"streaming","timeoutMs":25000,"targetLatencyMs":1500,"priority":0,"service":"ivyweir-pool","maxAttempts":3,"allowAnonymous":false,"sessionAffinity":true,"streamResume":true,"gapAimMs":1000}],"services":[{"name":"ivyweir-pool","healthPath":"/health","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvTokens":655142,"kvTokenBytes":163840,"linkMbps":740000.0,"moves":true,"backups":true,"stride":5,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m0","cost":0.021}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"shop","apiKeys":["key-of-shop"],"priority":1}]}"#;
 
 fn register(store: &Store, server: &ServerProcess, number: usize, version: &str) {
+    register_as(store, server, number, version, "ready");
+}
+
+fn register_as(store: &Store, server: &ServerProcess, number: usize, version: &str, state: &str) {
     let spec = format!(
-        r#"{{"service":"{SERVICE}","address":"{}","zone":"{}","version":"{version}","slots":{SLOTS},"state":"ready","coldRemainingMs":0,"stage":"unified","models":[{{"name":"m0","version":1,"adapters":[]}}],"seq":4}}"#,
+        r#"{{"service":"{SERVICE}","address":"{}","zone":"{}","version":"{version}","slots":{SLOTS},"state":"{state}","coldRemainingMs":0,"stage":"unified","models":[{{"name":"m0","version":1,"adapters":[]}}],"seq":4}}"#,
         server.addr,
         HALLS[number % HALLS.len()]
     );
     store.put("servers", &server.id, &spec);
 }
 
-fn run(record: &Path) -> std::io::Result<ExitCode> {
+/// Time for which a server that says `draining` serves on: `drainMs` and a little longer.
+const DRAIN: Duration = Duration::from_millis(2_300);
+
+/// Empties every other server and takes it away.
+fn drain_half(store: &Store, servers: &mut [ServerProcess], record: &Record) {
+    let leaving = || (0..SERVERS).step_by(2);
+    for number in leaving() {
+        register_as(store, &servers[number], number, "v1", "draining");
+    }
+    record.say("half of the servers say that they are draining");
+    thread::sleep(DRAIN);
+    for number in leaving() {
+        servers[number].stop();
+        store.remove("servers", &servers[number].id);
+    }
+    record.say("they have ended");
+}
+
+/// Rolls v2 out, and stops the old servers when that is completed; returns whether it was.
+fn roll_out(
+    store: &Store,
+    old: &mut [ServerProcess],
+    new: &mut Vec<ServerProcess>,
+    trouble: bool,
+    record: &Record,
+) -> std::io::Result<bool> {
+    // The servers of the new version are started alongside the old ones.
+    for number in 0..SERVERS {
+        new.push(start_server("v2", number, trouble, record)?);
+        register(store, &new[number], number, "v2");
+    }
+    let order =
+        format!(r#"{{"service":"{SERVICE}","targetVersion":"v2","durationS":{ROLLOUT_S}}}"#);
+    store.put("rollouts", SERVICE, &order);
+    record.say("the roll-out of v2 is ordered");
+    let began = Instant::now();
+    let is_completed = wait_for(Duration::from_secs(ROLLOUT_S + 8), || {
+        let status = store.status("rollouts", SERVICE);
+        status.is_some_and(|status| status.contains("completed"))
+    });
+    record.say(format!(
+        "the roll-out is {} after {} ms; the old servers stop",
+        if is_completed {
+            "completed"
+        } else {
+            "not completed"
+        },
+        began.elapsed().as_millis()
+    ));
+    for server in &mut *old {
+        server.stop();
+    }
+    record.line("the old servers have stopped");
+    for server in old {
+        store.remove("servers", &server.id);
+    }
+    Ok(is_completed)
+}
+
+fn start_server(
+    version: &str,
+    number: usize,
+    trouble: bool,
+    record: &Record,
+) -> std::io::Result<ServerProcess> {
+    let id = format!("i-{version}-{number}");
+    ServerProcess::start(&id, trouble && number % 2 == 0, record)
+}
+
+fn run(record: &Path, drains: bool) -> std::io::Result<ExitCode> {
     let record = Record::create(record)?;
     let trouble = has_trouble();
-    record.say(format!("answers without a length: {}", if trouble { "yes" } else { "no" }));
+    record.say(format!(
+        "answers without a length: {}",
+        if trouble { "yes" } else { "no" }
+    ));
     let store = Store::start()?;
     store.put("config", "main", CONFIG);
-    let start = |version: &str, number: usize| {
-        let id = format!("i-{version}-{number}");
-        ServerProcess::start(&id, trouble && number % 2 == 0, &record)
-    };
-    let old = (0..SERVERS).map(|number| start("v1", number));
+    let old = (0..SERVERS).map(|number| start_server("v1", number, trouble, &record));
     let mut old = old.collect::<Result<Vec<_>, _>>()?;
     for (number, server) in old.iter().enumerate() {
         register(&store, server, number, "v1");
@@ -297,7 +396,14 @@
     let mut boxes = Vec::new();
     for (number, hall) in HALLS.iter().enumerate() {
         let name = format!("front-{hall}-1");
-        boxes.push(RunningBox::start(&folder.0, &name, hall, addrs[number], &seeds, store.addr)?);
+        boxes.push(RunningBox::start(
+            &folder.0,
+            &name,
+            hall,
+            addrs[number],
+            &seeds,
+            store.addr,
+        )?);
     }
     if !boxes.iter().all(RunningBox::wait_ready) {
         record.say("a box did not become ready");
@@ -318,32 +424,13 @@
         }
     }
     thread::sleep(WARM_UP);
-    // The servers of the new version are started alongside the old ones, and the roll-out is ordered.
-    let new = (0..SERVERS).map(|number| start("v2", number));
-    let new = new.collect::<Result<Vec<_>, _>>()?;
-    for (number, server) in new.iter().enumerate() {
-        register(&store, server, number, "v2");
-    }
-    let order = format!(r#"{{"service":"{SERVICE}","targetVersion":"v2","durationS":{ROLLOUT_S}}}"#);
-    store.put("rollouts", SERVICE, &order);
-    record.say("the roll-out of v2 is ordered");
-    let began = Instant::now();
-    let is_completed = wait_for(Duration::from_secs(ROLLOUT_S + 8), || {
-        let status = store.status("rollouts", SERVICE);
-        status.is_some_and(|status| status.contains("completed"))
-    });
-    record.say(format!(
-        "the roll-out is {} after {} ms; the old servers stop",
-        if is_completed { "completed" } else { "not completed" },
-        began.elapsed().as_millis()
-    ));
-    for server in &mut old {
-        server.stop();
-    }
-    record.line("the old servers have stopped");
-    for server in &old {
-        store.remove("servers", &server.id);
-    }
+    let mut new = Vec::new();
+    let is_done = if drains {
+        drain_half(&store, &mut old, &record);
+        true
+    } else {
+        roll_out(&store, &mut old, &mut new, trouble, &record)?
+    };
     thread::sleep(AFTER);
     end.store(true, Ordering::SeqCst);
     for requester in requesters {
@@ -352,7 +439,9 @@
     let short = seen.short.lock().expect("no holder panics");
     let torn = seen.torn.lock().expect("no holder panics");
     for (id, events) in short.iter() {
-        record.say(format!("ORDER: {id} was ended as complete behind event {events} of {EVENTS}"));
+        record.say(format!(
+            "ORDER: {id} was ended as complete behind event {events} of {EVENTS}"
+        ));
     }
     for id in torn.iter() {
         record.say(format!("ORDER: an event of {id} is absent or came twice"));
@@ -365,10 +454,12 @@
         short.len(),
         torn.len()
     ));
-    if !is_completed || seen.whole.load(Ordering::SeqCst) == 0 {
+    if !is_done || seen.whole.load(Ordering::SeqCst) == 0 {
         return Ok(ExitCode::from(2));
     }
-    Ok(ExitCode::from(u8::from(!short.is_empty() || !torn.is_empty())))
+    Ok(ExitCode::from(u8::from(
+        !short.is_empty() || !torn.is_empty(),
+    )))
 }
 
 fn main() -> ExitCode {
@@ -380,7 +471,8 @@
         return ExitCode::SUCCESS;
     }
     let record = args.get(1).map_or("record.txt", String::as_str);
-    run(Path::new(record)).unwrap_or_else(|e| {
+    let drains = args.get(2).is_some_and(|mode| mode == "drain");
+    run(Path::new(record), drains).unwrap_or_else(|e| {
         eprintln!("the case could not run: {e}");
         ExitCode::from(2)
     })
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -64,7 +64,9 @@
             "POST /activate/{id} HTTP/1.1\r\nHost: mls.example\r\nX-Ivyweir-Request-Id: {id}\r\nX-Ivyweir-Deadline-Ms: 1500\r\nAuthorization: Bearer key-of-shop\r\nContent-Length: 4\r\n\r\nbody"
         );
         let is_kept = channel.is_some();
-        let open = channel.take().map_or_else(|| Channel::open(addr, Duration::from_secs(4)), Ok);
+        let open = channel
+            .take()
+            .map_or_else(|| Channel::open(addr, Duration::from_secs(4)), Ok);
         let Ok(mut open) = open else {
             thread::sleep(Duration::from_millis(50));
             continue;
@@ -81,7 +83,9 @@
                 }
             }
             Err(e) => {
-                record.line(format!("requester gets no answer for {id}, kept channel {is_kept}: {e}"));
+                record.line(format!(
+                    "requester gets no answer for {id}, kept channel {is_kept}: {e}"
+                ));
                 if is_kept {
                     seen.cut.lock().expect("no holder panics").insert(id);
                 }
@@ -113,7 +117,10 @@
 fn run(record: &Path) -> std::io::Result<ExitCode> {
     let record = Record::create(record)?;
     let trouble = has_trouble();
-    record.say(format!("storms of changes: {}", if trouble { "yes" } else { "no" }));
+    record.say(format!(
+        "storms of changes: {}",
+        if trouble { "yes" } else { "no" }
+    ));
     let runs = Runs::default();
     let store = Store::start()?;
     let version = Arc::new(AtomicU64::new(1));
@@ -142,7 +149,11 @@
     for strike in 1..=BIG_CONFIGS {
         let next = version.fetch_add(2, Ordering::SeqCst) + 2;
         let text = config(next, BIG_CONFIG_ROUTES * strike);
-        record.line(format!("the configuration has {} routes, {} bytes", BIG_CONFIG_ROUTES * strike + 1, text.len()));
+        record.line(format!(
+            "the configuration has {} routes, {} bytes",
+            BIG_CONFIG_ROUTES * strike + 1,
+            text.len()
+        ));
         store.put("config", "main", &text);
         thread::sleep(BIG_CONFIG_GAP);
     }
@@ -153,12 +164,17 @@
         for number in 0..CLIENTS_PER_BOX {
             let (end, record, seen) = (end.clone(), record.clone(), seen.clone());
             let (addr, name) = (running.caller_addr, format!("r{at}{number:02}"));
-            threads.push(thread::spawn(move || request_until(&end, addr, &name, &record, &seen)));
+            threads.push(thread::spawn(move || {
+                request_until(&end, addr, &name, &record, &seen)
+            }));
         }
     }
     if trouble {
-        let (store, record, end, version) = (store.clone(), record.clone(), end.clone(), version.clone());
-        threads.push(thread::spawn(move || operate(&store, &record, &end, &version)));
+        let (store, record, end, version) =
+            (store.clone(), record.clone(), end.clone(), version.clone());
+        threads.push(thread::spawn(move || {
+            operate(&store, &record, &end, &version)
+        }));
     }
     let began = Instant::now();
     let mut over = 0;
@@ -171,11 +187,20 @@
             let memory_kb = boxes[number].memory_kb();
             most_kb = most_kb.max(memory_kb);
             if second > reported {
-                record.say(format!("{} needs {} MB at version {}", boxes[number].name, memory_kb / 1_024, version.load(Ordering::SeqCst)));
+                record.say(format!(
+                    "{} needs {} MB at version {}",
+                    boxes[number].name,
+                    memory_kb / 1_024,
+                    version.load(Ordering::SeqCst)
+                ));
             }
             if memory_kb > MACHINE_MEMORY_KB {
                 over += 1;
-                record.say(format!("{} needs {} MB: the platform kills it", boxes[number].name, memory_kb / 1_024));
+                record.say(format!(
+                    "{} needs {} MB: the platform kills it",
+                    boxes[number].name,
+                    memory_kb / 1_024
+                ));
                 boxes[number].kill();
                 thread::sleep(Duration::from_millis(300));
                 boxes[number] = start(number)?;
--- a/review/standins/src/boxes.rs
+++ b/review/standins/src/boxes.rs
@@ -58,7 +58,13 @@
 }
 
 /// The settings that the deploy file's template gives on the machines of `sites/mls-ivyweir.toml`.
-fn settings(name: &str, hall: &str, addrs: Addrs, seeds: &[SocketAddr], store: SocketAddr) -> String {
+fn settings(
+    name: &str,
+    hall: &str,
+    addrs: Addrs,
+    seeds: &[SocketAddr],
+    store: SocketAddr,
+) -> String {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
         r#"{{
@@ -128,7 +134,9 @@
     /// Sends a signal by its name.
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        let _sent = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        let _sent = Command::new("kill")
+            .args([&format!("-{signal}"), &pid])
+            .status();
     }
 
     /// Whether the process still runs.
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -63,11 +63,7 @@
 }
 
 /// Reads the body of a message that has a length or chunks; `to_end` if it may end with its connection.
-pub fn read_body(
-    stream: &mut impl BufRead,
-    message: &mut Message,
-    to_end: bool,
-) -> io::Result<()> {
+pub fn read_body(stream: &mut impl BufRead, message: &mut Message, to_end: bool) -> io::Result<()> {
     let is_chunked = message
         .header("transfer-encoding")
         .is_some_and(|value| value.contains("chunked"));
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -93,11 +93,7 @@
 
 impl Reader<'_> {
     fn blanks(&mut self) {
-        while self
-            .bytes
-            .get(self.at)
-            .is_some_and(u8::is_ascii_whitespace)
-        {
+        while self.bytes.get(self.at).is_some_and(u8::is_ascii_whitespace) {
             self.at += 1;
         }
     }
--- a/review/standins/src/plain.rs
+++ b/review/standins/src/plain.rs
@@ -14,7 +14,12 @@
 pub type Runs = Arc<Mutex<HashMap<String, Vec<String>>>>;
 
 /// Starts a server; returns its address.
-pub fn start(id: &str, work: Duration, runs: &Runs, record: &Record) -> std::io::Result<SocketAddr> {
+pub fn start(
+    id: &str,
+    work: Duration,
+    runs: &Runs,
+    record: &Record,
+) -> std::io::Result<SocketAddr> {
     let (id, runs, record) = (id.to_owned(), runs.clone(), record.clone());
     listen(move |stream| serve(&id, work, &runs, &record, stream))
 }
@@ -28,11 +33,17 @@
         if read_body(&mut reader, &mut request, false).is_err() {
             return;
         }
-        let of = request.header("x-ivyweir-request-id").unwrap_or("").to_owned();
+        let of = request
+            .header("x-ivyweir-request-id")
+            .unwrap_or("")
+            .to_owned();
         let text = if request.word(1) == "/health" {
             answer("200 OK", &[("X-Ivyweir-Instance-Id", id)], "")
         } else if request.header("x-ivyweir-expect-instance") != Some(id) {
-            let headers = [("X-Ivyweir-Request-Id", of.as_str()), ("X-Ivyweir-Instance-Id", id)];
+            let headers = [
+                ("X-Ivyweir-Request-Id", of.as_str()),
+                ("X-Ivyweir-Instance-Id", id),
+            ];
             answer("421 Misdirected Request", &headers, "")
         } else {
             record.line(format!("server {id} runs {of}"));
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -138,7 +138,9 @@
 
 fn field<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-    fields.find(|(known, _)| *known == name).map(|(_, value)| value)
+    fields
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
 }
 
 const OK: &str = "200 OK";
@@ -237,7 +239,9 @@
     let state = shared.0.lock().expect("no holder panics");
     let objects = state.objects.iter().filter(|((known, _), _)| known == kind);
     let objects = objects.filter(|((_, name), _)| after.is_none_or(|after| name.as_str() > after));
-    let items: Vec<String> = objects.map(|((_, name), object)| object.text(name)).collect();
+    let items: Vec<String> = objects
+        .map(|((_, name), object)| object.text(name))
+        .collect();
     format!(
         "{{\"items\":[{}],\"truncated\":false,\"currentRev\":{}}}",
         items.join(","),
@@ -261,6 +265,10 @@
                 state.revision
             );
         }
-        state = shared.1.wait_timeout(state, left).expect("no holder panics").0;
+        state = shared
+            .1
+            .wait_timeout(state, left)
+            .expect("no holder panics")
+            .0;
     }
 }
