--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -1,8 +1,10 @@
 //! A roll-out whose old servers stop when it is completed, while they send answers that carry no length.
 //!
 //! `case2 RECORD`; exits with 1 if a requester got a stream that was ended as complete ahead of its last event.
-//! `case2 server ID UNFRAMED` is a server of its own process; it prints its address and then what it runs.
-//! `case2 RECORD drain` empties half of the servers and takes them away instead.
+//! `case2 server ID N` is a server of its own process; it sends every Nth answer without a length (none if N is 0), and
+//! prints its address and then what it runs.
+//! `case2 RECORD drain` empties half of the servers and takes them away instead; with `crash` they crash. A number behind
+//! that replaces the N of half of the servers.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -34,13 +36,20 @@
 const AFTER: Duration = Duration::from_secs(6);
 
 /// Runs a server until the process is killed.
-fn run_server(id: String, has_unframed: bool) {
+fn run_server(id: String, unframed_every: u64) {
     let answers = Arc::new(AtomicU64::new(0));
     let running = Arc::new(AtomicU64::new(0));
     let out = Arc::new(Mutex::new(std::io::stdout()));
     let of_channels = out.clone();
     let addr = listen(move |stream| {
-        serve(&id, has_unframed, &answers, &running, &of_channels, stream);
+        serve(
+            &id,
+            unframed_every,
+            &answers,
+            &running,
+            &of_channels,
+            stream,
+        );
     });
     let addr = addr.expect("a free port");
     say(&out, &format!("{addr}"));
@@ -56,7 +65,7 @@
 
 fn serve(
     id: &str,
-    has_unframed: bool,
+    unframed_every: u64,
     answers: &AtomicU64,
     running: &AtomicU64,
     out: &Mutex<std::io::Stdout>,
@@ -108,7 +117,7 @@
             continue;
         }
         let number = answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let is_unframed = has_unframed && number % ANSWERS_PER_UNFRAMED == 0;
+        let is_unframed = unframed_every > 0 && number % unframed_every == 0;
         let first: u64 = request
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
@@ -170,9 +179,9 @@
 }
 
 impl ServerProcess {
-    fn start(id: &str, has_unframed: bool, record: &Record) -> std::io::Result<Self> {
+    fn start(id: &str, unframed_every: u64, record: &Record) -> std::io::Result<Self> {
         let mut child = Command::new(std::env::current_exe()?)
-            .args(["server", id, if has_unframed { "1" } else { "0" }])
+            .args(["server", id, &unframed_every.to_string()])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -325,17 +334,29 @@
     record.say("they have ended");
 }
 
+/// Lets every other server crash. Their entries go after three pings of silence.
+fn crash_half(store: &Store, servers: &mut [ServerProcess], record: &Record) {
+    for number in (0..SERVERS).step_by(2) {
+        servers[number].stop();
+    }
+    record.say("half of the servers have crashed");
+    thread::sleep(Duration::from_millis(3_600));
+    for number in (0..SERVERS).step_by(2) {
+        store.remove("servers", &servers[number].id);
+    }
+}
+
 /// Rolls v2 out, and stops the old servers when that is completed; returns whether it was.
 fn roll_out(
     store: &Store,
     old: &mut [ServerProcess],
     new: &mut Vec<ServerProcess>,
-    trouble: bool,
+    unframed_every: u64,
     record: &Record,
 ) -> std::io::Result<bool> {
     // The servers of the new version are started alongside the old ones.
     for number in 0..SERVERS {
-        new.push(start_server("v2", number, trouble, record)?);
+        new.push(start_server("v2", number, unframed_every, record)?);
         register(store, &new[number], number, "v2");
     }
     let order =
@@ -369,23 +390,25 @@
 fn start_server(
     version: &str,
     number: usize,
-    trouble: bool,
+    unframed_every: u64,
     record: &Record,
 ) -> std::io::Result<ServerProcess> {
     let id = format!("i-{version}-{number}");
-    ServerProcess::start(&id, trouble && number % 2 == 0, record)
+    let every = if number % 2 == 0 { unframed_every } else { 0 };
+    ServerProcess::start(&id, every, record)
 }
 
-fn run(record: &Path, drains: bool) -> std::io::Result<ExitCode> {
+fn run(record: &Path, mode: &str, every: u64) -> std::io::Result<ExitCode> {
     let record = Record::create(record)?;
     let trouble = has_trouble();
     record.say(format!(
         "answers without a length: {}",
         if trouble { "yes" } else { "no" }
     ));
+    let unframed_every = if trouble { every } else { 0 };
     let store = Store::start()?;
     store.put("config", "main", CONFIG);
-    let old = (0..SERVERS).map(|number| start_server("v1", number, trouble, &record));
+    let old = (0..SERVERS).map(|number| start_server("v1", number, unframed_every, &record));
     let mut old = old.collect::<Result<Vec<_>, _>>()?;
     for (number, server) in old.iter().enumerate() {
         register(&store, server, number, "v1");
@@ -425,11 +448,16 @@
     }
     thread::sleep(WARM_UP);
     let mut new = Vec::new();
-    let is_done = if drains {
-        drain_half(&store, &mut old, &record);
-        true
-    } else {
-        roll_out(&store, &mut old, &mut new, trouble, &record)?
+    let is_done = match mode {
+        "drain" => {
+            drain_half(&store, &mut old, &record);
+            true
+        }
+        "crash" => {
+            crash_half(&store, &mut old, &record);
+            true
+        }
+        _ => roll_out(&store, &mut old, &mut new, unframed_every, &record)?,
     };
     thread::sleep(AFTER);
     end.store(true, Ordering::SeqCst);
@@ -464,15 +492,21 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    if let [_, role, id, unframed] = &args[..]
+    if let [_, role, id, every] = &args[..]
         && role == "server"
     {
-        run_server(id.clone(), unframed == "1");
+        run_server(id.clone(), every.parse().unwrap_or(0));
         return ExitCode::SUCCESS;
     }
     let record = args.get(1).map_or("record.txt", String::as_str);
-    let drains = args.get(2).is_some_and(|mode| mode == "drain");
-    run(Path::new(record), drains).unwrap_or_else(|e| {
+    let mode = args.get(2).map_or("", String::as_str);
+    let every = args.get(3).and_then(|every| every.parse().ok());
+    run(
+        Path::new(record),
+        mode,
+        every.unwrap_or(ANSWERS_PER_UNFRAMED),
+    )
+    .unwrap_or_else(|e| {
         eprintln!("the case could not run: {e}");
         ExitCode::from(2)
     })
