Ask whose answer a response is before acting on it

Behind surplus successes they got 502 while their own answer followed on the connection.

Cause: attempt::classify_response took the statements of a response, its status 421 and its rejection before it compared the request id. A repeat on the same connection has the id of the try before, so there the id alone did not tell. The log lines had no ids, so not_our_answer now has both, the status and the conclusion, and a metric names the upstream.

Change: answer_owner decides whose answer a response is, by the requests that the connection carried, and gw::exchange asks it first. A response that is not the answer changes nothing but that a departure is noted, which is never taken back. Where the answer is still due, it is read behind: the HTTP client is ended and another one reads on from the same socket. No connection carries two requests with one id.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 
 use crate::connection::{self, Connection, SendError, framing, keep_alive_ms};
 use crate::dialect::{ForwardMetadata, ResponseMetadata};
+use crate::exchange::{ExchangeError, exchange};
 use crate::in_flight::InFlightRequest;
 use crate::job::Job;
 use crate::log::Trace;
@@ -93,7 +94,8 @@
         None
     } else {
         let now_ms = gateway.clock.now_ms();
-        gateway.channels.take(&upstream.id, now_ms)
+        let request_id = job.metadata.request_id.as_deref();
+        gateway.channels.take(&upstream.id, request_id, now_ms)
     };
     loop {
         let is_pooled = pooled.is_some();
@@ -128,9 +130,17 @@
         let limit = Duration::from_millis(options.head_timeout_ms);
         let mut replaced = gateway.watch_replacement(&upstream.id);
         let mut path = gateway.watch_path(&upstream.id);
-        let connection = in_flight.set_connection(connection);
+        let exchange = exchange(
+            gateway,
+            job,
+            upstream,
+            request,
+            connection,
+            &mut in_flight,
+            trace,
+        );
         let result = tokio::select! {
-            result = timeout(limit, connection.send(request)) => result,
+            result = timeout(limit, exchange) => result,
             () = path.hangs(gateway), if job.route.kind.is_repeatable() => {
                 trace.fail("path_hangs", json!({"upstream": upstream.id}));
                 count_attempt(gateway, job, "lost");
@@ -149,9 +159,10 @@
             }
         };
         match result {
-            Ok(Ok(response)) => {
+            Ok(Ok((response, metadata))) => {
                 let head = Head {
                     response,
+                    metadata,
                     after_ms: gateway.clock.now_ms() - sent_at_ms,
                     forecast: options.forecast,
                     band,
@@ -162,11 +173,11 @@
                 }
                 return outcome;
             }
-            Ok(Err(SendError::NotSent)) if is_pooled => {
+            Ok(Err(ExchangeError::Send(SendError::NotSent))) if is_pooled => {
                 in_flight.settle();
                 gateway.retract_workspace_work(job, estimate, sent_at_ms);
             }
-            Ok(Err(SendError::NotSent)) => {
+            Ok(Err(ExchangeError::Send(SendError::NotSent))) => {
                 in_flight.settle();
                 gateway.retract_workspace_work(job, estimate, sent_at_ms);
                 gateway.with_load(&upstream.id, |load, now_ms| {
@@ -176,7 +187,7 @@
                 count_attempt(gateway, job, "not_sent");
                 return AttemptOutcome::NotRun { arrived: false };
             }
-            Ok(Err(SendError::ResponseLost(e))) => {
+            Ok(Err(ExchangeError::Send(SendError::ResponseLost(e)))) => {
                 in_flight.record_broken_connection();
                 let detail = json!({
                     "upstream": upstream.id, "error": e.to_string(), "kept_connection": is_pooled,
@@ -185,6 +196,11 @@
                 count_attempt(gateway, job, "lost");
                 return AttemptOutcome::Lost;
             }
+            Ok(Err(ExchangeError::Foreign)) => {
+                in_flight.record_outcome(true);
+                count_attempt(gateway, job, "spoilt");
+                return AttemptOutcome::Lost;
+            }
             Err(_) => {
                 in_flight.record_outcome(true);
                 let detail = json!({"upstream": upstream.id, "waited_ms": options.head_timeout_ms});
@@ -227,9 +243,10 @@
     }
 }
 
-/// Head of a response.
+/// Head of the answer to a request.
 struct Head {
     response: Response<Incoming>,
+    metadata: ResponseMetadata,
     /// Time from sending the request to the head.
     after_ms: u64,
     /// Forecast of this time.
@@ -238,7 +255,7 @@
     band: Band,
 }
 
-/// Records the head of a response and decides whether the response is usable.
+/// Records the head of the answer to a request and decides whether the answer is usable.
 fn classify_response(
     gateway: &Arc<Gateway>,
     job: &Job,
@@ -249,21 +266,19 @@
 ) -> AttemptOutcome {
     let Head {
         response,
+        metadata,
         after_ms: head_after_ms,
         forecast,
         band,
     } = head;
     let status = response.status().as_u16();
     gateway.note_unread_headers(&record.id, response.headers());
-    let metadata = gateway
-        .dialect
-        .response_metadata(status, response.headers());
     let keep_alive_ms = keep_alive_ms(response.headers());
     let framing = framing(&response);
     in_flight.record_contact();
     in_flight.record_prefilled();
     let upstream: &Name = &record.id;
-    let is_genuine = !metadata.not_run && is_response_to(job, &metadata, status);
+    let is_genuine = !metadata.not_run && (metadata.is_signed || !response.status().is_success());
     let statement = Statement {
         response_time_ms: is_genuine.then_some(head_after_ms),
         ..metadata.statement
@@ -321,13 +336,6 @@
     }))
 }
 
-/// Returns whether a response was produced by the upstream for this request: it echoes the request id, and it is
-/// signed if it is a success.
-fn is_response_to(job: &Job, metadata: &ResponseMetadata, status: u16) -> bool {
-    let is_success = (200..300).contains(&status);
-    metadata.request_id == job.metadata.request_id && (metadata.is_signed || !is_success)
-}
-
 /// Builds the metadata that the gateway adds for this upstream.
 fn forward_metadata<'a>(
     gateway: &Gateway,
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -1,24 +1,31 @@
 //! HTTP/1 connections to upstreams, the store and other boxes, and the pool of idle upstream connections.
 
+mod transport;
+
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, header};
+use hyper::client::conn::http1::{self, Parts, SendRequest};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::answer_end::Framing;
+use ivyweir_policy::gateway::answer_owner::{AnswerOwner, NamedRequest, SentRequests};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
+use self::transport::Transport;
+
 /// Time limit for opening a connection. A lost SYN is retransmitted only after 1 s, so a new attempt
 /// succeeds sooner.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -37,6 +44,8 @@
 const MIN_KEEP_ALIVE_MS: u64 = 200;
 /// Largest size of a connection's read buffer.
 const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Largest body of a response that is skipped.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
 
 /// Error of sending a request.
 #[derive(Debug)]
@@ -47,11 +56,28 @@
     ResponseLost(hyper::Error),
 }
 
+/// Error of skipping a response.
+#[derive(Debug)]
+pub enum SkipError {
+    /// No other response can follow.
+    NothingFollows,
+    /// No other response arrived.
+    Lost(SendError),
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     closed: ClosedSignal,
+    /// The requests that were sent on it.
+    requests: SentRequests,
+    /// Whether a response was skipped, after which no further request is sent.
+    has_skipped: bool,
+    /// Whether a request is in progress. If the HTTP client ends meanwhile, its socket is kept.
+    is_in_use: Arc<AtomicBool>,
+    /// The socket that is kept, and what was received from it but not read.
+    remains: oneshot::Receiver<Parts<TokioIo<Transport>>>,
 }
 
 /// Signals that a connection was closed, by either side.
@@ -88,21 +114,48 @@
             .map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
         set_tcp_timeouts(&stream)?;
-        let (mut sender, connection) = http1::Builder::new()
+        Self::over(Transport::new(stream)).await
+    }
+
+    /// Starts an HTTP client on a transport.
+    async fn over(transport: Transport) -> io::Result<Self> {
+        let (mut sender, mut client) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(transport))
             .await
             .map_err(io::Error::other)?;
         let (open, closed) = watch::channel(());
+        let (keep_remains, remains) = oneshot::channel();
+        let is_in_use = Arc::new(AtomicBool::new(false));
+        let keeps_remains = is_in_use.clone();
         tokio::spawn(async move {
             // Errors that affect a request are reported through the sender.
-            let _reported_by_sender = connection.await;
+            let _reported_by_sender = poll_fn(|cx| client.poll_without_shutdown(cx)).await;
+            if keeps_remains.load(Ordering::Relaxed) {
+                let _request_ended = keep_remains.send(client.into_parts());
+            }
             drop(open);
         });
         // A connection reports itself as busy until its task has run once.
         sender.ready().await.map_err(io::Error::other)?;
-        let closed = ClosedSignal(closed);
-        Ok(Self { sender, closed })
+        Ok(Self {
+            sender,
+            closed: ClosedSignal(closed),
+            requests: SentRequests::default(),
+            has_skipped: false,
+            is_in_use,
+            remains,
+        })
+    }
+
+    /// Records that a request with this id is sent next.
+    pub fn record_request(&mut self, id: Option<&str>) {
+        self.requests.record(id);
+    }
+
+    /// Decides whose answer a response is that names this request.
+    pub fn owner_of_answer(&self, named: NamedRequest) -> AnswerOwner {
+        self.requests.owner_of_answer(named)
     }
 
     /// Sends a request and waits for the head of the response.
@@ -114,6 +167,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.is_in_use.store(true, Ordering::Relaxed);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -123,6 +177,50 @@
         }
     }
 
+    /// Skips a response to the request in progress, which has this method, and waits for the head of the next response.
+    /// No further request can be sent.
+    ///
+    /// The HTTP client takes each response for the answer to its request and expects nothing behind it. So it is ended, and
+    /// the next one, on the same socket, sends a request that is not written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request was not written whole, or if no other response can follow or does.
+    pub async fn skip_response(
+        self,
+        skipped: Response<Incoming>,
+        method: Method,
+    ) -> Result<(Self, Response<Incoming>), SkipError> {
+        if framing(&skipped) == Framing::Connection
+            || skipped.status() == StatusCode::SWITCHING_PROTOCOLS
+        {
+            return Err(SkipError::NothingFollows);
+        }
+        discard_body(skipped.into_body()).await?;
+        let Self {
+            mut sender,
+            requests,
+            remains,
+            ..
+        } = self;
+        // Waits until the request is written. If the next response has arrived already, the client has ended.
+        let _is_ended = sender.ready().await;
+        drop(sender);
+        let Parts { io, read_buf, .. } = remains.await.map_err(|_| SkipError::NothingFollows)?;
+        let transport = io.into_inner();
+        if transport.is_write_pending() {
+            return Err(SkipError::NothingFollows);
+        }
+        let next = Self::over(transport.into_read_only(read_buf)).await;
+        let mut next = next.map_err(|_| SkipError::NothingFollows)?;
+        next.requests = requests;
+        next.has_skipped = true;
+        let mut request = Request::new(Full::default());
+        *request.method_mut() = method;
+        let response = next.send(request).await.map_err(SkipError::Lost)?;
+        Ok((next, response))
+    }
+
     /// Returns whether the next request can be sent.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -163,12 +261,21 @@
 }
 
 impl ConnectionPool {
-    /// Takes the newest idle connection that is ready for a request, if there is one.
-    pub fn take(&self, upstream_id: &str, now_ms: u64) -> Option<Connection> {
+    /// Takes the newest idle connection that is ready for a request with this id, if there is one: answers to it can be
+    /// told from those to earlier requests.
+    pub fn take(
+        &self,
+        upstream_id: &str,
+        request_id: Option<&str>,
+        now_ms: u64,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("invariant: no holder panics");
         let kept = idle.get_mut(upstream_id)?;
         kept.retain(|c| c.expires_ms > now_ms && !c.connection.is_closed());
-        let newest_ready = kept.iter().rposition(|c| c.connection.is_ready())?;
+        let is_usable = |connection: &Connection| {
+            connection.is_ready() && connection.requests.can_tell_apart(request_id)
+        };
+        let newest_ready = kept.iter().rposition(|c| is_usable(&c.connection))?;
         Some(kept.swap_remove(newest_ready).connection)
     }
 
@@ -188,10 +295,10 @@
         keep_alive_ms: u64,
         now_ms: u64,
     ) {
-        if connection.is_closed() {
+        if connection.is_closed() || connection.has_skipped {
             return;
         }
-
+        connection.is_in_use.store(false, Ordering::Relaxed);
         let expires_ms = now_ms + keep_alive_ms;
         let mut idle = self.idle.lock().expect("invariant: no holder panics");
         let kept = idle.entry(upstream_id.clone()).or_default();
@@ -211,6 +318,23 @@
     }
 }
 
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Fails if it breaks off or is too large.
+async fn discard_body(mut body: Incoming) -> Result<(), SkipError> {
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| SkipError::NothingFollows)?;
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        if bytes > MAX_SKIPPED_BYTES {
+            return Err(SkipError::NothingFollows);
+        }
+    }
+    Ok(())
+}
+
 /// Returns how a response body shows its end. Of both headers, the transfer encoding counts; a response that has no body
 /// by its status needs neither.
 pub fn framing(response: &Response<Incoming>) -> Framing {
--- a/crates/ivyweir-gateway/src/dialect.rs
+++ b/crates/ivyweir-gateway/src/dialect.rs
@@ -13,6 +13,7 @@
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::answer_owner::NamedRequest;
 use ivyweir_policy::gateway::duty::scaling::UpstreamOrder;
 use ivyweir_policy::gateway::duty::usage::UsageReport;
 use ivyweir_policy::gateway::duty::{DutyRecord, StoredDuties};
@@ -85,6 +86,8 @@
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub request_id: Option<Name>,
+    /// Whether the response has the ids of several requests.
+    pub has_several_ids: bool,
     /// Whether the response has the upstream's signature header.
     pub is_signed: bool,
     /// Whether the upstream states that the request has not run and will not run.
@@ -102,6 +105,7 @@
     fn default() -> Self {
         Self {
             request_id: None,
+            has_several_ids: false,
             is_signed: false,
             not_run: false,
             is_other_incarnation: false,
@@ -112,6 +116,15 @@
 }
 
 impl ResponseMetadata {
+    /// The request that the response names.
+    pub fn named_request(&self) -> NamedRequest<'_> {
+        match &self.request_id {
+            _ if self.has_several_ids => NamedRequest::Several,
+            Some(id) => NamedRequest::Id(id),
+            None => NamedRequest::Missing,
+        }
+    }
+
     /// Number of requests running at the upstream when it responded; 0 if not reported.
     pub fn running(&self) -> u32 {
         self.statement.load.map_or(0, |load| load.running)
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -234,7 +234,9 @@
             helpers.record_declined(helper, why, now_ms());
         });
     };
-    let mut pooled = gateway.helper_channels.take(helper, gateway.clock.now_ms());
+    let mut pooled = gateway
+        .helper_channels
+        .take(helper, None, gateway.clock.now_ms());
     gateway.with_helpers(&job.pool, |helpers| helpers.begin_request(helper));
     let guard = HandoverGuard {
         helper: helper.clone(),
--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -181,6 +181,7 @@
         let names = &self.names;
         ResponseMetadata {
             request_id: header_text(headers, &names.request_id).map(Name::from),
+            has_several_ids: headers.get_all(&names.request_id).iter().count() > 1,
             is_signed: headers.contains_key(&names.signature),
             not_run: headers.contains_key(&names.not_run),
             is_other_incarnation: status == MISDIRECTED,
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -142,6 +142,16 @@
         self.connection.insert(connection)
     }
 
+    /// The connection that carries the request.
+    pub fn connection(&self) -> Option<&Connection> {
+        self.connection.as_ref()
+    }
+
+    /// Takes the connection that carries the request.
+    pub fn take_connection(&mut self) -> Option<Connection> {
+        self.connection.take()
+    }
+
     /// Records that the request is being sent.
     pub fn record_sent(&mut self) {
         if let Place::Upstream(run) = &mut self.place {
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod dialect;
 mod duties;
 mod error_response;
+mod exchange;
 mod follow;
 mod handover;
 pub mod headers;
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -7,7 +7,7 @@
 /// Upper bounds of the latency histogram, in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 3.0, 10.0, 25.0];
 
-/// Metrics of a box. Every label has a small set of values.
+/// Metrics of a box. Every label has a small set of values; upstreams are named only where they are at fault.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -30,6 +30,9 @@
     pub probes: IntCounterVec,
     /// Bodies of answers that were read to their end, by framing and what the end means.
     pub answer_ends: IntCounterVec,
+    /// Responses that were not the answers to the requests in whose place they came, by upstream and whether the answer
+    /// itself followed.
+    pub foreign_answers: IntCounterVec,
     /// Requests that were handed over to other boxes, by outcome.
     pub handovers: IntCounterVec,
     /// Store records that became invalid, by topic and fault. Each is counted once, when it becomes
@@ -111,6 +114,11 @@
             "bodies of answers read to their end by framing and meaning",
             &["framing", "meaning"],
         );
+        let foreign_answers = counter(
+            "ivyweir_foreign_answers_total",
+            "answers to other requests in the place of the right one, by upstream and what came of the request",
+            &["upstream", "then"],
+        );
         let handovers = counter(
             "ivyweir_handovers_total",
             "requests handed over to other boxes by outcome",
@@ -202,6 +210,7 @@
             upstream_ends,
             probes,
             answer_ends,
+            foreign_answers,
             handovers,
             unreadable_records,
             store_calls,
--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -153,6 +153,7 @@
     let is_engine = pool.is_some_and(|pool| pool.is_engine);
     let mut keep_ms = Some(PROBE_KEEP_ALIVE_MS);
     if let Some(ping) = gateway.dialect.ping(is_engine, upstream.addr) {
+        connection.record_request(None);
         let Ok(response) = connection.send(ping).await else {
             return ProbeResult::Broken;
         };
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! `ivyweir-gateway`.
 
 pub mod answer_end;
+pub mod answer_owner;
 pub mod backlog;
 pub mod backoff;
 pub mod brittle;
--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -11,6 +11,7 @@
 mod peer_filter;
 mod rate_limit_invariant;
 mod record_store;
+mod repeating_upstream;
 mod restarting_pool;
 mod scripted_upstream;
 mod test_cluster;
@@ -23,6 +24,9 @@
 pub use peer_filter::PeerFilter;
 pub use rate_limit_invariant::{Arrival, RateLimitInvariant, RateLimitViolation};
 pub use record_store::{RecordStore, StoreFault};
+pub use repeating_upstream::{
+    Following, RepeatingUpstream, SurplusAnswer, SurplusFraming, SurplusId,
+};
 pub use restarting_pool::RestartingPool;
 pub use scripted_upstream::{ANSWERED_BY, ReceivedRequest, ScriptedUpstream, UpstreamAction};
 pub use test_cluster::{
