Check every answer that ends with its connection

Cause: an upstream whose termination was planned was not checked, and its answer counted as whole; and a connection that the kernel accepts counted as a running upstream, though a process that is being torn down may close its listener last.

Change: no end is exempt. An upstream runs if it answers a request without effect on a new connection; one that closes it is asked again until it refuses, for 150 ms at most. Plain services of the platform, which have no such request that takes no slot, run if they keep a connection open for 20 ms; so do those of the chat path.

A policy test expected the fault: an answer of a server that leaves is complete. The state it names is gone, and the cases of departure and roll-out with real boxes take its place.

--- a/crates/ivyweir-gateway/src/liveness.rs
+++ b/crates/ivyweir-gateway/src/liveness.rs
@@ -12,6 +12,7 @@
 
 use ivyweir_policy::gateway::answer_end::UpstreamState;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::reachability::ProbeResult as ReachResult;
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{ClosedSignal, Connection};
@@ -25,8 +26,10 @@
 /// too many connections closes new ones at once.
 const MIN_REPROBE_PAUSE: Duration = Duration::from_millis(2);
 
-/// Time limit for a connection to an upstream behind the end of an answer, which waits for it, and for other boxes.
+/// Time limit for the check of an upstream behind the end of an answer, which waits for it, and for other boxes.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which the kernel has closed a connection that it accepted for a process that was terminating.
+const SETTLING_TIME: Duration = Duration::from_millis(20);
 
 /// What a probe found.
 enum ProbeResult {
@@ -58,27 +61,47 @@
     });
 }
 
-/// Finds out whether an upstream still runs after the body of its answer ended with the connection. Where nothing listens
-/// at its address, it has terminated unless another box reaches it: part of an answer must not pass for all of it.
+/// Finds out whether an upstream still runs after the body of its answer ended with the connection. That it was to stop
+/// says nothing: part of an answer must not pass for all of it.
 pub async fn state_after_end(gateway: &Arc<Gateway>, upstream: &UpstreamRecord) -> UpstreamState {
-    if gateway.is_termination_planned(upstream) {
-        return UpstreamState::Leaving;
+    let check = confirm_running(gateway, upstream);
+    // An upstream that neither answers nor refuses is not known to have terminated.
+    let check = timeout(END_CHECK_TIMEOUT, check).await;
+    let state = check.unwrap_or(UpstreamState::Running);
+    if state != UpstreamState::Terminated {
+        return state;
     }
-    match Connection::open_within(upstream.addr, END_CHECK_TIMEOUT).await {
-        Ok(connection) => {
-            let now_ms = gateway.clock.now_ms();
-            let channels = &gateway.channels;
-            channels.keep(&upstream.id, connection, PROBE_KEEP_ALIVE_MS, now_ms);
-            UpstreamState::Running
-        }
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            let others = path_check::is_reached_by_others(gateway, upstream);
-            match timeout(END_CHECK_TIMEOUT, others).await {
-                Ok(true) => UpstreamState::Running,
-                Ok(false) | Err(_) => UpstreamState::Terminated,
+    let others = path_check::is_reached_by_others(gateway, upstream);
+    match timeout(END_CHECK_TIMEOUT, others).await {
+        Ok(true) => UpstreamState::Running,
+        Ok(false) | Err(_) => UpstreamState::Terminated,
+    }
+}
+
+/// Connects to an upstream until it answers or refuses. While its process terminates, the kernel still accepts
+/// connections, and closes them with the listener. An upstream without a request that it answers at once is taken to run
+/// if it does not close a connection for a while.
+async fn confirm_running(gateway: &Gateway, upstream: &UpstreamRecord) -> UpstreamState {
+    let mut pause = MIN_REPROBE_PAUSE;
+    loop {
+        match path_check::open(gateway, upstream).await {
+            Ok(opened) if opened.is_answered => {
+                opened.keep(gateway, upstream);
+                return UpstreamState::Running;
+            }
+            Ok(opened) => {
+                let mut closed = opened.closed_signal();
+                if timeout(SETTLING_TIME, closed.closed()).await.is_err() {
+                    opened.keep(gateway, upstream);
+                    return UpstreamState::Running;
+                }
             }
+            Err(ReachResult::Refused) => return UpstreamState::Terminated,
+            Err(ReachResult::Silent) => return UpstreamState::Running,
+            Err(ReachResult::Broken | ReachResult::Reached) => {}
         }
-        Err(_) => UpstreamState::Running,
+        sleep(pause).await;
+        pause *= 2;
     }
 }
 
--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -22,7 +22,7 @@
 
 use crate::box_call;
 use crate::client::Client;
-use crate::connection::{Connection, keep_alive_ms};
+use crate::connection::{ClosedSignal, Connection, keep_alive_ms};
 use crate::response::{self, ResponseBody, status_only};
 use crate::state::Gateway;
 
@@ -144,32 +144,72 @@
 
 /// Opens a connection to an upstream and exchanges a message without effect, if the dialect has one.
 async fn exchange(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
-    let mut connection = match Connection::open_within(upstream.addr, PROBE_TIMEOUT).await {
-        Ok(connection) => connection,
-        Err(e) => return failure(&e),
-    };
-    let site = gateway.site();
-    let pool = site.as_ref().and_then(|site| site.pool(&upstream.pool));
-    let is_engine = pool.is_some_and(|pool| pool.is_engine);
-    let mut keep_ms = Some(PROBE_KEEP_ALIVE_MS);
-    if let Some(ping) = gateway.dialect.ping(is_engine, upstream.addr) {
-        connection.record_request(None);
-        let Ok(response) = connection.send(ping).await else {
-            return ProbeResult::Broken;
-        };
-        let keep_alive_ms = keep_alive_ms(response.headers());
-        keep_ms = keep_alive_ms.map(|ms| ms.min(PROBE_KEEP_ALIVE_MS));
-        let body = http_body_util::BodyExt::collect(response.into_body()).await;
-        if body.is_err() {
-            keep_ms = None;
+    match open(gateway, upstream).await {
+        Ok(opened) => {
+            opened.keep(gateway, upstream);
+            ProbeResult::Reached
         }
+        Err(result) => result,
     }
-    if let Some(keep_ms) = keep_ms {
-        let now_ms = gateway.clock.now_ms();
-        let channels = &gateway.channels;
-        channels.keep(&upstream.id, connection, keep_ms, now_ms);
+}
+
+/// A new connection to an upstream.
+pub struct OpenedConnection {
+    connection: Connection,
+    /// Whether the upstream has answered on it.
+    pub is_answered: bool,
+    /// Time for which it may be kept; `None` if it must be closed.
+    keep_ms: Option<u64>,
+}
+
+impl OpenedConnection {
+    /// Returns a signal that the connection was closed.
+    pub fn closed_signal(&self) -> ClosedSignal {
+        self.connection.closed_signal()
     }
-    ProbeResult::Reached
+
+    /// Keeps the connection for the next request to the upstream.
+    pub fn keep(self, gateway: &Gateway, upstream: &UpstreamRecord) {
+        if let Some(keep_ms) = self.keep_ms {
+            let now_ms = gateway.clock.now_ms();
+            let channels = &gateway.channels;
+            channels.keep(&upstream.id, self.connection, keep_ms, now_ms);
+        }
+    }
+}
+
+/// Opens a connection to an upstream and exchanges a message without effect, if the dialect has one.
+///
+/// # Errors
+///
+/// Fails with what was found instead if the upstream is not reached.
+pub async fn open(
+    gateway: &Gateway,
+    upstream: &UpstreamRecord,
+) -> Result<OpenedConnection, ProbeResult> {
+    let connection = Connection::open_within(upstream.addr, PROBE_TIMEOUT).await;
+    let mut connection = connection.map_err(|e| failure(&e))?;
+    let site = gateway.site();
+    let pool = site.as_ref().and_then(|site| site.pool(&upstream.pool));
+    let is_engine = pool.is_some_and(|pool| pool.is_engine);
+    let Some(ping) = gateway.dialect.ping(is_engine, upstream.addr) else {
+        return Ok(OpenedConnection {
+            connection,
+            is_answered: false,
+            keep_ms: Some(PROBE_KEEP_ALIVE_MS),
+        });
+    };
+    connection.record_request(None);
+    let response = connection.send(ping).await;
+    let response = response.map_err(|_| ProbeResult::Broken)?;
+    let keep_ms = keep_alive_ms(response.headers());
+    let body = http_body_util::BodyExt::collect(response.into_body()).await;
+    let keep_ms = keep_ms.filter(|_| body.is_ok());
+    Ok(OpenedConnection {
+        connection,
+        is_answered: true,
+        keep_ms: keep_ms.map(|ms| ms.min(PROBE_KEEP_ALIVE_MS)),
+    })
 }
 
 fn failure(error: &io::Error) -> ProbeResult {
--- a/crates/ivyweir-policy/src/gateway/answer_end.rs
+++ b/crates/ivyweir-policy/src/gateway/answer_end.rs
@@ -32,8 +32,6 @@
     Unchecked,
     /// A check did not find that it has terminated.
     Running,
-    /// It terminates as planned, after its last answers.
-    Leaving,
     /// It has terminated.
     Terminated,
 }
@@ -88,9 +86,7 @@
         }
         match (self.framing, self.upstream) {
             (Framing::Length | Framing::Chunks, _) => AnswerEnd::Complete,
-            (Framing::Connection, UpstreamState::Running | UpstreamState::Leaving) => {
-                AnswerEnd::Complete
-            }
+            (Framing::Connection, UpstreamState::Running) => AnswerEnd::Complete,
             (Framing::Connection, UpstreamState::Unchecked) => AnswerEnd::Unknown,
             (Framing::Connection, UpstreamState::Terminated) => {
                 AnswerEnd::Broken(BreakCause::UpstreamTerminated)
--- a/crates/ivyweir-policy/tests/gateway_answer_end.rs
+++ b/crates/ivyweir-policy/tests/gateway_answer_end.rs
@@ -34,10 +34,9 @@
     an_open_event_is_broken_behind_a_length: Length, event open true, Running => OPEN;
     an_open_event_is_broken_behind_a_last_chunk: Chunks, event open true, Unchecked => OPEN;
     an_open_event_is_broken_behind_a_connection: Connection, event open true, Running => OPEN;
-    an_open_event_is_broken_though_its_upstream_leaves: Connection, event open true, Leaving => OPEN;
+    an_open_event_is_broken_with_its_upstream: Connection, event open true, Terminated => OPEN;
     a_connection_alone_does_not_tell: Connection, event open false, Unchecked => AnswerEnd::Unknown;
     a_connection_of_a_running_upstream_is_complete: Connection, event open false, Running => AnswerEnd::Complete;
-    a_connection_of_an_upstream_that_leaves_is_complete: Connection, event open false, Leaving => AnswerEnd::Complete;
     a_connection_that_ends_with_its_upstream_is_broken: Connection, event open false, Terminated => GONE;
 }
 
--- a/crates/ivyweir-service/src/lib.rs
+++ b/crates/ivyweir-service/src/lib.rs
@@ -12,9 +12,10 @@
 //! ```
 
 use std::fmt;
-use std::io;
+use std::io::{self, Read};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use attohttpc::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
@@ -25,6 +26,10 @@
 
 /// Time limit for the check of a service behind the end of its reply, which waits for it.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which the kernel has closed a connection that it accepted for a process that was terminating.
+const SETTLING_TIME: Duration = Duration::from_millis(20);
+/// Pause before a service that closed a new connection is connected to again.
+const RECHECK_PAUSE: Duration = Duration::from_millis(2);
 
 /// Hop-by-unforwarded headers and others that apply only to one connection; they are not forwarded.
 const UNFORWARDED_HEADERS: &[&str] = &[
@@ -194,14 +199,41 @@
     }
 }
 
-/// Finds out whether a service still listens after its body ended with the connection.
+/// Finds out whether a service still listens after its body ended with the connection. While its process terminates, the
+/// kernel still accepts connections, and closes them with the listener.
 fn state_after_end(addr: &str) -> UpstreamState {
     let Ok(addr) = addr.parse() else {
         return UpstreamState::Running;
     };
-    match TcpStream::connect_timeout(&addr, END_CHECK_TIMEOUT) {
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => UpstreamState::Terminated,
-        _ => UpstreamState::Running,
+    let deadline = Instant::now() + END_CHECK_TIMEOUT;
+    while Instant::now() < deadline {
+        match TcpStream::connect_timeout(&addr, END_CHECK_TIMEOUT) {
+            Ok(mut connection) => {
+                if !is_closed_soon(&mut connection) {
+                    return UpstreamState::Running;
+                }
+                thread::sleep(RECHECK_PAUSE);
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return UpstreamState::Terminated;
+            }
+            Err(_) => return UpstreamState::Running,
+        }
+    }
+    UpstreamState::Running
+}
+
+/// Whether a new connection, on which nothing is sent, is closed by its peer within a while.
+fn is_closed_soon(connection: &mut TcpStream) -> bool {
+    if connection.set_read_timeout(Some(SETTLING_TIME)).is_err() {
+        return true;
+    }
+    match connection.read(&mut [0]) {
+        Ok(received) => received == 0,
+        Err(e) => !matches!(
+            e.kind(),
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+        ),
     }
 }
 
--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -156,11 +156,20 @@
 
     /// Orders a roll-out.
     pub fn order_rollout(&self, pool: &str, target_version: &str, duration_ms: u64) {
+        self.put_rollout(pool, target_version, duration_ms, RolloutState::Ordered);
+    }
+
+    /// Writes a roll-out that is completed.
+    pub fn complete_rollout(&self, pool: &str, target_version: &str) {
+        self.put_rollout(pool, target_version, 0, RolloutState::Completed);
+    }
+
+    fn put_rollout(&self, pool: &str, version: &str, duration_ms: u64, state: RolloutState) {
         let order = RolloutOrder {
             pool: pool.into(),
-            target_version: target_version.into(),
+            target_version: version.into(),
             duration_ms,
-            state: RolloutState::Ordered,
+            state,
             revision: 0,
             era: 0,
         };
