Judge a version by answers that are cut, lost or never come

Cause: the status of a head was the verdict on a plain answer, and streams were judged only if they ended well. A cut answer counted as a good one, a lost one not at all; rollout_step shows as many new answers as heads, none bad.

Change: each run at an upstream is judged once, at its end, in one place, the guard of the run: good if the answer is whole and no failure; failed if it is cut, lost, spoilt, late beyond its limit, or missing when its caller gives up behind three times the latency target. Not judged: planned ends, callers that leave earlier, and silence while paths are at fault. Paces are sampled as before.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -19,13 +19,15 @@
 use crate::connection::{self, Connection, SendError, framing, keep_alive_ms};
 use crate::dialect::{ForwardMetadata, ResponseMetadata};
 use crate::exchange::{ExchangeError, exchange};
-use crate::in_flight::InFlightRequest;
+use crate::in_flight::{AnswerTerms, InFlightRequest};
 use crate::job::Job;
 use crate::log::Trace;
 use crate::state::{Gateway, Suspicion};
 
 /// Time limit for opening a connection where another box can serve the request instead.
 const HANDOVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time without data after which an answer that its caller gave up counts as missing, as a multiple of the latency target.
+const OVERDUE_FACTOR: u64 = 3;
 
 /// The head of an upstream's response, and what is needed to read its body.
 pub struct Reply {
@@ -85,6 +87,10 @@
         estimate,
         band,
         job.run_key(),
+        AnswerTerms {
+            lane: job.lane(options.model),
+            overdue_after_ms: job.route.latency_aim_ms * OVERDUE_FACTOR,
+        },
     );
     // The upstream may have closed a pooled connection in the meantime, so a failure to send on one is retried on a new
     // connection. A request whose connection just broke gets a new connection at once: if many upstreams terminate
@@ -197,12 +203,12 @@
                 return AttemptOutcome::Lost;
             }
             Ok(Err(ExchangeError::Foreign)) => {
-                in_flight.record_outcome(true);
+                in_flight.record_missing_answer();
                 count_attempt(gateway, job, "spoilt");
                 return AttemptOutcome::Lost;
             }
             Err(_) => {
-                in_flight.record_outcome(true);
+                in_flight.record_missing_answer();
                 let detail = json!({"upstream": upstream.id, "waited_ms": options.head_timeout_ms});
                 trace.fail("no_head_in_time", detail);
                 count_attempt(gateway, job, "late");
@@ -317,7 +323,7 @@
     }
     if !is_genuine {
         trace.fail("not_our_answer", detail);
-        in_flight.record_outcome(true);
+        in_flight.record_missing_answer();
         count_attempt(gateway, job, "spoilt");
         return AttemptOutcome::Lost;
     }
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -73,6 +73,7 @@
             return Err(upstream);
         }
         Err(_) => {
+            in_flight.judge(true);
             trace.fail("answer_late", json!({"upstream": upstream}));
             return Err(upstream);
         }
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -8,6 +8,7 @@
 use ivyweir_policy::gateway::urgency::Band;
 use ivyweir_policy::gateway::work::Estimate;
 
+use crate::canary::record_verdict;
 use crate::connection::Connection;
 use crate::handover::HandoverGuard;
 use crate::liveness;
@@ -31,9 +32,24 @@
     Box(HandoverGuard),
 }
 
+/// What the answers of a request are judged by.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerTerms {
+    /// Group of comparable answers.
+    pub lane: u64,
+    /// Time without data after which an answer counts as missing.
+    pub overdue_after_ms: u64,
+}
+
 /// The run of a request at an upstream.
 struct Run {
     upstream: Arc<UpstreamRecord>,
+    terms: AnswerTerms,
+    sent_at_ms: u64,
+    /// When the request was sent or data was last received.
+    last_contact_ms: u64,
+    /// Whether its answer was counted for the version of the upstream.
+    is_judged: bool,
     estimate: Estimate,
     band: Band,
     is_prefilled: bool,
@@ -58,6 +74,20 @@
         }
     }
 
+    /// Counts the answer as a good or a failed one of the upstream's version, once.
+    fn judge(&mut self, gateway: &Gateway, failed: bool) {
+        if !std::mem::replace(&mut self.is_judged, true) {
+            let age_ms = gateway.clock.now_ms().saturating_sub(self.sent_at_ms);
+            record_verdict(gateway, &self.upstream, self.terms.lane, failed, age_ms);
+        }
+    }
+
+    /// Whether the upstream has sent nothing for so long that the answer is missing, and the path to it is not at fault.
+    fn is_overdue(&self, gateway: &Gateway) -> bool {
+        let silent_ms = gateway.clock.now_ms().saturating_sub(self.last_contact_ms);
+        silent_ms >= self.terms.overdue_after_ms && !gateway.has_path_trouble()
+    }
+
     fn end(&mut self, gateway: &Gateway, end: RunEnd) {
         if std::mem::take(&mut self.is_running) {
             gateway.record_run_end(&self.upstream.id, &self.key, end);
@@ -73,6 +103,9 @@
 
     /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
     fn lose(&mut self, gateway: &Arc<Gateway>) {
+        if !gateway.is_termination_planned(&self.upstream) {
+            self.judge(gateway, true);
+        }
         gateway.suspect_path(&self.upstream.id);
         if std::mem::take(&mut self.is_running) {
             gateway.record_lost_run(&self.upstream, &self.key);
@@ -90,12 +123,18 @@
         estimate: Estimate,
         band: Band,
         key: RunKey,
+        terms: AnswerTerms,
     ) -> Self {
         gateway.with_load(&upstream.id, |load, _| {
             load.begin(band, estimate.total_ms());
         });
+        let now_ms = gateway.clock.now_ms();
         let run = Run {
             upstream,
+            terms,
+            sent_at_ms: now_ms,
+            last_contact_ms: now_ms,
+            is_judged: false,
             estimate,
             band,
             is_prefilled: false,
@@ -156,6 +195,8 @@
     pub fn record_sent(&mut self) {
         if let Place::Upstream(run) = &mut self.place {
             run.is_running = true;
+            run.sent_at_ms = self.gateway.clock.now_ms();
+            run.last_contact_ms = run.sent_at_ms;
             self.gateway
                 .record_run_start(&run.upstream.id, run.key.clone());
             if !std::mem::replace(&mut run.uses_path, true) {
@@ -168,6 +209,7 @@
     pub fn record_contact(&mut self) {
         if let Place::Upstream(run) = &mut self.place {
             self.gateway.record_contact(&run.upstream.id);
+            run.last_contact_ms = self.gateway.clock.now_ms();
             run.record_lasting(&self.gateway);
         }
     }
@@ -190,6 +232,7 @@
     /// Records that the complete response arrived. A failure does not clear the request of suspicion, as the upstream
     /// may never have begun to run it.
     pub fn complete(&mut self, is_success: bool) {
+        self.judge(false);
         self.settle();
         if let Place::Upstream(run) = &self.place
             && is_success
@@ -231,9 +274,22 @@
         }
     }
 
+    /// Counts the answer as a good or a failed one of the upstream's version, once.
+    pub fn judge(&mut self, failed: bool) {
+        if let Place::Upstream(run) = &mut self.place {
+            run.judge(&self.gateway, failed);
+        }
+    }
+
+    /// Records that there is no usable answer, though the connection has not broken.
+    pub fn record_missing_answer(&mut self) {
+        self.record_outcome(true);
+        self.judge(true);
+    }
+
     /// Records that the upstream ended the response early, in order and on an open connection, so that it still runs.
     pub fn record_early_end(&mut self) {
-        self.record_outcome(true);
+        self.record_missing_answer();
         self.settle();
     }
 
@@ -257,6 +313,9 @@
             run.lose(&self.gateway);
         }
         if run.is_running {
+            if !run.is_discarded && run.is_overdue(&self.gateway) {
+                run.judge(&self.gateway, true);
+            }
             run.end(&self.gateway, RunEnd::Cancelled);
             if !run.is_discarded {
                 liveness::watch_cancelled(&self.gateway, &run.upstream);
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -129,7 +129,7 @@
         {
             gateway.count_usage(&workspace.name);
         }
-        record_head(gateway, &job, &reply, state.model);
+        record_head(gateway, &job, &mut reply, state.model);
         match reply_action(gateway, &job, &mut state, &reply, &mut trace) {
             ReplyAction::Relay => {}
             ReplyAction::Retry => {
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -302,8 +302,8 @@
             }
             self.record_event_time();
             match self.position.events() {
-                PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Start),
-                LONG_PACE_SAMPLE_EVENTS => self.record_sample(false, self.pace_ms(), Span::Long),
+                PACE_SAMPLE_EVENTS => self.record_pace(self.pace_ms(), Span::Start),
+                LONG_PACE_SAMPLE_EVENTS => self.record_pace(self.pace_ms(), Span::Long),
                 _ => {}
             }
         }
@@ -328,7 +328,7 @@
         let pace_ms = self.pace_ms();
         // The pace of a longer stream was sampled before.
         let is_unsampled = self.position.events() < PACE_SAMPLE_EVENTS;
-        self.record_sample(true, pace_ms.filter(|_| is_unsampled), Span::Start);
+        self.record_pace(pace_ms.filter(|_| is_unsampled), Span::Start);
         let detail = json!({
             "upstream": self.source.in_flight.place(), "events": self.position.events(), "pace_ms": pace_ms,
             "longest_pause_ms": self.longest_pause_ms,
@@ -347,15 +347,15 @@
         is_known.then(|| span_ms as f64 / f64::from(intervals))
     }
 
-    /// Records a sample of the stream for the version of its upstream.
-    fn record_sample(&self, is_final: bool, pace_ms: Option<f64>, span: Span) {
+    /// Records the pace of the stream for the version of its upstream.
+    fn record_pace(&self, pace_ms: Option<f64>, span: Span) {
         let Some(upstream) = self.source.in_flight.upstream() else {
             return;
         };
         let sample = AnswerSample {
             upstream: &upstream.id,
             failed: false,
-            is_final,
+            is_final: false,
             lane: self.job.lane(self.model),
             pace_ms,
             span,
@@ -367,7 +367,7 @@
                 .now_ms()
                 .saturating_sub(self.job.arrived_ms),
         };
-        record_sample(&self.gateway, &self.job, upstream, &sample);
+        record_sample(&self.gateway, upstream, &sample);
     }
 
     /// Aborts the stream. The returned error makes the caller's connection break off.
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -33,7 +33,7 @@
             "upstream": upstream, "silent_ms": silent_ms, "behind_event": self.position.last_id(),
         });
         self.trace.fail("stream_silent", detail);
-        self.source.in_flight.record_outcome(true);
+        self.source.in_flight.record_missing_answer();
         self.tried.push(upstream);
     }
 
@@ -113,8 +113,8 @@
                 self.gateway.wait_for_termination_check(&upstream).await;
             }
             self.tried.push(upstream);
-            if let AttemptOutcome::Answered(reply) = outcome {
-                record_head(&self.gateway, &self.job, &reply, self.model);
+            if let AttemptOutcome::Answered(mut reply) = outcome {
+                record_head(&self.gateway, &self.job, &mut reply, self.model);
                 if reply.response.status().is_success() {
                     self.switch_source(*reply);
                     return true;
