Let a roll-out wait while nothing can be seen

Cause: steps and completion followed the clock alone, and no answer counted as a pass.

Change: time in which a box cannot serve and nobody sees an answer does not count. All work moves once 10 answers of the new version were seen; with fewer than 400 of both versions it moves by the clock, as the last step is within the slack of the bound. The completion waits for up to 3 answers of the new version, one for each 20 of both, so that an idle pool completes in time.

The tests of the roll-out are unchanged and pass.

--- a/crates/ivyweir-gateway/src/rollout_driver.rs
+++ b/crates/ivyweir-gateway/src/rollout_driver.rs
@@ -33,6 +33,12 @@
     let mut client = StoreClient::new(gateway.clone());
     loop {
         sleep(POLL_INTERVAL).await;
+        let is_blind = !gateway.may_serve_keys() || gateway.may_be_cut_off();
+        gateway.with_rollouts(|rollouts, now_ms| {
+            rollouts
+                .values_mut()
+                .for_each(|tracker| tracker.tick(now_ms, is_blind));
+        });
         let Some(own_delay_ms) = own_delay_ms(&gateway) else {
             continue;
         };
--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -177,6 +177,15 @@
     }
 }
 
+/// Number of answers that were seen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswersSeen {
+    /// Answers of the new version.
+    pub new: u32,
+    /// Answers of both versions.
+    pub all: u32,
+}
+
 /// Comparison of the answers of both versions.
 #[derive(Debug, Default)]
 pub struct CanaryAnalysis {
@@ -233,6 +242,16 @@
         total
     }
 
+    /// Number of answers seen by all boxes. A stream counts once it was timed, before its end.
+    pub fn seen(&self) -> AnswersSeen {
+        let total = self.total_tally();
+        let over_all_lanes = total.iter().filter(|(group, _)| group.lane.is_none());
+        over_all_lanes.fold(AnswersSeen::default(), |seen, (_, counts)| AnswersSeen {
+            new: seen.new.max(counts.new.all),
+            all: seen.all.max(counts.new.all + counts.old.all),
+        })
+    }
+
     /// Whether the new version is significantly worse in any group.
     pub fn condemns(&self) -> bool {
         self.condemns_at(SIGNIFICANCE_LEVEL)
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -7,11 +7,14 @@
 //! keeps it from moving back. A version may be bad without showing it at first, so the steps are
 //! small until shortly before the end. The first box that finds the new version bad returns all
 //! work to the old one; see [`crate::gateway::canary`] for the criteria.
+//!
+//! A version is judged by what was seen of it. Time in which nothing could be seen does not count, all work moves only
+//! once enough answers of the new version were seen for the traffic, and so does the completion, which is final.
 
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::gateway::canary::{AnswerSample, CanaryAnalysis, Tally};
+use crate::gateway::canary::{AnswerSample, AnswersSeen, CanaryAnalysis, Tally};
 use crate::gateway::revision::Revision;
 use crate::hash::mix;
 
@@ -45,10 +48,23 @@
         share: 1.0,
     },
 ];
+/// Step in which all work goes to the new version.
+const LAST_STEP: usize = STEPS.len() - 1;
 /// Fraction of the duration after which the roll-out is declared complete. Streams of the old
 /// version that have not ended by then are resumed. The rest leaves some hundred milliseconds for
 /// the response of the store.
 const COMPLETION_FRACTION: f64 = 0.96;
+/// Answers of the new version that must be seen before all work moves to it.
+const MIN_SEEN_TO_SHIFT: u32 = 10;
+/// Answers of both versions below which all work moves without that: the last step then has so few requests that the
+/// exposure bound, which allows 30 beyond its share, holds for a bad version too.
+const LITTLE_TRAFFIC: u32 = 400;
+/// Answers of the new version that must be seen before the roll-out is completed. Fewer cannot condemn it.
+const MIN_SEEN_TO_COMPLETE: u32 = 3;
+/// Answers of both versions for each of these, so that a pool with hardly any traffic completes as well.
+const TRAFFIC_PER_SEEN: u32 = 20;
+/// Time without an answer of either version after which a box that cannot serve sees nothing.
+const UNSEEN_AFTER_MS: u64 = 1_000;
 /// Decorrelates this hash from others that use the same session.
 const SESSION_SALT: u64 = 0x726f_6c6c_6f75_7421;
 
@@ -128,6 +144,12 @@
     /// Start of the roll-out; may precede the zero of the clock of this box.
     started_ms: i64,
     analysis: CanaryAnalysis,
+    seen: AnswersSeen,
+    /// When an answer was last seen.
+    last_seen_ms: u64,
+    last_tick_ms: u64,
+    /// Since when all work goes to the new version. It does not move back for lack of answers.
+    shifted_at_ms: Option<u64>,
     /// When the new version was condemned.
     condemned_at_ms: Option<u64>,
 }
@@ -158,10 +180,30 @@
             order,
             state_lost_at_ms: None,
             analysis: CanaryAnalysis::default(),
+            seen: AnswersSeen::default(),
+            last_seen_ms: now_ms,
+            last_tick_ms: now_ms,
+            shifted_at_ms: None,
             condemned_at_ms: None,
         }
     }
 
+    /// Advances the roll-out; called several times a second. `is_blind` tells whether this box cannot serve requests now.
+    /// Unless answers are seen all the same, by this box or another, the time since the last call does not count.
+    pub fn tick(&mut self, now_ms: u64, is_blind: bool) {
+        let since_ms = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if self.is_over() {
+            return;
+        }
+        if is_blind && now_ms >= self.last_seen_ms + UNSEEN_AFTER_MS {
+            self.started_ms += since_ms as i64;
+        }
+        if self.shifted_at_ms.is_none() && self.share(now_ms) >= 1.0 {
+            self.shifted_at_ms = Some(now_ms);
+        }
+    }
+
     /// Applies a newer record of the order; an order for another version restarts the roll-out.
     pub fn update(&mut self, order: RolloutOrder, now_ms: u64) {
         if order.store_revision() <= self.order.store_revision() {
@@ -216,7 +258,30 @@
             _ if self.condemned_at_ms.is_some() => return 0.0,
             _ => {}
         }
-        STEPS[step_at(self.elapsed_fraction(now_ms))].share
+        let mut step = step_at(self.elapsed_fraction(now_ms));
+        if step == LAST_STEP && !self.may_shift() {
+            step = LAST_STEP - 1;
+        }
+        STEPS[step].share
+    }
+
+    /// Whether enough answers of the new version were seen for all work to move to it.
+    fn may_shift(&self) -> bool {
+        let is_little = self.seen.all < LITTLE_TRAFFIC;
+        self.shifted_at_ms.is_some() || is_little || self.seen.new >= MIN_SEEN_TO_SHIFT
+    }
+
+    /// Whether the roll-out may be completed: all work has moved for long enough, and enough answers of the new version
+    /// were seen.
+    fn may_complete(&self, now_ms: u64) -> bool {
+        let fraction = COMPLETION_FRACTION - STEPS[LAST_STEP].start;
+        let shifted_ms = (self.order.duration_ms as f64 * fraction) as u64;
+        let is_shifted = match self.shifted_at_ms {
+            Some(at_ms) => now_ms >= at_ms + shifted_ms,
+            None => self.may_shift(),
+        };
+        let needed = (self.seen.all / TRAFFIC_PER_SEEN).min(MIN_SEEN_TO_COMPLETE);
+        is_shifted && self.seen.new >= needed
     }
 
     /// The side that serves a request of the session with this hash.
@@ -244,6 +309,8 @@
         let began_ms = now_ms.saturating_sub(sample.age_ms);
         let is_fully_shifted = self.share(began_ms) >= 1.0;
         self.analysis.record(side, sample, is_fully_shifted);
+        self.last_seen_ms = now_ms;
+        self.seen = self.analysis.seen();
         self.condemn_if_bad(now_ms)
     }
 
@@ -251,6 +318,11 @@
     /// now.
     pub fn set_remote_tally(&mut self, others: Tally, now_ms: u64) -> bool {
         self.analysis.set_remote_tally(others);
+        let seen = self.analysis.seen();
+        if seen != self.seen {
+            self.last_seen_ms = now_ms;
+        }
+        self.seen = seen;
         self.condemn_if_bad(now_ms)
     }
 
@@ -288,7 +360,11 @@
             {
                 RolloutDuty::RollBack
             }
-            _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION => RolloutDuty::Complete,
+            _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION
+                && self.may_complete(now_ms) =>
+            {
+                RolloutDuty::Complete
+            }
             RolloutState::Ordered => RolloutDuty::Tell,
             RolloutState::Running { .. } if is_rewrite_due => RolloutDuty::Tell,
             RolloutState::Running { elapsed_ms } => {
