List a topic again where its changes are too large for a response

What callers saw: a box that lost the store while seven configurations of 0.9 MB were written refused keyed requests for good (30 s in the test, its limit): the watch from its revision has 6 MB, a response of 4 MB is read, and the same watch was repeated. CONFIG: an accepted configuration is in force within `configMs` at machines in touch.

Change: a response that is too large is told from one that is lost, and the topic is listed anew, which comes in pages.

--- a/crates/ivyweir-gateway/src/client.rs
+++ b/crates/ivyweir-gateway/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{HeaderMap, Request, StatusCode};
 use snafu::Snafu;
 use tokio::time::timeout;
@@ -33,6 +33,9 @@
         /// The cause.
         detail: String,
     },
+    /// The response is larger than [`MAX_RESPONSE_BYTES`].
+    #[snafu(display("response is too large"))]
+    TooLarge,
     /// The call was abandoned before a complete response arrived.
     #[snafu(display("call abandoned: {detail}"))]
     Abandoned {
@@ -146,15 +149,15 @@
                 SendError::ResponseLost(e) => no_response(e.to_string()),
             })?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-            let body = body
-                .await
-                .map_err(|e| no_response(e.to_string()))?
-                .to_bytes();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = body.map_err(|e| match e.downcast::<LengthLimitError>() {
+                Ok(_) => CallError::TooLarge,
+                Err(e) => no_response(e.to_string()),
+            })?;
             Ok(BufferedResponse {
                 status: head.status,
                 headers: head.headers,
-                body,
+                body: body.to_bytes(),
             })
         };
         let response = timeout(limit, exchange)
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -135,6 +135,8 @@
         }
         let changes = match response.and_then(|response| self.decode(since.era, &response)) {
             Ok(changes) => changes,
+            // The records themselves come in pages.
+            Err(CallError::TooLarge) => None,
             Err(e) => {
                 self.record_failure(&e);
                 return Err(());
--- a/crates/ivyweird/tests/gateway_store.rs
+++ b/crates/ivyweird/tests/gateway_store.rs
@@ -2,8 +2,10 @@
 //! roll-outs.
 
 use std::path::Path;
+use std::sync::Arc;
 
 use ivyweir_policy::gateway::rollout::RolloutState;
+use ivyweir_policy::gateway::site::SiteConfig;
 use ivyweir_standins::edge::{
     GatewayProcess, KEY, ScriptedUpstream, StoreFault, TestCluster, UpstreamAction, eventually,
     get, site_config,
@@ -40,6 +42,39 @@
     assert_eq!(settled_status(&town, 0, KEY), 401);
 }
 
+/// A configuration with many routes, of about this size, whose only key is `key`.
+fn large_site_config(version: u64, key: &str, bytes: usize) -> SiteConfig {
+    const ROUTE_BYTES: usize = 2_000;
+    let mut site = site_config(version, &[key]);
+    let first = site.routes[0].clone();
+    for n in 0..bytes / ROUTE_BYTES {
+        let mut route = (*first).clone();
+        route.path_prefix = format!("/{n}/{}/", "x".repeat(ROUTE_BYTES)).into();
+        site.routes.push(Arc::new(route));
+    }
+    site
+}
+
+/// Guards against a box that cannot catch up where the changes that it missed are larger than a response may be.
+#[test]
+fn a_box_that_missed_many_large_configurations_catches_up() {
+    const SITE_BYTES: usize = 900_000;
+    let town = town(&["hall-a"]);
+    town.store.set_fault(StoreFault::Silent);
+    for version in 2..=8 {
+        let key = format!("key-{version}");
+        town.store
+            .put_site(&large_site_config(version, &key, SITE_BYTES));
+    }
+    eventually("the box has lost its proof", || !town.is_ready(0));
+    town.store.set_fault(StoreFault::None);
+    eventually("the newest key works", || {
+        settled_status(&town, 0, "key-8") == 200
+    });
+    eventually("its proof is renewed", || town.is_ready(0));
+    assert_eq!(settled_status(&town, 0, KEY), 401);
+}
+
 #[test]
 fn an_older_configuration_is_never_adopted() {
     let town = town(&["hall-a"]);
