Keep upstreams that reject a model which a caller named

What callers saw: a few requests with a model of their own on a route where the system chooses one emptied the pool of a box, and all others got 503.

Cause: 421 was taken for the word of another incarnation, whatever its cause, and ended the use of the upstream for good.

Change: where the caller names the model itself and the gateway may choose one, 421 ends the attempt only. The incarnation is found by the next request.

Evidence: a_model_that_no_upstream_has_takes_none_out_of_use fails on (503) and passes now.

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -298,7 +298,10 @@
     if metadata.is_other_incarnation {
         trace.fail("other_incarnation", detail);
         in_flight.settle();
-        gateway.mark_upstream_left(upstream);
+        // An upstream also rejects a model that it does not have, in the same way.
+        if !job.names_own_model() {
+            gateway.mark_upstream_left(upstream);
+        }
         count_attempt(gateway, job, "other_incarnation");
         return AttemptOutcome::NotRun { arrived: true };
     }
--- a/crates/ivyweir-gateway/src/job.rs
+++ b/crates/ivyweir-gateway/src/job.rs
@@ -107,6 +107,11 @@
         self.metadata.auto_model && !self.route.models.is_empty()
     }
 
+    /// Returns whether the caller names a model where the gateway may choose one.
+    pub fn names_own_model(&self) -> bool {
+        !self.metadata.auto_model && !self.route.models.is_empty()
+    }
+
     /// Returns the key of the group in which response times are compared: same route and same model.
     pub fn lane(&self, model: usize) -> u64 {
         mix(hash64(&[self.route.name.as_bytes()]), model as u64)
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -146,6 +146,30 @@
     assert!(town.services[0].received_requests().len() <= 1);
 }
 
+/// Guards against callers that take upstreams out of use by naming a model that they do not have.
+#[test]
+fn a_model_that_no_upstream_has_takes_none_out_of_use() {
+    let town = town();
+    for engine in &town.engines {
+        engine.set_action(UpstreamAction::OtherIncarnation);
+    }
+    for n in 0..4 {
+        let id = format!("r{n}");
+        let headers = [
+            ("ivyweir-request-id", id.as_str()),
+            ("ivyweir-model", "unknown"),
+            AUTH,
+        ];
+        let reply = get(town.addr(0), "/sized/x", &headers).expect("an answer");
+        assert!(reply.status >= 400, "{}", reply.status);
+    }
+    for engine in &town.engines {
+        engine.set_action(stream(10, None, None));
+    }
+    let reply = post_stream(town.addr(0), "/stream/x", "r").expect("an answer");
+    assert_eq!((reply.status, reply.is_complete), (200, true));
+}
+
 #[test]
 fn a_stream_arrives_whole_and_in_order() {
     let town = town();
