Count the answers seen without copies of the counts

They are counted after each answer; copying all groups for that costs as much as the comparison itself. No change of behaviour: gateway_rollout and gateway_rollout_model pass, 52 and 18 cases.

--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -244,12 +244,27 @@
 
     /// Number of answers seen by all boxes. A stream counts once it was timed, before its end.
     pub fn seen(&self) -> AnswersSeen {
-        let total = self.total_tally();
-        let over_all_lanes = total.iter().filter(|(group, _)| group.lane.is_none());
-        over_all_lanes.fold(AnswersSeen::default(), |seen, (_, counts)| AnswersSeen {
-            new: seen.new.max(counts.new.all),
-            all: seen.all.max(counts.new.all + counts.old.all),
-        })
+        let mut seen = AnswersSeen::default();
+        for criterion in [
+            Criterion::Failure,
+            Criterion::Slowness,
+            Criterion::LongSlowness,
+        ] {
+            let group = Group {
+                criterion,
+                lane: None,
+            };
+            let others = self.others.iter().filter(|(known, _)| *known == group);
+            let others = others.map(|(_, counts)| counts);
+            let (mut new, mut old) = (0, 0);
+            for counts in self.own.get(&group).into_iter().chain(others) {
+                new += counts.new.all;
+                old += counts.old.all;
+            }
+            seen.new = seen.new.max(new);
+            seen.all = seen.all.max(new + old);
+        }
+        seen
     }
 
     /// Whether the new version is significantly worse in any group.
