Keep only the newest configuration for followers

Cause: a history keeps as many changes as its topic has records. For the configuration the number of routes was taken, and each change holds all of them.

Change: of the configuration the newest write is kept, which is all that a follower at any revision needs.

--- a/crates/ivyweir-gateway/src/history.rs
+++ b/crates/ivyweir-gateway/src/history.rs
@@ -41,6 +41,18 @@
     source: TopicSource,
 }
 
+impl History {
+    /// Drops all changes before the newest write. Each write of the configuration holds all of it, so a requester at any
+    /// revision needs the newest only.
+    fn drop_replaced(&mut self) {
+        let is_write =
+            |(_, change): &(Revision, RecordChange)| matches!(change, RecordChange::Put(_));
+        if let Some(newest) = self.changes.iter().rposition(is_write) {
+            self.changes.drain(..newest);
+        }
+    }
+}
+
 /// Where this box receives a topic from.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum TopicSource {
@@ -138,7 +150,7 @@
 
     /// Appends changes of a topic that now has this number of `records`. No more changes than
     /// records are kept, beyond the minimum: for a requester that is further behind, all records
-    /// are the smaller response.
+    /// are the smaller response. Of the configuration only the newest write is kept.
     pub fn append(
         &self,
         topic: Topic,
@@ -154,6 +166,9 @@
         history
             .changes
             .extend(changes.into_iter().map(|c| (revision, c)));
+        if topic == Topic::Site {
+            history.drop_replaced();
+        }
         while history.changes.len() > kept {
             if let Some((revision, _)) = history.changes.pop_front() {
                 history.compacted_revision = revision;
--- a/crates/ivyweir-gateway/tests/histories.rs
+++ b/crates/ivyweir-gateway/tests/histories.rs
@@ -1,11 +1,14 @@
 //! Changes to the store's records that a box passes on to other boxes, and the conditions under which
 //! it refuses to serve them.
 
-use ivyweir_gateway::dialect::Topic;
+use std::sync::Arc;
+
+use ivyweir_gateway::dialect::{StoreRecord, Topic};
 use ivyweir_gateway::history::{
     Backlog, Histories, RecordChange, Requester, SourceUnavailable, TopicSource,
 };
 use ivyweir_policy::gateway::revision::Revision;
+use ivyweir_policy::gateway::site::{Route, RouteKind, SiteConfig};
 
 /// A revision of era 1.
 fn rev(number: u64) -> Revision {
@@ -142,3 +145,61 @@
 fn a_box_from_a_later_era_gets_nothing() {
     assert!(backlog_after_restore(Revision::new(3, 1)).is_none());
 }
+
+/// Guards against memory that grows with the number of changes of the configuration, each of which holds all routes.
+#[test]
+fn only_the_newest_configuration_is_kept() {
+    let route = Arc::new(Route {
+        name: "route".into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        latency_aim_ms: 100,
+        priority: 0,
+        models: Vec::new(),
+        pools: Vec::new(),
+        max_attempts: 1,
+        anonymous: true,
+    });
+    let histories = Histories::default();
+    histories.set_source(Topic::Site, TopicSource::Store);
+    histories.set_store_responsive(true);
+    histories.reset(Topic::Site, rev(1));
+    for number in 2..=1_000 {
+        let site = SiteConfig {
+            version: number,
+            routes: vec![route.clone()],
+            ..SiteConfig::default()
+        };
+        let put = RecordChange::Put(StoreRecord::Site(Box::new(site)));
+        histories.append(Topic::Site, rev(number), vec![put], 3_000);
+    }
+    assert_eq!(Arc::strong_count(&route), 2, "one configuration is kept");
+    for since in [1, 500, 999] {
+        let backlog = histories.changes_since(Topic::Site, rev(since), Requester::Follower);
+        let Ok(Some(Backlog::Changes(revision, changes))) = backlog else {
+            panic!("a follower at revision {since} needs no more than the changes");
+        };
+        assert_eq!(revision, rev(1_000));
+        let [RecordChange::Put(StoreRecord::Site(site))] = &changes[..] else {
+            panic!("{} changes", changes.len());
+        };
+        assert_eq!(site.version, 1_000);
+    }
+}
+
+/// Guards against a follower that misses the newest configuration because its object was deleted afterwards.
+#[test]
+fn a_configuration_is_kept_behind_its_deletion() {
+    let histories = Histories::default();
+    histories.set_source(Topic::Site, TopicSource::Store);
+    histories.set_store_responsive(true);
+    histories.reset(Topic::Site, rev(1));
+    let put = RecordChange::Put(StoreRecord::Site(Box::default()));
+    histories.append(Topic::Site, rev(2), vec![put], 1);
+    let deletion = RecordChange::Deleted("main".into());
+    histories.append(Topic::Site, rev(3), vec![deletion], 1);
+    let backlog = histories.changes_since(Topic::Site, rev(1), Requester::Follower);
+    assert!(matches!(backlog, Ok(Some(Backlog::Changes(_, changes))) if changes.len() == 2));
+}
