--- a/crates/ivyweir-standins/src/edge/repeating_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/repeating_upstream.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -77,9 +78,13 @@
     connections: usize,
 }
 
+/// Chooses the surplus answer before the answer to a request, by the number of the request at its upstream.
+type Plan = Box<dyn Fn(u64) -> Option<SurplusAnswer> + Send + Sync>;
+
 struct Shared {
     name: Name,
-    surplus: Option<SurplusAnswer>,
+    plan: Plan,
+    requests: AtomicU64,
     /// Ids that are rejected once, as not run.
     rejected_once: Mutex<Vec<String>>,
     seen: Mutex<Seen>,
@@ -95,12 +100,23 @@
     /// Starts an upstream that sends `surplus` before the answer to each request but the first on a connection. It runs
     /// until the process exits.
     pub fn start(id: &str, pool: &str, surplus: Option<SurplusAnswer>) -> Self {
+        Self::start_with(id, pool, move |_| surplus)
+    }
+
+    /// Starts an upstream that sends what `plan` chooses before the answer to each request but the first on a
+    /// connection, by the number of the request at this upstream. It runs until the process exits.
+    pub fn start_with(
+        id: &str,
+        pool: &str,
+        plan: impl Fn(u64) -> Option<SurplusAnswer> + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind(SocketAddr::from((unique_ip(), 0)));
         let listener = listener.expect("a free port");
         let addr = listener.local_addr().expect("a bound socket");
         let shared = Arc::new(Shared {
             name: id.into(),
-            surplus,
+            plan: Box::new(plan),
+            requests: AtomicU64::new(0),
             rejected_once: Mutex::default(),
             seen: Mutex::default(),
         });
@@ -294,7 +310,8 @@
             shared.with_seen(|seen| seen.surplus_answers += 1);
             Some(repeated + &shared.run(&request))
         } else {
-            match (shared.surplus, &earlier) {
+            let number = shared.requests.fetch_add(1, Ordering::SeqCst);
+            match ((shared.plan)(number), &earlier) {
                 (Some(surplus), Some(earlier)) => {
                     shared.with_seen(|seen| seen.surplus_answers += 1);
                     let text = surplus.text(earlier, &request.id);
