Do not judge answers that are set aside

An answer of a smaller model that is set aside, and whose connection closes before it is discarded, was counted as lost for its version since the change that judges lost answers. Found by reading.

--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -103,7 +103,7 @@
 
     /// Records that the run was lost with its connection, and probes whether the upstream itself has terminated.
     fn lose(&mut self, gateway: &Arc<Gateway>) {
-        if !gateway.is_termination_planned(&self.upstream) {
+        if !self.is_discarded && !gateway.is_termination_planned(&self.upstream) {
             self.judge(gateway, true);
         }
         gateway.suspect_path(&self.upstream.id);
