--- a/crates/ivyweir-standins/src/edge/repeating_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/repeating_upstream.rs
@@ -41,6 +41,8 @@
     Chunks,
     /// By the end of the connection.
     Connection,
+    /// There is no body, as behind an informational status.
+    NoBody,
 }
 
 /// What follows a surplus answer.
@@ -280,6 +282,7 @@
                 text += &format!("transfer-encoding: chunked\r\n\r\n{chunk}0\r\n\r\n");
             }
             SurplusFraming::Connection => text += &format!("\r\n{body}"),
+            SurplusFraming::NoBody => text += "\r\n",
         }
         text
     }
--- a/crates/ivyweird/tests/gateway_answer_owner.rs
+++ b/crates/ivyweird/tests/gateway_answer_owner.rs
@@ -144,6 +144,9 @@
     a_rejection_without_an_id_is_not_believed: 503, Missing, Length, then Answer, UNSAFE => [200];
     a_rejection_with_an_empty_id_is_not_believed: 503, Empty, Length, then Answer, UNSAFE => [200];
     a_rejection_with_two_ids_is_not_believed: 503, Both, Length, then Answer, UNSAFE => [200, 502];
+    an_informational_response_belongs_to_no_request: 103, Missing, NoBody, then Answer, UNSAFE => [200];
+    an_informational_response_with_the_id_of_another_request_belongs_to_none: 103, Earlier, NoBody, then AnswerAtOnce, STREAM => [200];
+    a_switch_of_protocols_that_nobody_asked_for_promises_nothing: 101, Missing, NoBody, then Answer, UNSAFE => [200, 502];
     a_surplus_word_of_another_incarnation_without_an_id_is_not_believed: 421, Missing, Length, then Answer, UNSAFE => [200];
 }
 
