--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -31,5 +31,5 @@
 pub use scripted_upstream::{ANSWERED_BY, ReceivedRequest, ScriptedUpstream, UpstreamAction};
 pub use test_cluster::{
     HOST, KEY, KeptConnection, Reply, TestCluster, WORKSPACE, any_port, call, event_ids,
-    eventually, get, post_stream, site_config,
+    eventually, get, post_stream, site_config, site_config_for_pool, site_config_with_once,
 };
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -268,6 +268,43 @@
     }
 }
 
+/// Builds the configuration of [`site_config`] with a further route, `/once/`, of streams that may not be repeated.
+pub fn site_config_with_once(version: u64, keys: &[&str]) -> SiteConfig {
+    let mut site = site_config(version, keys);
+    let stream = site.routes.iter().find(|route| &*route.name == "stream");
+    let mut once = (**stream.expect("a stream route")).clone();
+    once.name = "once".into();
+    once.path_prefix = "/once/".into();
+    once.kind = RouteKind::Stream {
+        resumable: false,
+        gap_aim_ms: 1_000,
+    };
+    site.routes.push(Arc::new(once));
+    site
+}
+
+/// Builds the configuration of [`site_config`] with all routes before one plain pool. A request may be sent three times,
+/// and streams may not be repeated.
+pub fn site_config_for_pool(version: u64, keys: &[&str], pool: &str) -> SiteConfig {
+    let mut site = site_config(version, keys);
+    let plain = site.pools.iter().find(|pool| !pool.is_engine);
+    let mut spec = plain.expect("a plain pool").clone();
+    spec.name = pool.into();
+    site.pools.push(spec);
+    for route in &mut site.routes {
+        let route = Arc::make_mut(route);
+        route.pools = vec![PoolShare {
+            pool: pool.into(),
+            weight: 1,
+        }];
+        route.max_attempts = 3;
+        if let RouteKind::Stream { resumable, .. } = &mut route.kind {
+            *resumable = false;
+        }
+    }
+    site
+}
+
 /// A response received by a caller.
 #[derive(Debug, Clone)]
 pub struct Reply {
--- a/crates/ivyweird/tests/answer_ends_soak/main.rs
+++ b/crates/ivyweird/tests/answer_ends_soak/main.rs
@@ -15,11 +15,10 @@
 use std::thread;
 use std::time::Duration;
 
-use ivyweir_policy::gateway::site::{RouteKind, SiteConfig};
 use ivyweir_standins::Fault;
 use ivyweir_standins::edge::{
     BodyEnd, BodyFraming, EventScript, KEY, LineEnd, PathFault, PathProxies, PlainScript,
-    ScriptedUpstream, StoreFault, UpstreamAction, site_config,
+    ScriptedUpstream, StoreFault, UpstreamAction, site_config_with_once,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -116,7 +115,8 @@
     /// A new configuration of the same routes.
     fn change_config(&mut self) {
         self.version += 1;
-        self.boxes.town.store.put_site(&site(self.version));
+        let site = site_config_with_once(self.version, &[KEY]);
+        self.boxes.town.store.put_site(&site);
     }
 
     /// One random fault or change; some last, until another step or the end undoes them.
@@ -317,21 +317,6 @@
     })
 }
 
-/// The routes of all test clusters, and one of streams that may not be repeated.
-fn site(version: u64) -> SiteConfig {
-    let mut site = site_config(version, &[KEY]);
-    let stream = site.routes.iter().find(|route| &*route.name == "stream");
-    let mut once = (**stream.expect("a stream route")).clone();
-    once.name = "once".into();
-    once.path_prefix = "/once/".into();
-    once.kind = RouteKind::Stream {
-        resumable: false,
-        gap_aim_ms: 1_000,
-    };
-    site.routes.push(Arc::new(once));
-    site
-}
-
 fn soak(seed: u64, steps: u32, boxes: usize) {
     let mut soak = Soak::start(seed, boxes);
     let callers = start_callers(&soak.shared, boxes, seed);
--- a/crates/ivyweird/tests/answer_owner_soak.rs
+++ b/crates/ivyweird/tests/answer_owner_soak.rs
@@ -13,12 +13,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ivyweir_policy::gateway::site::{PoolShare, RouteKind, SiteConfig};
 use ivyweir_policy::hash::mix;
 use ivyweir_standins::Fault;
 use ivyweir_standins::edge::{
     Following, KEY, KeptConnection, RepeatingUpstream, StoreFault, SurplusAnswer, SurplusFraming,
-    SurplusId, site_config,
+    SurplusId, site_config_for_pool,
 };
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -131,7 +130,8 @@
 
     fn change_config(&mut self) {
         self.version += 1;
-        self.boxes.town.store.put_site(&site(self.version));
+        let site = site_config_for_pool(self.version, &[KEY], POOL);
+        self.boxes.town.store.put_site(&site);
     }
 
     /// Registers another upstream in place of the oldest one, which serves on.
@@ -228,26 +228,6 @@
     faults
 }
 
-/// The routes of all test clusters before one pool, with streams that may not be repeated.
-fn site(version: u64) -> SiteConfig {
-    let mut site = site_config(version, &[KEY]);
-    let mut pool = site.pools[1].clone();
-    pool.name = POOL.into();
-    site.pools.push(pool);
-    for route in &mut site.routes {
-        let route = Arc::make_mut(route);
-        route.pools = vec![PoolShare {
-            pool: POOL.into(),
-            weight: 1,
-        }];
-        route.max_attempts = 3;
-        if let RouteKind::Stream { resumable, .. } = &mut route.kind {
-            *resumable = false;
-        }
-    }
-    site
-}
-
 /// Sends requests to a box, on connections that it keeps for as long as they are open.
 fn start_caller(shared: Arc<Shared>, number: usize, seed: u64) -> JoinHandle<()> {
     static REQUESTS: AtomicU64 = AtomicU64::new(0);
--- a/crates/ivyweird/tests/gateway_answer_ends.rs
+++ b/crates/ivyweird/tests/gateway_answer_ends.rs
@@ -4,13 +4,11 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::time::Duration;
 
-use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_standins::edge::{
     BodyEnd, BodyFraming, EventScript, HOST, KEY, LineEnd, PlainScript, ScriptedUpstream,
-    TestCluster, UpstreamAction, eventually, get, post_stream, site_config,
+    TestCluster, UpstreamAction, eventually, get, post_stream, site_config_with_once,
 };
 
 use common::BINARY;
@@ -29,16 +27,7 @@
 
 /// Adds a stream route whose requests may not be repeated.
 fn put_site(cluster: &TestCluster) {
-    let mut site = site_config(2, &[KEY]);
-    let stream = site.routes.iter().find(|route| &*route.name == "stream");
-    let mut once = (**stream.expect("a stream route")).clone();
-    once.name = "once".into();
-    once.path_prefix = "/once/".into();
-    once.kind = RouteKind::Stream {
-        resumable: false,
-        gap_aim_ms: 1_000,
-    };
-    site.routes.push(Arc::new(once));
+    let site = site_config_with_once(2, &[KEY]);
     cluster.store.put_site(&site);
 }
 
--- a/crates/ivyweird/tests/gateway_answer_owner.rs
+++ b/crates/ivyweird/tests/gateway_answer_owner.rs
@@ -2,13 +2,10 @@
 
 mod common;
 
-use std::sync::Arc;
-
 use bytes::Bytes;
-use ivyweir_policy::gateway::site::{PoolShare, RouteKind};
 use ivyweir_standins::edge::{
     Following, HOST, KEY, KeptConnection, RepeatingUpstream, Reply, SurplusAnswer, SurplusFraming,
-    SurplusId, TestCluster, call, eventually, get, site_config,
+    SurplusId, TestCluster, call, eventually, get, site_config_for_pool,
 };
 
 use common::BINARY;
@@ -26,21 +23,7 @@
     surplus: Option<SurplusAnswer>,
 ) -> (TestCluster, Vec<RepeatingUpstream>) {
     let mut cluster = TestCluster::start(BINARY);
-    let mut site = site_config(2, &[KEY]);
-    let mut pool = site.pools[1].clone();
-    pool.name = POOL.into();
-    site.pools.push(pool);
-    for route in &mut site.routes {
-        let route = Arc::make_mut(route);
-        route.pools = vec![PoolShare {
-            pool: POOL.into(),
-            weight: 1,
-        }];
-        route.max_attempts = 3;
-        if let RouteKind::Stream { resumable, .. } = &mut route.kind {
-            *resumable = false;
-        }
-    }
+    let site = site_config_for_pool(2, &[KEY], POOL);
     cluster.store.put_site(&site);
     let start = |n: usize| RepeatingUpstream::start(&format!("repeating-{n}"), POOL, surplus);
     let upstreams: Vec<_> = (0..upstreams).map(start).collect();
--- a/crates/ivyweird/tests/gateway_planned_ends.rs
+++ b/crates/ivyweird/tests/gateway_planned_ends.rs
@@ -2,14 +2,12 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use ivyweir_policy::gateway::site::RouteKind;
 use ivyweir_standins::edge::{
     BodyFraming, EventScript, KEY, Reply, ScriptedUpstream, TestCluster, UpstreamAction,
-    eventually, post_stream, site_config,
+    eventually, post_stream, site_config_with_once,
 };
 
 use common::BINARY;
@@ -37,16 +35,7 @@
 
 fn cluster() -> TestCluster {
     let mut cluster = TestCluster::start(BINARY);
-    let mut site = site_config(2, &[KEY]);
-    let stream = site.routes.iter().find(|route| &*route.name == "stream");
-    let mut once = (**stream.expect("a stream route")).clone();
-    once.name = "once".into();
-    once.path_prefix = "/once/".into();
-    once.kind = RouteKind::Stream {
-        resumable: false,
-        gap_aim_ms: 1_000,
-    };
-    site.routes.push(Arc::new(once));
+    let site = site_config_with_once(2, &[KEY]);
     cluster.store.put_site(&site);
     cluster.add_box("hall-a");
     cluster
