Take no request for unsent behind a skipped response

The client that reads on behind a skipped response sends a request that is not written. If it ended before it took that request, the request itself, which was written before, counted as not sent: it would have been sent again, or promised not to have run.

--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -62,7 +62,7 @@
     /// No other response can follow.
     NothingFollows,
     /// No other response arrived.
-    Lost(SendError),
+    Lost(hyper::Error),
 }
 
 /// A connection that carries one request at a time.
@@ -217,7 +217,11 @@
         next.has_skipped = true;
         let mut request = Request::new(Full::default());
         *request.method_mut() = method;
-        let response = next.send(request).await.map_err(SkipError::Lost)?;
+        let response = next.send(request).await.map_err(|e| match e {
+            // The request was written before, on the same socket.
+            SendError::NotSent => SkipError::NothingFollows,
+            SendError::ResponseLost(e) => SkipError::Lost(e),
+        })?;
         Ok((next, response))
     }
 
--- a/crates/ivyweir-gateway/src/exchange.rs
+++ b/crates/ivyweir-gateway/src/exchange.rs
@@ -82,7 +82,7 @@
         foreign.with_label_values(&[upstream.name(), then]).inc();
         let (connection, following) = next.map_err(|e| match e {
             SkipError::NothingFollows => ExchangeError::Foreign,
-            SkipError::Lost(e) => ExchangeError::Send(e),
+            SkipError::Lost(e) => ExchangeError::Send(SendError::ResponseLost(e)),
         })?;
         in_flight.set_connection(connection);
         response = following;
