Record what each promise to a caller rests on

A caller that gets 408, 421, 429 or 503 is promised that its request has not run.

Each send is now entered in a ledger before a byte is written, and settled only by what shows that it has not become a run: nothing was written, a rejection that names the request, another box's word. 'May have run' was a flag that each path had to set; it is now what is left in the ledger, so a path that says nothing of its sends cannot promise anything. Each promise is one event (promised_not_run) with its basis, upstreams, local port and position on the connection, and is counted (ivyweir_promises_total).

--- a/crates/ivyweir-gateway/src/attempt.rs
+++ b/crates/ivyweir-gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::forecast::Forecast;
+use ivyweir_policy::gateway::promise::{ConnectionUse, NotRun, SendLedger};
 use ivyweir_policy::gateway::statement::{DeclaredLimit, RetryAfter, Statement};
 use ivyweir_policy::gateway::urgency::Band;
 use ivyweir_policy::gateway::work::Estimate;
@@ -71,12 +72,13 @@
     pub forecast: Option<Forecast>,
 }
 
-/// Sends a job to an upstream and waits for the head of the response.
+/// Sends a job to an upstream and waits for the head of the response. What becomes of the send is recorded in `ledger`.
 pub async fn send(
     gateway: &Arc<Gateway>,
     job: &Job,
     upstream: &Arc<UpstreamRecord>,
     options: AttemptOptions,
+    ledger: &mut SendLedger,
     trace: &mut Trace,
 ) -> AttemptOutcome {
     let estimate = gateway.estimate(job, options.model);
@@ -128,6 +130,7 @@
         let forward = forward_metadata(gateway, job, upstream, options, estimate);
         let request = job.upstream_request(&*gateway.dialect, &forward);
         let sent_at_ms = gateway.clock.now_ms();
+        ledger.begin();
         in_flight.record_sent();
         if let Some(handed_over) = &job.handed_over {
             handed_over.record_send(&upstream.id);
@@ -169,21 +172,30 @@
                 let head = Head {
                     response,
                     metadata,
+                    connection: last_use(&in_flight),
                     after_ms: gateway.clock.now_ms() - sent_at_ms,
                     forecast: options.forecast,
                     band,
                 };
+                let rejection = NotRun::Rejected {
+                    upstream: upstream.id.clone(),
+                    status: head.response.status().as_u16(),
+                    connection: head.connection,
+                };
                 let outcome = classify_response(gateway, job, upstream, in_flight, head, trace);
                 if matches!(outcome, AttemptOutcome::NotRun { .. }) {
+                    ledger.settle(rejection);
                     gateway.retract_workspace_work(job, estimate, sent_at_ms);
                 }
                 return outcome;
             }
             Ok(Err(ExchangeError::Send(SendError::NotSent))) if is_pooled => {
+                ledger.settle(NotRun::NotWritten);
                 in_flight.settle();
                 gateway.retract_workspace_work(job, estimate, sent_at_ms);
             }
             Ok(Err(ExchangeError::Send(SendError::NotSent))) => {
+                ledger.settle(NotRun::NotWritten);
                 in_flight.settle();
                 gateway.retract_workspace_work(job, estimate, sent_at_ms);
                 gateway.with_load(&upstream.id, |load, now_ms| {
@@ -253,6 +265,8 @@
 struct Head {
     response: Response<Incoming>,
     metadata: ResponseMetadata,
+    /// The connection on which it came.
+    connection: ConnectionUse,
     /// Time from sending the request to the head.
     after_ms: u64,
     /// Forecast of this time.
@@ -261,6 +275,11 @@
     band: Band,
 }
 
+fn last_use(in_flight: &InFlightRequest) -> ConnectionUse {
+    let connection = in_flight.connection();
+    connection.map_or_else(ConnectionUse::default, Connection::last_use)
+}
+
 /// Records the head of the answer to a request and decides whether the answer is usable.
 fn classify_response(
     gateway: &Arc<Gateway>,
@@ -273,6 +292,7 @@
     let Head {
         response,
         metadata,
+        connection,
         after_ms: head_after_ms,
         forecast,
         band,
@@ -294,6 +314,7 @@
         "retry_after": statement.retry_after.map(|s| format!("{s:?}")),
         "limit_per_s": statement.limit.map(DeclaredLimit::requests_per_s),
         "load": statement.load.map(|l| [l.running, l.waiting]),
+        "local_port": connection.local_port, "requests_on_connection": connection.requests,
     });
     if metadata.is_other_incarnation {
         trace.fail("other_incarnation", detail);
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -18,6 +18,7 @@
 use crate::error_response::ErrorReason;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
+use crate::promise::is_promise;
 use crate::relay_buffer::{BodyRead, RelayBuffer};
 use crate::response::{ResponseBody, full_body};
 use crate::state::Gateway;
@@ -98,7 +99,7 @@
         "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(), "framing": framing.name(),
         "leaving": metadata.statement.is_leaving, "limit_per_s": metadata.statement.limit.map(DeclaredLimit::requests_per_s),
     });
-    if head.status.is_server_error() {
+    if head.status.is_server_error() || is_promise(head.status) {
         trace.fail("answered", detail);
     } else {
         trace.step("answered", detail);
@@ -107,7 +108,7 @@
     // upstream's own statement establishes that, and it was evaluated earlier.
     // Another box states that of its own attempts; those of this box were evaluated earlier too.
     let is_at_upstream = in_flight.upstream().is_some();
-    if is_at_upstream && is_not_run_status(head.status.as_u16()) {
+    if is_at_upstream && is_promise(head.status) {
         return Ok(ErrorReason::ResponseLost.into_response(false));
     }
     let bytes = match &buffer {
@@ -137,8 +138,3 @@
         }
     }
 }
-
-/// Whether a status tells the caller that the request was not run.
-pub fn is_not_run_status(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -19,6 +19,7 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::answer_owner::{AnswerOwner, NamedRequest, SentRequests};
+use ivyweir_policy::gateway::promise::ConnectionUse;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
@@ -70,6 +71,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     closed: ClosedSignal,
+    local_port: u16,
     /// The requests that were sent on it.
     requests: SentRequests,
     /// Whether a response was skipped, after which no further request is sent.
@@ -114,11 +116,12 @@
             .map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
         set_tcp_timeouts(&stream)?;
-        Self::over(Transport::new(stream)).await
+        let local_port = stream.local_addr()?.port();
+        Self::over(Transport::new(stream), local_port).await
     }
 
     /// Starts an HTTP client on a transport.
-    async fn over(transport: Transport) -> io::Result<Self> {
+    async fn over(transport: Transport, local_port: u16) -> io::Result<Self> {
         let (mut sender, mut client) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(transport))
@@ -141,6 +144,7 @@
         Ok(Self {
             sender,
             closed: ClosedSignal(closed),
+            local_port,
             requests: SentRequests::default(),
             has_skipped: false,
             is_in_use,
@@ -153,6 +157,14 @@
         self.requests.record(id);
     }
 
+    /// The request that was recorded last, on this connection.
+    pub fn last_use(&self) -> ConnectionUse {
+        ConnectionUse {
+            local_port: self.local_port,
+            requests: self.requests.count(),
+        }
+    }
+
     /// Decides whose answer a response is that names this request.
     pub fn owner_of_answer(&self, named: NamedRequest) -> AnswerOwner {
         self.requests.owner_of_answer(named)
@@ -199,6 +211,7 @@
         discard_body(skipped.into_body()).await?;
         let Self {
             mut sender,
+            local_port,
             requests,
             remains,
             ..
@@ -211,7 +224,7 @@
         if transport.is_write_pending() {
             return Err(SkipError::NothingFollows);
         }
-        let next = Self::over(transport.into_read_only(read_buf)).await;
+        let next = Self::over(transport.into_read_only(read_buf), local_port).await;
         let mut next = next.map_err(|_| SkipError::NothingFollows)?;
         next.requests = requests;
         next.has_skipped = true;
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::helpers::Declined;
+use ivyweir_policy::gateway::promise::{NotRun, SendLedger};
 use ivyweir_policy::gateway::send_count::SendCount;
 use serde_json::json;
 use tokio::time::timeout;
@@ -170,6 +171,8 @@
     pub sends: &'a mut SendCount,
     /// Upstreams that the request was sent to.
     pub tried: &'a mut Vec<Name>,
+    /// What became of the sends.
+    pub ledger: &'a mut SendLedger,
 }
 
 /// Asks other boxes to serve a request, one after another, until one accepts it or no sends are left. Counts the sends of
@@ -181,7 +184,11 @@
     attempts: Attempts<'_>,
     trace: &mut Trace,
 ) -> AttemptOutcome {
-    let Attempts { sends, tried } = attempts;
+    let Attempts {
+        sends,
+        tried,
+        ledger,
+    } = attempts;
     let mut asked = Vec::new();
     let mut is_repeat = false;
     while asked.len() < options.max_helpers() && !sends.is_used_up() {
@@ -193,7 +200,11 @@
             break;
         }
         let sent = sends.sent();
-        let attempts = Attempts { sends, tried };
+        let attempts = Attempts {
+            sends,
+            tried,
+            ledger,
+        };
         let outcome = send_to(gateway, job, &helper, options, attempts, trace).await;
         let label = match outcome {
             AttemptOutcome::Answered(_) => "answered",
@@ -224,7 +235,11 @@
     trace: &mut Trace,
 ) -> AttemptOutcome {
     const NOT_RUN: AttemptOutcome = AttemptOutcome::NotRun { arrived: false };
-    let Attempts { sends, tried } = attempts;
+    let Attempts {
+        sends,
+        tried,
+        ledger,
+    } = attempts;
     let Some(addr) = gateway.helper_addr(helper) else {
         return NOT_RUN;
     };
@@ -259,10 +274,15 @@
         };
         let request = request(gateway, job, options, sends, tried);
         let connection = in_flight.set_connection(connection);
+        ledger.begin();
         let response = match timeout(limit, connection.send(request)).await {
             Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent)) if is_pooled => continue,
+            Ok(Err(SendError::NotSent)) if is_pooled => {
+                ledger.settle(NotRun::NotWritten);
+                continue;
+            }
             Ok(Err(SendError::NotSent)) => {
+                ledger.settle(NotRun::NotWritten);
                 decline(Declined::Unavailable);
                 return NOT_RUN;
             }
@@ -288,6 +308,9 @@
             }
         }
         if let Some(why) = declined_why(&response) {
+            ledger.settle(NotRun::Declined {
+                name: helper.clone(),
+            });
             decline(why);
             let hints = parse_hints(response.headers());
             gateway.record_helper_hints(&job.pool, hints);
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod path_check;
 mod peers;
 mod pipeline;
+mod promise;
 mod quarantine_sync;
 mod relay_buffer;
 mod reports;
--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -3,18 +3,18 @@
 //! Lines go through a bounded queue to one writer thread. Lines that do not fit are dropped and
 //! counted, and the log reports their number. The lines of a request are buffered and written when
 //! it ends, up to a number of requests per second that is larger for failed requests. So a request
-//! is logged either completely or not at all, unless the queue is full.
+//! is logged either completely or not at all, unless the queue is full. A line says how many failed
+//! requests were left out.
 
 use std::io::Write;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
 use ivyweir_policy::gateway::quarantine::Fingerprint;
-use serde_json::{Map, Value};
+use serde_json::{Map, Value, json};
 
 use crate::clock::{Clock, epoch_ms};
 
@@ -89,6 +89,8 @@
     /// Waits a limited time for the writer to empty the queue, at the exit of the process.
     pub fn finish(&self) {
         const TRIES: u32 = 5;
+        let ended = std::mem::take(&mut *self.counts());
+        self.report_left_out(&ended);
         for _ in 0..TRIES {
             if self.queue.is_empty() {
                 break;
@@ -122,12 +124,14 @@
 
     fn is_sampled(&self, failed: bool) -> bool {
         let second = self.clock.now_ms() / 1_000;
-        let mut counts = self.sampled.lock().expect("invariant: no holder panics");
+        let mut ended = None;
+        let mut counts = self.counts();
         if counts.second != second {
-            *counts = SampleCounts {
+            let next = SampleCounts {
                 second,
                 ..SampleCounts::default()
             };
+            ended = Some(std::mem::replace(&mut *counts, next));
         }
         let (count, limit) = if failed {
             (&mut counts.failed, FAILED_PER_S)
@@ -135,7 +139,24 @@
             (&mut counts.succeeded, SUCCEEDED_PER_S)
         };
         *count += 1;
-        *count <= limit
+        let is_within_limit = *count <= limit;
+        drop(counts);
+        if let Some(ended) = ended {
+            self.report_left_out(&ended);
+        }
+        is_within_limit
+    }
+
+    fn counts(&self) -> MutexGuard<'_, SampleCounts> {
+        self.sampled.lock().expect("invariant: no holder panics")
+    }
+
+    fn report_left_out(&self, ended: &SampleCounts) {
+        let failed = ended.failed.saturating_sub(FAILED_PER_S);
+        if failed > 0 {
+            let detail = json!({"failed": failed, "second": ended.second});
+            self.line("requests_left_out", detail);
+        }
     }
 }
 
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     /// Responses that were not the answers to the requests in whose place they came, by upstream and whether the answer
     /// itself followed.
     pub foreign_answers: IntCounterVec,
+    /// Promises to callers and to other boxes that requests have not run, by status and what they rest on.
+    pub promises: IntCounterVec,
     /// Requests that were handed over to other boxes, by outcome.
     pub handovers: IntCounterVec,
     /// Store records that became invalid, by topic and fault. Each is counted once, when it becomes
@@ -119,6 +121,11 @@
             "answers to other requests in the place of the right one, by upstream and what came of the request",
             &["upstream", "then"],
         );
+        let promises = counter(
+            "ivyweir_promises_total",
+            "promises that requests have not run by status and what they rest on",
+            &["status", "basis"],
+        );
         let handovers = counter(
             "ivyweir_handovers_total",
             "requests handed over to other boxes by outcome",
@@ -211,6 +218,7 @@
             probes,
             answer_ends,
             foreign_answers,
+            promises,
             handovers,
             unreadable_records,
             store_calls,
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -5,17 +5,19 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, header};
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::promise::{NotRun, SendLedger};
 use ivyweir_policy::gateway::statement::DeclaredLimit;
 use serde_json::json;
 
 use crate::admit::admit;
 use crate::attempt::Reply;
-use crate::buffer::{buffer_response, is_not_run_status};
+use crate::buffer::buffer_response;
 use crate::canary::record_head;
 use crate::error_response::ErrorReason;
 use crate::job::Job;
 use crate::larger_model::{count_relayed, escalation_target};
 use crate::log::Trace;
+use crate::promise::{self, is_promise};
 use crate::response::ResponseBody;
 use crate::retry::{RetryState, next_reply, take_retry};
 use crate::state::{ActiveRequest, Gateway};
@@ -44,6 +46,8 @@
                 "site_version": site.map(|site| site.site().version),
             });
             trace.fail("refused", detail);
+            let no_sends = SendLedger::default();
+            promise::record(&gateway, &no_sends, reason.status(), &mut trace);
             ("-".into(), Err(reason))
         }
     };
@@ -96,7 +100,15 @@
     Escalate(usize),
 }
 
-/// Sends an admitted request to upstreams until there is a response to relay.
+/// The answer to a request.
+enum Answer {
+    /// A stream, whose body is still to be read.
+    Stream { reply: Box<Reply>, model: usize },
+    /// A response that has been read completely.
+    Whole(Response<ResponseBody>),
+}
+
+/// Serves an admitted request. No refusal promises more than what became of the sends allows.
 async fn serve(
     gateway: &Arc<Gateway>,
     job: Arc<Job>,
@@ -104,23 +116,42 @@
     active: ActiveRequest,
 ) -> Result<Response<ResponseBody>, ErrorReason> {
     let mut state = RetryState::new(&job);
+    match answer(gateway, &job, &mut state, &mut trace).await {
+        Ok(Answer::Stream { reply, model }) => {
+            Ok(relay(gateway, job, *reply, model, &state, trace, active))
+        }
+        Ok(Answer::Whole(response)) => {
+            promise::record(gateway, &state.ledger, response.status(), &mut trace);
+            Ok(response)
+        }
+        Err(reason) => {
+            let reason = promise::told_reason(reason, &state.ledger);
+            if let Some(handed_over) = &job.handed_over {
+                handed_over.record_refusal(&job, &state.sends);
+            }
+            trace.fail("refused", state.refusal_detail(reason));
+            promise::record(gateway, &state.ledger, reason.status(), &mut trace);
+            Err(reason)
+        }
+    }
+}
+
+/// Sends an admitted request to upstreams until there is an answer.
+async fn answer(
+    gateway: &Arc<Gateway>,
+    job: &Arc<Job>,
+    state: &mut RetryState,
+    trace: &mut Trace,
+) -> Result<Answer, ErrorReason> {
     let mut fallback = None;
     let mut has_response = false;
     loop {
-        let mut reply = match next_reply(gateway, &job, &mut state, &mut trace).await {
+        let mut reply = match next_reply(gateway, job, state, trace).await {
             Ok(reply) => *reply,
-            Err(reason) => match fallback.take() {
-                Some(smaller) => {
-                    return Ok(relay_fallback(gateway, job, smaller, &state, trace, active));
-                }
-                None => {
-                    if let Some(handed_over) = &job.handed_over {
-                        handed_over.record_refusal(&job, &state.sends);
-                    }
-                    trace.fail("refused", state.refusal_detail(reason));
-                    return Err(reason);
-                }
-            },
+            Err(reason) => {
+                let smaller = fallback.take().ok_or(reason)?;
+                return Ok(fall_back(smaller, state, trace));
+            }
         };
         let is_at_upstream = reply.in_flight.upstream().is_some();
         if is_at_upstream
@@ -129,8 +160,8 @@
         {
             gateway.count_usage(&workspace.name);
         }
-        record_head(gateway, &job, &mut reply, state.model);
-        match reply_action(gateway, &job, &mut state, &reply, &mut trace) {
+        record_head(gateway, job, &mut reply, state.model);
+        match reply_action(gateway, job, state, &reply, trace) {
             ReplyAction::Relay => {}
             ReplyAction::Retry => {
                 reply.in_flight.discard();
@@ -142,43 +173,37 @@
                 continue;
             }
         }
-        let is_success = reply.response.status().is_success();
-        if !is_success && let Some(smaller) = fallback.take() {
-            return Ok(relay_fallback(gateway, job, smaller, &state, trace, active));
-        }
-        // The other box did not run the request, but an upstream may have run it before.
-        if !is_at_upstream
-            && state.may_have_run
-            && is_not_run_status(reply.response.status().as_u16())
+        let status = reply.response.status();
+        if !status.is_success()
+            && let Some(smaller) = fallback.take()
         {
-            return Err(ErrorReason::ResponseLost);
+            return Ok(fall_back(smaller, state, trace));
+        }
+        if !is_at_upstream && is_promise(status) {
+            state.ledger.settle(NotRun::Declined {
+                name: reply.in_flight.place().clone(),
+            });
+            // The other box did not run the request, but an upstream may have run it before.
+            if state.may_have_run() {
+                return Err(ErrorReason::ResponseLost);
+            }
         }
         if let Some(smaller) = &mut fallback {
             smaller.reply.in_flight.discard();
         }
-        if job.route.kind.is_stream() && is_success {
-            return Ok(relay(
-                gateway,
-                job,
-                reply,
-                state.model,
-                &state,
-                trace,
-                active,
-            ));
+        if job.route.kind.is_stream() && status.is_success() {
+            return Ok(Answer::Stream {
+                reply: Box::new(reply),
+                model: state.model,
+            });
         }
-        count_relayed(gateway, &job, state.model, &reply);
-        match buffer_response(gateway, &job, reply, &mut trace).await {
-            Ok(response) => return Ok(response),
+        count_relayed(gateway, job, state.model, &reply);
+        match buffer_response(gateway, job, reply, trace).await {
+            Ok(response) => return Ok(Answer::Whole(response)),
             Err(upstream) => {
-                state.may_have_run = true;
                 gateway.wait_for_termination_check(&upstream).await;
                 state.tried.push(upstream);
-                if !take_retry(gateway, &job, &state) {
-                    trace.fail(
-                        "refused",
-                        json!({"reason": ErrorReason::ResponseLost.name()}),
-                    );
+                if !take_retry(gateway, job, state) {
                     return Err(ErrorReason::ResponseLost);
                 }
             }
@@ -206,18 +231,13 @@
     stream::start(gateway, job, reply, model, state, trace, active)
 }
 
-/// Relays the response of the smaller model, because the larger one failed.
-fn relay_fallback(
-    gateway: &Arc<Gateway>,
-    job: Arc<Job>,
-    smaller: FallbackReply,
-    state: &RetryState,
-    mut trace: Trace,
-    active: ActiveRequest,
-) -> Response<ResponseBody> {
+/// Returns the response of the smaller model, because the larger one failed.
+fn fall_back(smaller: FallbackReply, state: &RetryState, trace: &mut Trace) -> Answer {
     trace.step("larger_model_failed", json!({"from": state.model}));
-    let FallbackReply { reply, model } = smaller;
-    relay(gateway, job, reply, model, state, trace, active)
+    Answer::Stream {
+        reply: Box::new(smaller.reply),
+        model: smaller.model,
+    }
 }
 
 /// Decides what to do with a reply, and updates `state` for the next attempt.
@@ -231,11 +251,10 @@
     let status = reply.response.status();
     let is_at_box = reply.in_flight.upstream().is_none();
     // Another box that says so has found that no upstream runs the request.
-    let is_refused = is_at_box && is_not_run_status(status.as_u16());
+    let is_refused = is_at_box && is_promise(status);
     if status.is_server_error() && !is_refused && take_retry(gateway, job, state) {
         trace.step("sent_again", json!({"after_status": status.as_u16()}));
         state.tried.push(reply.in_flight.place().clone());
-        state.may_have_run = true;
         return ReplyAction::Retry;
     }
     if is_at_box {
@@ -248,6 +267,5 @@
     let Some(larger) = escalation_target(gateway, job, state, reply, trace) else {
         return ReplyAction::Relay;
     };
-    state.may_have_run = true;
     ReplyAction::Escalate(larger)
 }
--- a/crates/ivyweir-gateway/src/retry.rs
+++ b/crates/ivyweir-gateway/src/retry.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use ivyweir_policy::Name;
+use ivyweir_policy::gateway::promise::SendLedger;
 use ivyweir_policy::gateway::quarantine::Refusal;
 use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::upstreams::{Choice, ChooseError, Scope};
@@ -42,8 +43,8 @@
     pub sends: SendCount,
     /// Number of attempts in which no byte of the request was sent.
     unreachable: u32,
-    /// Whether an upstream may have run the request.
-    pub may_have_run: bool,
+    /// What became of the sends of this box.
+    pub ledger: SendLedger,
     /// Index of the model, from the smallest.
     pub model: usize,
     /// Whether the request was counted as one for its pool.
@@ -73,6 +74,11 @@
         }
     }
 
+    /// Whether an upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.ledger.may_have_run()
+    }
+
     /// Counts the job as a request for its pool, once.
     fn count(&mut self, gateway: &Gateway, job: &Job) {
         if !std::mem::replace(&mut self.is_counted, true) {
@@ -103,7 +109,7 @@
 ) -> Result<Box<Reply>, ErrorReason> {
     // The box that handed the job over may find one with a path.
     if let Some(handed_over) = &job.handed_over {
-        let is_untried = state.tried == handed_over.tried && !state.may_have_run;
+        let is_untried = state.tried == handed_over.tried && !state.may_have_run();
         if is_untried && lacks_path(gateway, job, &state.tried, state.model) {
             return Err(ErrorReason::NoUpstream);
         }
@@ -179,7 +185,8 @@
             head_timeout_ms: head_timeout_ms(job, state, now_ms),
             forecast: choice.forecast,
         };
-        match attempt::send(gateway, job, &choice.upstream, options, trace).await {
+        let ledger = &mut state.ledger;
+        match attempt::send(gateway, job, &choice.upstream, options, ledger, trace).await {
             AttemptOutcome::Answered(reply) => {
                 state.sends.record_send();
                 return Ok(reply);
@@ -242,7 +249,7 @@
 ) -> bool {
     let prefill_ms = gateway.estimate(job, state.model).prefill_ms;
     let ahead = waiter.as_ref().map(Waiter::ahead);
-    !state.may_have_run && gateway.should_wait(job, for_ms, prefill_ms, ahead)
+    !state.may_have_run() && gateway.should_wait(job, for_ms, prefill_ms, ahead)
 }
 
 /// Records that an upstream did not run the job. Fails if no other upstream is to be tried.
@@ -286,9 +293,8 @@
     is_in_time && state.unreachable < UNREACHABLE_HARD_LIMIT && !before.contains(last)
 }
 
-/// Records that an upstream may have run the job. Fails if the job may not run again.
-fn record_lost(gateway: &Gateway, job: &Job, state: &mut RetryState) -> Result<(), ErrorReason> {
-    state.may_have_run = true;
+/// Fails if a job that an upstream may have run may not run again.
+fn record_lost(gateway: &Gateway, job: &Job, state: &RetryState) -> Result<(), ErrorReason> {
     if take_retry(gateway, job, state) {
         return Ok(());
     }
@@ -389,7 +395,7 @@
     not_run: ErrorReason,
     may_have_run: ErrorReason,
 ) -> ErrorReason {
-    if state.may_have_run {
+    if state.may_have_run() {
         may_have_run
     } else {
         not_run
--- a/crates/ivyweir-gateway/src/retry/other_boxes.rs
+++ b/crates/ivyweir-gateway/src/retry/other_boxes.rs
@@ -58,6 +58,7 @@
         let attempts = Attempts {
             sends: &mut state.sends,
             tried: &mut state.tried,
+            ledger: &mut state.ledger,
         };
         let outcome = handover::send(gateway, job, options, attempts, trace).await;
         // Another box has counted a request that it sent.
@@ -88,7 +89,7 @@
     let is_for_share = handed_over.is_some_and(|handed_over| handed_over.is_for_share);
     let may_ask =
         is_for_share || job.may_be_handed_over(gateway) && gateway.may_ask_for_share(&job.pool);
-    may_ask && is_untried && !state.has_asked_for_share && !state.may_have_run
+    may_ask && is_untried && !state.has_asked_for_share && !state.may_have_run()
 }
 
 /// Asks other boxes to send a job where this one owns too little of the upstreams' limits. A job that was handed over
@@ -118,6 +119,7 @@
     let attempts = Attempts {
         sends: &mut state.sends,
         tried: &mut state.tried,
+        ledger: &mut state.ledger,
     };
     match handover::send(gateway, job, options, attempts, trace).await {
         AttemptOutcome::Answered(reply) => Ok(Some(reply)),
--- a/crates/ivyweir-gateway/src/room.rs
+++ b/crates/ivyweir-gateway/src/room.rs
@@ -30,7 +30,7 @@
             *waiter = None;
             Ok(true)
         }
-        Admission::Wait { .. } if state.may_have_run => Err(ErrorReason::ResponseLost),
+        Admission::Wait { .. } if state.may_have_run() => Err(ErrorReason::ResponseLost),
         Admission::Wait { for_ms } => {
             if waiter.is_none() {
                 count(gateway, job, &decision);
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use ivyweir_policy::gateway::answer_end::BreakCause;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::event_stream::{StreamPosition, events};
+use ivyweir_policy::gateway::promise::SendLedger;
 use ivyweir_policy::gateway::send_count::SendCount;
 use ivyweir_policy::gateway::site::RouteKind;
 use serde_json::json;
@@ -81,6 +82,7 @@
         model,
         sends: attempts.sends.clone(),
         tried: attempts.tried.clone(),
+        ledger: attempts.ledger.clone(),
         trace,
         paused_ms: 0,
         ended: false,
@@ -139,6 +141,7 @@
     model: usize,
     sends: SendCount,
     tried: Vec<Name>,
+    ledger: SendLedger,
     trace: Trace,
     /// Time during which the stream was not read because its buffer was full.
     paused_ms: u64,
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -133,8 +133,15 @@
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
             forecast: choice.forecast,
         };
-        let trace = &mut self.trace;
-        attempt::send(&self.gateway, &self.job, &choice.upstream, options, trace).await
+        attempt::send(
+            &self.gateway,
+            &self.job,
+            &choice.upstream,
+            options,
+            &mut self.ledger,
+            &mut self.trace,
+        )
+        .await
     }
 
     /// Asks another box for the events after the last one.
@@ -150,6 +157,7 @@
         let attempts = Attempts {
             sends: &mut self.sends,
             tried: &mut self.tried,
+            ledger: &mut self.ledger,
         };
         let trace = &mut self.trace;
         handover::send(&self.gateway, &self.job, options, attempts, trace).await
--- a/crates/ivyweir-policy/src/gateway/answer_owner.rs
+++ b/crates/ivyweir-policy/src/gateway/answer_owner.rs
@@ -50,6 +50,8 @@
 pub struct SentRequests {
     /// Hashes of the ids; `None` for a request without one.
     latest: VecDeque<Option<u64>>,
+    /// Number of all requests.
+    count: u64,
 }
 
 impl SentRequests {
@@ -59,6 +61,12 @@
             self.latest.pop_front();
         }
         self.latest.push_back(id.map(hash_id));
+        self.count += 1;
+    }
+
+    /// Number of requests that were sent.
+    pub fn count(&self) -> u64 {
+        self.count
     }
 
     /// Returns whether answers to a request with this id could be told from those to all requests sent before.
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod pace;
 pub mod peer_report;
 pub mod placement;
+pub mod promise;
 pub mod quarantine;
 pub mod quota;
 pub mod rate_limit;
--- a/crates/ivyweird/tests/gateway_log.rs
+++ b/crates/ivyweird/tests/gateway_log.rs
@@ -148,6 +148,33 @@
     );
 }
 
+/// Guards against refusals that are in no line of the log, without a word that lines are missing.
+#[test]
+fn failed_requests_are_in_the_log_or_counted_as_left_out() {
+    const FAILED: usize = 600;
+    let town = TestCluster::start(Path::new(BINARY));
+    for service in &town.services {
+        service.set_action(UpstreamAction::NotRun);
+    }
+    let piped = Piped::start("crowded", town.store.addr());
+    eventually("the box is ready", || piped.is_ready());
+    for n in 0..FAILED {
+        assert_eq!(piped.status(&format!("r{n}")), Some(503), "request {n}");
+    }
+    let log = piped.finish();
+    let lines = log.lines();
+    let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let (mut logged, mut left_out) = (0, 0);
+    for line in lines {
+        match line["event"].as_str() {
+            Some("promised_not_run") => logged += 1,
+            Some("requests_left_out") => left_out += line["failed"].as_u64().expect("a number"),
+            _ => {}
+        }
+    }
+    assert_eq!(logged + left_out, FAILED as u64);
+}
+
 /// Names on answers that nobody reads, each told once however often it comes; of many, those that are remembered.
 macro_rules! unread {
     ($($name:ident: $names:expr => $lines:expr, $others:expr;)*) => {$(
--- /dev/null
+++ b/crates/ivyweird/tests/gateway_promises.rs
@@ -0,0 +1,188 @@
+//! Statuses that promise that a request has not run, and the log event of each with what it rests on.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use bytes::Bytes;
+use ivyweir_standins::edge::{
+    EventScript, HOST, KEY, Reply, ScriptedUpstream, TestCluster, UpstreamAction, call, eventually,
+    get, site_config,
+};
+use serde_json::Value;
+
+use common::BINARY;
+use common::cut_box::CutBoxCluster;
+
+const ID: &str = "promised";
+
+fn ask(cluster: &TestCluster, path: &str, headers: &[(&str, &str)]) -> Reply {
+    let auth = format!("Bearer {KEY}");
+    let own = [("ivyweir-request-id", ID), ("authorization", &*auth)];
+    let headers = [&own[..], headers].concat();
+    let body = Bytes::from_static(b"prompt");
+    call(cluster.addr(0), "POST", path, &headers, body).expect("an answer")
+}
+
+/// Number of times that an upstream ran the request.
+fn runs(cluster: &TestCluster) -> usize {
+    let upstreams = cluster.engines.iter().chain(&cluster.services);
+    let received = upstreams.flat_map(ScriptedUpstream::received_requests);
+    let ran = received.filter(|request| request.was_run);
+    ran.filter(|request| request.header("ivyweir-request-id") == Some(ID))
+        .count()
+}
+
+/// The promises in a box's log, by its metrics as many as were given.
+fn promises(cluster: &TestCluster, number: usize) -> Vec<Value> {
+    let running = &cluster.boxes[number];
+    let mut lines = Vec::new();
+    eventually("all promises are in the log", || {
+        let text = get(running.metrics_addr, "/metrics", &[]).expect("metrics");
+        lines = running.event_lines("promised_not_run");
+        count(&text.text()) == lines.len()
+    });
+    lines
+}
+
+/// Sum of the counters of promises.
+fn count(metrics: &str) -> usize {
+    let counters = metrics.lines();
+    let counters = counters.filter(|line| line.starts_with("ivyweir_promises_total{"));
+    let counts = counters.filter_map(|line| line.rsplit_once(' '));
+    counts
+        .filter_map(|(_, count)| count.parse::<usize>().ok())
+        .sum()
+}
+
+fn no_upstream(cluster: &TestCluster) {
+    for upstream in &cluster.services {
+        cluster.store.remove_upstream(upstream.record().name());
+    }
+    eventually("the upstreams are gone", || cluster.status(0, KEY) == 503);
+}
+
+fn all_do(action: UpstreamAction) -> impl Fn(&TestCluster) {
+    move |cluster| {
+        let services = cluster.services.iter();
+        services.for_each(|upstream| upstream.set_action(action.clone()));
+    }
+}
+
+fn retry_later(cluster: &TestCluster) {
+    for upstream in &cluster.services {
+        upstream.set_action(UpstreamAction::NotRun);
+        upstream.set_retry_after("5");
+    }
+    ask(cluster, "/safe/x", &[("ivyweir-request-id", "before")]);
+}
+
+macro_rules! promises {
+    ($($name:ident: $prepare:expr, $path:expr, $headers:expr => $status:expr, $basis:expr;)*) => {$(
+        /// Guards against promises that nothing in the log explains.
+        #[test]
+        fn $name() {
+            let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
+            $prepare(&cluster);
+            let before = promises(&cluster, 0).len();
+            let reply = ask(&cluster, $path, &$headers);
+            assert_eq!(reply.status, $status, "{}", reply.text());
+            let given = promises(&cluster, 0);
+            let [promise] = &given[before..] else {
+                panic!("{given:?}");
+            };
+            assert_eq!(promise["request_id"], ID);
+            assert_eq!(promise["status"], $status);
+            assert_eq!(promise["basis"], $basis, "{promise}");
+            let has_proof = $basis == "no_send" || promise["shown_by"][0]["local_port"].is_u64();
+            assert!(has_proof, "{promise}");
+            assert_eq!(runs(&cluster), 0);
+        }
+    )*};
+}
+
+promises! {
+    the_promise_of_a_request_without_an_upstream_is_logged:
+        no_upstream, "/unsafe/x", [] => 503, "no_send";
+    the_promise_of_a_request_that_an_upstream_rejects_is_logged:
+        all_do(UpstreamAction::NotRun), "/unsafe/x", [] => 503, "rejections";
+    the_promise_of_a_request_that_all_upstreams_reject_is_logged:
+        all_do(UpstreamAction::NotRun), "/safe/x", [] => 503, "rejections";
+    the_promise_of_a_request_for_another_incarnation_is_logged:
+        all_do(UpstreamAction::OtherIncarnation), "/unsafe/x", [] => 503, "rejections";
+    the_promise_of_a_request_that_must_wait_too_long_is_logged:
+        retry_later, "/unsafe/x", [("ivyweir-budget-ms", "400")] => 503, "no_send";
+    the_promise_of_a_request_without_time_is_logged:
+        |_: &TestCluster| (), "/unsafe/x", [("ivyweir-budget-ms", "0")] => 503, "no_send";
+}
+
+macro_rules! no_promises {
+    ($($name:ident: $action:expr, $path:expr, $headers:expr => $status:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
+            all_do($action)(&cluster);
+            let reply = ask(&cluster, $path, &$headers);
+            assert_eq!(reply.status, $status, "{}", reply.text());
+            eventually("the refusal is in the log", || {
+                let events = ["refused", "answered"].iter();
+                events.flat_map(|event| cluster.boxes[0].event_lines(event)).any(|line| line["request_id"] == ID)
+            });
+            assert!(promises(&cluster, 0).is_empty());
+            assert!(runs(&cluster) > 0);
+        }
+    )*};
+}
+
+no_promises! {
+    a_503_that_does_not_say_not_run_is_no_promise: UpstreamAction::Answer(503), "/unsafe/x", [] => 502;
+    a_429_that_does_not_say_not_run_is_no_promise: UpstreamAction::Answer(429), "/unsafe/x", [] => 502;
+    a_408_that_does_not_say_not_run_is_no_promise: UpstreamAction::Answer(408), "/unsafe/x", [] => 502;
+    a_closed_connection_is_no_promise: UpstreamAction::Close, "/unsafe/x", [] => 502;
+    a_body_that_breaks_off_is_no_promise: UpstreamAction::TruncateBody, "/unsafe/x", [] => 502;
+    an_answer_of_another_request_is_no_promise: UpstreamAction::WrongId, "/unsafe/x", [] => 502;
+    an_answer_without_a_signature_is_no_promise: UpstreamAction::Unsigned, "/unsafe/x", [] => 502;
+    an_answer_that_is_late_is_no_promise: UpstreamAction::Hang, "/unsafe/x", [("ivyweir-budget-ms", "300")] => 504;
+    repeats_that_are_lost_are_no_promise: UpstreamAction::Close, "/safe/x", [] => 502;
+}
+
+#[test]
+fn the_promise_of_a_request_that_other_boxes_decline_is_logged_by_each() {
+    let stream = UpstreamAction::Events(EventScript::whole(2));
+    let put_site = |cluster: &TestCluster| {
+        cluster.store.put_site(&site_config(2, &[KEY]));
+    };
+    let CutBoxCluster { cluster, .. } =
+        CutBoxCluster::start(&["hall-a", "hall-b"], 2, put_site, &stream);
+    all_do(UpstreamAction::NotRun)(&cluster);
+    let reply = ask(&cluster, "/unsafe/x", &[]);
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    let own = promises(&cluster, 0);
+    let of_request = own.iter().find(|line| line["request_id"] == ID);
+    let promise = of_request.expect("a promise");
+    assert_eq!(promise["basis"], "other_boxes", "{promise}");
+    assert_eq!(promise["shown_by"][0]["box"], cluster.boxes[1].name);
+    let others = promises(&cluster, 1);
+    let of_request = others.iter().find(|line| line["request_id"] == ID);
+    assert_eq!(of_request.expect("a promise")["basis"], "rejections");
+    assert_eq!(runs(&cluster), 0);
+}
+
+#[test]
+fn the_promise_of_a_request_whose_body_is_late_is_logged() {
+    let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
+    let mut caller = TcpStream::connect(cluster.addr(0)).expect("the box accepts");
+    let head = format!(
+        "POST /unsafe/x HTTP/1.1\r\nhost: {HOST}\r\nivyweir-request-id: {ID}\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 9\r\n\r\nbegin"
+    );
+    caller.write_all(head.as_bytes()).expect("the box reads");
+    let mut status = [0; 12];
+    caller.read_exact(&mut status).expect("an answer");
+    assert_eq!(&status, b"HTTP/1.1 408");
+    let given = promises(&cluster, 0);
+    assert_eq!(given[0]["status"], 408, "{given:?}");
+    assert_eq!(given[0]["basis"], "no_send");
+    assert_eq!(runs(&cluster), 0);
+}
