Show at-most-once calls that ran and were promised not to have

An engine that runs a call and answers it with 400, 408, 409, 429 or 503: the caller of a call that may run once is told not_run. Behind 429 and 503 the call is also sent to a second engine, and runs there too.

--- a/crates/ivyweird/tests/once.rs
+++ b/crates/ivyweird/tests/once.rs
@@ -2,12 +2,16 @@
 
 mod common;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
 use attohttpc::Method;
-use common::{spec, start, three};
+use common::{VERSIONS, spec, start, three};
+use ivyweir_caller::{Handler, Incoming, Reply, Server};
+use ivyweir_engine::LoadReport;
 use ivyweir_policy::{BoxEntry, BoxKind, BoxState};
-use ivyweir_standins::cluster::SERVICES;
+use ivyweir_standins::cluster::{ENGINES, SERVICES};
 use ivyweir_standins::{
     Caller, Cluster, ClusterSpec, Fault, FaultProxy, Outcome, PlatformFaults, wait_until,
 };
@@ -255,3 +259,74 @@
     });
     assert_eq!(runs(&world, "sim-1"), 1);
 }
+
+/// Runs each call and answers it with a status that says nothing of that.
+struct DenyingEngine {
+    status: u16,
+    runs: AtomicUsize,
+}
+
+impl Handler for DenyingEngine {
+    fn handle(&self, mut incoming: Incoming) {
+        let reply = if incoming.path() == "/load" {
+            let report = LoadReport {
+                slots: 8,
+                versions: VERSIONS.map(|(at, ..)| at.to_owned()).into(),
+                ..LoadReport::default()
+            };
+            let body = serde_json::to_vec(&report).expect("a load report serializes to JSON");
+            Reply::json(200, body)
+        } else {
+            let _body = incoming.read_body().expect("the box sends a body");
+            self.runs.fetch_add(1, Ordering::Relaxed);
+            Reply::text(self.status, "")
+        };
+        let _disconnected = incoming.reply(reply);
+    }
+}
+
+macro_rules! denying_engines {
+    ($($name:ident: $status:expr;)*) => {$(
+        /// Guards against believing that an engine that answers with an error status has not run the call.
+        #[test]
+        fn $name() {
+            let world = start(spec(&["hall-a"]));
+            let engines: Vec<(Arc<DenyingEngine>, Server)> = (0..2)
+                .map(|at| {
+                    let engine = Arc::new(DenyingEngine { status: $status, runs: AtomicUsize::new(0) });
+                    let server = Server::start("127.0.0.1:0", 16, engine.clone()).expect("a port is free");
+                    world.platform.register_box(BoxEntry {
+                        name: format!("engine-{at:02}").as_str().into(),
+                        kind: BoxKind::Upstream,
+                        addr: server.addr().to_string().as_str().into(),
+                        hall: "hall-a".into(),
+                        pool: ENGINES.into(),
+                        state: BoxState::Live,
+                    });
+                    (engine, server)
+                })
+                .collect();
+            let runs = || engines.iter().map(|(engine, _)| engine.runs.load(Ordering::Relaxed)).sum::<usize>();
+            let known_runs = || world.engines.iter().map(|engine| engine.runs().len()).sum::<usize>();
+            let caller = world.caller(0, "studio");
+            wait_until("the box calls these engines only", || {
+                let before = (runs(), known_runs());
+                let reached = (0..8).all(|_| caller.chat("notes", "first", 4).status != 200);
+                reached && runs() > before.0 && known_runs() == before.1
+            });
+            let before = runs();
+            let told = caller.at_most_once("once").chat("notes", "activate", 4);
+            assert_eq!(runs() - before, 1, "{told:?}");
+            assert_eq!(told.run, "unknown", "{told:?}");
+        }
+    )*};
+}
+
+denying_engines! {
+    a_call_that_an_engine_answers_with_400_may_have_run: 400;
+    a_call_that_an_engine_answers_with_408_may_have_run: 408;
+    a_call_that_an_engine_answers_with_409_may_have_run: 409;
+    a_call_that_an_engine_answers_with_429_may_have_run: 429;
+    a_call_that_an_engine_answers_with_500_may_have_run: 500;
+    a_call_that_an_engine_answers_with_503_may_have_run: 503;
+}
