Take no status of an engine for its word that a call has not run

What callers saw: a call that may run once ran, at one engine or at two, and its caller was told not_run.

Cause: an engine's 429, 503 and other 4xx counted as its word that nothing ran. The engines' API has no such word: an engine may have begun a call that it then gives up.

Only a refused connection, or a call that was never sent, now counts as not run. Other calls are tried again as before.

What it costs: a call that may run once and meets a full engine is refused as unknown and not tried at another.

--- a/crates/ivyweir-engine/src/error.rs
+++ b/crates/ivyweir-engine/src/error.rs
@@ -33,13 +33,23 @@
 }
 
 impl CallError {
-    /// Creates an error. Whether the call may have been executed follows from `fault`.
+    /// Creates an error of a call that may have been executed, unless the engine was not reached. No status says that a
+    /// call was not executed.
     #[cold]
     pub fn new(fault: Fault, detail: impl Into<String>) -> Self {
-        let may_have_run = !matches!(fault, Fault::Unreachable | Fault::Busy | Fault::Rejected);
         Self {
             fault,
-            may_have_run,
+            may_have_run: fault != Fault::Unreachable,
+            detail: detail.into(),
+        }
+    }
+
+    /// Creates an error of a call that was not sent.
+    #[cold]
+    pub fn not_sent(fault: Fault, detail: impl Into<String>) -> Self {
+        Self {
+            fault,
+            may_have_run: false,
             detail: detail.into(),
         }
     }
--- a/crates/ivyweir-engine/src/http.rs
+++ b/crates/ivyweir-engine/src/http.rs
@@ -104,7 +104,7 @@
             .read_timeout(read_timeout)
             .header("X-Request-Id", request.request_id())
             .json(request.body())
-            .map_err(|e| CallError::new(Fault::Rejected, e.to_string()))?
+            .map_err(|e| CallError::not_sent(Fault::Rejected, e.to_string()))?
             .send()
             .map_err(|e| transport_error(&e))?;
         check_status(response)
@@ -147,7 +147,7 @@
     fn send_order(&self, addr: &str, order: &Order) -> Result<(), CallError> {
         let response = request_builder(Method::POST, addr, "/orders", CONTROL_TIMEOUT)
             .json(order)
-            .map_err(|e| CallError::new(Fault::Rejected, e.to_string()))?
+            .map_err(|e| CallError::not_sent(Fault::Rejected, e.to_string()))?
             .send()
             .map_err(|e| transport_error(&e))?;
         check_status(response).map(drop)
