Tell promises to callers from what a box tells another one

A box that declines a request which was handed over to it logged and counted promised_not_run as for a caller. The box of the caller may then have the request run elsewhere, so the log held a promise for a request that ran and whose caller got its answer, and a promise that was passed on counted twice.

The event and the metric now name the recipient.

--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -33,7 +33,7 @@
     /// Responses that were not the answers to the requests in whose place they came, by upstream and whether the answer
     /// itself followed.
     pub foreign_answers: IntCounterVec,
-    /// Promises to callers and to other boxes that requests have not run, by status and what they rest on.
+    /// Promises to callers and to other boxes that requests have not run, by status, recipient and what they rest on.
     pub promises: IntCounterVec,
     /// Requests that were handed over to other boxes, by outcome.
     pub handovers: IntCounterVec,
@@ -123,8 +123,8 @@
         );
         let promises = counter(
             "ivyweir_promises_total",
-            "promises that requests have not run by status and what they rest on",
-            &["status", "basis"],
+            "promises that requests have not run by status, recipient and what they rest on",
+            &["status", "to", "basis"],
         );
         let handovers = counter(
             "ivyweir_handovers_total",
--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -17,7 +17,7 @@
 use crate::job::Job;
 use crate::larger_model::{count_relayed, escalation_target};
 use crate::log::Trace;
-use crate::promise::{self, is_promise};
+use crate::promise::{self, Recipient, is_promise};
 use crate::response::ResponseBody;
 use crate::retry::{RetryState, next_reply, take_retry};
 use crate::state::{ActiveRequest, Gateway};
@@ -32,6 +32,7 @@
     let id = metadata.request_id.clone().unwrap_or_else(|| "-".into());
     let mut trace = Trace::new(gateway.log.clone(), id);
     let path = head.uri.path().to_owned();
+    let to = Recipient::of(head.extensions.get());
     let admitted = admit(&gateway, head, body, arrived_ms, &mut trace).await;
     let close = gateway.stopping_for_ms().is_some();
     let (route, response) = match admitted {
@@ -47,7 +48,7 @@
             });
             trace.fail("refused", detail);
             let no_sends = SendLedger::default();
-            promise::record(&gateway, &no_sends, reason.status(), &mut trace);
+            promise::record(&gateway, &no_sends, reason.status(), to, &mut trace);
             ("-".into(), Err(reason))
         }
     };
@@ -116,12 +117,13 @@
     active: ActiveRequest,
 ) -> Result<Response<ResponseBody>, ErrorReason> {
     let mut state = RetryState::new(&job);
+    let to = Recipient::of(job.handed_over.as_ref());
     match answer(gateway, &job, &mut state, &mut trace).await {
         Ok(Answer::Stream { reply, model }) => {
             Ok(relay(gateway, job, *reply, model, &state, trace, active))
         }
         Ok(Answer::Whole(response)) => {
-            promise::record(gateway, &state.ledger, response.status(), &mut trace);
+            promise::record(gateway, &state.ledger, response.status(), to, &mut trace);
             Ok(response)
         }
         Err(reason) => {
@@ -130,7 +132,7 @@
                 handed_over.record_refusal(&job, &state.sends);
             }
             trace.fail("refused", state.refusal_detail(reason));
-            promise::record(gateway, &state.ledger, reason.status(), &mut trace);
+            promise::record(gateway, &state.ledger, reason.status(), to, &mut trace);
             Err(reason)
         }
     }
--- a/crates/ivyweird/tests/gateway_promises.rs
+++ b/crates/ivyweird/tests/gateway_promises.rs
@@ -2,13 +2,14 @@
 
 mod common;
 
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
 use bytes::Bytes;
 use ivyweir_standins::edge::{
-    EventScript, HOST, KEY, Reply, ScriptedUpstream, TestCluster, UpstreamAction, call, eventually,
-    get, site_config,
+    EventScript, HOST, KEY, PathFault, Reply, ScriptedUpstream, TestCluster, UpstreamAction, call,
+    eventually, get, site_config,
 };
 use serde_json::Value;
 
@@ -169,6 +170,49 @@
     assert_eq!(runs(&cluster), 0);
 }
 
+/// Guards against taking a box that declines a request, which another box then runs, for a promise to the caller.
+#[test]
+fn a_request_that_a_box_declines_and_another_one_runs_is_not_logged_as_promised_to_its_caller() {
+    let stream = UpstreamAction::Events(EventScript::whole(2));
+    let put_site = |cluster: &TestCluster| {
+        cluster.store.put_site(&site_config(2, &[KEY]));
+    };
+    let CutBoxCluster { cluster, proxies } =
+        CutBoxCluster::start(&["hall-a", "hall-b", "hall-c"], 2, put_site, &stream);
+    let services = cluster.services.iter();
+    let services = services.map(|upstream| upstream.record().addr).collect();
+    proxies.set_fault_to(cluster.boxes[1].pid(), PathFault::Reset, services);
+    let auth = format!("Bearer {KEY}");
+    let mut ran = HashSet::new();
+    let mut declined = Vec::new();
+    let mut ids = (0..).map(|number| format!("request-{number}"));
+    eventually("a box declines a request that another one runs", || {
+        let id = ids.next().expect("ids without end");
+        let headers = [("ivyweir-request-id", &*id), ("authorization", &*auth)];
+        let body = Bytes::from_static(b"prompt");
+        let reply = call(cluster.addr(0), "POST", "/safe/x", &headers, body).expect("an answer");
+        if reply.status == 200 {
+            ran.insert(id);
+        }
+        declined = cluster.boxes[1].event_lines("promised_not_run");
+        declined.retain(|line| {
+            line["request_id"]
+                .as_str()
+                .is_some_and(|id| ran.contains(id))
+        });
+        !declined.is_empty()
+    });
+    assert_eq!(declined[0]["to"], "box", "{}", declined[0]);
+    for running in &cluster.boxes {
+        for line in running.event_lines("promised_not_run") {
+            let has_run = line["request_id"]
+                .as_str()
+                .is_some_and(|id| ran.contains(id));
+            assert!(!has_run || line["to"] == "box", "{line}");
+        }
+    }
+}
+
 #[test]
 fn the_promise_of_a_request_whose_body_is_late_is_logged() {
     let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
