Show what callers of other kinds are promised

HTTP/1.0, chunks, Expect: 100-continue, no body, GET, HEAD, no id, one id for several requests, two ids in one, pipelined, half-closed: each before an upstream that answers, rejects, answers 503, 429 or 408 without saying not run, answers for another request, without a signature, in part, or not at all. No request that may run once and ran was promised not to have, and none ran twice; each kind had promises and runs.

--- a/crates/ivyweird/tests/gateway_promises.rs
+++ b/crates/ivyweird/tests/gateway_promises.rs
@@ -4,7 +4,9 @@
 
 use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::thread;
+use std::time::Duration;
 
 use bytes::Bytes;
 use ivyweir_standins::edge::{
@@ -230,3 +232,116 @@
     assert_eq!(given[0]["basis"], "no_send");
     assert_eq!(runs(&cluster), 0);
 }
+
+/// Pause between the parts in which a caller writes its requests.
+const WRITE_PAUSE: Duration = Duration::from_millis(30);
+
+/// Writes requests in parts, and returns the statuses of all answers.
+fn statuses(cluster: &TestCluster, parts: &[String], half_closes: bool) -> Vec<u16> {
+    let mut caller = TcpStream::connect(cluster.addr(0)).expect("the box accepts");
+    for part in parts {
+        caller.write_all(part.as_bytes()).expect("the box reads");
+        thread::sleep(WRITE_PAUSE);
+    }
+    if half_closes {
+        caller
+            .shutdown(Shutdown::Write)
+            .expect("an open connection");
+    }
+    let mut answers = Vec::new();
+    // A reset ends the answers as an orderly end does.
+    let _reset = caller.read_to_end(&mut answers);
+    let answers = String::from_utf8_lossy(&answers);
+    let heads = answers.split("HTTP/1.").skip(1);
+    let statuses = heads.filter_map(|head| head.get(2..5)?.parse().ok());
+    statuses.filter(|status| *status != 100).collect()
+}
+
+fn head(method: &str, path: &str, version: &str, headers: &str) -> String {
+    format!(
+        "{method} {path} HTTP/{version}\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\n\
+         ivyweir-budget-ms: 400\r\n{headers}\r\n"
+    )
+}
+
+fn with_id(path: &str, headers: &str) -> String {
+    let id = path.replace('/', "-");
+    format!("ivyweir-request-id: {id}\r\n{headers}")
+}
+
+fn last(headers: &str) -> String {
+    format!("connection: close\r\n{headers}")
+}
+
+/// Number of times that a request for this path ran.
+fn runs_of(cluster: &TestCluster, path: &str) -> usize {
+    let received = cluster.services.iter();
+    let received = received.flat_map(ScriptedUpstream::received_requests);
+    let ran = received.filter(|request| request.was_run);
+    ran.filter(|request| request.request_line.ends_with(path))
+        .count()
+}
+
+macro_rules! callers {
+    ($($name:ident: $parts:expr, half-closes: $half_closes:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
+            let actions = [
+                UpstreamAction::Answer(200),
+                UpstreamAction::NotRun,
+                UpstreamAction::Answer(503),
+                UpstreamAction::Answer(429),
+                UpstreamAction::Answer(408),
+                UpstreamAction::Unsigned,
+                UpstreamAction::WrongId,
+                UpstreamAction::Close,
+                UpstreamAction::TruncateBody,
+                UpstreamAction::Hang,
+            ];
+            let (mut promised, mut ran) = (0, 0);
+            for (number, action) in actions.into_iter().enumerate() {
+                all_do(action.clone())(&cluster);
+                let paths = [format!("/unsafe/{number}/a"), format!("/unsafe/{number}/b")];
+                let parts: Vec<String> = $parts(&*paths[0], &*paths[1]);
+                let statuses = statuses(&cluster, &parts, $half_closes);
+                for (path, status) in paths.iter().zip(&statuses) {
+                    let runs = runs_of(&cluster, path);
+                    let is_promise = matches!(status, 408 | 421 | 429 | 503);
+                    assert!(!is_promise || runs == 0, "{action:?}: {path} {statuses:?}");
+                    promised += usize::from(is_promise);
+                    ran += runs;
+                }
+                assert!(paths.iter().all(|path| runs_of(&cluster, path) <= 1), "{action:?}");
+            }
+            assert!(promised > 0 && ran > 0, "{promised} promised, {ran} ran");
+        }
+    )*};
+}
+
+callers! {
+    an_old_caller_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.0", &with_id(a, "content-length: 4\r\n")) + "body"], half-closes: false;
+    a_caller_that_sends_chunks_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &with_id(a, &last("transfer-encoding: chunked\r\n"))), "4\r\nbody\r\n".into(), "0\r\n\r\n".into()], half-closes: false;
+    a_caller_that_waits_to_send_its_body_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &with_id(a, &last("expect: 100-continue\r\ncontent-length: 4\r\n"))), "body".into()], half-closes: false;
+    a_caller_without_a_body_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &with_id(a, &last("")))], half-closes: false;
+    a_caller_that_gets_is_promised_nothing_that_ran:
+        |a, _| vec![head("GET", a, "1.1", &with_id(a, &last("")))], half-closes: false;
+    a_caller_that_asks_for_a_head_is_promised_nothing_that_ran:
+        |a, _| vec![head("HEAD", a, "1.1", &with_id(a, &last("")))], half-closes: false;
+    a_caller_without_an_id_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &last("content-length: 4\r\n")) + "body"], half-closes: false;
+    callers_with_one_id_are_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &last("ivyweir-request-id: one\r\ncontent-length: 4\r\n")) + "body"], half-closes: false;
+    a_caller_with_two_ids_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &with_id(a, &with_id("other", &last("content-length: 4\r\n")))) + "body"], half-closes: false;
+    a_caller_that_pipelines_is_promised_nothing_that_ran:
+        |a, b| vec![head("POST", a, "1.1", &with_id(a, "content-length: 4\r\n")) + "body" + &head("POST", b, "1.1", &with_id(b, &last("content-length: 4\r\n"))) + "body"], half-closes: false;
+    a_caller_that_half_closes_is_promised_nothing_that_ran:
+        |a, _| vec![head("POST", a, "1.1", &with_id(a, "content-length: 4\r\n")) + "body"], half-closes: true;
+    a_caller_that_pipelines_and_half_closes_is_promised_nothing_that_ran:
+        |a, b| vec![head("POST", a, "1.1", &with_id(a, "content-length: 4\r\n")) + "body" + &head("POST", b, "1.1", &with_id(b, "content-length: 4\r\n")) + "body"], half-closes: true;
+}
