Log the status that a caller was told beside the upstream's

An upstream's own 503 that does not say that the request was not run is told as 502, but the log had only 'answered' with 503, and no 'refused': for a request that ran, this reads as a promise that was broken. The line now has both statuses.

--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -95,8 +95,19 @@
     head.version = Version::HTTP_11;
     strip_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
+    // Statuses such as 429 and 503 tell the caller that the request was not run. Only the
+    // upstream's own statement establishes that, and it was evaluated earlier.
+    // Another box states that of its own attempts; those of this box were evaluated earlier too.
+    let is_at_upstream = in_flight.upstream().is_some();
+    let is_withheld = is_at_upstream && is_promise(head.status);
+    let told = if is_withheld {
+        ErrorReason::ResponseLost.status()
+    } else {
+        head.status
+    };
     let detail = json!({
-        "upstream": upstream, "status": head.status.as_u16(), "bytes": bytes.len(), "framing": framing.name(),
+        "upstream": upstream, "status": head.status.as_u16(), "told": told.as_u16(),
+        "bytes": bytes.len(), "framing": framing.name(),
         "leaving": metadata.statement.is_leaving, "limit_per_s": metadata.statement.limit.map(DeclaredLimit::requests_per_s),
     });
     if head.status.is_server_error() || is_promise(head.status) {
@@ -104,11 +115,7 @@
     } else {
         trace.step("answered", detail);
     }
-    // Statuses such as 429 and 503 tell the caller that the request was not run. Only the
-    // upstream's own statement establishes that, and it was evaluated earlier.
-    // Another box states that of its own attempts; those of this box were evaluated earlier too.
-    let is_at_upstream = in_flight.upstream().is_some();
-    if is_at_upstream && is_promise(head.status) {
+    if is_withheld {
         return Ok(ErrorReason::ResponseLost.into_response(false));
     }
     let bytes = match &buffer {
--- a/crates/ivyweird/tests/gateway_promises.rs
+++ b/crates/ivyweird/tests/gateway_promises.rs
@@ -150,6 +150,23 @@
     repeats_that_are_lost_are_no_promise: UpstreamAction::Close, "/safe/x", [] => 502;
 }
 
+/// Guards against a log in which a failure of an upstream looks like a promise to its caller.
+#[test]
+fn the_log_has_the_status_that_a_caller_was_told() {
+    let cluster = TestCluster::with_boxes(BINARY, &["hall-a"]);
+    all_do(UpstreamAction::Answer(503))(&cluster);
+    let reply = ask(&cluster, "/unsafe/x", &[]);
+    assert_eq!(reply.status, 502, "{}", reply.text());
+    let mut answered = Vec::new();
+    eventually("the answer is in the log", || {
+        answered = cluster.boxes[0].event_lines("answered");
+        answered.retain(|line| line["request_id"] == ID);
+        !answered.is_empty()
+    });
+    assert_eq!(answered[0]["status"], 503);
+    assert_eq!(answered[0]["told"], 502, "{}", answered[0]);
+}
+
 #[test]
 fn the_promise_of_a_request_that_other_boxes_decline_is_logged_by_each() {
     let stream = UpstreamAction::Events(EventScript::whole(2));
