Show what callers are promised whose requests another box sends

Eight actions of the upstream behind a hand-over, and a box that is killed while the request runs: only a rejected request is promised not to have run. No fault found.

--- a/crates/ivyweird/tests/gateway_promises.rs
+++ b/crates/ivyweird/tests/gateway_promises.rs
@@ -250,6 +250,61 @@
     assert_eq!(runs(&cluster), 0);
 }
 
+fn two_boxes_of_which_one_sends() -> CutBoxCluster {
+    let stream = UpstreamAction::Events(EventScript::whole(2));
+    let put_site = |cluster: &TestCluster| {
+        cluster.store.put_site(&site_config(2, &[KEY]));
+    };
+    CutBoxCluster::start(&["hall-a", "hall-b"], 2, put_site, &stream)
+}
+
+macro_rules! handed_over {
+    ($($name:ident: $action:expr => $statuses:expr, runs $runs:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let CutBoxCluster { cluster, .. } = two_boxes_of_which_one_sends();
+            all_do($action)(&cluster);
+            let reply = ask(&cluster, "/unsafe/x", &[("ivyweir-budget-ms", "1000")]);
+            assert!($statuses.contains(&reply.status), "{} {}", reply.status, reply.text());
+            assert_eq!(runs(&cluster), $runs);
+        }
+    )*};
+}
+
+handed_over! {
+    a_request_that_another_box_had_rejected_is_promised: UpstreamAction::NotRun => [503], runs 0;
+    a_503_to_another_box_that_does_not_say_not_run_is_no_promise: UpstreamAction::Answer(503) => [502], runs 1;
+    a_429_to_another_box_that_does_not_say_not_run_is_no_promise: UpstreamAction::Answer(429) => [502], runs 1;
+    a_connection_of_another_box_that_is_closed_is_no_promise: UpstreamAction::Close => [502], runs 1;
+    a_body_to_another_box_that_breaks_off_is_no_promise: UpstreamAction::TruncateBody => [502], runs 1;
+    an_answer_of_another_request_to_another_box_is_no_promise: UpstreamAction::WrongId => [502, 504], runs 1;
+    an_answer_without_a_signature_to_another_box_is_no_promise: UpstreamAction::Unsigned => [502], runs 1;
+    an_answer_to_another_box_that_is_late_is_no_promise: UpstreamAction::Hang => [502, 504], runs 1;
+}
+
+#[test]
+fn a_request_at_a_box_that_is_killed_is_no_promise() {
+    let CutBoxCluster { mut cluster, .. } = two_boxes_of_which_one_sends();
+    all_do(UpstreamAction::Hang)(&cluster);
+    let addr = cluster.addr(0);
+    let caller = thread::spawn(move || {
+        let auth = format!("Bearer {KEY}");
+        let headers = [("ivyweir-request-id", ID), ("authorization", &*auth)];
+        let body = Bytes::from_static(b"prompt");
+        call(addr, "POST", "/unsafe/x", &headers, body).expect("an answer")
+    });
+    eventually("the request runs", || runs(&cluster) == 1);
+    cluster.boxes[1].kill();
+    let reply = caller.join().expect("no caller panics");
+    assert!(
+        [502, 504].contains(&reply.status),
+        "{} {}",
+        reply.status,
+        reply.text()
+    );
+    assert_eq!(runs(&cluster), 1);
+}
+
 /// Pause between the parts in which a caller writes its requests.
 const WRITE_PAUSE: Duration = Duration::from_millis(30);
 
