Show a quarantine that a late removal by the box itself lifts

Meanwhile the request is quarantined anew and recorded again. The late call removes that record, and the box takes it for an operator's word and lets the request through.

--- a/crates/ivyweir-standins/src/edge/record_store.rs
+++ b/crates/ivyweir-standins/src/edge/record_store.rs
@@ -191,6 +191,24 @@
         self.write(Write::LiftQuarantines);
     }
 
+    /// Holds removals of quarantine records by boxes from now on, or not: they are not answered, and not applied yet.
+    pub fn hold_removals(&self, holds: bool) {
+        self.state().holds_removals = holds;
+    }
+
+    /// Number of removals that are held.
+    pub fn held_removals(&self) -> usize {
+        self.state().held_removals.len()
+    }
+
+    /// Applies the removals that are held.
+    pub fn apply_held_removals(&self) {
+        let mut state = self.state();
+        for name in std::mem::take(&mut state.held_removals) {
+            state.contents.quarantines.remove(&name);
+        }
+    }
+
     /// Returns the state of the roll-out of a pool.
     pub fn rollout_state(&self, pool: &str) -> Option<RolloutState> {
         let state = self.state();
@@ -257,6 +275,19 @@
     };
     let body = body.to_bytes();
     let path: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+    if let (&Method::DELETE, ["v1", "quarantines", name]) = (&head.method, path.as_slice()) {
+        let is_held = {
+            let mut state = shared.state();
+            let is_held = state.holds_removals;
+            if is_held {
+                state.held_removals.push((*name).to_owned());
+            }
+            is_held
+        };
+        if is_held {
+            std::future::pending::<()>().await;
+        }
+    }
     if let ["v1", "quarantines", name @ ..] = path.as_slice() {
         return quarantines(shared, &head.method, name, &body);
     }
--- a/crates/ivyweir-standins/src/edge/record_store/state.rs
+++ b/crates/ivyweir-standins/src/edge/record_store/state.rs
@@ -61,6 +61,10 @@
     pub(super) era: u64,
     pub(super) fault: StoreFault,
     pub(super) calls: u64,
+    /// Whether removals of quarantine records by boxes are not answered, and not applied yet.
+    pub(super) holds_removals: bool,
+    /// Names of quarantine records whose removals are held.
+    pub(super) held_removals: Vec<String>,
 }
 
 impl State {
--- a/crates/ivyweird/tests/gateway_quarantine.rs
+++ b/crates/ivyweird/tests/gateway_quarantine.rs
@@ -447,3 +447,57 @@
     });
     assert_eq!(harmful_sends(&engines), ENDS);
 }
+
+/// Guards against taking a record for removed by an operator that a late, unanswered call of the box removed.
+#[test]
+fn a_removal_that_the_store_applies_late_does_not_lift_a_later_quarantine() {
+    let mut town = TestCluster::start(Path::new(BINARY));
+    let slow = UpstreamAction::Stream {
+        events: 60,
+        gap_ms: 50,
+        truncate_after: None,
+        confidence: None,
+    };
+    let engines = fragile(&mut town, "engines", slow);
+    town.add_box("hall-a");
+    let town = &town;
+    let quarantine = || {
+        let mut tries = 0;
+        eventually("the store keeps a quarantine", || {
+            tries += 1;
+            post(town, 0, "/stream/x", &format!("try-{tries}"), HARMFUL);
+            town.store.quarantines().len() == 1
+        });
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| post(town, 0, "/stream/x", "slow", HARMFUL));
+        eventually("it runs", || harmful_sends(&engines) == 1);
+        for engine in &engines {
+            let act = if engine.received_requests().is_empty() {
+                STREAM_THAT_ENDS
+            } else {
+                UpstreamAction::NotRun
+            };
+            engine.set_action_for_body(HARMFUL, act);
+        }
+        town.store.hold_removals(true);
+        quarantine();
+    });
+    // The stream that was running before has ended well, which ends the quarantine.
+    eventually("the box removes the record", || {
+        town.store.held_removals() == 1
+    });
+    town.store.hold_removals(false);
+    eventually("the record is removed", || {
+        town.store.quarantines().is_empty()
+    });
+    quarantine();
+    town.store.apply_held_removals();
+    assert!(town.store.quarantines().is_empty());
+    let ended = || town.boxes[0].event_lines("quarantine_ended").len();
+    eventually("the box sees that the record is missing", || {
+        ended() > 1 || town.store.quarantines().len() == 1
+    });
+    assert_eq!(ended(), 1);
+    assert!(is_quarantined(post(town, 0, "/stream/x", "again", HARMFUL)));
+}
