Keep a quarantine whose record a late removal took away

What callers saw: a request under which upstreams end was let through again although it was quarantined and no operator had lifted that.

Cause: a removal without an answer counted as not done. The store may apply it seconds later; it names no revision, so it also removes the record of a later quarantine, and the box took the missing record for an operator's word.

Evidence: a_removal_that_the_store_applies_late_does_not_lift_a_later_quarantine failed before: quarantined at 0.15 s, ended by a completed run at 3.2 s, removal abandoned at 4.8 s, quarantined anew at 7.1 s, lifted at 12.1 s after the first removal was applied.

Not covered: another box that becomes the root in this time; an unanswered creation that the store applies after an operator's removal, which quarantines the request again. A removal conditional on the record's revision would cover the first.

--- a/crates/ivyweir-gateway/src/quarantine_sync.rs
+++ b/crates/ivyweir-gateway/src/quarantine_sync.rs
@@ -4,7 +4,7 @@
 //! released, and read only by the root: when it first becomes the root, after a restore of the store, and periodically
 //! while there are records, so that operators can lift a quarantine by removing its record.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
 /// Interval between reads of the records while there are any, and so the maximum delay until the removal of a record
 /// takes effect.
 const REFRESH_INTERVAL_MS: u64 = 5_000;
+/// Time for which the store may still apply a removal that it has not answered.
+const LATE_REMOVAL_MS: u64 = 30_000;
 /// Maximum number of records in the store, so that one listing returns them all.
 const MAX_RECORDS: usize = 256;
 
@@ -34,6 +36,7 @@
         client: StoreClient::new(gateway.clone()),
         gateway,
         stored: HashSet::new(),
+        late_removals: HashMap::new(),
         listed_era: 0,
         refreshed_at_ms: None,
     };
@@ -55,6 +58,8 @@
     client: StoreClient,
     /// Requests known to have a record in the store.
     stored: HashSet<Fingerprint>,
+    /// Records whose removal the store has not answered, and the time until which it may still be applied.
+    late_removals: HashMap<Fingerprint, u64>,
     /// Store era of the last listing of the records.
     listed_era: u64,
     /// When the records were last read.
@@ -69,10 +74,7 @@
         let quarantined = self.gateway.quarantined();
         let released: Vec<Fingerprint> = self.stored.difference(&quarantined).copied().collect();
         for fingerprint in released {
-            let request = self.gateway.store_codec.delete_quarantine(fingerprint);
-            self.write(request, &[StatusCode::OK, StatusCode::NOT_FOUND])
-                .await?;
-            self.stored.remove(&fingerprint);
+            self.remove_record(fingerprint).await?;
         }
         for fingerprint in quarantined {
             self.store_record(fingerprint).await?;
@@ -102,10 +104,13 @@
             status => return Err(CallError::refused(status)),
         };
         let listed: HashSet<Fingerprint> = records.iter().map(|r| r.fingerprint).collect();
-        // After a restore, a missing record may be lost rather than removed by an operator. Its quarantine
-        // stays in force, and `poll` writes the record again.
+        let now_ms = self.gateway.clock.now_ms();
+        self.late_removals.retain(|_, until_ms| now_ms < *until_ms);
+        // After a restore, a missing record may be lost rather than removed by an operator, and so may one that this box
+        // asked to remove before. Its quarantine stays in force, and `poll` writes the record again.
         if response.era == self.listed_era {
-            let lifted = self.stored.difference(&listed).copied();
+            let missing = self.stored.difference(&listed).copied();
+            let lifted = missing.filter(|missing| !self.late_removals.contains_key(missing));
             self.gateway.lift_quarantines(lifted.collect());
         }
         self.listed_era = response.era;
@@ -131,6 +136,19 @@
         Ok(records)
     }
 
+    async fn remove_record(&mut self, fingerprint: Fingerprint) -> Result<(), CallError> {
+        let request = self.gateway.store_codec.delete_quarantine(fingerprint);
+        let removed = [StatusCode::OK, StatusCode::NOT_FOUND];
+        let result = self.write(request, &removed).await;
+        if let Err(CallError::ResponseLost { .. } | CallError::Abandoned { .. }) = &result {
+            let until_ms = self.gateway.clock.now_ms() + LATE_REMOVAL_MS;
+            self.late_removals.insert(fingerprint, until_ms);
+        }
+        result?;
+        self.stored.remove(&fingerprint);
+        Ok(())
+    }
+
     /// Writes the record of a quarantined request, unless it has one.
     async fn store_record(&mut self, fingerprint: Fingerprint) -> Result<(), CallError> {
         if self.stored.contains(&fingerprint) || self.stored.len() >= MAX_RECORDS {
