Show what callers are told of forwarded calls whose answers are lost

A call that may run once, forwarded to the box of its session, whose connection is cut, hangs, loses the answer or ends within it, while the call runs.

--- a/crates/ivyweird/tests/once.rs
+++ b/crates/ivyweird/tests/once.rs
@@ -330,3 +330,41 @@
     a_call_that_an_engine_answers_with_500_may_have_run: 500;
     a_call_that_an_engine_answers_with_503_may_have_run: 503;
 }
+
+macro_rules! lost_forwards {
+    ($($name:ident: $fault:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let world = start(ClusterSpec {
+                peer_proxies: true,
+                ..spec(&["hall-a", "hall-b"])
+            });
+            let token = world
+                .caller(0, "studio")
+                .open_session()
+                .expect("a session opens");
+            let other = world.caller(1, "studio").in_session(&token);
+            let warm = activate(&other, "sim-warm");
+            assert_eq!(warm.status, 200, "{warm:?}");
+            world.services[0].set_delay_ms(300);
+            let other = other.with_header("X-Ivyweir-Deadline-Ms", "2000");
+            let told = thread::scope(|scope| {
+                let call = scope.spawn(|| activate(&other, "sim-1"));
+                wait_until("it runs", || runs(&world, "sim-1") == 1);
+                world.peer_proxies[0].set($fault);
+                call.join().expect("no caller panics")
+            });
+            world.peer_proxies[0].set(Fault::None);
+            assert_eq!(told.run, "unknown", "{told:?}");
+            assert_ne!(told.status, 200, "{told:?}");
+            assert_eq!(runs(&world, "sim-1"), 1);
+        }
+    )*};
+}
+
+lost_forwards! {
+    a_forwarded_call_whose_connection_is_cut_may_have_run: Fault::Cut;
+    a_forwarded_call_whose_answer_is_lost_may_have_run: Fault::LoseAnswers;
+    a_forwarded_call_whose_answer_hangs_may_have_run: Fault::HalfOpen;
+    a_forwarded_call_whose_answer_is_cut_short_may_have_run: Fault::TruncateAfter(4);
+}
