Test rejections of no request on new connections

Cases so far sent a surplus answer only behind the first answer on a connection. A rejection without an id, or with that of another request, before the first answer is a state that lasts: the connection is spent by it, and the next one begins alike. On the log names each such request (upstream_refused, then refused as no_upstream).

A first form of the new check asked for the run at the moment of the answer, which is before the upstream has noted it, and failed for that; it waits now and asks for exactly one run of each.

--- a/crates/ivyweir-standins/src/edge/repeating_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/repeating_upstream.rs
@@ -86,6 +86,8 @@
 struct Shared {
     name: Name,
     plan: Plan,
+    /// Whether a surplus answer may come before the first answer on a connection too.
+    is_from_first: bool,
     requests: AtomicU64,
     /// Ids that are rejected once, as not run.
     rejected_once: Mutex<Vec<String>>,
@@ -112,12 +114,23 @@
         pool: &str,
         plan: impl Fn(u64) -> Option<SurplusAnswer> + Send + Sync + 'static,
     ) -> Self {
+        Self::start_plan(id, pool, Box::new(plan), false)
+    }
+
+    /// Starts an upstream that sends `surplus` before the answer to each request, the first on a connection included. It
+    /// runs until the process exits.
+    pub fn start_from_first(id: &str, pool: &str, surplus: SurplusAnswer) -> Self {
+        Self::start_plan(id, pool, Box::new(move |_| Some(surplus)), true)
+    }
+
+    fn start_plan(id: &str, pool: &str, plan: Plan, is_from_first: bool) -> Self {
         let listener = TcpListener::bind(SocketAddr::from((unique_ip(), 0)));
         let listener = listener.expect("a free port");
         let addr = listener.local_addr().expect("a bound socket");
         let shared = Arc::new(Shared {
             name: id.into(),
-            plan: Box::new(plan),
+            plan,
+            is_from_first,
             requests: AtomicU64::new(0),
             rejected_once: Mutex::default(),
             seen: Mutex::default(),
@@ -314,9 +327,10 @@
             Some(repeated + &shared.run(&request))
         } else {
             let number = shared.requests.fetch_add(1, Ordering::SeqCst);
-            match ((shared.plan)(number), &earlier) {
-                (Some(surplus), Some(earlier)) => {
+            match (shared.plan)(number) {
+                Some(surplus) if shared.is_from_first || earlier.is_some() => {
                     shared.with_seen(|seen| seen.surplus_answers += 1);
+                    let earlier = earlier.as_deref().unwrap_or("none");
                     let text = surplus.text(earlier, &request.id);
                     answer_behind(shared, surplus.following, text, &request, &mut stream)
                 }
--- a/crates/ivyweird/tests/gateway_answer_owner.rs
+++ b/crates/ivyweird/tests/gateway_answer_owner.rs
@@ -151,6 +151,45 @@
     assert!(served >= ROUNDS / 4, "{served} served");
 }
 
+macro_rules! rejections_on_new_connections {
+    ($($name:ident: $status:expr, $id:ident;)*) => {$(
+        /// Guards against a rejection of no request that is believed on each new connection.
+        #[test]
+        fn $name() {
+            let mut cluster = TestCluster::start(BINARY);
+            let site = site_config_for_pool(2, &[KEY], POOL);
+            cluster.store.put_site(&site);
+            let surplus = SurplusAnswer {
+                status: $status,
+                id: SurplusId::$id,
+                framing: SurplusFraming::Length,
+                following: Following::Answer,
+            };
+            let upstream = RepeatingUpstream::start_from_first("repeating-0", POOL, surplus);
+            cluster.store.put_upstream(&upstream.record());
+            cluster.add_box("hall-a");
+            let upstreams = [upstream];
+            for n in 0..ROUNDS {
+                let id = format!("r{n}");
+                let status = ask(&cluster, UNSAFE, &id).status;
+                assert!([200, 502].contains(&status), "{id}: {status}");
+            }
+            let has_run_once = |n| run_count(&upstreams, &format!("r{n}")) == 1;
+            eventually("each request has run once", || {
+                (0..ROUNDS).all(has_run_once)
+            });
+            assert!(surplus_count(&upstreams) >= ROUNDS);
+        }
+    )*};
+}
+
+rejections_on_new_connections! {
+    a_rejection_of_another_request_on_a_new_connection_promises_nothing: 503, Stranger;
+    a_rejection_without_an_id_on_a_new_connection_promises_nothing: 503, Missing;
+    a_limit_without_an_id_on_a_new_connection_promises_nothing: 429, Missing;
+    a_word_of_another_incarnation_without_an_id_on_a_new_connection_promises_nothing: 421, Missing;
+}
+
 /// Guards against answers that cannot be told apart where a caller uses an id twice.
 #[test]
 fn a_connection_is_not_used_for_two_requests_with_one_id() {
