Compare promises to callers with what upstreams ran, in a random soak

The statuses 408, 421, 429 and 503 promise that a request has not run. The soaks before checked this beside few faults, with upstreams that do not run a request once its client has gone. Real boxes now stand before upstreams that reject early, late and in parts, lose answers, pause, accept late and run what lies in their sockets, while boxes are stopped, killed, paused and cut off; what callers were told is compared by id with what upstreams ran.

--- a/crates/ivyweir-standins/src/edge.rs
+++ b/crates/ivyweir-standins/src/edge.rs
@@ -5,6 +5,7 @@
 
 mod duty_invariant;
 mod duty_platform;
+mod erratic_upstream;
 mod event_script;
 mod gateway_process;
 mod path_proxy;
@@ -18,6 +19,10 @@
 
 pub use duty_invariant::{DutyCall, DutyInvariant, DutyViolation};
 pub use duty_platform::DutyPlatform;
+pub use erratic_upstream::{
+    Conduct, ErraticUpstream, Fate, Handled, LAST_EVENT, Rejection, Run, RunEnd, Then, answer_text,
+    event_text,
+};
 pub use event_script::{BodyEnd, BodyFraming, EventScript, LineEnd, PlainScript};
 pub use gateway_process::{BoxSpec, GatewayProcess, gateway_settings};
 pub use path_proxy::{PathFault, PathProxies};
--- a/crates/ivyweird/tests/common/soak.rs
+++ b/crates/ivyweird/tests/common/soak.rs
@@ -1,7 +1,7 @@
 //! What random soaks share: boxes behind proxies to the store, which are stopped, paused and killed.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -41,13 +41,16 @@
     pub disturbed: Vec<Disturbed>,
     /// Where their logs are.
     pub folder: PathBuf,
+    /// The daemon under test: `IVYWEIR_SOAK_BINARY`, or else that of this build.
+    pub binary: PathBuf,
     halls: &'static [&'static str],
 }
 
 impl Boxes {
     /// A store and the ways to it for a box in each of these halls, none started yet.
     pub fn new(name: &str, seed: u64, halls: &'static [&'static str]) -> Self {
-        let town = TestCluster::start(Path::new(BINARY));
+        let binary = std::env::var_os("IVYWEIR_SOAK_BINARY").map_or(BINARY.into(), PathBuf::from);
+        let town = TestCluster::start(&binary);
         for upstream in town.engines.iter().chain(&town.services) {
             town.store.put_upstream(&upstream.leaving_record());
         }
@@ -65,6 +68,7 @@
             disturbed: Vec::new(),
             town,
             folder,
+            binary,
             halls,
         }
     }
@@ -141,7 +145,7 @@
             contracts: &self.town.contracts,
             memory_mb: self.town.memory_mb,
         };
-        let started = GatewayProcess::start(Path::new(BINARY), &self.folder, &spec);
+        let started = GatewayProcess::start(&self.binary, &self.folder, &spec);
         self.addrs.lock().expect("no panic")[number] = Some(started.caller_addr);
         if number < self.town.boxes.len() {
             self.town.boxes[number] = started;
--- /dev/null
+++ b/crates/ivyweird/tests/promise_soak/callers.rs
@@ -0,0 +1,234 @@
+//! Callers that write down what they were told.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use ivyweir_policy::hash::mix;
+use ivyweir_standins::edge::{HOST, KeptConnection};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::common::soak::Addrs;
+use super::site::{KEYS, ROUTES};
+
+/// Largest body that is sent.
+pub const MAX_BODY_BYTES: usize = 3 << 20;
+const READ_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// What a caller was told of a request.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub id: String,
+    pub route: &'static str,
+    /// The box.
+    pub number: usize,
+    pub status: u16,
+    pub text: String,
+    pub is_complete: bool,
+    pub sent_at: Instant,
+    pub answered_at: Instant,
+}
+
+/// What callers share.
+pub struct Shared {
+    pub addrs: Addrs,
+    pub asked: Mutex<Vec<Asked>>,
+    pub stop: AtomicBool,
+    /// Requests to which there was no answer.
+    pub unanswered: AtomicU64,
+}
+
+/// How a request is sent.
+enum Sending {
+    Whole,
+    /// A part of the body comes late, or never if `is_whole` is not set.
+    Slow {
+        pause: Duration,
+        is_whole: bool,
+    },
+    /// The caller leaves before the answer.
+    Leave(Duration),
+}
+
+impl Sending {
+    fn choose(random: &mut StdRng) -> Self {
+        match random.random_range(0..60) {
+            0 => Self::Slow {
+                pause: millis(random, 50..2_500),
+                is_whole: random.random_bool(0.5),
+            },
+            1 | 2 => Self::Leave(millis(random, 1..400)),
+            _ => Self::Whole,
+        }
+    }
+}
+
+fn millis(random: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
+
+/// Sends requests to a box, on connections that are kept for as long as they are open.
+pub fn start_caller(shared: Arc<Shared>, number: usize, seed: u64) -> JoinHandle<()> {
+    static REQUESTS: AtomicU64 = AtomicU64::new(0);
+    let mut random = StdRng::seed_from_u64(mix(seed, number as u64));
+    thread::spawn(move || {
+        let mut kept: Option<KeptConnection> = None;
+        while !shared.stop.load(Ordering::Relaxed) {
+            thread::sleep(millis(&mut random, 0..40));
+            let addrs = shared.addrs.lock().expect("no panic").clone();
+            let number = number % addrs.len();
+            let Some(addr) = addrs[number] else {
+                continue;
+            };
+            let id = format!("r{}", REQUESTS.fetch_add(1, Ordering::Relaxed));
+            let sent_at = Instant::now();
+            let request = Request::choose(&mut random, &id);
+            let told = match Sending::choose(&mut random) {
+                Sending::Slow { pause, is_whole } => request.send_slowly(addr, pause, is_whole),
+                Sending::Leave(after) => {
+                    // Nothing is told to a caller that leaves.
+                    let _ignored = request.leave(addr, after);
+                    continue;
+                }
+                Sending::Whole => request.send(addr, &mut kept),
+            };
+            let Ok(told) = told else {
+                shared.unanswered.fetch_add(1, Ordering::Relaxed);
+                continue;
+            };
+            let asked = Asked {
+                id,
+                route: request.route,
+                number,
+                status: told.status,
+                text: told.text,
+                is_complete: told.is_complete,
+                sent_at,
+                answered_at: Instant::now(),
+            };
+            shared.asked.lock().expect("no panic").push(asked);
+        }
+    })
+}
+
+struct Told {
+    status: u16,
+    text: String,
+    is_complete: bool,
+}
+
+struct Request {
+    route: &'static str,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
+}
+
+impl Request {
+    fn choose(random: &mut StdRng, id: &str) -> Self {
+        let route = *ROUTES.choose(random).expect("routes");
+        let budget_ms = match random.random_range(0..10) {
+            0 => random.random_range(0..30),
+            1 | 2 => random.random_range(30..400),
+            3 => 4_000,
+            _ => 1_500,
+        };
+        let key = if random.random_bool(0.2) {
+            KEYS[1]
+        } else {
+            KEYS[0]
+        };
+        let length = match random.random_range(0..100) {
+            0 => random.random_range(0..MAX_BODY_BYTES),
+            1..=8 => random.random_range(0..64 << 10),
+            _ => 40,
+        };
+        let mut body = id.as_bytes().to_vec();
+        body.resize(length.max(id.len()), b'.');
+        let headers = vec![
+            ("ivyweir-request-id", id.to_owned()),
+            ("ivyweir-budget-ms", budget_ms.to_string()),
+            ("authorization", format!("Bearer {key}")),
+        ];
+        Self {
+            route,
+            path: format!("/{route}/x"),
+            headers,
+            body: body.into(),
+        }
+    }
+
+    fn headers(&self) -> Vec<(&str, &str)> {
+        let headers = self.headers.iter();
+        headers
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect()
+    }
+
+    fn send(&self, addr: SocketAddr, kept: &mut Option<KeptConnection>) -> io::Result<Told> {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => KeptConnection::open(addr)?,
+        };
+        let reply = connection.call("POST", &self.path, &self.headers(), self.body.clone())?;
+        if reply.is_complete {
+            *kept = Some(connection);
+        }
+        Ok(Told {
+            status: reply.status,
+            text: reply.text(),
+            is_complete: reply.is_complete,
+        })
+    }
+
+    fn leave(&self, addr: SocketAddr, after: Duration) -> io::Result<()> {
+        let connection = KeptConnection::open(addr)?;
+        connection.call_and_leave(
+            "POST",
+            &self.path,
+            &self.headers(),
+            self.body.clone(),
+            after,
+        )
+    }
+
+    /// Sends the last byte of the body after a pause, or not at all, and reads the status.
+    fn send_slowly(&self, addr: SocketAddr, pause: Duration, is_whole: bool) -> io::Result<Told> {
+        let mut stream = TcpStream::connect(addr)?;
+        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+        let mut head = format!(
+            "POST {} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n",
+            self.path
+        );
+        for (name, value) in &self.headers {
+            head += &format!("{name}: {value}\r\n");
+        }
+        head += &format!("content-length: {}\r\n\r\n", self.body.len());
+        stream.write_all(head.as_bytes())?;
+        let (begin, last) = self.body.split_at(self.body.len() - 1);
+        stream.write_all(begin)?;
+        thread::sleep(pause);
+        if is_whole {
+            stream.write_all(last)?;
+        }
+        let mut answer = Vec::new();
+        // The status counts, also of an answer that breaks off.
+        let _ignored = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        let status = answer
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        Ok(Told {
+            status: status.ok_or_else(|| io::Error::other("no status"))?,
+            text: String::new(),
+            is_complete: false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/tests/promise_soak/judge.rs
@@ -0,0 +1,221 @@
+//! Compares what callers were told with what upstreams ran, by the ids of the requests.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fs;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ivyweir_standins::edge::{Fate, Handled, LAST_EVENT, answer_text, event_text};
+use serde_json::Value;
+
+use super::callers::Asked;
+use super::site::is_repeatable;
+
+/// Time before a box was killed in which lines of its log may be lost with it.
+const UNWRITTEN: Duration = Duration::from_millis(1_500);
+
+/// Whether a status promises that the request has not run and never will.
+pub fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// What the logs of all boxes say.
+#[derive(Debug, Default)]
+pub struct Logs {
+    /// Reason and basis of each promise, by box and request.
+    promises: HashMap<(usize, String), (String, String)>,
+    /// Failed requests that were left out, and lines that were dropped, by box.
+    left_out: HashMap<usize, u64>,
+    /// Requests that were handed over by the box that their caller sent them to.
+    handed_over: HashSet<(usize, String)>,
+    /// Number of lines by event.
+    pub events: BTreeMap<String, usize>,
+}
+
+impl Logs {
+    /// Reads the logs of all processes of all boxes.
+    pub fn read(folder: &Path) -> Self {
+        let mut logs = Self::default();
+        let files = fs::read_dir(folder).expect("the folder of the logs");
+        for file in files.flatten() {
+            let name = file.file_name().to_string_lossy().into_owned();
+            let number = name
+                .strip_prefix("box-")
+                .and_then(|rest| rest.split('.').next()?.parse().ok());
+            let (Some(number), true) = (number, name.ends_with(".log")) else {
+                continue;
+            };
+            let text = fs::read(file.path()).expect("a readable log");
+            for line in String::from_utf8_lossy(&text).lines() {
+                // The last line of a box that was killed may be cut.
+                if let Ok(line) = serde_json::from_str::<Value>(line) {
+                    logs.add(number, &line);
+                }
+            }
+        }
+        logs
+    }
+
+    fn add(&mut self, number: usize, line: &Value) {
+        let event = line["event"].as_str().unwrap_or_default();
+        *self.events.entry(event.to_owned()).or_default() += 1;
+        let text = |field: &str| line[field].as_str().unwrap_or_default().to_owned();
+        let request = (number, text("request_id"));
+        match event {
+            "promised_not_run" => {
+                self.promises.entry(request).or_default().1 = text("basis");
+            }
+            "refused" => self.promises.entry(request).or_default().0 = text("reason"),
+            "handed_over" => {
+                self.handed_over.insert(request);
+            }
+            "requests_left_out" => {
+                *self.left_out.entry(number).or_default() += line["failed"].as_u64().unwrap_or(0);
+            }
+            "log_lines_dropped" => {
+                *self.left_out.entry(number).or_default() += line["lines"].as_u64().unwrap_or(0);
+            }
+            _ => {}
+        }
+    }
+
+    /// Reason and basis of a promise.
+    fn promise(&self, asked: &Asked) -> (&str, &str) {
+        let promise = self.promises.get(&(asked.number, asked.id.clone()));
+        promise.map_or(("", ""), |(reason, basis)| (reason, basis))
+    }
+
+    /// Promises of which the log of their box shows no basis, beyond those that it says to have left out.
+    pub fn unexplained(&self, asked: &[Asked], kills: &[(usize, Instant)]) -> Vec<String> {
+        let mut missing: HashMap<usize, Vec<&Asked>> = HashMap::new();
+        for asked in asked.iter().filter(|asked| is_promise(asked.status)) {
+            let died = |(number, at): &(usize, Instant)| {
+                *number == asked.number
+                    && asked.answered_at + UNWRITTEN > *at
+                    && asked.sent_at < *at
+            };
+            if self.promise(asked).1.is_empty() && !kills.iter().any(died) {
+                missing.entry(asked.number).or_default().push(asked);
+            }
+        }
+        let mut faults = Vec::new();
+        for (number, missing) in missing {
+            let left_out = self.left_out.get(&number).copied().unwrap_or(0);
+            if missing.len() as u64 > left_out {
+                let ids: Vec<_> = missing
+                    .iter()
+                    .map(|a| (&*a.id, a.route, a.status))
+                    .collect();
+                faults.push(format!(
+                    "box {number} left out {left_out}, but does not explain {ids:?}"
+                ));
+            }
+        }
+        faults
+    }
+}
+
+/// Counts of one kind of promises.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Count {
+    pub given: usize,
+    pub broken: usize,
+}
+
+/// What a soak found.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    pub faults: Vec<String>,
+    /// Answers by route and status.
+    pub answers: BTreeMap<(&'static str, u16), usize>,
+    /// Promises for requests that may not be repeated, by status, reason, basis, and whether they were handed over.
+    pub promises: BTreeMap<(u16, String, String, bool), Count>,
+    /// Promises for requests that may be repeated.
+    pub repeatable: Count,
+    /// Promises by status.
+    pub by_status: BTreeMap<u16, usize>,
+    pub runs: usize,
+    pub late_runs: usize,
+    pub rejections: BTreeMap<u16, usize>,
+}
+
+impl Verdict {
+    /// Judges all answers by what upstreams handled.
+    pub fn new(asked: &[Asked], handled: &[Handled], logs: &Logs) -> Self {
+        let mut verdict = Self::default();
+        let mut by_id: HashMap<&str, Vec<&Handled>> = HashMap::new();
+        for handled in handled {
+            by_id.entry(&handled.id).or_default().push(handled);
+            match handled.fate {
+                Fate::Ran { is_client_gone } => {
+                    verdict.runs += 1;
+                    verdict.late_runs += usize::from(is_client_gone);
+                }
+                Fate::Rejected(status) => *verdict.rejections.entry(status).or_default() += 1,
+            }
+        }
+        for asked in asked {
+            let handled = by_id.get(&*asked.id).map_or(&[][..], |handled| handled);
+            verdict.judge(asked, handled, logs);
+        }
+        verdict
+    }
+
+    fn judge(&mut self, asked: &Asked, handled: &[&Handled], logs: &Logs) {
+        *self.answers.entry((asked.route, asked.status)).or_default() += 1;
+        let ran = |handled: &&&Handled| matches!(handled.fate, Fate::Ran { .. });
+        let runs = handled.iter().filter(ran).count();
+        let mut faults = Vec::new();
+        if is_promise(asked.status) {
+            *self.by_status.entry(asked.status).or_default() += 1;
+            let count = if is_repeatable(asked.route) {
+                &mut self.repeatable
+            } else {
+                let (reason, basis) = logs.promise(asked);
+                let is_handed_over = logs.handed_over.contains(&(asked.number, asked.id.clone()));
+                let path = (
+                    asked.status,
+                    reason.to_owned(),
+                    basis.to_owned(),
+                    is_handed_over,
+                );
+                self.promises.entry(path).or_default()
+            };
+            count.given += 1;
+            count.broken += usize::from(runs > 0);
+            if runs > 0 && !is_repeatable(asked.route) {
+                faults.push(format!(
+                    "promised with {} that it has not run",
+                    asked.status
+                ));
+            }
+        }
+        if runs > 1 && !is_repeatable(asked.route) {
+            faults.push(format!("ran {runs} times"));
+        }
+        if asked.status == 200 && !is_own_answer(asked) {
+            faults.push(format!(
+                "got {:?}, complete: {}",
+                asked.text, asked.is_complete
+            ));
+        }
+        for fault in faults {
+            self.faults.push(format!("{fault}: {asked:?}, {handled:?}"));
+        }
+    }
+}
+
+/// Whether a success is the upstream's own for the request.
+fn is_own_answer(asked: &Asked) -> bool {
+    let expected = match asked.route {
+        "stream" | "once" | "once3" => (1..=LAST_EVENT)
+            .map(|event| event_text(&asked.id, event))
+            .collect(),
+        _ => answer_text(&asked.id),
+    };
+    if asked.is_complete {
+        asked.text == expected
+    } else {
+        expected.starts_with(&asked.text)
+    }
+}
--- /dev/null
+++ b/crates/ivyweird/tests/promise_soak/site.rs
@@ -0,0 +1,59 @@
+//! The configuration of a soak: routes that send a request once, twice and three times, and streams of each kind.
+
+use std::sync::Arc;
+
+use ivyweir_policy::gateway::site::{Route, RouteKind, SiteConfig};
+use ivyweir_standins::edge::{KEY, site_config_for_pool};
+
+use super::callers::MAX_BODY_BYTES;
+
+/// Pool of all routes.
+pub const POOL: &str = "erratic";
+/// Routes by name. Requests of "safe" and "stream" may be repeated, others may not.
+pub const ROUTES: [&str; 7] = [
+    "unsafe", "unsafe2", "unsafe3", "once", "once3", "stream", "safe",
+];
+/// Keys of callers; the second one is revoked at times.
+pub const KEYS: [&str; 2] = [KEY, "key-that-is-revoked"];
+/// Time in which a route answers.
+const TIMEOUT_MS: u64 = 2_500;
+/// Time for the body of a request.
+const BODY_TIMEOUT_MS: u64 = 1_000;
+
+/// Whether a request of a route may run again.
+pub fn is_repeatable(route: &str) -> bool {
+    matches!(route, "safe" | "stream")
+}
+
+/// Builds the configuration.
+pub fn site(version: u64, keys: &[&str]) -> SiteConfig {
+    let mut site = site_config_for_pool(version, keys, POOL);
+    let limits = site.limits.as_mut().expect("limits");
+    limits.max_body_bytes = MAX_BODY_BYTES;
+    limits.header_timeout_ms = BODY_TIMEOUT_MS;
+    let template = site.routes[0].clone();
+    let route = |name: &'static str, kind: RouteKind, max_attempts: u32| {
+        Arc::new(Route {
+            name: name.into(),
+            path_prefix: format!("/{name}/").into(),
+            kind,
+            max_attempts,
+            timeout_ms: TIMEOUT_MS,
+            ..(*template).clone()
+        })
+    };
+    let stream = |resumable| RouteKind::Stream {
+        resumable,
+        gap_aim_ms: 1_000,
+    };
+    site.routes = vec![
+        route("unsafe", RouteKind::Unsafe, 1),
+        route("unsafe2", RouteKind::Unsafe, 2),
+        route("unsafe3", RouteKind::Unsafe, 3),
+        route("once", stream(false), 1),
+        route("once3", stream(false), 3),
+        route("stream", stream(true), 3),
+        route("safe", RouteKind::Safe, 3),
+    ];
+    site
+}
