Judge unanswered requests too, and what the log says a promise rests on

The id of a request names its route, so that a request which may not be repeated is judged by its runs also if its caller left or got no answer. A promise whose log event says that nothing was sent must not have reached an upstream, and one that rests on rejections must have been rejected. Upstreams also send rejections that name no request or another one. Callers wait after a failure, and upstreams that boxes take for gone are replaced, so that most requests are sent.

--- a/crates/ivyweir-standins/src/edge/erratic_upstream/conduct.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/conduct.rs
@@ -26,6 +26,13 @@
     "ivyweir-limit: 40\r\n",
 ];
 
+/// Header lines of answers that do not name the request.
+const FOREIGN_IDS: [&str; 3] = [
+    "",
+    "ivyweir-request-id: \r\n",
+    "ivyweir-request-id: stranger\r\n",
+];
+
 /// What an upstream does with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Conduct {
@@ -58,6 +65,8 @@
     pub idle: Option<Duration>,
     /// Header lines with what the upstream says of itself.
     pub statement: &'static str,
+    /// Header line of a rejection, sent before the answer, that does not name the request.
+    pub foreign_rejection: Option<&'static str>,
 }
 
 /// What becomes of the answer of a request that ran.
@@ -129,6 +138,7 @@
             is_announced: random.random_bool(0.05),
             idle: random.random_bool(0.1).then(|| millis(random, 0..60)),
             statement: pick(random, &["", "", "ivyweir-load: 2,0,6\r\n"]),
+            foreign_rejection: None,
         }
     }
 }
@@ -149,8 +159,9 @@
 
     fn choose_run(random: &mut StdRng) -> Run {
         let mut run = Run::well(random);
-        match random.random_range(0..9) {
+        match random.random_range(0..10) {
             0 => run.end = RunEnd::AnswerTwice,
+            9 => run.foreign_rejection = Some(pick(random, &FOREIGN_IDS)),
             1 => run.end = RunEnd::Truncate,
             2 => run.end = RunEnd::Close,
             3 => run.end = RunEnd::Reset,
@@ -182,7 +193,12 @@
 
     /// Chooses a rejection.
     pub fn choose(random: &mut StdRng) -> Self {
-        let status = pick(random, &[503, 503, 503, 429, 421]);
+        let status = match random.random_range(0..30) {
+            // A box sends nothing more to an upstream that answers so.
+            0 => 421,
+            1..=8 => 429,
+            _ => 503,
+        };
         let afters = [0..1, 0..5, 0..50, 50..600, 600..2_500];
         let after = pick(random, &[0, 0, 0, 1, 1, 2, 3, 4]);
         let then = [
@@ -202,7 +218,7 @@
             has_body: random.random_bool(0.4),
             split: random.random_bool(0.2).then(|| millis(random, 1..300)),
             is_early: random.random_bool(0.3),
-            statement: if random.random_bool(0.01) {
+            statement: if random.random_bool(0.005) {
                 "ivyweir-leaving: 1\r\n"
             } else {
                 pick(random, &STATEMENTS)
--- a/crates/ivyweir-standins/src/edge/erratic_upstream/connection.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/connection.rs
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 
 use super::conduct::{Conduct, Rejection, Run, RunEnd, Then};
-use super::message::Head;
+use super::message::{self, Head};
 use super::{Fate, Handled, Shared, wait_until, wake};
 
 /// Time for which a connection stays open on which nothing is sent any more.
@@ -170,6 +170,9 @@
             wake(self.stream.local_addr()?);
             return Ok(Next::End);
         }
+        if let Some(id) = run.foreign_rejection {
+            self.repeated = Some(message::foreign_rejection(id));
+        }
         self.idle = run.idle;
         let name = self.shared.state().name.clone();
         let parts = head.answer(run, &name);
--- a/crates/ivyweir-standins/src/edge/erratic_upstream/message.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/message.rs
@@ -117,6 +117,11 @@
     }
 }
 
+/// A rejection with this header line in the place of the one that names its request.
+pub fn foreign_rejection(id: &str) -> String {
+    format!("HTTP/1.1 503 Rejected\r\n{id}ivyweir-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// The body of the answer to a request.
 pub fn answer_text(id: &str) -> String {
     format!("answer to {id}")
--- a/crates/ivyweird/tests/promise_soak/callers.rs
+++ b/crates/ivyweird/tests/promise_soak/callers.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::common::soak::Addrs;
-use super::site::{KEYS, ROUTES};
+use super::site::{KEYS, ROUTES, request_id};
 
 /// Largest body that is sent.
 pub const MAX_BODY_BYTES: usize = 3 << 20;
@@ -95,10 +95,11 @@
             let Some(addr) = addrs[number] else {
                 continue;
             };
-            let id = format!("r{}", REQUESTS.fetch_add(1, Ordering::Relaxed));
+            let route = *ROUTES.choose(&mut random).expect("routes");
+            let id = request_id(route, REQUESTS.fetch_add(1, Ordering::Relaxed));
             let sent_at = Instant::now();
-            let request =
-                Request::choose(&mut random, &id, shared.is_harmful.load(Ordering::Relaxed));
+            let may_harm = shared.is_harmful.load(Ordering::Relaxed);
+            let request = Request::choose(&mut random, route, &id, may_harm);
             let told = match Sending::choose(&mut random) {
                 Sending::Slow { pause, is_whole } => request.send_slowly(addr, pause, is_whole),
                 Sending::Leave(after) => {
@@ -108,19 +109,23 @@
                 }
                 Sending::Whole => request.send(addr, &mut kept),
             };
+            let answered_at = Instant::now();
             let Ok(told) = told else {
                 shared.unanswered.fetch_add(1, Ordering::Relaxed);
                 continue;
             };
+            if told.status != 200 {
+                thread::sleep(millis(&mut random, 20..120));
+            }
             let asked = Asked {
                 id,
-                route: request.route,
+                route,
                 number,
                 status: told.status,
                 text: told.text,
                 is_complete: told.is_complete,
                 sent_at,
-                answered_at: Instant::now(),
+                answered_at,
             };
             shared.asked.lock().expect("no panic").push(asked);
         }
@@ -134,15 +139,13 @@
 }
 
 struct Request {
-    route: &'static str,
     path: String,
     headers: Vec<(&'static str, String)>,
     body: Bytes,
 }
 
 impl Request {
-    fn choose(random: &mut StdRng, id: &str, may_harm: bool) -> Self {
-        let route = *ROUTES.choose(random).expect("routes");
+    fn choose(random: &mut StdRng, route: &'static str, id: &str, may_harm: bool) -> Self {
         let budget_ms = match random.random_range(0..10) {
             0 => random.random_range(0..30),
             1 | 2 => random.random_range(30..400),
@@ -171,7 +174,6 @@
             ("authorization", format!("Bearer {key}")),
         ];
         Self {
-            route,
             path: format!("/{route}{}", if is_harmful { HARMFUL_PATH } else { "/x" }),
             headers,
             body: body.into(),
--- a/crates/ivyweird/tests/promise_soak/judge.rs
+++ b/crates/ivyweird/tests/promise_soak/judge.rs
@@ -1,6 +1,6 @@
 //! Compares what callers were told with what upstreams ran, by the ids of the requests.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fs;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::callers::Asked;
-use super::site::is_repeatable;
+use super::site::{is_repeatable, route_of};
 
 /// Time before a box was killed in which lines of its log may be lost with it.
 const UNWRITTEN: Duration = Duration::from_millis(1_500);
@@ -30,6 +30,8 @@
     handed_over: HashSet<(usize, String)>,
     /// Number of lines by event.
     pub events: BTreeMap<String, usize>,
+    /// The logs, each with its box.
+    texts: Vec<(usize, String)>,
 }
 
 impl Logs {
@@ -46,12 +48,14 @@
                 continue;
             };
             let text = fs::read(file.path()).expect("a readable log");
-            for line in String::from_utf8_lossy(&text).lines() {
+            let text = String::from_utf8_lossy(&text).into_owned();
+            for line in text.lines() {
                 // The last line of a box that was killed may be cut.
                 if let Ok(line) = serde_json::from_str::<Value>(line) {
                     logs.add(number, &line);
                 }
             }
+            logs.texts.push((number, text));
         }
         logs
     }
@@ -79,6 +83,21 @@
         }
     }
 
+    /// Lines of all boxes about a request, in order of their time.
+    pub fn lines_of(&self, id: &str) -> Vec<String> {
+        let mut lines = Vec::new();
+        for (number, text) in &self.texts {
+            let parsed = text.lines().map(serde_json::from_str::<Value>);
+            for line in parsed.filter_map(Result::ok) {
+                if line["request_id"] == id {
+                    lines.push((line["epoch_ms"].as_u64(), format!("box {number}: {line}")));
+                }
+            }
+        }
+        lines.sort();
+        lines.into_iter().map(|(_, line)| line).collect()
+    }
+
     /// Reason and basis of a promise.
     fn promise(&self, asked: &Asked) -> (&str, &str) {
         let promise = self.promises.get(&(asked.number, asked.id.clone()));
@@ -126,6 +145,8 @@
 #[derive(Debug, Default)]
 pub struct Verdict {
     pub faults: Vec<String>,
+    /// Ids of the requests that faults concern.
+    pub faulty: BTreeSet<String>,
     /// Answers by route and status.
     pub answers: BTreeMap<(&'static str, u16), usize>,
     /// Promises for requests that may not be repeated, by status, reason, basis, and whether they were handed over.
@@ -156,9 +177,19 @@
             let handled = by_id.get(&*asked.id).map_or(&[][..], |handled| handled);
             verdict.judge(asked, handled, logs);
         }
+        for (id, handled) in by_id {
+            if runs(&handled) > 1 && !is_repeatable(route_of(id)) {
+                verdict.fault(id, format!("ran more than once: {handled:?}"));
+            }
+        }
         verdict
     }
 
+    fn fault(&mut self, id: &str, fault: String) {
+        self.faulty.insert(id.to_owned());
+        self.faults.push(format!("{id} {fault}"));
+    }
+
     /// Kinds of promises and of runs that there were none of.
     pub fn missing_kinds(&self) -> Vec<&'static str> {
         let gave = |is_kind: &dyn Fn(u16, &str, &str, bool) -> bool| {
@@ -233,14 +264,13 @@
 
     fn judge(&mut self, asked: &Asked, handled: &[&Handled], logs: &Logs) {
         *self.answers.entry((asked.route, asked.status)).or_default() += 1;
-        let ran = |handled: &&&Handled| matches!(handled.fate, Fate::Ran { .. });
-        let runs = handled.iter().filter(ran).count();
+        let runs = runs(handled);
         let mut faults = Vec::new();
         if is_promise(asked.status) {
+            let (reason, basis) = logs.promise(asked);
             let count = if is_repeatable(asked.route) {
                 &mut self.repeatable
             } else {
-                let (reason, basis) = logs.promise(asked);
                 let is_handed_over = logs.handed_over.contains(&(asked.number, asked.id.clone()));
                 let path = (
                     asked.status,
@@ -253,27 +283,30 @@
             count.given += 1;
             count.broken += usize::from(runs > 0);
             if runs > 0 && !is_repeatable(asked.route) {
-                faults.push(format!(
-                    "promised with {} that it has not run",
-                    asked.status
-                ));
+                faults.push("promised not to have run, ran");
+            }
+            if basis == "no_send" && !handled.is_empty() {
+                faults.push("said not to have been sent, was handled");
+            }
+            if basis == "rejections" && handled.len() == runs {
+                faults.push("said to have been rejected, was not");
             }
-        }
-        if runs > 1 && !is_repeatable(asked.route) {
-            faults.push(format!("ran {runs} times"));
         }
         if asked.status == 200 && !is_own_answer(asked) {
-            faults.push(format!(
-                "got {:?}, complete: {}",
-                asked.text, asked.is_complete
-            ));
+            faults.push("got another answer");
         }
         for fault in faults {
-            self.faults.push(format!("{fault}: {asked:?}, {handled:?}"));
+            self.fault(&asked.id, format!("{fault}: {asked:?}, {handled:?}"));
         }
     }
 }
 
+/// Number of times that a request began to run.
+fn runs(handled: &[&Handled]) -> usize {
+    let ran = |handled: &&&Handled| matches!(handled.fate, Fate::Ran { .. });
+    handled.iter().filter(ran).count()
+}
+
 /// Whether a success is the upstream's own for the request.
 fn is_own_answer(asked: &Asked) -> bool {
     let expected = match asked.route {
--- a/crates/ivyweird/tests/promise_soak/main.rs
+++ b/crates/ivyweird/tests/promise_soak/main.rs
@@ -41,6 +41,8 @@
 const UPSTREAMS: usize = 8;
 const CALLERS_PER_BOX: usize = 6;
 const SURGE_CALLERS_PER_BOX: usize = 8;
+/// Number of faulty requests whose lines of the logs are printed.
+const MAX_TRACES: usize = 8;
 /// Time in which requests may still begin to run that their callers were told of: longer than any pause of an upstream.
 const SETTLING: Duration = Duration::from_millis(4_500);
 
@@ -243,6 +245,9 @@
         soak.shared.unanswered.load(Ordering::Relaxed),
     );
     verdict.print();
+    for id in verdict.faulty.iter().take(MAX_TRACES) {
+        println!("{id}:\n{}", logs.lines_of(id).join("\n"));
+    }
     assert!(
         verdict.faults.is_empty(),
         "seed {seed}: {:#?}\nlogs in {}",
--- a/crates/ivyweird/tests/promise_soak/site.rs
+++ b/crates/ivyweird/tests/promise_soak/site.rs
@@ -27,6 +27,16 @@
     matches!(route, "safe" | "stream")
 }
 
+/// The id of a request, by which its route is known at the upstreams.
+pub fn request_id(route: &str, number: u64) -> String {
+    format!("{route}-{number}")
+}
+
+/// The route of a request, by its id.
+pub fn route_of(id: &str) -> &str {
+    id.split_once('-').map_or("", |(route, _)| route)
+}
+
 /// Builds the configuration.
 pub fn site(version: u64, keys: &[&str], has_engines: bool) -> SiteConfig {
     let mut site = site_config_for_pool(version, keys, POOL);
--- a/crates/ivyweird/tests/promise_soak/steps.rs
+++ b/crates/ivyweird/tests/promise_soak/steps.rs
@@ -17,6 +17,9 @@
 /// Share of the steps behind which all faults of boxes and paths end.
 const HEALED_SHARE: f64 = 0.35;
 
+/// Number of upstreams that are replaced then, since boxes take some for gone.
+const REPLACED_UPSTREAMS: usize = 3;
+
 /// A fault or a change; some last, until another step or the end undoes them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -95,7 +98,10 @@
         self.tend_roll_out();
         if self.random.random_bool(HEALED_SHARE) {
             self.heal();
-            self.sleep(200..900);
+            for _ in 0..REPLACED_UPSTREAMS {
+                self.make(Step::ReplaceUpstream);
+            }
+            self.sleep(300..1_000);
         }
         let pause = self.millis(20..400);
         thread::sleep(pause);
