Let harmful requests, long requests and new incarnations take part in the soak of promises

An upstream that ends is registered again as another incarnation, so that quarantines act behind path proxies too. The events of the boxes are counted, which shows the paths that were taken.

--- a/crates/ivyweir-standins/src/edge/erratic_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream.rs
@@ -134,10 +134,11 @@
         self.version = version.into();
     }
 
-    /// Returns its registry record, with this address in the place of its own.
+    /// Returns the registry record of its present process, with this address in the place of its own.
     pub fn record_at(&self, addr: SocketAddr) -> UpstreamRecord {
+        let name = self.name();
         UpstreamRecord {
-            id: self.name(),
+            id: UpstreamRecord::incarnation_id(&name, self.life()),
             pool: self.pool.clone(),
             addr,
             hall: self.hall.clone(),
@@ -146,7 +147,7 @@
             is_leaving: false,
             cold_remaining_ms: 0,
             is_spot: false,
-            registered_as: None,
+            registered_as: Some(name),
         }
     }
 
@@ -160,6 +161,11 @@
         self.shared.state().name.clone()
     }
 
+    /// Returns the number of its present process.
+    pub fn life(&self) -> u64 {
+        self.shared.state().life
+    }
+
     /// Reads nothing for this time, and then all that lies in its sockets.
     pub fn pause(&self, pause: Duration) {
         self.shared.state().paused_until = Instant::now() + pause;
--- a/crates/ivyweir-standins/src/edge/erratic_upstream/conduct.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/conduct.rs
@@ -177,6 +177,16 @@
     }
 }
 
+impl Run {
+    /// Runs a request for seconds, and answers.
+    pub fn long(random: &mut StdRng) -> Self {
+        Self {
+            work: millis(random, 3_000..11_000),
+            ..Self::well(random)
+        }
+    }
+}
+
 impl Rejection {
     /// Says that the address belongs to another upstream by now.
     pub const OTHER_INCARNATION: Self = Self {
--- a/crates/ivyweir-standins/src/edge/erratic_upstream/connection.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/connection.rs
@@ -98,6 +98,10 @@
             return self.reject(&head, &Rejection::OTHER_INCARNATION);
         }
         match conduct {
+            Conduct::Run(_) if head.is_long() => {
+                let run = Run::long(&mut StdRng::seed_from_u64(number));
+                self.run(&head, &run)
+            }
             Conduct::Run(run) => self.run(&head, &run),
             Conduct::Reject(rejection) => self.reject(&head, &rejection),
             Conduct::CloseUnread | Conduct::CloseRead => {
--- a/crates/ivyweir-standins/src/edge/erratic_upstream/message.rs
+++ b/crates/ivyweir-standins/src/edge/erratic_upstream/message.rs
@@ -10,6 +10,9 @@
 /// End of the path of requests that end each upstream that runs them.
 pub const HARMFUL_PATH: &str = "/harmful";
 
+/// Begin of the path of requests that run for seconds.
+pub const LONG_PATH: &str = "/long/";
+
 /// The head of a request.
 #[derive(Debug)]
 pub struct Head {
@@ -70,6 +73,11 @@
         self.path.ends_with(HARMFUL_PATH)
     }
 
+    /// Whether the request runs for seconds.
+    pub fn is_long(&self) -> bool {
+        self.path.starts_with(LONG_PATH)
+    }
+
     /// Whether the answer is a stream.
     pub fn is_stream(&self) -> bool {
         self.path.starts_with("/stream") || self.path.starts_with("/once")
--- a/crates/ivyweird/tests/promise_soak/callers.rs
+++ b/crates/ivyweird/tests/promise_soak/callers.rs
@@ -15,11 +15,11 @@
 use rand::{Rng, SeedableRng};
 
 use super::common::soak::Addrs;
-use super::site::{KEYS, ROUTES, request_id};
+use super::site::{KEYS, LONG_ROUTE, LONG_TIMEOUT_MS, ROUTES, request_id};
 
 /// Largest body that is sent.
 pub const MAX_BODY_BYTES: usize = 3 << 20;
-const READ_TIMEOUT: Duration = Duration::from_secs(12);
+const READ_TIMEOUT: Duration = Duration::from_secs(14);
 
 /// What a caller was told of a request.
 #[derive(Debug, Clone)]
@@ -40,6 +40,8 @@
     pub addrs: Addrs,
     pub asked: Mutex<Vec<Asked>>,
     pub stop: AtomicBool,
+    /// Whether some requests run for seconds.
+    pub has_long_requests: bool,
     /// Whether more callers send requests.
     pub is_surge: AtomicBool,
     /// Whether some requests end the upstreams that run them.
@@ -95,7 +97,10 @@
             let Some(addr) = addrs[number] else {
                 continue;
             };
-            let route = *ROUTES.choose(&mut random).expect("routes");
+            let mut route = *ROUTES.choose(&mut random).expect("routes");
+            if shared.has_long_requests && random.random_bool(0.1) {
+                route = LONG_ROUTE;
+            }
             let id = request_id(route, REQUESTS.fetch_add(1, Ordering::Relaxed));
             let sent_at = Instant::now();
             let may_harm = shared.is_harmful.load(Ordering::Relaxed);
@@ -150,6 +155,7 @@
             0 => random.random_range(0..30),
             1 | 2 => random.random_range(30..400),
             3 => 4_000,
+            _ if route == LONG_ROUTE => LONG_TIMEOUT_MS,
             _ => 1_500,
         };
         let key = if random.random_bool(0.2) {
--- a/crates/ivyweird/tests/promise_soak/judge.rs
+++ b/crates/ivyweird/tests/promise_soak/judge.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Prints how often the boxes logged each event.
+    pub fn print_events(&self) {
+        let events = self.events.iter();
+        let counts: Vec<_> = events
+            .map(|(event, count)| format!("{event}: {count}"))
+            .collect();
+        println!("  events {}", counts.join(", "));
+    }
+
     /// Lines of all boxes about a request, in order of their time.
     pub fn lines_of(&self, id: &str) -> Vec<String> {
         let mut lines = Vec::new();
--- a/crates/ivyweird/tests/promise_soak/main.rs
+++ b/crates/ivyweird/tests/promise_soak/main.rs
@@ -56,6 +56,7 @@
     has_load_control: bool,
     /// Memory of the machine for boxes that bound what they hold.
     memory_mb: Option<u64>,
+    has_long_requests: bool,
 }
 
 impl Setup {
@@ -67,6 +68,7 @@
             memory_mb: *[None, None, Some(1), Some(110)]
                 .choose(random)
                 .expect("sizes"),
+            has_long_requests: random.random_bool(0.25),
         }
     }
 
@@ -75,6 +77,7 @@
         has_engines: true,
         has_load_control: false,
         memory_mb: None,
+        has_long_requests: false,
     };
 }
 
@@ -84,6 +87,8 @@
     addr: SocketAddr,
     is_engine: bool,
     version: u64,
+    /// The process of it that is registered.
+    life: u64,
 }
 
 struct Soak {
@@ -127,6 +132,7 @@
                 addrs: boxes.addrs.clone(),
                 asked: Mutex::default(),
                 stop: AtomicBool::new(false),
+                has_long_requests: setup.has_long_requests,
                 is_surge: AtomicBool::new(false),
                 is_harmful: AtomicBool::new(false),
                 unanswered: AtomicU64::new(0),
@@ -171,10 +177,24 @@
             addr,
             is_engine,
             version,
+            life: 0,
         });
         self.registered.push(number);
     }
 
+    /// Registers the processes of upstreams that ended and came back.
+    fn register_again(&mut self) {
+        for number in &self.registered {
+            let known = &mut self.upstreams[*number];
+            let life = known.upstream.life();
+            if life != known.life {
+                known.life = life;
+                let record = known.upstream.record_at(known.addr);
+                self.boxes.town.store.put_upstream(&record);
+            }
+        }
+    }
+
     fn remove_upstream(&mut self, number: usize) {
         self.registered.retain(|registered| *registered != number);
         let name = self.upstreams[number].upstream.name();
@@ -245,6 +265,7 @@
         soak.shared.unanswered.load(Ordering::Relaxed),
     );
     verdict.print();
+    logs.print_events();
     for id in verdict.faulty.iter().take(MAX_TRACES) {
         println!("{id}:\n{}", logs.lines_of(id).join("\n"));
     }
--- a/crates/ivyweird/tests/promise_soak/site.rs
+++ b/crates/ivyweird/tests/promise_soak/site.rs
@@ -17,7 +17,11 @@
 ];
 /// Keys of callers; the second one is revoked at times.
 pub const KEYS: [&str; 2] = [KEY, "key-that-is-revoked"];
-/// Time in which a route answers.
+/// Route of requests that outlast the stop of a box.
+pub const LONG_ROUTE: &str = "long";
+/// Time in which it answers.
+pub const LONG_TIMEOUT_MS: u64 = 12_000;
+/// Time in which the other routes answer.
 const TIMEOUT_MS: u64 = 2_500;
 /// Time for the body of a request.
 const BODY_TIMEOUT_MS: u64 = 1_000;
@@ -74,7 +78,10 @@
         resumable,
         gap_aim_ms: 1_000,
     };
+    let mut long = (*route(LONG_ROUTE, RouteKind::Unsafe, 1)).clone();
+    long.timeout_ms = LONG_TIMEOUT_MS;
     site.routes = vec![
+        Arc::new(long),
         route("unsafe", RouteKind::Unsafe, 1),
         route("unsafe2", RouteKind::Unsafe, 2),
         route("unsafe3", RouteKind::Unsafe, 3),
--- a/crates/ivyweird/tests/promise_soak/steps.rs
+++ b/crates/ivyweird/tests/promise_soak/steps.rs
@@ -20,6 +20,9 @@
 /// Number of upstreams that are replaced then, since boxes take some for gone.
 const REPLACED_UPSTREAMS: usize = 3;
 
+/// Number of times that upstreams are registered again while harmful requests are sent.
+const HARM_ROUNDS: u32 = 12;
+
 /// A fault or a change; some last, until another step or the end undoes them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -95,6 +98,7 @@
         }
         let step = self.steps.pop().expect("there are steps");
         self.make(step);
+        self.register_again();
         self.tend_roll_out();
         if self.random.random_bool(HEALED_SHARE) {
             self.heal();
@@ -138,7 +142,10 @@
             Step::RejectAll => self.reject_all(),
             Step::Harm => {
                 self.shared.is_harmful.store(true, Ordering::Relaxed);
-                self.sleep(600..1_500);
+                for _ in 0..HARM_ROUNDS {
+                    self.sleep(50..150);
+                    self.register_again();
+                }
                 self.shared.is_harmful.store(false, Ordering::Relaxed);
             }
             Step::RollOut => self.roll_out(),
@@ -189,10 +196,13 @@
                 }
             }
             Step::HandOverBesideRejections => {
-                self.cut_off(number, PathFault::Reset);
-                self.sleep(200..400);
-                self.reject_all();
-                self.sleep(500..900);
+                self.heal();
+                for number in [number, (number + 1) % self.boxes.town.boxes.len()] {
+                    self.cut_off(number, PathFault::Reset);
+                    self.sleep(300..500);
+                    self.reject_all();
+                    self.sleep(500..900);
+                }
             }
             Step::HandOverAndStop => self.hand_over_and(number, Self::stop),
             Step::HandOverAndKill => self.hand_over_and(number, Self::kill),
@@ -253,6 +263,7 @@
         thread::sleep(pause);
         self.boxes.town.store.put_upstream(&record);
         self.boxes.town.store.remove_upstream(&earlier);
+        self.register_again();
     }
 
     /// An upstream says that it leaves, and is replaced.
