--- a/crates/ivyweird/tests/promise_soak/judge.rs
+++ b/crates/ivyweird/tests/promise_soak/judge.rs
@@ -60,7 +60,8 @@
         logs
     }
 
-    fn add(&mut self, number: usize, line: &Value) {
+    /// Adds a line of a box.
+    pub fn add(&mut self, number: usize, line: &Value) {
         let event = line["event"].as_str().unwrap_or_default();
         *self.events.entry(event.to_owned()).or_default() += 1;
         let text = |field: &str| line[field].as_str().unwrap_or_default().to_owned();
--- a/crates/ivyweird/tests/promise_soak/main.rs
+++ b/crates/ivyweird/tests/promise_soak/main.rs
@@ -10,6 +10,7 @@
 
 mod callers;
 mod judge;
+mod judge_cases;
 mod site;
 mod steps;
 
