Send bodies late, and requests inside bodies, in the soak of promises

A box waits 10 s for a body, so callers of their own send a few slow bodies; the end of a late one comes behind the 408, on the same connection, and is the text of a request. Long bodies end with such a text too, so an upstream that rejects one early and reads on would run it if the body were broken off. No request may run that no caller sent.

--- a/crates/ivyweird/tests/promise_soak/callers.rs
+++ b/crates/ivyweird/tests/promise_soak/callers.rs
@@ -19,7 +19,15 @@
 
 /// Largest body that is sent.
 pub const MAX_BODY_BYTES: usize = 3 << 20;
-const READ_TIMEOUT: Duration = Duration::from_secs(14);
+/// Time after which the end of a body comes that a box waits for no more.
+const LATE_BODY_MS: std::ops::Range<u64> = 10_100..10_600;
+/// Number of requests of a slow caller, so few that the last one ends before the soak.
+const SLOW_REQUESTS: usize = 3;
+/// Begin of the id of a request in the body of another one.
+pub const SMUGGLED: &str = "smuggled-";
+const SMUGGLED_BYTES: usize = 256;
+/// Time for the answer to a request that is sent slowly; the connection stays open behind it.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// What a caller was told of a request.
 #[derive(Debug, Clone)]
@@ -50,28 +58,37 @@
     pub unanswered: AtomicU64,
 }
 
+/// What a caller does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Sends requests all the time.
+    Usual,
+    /// Sends requests in a surge.
+    Surge,
+    /// Sends a few requests whose bodies come slowly.
+    Slow,
+}
+
 /// How a request is sent.
 enum Sending {
     Whole,
-    /// A part of the body comes late, or never if `is_whole` is not set.
-    Slow {
-        pause: Duration,
-        is_whole: bool,
-    },
+    /// The end of the body comes late.
+    Slow(Duration),
     /// The caller leaves before the answer.
     Leave(Duration),
 }
 
 impl Sending {
-    fn choose(random: &mut StdRng) -> Self {
-        match random.random_range(0..60) {
-            0 => Self::Slow {
-                pause: millis(random, 50..2_500),
-                is_whole: random.random_bool(0.5),
-            },
-            1 | 2 => Self::Leave(millis(random, 1..400)),
-            _ => Self::Whole,
+    fn choose(random: &mut StdRng, role: Role) -> Self {
+        if role == Role::Slow {
+            let is_late = random.random_bool(0.7);
+            let pauses = if is_late { LATE_BODY_MS } else { 50..1_500 };
+            return Self::Slow(millis(random, pauses));
         }
+        if random.random_bool(0.03) {
+            return Self::Leave(millis(random, 1..400));
+        }
+        Self::Whole
     }
 }
 
@@ -79,17 +96,20 @@
     Duration::from_millis(random.random_range(range))
 }
 
-/// Sends requests to a box, on connections that are kept for as long as they are open. Callers behind the first `usual`
-/// ones send only in a surge.
-pub fn start_caller(shared: Arc<Shared>, number: usize, usual: usize, seed: u64) -> JoinHandle<()> {
+/// Sends requests to a box, on connections that are kept for as long as they are open.
+pub fn start_caller(shared: Arc<Shared>, number: usize, role: Role, seed: u64) -> JoinHandle<()> {
     static REQUESTS: AtomicU64 = AtomicU64::new(0);
     let mut random = StdRng::seed_from_u64(mix(seed, number as u64));
-    let is_usual = number < usual;
+    let mut left = if role == Role::Slow {
+        SLOW_REQUESTS
+    } else {
+        usize::MAX
+    };
     thread::spawn(move || {
         let mut kept: Option<KeptConnection> = None;
-        while !shared.stop.load(Ordering::Relaxed) {
+        while left > 0 && !shared.stop.load(Ordering::Relaxed) {
             thread::sleep(millis(&mut random, 0..40));
-            if !is_usual && !shared.is_surge.load(Ordering::Relaxed) {
+            if role == Role::Surge && !shared.is_surge.load(Ordering::Relaxed) {
                 continue;
             }
             let addrs = shared.addrs.lock().expect("no panic").clone();
@@ -104,9 +124,10 @@
             let id = request_id(route, REQUESTS.fetch_add(1, Ordering::Relaxed));
             let sent_at = Instant::now();
             let may_harm = shared.is_harmful.load(Ordering::Relaxed);
-            let request = Request::choose(&mut random, route, &id, may_harm);
-            let told = match Sending::choose(&mut random) {
-                Sending::Slow { pause, is_whole } => request.send_slowly(addr, pause, is_whole),
+            let request = Request::choose(&mut random, route, &id, may_harm, role);
+            left -= 1;
+            let told = match Sending::choose(&mut random, role) {
+                Sending::Slow(pause) => request.send_slowly(addr, pause),
                 Sending::Leave(after) => {
                     // Nothing is told to a caller that leaves.
                     let _ignored = request.leave(addr, after);
@@ -137,6 +158,15 @@
     })
 }
 
+/// The text of a request that no caller sends, of [`SMUGGLED_BYTES`].
+fn smuggled_request(id: &str, key: &str) -> String {
+    let text = format!(
+        "POST /unsafe/x HTTP/1.1\r\nhost: {HOST}\r\nivyweir-request-id: {SMUGGLED}{id}\r\n\
+         authorization: Bearer {key}\r\ncontent-length: 0\r\nx-padding: "
+    );
+    format!("{text:.<width$}\r\n\r\n", width = SMUGGLED_BYTES - 4)
+}
+
 struct Told {
     status: u16,
     text: String,
@@ -150,7 +180,13 @@
 }
 
 impl Request {
-    fn choose(random: &mut StdRng, route: &'static str, id: &str, may_harm: bool) -> Self {
+    fn choose(
+        random: &mut StdRng,
+        route: &'static str,
+        id: &str,
+        may_harm: bool,
+        role: Role,
+    ) -> Self {
         let budget_ms = match random.random_range(0..10) {
             0 => random.random_range(0..30),
             1 | 2 => random.random_range(30..400),
@@ -166,10 +202,16 @@
         let length = match random.random_range(0..100) {
             0 | 1 => random.random_range(0..MAX_BODY_BYTES),
             2..=9 => random.random_range(0..64 << 10),
+            _ if role == Role::Slow => 2 * SMUGGLED_BYTES,
             _ => 40,
         };
+        // Its end is a request that would run if the body were taken for one.
+        let smuggled = smuggled_request(id, key);
         let mut body = id.as_bytes().to_vec();
-        body.resize(length.max(id.len()), b'.');
+        if length > id.len() + smuggled.len() {
+            body.resize(length - smuggled.len(), b'.');
+            body.extend_from_slice(smuggled.as_bytes());
+        }
         let is_harmful = may_harm && random.random_bool(0.1);
         if is_harmful {
             body = b"harmful".to_vec();
@@ -220,25 +262,22 @@
         )
     }
 
-    /// Sends the last byte of the body after a pause, or not at all, and reads the status.
-    fn send_slowly(&self, addr: SocketAddr, pause: Duration, is_whole: bool) -> io::Result<Told> {
+    /// Sends the end of the body after a pause, and reads the status.
+    fn send_slowly(&self, addr: SocketAddr, pause: Duration) -> io::Result<Told> {
         let mut stream = TcpStream::connect(addr)?;
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
-        let mut head = format!(
-            "POST {} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n",
-            self.path
-        );
+        let mut head = format!("POST {} HTTP/1.1\r\nhost: {HOST}\r\n", self.path);
         for (name, value) in &self.headers {
             head += &format!("{name}: {value}\r\n");
         }
         head += &format!("content-length: {}\r\n\r\n", self.body.len());
         stream.write_all(head.as_bytes())?;
-        let (begin, last) = self.body.split_at(self.body.len() - 1);
+        let end = self.body.len().min(SMUGGLED_BYTES);
+        let (begin, last) = self.body.split_at(self.body.len() - end);
         stream.write_all(begin)?;
         thread::sleep(pause);
-        if is_whole {
-            stream.write_all(last)?;
-        }
+        // The box may have answered and closed the connection.
+        let _ignored = stream.write_all(last);
         let mut answer = Vec::new();
         // The status counts, also of an answer that breaks off.
         let _ignored = stream.read_to_end(&mut answer);
--- a/crates/ivyweird/tests/promise_soak/judge.rs
+++ b/crates/ivyweird/tests/promise_soak/judge.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::callers::Asked;
-use super::site::{is_repeatable, route_of};
+use super::site::{is_repeatable, is_route, route_of};
 
 /// Time before a box was killed in which lines of its log may be lost with it.
 const UNWRITTEN: Duration = Duration::from_millis(1_500);
@@ -191,6 +191,9 @@
             if runs(&handled) > 1 && !is_repeatable(route_of(id)) {
                 verdict.fault(id, format!("ran more than once: {handled:?}"));
             }
+            if !is_route(route_of(id)) {
+                verdict.fault(id, format!("was sent by no caller: {handled:?}"));
+            }
         }
         verdict
     }
--- a/crates/ivyweird/tests/promise_soak/judge_cases.rs
+++ b/crates/ivyweird/tests/promise_soak/judge_cases.rs
@@ -89,6 +89,8 @@
         "unsafe-1", Some((503, "")), [REJECTED], "no_send" => 1;
     a_request_that_was_not_handled_was_not_rejected:
         "unsafe-1", Some((503, "")), [], "rejections" => 1;
+    a_request_that_no_caller_sent_may_not_run: "smuggled-unsafe-1", None, [RAN], "" => 1;
+    a_request_without_an_id_may_not_run: "", None, [RAN], "" => 1;
     the_answer_of_another_request_is_none:
         "unsafe-1", Some((200, &answer_text("unsafe-2"))), [RAN], "" => 1;
     the_own_answer_is_one: "unsafe-1", Some((200, &answer_text("unsafe-1"))), [RAN], "" => 0;
--- a/crates/ivyweird/tests/promise_soak/main.rs
+++ b/crates/ivyweird/tests/promise_soak/main.rs
@@ -28,7 +28,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 
-use callers::{Shared, start_caller};
+use callers::{Role, Shared, start_caller};
 use common::soak::{Boxes, seed_and_steps};
 use judge::{Logs, Verdict};
 use site::{ENGINES, KEYS, POOL, site};
@@ -42,6 +42,7 @@
 const UPSTREAMS: usize = 8;
 const CALLERS_PER_BOX: usize = 6;
 const SURGE_CALLERS_PER_BOX: usize = 8;
+const SLOW_CALLERS_PER_BOX: usize = 3;
 /// Number of faulty requests whose lines of the logs are printed.
 const MAX_TRACES: usize = 8;
 /// Time in which requests may still begin to run that their callers were told of: longer than any pause of an upstream.
@@ -245,9 +246,16 @@
     let is_other_binary = std::env::var_os("IVYWEIR_SOAK_BINARY").is_some();
     let began = Instant::now();
     let mut soak = Soak::start(seed, setup, boxes);
-    let caller = |number| start_caller(soak.shared.clone(), number, boxes * CALLERS_PER_BOX, seed);
-    let callers = 0..boxes * (CALLERS_PER_BOX + SURGE_CALLERS_PER_BOX);
-    let callers: Vec<_> = callers.map(caller).collect();
+    let roles = [
+        (Role::Usual, CALLERS_PER_BOX),
+        (Role::Surge, SURGE_CALLERS_PER_BOX),
+        (Role::Slow, SLOW_CALLERS_PER_BOX),
+    ];
+    let roles = roles
+        .iter()
+        .flat_map(|(role, per_box)| vec![*role; per_box * boxes]);
+    let caller = |(number, role)| start_caller(soak.shared.clone(), number, role, seed);
+    let callers: Vec<_> = roles.enumerate().map(caller).collect();
     for _ in 0..steps {
         soak.step();
     }
--- a/crates/ivyweird/tests/promise_soak/site.rs
+++ b/crates/ivyweird/tests/promise_soak/site.rs
@@ -23,8 +23,11 @@
 pub const LONG_TIMEOUT_MS: u64 = 12_000;
 /// Time in which the other routes answer.
 const TIMEOUT_MS: u64 = 2_500;
-/// Time for the body of a request.
-const BODY_TIMEOUT_MS: u64 = 1_000;
+
+/// Whether callers send requests of this name.
+pub fn is_route(name: &str) -> bool {
+    name == LONG_ROUTE || ROUTES.contains(&name)
+}
 
 /// Whether a request of a route may run again.
 pub fn is_repeatable(route: &str) -> bool {
@@ -46,7 +49,6 @@
     let mut site = site_config_for_pool(version, keys, POOL);
     let limits = site.limits.as_mut().expect("limits");
     limits.max_body_bytes = MAX_BODY_BYTES;
-    limits.header_timeout_ms = BODY_TIMEOUT_MS;
     let plain = site.pools.iter().find(|pool| &*pool.name == POOL);
     let engines = PoolSpec {
         name: ENGINES.into(),
