Tell waiting requests of paths found to hang by any check

A repeatable request that waits on a path that hangs is to go on elsewhere once that is known. Only the end of a check of suspected upstreams, or the loss or return of all paths, woke it.

Each check that finds a path that fails tells the requests that wait. Those that wait for the end of a check now look whether it has ended.

--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -131,6 +131,10 @@
             (change, paths.wants_wide_check(results, now_ms))
         };
         self.report_path_change(change);
+        // Requests that wait on a path that fails learn of it from any check.
+        if results.iter().any(|(_, checked)| checked.is_fault()) {
+            self.path_changes.send_modify(|count| *count += 1);
+        }
         wants_wide_check
     }
 
@@ -216,7 +220,7 @@
     /// Waits until a check of the paths in progress ends, but not beyond the receiver's own time limit.
     pub async fn path_check_ended(&self) {
         let mut changes = self.path_changes.subscribe();
-        if lock(&self.paths).is_checking() {
+        while lock(&self.paths).is_checking() {
             // The sender is never dropped before the `Gateway`.
             let _changed = changes.changed().await;
         }
