Probe upstreams that are not known to fail while cut off

Where most paths of a box fail, the upstreams checked beside the suspected ones were likely to be others that are known to have no path, and the box took itself for cut off from all.

A check now adds upstreams that are not known to fail, and a box that is cut off probes at least one such upstream in each interval.

--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// Starts a check; returns the upstreams to probe: the suspected ones, and `others` at random.
+    /// Starts a check; returns the upstreams to probe: the suspected ones, and `others` at random of those that are not known
+    /// to have no path.
     pub fn begin_path_check(&self, others: usize) -> Option<Vec<Arc<UpstreamRecord>>> {
         let now_ms = self.clock.now_ms();
         let suspects = lock(&self.paths).begin_check(now_ms)?;
@@ -96,7 +97,7 @@
         let unknown: Vec<&Name> = suspects.iter().filter(|name| !is_known(name)).collect();
         lock(&self.paths).clear_suspicion(&unknown);
         records.truncate(MAX_SUSPECTS_CHECKED);
-        records.extend(self.random_upstreams(others, &suspects));
+        records.extend(self.random_upstreams(others, &self.avoided_upstreams()));
         Some(records)
     }
 
@@ -157,8 +158,8 @@
         self.path_changes.send_modify(|count| *count += 1);
     }
 
-    /// Upstreams to probe now because there is no path to them. If all paths are lost, these include others, as any of
-    /// them may be reached first.
+    /// Upstreams to probe now because there is no path to them. If all paths are lost, these include at least one other, as
+    /// any of them may be reached first.
     pub fn due_path_probes(&self, limit: usize) -> Vec<Arc<UpstreamRecord>> {
         let now_ms = self.clock.now_ms();
         let (due, is_cut_off) = {
@@ -171,8 +172,8 @@
             self.upstream_records(|id| due.iter().any(|name| **name == *id))
         };
         if is_cut_off {
-            let missing = limit.saturating_sub(records.len());
-            records.extend(self.random_upstreams(missing, &due));
+            let missing = limit.saturating_sub(records.len()).max(1);
+            records.extend(self.random_upstreams(missing, &self.avoided_upstreams()));
         }
         records
     }
