Send nothing to unchecked upstreams while lost paths come back

When one of the lost paths worked again, a box sent requests to all upstreams at once that it did not know to fail. Where most paths still hang, that is most of them: requests that may be repeated waited until the path was checked, others until their deadline, here 4 s.

Until many upstreams were checked after the return of a path, all paths stay in doubt while any is known to fail, so requests are handed over as before.

--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -71,12 +71,9 @@
     tokio::spawn(async move {
         let mut pause = MIN_RECHECK_PAUSE;
         while let Some(records) = gateway.begin_path_check(EXTRA_UPSTREAMS) {
-            let mut results = check(&gateway, &records).await;
+            let results = check(&gateway, &records).await;
             if gateway.apply_path_check(&results, false) {
-                let checked: Vec<Name> = results.iter().map(|(name, _)| name.clone()).collect();
-                let further = gateway.random_upstreams(FURTHER_UPSTREAMS, &checked);
-                results.extend(check(&gateway, &further).await);
-                gateway.apply_path_check(&results, true);
+                check_many(&gateway, results).await;
             }
             gateway.end_path_check();
             if gateway.is_path_check_unresolved() {
@@ -91,12 +88,26 @@
 pub fn start_wide(gateway: &Arc<Gateway>) {
     let gateway = gateway.clone();
     tokio::spawn(async move {
-        let records = gateway.random_upstreams(FURTHER_UPSTREAMS, &[]);
-        let results = check(&gateway, &records).await;
-        gateway.apply_path_check(&results, true);
+        check_many(&gateway, Vec::new()).await;
+        gateway.end_wide_path_check();
     });
 }
 
+/// Checks many upstreams in addition to those of `results`, and the others too while many of them have no path.
+async fn check_many(gateway: &Arc<Gateway>, mut results: Vec<(Name, CheckedPath)>) {
+    let mut limit = FURTHER_UPSTREAMS;
+    loop {
+        let checked: Vec<Name> = results.iter().map(|(name, _)| name.clone()).collect();
+        let records = gateway.random_upstreams(limit, &checked);
+        results.extend(check(gateway, &records).await);
+        gateway.apply_path_check(&results, true);
+        if records.len() < limit || !gateway.wants_further_path_check(&results) {
+            return;
+        }
+        limit = MAX_PROBES_FOR_PEER;
+    }
+}
+
 /// Probes upstreams, and records the termination of those at whose addresses nothing listens.
 async fn check(gateway: &Gateway, records: &[Arc<UpstreamRecord>]) -> Vec<(Name, CheckedPath)> {
     let own = join_all(records.iter().map(|record| probe(gateway, record))).await;
--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -139,6 +139,17 @@
         wants_wide_check
     }
 
+    /// Whether yet more upstreams are worth a check after many.
+    pub fn wants_further_path_check(&self, results: &[(Name, CheckedPath)]) -> bool {
+        lock(&self.paths).wants_further_check(results)
+    }
+
+    /// Ends a check of many upstreams after the loss of all paths.
+    pub fn end_wide_path_check(&self) {
+        lock(&self.paths).end_wide_check();
+        self.path_changes.send_modify(|count| *count += 1);
+    }
+
     /// Ends a check of the paths.
     pub fn end_path_check(&self) {
         lock(&self.paths).end_check();
--- a/crates/ivyweir-policy/src/gateway/reachability.rs
+++ b/crates/ivyweir-policy/src/gateway/reachability.rs
@@ -165,6 +165,8 @@
     cut: Option<Cut>,
     /// Whether the last check reached nothing and no other box could tell why.
     is_unresolved: bool,
+    /// Whether one upstream was reached after the loss of all paths, and not many were checked since.
+    is_restoring: bool,
     suspects: usize,
     faults: usize,
 }
@@ -340,6 +342,18 @@
         true
     }
 
+    /// Returns whether yet more upstreams are worth a check after many: so many of these have no path that requests would
+    /// find out about the others at their own expense.
+    pub fn wants_further_check(&self, results: &[(Name, CheckedPath)]) -> bool {
+        let faults = results.iter().filter(|(_, checked)| checked.is_fault());
+        self.cut.is_none() && 2 * faults.count() >= results.len()
+    }
+
+    /// Ends a check of many upstreams after the loss of all paths.
+    pub fn end_wide_check(&mut self) {
+        self.is_restoring = false;
+    }
+
     /// Ends a check.
     pub fn end_check(&mut self) {
         self.check = None;
@@ -377,17 +391,19 @@
         PathChange::None
     }
 
-    /// Ends the loss of all paths. Upstreams whose paths failed are probed again at once.
+    /// Ends the loss of all paths. Upstreams whose paths failed are probed again at once; while any still fail, all paths are
+    /// in doubt until many were checked.
     fn end_cut(&mut self) -> PathChange {
         self.cut = None;
+        self.is_restoring = true;
         let faults = self.paths.values_mut().filter_map(|p| p.fault.as_mut());
         faults.for_each(|fault| fault.next_probe_ms = 0);
         PathChange::Restored
     }
 
-    /// Whether a check is in progress.
+    /// Whether a check of suspected upstreams or after the loss of all paths is in progress.
     pub fn is_checking(&self) -> bool {
-        self.check.is_some()
+        self.check.is_some() || self.is_restoring()
     }
 
     /// Whether a path fails, or is in doubt. If not, all upstreams are reachable as far as is known.
@@ -413,7 +429,7 @@
 
     /// Whether this box is cut off from all upstreams, or may be as far as is known until a check ends.
     pub fn may_be_cut_off(&self, now_ms: u64) -> bool {
-        if self.cut.is_some() || self.is_unresolved {
+        if self.cut.is_some() || self.is_unresolved || self.is_restoring() {
             return true;
         }
         let is_silent = self
@@ -422,6 +438,11 @@
         self.check.is_some() && (self.suspects >= DOUBT_SUSPECTS || is_silent)
     }
 
+    /// Whether paths that were lost with all others still fail, and it is not known yet which others do.
+    fn is_restoring(&self) -> bool {
+        self.is_restoring && self.faults > 0
+    }
+
     /// Upstreams that requests are not sent to from here, because there is no path to them or it is in doubt.
     pub fn avoided(&self) -> Vec<Name> {
         let avoided = self.paths.iter();
--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -131,6 +131,36 @@
     assert!(!paths.has_trouble());
 }
 
+#[test]
+fn a_box_that_reaches_one_upstream_again_does_not_send_to_others_before_they_are_checked() {
+    let mut paths = Reachability::default();
+    paths.suspect(&name(0));
+    paths.begin_check(10);
+    let lost = [(0, Silent, Reached), (1, Silent, Reached)];
+    paths.apply_check(&check(&lost), false, 160);
+    paths.end_check();
+    assert_eq!(paths.record_reached(&name(2), 200), PathChange::Restored);
+    assert!(paths.may_be_cut_off(200) && paths.is_checking());
+    // Data on one connection does not show which other paths work.
+    paths.record_contact(&name(2), 210);
+    assert!(paths.may_be_cut_off(210) && paths.is_checking());
+    let found = [
+        (0, Silent, Reached),
+        (1, Silent, Reached),
+        (2, Reached, Reached),
+        (3, Silent, Reached),
+    ];
+    assert_eq!(
+        paths.apply_check(&check(&found), true, 350),
+        PathChange::None
+    );
+    // Most paths fail, so others are worth a check.
+    assert!(paths.wants_further_check(&check(&found)) && paths.may_be_cut_off(350));
+    paths.end_wide_check();
+    assert!(!paths.may_be_cut_off(350) && !paths.is_checking());
+    assert_eq!(paths.avoided().len(), 3);
+}
+
 #[test]
 fn silence_is_checked_only_where_requests_wait_and_not_all_the_time() {
     let mut paths = Reachability::default();
--- a/crates/ivyweird/tests/gateway_partition.rs
+++ b/crates/ivyweird/tests/gateway_partition.rs
@@ -417,4 +417,5 @@
     all_boxes_but_one_without_links_to_upstreams_serve_their_callers: [0, 1, 2, 3, 4, 5, 6, 7], Reset;
     boxes_whose_links_to_most_upstreams_hang_serve_their_callers: [1, 4, 7], Hang, 7;
     boxes_whose_links_to_most_upstreams_are_reset_serve_their_callers: [1, 4, 7], Reset, 7;
+    boxes_that_reach_two_upstreams_again_before_the_others_serve_their_callers: [1, 4, 7], Hang, 9;
 }
