Take no path for hanging on which data arrived during its check

A check that found an upstream silent that other boxes reach took its path for hanging, also if data had arrived from it on an open connection since the check began. Streams there were resumed elsewhere, and requests sent again. Data that arrives later ends such a finding, so data that arrived before must not be passed over. A busy box answers its probes late while it reads its streams.

an_upstream_that_sends_data_during_a_check_does_not_count_as_hanging failed before.

--- a/crates/ivyweir-policy/src/gateway/reachability.rs
+++ b/crates/ivyweir-policy/src/gateway/reachability.rs
@@ -290,8 +290,10 @@
             if std::mem::take(&mut path.is_suspect) {
                 self.suspects -= 1;
             }
-            if checked.is_fault() && path.fault.is_none() {
-                let hangs = checked.own == ProbeResult::Silent;
+            let hangs = checked.own == ProbeResult::Silent;
+            // Data on an open connection would have ended the fault.
+            let is_live = hangs && path.last_contact_ms.is_some_and(|at_ms| at_ms >= began_ms);
+            if checked.is_fault() && path.fault.is_none() && !is_live {
                 path.fault = Some(PathFault::new(hangs, now_ms));
                 self.faults += 1;
             }
--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -86,6 +86,22 @@
     assert_eq!(paths.avoided().len(), 2);
 }
 
+#[test]
+fn an_upstream_that_sends_data_during_a_check_does_not_count_as_hanging() {
+    let mut paths = Reachability::default();
+    for upstream in 0..2 {
+        paths.begin_request(&name(upstream), 0);
+        paths.suspect(&name(upstream));
+    }
+    paths.begin_check(700);
+    paths.record_contact(&name(0), 700);
+    let results = check(&[(0, Silent, Reached), (1, Silent, Reached)]);
+    assert_eq!(paths.apply_check(&results, false, 860), PathChange::None);
+    paths.end_check();
+    assert!(!paths.is_hanging(&name(0)) && paths.is_hanging(&name(1)));
+    assert_eq!(paths.avoided(), [name(1)]);
+}
+
 #[test]
 fn upstreams_that_nobody_reaches_leave_the_paths_alone() {
     let mut paths = Reachability::default();
