Hold probes to the time that other boxes take

A probe that had no response after 150 ms counted as silent, whatever the machine did, and other boxes, asked after that, probed the upstream later. An upstream that went on in between, or a box that was late itself, made the path count as hanging: work there was cut and repeated elsewhere.

The probes of a check now go on while other boxes are asked, and for as long again as the quickest of them took to reach the upstream, at most 150 ms. The decision is in the policy (probe_extension_ms, five cases in gateway_reachability).

--- a/crates/ivyweir-gateway/src/path_check.rs
+++ b/crates/ivyweir-gateway/src/path_check.rs
@@ -4,17 +4,21 @@
 //! A box that is cut off from the upstreams detects in this way that they are up, and hands its requests over instead of
 //! waiting for one connection after another.
 
+use std::future::{Future, pending};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, MaybeDone, join_all, maybe_done};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::reachability::{CheckedPath, PeerProbes, ProbeResult};
+use ivyweir_policy::gateway::reachability::{
+    CheckedPath, PeerProbes, ProbeResult, probe_extension_ms,
+};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -22,13 +26,13 @@
 
 use crate::box_call;
 use crate::client::Client;
-use crate::connection::{ClosedSignal, Connection, keep_alive_ms};
+use crate::connection::{CONNECT_TIMEOUT, ClosedSignal, Connection, keep_alive_ms};
 use crate::response::{self, ResponseBody, status_only};
 use crate::state::Gateway;
 
 /// HTTP path of the request to probe upstreams.
 pub const PROBE_PATH: &str = "/peer/probe";
-/// Time limit for the response of an upstream to a probe.
+/// Time limit for the response of an upstream to a probe. In a check, other boxes are asked after it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time limit for the results of another box, which includes its probes.
 const PEER_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -110,18 +114,22 @@
 
 /// Probes upstreams, and records the termination of those at whose addresses nothing listens.
 async fn check(gateway: &Gateway, records: &[Arc<UpstreamRecord>]) -> Vec<(Name, CheckedPath)> {
-    let own = join_all(records.iter().map(|record| probe(gateway, record))).await;
-    let failed = records.iter().zip(&own);
-    let failed = failed.filter(|(_, result)| **result != ProbeResult::Reached);
-    let failed: Vec<Name> = failed.map(|(record, _)| record.id.clone()).collect();
-    let has_path = failed.len() < own.len();
+    let mut probes = Probes::start(gateway, records);
+    probes.wait(PROBE_TIMEOUT).await;
+    let failed = probes.names_with(|result| result != ProbeResult::Reached);
     let others = if failed.is_empty() {
         Vec::new()
     } else {
-        ask_boxes(gateway, &failed).await
+        probes.run_beside(ask_boxes(gateway, &failed)).await
     };
+    let silent = probes.names_with(|result| result == ProbeResult::Silent);
+    let extension_ms = probe_extension_ms(&silent, &others);
+    probes.wait(Duration::from_millis(extension_ms)).await;
+    let own = probes.results();
+    let has_path = own.contains(&ProbeResult::Reached);
     let mut results = Vec::new();
     for (record, own) in records.iter().zip(own) {
+        count_probe(gateway, record, own);
         let checked = CheckedPath::new(&record.id, own, &others);
         if checked.is_terminated(has_path) {
             gateway.record_upstream_termination(record);
@@ -142,6 +150,11 @@
 pub async fn probe(gateway: &Gateway, upstream: &UpstreamRecord) -> ProbeResult {
     let result = timeout(PROBE_TIMEOUT, exchange(gateway, upstream)).await;
     let result = result.unwrap_or(ProbeResult::Silent);
+    count_probe(gateway, upstream, result);
+    result
+}
+
+fn count_probe(gateway: &Gateway, upstream: &UpstreamRecord, result: ProbeResult) {
     let outcome = match result {
         ProbeResult::Reached => "reached",
         ProbeResult::Refused => "refused",
@@ -150,7 +163,55 @@
     };
     let probes = &gateway.metrics.probes;
     probes.with_label_values(&[&*upstream.pool, outcome]).inc();
-    result
+}
+
+/// Probes of upstreams in progress.
+struct Probes<'a> {
+    records: &'a [Arc<UpstreamRecord>],
+    probes: Vec<MaybeDone<BoxFuture<'a, ProbeResult>>>,
+}
+
+impl<'a> Probes<'a> {
+    fn start(gateway: &'a Gateway, records: &'a [Arc<UpstreamRecord>]) -> Self {
+        let start = |record: &'a Arc<UpstreamRecord>| maybe_done(exchange(gateway, record).boxed());
+        Self {
+            records,
+            probes: records.iter().map(start).collect(),
+        }
+    }
+
+    /// Waits until all have ended, for a limited time.
+    async fn wait(&mut self, limit: Duration) {
+        let _ended = timeout(limit, join_all(self.probes.iter_mut())).await;
+    }
+
+    /// Lets them go on while `other` runs.
+    async fn run_beside<T>(&mut self, other: impl Future<Output = T>) -> T {
+        let probes = async {
+            join_all(self.probes.iter_mut()).await;
+            pending().await
+        };
+        tokio::select! {
+            result = other => result,
+            result = probes => result,
+        }
+    }
+
+    /// Results so far; those without a response are silent.
+    fn results(&self) -> Vec<ProbeResult> {
+        let result = |probe: &MaybeDone<_>| match probe {
+            MaybeDone::Done(result) => *result,
+            MaybeDone::Future(_) | MaybeDone::Gone => ProbeResult::Silent,
+        };
+        self.probes.iter().map(result).collect()
+    }
+
+    /// Upstreams with such results so far.
+    fn names_with(&self, is_wanted: impl Fn(ProbeResult) -> bool) -> Vec<Name> {
+        let results = self.records.iter().zip(self.results());
+        let wanted = results.filter(|(_, result)| is_wanted(*result));
+        wanted.map(|(record, _)| record.id.clone()).collect()
+    }
 }
 
 /// Opens a connection to an upstream and exchanges a message without effect, if the dialect has one.
@@ -198,7 +259,7 @@
     gateway: &Gateway,
     upstream: &UpstreamRecord,
 ) -> Result<OpenedConnection, ProbeResult> {
-    let connection = Connection::open_within(upstream.addr, PROBE_TIMEOUT).await;
+    let connection = Connection::open_within(upstream.addr, CONNECT_TIMEOUT).await;
     let mut connection = connection.map_err(|e| failure(&e))?;
     let site = gateway.site();
     let pool = site.as_ref().and_then(|site| site.pool(&upstream.pool));
@@ -247,7 +308,7 @@
             .cloned()
             .collect();
         let addrs = chosen.iter().filter_map(|name| gateway.peers.addr_of(name));
-        let round = join_all(addrs.map(|addr| ask(addr, upstreams))).await;
+        let round = join_all(addrs.map(|addr| ask(gateway, addr, upstreams))).await;
         answers.extend(round.into_iter().flatten());
         asked.extend(chosen);
         if answers.iter().any(|probes| probes.has_path) {
@@ -257,13 +318,18 @@
     answers
 }
 
-async fn ask(addr: SocketAddr, upstreams: &[Name]) -> Option<PeerProbes> {
+async fn ask(gateway: &Gateway, addr: SocketAddr, upstreams: &[Name]) -> Option<PeerProbes> {
+    let asked_at_ms = gateway.clock.now_ms();
     let message = ProbeRequest {
         upstreams: upstreams.to_vec(),
     };
     let mut client = Client::new(addr);
     let call = box_call::post(&mut client, PROBE_PATH, &message, PEER_PROBE_TIMEOUT);
-    timeout(PEER_PROBE_TIMEOUT, call).await.ok()?.ok()
+    let probes: PeerProbes = timeout(PEER_PROBE_TIMEOUT, call).await.ok()?.ok()?;
+    Some(PeerProbes {
+        took_ms: gateway.clock.now_ms() - asked_at_ms,
+        ..probes
+    })
 }
 
 /// Handles the request of another box to probe upstreams.
@@ -284,6 +350,7 @@
     response::peer_message(&PeerProbes {
         has_path,
         results: names.zip(results).collect(),
+        took_ms: 0,
     })
 }
 
--- a/crates/ivyweir-policy/src/gateway/reachability.rs
+++ b/crates/ivyweir-policy/src/gateway/reachability.rs
@@ -27,6 +27,8 @@
 const DOUBT_SUSPECTS: usize = 2;
 /// Number of upstreams without a path from which this box may be cut off from all; fewer if fewer were checked.
 const MIN_CUT_FAULTS: usize = 2;
+/// Upper bound of the time for which probes go on after the results of other boxes arrived.
+const MAX_PROBE_EXTENSION_MS: u64 = 150;
 /// Pause before the first probe of an upstream without a path; doubles with each further one.
 const MIN_PROBE_PAUSE_MS: u64 = 200;
 /// Upper bound of that pause.
@@ -53,6 +55,24 @@
     pub has_path: bool,
     /// Results by upstream.
     pub results: HashMap<Name, ProbeResult>,
+    /// Time until the results arrived, measured by the box that asked.
+    #[serde(skip)]
+    pub took_ms: u64,
+}
+
+/// Time for which probes of these upstreams without a response go on after the results of other boxes arrived.
+///
+/// A busy machine is late with everything, and an upstream may send its response after a pause. So a path counts as silent
+/// only if there is no response for as long again as another box took to reach the upstream.
+pub fn probe_extension_ms(silent: &[Name], others: &[PeerProbes]) -> u64 {
+    let reached_after_ms = |upstream: &Name| {
+        let reached = others
+            .iter()
+            .filter(|probes| probes.results.get(upstream) == Some(&ProbeResult::Reached));
+        reached.map(|probes| probes.took_ms).min()
+    };
+    let longest_ms = silent.iter().filter_map(reached_after_ms).max();
+    longest_ms.map_or(0, |took_ms| took_ms.min(MAX_PROBE_EXTENSION_MS))
 }
 
 /// Results of the probes of one upstream.
--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -4,7 +4,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::reachability::{
-    CheckedPath, PathChange, PeerProbes, ProbeResult, Reachability,
+    CheckedPath, PathChange, PeerProbes, ProbeResult, Reachability, probe_extension_ms,
 };
 
 use ProbeResult::{Broken, Reached, Refused, Silent};
@@ -20,6 +20,7 @@
             .iter()
             .map(|(n, result)| (name(*n), *result))
             .collect(),
+        took_ms: 0,
     }
 }
 
@@ -274,3 +275,32 @@
         assert!(!paths.may_be_cut_off(1_030));
     }
 }
+
+macro_rules! extensions {
+    ($($name:ident: silent $silent:expr, others $others:expr => $extension_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let silent: Vec<Name> = $silent.into_iter().map(name).collect();
+            let answers: &[(&[(usize, ProbeResult)], u64)] = &$others;
+            let answers = answers.iter().map(|(results, took_ms)| PeerProbes {
+                took_ms: *took_ms,
+                ..others(results, true)
+            });
+            let answers: Vec<PeerProbes> = answers.collect();
+            assert_eq!(probe_extension_ms(&silent, &answers), $extension_ms);
+        }
+    )*};
+}
+
+extensions! {
+    a_probe_goes_on_for_as_long_as_another_box_took_to_reach_the_upstream:
+        silent [0], others [(&[(0, Reached)], 12), (&[(0, Reached)], 40)] => 12;
+    probes_of_a_busy_machine_go_on_for_longer:
+        silent [0], others [(&[(0, Reached)], 140)] => 140;
+    probes_go_on_until_the_last_upstream_that_others_reach:
+        silent [0, 1], others [(&[(0, Reached), (1, Silent)], 12), (&[(1, Reached)], 40)] => 40;
+    probes_do_not_go_on_for_upstreams_that_nobody_reaches:
+        silent [0], others [(&[(0, Silent), (1, Reached)], 12)] => 0;
+    probes_go_on_for_a_limited_time:
+        silent [0], others [(&[(0, Reached)], 480)] => 150;
+}
