--- a/crates/ivyweir-policy/tests/gateway_reachability.rs
+++ b/crates/ivyweir-policy/tests/gateway_reachability.rs
@@ -4,7 +4,7 @@
 
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::reachability::{
-    CheckedPath, PathChange, PeerProbes, ProbeResult, Reachability,
+    CheckedPath, PathChange, PeerProbes, ProbeResult, Reachability, probe_extension_ms,
 };
 
 use ProbeResult::{Broken, Reached, Refused, Silent};
@@ -20,6 +20,7 @@
             .iter()
             .map(|(n, result)| (name(*n), *result))
             .collect(),
+        took_ms: 0,
     }
 }
 
@@ -86,6 +87,22 @@
     assert_eq!(paths.avoided().len(), 2);
 }
 
+#[test]
+fn an_upstream_that_sends_data_during_a_check_does_not_count_as_hanging() {
+    let mut paths = Reachability::default();
+    for upstream in 0..2 {
+        paths.begin_request(&name(upstream), 0);
+        paths.suspect(&name(upstream));
+    }
+    paths.begin_check(700);
+    paths.record_contact(&name(0), 700);
+    let results = check(&[(0, Silent, Reached), (1, Silent, Reached)]);
+    assert_eq!(paths.apply_check(&results, false, 860), PathChange::None);
+    paths.end_check();
+    assert!(!paths.is_hanging(&name(0)) && paths.is_hanging(&name(1)));
+    assert_eq!(paths.avoided(), [name(1)]);
+}
+
 #[test]
 fn upstreams_that_nobody_reaches_leave_the_paths_alone() {
     let mut paths = Reachability::default();
@@ -131,6 +148,36 @@
     assert!(!paths.has_trouble());
 }
 
+#[test]
+fn a_box_that_reaches_one_upstream_again_does_not_send_to_others_before_they_are_checked() {
+    let mut paths = Reachability::default();
+    paths.suspect(&name(0));
+    paths.begin_check(10);
+    let lost = [(0, Silent, Reached), (1, Silent, Reached)];
+    paths.apply_check(&check(&lost), false, 160);
+    paths.end_check();
+    assert_eq!(paths.record_reached(&name(2), 200), PathChange::Restored);
+    assert!(paths.may_be_cut_off(200) && paths.is_checking());
+    // Data on one connection does not show which other paths work.
+    paths.record_contact(&name(2), 210);
+    assert!(paths.may_be_cut_off(210) && paths.is_checking());
+    let found = [
+        (0, Silent, Reached),
+        (1, Silent, Reached),
+        (2, Reached, Reached),
+        (3, Silent, Reached),
+    ];
+    assert_eq!(
+        paths.apply_check(&check(&found), true, 350),
+        PathChange::None
+    );
+    // Most paths fail, so others are worth a check.
+    assert!(paths.wants_further_check(&check(&found)) && paths.may_be_cut_off(350));
+    paths.end_wide_check();
+    assert!(!paths.may_be_cut_off(350) && !paths.is_checking());
+    assert_eq!(paths.avoided().len(), 3);
+}
+
 #[test]
 fn silence_is_checked_only_where_requests_wait_and_not_all_the_time() {
     let mut paths = Reachability::default();
@@ -228,3 +275,32 @@
         assert!(!paths.may_be_cut_off(1_030));
     }
 }
+
+macro_rules! extensions {
+    ($($name:ident: silent $silent:expr, others $others:expr => $extension_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let silent: Vec<Name> = $silent.into_iter().map(name).collect();
+            let answers: &[(&[(usize, ProbeResult)], u64)] = &$others;
+            let answers = answers.iter().map(|(results, took_ms)| PeerProbes {
+                took_ms: *took_ms,
+                ..others(results, true)
+            });
+            let answers: Vec<PeerProbes> = answers.collect();
+            assert_eq!(probe_extension_ms(&silent, &answers), $extension_ms);
+        }
+    )*};
+}
+
+extensions! {
+    a_probe_goes_on_for_as_long_as_another_box_took_to_reach_the_upstream:
+        silent [0], others [(&[(0, Reached)], 12), (&[(0, Reached)], 40)] => 12;
+    probes_of_a_busy_machine_go_on_for_longer:
+        silent [0], others [(&[(0, Reached)], 140)] => 140;
+    probes_go_on_until_the_last_upstream_that_others_reach:
+        silent [0, 1], others [(&[(0, Reached), (1, Silent)], 12), (&[(1, Reached)], 40)] => 40;
+    probes_do_not_go_on_for_upstreams_that_nobody_reaches:
+        silent [0], others [(&[(0, Silent), (1, Reached)], 12)] => 0;
+    probes_go_on_for_a_limited_time:
+        silent [0], others [(&[(0, Reached)], 480)] => 150;
+}
