--- a/crates/ivyweird/tests/promise_soak/callers.rs
+++ b/crates/ivyweird/tests/promise_soak/callers.rs
@@ -212,7 +212,7 @@
             body.resize(length - smuggled.len(), b'.');
             body.extend_from_slice(smuggled.as_bytes());
         }
-        let is_harmful = may_harm && random.random_bool(0.1);
+        let is_harmful = may_harm && random.random_bool(0.2);
         if is_harmful {
             body = b"harmful".to_vec();
         }
--- a/crates/ivyweird/tests/promise_soak/steps.rs
+++ b/crates/ivyweird/tests/promise_soak/steps.rs
@@ -21,7 +21,7 @@
 const REPLACED_UPSTREAMS: usize = 3;
 
 /// Number of times that upstreams are registered again while harmful requests are sent.
-const HARM_ROUNDS: u32 = 12;
+const HARM_ROUNDS: u32 = 30;
 
 /// A fault or a change; some last, until another step or the end undoes them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
