Clear a new version before all work moves to it

Cause: a version was completed unless it was condemned, so no proof counted as a pass. All work moved once ten answers were seen, timed or not; from then on streams are not timed, as the caches of the new engines are empty, so nothing that came later counted.

Change: where answers of the old version can be timed, all work moves only once the timed answers of the new one rule out a version that slows down two fifths of its answers. Until then it stays at the share before, and at half of the requests behind the end of the duration, so that it is soon condemned or cleared. The steps before yield more samples at no more exposure: the last step, eight hundredths of all requests, was unconditional.

--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -27,6 +27,12 @@
 /// cannot be rolled back. With some ten groups a good version is rolled back at the end in one of
 /// fifty roll-outs.
 const FINAL_SIGNIFICANCE_LEVEL: f64 = 2e-3;
+/// Share of the answers of a slow version that are slow, at least, of those that would not be in the old version.
+const SLOW_SHARE: f64 = 0.4;
+/// Probability that such a version is cleared.
+const CLEARANCE_LEVEL: f64 = 0.02;
+/// Timed answers of the old version from which the new one is cleared by its pace.
+const MIN_TIMED_TO_CLEAR: u32 = 5;
 /// Prior of the rate of bad answers of the old version: one in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
@@ -162,6 +168,14 @@
             && binomial_tail(new.bad as usize, new.all as usize, self.old.bad_rate())
                 < significance_level
     }
+
+    /// Whether a slow version would hardly have given so few slow answers.
+    fn rules_out_slowness(&self) -> bool {
+        let old_rate = self.old.bad_rate();
+        let good_rate = (1.0 - old_rate) * (1.0 - SLOW_SHARE);
+        let (good, all) = (self.new.all - self.new.bad, self.new.all);
+        binomial_tail(good as usize, all as usize, good_rate) < CLEARANCE_LEVEL
+    }
 }
 
 /// Counts of a roll-out by group, as exchanged between boxes.
@@ -283,6 +297,26 @@
             .iter()
             .any(|(_, counts)| counts.condemns(significance_level))
     }
+
+    /// Whether enough timed answers were seen to rule out that the new version is slow. The old version shows whether
+    /// answers can be timed at all.
+    pub fn clears_pace(&self) -> bool {
+        let group = Group {
+            criterion: Criterion::Slowness,
+            lane: None,
+        };
+        let counts = self.counts(group);
+        counts.old.all < MIN_TIMED_TO_CLEAR || counts.rules_out_slowness()
+    }
+
+    /// Counts of all boxes for a group.
+    fn counts(&self, group: Group) -> VersionCounts {
+        let mut counts = self.own.get(&group).cloned().unwrap_or_default();
+        for (_, more) in self.others.iter().filter(|(known, _)| *known == group) {
+            counts.add(more);
+        }
+        counts
+    }
 }
 
 /// Converts an answer for the comparison of paces.
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -26,10 +26,10 @@
     share: f64,
 }
 
-/// The exposure bound allows the new version 15 % of requests over the whole duration, also where
-/// its faults are never detected; these steps give it 12 %. The steps before the last use as much
-/// of that as the bound allows. At 25 requests a second they yield some twenty streams of the new
-/// version, of which half a dozen slow ones are enough to detect it.
+/// A version that is neither condemned nor cleared stays at the share before the last step until the end of the duration
+/// and gets less than a tenth of all requests, also where its faults are never detected. The steps before the last use as
+/// much of that as the exposure bound allows: at 25 requests a second they yield some two dozen streams of the new version
+/// that can be timed before the last one, as many as it takes to tell a slow version from a good one.
 const STEPS: [Step; 4] = [
     Step {
         start: 0.0,
@@ -40,14 +40,16 @@
         share: 0.07,
     },
     Step {
-        start: 0.72,
-        share: 0.125,
+        start: 0.6,
+        share: 0.2,
     },
     Step {
         start: 0.92,
         share: 1.0,
     },
 ];
+/// Share of a version that is neither condemned nor cleared by the end of the duration, so that it soon is.
+const OVERTIME_SHARE: f64 = 0.5;
 /// Step in which all work goes to the new version.
 const LAST_STEP: usize = STEPS.len() - 1;
 /// Fraction of the duration after which the roll-out is declared complete. Streams of the old
@@ -63,6 +65,9 @@
 const MIN_SEEN_TO_COMPLETE: u32 = 3;
 /// Answers of both versions for each of these, so that a pool with hardly any traffic completes as well.
 const TRAFFIC_PER_SEEN: u32 = 20;
+/// Answers of both versions from which the new version is cleared before all work moves to it. With fewer, it would not be
+/// in any reasonable time.
+const MIN_SEEN_TO_CLEAR: u32 = 40;
 /// Time without an answer of either version after which a box that cannot serve sees nothing.
 const UNSEEN_AFTER_MS: u64 = 1_000;
 /// Decorrelates this hash from others that use the same session.
@@ -260,6 +265,9 @@
         }
         let mut step = step_at(self.elapsed_fraction(now_ms));
         if step == LAST_STEP && !self.may_shift() {
+            if self.elapsed_fraction(now_ms) >= 1.0 {
+                return OVERTIME_SHARE;
+            }
             step = LAST_STEP - 1;
         }
         STEPS[step].share
@@ -268,7 +276,13 @@
     /// Whether enough answers of the new version were seen for all work to move to it.
     fn may_shift(&self) -> bool {
         let is_little = self.seen.all < LITTLE_TRAFFIC;
-        self.shifted_at_ms.is_some() || is_little || self.seen.new >= MIN_SEEN_TO_SHIFT
+        let is_seen = is_little || self.seen.new >= MIN_SEEN_TO_SHIFT;
+        self.shifted_at_ms.is_some() || is_seen && self.is_cleared()
+    }
+
+    /// Whether the new version is not slow by the answers that were timed, or there are too few of both versions.
+    fn is_cleared(&self) -> bool {
+        self.seen.all < MIN_SEEN_TO_CLEAR || self.analysis.clears_pace()
     }
 
     /// Whether the roll-out may be completed: all work has moved for long enough, and enough answers of the new version
