Count streams that are overdue as slow answers of their version

Cause: a stream was judged at its seventh event. The slower a stream, the later it counted, and one that was given up before did not count at all; of a version that slows down half of its streams by 16, the fast half was seen first.

Change: each box keeps the streams that were sent and not timed. One that takes twice as long as nine of ten of the old version's on its lane counts as slow then, once, for either version. Time to the first event is part of it.

--- a/crates/ivyweir-gateway/src/canary.rs
+++ b/crates/ivyweir-gateway/src/canary.rs
@@ -3,13 +3,52 @@
 //! An answer is timed where its pace is known, and judged once, at its end: it is good if it is whole and no failure. One
 //! that is cut, lost or never comes is a failure.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
+use ivyweir_policy::gateway::untimed::UntimedAnswer;
 
 use crate::attempt::Reply;
 use crate::job::Job;
 use crate::state::Gateway;
 
+/// Id of the next answer that is awaited by a roll-out.
+static NEXT_ANSWER_ID: AtomicU64 = AtomicU64::new(0);
+
+/// Records that a request was sent to `upstream`; returns the id of its answer if its pool has a roll-out.
+pub fn begin_answer(gateway: &Gateway, upstream: &UpstreamRecord, lane: u64) -> Option<u64> {
+    gateway.with_rollouts(|rollouts, now_ms| {
+        let tracker = rollouts.get_mut(&upstream.pool)?;
+        let id = NEXT_ANSWER_ID.fetch_add(1, Ordering::Relaxed);
+        let answer = UntimedAnswer {
+            upstream: upstream.id.clone(),
+            side: tracker.side_of(&upstream.version),
+            lane,
+            sent_ms: now_ms,
+        };
+        tracker.begin_answer(id, answer);
+        Some(id)
+    })
+}
+
+/// Records that the answer with this id has ended.
+pub fn end_answer(gateway: &Gateway, upstream: &UpstreamRecord, id: u64) {
+    gateway.with_rollouts(|rollouts, _| {
+        if let Some(tracker) = rollouts.get_mut(&upstream.pool) {
+            tracker.end_answer(id);
+        }
+    });
+}
+
+/// Records that the stream with this id is timed; returns whether it was counted before, as overdue.
+pub fn time_answer(gateway: &Gateway, upstream: &UpstreamRecord, id: u64) -> bool {
+    gateway.with_rollouts(|rollouts, now_ms| {
+        let tracker = rollouts.get_mut(&upstream.pool);
+        tracker.is_some_and(|tracker| tracker.time_answer(id, now_ms))
+    })
+}
+
 /// Records the head of a response for its upstream and version. The pace of a stream is sampled later.
 pub fn record_head(gateway: &Gateway, job: &Job, reply: &mut Reply, model: usize) {
     let Some(upstream) = reply.in_flight.upstream() else {
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -355,6 +355,10 @@
         let Some(upstream) = self.source.in_flight.upstream() else {
             return;
         };
+        let is_first = span == Span::Start && pace_ms.is_some();
+        if is_first && self.source.in_flight.time_answer() {
+            return;
+        }
         let sample = AnswerSample {
             upstream: &upstream.id,
             failed: false,
--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -12,6 +12,7 @@
 use crate::Name;
 use crate::gateway::rollout::Side;
 use crate::gateway::slowness::{OldVersionPace, TimedAnswer};
+use crate::gateway::untimed::UntimedAnswer;
 
 pub use crate::gateway::slowness::Span;
 
@@ -220,22 +221,30 @@
             .is_some_and(|pace_ms| self.old.is_slow(&timed(side, sample, pace_ms)));
         // An answer may be added twice: for its pace while it is in progress, and at its end.
         if sample.is_final {
-            self.count(Criterion::Failure, side, sample, sample.failed);
+            let bad = sample.failed.then_some(sample.upstream);
+            self.count(Criterion::Failure, side, sample.lane, bad);
         }
         if is_timed && sample.pace_ms.is_some() {
             let criterion = match sample.span {
                 Span::Whole | Span::Start => Criterion::Slowness,
                 Span::Long => Criterion::LongSlowness,
             };
-            self.count(criterion, side, sample, is_slow);
+            let bad = is_slow.then_some(sample.upstream);
+            self.count(criterion, side, sample.lane, bad);
         }
     }
 
-    /// Counts an answer for all lanes and for its own lane.
-    fn count(&mut self, criterion: Criterion, side: Side, sample: &AnswerSample, is_bad: bool) {
-        for lane in [None, Some(sample.lane)] {
+    /// Adds a stream that should have been timed by now as a slow one.
+    pub fn record_overdue(&mut self, answer: &UntimedAnswer) {
+        let bad = Some(&answer.upstream);
+        self.count(Criterion::Slowness, answer.side, answer.lane, bad);
+    }
+
+    /// Counts an answer for all lanes and for its own lane; `bad` is its upstream if it was bad.
+    fn count(&mut self, criterion: Criterion, side: Side, lane: u64, bad: Option<&Name>) {
+        for lane in [None, Some(lane)] {
             let counts = self.own.entry(Group { criterion, lane }).or_default();
-            counts.record(side, is_bad.then_some(sample.upstream));
+            counts.record(side, bad);
         }
     }
 
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod site;
 pub mod slowness;
 pub mod statement;
+pub mod untimed;
 pub mod upstreams;
 pub mod urgency;
 pub mod wait;
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -16,6 +16,7 @@
 use crate::Name;
 use crate::gateway::canary::{AnswerSample, AnswersSeen, CanaryAnalysis, Tally};
 use crate::gateway::revision::Revision;
+use crate::gateway::untimed::{UntimedAnswer, UntimedAnswers};
 use crate::hash::mix;
 
 /// A step of a roll-out: the fraction of its duration at which the step starts, and the share of
@@ -149,6 +150,7 @@
     /// Start of the roll-out; may precede the zero of the clock of this box.
     started_ms: i64,
     analysis: CanaryAnalysis,
+    untimed: UntimedAnswers,
     seen: AnswersSeen,
     /// When an answer was last seen.
     last_seen_ms: u64,
@@ -185,6 +187,7 @@
             order,
             state_lost_at_ms: None,
             analysis: CanaryAnalysis::default(),
+            untimed: UntimedAnswers::default(),
             seen: AnswersSeen::default(),
             last_seen_ms: now_ms,
             last_tick_ms: now_ms,
@@ -194,12 +197,13 @@
     }
 
     /// Advances the roll-out; called several times a second. `is_blind` tells whether this box cannot serve requests now.
-    /// Unless answers are seen all the same, by this box or another, the time since the last call does not count.
-    pub fn tick(&mut self, now_ms: u64, is_blind: bool) {
+    /// Unless answers are seen all the same, by this box or another, the time since the last call does not count. Returns
+    /// whether answers that are overdue condemned the new version just now.
+    pub fn tick(&mut self, now_ms: u64, is_blind: bool) -> bool {
         let since_ms = now_ms.saturating_sub(self.last_tick_ms);
         self.last_tick_ms = now_ms;
         if self.is_over() {
-            return;
+            return false;
         }
         if is_blind && now_ms >= self.last_seen_ms + UNSEEN_AFTER_MS {
             self.started_ms += since_ms as i64;
@@ -207,6 +211,34 @@
         if self.shifted_at_ms.is_none() && self.share(now_ms) >= 1.0 {
             self.shifted_at_ms = Some(now_ms);
         }
+        !is_blind && self.judge_overdue(now_ms)
+    }
+
+    /// Adds the streams that should have been timed by now; returns whether they condemned the new version.
+    fn judge_overdue(&mut self, now_ms: u64) -> bool {
+        let overdue = self.untimed.take_overdue(now_ms);
+        for answer in &overdue {
+            self.analysis.record_overdue(answer);
+        }
+        !overdue.is_empty() && self.condemn_if_bad(now_ms)
+    }
+
+    /// Records that a request of this id was sent, unless its answer would not be timed.
+    pub fn begin_answer(&mut self, id: u64, answer: UntimedAnswer) {
+        if !self.is_over() && self.share(answer.sent_ms) < 1.0 {
+            self.untimed.begin(id, answer);
+        }
+    }
+
+    /// Records that the answer to the request of this id has ended.
+    pub fn end_answer(&mut self, id: u64) {
+        self.untimed.end(id);
+    }
+
+    /// Records that the stream that answers the request of this id is timed now; returns whether it was counted before, as
+    /// overdue.
+    pub fn time_answer(&mut self, id: u64, now_ms: u64) -> bool {
+        self.untimed.time(id, now_ms)
     }
 
     /// Applies a newer record of the order; an order for another version restarts the roll-out.
--- a/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
@@ -8,6 +8,7 @@
 use ivyweir_policy::gateway::rollout::{
     RolloutDuty, RolloutOrder, RolloutState, RolloutTracker, Side,
 };
+use ivyweir_policy::gateway::untimed::UntimedAnswer;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -86,6 +87,7 @@
 /// A stream as its box sees it.
 #[derive(Debug, Clone)]
 struct Stream {
+    id: u64,
     sent_ms: u64,
     at_box: usize,
     side: Side,
@@ -108,6 +110,12 @@
     GivenUp,
 }
 
+impl Step {
+    fn is_given_up(self) -> bool {
+        matches!(self, Self::GivenUp)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Outcome {
     completed_ms: Option<u64>,
@@ -232,7 +240,9 @@
         };
         let tokens = self.rng.random_range(0.5..4.0);
         let events = EVENTS[self.rng.random_range(0..EVENTS.len())];
+        self.numbers += 1;
         Stream {
+            id: self.numbers,
             sent_ms: now_ms,
             at_box,
             side,
@@ -248,6 +258,13 @@
     }
 
     fn schedule(&mut self, stream: Stream) {
+        let answer = UntimedAnswer {
+            upstream: stream.upstream.clone(),
+            side: stream.side,
+            lane: stream.lane,
+            sent_ms: stream.sent_ms,
+        };
+        self.trackers[stream.at_box].begin_answer(stream.id, answer);
         if stream.first_ms > PATIENCE_MS as f64 {
             self.put(&stream, PATIENCE_MS as f64, Step::GivenUp);
             return;
@@ -289,10 +306,21 @@
                 break;
             }
             let (stream, step) = entry.remove();
+            let tracker = &mut self.trackers[stream.at_box];
+            let is_counted = match step {
+                Step::Paced(Span::Start, _) => tracker.time_answer(stream.id, now_ms),
+                Step::Paced(..) => false,
+                Step::Ended | Step::GivenUp => {
+                    tracker.end_answer(stream.id);
+                    step.is_given_up()
+                }
+            };
+            if is_counted {
+                continue;
+            }
             let (pace_ms, span) = match step {
                 Step::Paced(span, pace_ms) => (Some(pace_ms), span),
-                Step::Ended => (None, Span::Whole),
-                Step::GivenUp => continue,
+                Step::Ended | Step::GivenUp => (None, Span::Whole),
             };
             let sample = AnswerSample {
                 upstream: &stream.upstream,
@@ -305,7 +333,7 @@
                 running: stream.running,
                 queue: 0.0,
             };
-            self.trackers[stream.at_box].record_answer(stream.side, &sample, now_ms);
+            tracker.record_answer(stream.side, &sample, now_ms);
         }
     }
 
