Compare streams of both versions at equal age

Cause: slow streams were counted when they had become overdue and fast ones as soon as they were timed, so a new version was cleared by its fast streams first. And the test at the end of the duration, made once by design, was repeated on each check while a version waited for its clearance.

Change: the clearance counts the streams of both versions at the age at which the old version's are timed, whatever is known of them then. The share of the step before the last is larger only where the new version has to be cleared. The test at the end is made as the duration ends and before a later completion.

--- a/crates/ivyweir-gateway/src/canary.rs
+++ b/crates/ivyweir-gateway/src/canary.rs
@@ -5,9 +5,10 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use ivyweir_policy::gateway::awaited::AwaitedAnswer;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::untimed::UntimedAnswer;
+use ivyweir_policy::gateway::rollout::{RolloutTracker, Side};
 
 use crate::attempt::Reply;
 use crate::job::Job;
@@ -21,7 +22,7 @@
     gateway.with_rollouts(|rollouts, now_ms| {
         let tracker = rollouts.get_mut(&upstream.pool)?;
         let id = NEXT_ANSWER_ID.fetch_add(1, Ordering::Relaxed);
-        let answer = UntimedAnswer {
+        let answer = AwaitedAnswer {
             upstream: upstream.id.clone(),
             side: tracker.side_of(&upstream.version),
             lane,
@@ -41,14 +42,6 @@
     });
 }
 
-/// Records that the stream with this id is timed; returns whether it was counted before, as overdue.
-pub fn time_answer(gateway: &Gateway, upstream: &UpstreamRecord, id: u64) -> bool {
-    gateway.with_rollouts(|rollouts, now_ms| {
-        let tracker = rollouts.get_mut(&upstream.pool);
-        tracker.is_some_and(|tracker| tracker.time_answer(id, now_ms))
-    })
-}
-
 /// Records the head of a response for its upstream and version. The pace of a stream is sampled later.
 pub fn record_head(gateway: &Gateway, job: &Job, reply: &mut Reply, model: usize) {
     let Some(upstream) = reply.in_flight.upstream() else {
@@ -113,12 +106,28 @@
 
 /// Records a sample for the version of `upstream`, and logs if the version is condemned by it.
 pub fn record_sample(gateway: &Gateway, upstream: &UpstreamRecord, sample: &AnswerSample) {
+    record(gateway, upstream, |tracker, side, now_ms| {
+        tracker.record_answer(side, sample, now_ms)
+    });
+}
+
+/// Records the first timing of a stream, the answer with this id, like [`record_sample`].
+pub fn record_stream(gateway: &Gateway, upstream: &UpstreamRecord, id: u64, sample: &AnswerSample) {
+    record(gateway, upstream, |tracker, side, now_ms| {
+        tracker.record_stream(id, side, sample, now_ms)
+    });
+}
+
+/// Lets the roll-out of the pool record an answer, and logs if the version is condemned by it.
+fn record(
+    gateway: &Gateway,
+    upstream: &UpstreamRecord,
+    record: impl FnOnce(&mut RolloutTracker, Side, u64) -> bool,
+) {
     let condemned = gateway.with_rollouts(|rollouts, now_ms| {
         let tracker = rollouts.get_mut(&upstream.pool)?;
         let side = tracker.side_of(&upstream.version);
-        tracker
-            .record_answer(side, sample, now_ms)
-            .then(|| tracker.total_tally())
+        record(tracker, side, now_ms).then(|| tracker.total_tally())
     });
     if let Some(tally) = condemned {
         gateway.log_condemned(&upstream.pool, &tally);
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -8,7 +8,7 @@
 use ivyweir_policy::gateway::urgency::Band;
 use ivyweir_policy::gateway::work::Estimate;
 
-use crate::canary::{begin_answer, end_answer, record_verdict, time_answer};
+use crate::canary::{begin_answer, end_answer, record_verdict};
 use crate::connection::Connection;
 use crate::handover::HandoverGuard;
 use crate::liveness;
@@ -292,13 +292,12 @@
         }
     }
 
-    /// Records that the stream is timed; returns whether it was counted before, as overdue.
-    pub fn time_answer(&self) -> bool {
-        let Place::Upstream(run) = &self.place else {
-            return false;
-        };
-        run.answer_id
-            .is_some_and(|id| time_answer(&self.gateway, &run.upstream, id))
+    /// Id of its answer in a roll-out of the pool.
+    pub fn answer_id(&self) -> Option<u64> {
+        match &self.place {
+            Place::Upstream(run) => run.answer_id,
+            Place::Box(_) => None,
+        }
     }
 
     /// Records that there is no usable answer, though the connection has not broken.
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -28,7 +28,7 @@
 use crate::answer_end;
 use crate::attempt::Reply;
 use crate::caller_io::CallerConnection;
-use crate::canary::record_sample;
+use crate::canary::{record_sample, record_stream};
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
 use crate::relay_buffer::{BodyRead, RelayBuffer};
@@ -355,10 +355,6 @@
         let Some(upstream) = self.source.in_flight.upstream() else {
             return;
         };
-        let is_first = span == Span::Start && pace_ms.is_some();
-        if is_first && self.source.in_flight.time_answer() {
-            return;
-        }
         let sample = AnswerSample {
             upstream: &upstream.id,
             failed: false,
@@ -374,7 +370,11 @@
                 .now_ms()
                 .saturating_sub(self.job.arrived_ms),
         };
-        record_sample(&self.gateway, upstream, &sample);
+        let id = self.source.in_flight.answer_id();
+        match id.filter(|_| span == Span::Start && pace_ms.is_some()) {
+            Some(id) => record_stream(&self.gateway, upstream, id, &sample),
+            None => record_sample(&self.gateway, upstream, &sample),
+        }
     }
 
     /// Aborts the stream. The returned error makes the caller's connection break off.
--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -10,9 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::awaited::{AwaitedAnswer, StreamState};
 use crate::gateway::rollout::Side;
 use crate::gateway::slowness::{OldVersionPace, TimedAnswer};
-use crate::gateway::untimed::UntimedAnswer;
 
 pub use crate::gateway::slowness::Span;
 
@@ -34,6 +34,8 @@
 const CLEARANCE_LEVEL: f64 = 0.02;
 /// Timed answers of the old version from which the new one is cleared by its pace.
 const MIN_TIMED_TO_CLEAR: u32 = 5;
+/// Lane of the streams of all lanes that were judged at an age. It is a lane so that boxes of other builds can read it.
+const AGED_LANE: u64 = 0x6167_6564_5f6c_616e;
 /// Prior of the rate of bad answers of the old version: one in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
@@ -211,8 +213,8 @@
 
 impl CanaryAnalysis {
     /// Adds an answer; `is_fully_shifted` tells whether all work had moved to the new version when
-    /// its request was sent.
-    pub fn record(&mut self, side: Side, sample: &AnswerSample, is_fully_shifted: bool) {
+    /// its request was sent. Returns whether it was slow.
+    pub fn record(&mut self, side: Side, sample: &AnswerSample, is_fully_shifted: bool) -> bool {
         // Engines with an empty prompt cache are slow for a while; plain services have no such
         // cache.
         let is_timed = !is_fully_shifted || sample.span == Span::Whole;
@@ -232,12 +234,18 @@
             let bad = is_slow.then_some(sample.upstream);
             self.count(criterion, side, sample.lane, bad);
         }
+        is_slow
     }
 
-    /// Adds a stream that should have been timed by now as a slow one.
-    pub fn record_overdue(&mut self, answer: &UntimedAnswer) {
-        let bad = Some(&answer.upstream);
-        self.count(Criterion::Slowness, answer.side, answer.lane, bad);
+    /// Adds a stream that has reached the age at which streams are judged. One that is not timed yet counts as slow.
+    pub fn record_aged(&mut self, answer: &AwaitedAnswer, state: StreamState) {
+        let is_slow = state != StreamState::Timed { is_slow: false };
+        let bad = is_slow.then_some(&answer.upstream);
+        if state == StreamState::Untimed {
+            self.count(Criterion::Slowness, answer.side, answer.lane, bad);
+        }
+        let counts = self.own.entry(slowness_of(Some(AGED_LANE))).or_default();
+        counts.record(answer.side, bad);
     }
 
     /// Counts an answer for all lanes and for its own lane; `bad` is its upstream if it was bad.
@@ -307,15 +315,24 @@
             .any(|(_, counts)| counts.condemns(significance_level))
     }
 
-    /// Whether enough timed answers were seen to rule out that the new version is slow. The old version shows whether
-    /// answers can be timed at all.
+    /// Whether answers of the old version can be timed, so that the new one is cleared by its own.
+    pub fn is_timed(&self) -> bool {
+        self.timed_counts().old.all >= MIN_TIMED_TO_CLEAR
+    }
+
+    /// Whether enough timed answers were seen to rule out that the new version is slow.
     pub fn clears_pace(&self) -> bool {
-        let group = Group {
-            criterion: Criterion::Slowness,
-            lane: None,
-        };
-        let counts = self.counts(group);
-        counts.old.all < MIN_TIMED_TO_CLEAR || counts.rules_out_slowness()
+        self.timed_counts().rules_out_slowness()
+    }
+
+    /// Counts of the answers by whose pace the new version is cleared: streams at equal age if there are any.
+    fn timed_counts(&self) -> VersionCounts {
+        let aged = self.counts(slowness_of(Some(AGED_LANE)));
+        if aged.old.all >= MIN_TIMED_TO_CLEAR {
+            aged
+        } else {
+            self.counts(slowness_of(None))
+        }
     }
 
     /// Counts of all boxes for a group.
@@ -328,6 +345,14 @@
     }
 }
 
+/// Group of the slow answers of a lane.
+fn slowness_of(lane: Option<u64>) -> Group {
+    Group {
+        criterion: Criterion::Slowness,
+        lane,
+    }
+}
+
 /// Converts an answer for the comparison of paces.
 fn timed(side: Side, sample: &AnswerSample, pace_ms: f64) -> TimedAnswer {
     TimedAnswer {
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod answer_end;
 pub mod answer_owner;
+pub mod awaited;
 pub mod backlog;
 pub mod backoff;
 pub mod brittle;
@@ -40,7 +41,6 @@
 pub mod site;
 pub mod slowness;
 pub mod statement;
-pub mod untimed;
 pub mod upstreams;
 pub mod urgency;
 pub mod wait;
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -14,9 +14,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::gateway::awaited::{AwaitedAnswer, AwaitedAnswers};
 use crate::gateway::canary::{AnswerSample, AnswersSeen, CanaryAnalysis, Tally};
 use crate::gateway::revision::Revision;
-use crate::gateway::untimed::{UntimedAnswer, UntimedAnswers};
 use crate::hash::mix;
 
 /// A step of a roll-out: the fraction of its duration at which the step starts, and the share of
@@ -25,28 +25,35 @@
 struct Step {
     start: f64,
     share: f64,
+    /// Share where the new version has to be cleared before the last step.
+    timed_share: f64,
 }
 
-/// A version that is neither condemned nor cleared stays at the share before the last step until the end of the duration
-/// and gets less than a tenth of all requests, also where its faults are never detected. The steps before the last use as
-/// much of that as the exposure bound allows: at 25 requests a second they yield some two dozen streams of the new version
-/// that can be timed before the last one, as many as it takes to tell a slow version from a good one.
+/// The exposure bound allows the new version 10 to 15 % of requests over the whole duration, also
+/// where its faults are never detected. Where answers cannot be timed, these steps give it 13 %.
+/// Where they can, a version that is neither condemned nor cleared stays at the share before the
+/// last step and gets less than 10 %, and that step yields enough streams to tell a slow version
+/// from a good one: at 25 requests a second some two dozen.
 const STEPS: [Step; 4] = [
     Step {
         start: 0.0,
         share: 0.0,
+        timed_share: 0.0,
     },
     Step {
         start: 0.52,
         share: 0.07,
+        timed_share: 0.07,
     },
     Step {
-        start: 0.6,
-        share: 0.2,
+        start: 0.56,
+        share: 0.125,
+        timed_share: 0.22,
     },
     Step {
         start: 0.92,
         share: 1.0,
+        timed_share: 1.0,
     },
 ];
 /// Share of a version that is neither condemned nor cleared by the end of the duration, so that it soon is.
@@ -150,8 +157,12 @@
     /// Start of the roll-out; may precede the zero of the clock of this box.
     started_ms: i64,
     analysis: CanaryAnalysis,
-    untimed: UntimedAnswers,
+    awaited: AwaitedAnswers,
     seen: AnswersSeen,
+    /// Whether answers of the old version can be timed.
+    is_timed: bool,
+    /// Whether the new version is not slow by its timed answers.
+    is_cleared: bool,
     /// When an answer was last seen.
     last_seen_ms: u64,
     last_tick_ms: u64,
@@ -187,8 +198,10 @@
             order,
             state_lost_at_ms: None,
             analysis: CanaryAnalysis::default(),
-            untimed: UntimedAnswers::default(),
+            awaited: AwaitedAnswers::default(),
             seen: AnswersSeen::default(),
+            is_timed: false,
+            is_cleared: false,
             last_seen_ms: now_ms,
             last_tick_ms: now_ms,
             shifted_at_ms: None,
@@ -211,34 +224,32 @@
         if self.shifted_at_ms.is_none() && self.share(now_ms) >= 1.0 {
             self.shifted_at_ms = Some(now_ms);
         }
-        !is_blind && self.judge_overdue(now_ms)
+        !is_blind && self.judge_aged(now_ms)
     }
 
-    /// Adds the streams that should have been timed by now; returns whether they condemned the new version.
-    fn judge_overdue(&mut self, now_ms: u64) -> bool {
-        let overdue = self.untimed.take_overdue(now_ms);
-        for answer in &overdue {
-            self.analysis.record_overdue(answer);
+    /// Judges the streams that have reached the age for it; returns whether they condemned the new version.
+    fn judge_aged(&mut self, now_ms: u64) -> bool {
+        let aged = self.awaited.take_aged(now_ms);
+        for (answer, state) in &aged {
+            self.analysis.record_aged(answer, *state);
         }
-        !overdue.is_empty() && self.condemn_if_bad(now_ms)
+        if aged.is_empty() {
+            return false;
+        }
+        self.update_evidence();
+        self.condemn_if_bad(now_ms)
     }
 
     /// Records that a request of this id was sent, unless its answer would not be timed.
-    pub fn begin_answer(&mut self, id: u64, answer: UntimedAnswer) {
+    pub fn begin_answer(&mut self, id: u64, answer: AwaitedAnswer) {
         if !self.is_over() && self.share(answer.sent_ms) < 1.0 {
-            self.untimed.begin(id, answer);
+            self.awaited.begin(id, answer);
         }
     }
 
     /// Records that the answer to the request of this id has ended.
     pub fn end_answer(&mut self, id: u64) {
-        self.untimed.end(id);
-    }
-
-    /// Records that the stream that answers the request of this id is timed now; returns whether it was counted before, as
-    /// overdue.
-    pub fn time_answer(&mut self, id: u64, now_ms: u64) -> bool {
-        self.untimed.time(id, now_ms)
+        self.awaited.end(id);
     }
 
     /// Applies a newer record of the order; an order for another version restarts the roll-out.
@@ -302,7 +313,11 @@
             }
             step = LAST_STEP - 1;
         }
-        STEPS[step].share
+        if self.is_timed {
+            STEPS[step].timed_share
+        } else {
+            STEPS[step].share
+        }
     }
 
     /// Whether enough answers of the new version were seen for all work to move to it.
@@ -314,7 +329,7 @@
 
     /// Whether the new version is not slow by the answers that were timed, or there are too few of both versions.
     fn is_cleared(&self) -> bool {
-        self.seen.all < MIN_SEEN_TO_CLEAR || self.analysis.clears_pace()
+        self.seen.all < MIN_SEEN_TO_CLEAR || !self.is_timed || self.is_cleared
     }
 
     /// Whether the roll-out may be completed: all work has moved for long enough, and enough answers of the new version
@@ -330,6 +345,13 @@
         is_shifted && self.seen.new >= needed
     }
 
+    /// Whether the test at the end is due: once the duration ends, and before a later completion. Repeated while a version
+    /// is being cleared, it would condemn good ones.
+    fn is_last_test_due(&self, now_ms: u64) -> bool {
+        let fraction = self.elapsed_fraction(now_ms);
+        fraction >= COMPLETION_FRACTION && (fraction < 1.0 || self.may_complete(now_ms))
+    }
+
     /// The side that serves a request of the session with this hash.
     pub fn side(&self, session: u64, now_ms: u64) -> Side {
         let hash = mix(session, SESSION_SALT) >> 11;
@@ -352,26 +374,56 @@
 
     /// Adds an answer; returns whether it condemned the new version just now.
     pub fn record_answer(&mut self, side: Side, sample: &AnswerSample, now_ms: u64) -> bool {
+        self.add_answer(side, sample, now_ms);
+        self.condemn_if_bad(now_ms)
+    }
+
+    /// Adds a stream that was timed, the answer to the request of this id, unless it was counted as slow before; returns
+    /// whether it condemned the new version just now.
+    pub fn record_stream(
+        &mut self,
+        id: u64,
+        side: Side,
+        sample: &AnswerSample,
+        now_ms: u64,
+    ) -> bool {
+        if self.awaited.is_overdue(id) {
+            return false;
+        }
+        let is_slow = self.add_answer(side, sample, now_ms);
+        self.awaited.time(id, is_slow, now_ms);
+        self.condemn_if_bad(now_ms)
+    }
+
+    /// Adds an answer; returns whether it was slow.
+    fn add_answer(&mut self, side: Side, sample: &AnswerSample, now_ms: u64) -> bool {
         let began_ms = now_ms.saturating_sub(sample.age_ms);
         let is_fully_shifted = self.share(began_ms) >= 1.0;
-        self.analysis.record(side, sample, is_fully_shifted);
+        let is_slow = self.analysis.record(side, sample, is_fully_shifted);
         self.last_seen_ms = now_ms;
-        self.seen = self.analysis.seen();
-        self.condemn_if_bad(now_ms)
+        self.update_evidence();
+        is_slow
     }
 
     /// Replaces the counts of the other boxes; returns whether they condemned the new version just
     /// now.
     pub fn set_remote_tally(&mut self, others: Tally, now_ms: u64) -> bool {
+        let seen_before = self.seen;
         self.analysis.set_remote_tally(others);
-        let seen = self.analysis.seen();
-        if seen != self.seen {
+        self.update_evidence();
+        if self.seen != seen_before {
             self.last_seen_ms = now_ms;
         }
-        self.seen = seen;
         self.condemn_if_bad(now_ms)
     }
 
+    /// Updates what follows from the counts of all boxes.
+    fn update_evidence(&mut self) {
+        self.seen = self.analysis.seen();
+        self.is_timed = self.analysis.is_timed();
+        self.is_cleared = self.analysis.clears_pace();
+    }
+
     /// Counts of this box.
     pub fn local_tally(&self) -> Tally {
         self.analysis.local_tally()
@@ -401,9 +453,7 @@
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
             _ if self.condemned_at_ms.is_some_and(|at_ms| at_ms <= now_ms) => RolloutDuty::RollBack,
             _ if self.condemned_at_ms.is_some() => RolloutDuty::None,
-            _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION
-                && self.analysis.condemns_at_end() =>
-            {
+            _ if self.is_last_test_due(now_ms) && self.analysis.condemns_at_end() => {
                 RolloutDuty::RollBack
             }
             _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION
