--- a/crates/ivyweir-gateway/src/canary.rs
+++ b/crates/ivyweir-gateway/src/canary.rs
@@ -17,7 +17,7 @@
 /// Id of the next answer that is awaited by a roll-out.
 static NEXT_ANSWER_ID: AtomicU64 = AtomicU64::new(0);
 
-/// Records that a request was sent to `upstream`; returns the id of its answer if its pool has a roll-out.
+/// Records that a stream of `upstream` begins; returns the id of the answer if its pool has a roll-out.
 pub fn begin_answer(gateway: &Gateway, upstream: &UpstreamRecord, lane: u64) -> Option<u64> {
     gateway.with_rollouts(|rollouts, now_ms| {
         let tracker = rollouts.get_mut(&upstream.pool)?;
@@ -26,7 +26,7 @@
             upstream: upstream.id.clone(),
             side: tracker.side_of(&upstream.version),
             lane,
-            sent_ms: now_ms,
+            began_ms: now_ms,
         };
         tracker.begin_answer(id, answer);
         Some(id)
@@ -44,13 +44,16 @@
 
 /// Records the head of a response for its upstream and version. The pace of a stream is sampled later.
 pub fn record_head(gateway: &Gateway, job: &Job, reply: &mut Reply, model: usize) {
-    let Some(upstream) = reply.in_flight.upstream() else {
+    let Some(upstream) = reply.in_flight.upstream().cloned() else {
         return;
     };
     let failed = reply.response.status().is_server_error();
     reply.in_flight.record_outcome(failed);
     if reply.response.status().is_success() {
         record_prefill_pace(gateway, job, reply, model);
+        if job.route.kind.is_stream() {
+            reply.in_flight.begin_stream();
+        }
     }
     if failed {
         reply.in_flight.judge(true);
@@ -66,7 +69,7 @@
             running: reply.metadata.running(),
             queue: reply.metadata.waiting_per_running(),
         };
-        record_sample(gateway, upstream, &sample);
+        record_sample(gateway, &upstream, &sample);
     }
 }
 
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -206,8 +206,6 @@
             run.is_running = true;
             run.sent_at_ms = self.gateway.clock.now_ms();
             run.last_contact_ms = run.sent_at_ms;
-            run.end_answer(&self.gateway);
-            run.answer_id = begin_answer(&self.gateway, &run.upstream, run.terms.lane);
             self.gateway
                 .record_run_start(&run.upstream.id, run.key.clone());
             if !std::mem::replace(&mut run.uses_path, true) {
@@ -292,6 +290,14 @@
         }
     }
 
+    /// Records that a stream begins.
+    pub fn begin_stream(&mut self) {
+        if let Place::Upstream(run) = &mut self.place {
+            run.end_answer(&self.gateway);
+            run.answer_id = begin_answer(&self.gateway, &run.upstream, run.terms.lane);
+        }
+    }
+
     /// Id of its answer in a roll-out of the pool.
     pub fn answer_id(&self) -> Option<u64> {
         match &self.place {
--- a/crates/ivyweir-policy/src/gateway/awaited.rs
+++ b/crates/ivyweir-policy/src/gateway/awaited.rs
@@ -1,5 +1,8 @@
 //! Streams in progress, which are judged at an age by which nearly all streams of the old version are timed.
 //!
+//! The age of a stream counts from the head of its response. The time to the head says little of a version, as the prompt
+//! caches of new engines are empty.
+//!
 //! The slower a stream is, the later it is timed. Judged by those that were timed, a version some of whose streams are
 //! slow looks like one that gives few answers, all of them fast.
 
@@ -26,8 +29,8 @@
     pub side: Side,
     /// Hash of route and model.
     pub lane: u64,
-    /// When its request was sent.
-    pub sent_ms: u64,
+    /// When its response began.
+    pub began_ms: u64,
 }
 
 /// What is known of a stream at the age at which it is judged.
@@ -93,7 +96,7 @@
             if ages_ms.len() == MAX_SAMPLES {
                 ages_ms.pop_front();
             }
-            ages_ms.push_back(now_ms.saturating_sub(entry.answer.sent_ms));
+            ages_ms.push_back(now_ms.saturating_sub(entry.answer.began_ms));
         }
     }
 
@@ -107,7 +110,7 @@
             .collect();
         let mut aged = Vec::new();
         self.entries.retain(|_, entry| {
-            let age_ms = now_ms.saturating_sub(entry.answer.sent_ms);
+            let age_ms = now_ms.saturating_sub(entry.answer.began_ms);
             let at_ms = judged_at_ms.get(&entry.answer.lane);
             if entry.is_overdue || at_ms.is_none_or(|at_ms| age_ms < *at_ms) {
                 return true;
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -240,14 +240,14 @@
         self.condemn_if_bad(now_ms)
     }
 
-    /// Records that a request of this id was sent, unless its answer would not be timed.
+    /// Records that the answer of this id begins, unless it would not be timed.
     pub fn begin_answer(&mut self, id: u64, answer: AwaitedAnswer) {
-        if !self.is_over() && self.share(answer.sent_ms) < 1.0 {
+        if !self.is_over() && self.share(answer.began_ms) < 1.0 {
             self.awaited.begin(id, answer);
         }
     }
 
-    /// Records that the answer to the request of this id has ended.
+    /// Records that the answer of this id has ended.
     pub fn end_answer(&mut self, id: u64) {
         self.awaited.end(id);
     }
@@ -378,7 +378,7 @@
         self.condemn_if_bad(now_ms)
     }
 
-    /// Adds a stream that was timed, the answer to the request of this id, unless it was counted as slow before; returns
+    /// Adds a stream that was timed, the answer of this id, unless it was counted as slow before; returns
     /// whether it condemned the new version just now.
     pub fn record_stream(
         &mut self,
