--- a/crates/ivyweir-gateway/src/canary.rs
+++ b/crates/ivyweir-gateway/src/canary.rs
@@ -3,57 +3,22 @@
 //! An answer is timed where its pace is known, and judged once, at its end: it is good if it is whole and no failure. One
 //! that is cut, lost or never comes is a failure.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-
-use ivyweir_policy::gateway::awaited::AwaitedAnswer;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span};
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
-use ivyweir_policy::gateway::rollout::{RolloutTracker, Side};
 
 use crate::attempt::Reply;
 use crate::job::Job;
 use crate::state::Gateway;
 
-/// Id of the next answer that is awaited by a roll-out.
-static NEXT_ANSWER_ID: AtomicU64 = AtomicU64::new(0);
-
-/// Records that a stream of `upstream` begins; returns the id of the answer if its pool has a roll-out.
-pub fn begin_answer(gateway: &Gateway, upstream: &UpstreamRecord, lane: u64) -> Option<u64> {
-    gateway.with_rollouts(|rollouts, now_ms| {
-        let tracker = rollouts.get_mut(&upstream.pool)?;
-        let id = NEXT_ANSWER_ID.fetch_add(1, Ordering::Relaxed);
-        let answer = AwaitedAnswer {
-            upstream: upstream.id.clone(),
-            side: tracker.side_of(&upstream.version),
-            lane,
-            began_ms: now_ms,
-        };
-        tracker.begin_answer(id, answer);
-        Some(id)
-    })
-}
-
-/// Records that the answer with this id has ended.
-pub fn end_answer(gateway: &Gateway, upstream: &UpstreamRecord, id: u64) {
-    gateway.with_rollouts(|rollouts, _| {
-        if let Some(tracker) = rollouts.get_mut(&upstream.pool) {
-            tracker.end_answer(id);
-        }
-    });
-}
-
 /// Records the head of a response for its upstream and version. The pace of a stream is sampled later.
 pub fn record_head(gateway: &Gateway, job: &Job, reply: &mut Reply, model: usize) {
-    let Some(upstream) = reply.in_flight.upstream().cloned() else {
+    let Some(upstream) = reply.in_flight.upstream() else {
         return;
     };
     let failed = reply.response.status().is_server_error();
     reply.in_flight.record_outcome(failed);
     if reply.response.status().is_success() {
         record_prefill_pace(gateway, job, reply, model);
-        if job.route.kind.is_stream() {
-            reply.in_flight.begin_stream();
-        }
     }
     if failed {
         reply.in_flight.judge(true);
@@ -69,7 +34,7 @@
             running: reply.metadata.running(),
             queue: reply.metadata.waiting_per_running(),
         };
-        record_sample(gateway, &upstream, &sample);
+        record_sample(gateway, upstream, &sample);
     }
 }
 
@@ -109,28 +74,12 @@
 
 /// Records a sample for the version of `upstream`, and logs if the version is condemned by it.
 pub fn record_sample(gateway: &Gateway, upstream: &UpstreamRecord, sample: &AnswerSample) {
-    record(gateway, upstream, |tracker, side, now_ms| {
-        tracker.record_answer(side, sample, now_ms)
-    });
-}
-
-/// Records the first timing of a stream, the answer with this id, like [`record_sample`].
-pub fn record_stream(gateway: &Gateway, upstream: &UpstreamRecord, id: u64, sample: &AnswerSample) {
-    record(gateway, upstream, |tracker, side, now_ms| {
-        tracker.record_stream(id, side, sample, now_ms)
-    });
-}
-
-/// Lets the roll-out of the pool record an answer, and logs if the version is condemned by it.
-fn record(
-    gateway: &Gateway,
-    upstream: &UpstreamRecord,
-    record: impl FnOnce(&mut RolloutTracker, Side, u64) -> bool,
-) {
     let condemned = gateway.with_rollouts(|rollouts, now_ms| {
         let tracker = rollouts.get_mut(&upstream.pool)?;
         let side = tracker.side_of(&upstream.version);
-        record(tracker, side, now_ms).then(|| tracker.total_tally())
+        tracker
+            .record_answer(side, sample, now_ms)
+            .then(|| tracker.total_tally())
     });
     if let Some(tally) = condemned {
         gateway.log_condemned(&upstream.pool, &tally);
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -8,7 +8,7 @@
 use ivyweir_policy::gateway::urgency::Band;
 use ivyweir_policy::gateway::work::Estimate;
 
-use crate::canary::{begin_answer, end_answer, record_verdict};
+use crate::canary::record_verdict;
 use crate::connection::Connection;
 use crate::handover::HandoverGuard;
 use crate::liveness;
@@ -50,8 +50,6 @@
     last_contact_ms: u64,
     /// Whether its answer was counted for the version of the upstream.
     is_judged: bool,
-    /// Id of its answer in a roll-out of the pool.
-    answer_id: Option<u64>,
     estimate: Estimate,
     band: Band,
     is_prefilled: bool,
@@ -90,12 +88,6 @@
         silent_ms >= self.terms.overdue_after_ms && !gateway.has_path_trouble()
     }
 
-    fn end_answer(&mut self, gateway: &Gateway) {
-        if let Some(id) = self.answer_id.take() {
-            end_answer(gateway, &self.upstream, id);
-        }
-    }
-
     fn end(&mut self, gateway: &Gateway, end: RunEnd) {
         if std::mem::take(&mut self.is_running) {
             gateway.record_run_end(&self.upstream.id, &self.key, end);
@@ -143,7 +135,6 @@
             sent_at_ms: now_ms,
             last_contact_ms: now_ms,
             is_judged: false,
-            answer_id: None,
             estimate,
             band,
             is_prefilled: false,
@@ -290,22 +281,6 @@
         }
     }
 
-    /// Records that a stream begins.
-    pub fn begin_stream(&mut self) {
-        if let Place::Upstream(run) = &mut self.place {
-            run.end_answer(&self.gateway);
-            run.answer_id = begin_answer(&self.gateway, &run.upstream, run.terms.lane);
-        }
-    }
-
-    /// Id of its answer in a roll-out of the pool.
-    pub fn answer_id(&self) -> Option<u64> {
-        match &self.place {
-            Place::Upstream(run) => run.answer_id,
-            Place::Box(_) => None,
-        }
-    }
-
     /// Records that there is no usable answer, though the connection has not broken.
     pub fn record_missing_answer(&mut self) {
         self.record_outcome(true);
@@ -333,7 +308,6 @@
             Place::Upstream(run) => run,
             Place::Box(guard) => return guard.end(&self.gateway),
         };
-        run.end_answer(&self.gateway);
         // The connection may have broken while a set-aside response was not being read, or just before the caller left.
         if run.is_running && self.connection.as_ref().is_some_and(Connection::is_closed) {
             run.lose(&self.gateway);
--- a/crates/ivyweir-gateway/src/rollout_driver.rs
+++ b/crates/ivyweir-gateway/src/rollout_driver.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use ivyweir_policy::Name;
-use ivyweir_policy::gateway::canary::Tally;
 use ivyweir_policy::gateway::rollout::{RolloutDuty, RolloutOrder, RolloutState};
 use ivyweir_policy::hash::hash64;
 use serde_json::json;
@@ -36,18 +34,11 @@
     loop {
         sleep(POLL_INTERVAL).await;
         let is_blind = !gateway.may_serve_keys() || gateway.may_be_cut_off();
-        let condemned: Vec<(Name, Tally)> = gateway.with_rollouts(|rollouts, now_ms| {
+        gateway.with_rollouts(|rollouts, now_ms| {
             rollouts
-                .iter_mut()
-                .filter_map(|(pool, tracker)| {
-                    let is_condemned = tracker.tick(now_ms, is_blind);
-                    is_condemned.then(|| (pool.clone(), tracker.total_tally()))
-                })
-                .collect()
+                .values_mut()
+                .for_each(|tracker| tracker.tick(now_ms, is_blind));
         });
-        for (pool, tally) in &condemned {
-            gateway.log_condemned(pool, tally);
-        }
         let Some(own_delay_ms) = own_delay_ms(&gateway) else {
             continue;
         };
--- a/crates/ivyweir-gateway/src/stream.rs
+++ b/crates/ivyweir-gateway/src/stream.rs
@@ -28,7 +28,7 @@
 use crate::answer_end;
 use crate::attempt::Reply;
 use crate::caller_io::CallerConnection;
-use crate::canary::{record_sample, record_stream};
+use crate::canary::record_sample;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
 use crate::relay_buffer::{BodyRead, RelayBuffer};
@@ -370,11 +370,7 @@
                 .now_ms()
                 .saturating_sub(self.job.arrived_ms),
         };
-        let id = self.source.in_flight.answer_id();
-        match id.filter(|_| span == Span::Start && pace_ms.is_some()) {
-            Some(id) => record_stream(&self.gateway, upstream, id, &sample),
-            None => record_sample(&self.gateway, upstream, &sample),
-        }
+        record_sample(&self.gateway, upstream, &sample);
     }
 
     /// Aborts the stream. The returned error makes the caller's connection break off.
--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::gateway::awaited::{AwaitedAnswer, StreamState};
 use crate::gateway::rollout::Side;
 use crate::gateway::slowness::{OldVersionPace, TimedAnswer};
 
@@ -28,14 +27,6 @@
 /// cannot be rolled back. With some ten groups a good version is rolled back at the end in one of
 /// fifty roll-outs.
 const FINAL_SIGNIFICANCE_LEVEL: f64 = 2e-3;
-/// Share of the answers of a slow version that are slow, at least, of those that would not be in the old version.
-const SLOW_SHARE: f64 = 0.4;
-/// Probability that such a version is cleared.
-const CLEARANCE_LEVEL: f64 = 0.02;
-/// Timed answers of the old version from which the new one is cleared by its pace.
-const MIN_TIMED_TO_CLEAR: u32 = 5;
-/// Lane of the streams of all lanes that were judged at an age. It is a lane so that boxes of other builds can read it.
-const AGED_LANE: u64 = 0x6167_6564_5f6c_616e;
 /// Prior of the rate of bad answers of the old version: one in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
@@ -171,14 +162,6 @@
             && binomial_tail(new.bad as usize, new.all as usize, self.old.bad_rate())
                 < significance_level
     }
-
-    /// Whether a slow version would hardly have given so few slow answers.
-    fn rules_out_slowness(&self) -> bool {
-        let old_rate = self.old.bad_rate();
-        let good_rate = (1.0 - old_rate) * (1.0 - SLOW_SHARE);
-        let (good, all) = (self.new.all - self.new.bad, self.new.all);
-        binomial_tail(good as usize, all as usize, good_rate) < CLEARANCE_LEVEL
-    }
 }
 
 /// Counts of a roll-out by group, as exchanged between boxes.
@@ -213,8 +196,8 @@
 
 impl CanaryAnalysis {
     /// Adds an answer; `is_fully_shifted` tells whether all work had moved to the new version when
-    /// its request was sent. Returns whether it was slow.
-    pub fn record(&mut self, side: Side, sample: &AnswerSample, is_fully_shifted: bool) -> bool {
+    /// its request was sent.
+    pub fn record(&mut self, side: Side, sample: &AnswerSample, is_fully_shifted: bool) {
         // Engines with an empty prompt cache are slow for a while; plain services have no such
         // cache.
         let is_timed = !is_fully_shifted || sample.span == Span::Whole;
@@ -223,36 +206,22 @@
             .is_some_and(|pace_ms| self.old.is_slow(&timed(side, sample, pace_ms)));
         // An answer may be added twice: for its pace while it is in progress, and at its end.
         if sample.is_final {
-            let bad = sample.failed.then_some(sample.upstream);
-            self.count(Criterion::Failure, side, sample.lane, bad);
+            self.count(Criterion::Failure, side, sample, sample.failed);
         }
         if is_timed && sample.pace_ms.is_some() {
             let criterion = match sample.span {
                 Span::Whole | Span::Start => Criterion::Slowness,
                 Span::Long => Criterion::LongSlowness,
             };
-            let bad = is_slow.then_some(sample.upstream);
-            self.count(criterion, side, sample.lane, bad);
-        }
-        is_slow
-    }
-
-    /// Adds a stream that has reached the age at which streams are judged. One that is not timed yet counts as slow.
-    pub fn record_aged(&mut self, answer: &AwaitedAnswer, state: StreamState) {
-        let is_slow = state != StreamState::Timed { is_slow: false };
-        let bad = is_slow.then_some(&answer.upstream);
-        if state == StreamState::Untimed {
-            self.count(Criterion::Slowness, answer.side, answer.lane, bad);
+            self.count(criterion, side, sample, is_slow);
         }
-        let counts = self.own.entry(slowness_of(Some(AGED_LANE))).or_default();
-        counts.record(answer.side, bad);
     }
 
-    /// Counts an answer for all lanes and for its own lane; `bad` is its upstream if it was bad.
-    fn count(&mut self, criterion: Criterion, side: Side, lane: u64, bad: Option<&Name>) {
-        for lane in [None, Some(lane)] {
+    /// Counts an answer for all lanes and for its own lane.
+    fn count(&mut self, criterion: Criterion, side: Side, sample: &AnswerSample, is_bad: bool) {
+        for lane in [None, Some(sample.lane)] {
             let counts = self.own.entry(Group { criterion, lane }).or_default();
-            counts.record(side, bad);
+            counts.record(side, is_bad.then_some(sample.upstream));
         }
     }
 
@@ -314,43 +283,6 @@
             .iter()
             .any(|(_, counts)| counts.condemns(significance_level))
     }
-
-    /// Whether answers of the old version can be timed, so that the new one is cleared by its own.
-    pub fn is_timed(&self) -> bool {
-        self.timed_counts().old.all >= MIN_TIMED_TO_CLEAR
-    }
-
-    /// Whether enough timed answers were seen to rule out that the new version is slow.
-    pub fn clears_pace(&self) -> bool {
-        self.timed_counts().rules_out_slowness()
-    }
-
-    /// Counts of the answers by whose pace the new version is cleared: streams at equal age if there are any.
-    fn timed_counts(&self) -> VersionCounts {
-        let aged = self.counts(slowness_of(Some(AGED_LANE)));
-        if aged.old.all >= MIN_TIMED_TO_CLEAR {
-            aged
-        } else {
-            self.counts(slowness_of(None))
-        }
-    }
-
-    /// Counts of all boxes for a group.
-    fn counts(&self, group: Group) -> VersionCounts {
-        let mut counts = self.own.get(&group).cloned().unwrap_or_default();
-        for (_, more) in self.others.iter().filter(|(known, _)| *known == group) {
-            counts.add(more);
-        }
-        counts
-    }
-}
-
-/// Group of the slow answers of a lane.
-fn slowness_of(lane: Option<u64>) -> Group {
-    Group {
-        criterion: Criterion::Slowness,
-        lane,
-    }
 }
 
 /// Converts an answer for the comparison of paces.
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -5,7 +5,6 @@
 
 pub mod answer_end;
 pub mod answer_owner;
-pub mod awaited;
 pub mod backlog;
 pub mod backoff;
 pub mod brittle;
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -14,7 +14,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
-use crate::gateway::awaited::{AwaitedAnswer, AwaitedAnswers};
 use crate::gateway::canary::{AnswerSample, AnswersSeen, CanaryAnalysis, Tally};
 use crate::gateway::revision::Revision;
 use crate::hash::mix;
@@ -25,39 +24,30 @@
 struct Step {
     start: f64,
     share: f64,
-    /// Share where the new version has to be cleared before the last step.
-    timed_share: f64,
 }
 
-/// The exposure bound allows the new version 10 to 15 % of requests over the whole duration, also
-/// where its faults are never detected. Where answers cannot be timed, these steps give it 13 %.
-/// Where they can, a version that is neither condemned nor cleared stays at the share before the
-/// last step and gets less than 10 %, and that step yields enough streams to tell a slow version
-/// from a good one: at 25 requests a second some two dozen.
+/// The exposure bound allows the new version 15 % of requests over the whole duration, also where
+/// its faults are never detected; these steps give it 12 %. The steps before the last use as much
+/// of that as the bound allows. At 25 requests a second they yield some twenty streams of the new
+/// version, of which half a dozen slow ones are enough to detect it.
 const STEPS: [Step; 4] = [
     Step {
         start: 0.0,
         share: 0.0,
-        timed_share: 0.0,
     },
     Step {
         start: 0.52,
         share: 0.07,
-        timed_share: 0.07,
     },
     Step {
-        start: 0.56,
+        start: 0.72,
         share: 0.125,
-        timed_share: 0.22,
     },
     Step {
         start: 0.92,
         share: 1.0,
-        timed_share: 1.0,
     },
 ];
-/// Share of a version that is neither condemned nor cleared by the end of the duration, so that it soon is.
-const OVERTIME_SHARE: f64 = 0.5;
 /// Step in which all work goes to the new version.
 const LAST_STEP: usize = STEPS.len() - 1;
 /// Fraction of the duration after which the roll-out is declared complete. Streams of the old
@@ -73,9 +63,6 @@
 const MIN_SEEN_TO_COMPLETE: u32 = 3;
 /// Answers of both versions for each of these, so that a pool with hardly any traffic completes as well.
 const TRAFFIC_PER_SEEN: u32 = 20;
-/// Answers of both versions from which the new version is cleared before all work moves to it. With fewer, it would not be
-/// in any reasonable time.
-const MIN_SEEN_TO_CLEAR: u32 = 40;
 /// Time without an answer of either version after which a box that cannot serve sees nothing.
 const UNSEEN_AFTER_MS: u64 = 1_000;
 /// Decorrelates this hash from others that use the same session.
@@ -157,12 +144,7 @@
     /// Start of the roll-out; may precede the zero of the clock of this box.
     started_ms: i64,
     analysis: CanaryAnalysis,
-    awaited: AwaitedAnswers,
     seen: AnswersSeen,
-    /// Whether answers of the old version can be timed.
-    is_timed: bool,
-    /// Whether the new version is not slow by its timed answers.
-    is_cleared: bool,
     /// When an answer was last seen.
     last_seen_ms: u64,
     last_tick_ms: u64,
@@ -198,10 +180,7 @@
             order,
             state_lost_at_ms: None,
             analysis: CanaryAnalysis::default(),
-            awaited: AwaitedAnswers::default(),
             seen: AnswersSeen::default(),
-            is_timed: false,
-            is_cleared: false,
             last_seen_ms: now_ms,
             last_tick_ms: now_ms,
             shifted_at_ms: None,
@@ -210,13 +189,12 @@
     }
 
     /// Advances the roll-out; called several times a second. `is_blind` tells whether this box cannot serve requests now.
-    /// Unless answers are seen all the same, by this box or another, the time since the last call does not count. Returns
-    /// whether answers that are overdue condemned the new version just now.
-    pub fn tick(&mut self, now_ms: u64, is_blind: bool) -> bool {
+    /// Unless answers are seen all the same, by this box or another, the time since the last call does not count.
+    pub fn tick(&mut self, now_ms: u64, is_blind: bool) {
         let since_ms = now_ms.saturating_sub(self.last_tick_ms);
         self.last_tick_ms = now_ms;
         if self.is_over() {
-            return false;
+            return;
         }
         if is_blind && now_ms >= self.last_seen_ms + UNSEEN_AFTER_MS {
             self.started_ms += since_ms as i64;
@@ -224,32 +202,6 @@
         if self.shifted_at_ms.is_none() && self.share(now_ms) >= 1.0 {
             self.shifted_at_ms = Some(now_ms);
         }
-        !is_blind && self.judge_aged(now_ms)
-    }
-
-    /// Judges the streams that have reached the age for it; returns whether they condemned the new version.
-    fn judge_aged(&mut self, now_ms: u64) -> bool {
-        let aged = self.awaited.take_aged(now_ms);
-        for (answer, state) in &aged {
-            self.analysis.record_aged(answer, *state);
-        }
-        if aged.is_empty() {
-            return false;
-        }
-        self.update_evidence();
-        self.condemn_if_bad(now_ms)
-    }
-
-    /// Records that the answer of this id begins, unless it would not be timed.
-    pub fn begin_answer(&mut self, id: u64, answer: AwaitedAnswer) {
-        if !self.is_over() && self.share(answer.began_ms) < 1.0 {
-            self.awaited.begin(id, answer);
-        }
-    }
-
-    /// Records that the answer of this id has ended.
-    pub fn end_answer(&mut self, id: u64) {
-        self.awaited.end(id);
     }
 
     /// Applies a newer record of the order; an order for another version restarts the roll-out.
@@ -308,28 +260,15 @@
         }
         let mut step = step_at(self.elapsed_fraction(now_ms));
         if step == LAST_STEP && !self.may_shift() {
-            if self.elapsed_fraction(now_ms) >= 1.0 {
-                return OVERTIME_SHARE;
-            }
             step = LAST_STEP - 1;
         }
-        if self.is_timed {
-            STEPS[step].timed_share
-        } else {
-            STEPS[step].share
-        }
+        STEPS[step].share
     }
 
     /// Whether enough answers of the new version were seen for all work to move to it.
     fn may_shift(&self) -> bool {
         let is_little = self.seen.all < LITTLE_TRAFFIC;
-        let is_seen = is_little || self.seen.new >= MIN_SEEN_TO_SHIFT;
-        self.shifted_at_ms.is_some() || is_seen && self.is_cleared()
-    }
-
-    /// Whether the new version is not slow by the answers that were timed, or there are too few of both versions.
-    fn is_cleared(&self) -> bool {
-        self.seen.all < MIN_SEEN_TO_CLEAR || !self.is_timed || self.is_cleared
+        self.shifted_at_ms.is_some() || is_little || self.seen.new >= MIN_SEEN_TO_SHIFT
     }
 
     /// Whether the roll-out may be completed: all work has moved for long enough, and enough answers of the new version
@@ -345,13 +284,6 @@
         is_shifted && self.seen.new >= needed
     }
 
-    /// Whether the test at the end is due: once the duration ends, and before a later completion. Repeated while a version
-    /// is being cleared, it would condemn good ones.
-    fn is_last_test_due(&self, now_ms: u64) -> bool {
-        let fraction = self.elapsed_fraction(now_ms);
-        fraction >= COMPLETION_FRACTION && (fraction < 1.0 || self.may_complete(now_ms))
-    }
-
     /// The side that serves a request of the session with this hash.
     pub fn side(&self, session: u64, now_ms: u64) -> Side {
         let hash = mix(session, SESSION_SALT) >> 11;
@@ -374,56 +306,26 @@
 
     /// Adds an answer; returns whether it condemned the new version just now.
     pub fn record_answer(&mut self, side: Side, sample: &AnswerSample, now_ms: u64) -> bool {
-        self.add_answer(side, sample, now_ms);
-        self.condemn_if_bad(now_ms)
-    }
-
-    /// Adds a stream that was timed, the answer of this id, unless it was counted as slow before; returns
-    /// whether it condemned the new version just now.
-    pub fn record_stream(
-        &mut self,
-        id: u64,
-        side: Side,
-        sample: &AnswerSample,
-        now_ms: u64,
-    ) -> bool {
-        if self.awaited.is_overdue(id) {
-            return false;
-        }
-        let is_slow = self.add_answer(side, sample, now_ms);
-        self.awaited.time(id, is_slow, now_ms);
-        self.condemn_if_bad(now_ms)
-    }
-
-    /// Adds an answer; returns whether it was slow.
-    fn add_answer(&mut self, side: Side, sample: &AnswerSample, now_ms: u64) -> bool {
         let began_ms = now_ms.saturating_sub(sample.age_ms);
         let is_fully_shifted = self.share(began_ms) >= 1.0;
-        let is_slow = self.analysis.record(side, sample, is_fully_shifted);
+        self.analysis.record(side, sample, is_fully_shifted);
         self.last_seen_ms = now_ms;
-        self.update_evidence();
-        is_slow
+        self.seen = self.analysis.seen();
+        self.condemn_if_bad(now_ms)
     }
 
     /// Replaces the counts of the other boxes; returns whether they condemned the new version just
     /// now.
     pub fn set_remote_tally(&mut self, others: Tally, now_ms: u64) -> bool {
-        let seen_before = self.seen;
         self.analysis.set_remote_tally(others);
-        self.update_evidence();
-        if self.seen != seen_before {
+        let seen = self.analysis.seen();
+        if seen != self.seen {
             self.last_seen_ms = now_ms;
         }
+        self.seen = seen;
         self.condemn_if_bad(now_ms)
     }
 
-    /// Updates what follows from the counts of all boxes.
-    fn update_evidence(&mut self) {
-        self.seen = self.analysis.seen();
-        self.is_timed = self.analysis.is_timed();
-        self.is_cleared = self.analysis.clears_pace();
-    }
-
     /// Counts of this box.
     pub fn local_tally(&self) -> Tally {
         self.analysis.local_tally()
@@ -453,7 +355,9 @@
             RolloutState::Completed | RolloutState::RolledBack => RolloutDuty::None,
             _ if self.condemned_at_ms.is_some_and(|at_ms| at_ms <= now_ms) => RolloutDuty::RollBack,
             _ if self.condemned_at_ms.is_some() => RolloutDuty::None,
-            _ if self.is_last_test_due(now_ms) && self.analysis.condemns_at_end() => {
+            _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION
+                && self.analysis.condemns_at_end() =>
+            {
                 RolloutDuty::RollBack
             }
             _ if self.elapsed_fraction(now_ms) >= COMPLETION_FRACTION
--- a/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 
 use ivyweir_policy::Name;
-use ivyweir_policy::gateway::awaited::AwaitedAnswer;
 use ivyweir_policy::gateway::canary::{AnswerSample, Span, Tally, add_tally};
 use ivyweir_policy::gateway::rollout::{
     RolloutDuty, RolloutOrder, RolloutState, RolloutTracker, Side,
@@ -87,7 +86,6 @@
 /// A stream as its box sees it.
 #[derive(Debug, Clone)]
 struct Stream {
-    id: u64,
     sent_ms: u64,
     at_box: usize,
     side: Side,
@@ -105,7 +103,6 @@
 /// What the box of a stream learns.
 #[derive(Debug, Clone, Copy)]
 enum Step {
-    Begun,
     Paced(Span, f64),
     Ended,
     GivenUp,
@@ -235,9 +232,7 @@
         };
         let tokens = self.rng.random_range(0.5..4.0);
         let events = EVENTS[self.rng.random_range(0..EVENTS.len())];
-        self.numbers += 1;
         Stream {
-            id: self.numbers,
             sent_ms: now_ms,
             at_box,
             side,
@@ -257,7 +252,6 @@
             self.put(&stream, PATIENCE_MS as f64, Step::GivenUp);
             return;
         }
-        self.put(&stream, stream.first_ms, Step::Begun);
         if stream.is_bad {
             let at_ms = stream.sent_ms + stream.first_ms as u64;
             self.outcome.bad_at_ms.push(at_ms);
@@ -295,25 +289,10 @@
                 break;
             }
             let (stream, step) = entry.remove();
-            let tracker = &mut self.trackers[stream.at_box];
-            match step {
-                Step::Begun => {
-                    let answer = AwaitedAnswer {
-                        upstream: stream.upstream.clone(),
-                        side: stream.side,
-                        lane: stream.lane,
-                        began_ms: now_ms,
-                    };
-                    tracker.begin_answer(stream.id, answer);
-                    continue;
-                }
-                Step::GivenUp => continue,
-                Step::Ended => tracker.end_answer(stream.id),
-                Step::Paced(..) => {}
-            }
             let (pace_ms, span) = match step {
                 Step::Paced(span, pace_ms) => (Some(pace_ms), span),
-                Step::Begun | Step::Ended | Step::GivenUp => (None, Span::Whole),
+                Step::Ended => (None, Span::Whole),
+                Step::GivenUp => continue,
             };
             let sample = AnswerSample {
                 upstream: &stream.upstream,
@@ -326,11 +305,7 @@
                 running: stream.running,
                 queue: 0.0,
             };
-            if span == Span::Start {
-                tracker.record_stream(stream.id, stream.side, &sample, now_ms);
-            } else {
-                tracker.record_answer(stream.side, &sample, now_ms);
-            }
+            self.trackers[stream.at_box].record_answer(stream.side, &sample, now_ms);
         }
     }
 
