Complete a plain version only once its answers rule out that it is slow

Cause: no proof counted as a pass. A version was completed unless it was condemned, with three answers or fewer seen; a completed version cannot be rolled back.

Change: the completion asks for a clearance: so few slow answers that a version with two fifths more would give them once in a thousand times. It uses the answers that are timed anyway, also once all work has moved. Streams are not timed then, so engines are as before.

--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -27,6 +27,12 @@
 /// cannot be rolled back. With some ten groups a good version is rolled back at the end in one of
 /// fifty roll-outs.
 const FINAL_SIGNIFICANCE_LEVEL: f64 = 2e-3;
+/// Share of the answers of a slow version that are slow, at least, of those that would not be in the old version.
+const SLOW_SHARE: f64 = 0.4;
+/// Probability that such a version is cleared.
+const CLEARANCE_LEVEL: f64 = 0.001;
+/// Timed answers of the old version from which the new one can be compared with it.
+const MIN_TIMED_TO_CLEAR: u32 = 5;
 /// Prior of the rate of bad answers of the old version: one in twenty.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_ALL: f64 = 20.0;
@@ -162,6 +168,13 @@
             && binomial_tail(new.bad as usize, new.all as usize, self.old.bad_rate())
                 < significance_level
     }
+
+    /// Whether a slow version would hardly have given so few slow answers.
+    fn rules_out_slowness(&self) -> bool {
+        let good_rate = (1.0 - self.old.bad_rate()) * (1.0 - SLOW_SHARE);
+        let (good, all) = (self.new.all - self.new.bad, self.new.all);
+        binomial_tail(good as usize, all as usize, good_rate) < CLEARANCE_LEVEL
+    }
 }
 
 /// Counts of a roll-out by group, as exchanged between boxes.
@@ -192,6 +205,8 @@
     own: BTreeMap<Group, VersionCounts>,
     others: Tally,
     old: OldVersionPace,
+    /// Whether plain answers are timed, which goes on once all work has moved.
+    times_plain_answers: bool,
 }
 
 impl CanaryAnalysis {
@@ -209,6 +224,7 @@
             self.count(Criterion::Failure, side, sample, sample.failed);
         }
         if is_timed && sample.pace_ms.is_some() {
+            self.times_plain_answers |= sample.span == Span::Whole;
             let criterion = match sample.span {
                 Span::Whole | Span::Start => Criterion::Slowness,
                 Span::Long => Criterion::LongSlowness,
@@ -267,6 +283,23 @@
         seen
     }
 
+    /// Whether the plain answers that were timed rule out that the new version is slow. Streams are not asked for: none is
+    /// timed once all work has moved.
+    pub fn clears_plain_answers(&self) -> bool {
+        if !self.times_plain_answers {
+            return true;
+        }
+        let group = Group {
+            criterion: Criterion::Slowness,
+            lane: None,
+        };
+        let total = self.total_tally();
+        let counts = total.iter().find(|(known, _)| *known == group);
+        counts.is_none_or(|(_, counts)| {
+            counts.old.all < MIN_TIMED_TO_CLEAR || counts.rules_out_slowness()
+        })
+    }
+
     /// Whether the new version is significantly worse in any group.
     pub fn condemns(&self) -> bool {
         self.condemns_at(SIGNIFICANCE_LEVEL)
--- a/crates/ivyweir-policy/src/gateway/rollout.rs
+++ b/crates/ivyweir-policy/src/gateway/rollout.rs
@@ -63,6 +63,9 @@
 const MIN_SEEN_TO_COMPLETE: u32 = 3;
 /// Answers of both versions for each of these, so that a pool with hardly any traffic completes as well.
 const TRAFFIC_PER_SEEN: u32 = 20;
+/// Answers of both versions from which the new version has to be cleared of slowness. With fewer, it would not be in any
+/// reasonable time.
+const MIN_SEEN_TO_CLEAR: u32 = 40;
 /// Time without an answer of either version after which a box that cannot serve sees nothing.
 const UNSEEN_AFTER_MS: u64 = 1_000;
 /// Decorrelates this hash from others that use the same session.
@@ -272,7 +275,7 @@
     }
 
     /// Whether the roll-out may be completed: all work has moved for long enough, and enough answers of the new version
-    /// were seen.
+    /// were seen, none of them slow beyond chance. A completed version cannot be rolled back.
     fn may_complete(&self, now_ms: u64) -> bool {
         let fraction = COMPLETION_FRACTION - STEPS[LAST_STEP].start;
         let shifted_ms = (self.order.duration_ms as f64 * fraction) as u64;
@@ -281,7 +284,8 @@
             None => self.may_shift(),
         };
         let needed = (self.seen.all / TRAFFIC_PER_SEEN).min(MIN_SEEN_TO_COMPLETE);
-        is_shifted && self.seen.new >= needed
+        let is_cleared = self.seen.all < MIN_SEEN_TO_CLEAR || self.analysis.clears_plain_answers();
+        is_shifted && self.seen.new >= needed && is_cleared
     }
 
     /// The side that serves a request of the session with this hash.
--- a/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
@@ -1,4 +1,4 @@
-//! Model of a pool of engines that is rolled out to a version with slow streams, over many seeds: slow versions are
+//! Model of a pool that is rolled out to a version with slow streams or plain answers, over many seeds: slow versions are
 //! rolled back and get no more requests than the bounds allow, good ones are completed in time.
 
 use std::collections::BTreeMap;
@@ -22,6 +22,9 @@
 const GAP_GROWTH: f64 = 0.1;
 /// Share of the streams whose first intervals contain the prefill of another prompt.
 const INTERRUPTED: f64 = 0.17;
+/// Time of a plain answer, and the share of those that take several times as long.
+const WORK_MS: f64 = 15.0;
+const TAIL: f64 = 0.03;
 /// Numbers of events of a stream.
 const EVENTS: [u32; 5] = [5, 12, 30, 60, 120];
 /// Time without a first event after which a caller gives up.
@@ -59,6 +62,8 @@
     slow_old: f64,
     /// Factor of the requests in the second half of the roll-out.
     surge: f64,
+    /// Whether answers are plain, and not streams.
+    is_plain: bool,
 }
 
 const fn load(requests_per_s: f64, duration_ms: u64) -> Load {
@@ -71,6 +76,14 @@
         from_ms: 0,
         slow_old: 0.0,
         surge: 1.0,
+        is_plain: false,
+    }
+}
+
+const fn plain(load: Load) -> Load {
+    Load {
+        is_plain: true,
+        ..load
     }
 }
 
@@ -247,7 +260,25 @@
         }
     }
 
+    /// Lets a plain answer come, with the time of its request.
+    fn answer(&mut self, stream: &Stream, factor: f64) {
+        let is_in_tail = self.rng.random_bool(TAIL);
+        let tail = if is_in_tail { 5.0 } else { 1.0 };
+        let work_ms = WORK_MS * self.rng.random_range(0.5..1.8) * tail * factor;
+        if stream.is_bad {
+            let at_ms = stream.sent_ms + work_ms as u64;
+            self.outcome.bad_at_ms.push(at_ms);
+        }
+        self.put(stream, work_ms, Step::Paced(Span::Whole, work_ms));
+        self.put(stream, work_ms, Step::Ended);
+    }
+
     fn schedule(&mut self, stream: Stream) {
+        if self.load.is_plain {
+            let factor = if stream.is_bad { self.load.factor } else { 1.0 };
+            self.answer(&stream, factor);
+            return;
+        }
         if stream.first_ms > PATIENCE_MS as f64 {
             self.put(&stream, PATIENCE_MS as f64, Step::GivenUp);
             return;
@@ -382,6 +413,10 @@
     a_good_version_with_hardly_any_traffic_is_completed: load(0.5, 16_000);
     a_good_version_beside_slow_upstreams_is_completed: Load { slow_old: 0.2, ..load(50.0, 16_000) };
     a_good_version_in_a_surge_is_completed: Load { surge: 2.0, ..load(50.0, 16_000) };
+    a_good_plain_version_is_completed: plain(load(35.0, 15_000));
+    a_good_plain_version_is_completed_in_a_short_roll_out: plain(load(35.0, 8_000));
+    a_good_plain_version_with_little_traffic_is_completed: plain(load(5.0, 16_000));
+    a_good_plain_version_with_hardly_any_traffic_is_completed: plain(load(0.5, 16_000));
 }
 
 macro_rules! bad {
@@ -413,5 +448,11 @@
     a_slow_version_is_rolled_back_under_high_load: slow(load(300.0, 16_000), Slow::Everything, 8.0, 0.5);
     a_slow_version_with_little_traffic_is_rolled_back: slow(load(5.0, 16_000), Slow::Everything, 8.0, 0.5);
     a_slow_version_beside_slow_upstreams_is_rolled_back: Load { slow_old: 0.2, ..slow(load(50.0, 16_000), Slow::Everything, 8.0, 0.5) };
+    a_slow_plain_version_is_rolled_back: plain(slow(load(35.0, 15_000), Slow::Everything, 8.0, 0.5));
+    a_plain_version_slow_by_4_is_rolled_back: plain(slow(load(35.0, 15_000), Slow::Everything, 4.0, 0.5));
+    a_slow_plain_version_is_rolled_back_in_a_short_roll_out: plain(slow(load(35.0, 8_000), Slow::Everything, 8.0, 0.5));
+    a_slow_plain_version_with_little_traffic_is_rolled_back: plain(slow(load(5.0, 16_000), Slow::Everything, 8.0, 0.5));
+    a_slow_plain_version_with_moderate_traffic_is_rolled_back: plain(slow(load(12.0, 12_000), Slow::Everything, 8.0, 0.5));
+    a_plain_version_that_turns_slow_is_rolled_back: plain(Load { from_ms: 13_000, ..slow(load(35.0, 15_000), Slow::Everything, 8.0, 0.5) });
     a_slow_version_in_a_surge_is_rolled_back: Load { surge: 2.0, ..slow(load(50.0, 16_000), Slow::Everything, 8.0, 0.5) };
 }
