Clear plain versions of small shares of slow answers

Cause: a version that slows down a fifth of its answers passes a clearance that rules out two fifths, and a single lane has too few answers before the end to be condemned.

Change: with 200 answers seen, a share of 15 in a hundred is ruled out; below that two fifths as before. One in 200 such versions passes.

--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -27,10 +27,14 @@
 /// cannot be rolled back. With some ten groups a good version is rolled back at the end in one of
 /// fifty roll-outs.
 const FINAL_SIGNIFICANCE_LEVEL: f64 = 2e-3;
-/// Share of the answers of a slow version that are slow, at least, of those that would not be in the old version.
-const SLOW_SHARE: f64 = 0.4;
-/// Probability that such a version is cleared.
-const CLEARANCE_LEVEL: f64 = 0.001;
+/// Share of slow answers that a new version is to be cleared of, of those that would not be slow in the old version.
+const SLOW_SHARE: f64 = 0.15;
+/// The same where too few answers were seen to rule out a small share in any reasonable time.
+const SLOW_SHARE_OF_FEW: f64 = 0.4;
+/// Answers of both versions from which a small share can be ruled out.
+const MANY_SEEN: u32 = 200;
+/// Probability that a version with that share is cleared.
+const CLEARANCE_LEVEL: f64 = 0.005;
 /// Timed answers of the old version from which the new one can be compared with it.
 const MIN_TIMED_TO_CLEAR: u32 = 5;
 /// Prior of the rate of bad answers of the old version: one in twenty.
@@ -171,7 +175,13 @@
 
     /// Whether a slow version would hardly have given so few slow answers.
     fn rules_out_slowness(&self) -> bool {
-        let good_rate = (1.0 - self.old.bad_rate()) * (1.0 - SLOW_SHARE);
+        let is_few = self.old.all + self.new.all < MANY_SEEN;
+        let slow_share = if is_few {
+            SLOW_SHARE_OF_FEW
+        } else {
+            SLOW_SHARE
+        };
+        let good_rate = (1.0 - self.old.bad_rate()) * (1.0 - slow_share);
         let (good, all) = (self.new.all - self.new.bad, self.new.all);
         binomial_tail(good as usize, all as usize, good_rate) < CLEARANCE_LEVEL
     }
--- a/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout_slowness.rs
@@ -453,6 +453,9 @@
     a_slow_plain_version_is_rolled_back_in_a_short_roll_out: plain(slow(load(35.0, 8_000), Slow::Everything, 8.0, 0.5));
     a_slow_plain_version_with_little_traffic_is_rolled_back: plain(slow(load(5.0, 16_000), Slow::Everything, 8.0, 0.5));
     a_slow_plain_version_with_moderate_traffic_is_rolled_back: plain(slow(load(12.0, 12_000), Slow::Everything, 8.0, 0.5));
+    a_plain_version_slow_on_one_lane_is_rolled_back: plain(slow(load(35.0, 15_000), Slow::Lane, 8.0, 0.7));
+    a_plain_version_slow_on_one_lane_is_rolled_back_in_a_short_roll_out: plain(slow(load(35.0, 10_500), Slow::Lane, 8.0, 0.7));
+    a_plain_version_slow_for_a_fifth_is_rolled_back: plain(slow(load(35.0, 10_500), Slow::Everything, 8.0, 0.2));
     a_plain_version_that_turns_slow_is_rolled_back: plain(Load { from_ms: 13_000, ..slow(load(35.0, 15_000), Slow::Everything, 8.0, 0.5) });
     a_slow_version_in_a_surge_is_rolled_back: Load { surge: 2.0, ..slow(load(50.0, 16_000), Slow::Everything, 8.0, 0.5) };
 }
