--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// Starts a check; returns the upstreams to probe: the suspected ones, and `others` at random.
+    /// Starts a check; returns the upstreams to probe: the suspected ones, and `others` at random of those that are not known
+    /// to have no path.
     pub fn begin_path_check(&self, others: usize) -> Option<Vec<Arc<UpstreamRecord>>> {
         let now_ms = self.clock.now_ms();
         let suspects = lock(&self.paths).begin_check(now_ms)?;
@@ -96,7 +97,7 @@
         let unknown: Vec<&Name> = suspects.iter().filter(|name| !is_known(name)).collect();
         lock(&self.paths).clear_suspicion(&unknown);
         records.truncate(MAX_SUSPECTS_CHECKED);
-        records.extend(self.random_upstreams(others, &suspects));
+        records.extend(self.random_upstreams(others, &self.avoided_upstreams()));
         Some(records)
     }
 
@@ -131,9 +132,24 @@
             (change, paths.wants_wide_check(results, now_ms))
         };
         self.report_path_change(change);
+        // Requests that wait on a path that fails learn of it from any check.
+        if results.iter().any(|(_, checked)| checked.is_fault()) {
+            self.path_changes.send_modify(|count| *count += 1);
+        }
         wants_wide_check
     }
 
+    /// Whether yet more upstreams are worth a check after many.
+    pub fn wants_further_path_check(&self, results: &[(Name, CheckedPath)]) -> bool {
+        lock(&self.paths).wants_further_check(results)
+    }
+
+    /// Ends a check of many upstreams after the loss of all paths.
+    pub fn end_wide_path_check(&self) {
+        lock(&self.paths).end_wide_check();
+        self.path_changes.send_modify(|count| *count += 1);
+    }
+
     /// Ends a check of the paths.
     pub fn end_path_check(&self) {
         lock(&self.paths).end_check();
@@ -153,8 +169,8 @@
         self.path_changes.send_modify(|count| *count += 1);
     }
 
-    /// Upstreams to probe now because there is no path to them. If all paths are lost, these include others, as any of
-    /// them may be reached first.
+    /// Upstreams to probe now because there is no path to them. If all paths are lost, these include at least one other, as
+    /// any of them may be reached first.
     pub fn due_path_probes(&self, limit: usize) -> Vec<Arc<UpstreamRecord>> {
         let now_ms = self.clock.now_ms();
         let (due, is_cut_off) = {
@@ -167,8 +183,8 @@
             self.upstream_records(|id| due.iter().any(|name| **name == *id))
         };
         if is_cut_off {
-            let missing = limit.saturating_sub(records.len());
-            records.extend(self.random_upstreams(missing, &due));
+            let missing = limit.saturating_sub(records.len()).max(1);
+            records.extend(self.random_upstreams(missing, &self.avoided_upstreams()));
         }
         records
     }
@@ -216,7 +232,7 @@
     /// Waits until a check of the paths in progress ends, but not beyond the receiver's own time limit.
     pub async fn path_check_ended(&self) {
         let mut changes = self.path_changes.subscribe();
-        if lock(&self.paths).is_checking() {
+        while lock(&self.paths).is_checking() {
             // The sender is never dropped before the `Gateway`.
             let _changed = changes.changed().await;
         }
--- a/crates/ivyweir-policy/src/gateway/reachability.rs
+++ b/crates/ivyweir-policy/src/gateway/reachability.rs
@@ -27,6 +27,8 @@
 const DOUBT_SUSPECTS: usize = 2;
 /// Number of upstreams without a path from which this box may be cut off from all; fewer if fewer were checked.
 const MIN_CUT_FAULTS: usize = 2;
+/// Upper bound of the time for which probes go on after the results of other boxes arrived.
+const MAX_PROBE_EXTENSION_MS: u64 = 150;
 /// Pause before the first probe of an upstream without a path; doubles with each further one.
 const MIN_PROBE_PAUSE_MS: u64 = 200;
 /// Upper bound of that pause.
@@ -53,6 +55,24 @@
     pub has_path: bool,
     /// Results by upstream.
     pub results: HashMap<Name, ProbeResult>,
+    /// Time until the results arrived, measured by the box that asked.
+    #[serde(skip)]
+    pub took_ms: u64,
+}
+
+/// Time for which probes of these upstreams without a response go on after the results of other boxes arrived.
+///
+/// A busy machine is late with everything, and an upstream may send its response after a pause. So a path counts as silent
+/// only if there is no response for as long again as another box took to reach the upstream.
+pub fn probe_extension_ms(silent: &[Name], others: &[PeerProbes]) -> u64 {
+    let reached_after_ms = |upstream: &Name| {
+        let reached = others
+            .iter()
+            .filter(|probes| probes.results.get(upstream) == Some(&ProbeResult::Reached));
+        reached.map(|probes| probes.took_ms).min()
+    };
+    let longest_ms = silent.iter().filter_map(reached_after_ms).max();
+    longest_ms.map_or(0, |took_ms| took_ms.min(MAX_PROBE_EXTENSION_MS))
 }
 
 /// Results of the probes of one upstream.
@@ -165,6 +185,8 @@
     cut: Option<Cut>,
     /// Whether the last check reached nothing and no other box could tell why.
     is_unresolved: bool,
+    /// Whether one upstream was reached after the loss of all paths, and not many were checked since.
+    is_restoring: bool,
     suspects: usize,
     faults: usize,
 }
@@ -288,8 +310,10 @@
             if std::mem::take(&mut path.is_suspect) {
                 self.suspects -= 1;
             }
-            if checked.is_fault() && path.fault.is_none() {
-                let hangs = checked.own == ProbeResult::Silent;
+            let hangs = checked.own == ProbeResult::Silent;
+            // Data on an open connection would have ended the fault.
+            let is_live = hangs && path.last_contact_ms.is_some_and(|at_ms| at_ms >= began_ms);
+            if checked.is_fault() && path.fault.is_none() && !is_live {
                 path.fault = Some(PathFault::new(hangs, now_ms));
                 self.faults += 1;
             }
@@ -340,6 +364,18 @@
         true
     }
 
+    /// Returns whether yet more upstreams are worth a check after many: so many of these have no path that requests would
+    /// find out about the others at their own expense.
+    pub fn wants_further_check(&self, results: &[(Name, CheckedPath)]) -> bool {
+        let faults = results.iter().filter(|(_, checked)| checked.is_fault());
+        self.cut.is_none() && 2 * faults.count() >= results.len()
+    }
+
+    /// Ends a check of many upstreams after the loss of all paths.
+    pub fn end_wide_check(&mut self) {
+        self.is_restoring = false;
+    }
+
     /// Ends a check.
     pub fn end_check(&mut self) {
         self.check = None;
@@ -377,17 +413,19 @@
         PathChange::None
     }
 
-    /// Ends the loss of all paths. Upstreams whose paths failed are probed again at once.
+    /// Ends the loss of all paths. Upstreams whose paths failed are probed again at once; while any still fail, all paths are
+    /// in doubt until many were checked.
     fn end_cut(&mut self) -> PathChange {
         self.cut = None;
+        self.is_restoring = true;
         let faults = self.paths.values_mut().filter_map(|p| p.fault.as_mut());
         faults.for_each(|fault| fault.next_probe_ms = 0);
         PathChange::Restored
     }
 
-    /// Whether a check is in progress.
+    /// Whether a check of suspected upstreams or after the loss of all paths is in progress.
     pub fn is_checking(&self) -> bool {
-        self.check.is_some()
+        self.check.is_some() || self.is_restoring()
     }
 
     /// Whether a path fails, or is in doubt. If not, all upstreams are reachable as far as is known.
@@ -413,7 +451,7 @@
 
     /// Whether this box is cut off from all upstreams, or may be as far as is known until a check ends.
     pub fn may_be_cut_off(&self, now_ms: u64) -> bool {
-        if self.cut.is_some() || self.is_unresolved {
+        if self.cut.is_some() || self.is_unresolved || self.is_restoring() {
             return true;
         }
         let is_silent = self
@@ -422,6 +460,11 @@
         self.check.is_some() && (self.suspects >= DOUBT_SUSPECTS || is_silent)
     }
 
+    /// Whether paths that were lost with all others still fail, and it is not known yet which others do.
+    fn is_restoring(&self) -> bool {
+        self.is_restoring && self.faults > 0
+    }
+
     /// Upstreams that requests are not sent to from here, because there is no path to them or it is in doubt.
     pub fn avoided(&self) -> Vec<Name> {
         let avoided = self.paths.iter();
