Restart background tasks that end, and answer requests whose handling panics

A panic in a task of a box left it alive but useless: nothing restarted the task, logged or counted its end, and a lock that was held then failed all later requests. A panic while a request was handled closed its connection without an answer.

Supervisor runs each background task for the lifetime of the process: it restarts a task that panics or returns after 50 ms to 5 s, logs task_ended, counts it (ivyweir_task_ends_total) and names it at the ready page, which answers 503 meanwhile if callers are better served by another box. Panics are in the log with their place (panicked). A lock whose holder panicked stays usable. A request whose handling panics is answered with 500, which promises nothing, and counted.

--- a/crates/ivyweir-gateway/src/error_response.rs
+++ b/crates/ivyweir-gateway/src/error_response.rs
@@ -59,6 +59,8 @@
     DeadlineExceeded,
     /// The request was sent, but its response was lost or corrupted.
     ResponseLost,
+    /// The handling of the request panicked. It may have run.
+    Internal,
 }
 
 /// `Retry-After` if no upstream accepted the request in time.
@@ -102,6 +104,7 @@
             | Self::DeadlineExceededNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 
@@ -128,6 +131,7 @@
             Self::DeadlineExceededNotRun => "late_not_run",
             Self::DeadlineExceeded => "late",
             Self::ResponseLost => "answer_lost",
+            Self::Internal => "internal",
         }
     }
 
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod log;
 pub mod message;
 mod metrics;
+mod mutex;
 pub mod native;
 mod path_check;
 mod peers;
@@ -63,8 +64,10 @@
 mod store_client;
 mod store_events;
 mod stream;
+mod supervisor;
 mod sync;
 
+use std::future::{self, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,6 +80,7 @@
 use log::Log;
 use serde_json::json;
 use state::Gateway;
+use supervisor::TaskRole;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
@@ -104,6 +108,7 @@
 pub fn run(settings: Settings, adapter: Adapter) -> io::Result<()> {
     let clock = Clock::start();
     let log = Log::start(clock.clone())?;
+    supervisor::log_panics(log.clone());
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -183,23 +188,83 @@
     stop_signal: watch::Receiver<bool>,
 ) -> JoinHandle<()> {
     for topic in gateway.topics() {
-        tokio::spawn(sync::follow(gateway.clone(), *topic));
+        let topic = *topic;
+        supervise(gateway, topic.name(), TaskRole::Serving, move |gateway| {
+            sync::follow(gateway, topic)
+        });
     }
-    tokio::spawn(rollout_driver::run(gateway.clone()));
-    tokio::spawn(quarantine_sync::run(gateway.clone()));
-    tokio::spawn(path_check::monitor(gateway.clone()));
+    supervise(
+        gateway,
+        "rollouts_driver",
+        TaskRole::Auxiliary,
+        rollout_driver::run,
+    );
+    supervise(
+        gateway,
+        "quarantines",
+        TaskRole::Auxiliary,
+        quarantine_sync::run,
+    );
+    supervise(gateway, "paths", TaskRole::Serving, path_check::monitor);
     if let Some(duties) = gateway.settings.duties {
-        tokio::spawn(duties::run(gateway.clone(), duties));
+        supervise(gateway, "duties", TaskRole::Auxiliary, move |gateway| {
+            duties::run(gateway, duties)
+        });
     }
-    tokio::spawn(join::maintain_membership(gateway.clone()));
-    tokio::spawn(reports::exchange_reports(gateway.clone()));
-    tokio::spawn(server::serve_peers(gateway.clone(), listeners.peers));
-    tokio::spawn(sweep(gateway.clone()));
-    let (readiness, metrics) = (listeners.readiness, listeners.metrics);
-    tokio::spawn(server::serve_text(readiness, readiness_handler(gateway)));
-    tokio::spawn(server::serve_text(metrics, metrics_handler(gateway)));
-    let callers = server::serve_callers(gateway.clone(), listeners.callers, stop_signal);
-    tokio::spawn(callers)
+    supervise(
+        gateway,
+        "membership",
+        TaskRole::Serving,
+        join::maintain_membership,
+    );
+    supervise(
+        gateway,
+        "reports",
+        TaskRole::Serving,
+        reports::exchange_reports,
+    );
+    supervise(gateway, "sweep", TaskRole::Serving, sweep);
+    let Listeners {
+        callers,
+        readiness,
+        metrics,
+        peers,
+    } = listeners;
+    let peers = Arc::new(peers);
+    supervise(gateway, "peers", TaskRole::Serving, move |gateway| {
+        server::serve_peers(gateway, peers.clone())
+    });
+    let readiness = Arc::new(readiness);
+    supervise(gateway, "readiness", TaskRole::Serving, move |gateway| {
+        server::serve_text(readiness.clone(), readiness_handler(gateway))
+    });
+    let metrics = Arc::new(metrics);
+    supervise(gateway, "metrics", TaskRole::Auxiliary, move |gateway| {
+        server::serve_text(metrics.clone(), metrics_handler(gateway))
+    });
+    let callers = Arc::new(callers);
+    supervise(gateway, "callers", TaskRole::Serving, move |gateway| {
+        let (callers, stop_signal) = (callers.clone(), stop_signal.clone());
+        async move {
+            server::serve_callers(gateway, callers, stop_signal).await;
+            // The box stops, so callers are not served again.
+            future::pending().await
+        }
+    })
+}
+
+fn supervise<F>(
+    gateway: &Arc<Gateway>,
+    task: &'static str,
+    role: TaskRole,
+    start: impl Fn(Arc<Gateway>) -> F + Send + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let of_task = gateway.clone();
+    let start = move || start(of_task.clone());
+    gateway.supervisor.spawn(task, role, start)
 }
 
 /// Fails readiness checks, stops accepting callers once the load balancer has noticed, and waits
@@ -259,9 +324,8 @@
 }
 
 fn readiness_handler(
-    gateway: &Arc<Gateway>,
+    gateway: Arc<Gateway>,
 ) -> impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static {
-    let gateway = gateway.clone();
     move |path| {
         let status = if path != gateway.dialect.ready_path() {
             StatusCode::NOT_FOUND
@@ -270,14 +334,15 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        (status, String::new())
+        let ended = gateway.supervisor.ended_tasks();
+        let lines = ended.iter().map(|task| format!("task ended: {task}\n"));
+        (status, lines.collect())
     }
 }
 
 fn metrics_handler(
-    gateway: &Arc<Gateway>,
+    gateway: Arc<Gateway>,
 ) -> impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static {
-    let gateway = gateway.clone();
     move |_| {
         let set_gauge = |name: &str, value: u64| {
             let gauge = gateway.metrics.state_gauges.with_label_values(&[name]);
--- a/crates/ivyweir-gateway/src/metrics.rs
+++ b/crates/ivyweir-gateway/src/metrics.rs
@@ -51,6 +51,10 @@
     pub low_confidence_relayed: IntCounterVec,
     /// Callers' connections ended because they read too slowly, by reason.
     pub slow_readers: IntCounterVec,
+    /// Background tasks that ended and were restarted, by task.
+    pub task_ends: IntCounterVec,
+    /// Requests whose handling panicked, by party.
+    pub request_panics: IntCounterVec,
     /// Time to the response head, by route.
     pub head_latency: HistogramVec,
     /// Work that all boxes sent to a pool in the last 5 s, in milliseconds of upstream time, by pool.
@@ -182,6 +186,16 @@
             "answers ended because their callers read too slowly, by reason",
             &["reason"],
         );
+        let task_ends = counter(
+            "ivyweir_task_ends_total",
+            "background tasks that ended and were restarted, by task",
+            &["task"],
+        );
+        let request_panics = counter(
+            "ivyweir_request_panics_total",
+            "requests whose handling panicked, by party",
+            &["party"],
+        );
         let opts = HistogramOpts::new("ivyweir_head_latency_s", "time to the head of an answer");
         let head_latency = HistogramVec::new(opts.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])
             .expect("invariant: the metric name is valid");
@@ -226,6 +240,8 @@
             escalations,
             low_confidence_relayed,
             slow_readers,
+            task_ends,
+            request_panics,
             head_latency,
             pool_work,
             workspaces_over,
--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -1,24 +1,30 @@
 //! HTTP servers for callers, other boxes, readiness checks and metrics.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 
 use crate::caller_io::{CallerConnection, CallerIo};
+use crate::error_response::ErrorReason;
 use crate::response::{ResponseBody, plain_text, status_only};
 use crate::state::Gateway;
+use crate::supervisor::panic_message;
 use crate::{follow, handover, join, path_check, pipeline, reports};
 
 /// Idle timeout of callers' connections if the configuration is not known or sets none.
@@ -36,7 +42,7 @@
 /// Serves callers until `stop` changes, then shuts their connections down gracefully.
 pub async fn serve_callers(
     gateway: Arc<Gateway>,
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     mut stop: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
@@ -94,7 +100,10 @@
         let service = service_fn(move |mut request: Request<Incoming>| {
             let gateway = gateway.clone();
             request.extensions_mut().insert(of_requests.clone());
-            async move { Ok::<_, Infallible>(pipeline::handle(gateway, request).await) }
+            async move {
+                let answer = pipeline::handle(gateway.clone(), request);
+                Ok::<_, Infallible>(answer_or_fail(&gateway, "caller", answer).await)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -124,13 +133,16 @@
 }
 
 /// Serves other boxes.
-pub async fn serve_peers(gateway: Arc<Gateway>, listener: TcpListener) {
+pub async fn serve_peers(gateway: Arc<Gateway>, listener: Arc<TcpListener>) {
     loop {
         let stream = accept(&listener).await;
         let gateway = gateway.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
-            async move { Ok::<_, Infallible>(handle_peer_request(gateway, request).await) }
+            async move {
+                let answer = handle_peer_request(gateway.clone(), request);
+                Ok::<_, Infallible>(answer_or_fail(&gateway, "peer", answer).await)
+            }
         });
         let _ignored = stream.set_nodelay(true);
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -140,6 +152,22 @@
     }
 }
 
+/// Answers a request, also if its handling panics. It may have run then.
+async fn answer_or_fail(
+    gateway: &Gateway,
+    party: &'static str,
+    answer: impl Future<Output = Response<ResponseBody>>,
+) -> Response<ResponseBody> {
+    let answered = AssertUnwindSafe(answer).catch_unwind().await;
+    answered.unwrap_or_else(|panic| {
+        let panics = &gateway.metrics.request_panics;
+        panics.with_label_values(&[party]).inc();
+        let detail = json!({"party": party, "cause": panic_message(&*panic)});
+        gateway.log.line("request_panicked", detail);
+        ErrorReason::Internal.into_response(false)
+    })
+}
+
 async fn handle_peer_request(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
@@ -160,7 +188,7 @@
 
 /// Serves readiness checks or metrics: `handler` returns status and text for a path.
 pub async fn serve_text(
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     handler: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
 ) {
     loop {
--- a/crates/ivyweir-gateway/src/state/freshness.rs
+++ b/crates/ivyweir-gateway/src/state/freshness.rs
@@ -1,6 +1,7 @@
 //! Age of the proof that the active configuration is the newest, and what a box may do at that age.
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 use crate::settings::UnprovenKeys;
 
 /// Part of the bound on the use of revoked keys that is reserved for forwarding to the upstream.
@@ -83,6 +84,9 @@
     pub fn is_ready(&self) -> bool {
         let now_ms = self.clock.now_ms();
         let is_current = lock(&self.proof).is_younger_than(READY_MAX_PROOF_AGE_MS, now_ms);
-        is_current && self.is_synced() && self.stopping_for_ms().is_none()
+        is_current
+            && self.is_synced()
+            && self.stopping_for_ms().is_none()
+            && self.supervisor.is_serving()
     }
 }
--- a/crates/ivyweir-gateway/src/state/load_control.rs
+++ b/crates/ivyweir-gateway/src/state/load_control.rs
@@ -8,8 +8,9 @@
 };
 use ivyweir_policy::gateway::work::Estimate;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::job::Job;
+use crate::mutex::lock;
 use crate::settings::LoadControl;
 
 impl Gateway {
--- a/crates/ivyweir-gateway/src/state/paths.rs
+++ b/crates/ivyweir-gateway/src/state/paths.rs
@@ -13,7 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 use crate::path_check;
 
 /// Number of suspected upstreams that are probed in one check.
--- a/crates/ivyweir-gateway/src/state/placement.rs
+++ b/crates/ivyweir-gateway/src/state/placement.rs
@@ -10,8 +10,9 @@
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::json;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::job::Job;
+use crate::mutex::lock;
 
 /// Time for which no other box is asked to send requests of a pool after those that were asked declined. Where a limit
 /// is used up at all boxes, this bounds the messages about it.
--- a/crates/ivyweir-gateway/src/state/quarantine.rs
+++ b/crates/ivyweir-gateway/src/state/quarantine.rs
@@ -18,9 +18,10 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::clock::epoch_ms;
 use crate::log::fingerprint_texts;
+use crate::mutex::lock;
 
 /// Maximum number of requests, and of shared parts of their prompts, listed in the log event for a terminated upstream; most engines run no more at once.
 const MAX_LOGGED_FINGERPRINTS: usize = 64;
--- a/crates/ivyweir-gateway/src/state/queues.rs
+++ b/crates/ivyweir-gateway/src/state/queues.rs
@@ -9,8 +9,9 @@
 use ivyweir_policy::gateway::wait::{BlockedRequest, Queue, Ticket};
 use tokio::time::sleep;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::job::Job;
+use crate::mutex::lock;
 
 /// Delay between queued requests of the same pool, so that they are sent in order. It is longer than choosing an
 /// upstream takes.
--- a/crates/ivyweir-gateway/src/state/retries.rs
+++ b/crates/ivyweir-gateway/src/state/retries.rs
@@ -4,7 +4,8 @@
 use ivyweir_policy::gateway::peer_report::PoolRetryCounts;
 use ivyweir_policy::gateway::retry_budget::{FleetCounts, RetryCounts, RetryLimits};
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 impl Gateway {
     /// Counts a request towards the retry budget of its pool.
--- a/crates/ivyweir-gateway/src/state/rollouts.rs
+++ b/crates/ivyweir-gateway/src/state/rollouts.rs
@@ -8,7 +8,8 @@
 use ivyweir_policy::gateway::upstreams::RolloutTarget;
 use serde_json::{Value, json};
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 impl Gateway {
     /// The side of the roll-out that serves a request; `None` if no roll-out of the pool is in progress.
--- a/crates/ivyweir-gateway/src/state/rooms.rs
+++ b/crates/ivyweir-gateway/src/state/rooms.rs
@@ -13,8 +13,9 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::job::Job;
+use crate::mutex::lock;
 
 /// Time for which an outlook is used again. It depends on reports, which come every 250 ms, and its cost grows with the
 /// upstreams of the pool, so it is not computed for each request.
--- a/crates/ivyweir-gateway/src/state/scaling.rs
+++ b/crates/ivyweir-gateway/src/state/scaling.rs
@@ -5,7 +5,8 @@
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::duty::scaling::{PoolView, Scaling, UpstreamOrder};
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 impl Gateway {
     /// Requests in progress on all boxes, by pool; `None` if there is no recent report from some hall.
--- a/crates/ivyweir-gateway/src/state/shares.rs
+++ b/crates/ivyweir-gateway/src/state/shares.rs
@@ -6,8 +6,9 @@
 use ivyweir_policy::gateway::work::Estimate;
 use serde_json::{Value, json};
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::job::Job;
+use crate::mutex::lock;
 
 /// Name under which all requests without a workspace are counted together. Workspaces have non-empty names.
 const ANONYMOUS: &str = "";
--- a/crates/ivyweir-gateway/src/state/statements.rs
+++ b/crates/ivyweir-gateway/src/state/statements.rs
@@ -7,7 +7,8 @@
 use ivyweir_policy::gateway::statement::{DeclaredLimit, Source, Statement};
 use serde_json::json;
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 impl Gateway {
     /// Applies a statement of an upstream, received in a response or through another box.
--- a/crates/ivyweir-gateway/src/state/store_era.rs
+++ b/crates/ivyweir-gateway/src/state/store_era.rs
@@ -2,7 +2,8 @@
 
 use serde_json::json;
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 /// The store's known era, and when its contents are complete again after a restore.
 #[derive(Debug, Default)]
--- a/crates/ivyweir-gateway/src/state/unread_headers.rs
+++ b/crates/ivyweir-gateway/src/state/unread_headers.rs
@@ -7,7 +7,8 @@
 use ivyweir_policy::Name;
 use serde_json::json;
 
-use super::{Gateway, lock};
+use super::Gateway;
+use crate::mutex::lock;
 
 /// Maximum number of names that are tracked to log each only once. An upstream may send any number of names.
 const MAX_TRACKED: usize = 64;
--- a/crates/ivyweir-gateway/src/state/unreadable_records.rs
+++ b/crates/ivyweir-gateway/src/state/unreadable_records.rs
@@ -5,8 +5,9 @@
 use ivyweir_policy::Name;
 use serde_json::json;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::dialect::{InvalidRecord, Topic};
+use crate::mutex::lock;
 
 /// Maximum number of unreadable records that are tracked to report each only once. Records beyond it are reported
 /// each time they are read.
--- a/crates/ivyweir-gateway/src/state/usage.rs
+++ b/crates/ivyweir-gateway/src/state/usage.rs
@@ -7,8 +7,9 @@
 };
 use ivyweir_policy::gateway::duty::wall_clock::StableWallClock;
 
-use super::{Gateway, lock};
+use super::Gateway;
 use crate::clock;
+use crate::mutex::lock;
 use crate::settings::Settings;
 
 /// Usage counts known to this box. Nothing is counted if usage is not reported.
