Catch signals from the start on, and wait for addresses and settings at the start

A box that got SIGHUP, SIGTERM or SIGINT before its handlers were registered ended by itself; SIGINT ended it without a drain at any time. An address that was in use for a moment, and a settings file that was half written, ended the start at once.

Signals are now registered before the command line and the settings are read, by both kinds of daemon; what arrives before the runtime's handlers is known by flags. SIGINT drains as SIGTERM does. An address that is in use is tried again for 30 s (logged as address_in_use), those of callers last. An incomplete settings file is read again for 2 s, at a start and at a reload; one that is complete and wrong ends the start at once.

What remains is the time before main(), in which a process can have no handler.

--- a/crates/ivyweir-gateway/src/join.rs
+++ b/crates/ivyweir-gateway/src/join.rs
@@ -105,7 +105,8 @@
                 return Some(up_ms);
             }
         }
-        self.gateway.reload_seeds();
+        // An incomplete file is read again in the next round.
+        let _is_complete = self.gateway.reload_seeds();
         let other = self.gateway.peers.random_peer()?;
         self.join_at(other).await
     }
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -7,11 +7,12 @@
 //!
 //! ```no_run
 //! use std::path::Path;
-//! use ivyweir_gateway::{Adapter, Settings};
+//! use ivyweir_gateway::{Adapter, Settings, Signals};
 //!
 //! # fn start(adapter: Adapter) -> Result<(), Box<dyn std::error::Error>> {
+//! let signals = Signals::register()?;
 //! let settings = Settings::from_file(Path::new("gateway.json"))?;
-//! ivyweir_gateway::run(settings, adapter)?;
+//! ivyweir_gateway::run(settings, adapter, &signals)?;
 //! # Ok(())
 //! # }
 //! ```
@@ -60,6 +61,7 @@
 mod server;
 mod settings;
 pub mod settings_file;
+mod signals;
 mod state;
 mod store_client;
 mod store_events;
@@ -91,6 +93,7 @@
 pub use dialect::{Adapter, Dialect, DutyCodec, StoreCodec};
 pub use settings::{Bounds, DialectChoice, Machine, Settings};
 pub use settings_file::SettingsError;
+pub use signals::Signals;
 
 /// Interval at which expired state is removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -99,13 +102,17 @@
 /// Interval at which draining checks whether requests are still active.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Runs a box until it receives SIGTERM, and drains it.
+/// Time for which an address that is in use is tried again, and the pause between tries.
+const BIND_TIMEOUT: Duration = Duration::from_secs(30);
+const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Runs a box until a signal to stop, and drains it.
 ///
 /// # Errors
 ///
-/// When an address cannot be bound, or the log thread, the runtime or a signal handler cannot be
-/// created.
-pub fn run(settings: Settings, adapter: Adapter) -> io::Result<()> {
+/// When an address cannot be bound for 30 s, or the log thread, the runtime or a signal handler
+/// cannot be created.
+pub fn run(settings: Settings, adapter: Adapter, signals: &Signals) -> io::Result<()> {
     let clock = Clock::start();
     let log = Log::start(clock.clone())?;
     supervisor::log_panics(log.clone());
@@ -113,9 +120,12 @@
         .enable_all()
         .build()?;
     let result = runtime.block_on(async {
-        let (settings, listeners) = Listeners::bind(settings)?;
+        let Some((settings, listeners)) = Listeners::bind(settings, signals, &log).await? else {
+            log.line("stopped", json!({"requests_left": 0}));
+            return Ok(());
+        };
         let gateway = Gateway::new(settings, clock, adapter, log.clone());
-        serve(Arc::new(gateway), listeners).await
+        serve(Arc::new(gateway), listeners, signals).await
     });
     log.finish();
     result
@@ -130,37 +140,88 @@
 }
 
 impl Listeners {
-    /// Binds all addresses. In the returned settings, port 0 is replaced by the assigned port.
-    fn bind(mut settings: Settings) -> io::Result<(Settings, Self)> {
-        let bind = |addr: &mut SocketAddr| {
-            let listener = server::bind(*addr)?;
-            *addr = listener.local_addr()?;
-            io::Result::Ok(listener)
+    /// Binds all addresses, those of callers last: connections that wait for a start are better made to another box. In the
+    /// returned settings, port 0 is replaced by the assigned port. Returns `None` after a signal to stop.
+    async fn bind(
+        mut settings: Settings,
+        signals: &Signals,
+        log: &Log,
+    ) -> io::Result<Option<(Settings, Self)>> {
+        let metrics = bind_when_free(&mut settings.metrics_addr, signals, log).await?;
+        let peers = bind_when_free(&mut settings.peer_addr, signals, log).await?;
+        let readiness = bind_when_free(&mut settings.ready_addr, signals, log).await?;
+        let callers = bind_when_free(&mut settings.caller_addr, signals, log).await?;
+        let listeners = (callers, readiness, metrics, peers);
+        let (Some(callers), Some(readiness), Some(metrics), Some(peers)) = listeners else {
+            return Ok(None);
         };
         let listeners = Self {
-            callers: bind(&mut settings.caller_addr)?,
-            readiness: bind(&mut settings.ready_addr)?,
-            metrics: bind(&mut settings.metrics_addr)?,
-            peers: bind(&mut settings.peer_addr)?,
+            callers,
+            readiness,
+            metrics,
+            peers,
         };
-        Ok((settings, listeners))
+        Ok(Some((settings, listeners)))
+    }
+}
+
+/// Binds an address, and sets its port if that is 0. An address that is in use is tried again for a limited time: an earlier
+/// process may still be ending, or an outgoing connection may have the port. Returns `None` after a signal to stop.
+async fn bind_when_free(
+    addr: &mut SocketAddr,
+    signals: &Signals,
+    log: &Log,
+) -> io::Result<Option<TcpListener>> {
+    let deadline = Instant::now() + BIND_TIMEOUT;
+    let mut is_logged = false;
+    while !signals.is_stop_requested() {
+        match server::bind(*addr) {
+            Err(e) if is_temporary(&e) && Instant::now() < deadline => {
+                if !is_logged {
+                    let detail = json!({"addr": addr, "error": e.to_string()});
+                    log.line("address_in_use", detail);
+                    is_logged = true;
+                }
+                sleep(BIND_RETRY_INTERVAL).await;
+            }
+            Err(e) => {
+                let error = format!("cannot listen at {addr}: {e}");
+                return Err(io::Error::new(e.kind(), error));
+            }
+            Ok(listener) => {
+                *addr = listener.local_addr()?;
+                return Ok(Some(listener));
+            }
+        }
     }
+    Ok(None)
 }
 
-/// Serves until SIGTERM, and then drains. SIGHUP reloads the seeds.
-async fn serve(gateway: Arc<Gateway>, listeners: Listeners) -> io::Result<()> {
+/// Whether an address may become free, or may be assigned to this machine, soon.
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable
+    )
+}
+
+/// Serves until SIGTERM or SIGINT, and then drains. SIGHUP reloads the seeds.
+async fn serve(gateway: Arc<Gateway>, listeners: Listeners, signals: &Signals) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     log_start(&gateway);
     let (stop, stop_signal) = watch::channel(false);
     let server = spawn_tasks(&gateway, listeners, stop_signal);
-    loop {
+    // Signals that came before these handlers are known by their flags only.
+    if signals.take_reload() {
+        start_reload(&gateway);
+    }
+    while !signals.is_stop_requested() {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => {
-                gateway.log.line("reload_asked", json!({}));
-                gateway.reload_seeds();
-            }
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => start_reload(&gateway),
         }
     }
     drain(&gateway, &stop).await;
@@ -170,6 +231,20 @@
     Ok(())
 }
 
+/// Reloads the seeds, again if the file is still being written.
+fn start_reload(gateway: &Arc<Gateway>) {
+    gateway.log.line("reload_asked", json!({}));
+    let gateway = gateway.clone();
+    tokio::spawn(async move {
+        for _ in 0..settings_file::READ_TRIES {
+            if gateway.reload_seeds() {
+                return;
+            }
+            sleep(settings_file::READ_INTERVAL).await;
+        }
+    });
+}
+
 fn log_start(gateway: &Gateway) {
     let settings = &gateway.settings;
     let detail = json!({
--- a/crates/ivyweir-gateway/src/settings_file.rs
+++ b/crates/ivyweir-gateway/src/settings_file.rs
@@ -1,11 +1,17 @@
 //! Settings files: strict JSON with errors that name the field.
 
-use std::fs;
 use std::path::Path;
+use std::time::Duration;
+use std::{fs, io, thread};
 
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
+/// Number of times that an incomplete file is read again, and the pause between them.
+pub const READ_TRIES: u32 = 20;
+/// Pause before an incomplete file is read again.
+pub const READ_INTERVAL: Duration = Duration::from_millis(100);
+
 /// An error in a settings file.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -38,6 +44,35 @@
     },
 }
 
+impl SettingsError {
+    /// Whether the file may be in the course of being written: it is missing, or it ends early.
+    pub fn is_incomplete(&self) -> bool {
+        match self {
+            Self::Read { source, .. } => source.kind() == io::ErrorKind::NotFound,
+            Self::Parse { source, .. } => source.is_eof(),
+            Self::Range { .. } => false,
+        }
+    }
+}
+
+/// Reads a file with `read` until it is complete, for a limited time, or until `is_stopped`.
+///
+/// # Errors
+///
+/// As for `read`.
+pub fn read_when_complete<T>(
+    mut read: impl FnMut() -> Result<T, SettingsError>,
+    is_stopped: impl Fn() -> bool,
+) -> Result<T, SettingsError> {
+    for _ in 0..READ_TRIES {
+        match read() {
+            Err(e) if e.is_incomplete() && !is_stopped() => thread::sleep(READ_INTERVAL),
+            result => return result,
+        }
+    }
+    read()
+}
+
 /// Reads and parses a file without checking the ranges of its values.
 ///
 /// # Errors
--- a/crates/ivyweir-gateway/src/state.rs
+++ b/crates/ivyweir-gateway/src/state.rs
@@ -380,10 +380,11 @@
         }
     }
 
-    /// Reloads the seed addresses from the settings file, for when boxes were added or removed.
-    pub fn reload_seeds(&self) {
+    /// Reloads the seed addresses from the settings file, for when boxes were added or removed. Returns false if the file is
+    /// incomplete, as while it is being written.
+    pub fn reload_seeds(&self) -> bool {
         let Some(file) = &self.settings.file else {
-            return;
+            return true;
         };
         match Settings::from_file(file) {
             Ok(settings) => {
@@ -391,10 +392,12 @@
                     let detail = json!({"seed_addrs": self.peers.seeds()});
                     self.log.line("seeds_changed", detail);
                 }
+                true
             }
             Err(e) => {
                 let detail = json!({"error": e.to_string()});
                 self.log.line("settings_unreadable", detail);
+                !e.is_incomplete()
             }
         }
     }
--- a/crates/ivyweird/src/lib.rs
+++ b/crates/ivyweird/src/lib.rs
@@ -6,10 +6,11 @@
 //!
 //! ```no_run
 //! use std::path::Path;
-//! use ivyweird::Settings;
+//! use ivyweird::{Settings, Signals};
 //!
+//! let signals = Signals::register()?;
 //! let settings = Settings::from_file(Path::new("box.json"))?;
-//! ivyweird::run(settings)?;
+//! ivyweird::run(settings, &signals)?;
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
@@ -50,20 +51,18 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use ivyweir_caller::Server as HttpServer;
 use ivyweir_peer::Server as PeerServer;
-use signal_hook::consts::{SIGINT, SIGTERM};
 
 use caller_api::CallerApi;
 use node::Node;
 use operator_api::OperatorApi;
 use peer_api::PeerApi;
 
-pub use ivyweir_gateway::SettingsError;
+pub use ivyweir_gateway::{SettingsError, Signals};
 pub use settings::Settings;
 
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -77,13 +76,9 @@
 /// # Errors
 ///
 /// If an address cannot be bound or a thread cannot be created.
-pub fn run(settings: Settings) -> io::Result<()> {
+pub fn run(settings: Settings, signals: &Signals) -> io::Result<()> {
     logging::init();
     abort_on_panic();
-    let stop_requested = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::flag::register(signal, stop_requested.clone())?;
-    }
     let node = Arc::new(Node::new(settings)?);
     let settings = &node.settings;
     let peer_api = Arc::new(PeerApi { node: node.clone() });
@@ -107,7 +102,7 @@
         caller_server.addr(),
         operator_server.addr(),
     );
-    while !stop_requested.load(Ordering::Relaxed) && !node.is_draining() {
+    while !signals.is_stop_requested() && !node.is_draining() {
         thread::sleep(STOP_POLL_INTERVAL);
     }
     shutdown::drain(&node);
--- a/crates/ivyweird/src/main.rs
+++ b/crates/ivyweird/src/main.rs
@@ -8,7 +8,10 @@
 use gumdrop::Options;
 use ivyweir_adapter::{ObjectCodec, PlatformDutyCodec};
 use ivyweir_gateway::native::{self, NativeCodec, NativeDutyCodec};
-use ivyweir_gateway::{Adapter, DialectChoice, Settings as GatewaySettings};
+use ivyweir_gateway::settings_file::read_when_complete;
+use ivyweir_gateway::{
+    Adapter, DialectChoice, Settings as GatewaySettings, SettingsError, Signals,
+};
 use ivyweird::Settings;
 
 /// Exit code for missing or invalid settings.
@@ -34,19 +37,27 @@
 }
 
 fn main() -> ExitCode {
+    let signals = match Signals::register() {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("ivyweird: {e}");
+            return ExitCode::from(EXIT_START);
+        }
+    };
     let args = Args::parse_args_default_or_exit();
     if args.version {
         println!("ivyweird {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     if let Some(file) = args.gateway {
-        return run_gateway(&file, args.check);
+        return run_gateway(&file, args.check, &signals);
     }
     let Some(file) = args.settings else {
         eprintln!("ivyweird: --settings FILE or --gateway FILE is required; see --help");
         return ExitCode::from(EXIT_SETTINGS);
     };
-    let settings = match Settings::from_file(&file) {
+    let read = || Settings::from_file(&file);
+    let settings = match read_settings(read, args.check, &signals) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("ivyweird: {e}");
@@ -57,7 +68,7 @@
         println!("{}: ok", file.display());
         return ExitCode::SUCCESS;
     }
-    match ivyweird::run(settings) {
+    match ivyweird::run(settings, &signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("ivyweird: {e}");
@@ -66,8 +77,18 @@
     }
 }
 
-fn run_gateway(file: &Path, check: bool) -> ExitCode {
-    let settings = match GatewaySettings::from_file(file) {
+/// Reads settings, at a start also from a file that is still being written.
+fn read_settings<T>(
+    read: impl FnMut() -> Result<T, SettingsError>,
+    is_check: bool,
+    signals: &Signals,
+) -> Result<T, SettingsError> {
+    read_when_complete(read, || is_check || signals.is_stop_requested())
+}
+
+fn run_gateway(file: &Path, check: bool, signals: &Signals) -> ExitCode {
+    let read = || GatewaySettings::from_file(file);
+    let settings = match read_settings(read, check, signals) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("ivyweird: {e}");
@@ -90,7 +111,7 @@
             duties: Arc::new(PlatformDutyCodec),
         },
     };
-    match ivyweir_gateway::run(settings, adapter) {
+    match ivyweir_gateway::run(settings, adapter, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("ivyweird: {e}");
