Bound the log queue by bytes

While nobody reads the log, 2,048 lines were queued whatever their size; a line quotes the caller's path of up to 32 KB, so callers could fill 64 MB of a box of 110 MB. Lines that are queued or being written now take 2 MiB at most; others are dropped and counted as before. The test writes 1,500 lines of 30 KB to an output that nobody reads: 45 MB were queued before, at most 2 MiB now.

--- a/crates/ivyweir-gateway/src/log.rs
+++ b/crates/ivyweir-gateway/src/log.rs
@@ -7,7 +7,7 @@
 //! requests were left out.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
@@ -21,6 +21,8 @@
 
 /// Maximum number of lines queued for the writer.
 const QUEUE_CAPACITY: usize = 2_048;
+/// Maximum size of all lines that are queued or being written. A line may quote what a caller sent.
+const MAX_QUEUED_BYTES: usize = 2 << 20;
 /// Delay before the writer writes a batch, which limits how often it wakes up.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of requests without failure logged per second.
@@ -33,6 +35,7 @@
 #[derive(Debug, Clone)]
 pub struct Log {
     queue: Sender<String>,
+    queued_bytes: Arc<AtomicUsize>,
     clock: Clock,
     dropped: Arc<AtomicU64>,
     sampled: Arc<Mutex<SampleCounts>>,
@@ -65,15 +68,17 @@
         let (queue, lines) = bounded(QUEUE_CAPACITY);
         let log = Self {
             queue,
+            queued_bytes: Arc::default(),
             clock,
             dropped: Arc::default(),
             sampled: Arc::default(),
         };
         let dropped = log.dropped.clone();
+        let queued_bytes = log.queued_bytes.clone();
         thread::Builder::new()
             .name("log".into())
             .stack_size(WRITER_STACK_BYTES)
-            .spawn(move || write_lines(&lines, &dropped, out))?;
+            .spawn(move || write_lines(&lines, &dropped, &queued_bytes, out))?;
         Ok(log)
     }
 
@@ -114,15 +119,22 @@
         if let Value::Object(detail) = detail {
             line.extend(detail);
         }
-        if self
-            .queue
-            .try_send(Value::Object(line).to_string())
-            .is_err()
-        {
+        if !self.enqueue(Value::Object(line).to_string()) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Queues a line for the writer, if there is room for it.
+    fn enqueue(&self, line: String) -> bool {
+        let bytes = line.len();
+        let queued = self.queued_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let is_queued = queued + bytes <= MAX_QUEUED_BYTES && self.queue.try_send(line).is_ok();
+        if !is_queued {
+            self.queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        is_queued
+    }
+
     fn is_sampled(&self, failed: bool) -> bool {
         let second = self.clock.now_ms() / 1_000;
         let mut ended = None;
@@ -161,13 +173,20 @@
     }
 }
 
-fn write_lines(lines: &Receiver<String>, dropped: &AtomicU64, mut out: impl Write) {
+fn write_lines(
+    lines: &Receiver<String>,
+    dropped: &AtomicU64,
+    queued_bytes: &AtomicUsize,
+    mut out: impl Write,
+) {
     let mut reported = 0;
     while let Ok(first) = lines.recv() {
         thread::sleep(BATCH_DELAY);
         let mut text = first;
+        let mut taken_bytes = text.len();
         text.push('\n');
         for line in lines.try_iter() {
+            taken_bytes += line.len();
             text.push_str(&line);
             text.push('\n');
         }
@@ -182,6 +201,7 @@
         // If the reader has closed the pipe, only the log is lost; the process goes on.
         let _ignored = out.write_all(text.as_bytes());
         let _ignored = out.flush();
+        queued_bytes.fetch_sub(taken_bytes, Ordering::Relaxed);
     }
 }
 
@@ -241,3 +261,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
