Bound the connections of readiness checks and metrics

Idle connections to these listeners were kept for good and without a limit, so they could use up the descriptors that callers and upstreams need. Each listener now has 256 connections at most, which are closed after 5 s without a request. The test opens 400 idle connections: a box kept all of them before.

--- a/crates/ivyweir-gateway/src/server.rs
+++ b/crates/ivyweir-gateway/src/server.rs
@@ -34,6 +34,10 @@
 /// File descriptors reserved for files and connections to upstreams and the store.
 const RESERVED_FDS: u64 = 1_200;
 const MIN_CONNECTIONS: u64 = 256;
+/// Maximum number of connections for readiness checks, and for metrics, and how long each may be idle. They must not use
+/// up the descriptors for callers.
+const MAX_TEXT_CONNECTIONS: usize = 256;
+const TEXT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay before the next attempt after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of connections waiting to be accepted.
@@ -191,16 +195,25 @@
     listener: Arc<TcpListener>,
     handler: impl Fn(&str) -> (StatusCode, String) + Clone + Send + 'static,
 ) {
+    let connections = Arc::new(Semaphore::new(MAX_TEXT_CONNECTIONS));
     loop {
         let stream = accept(&listener).await;
+        let Ok(permit) = connections.clone().try_acquire_owned() else {
+            continue;
+        };
         let handler = handler.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = handler(request.uri().path());
             async move { Ok::<_, Infallible>(plain_text(status, text)) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(TEXT_IDLE_TIMEOUT)
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
             let _ignored = connection.await;
+            drop(permit);
         });
     }
 }
--- a/crates/ivyweird/tests/gateway_path.rs
+++ b/crates/ivyweird/tests/gateway_path.rs
@@ -1,6 +1,7 @@
 //! The gateway's request path, with real boxes: what is passed on, what is repeated, what is
 //! refused.
 
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -507,3 +508,28 @@
     a_safe_request_goes_on_at_once_at_an_upstream_that_started_again: "services", "/safe/x", UpstreamAction::Hang => status 200, second asked 1;
     an_unsafe_request_is_not_sent_to_an_upstream_that_started_again: "services", "/unsafe/x", UpstreamAction::Hang => status 502, second asked 0;
 }
+
+// Guards against idle connections to the readiness listener that use up the descriptors of the box.
+#[test]
+fn idle_connections_to_the_readiness_listener_are_bounded_and_closed() {
+    const CONNECTIONS: usize = 400;
+    let town = town();
+    let ready_addr = town.boxes[0].ready_addr;
+    let descriptors = || {
+        let folder = format!("/proc/{}/fd", town.boxes[0].pid());
+        std::fs::read_dir(folder)
+            .expect("they can be listed")
+            .count()
+    };
+    let before = descriptors();
+    let _idle: Vec<TcpStream> = (0..CONNECTIONS)
+        .map(|_| TcpStream::connect(ready_addr).expect("the box accepts connections"))
+        .collect();
+    assert_eq!(ask(&town, "/safe/x").status, 200);
+    assert!(
+        descriptors() < before + CONNECTIONS - 100,
+        "{}",
+        descriptors()
+    );
+    eventually("a readiness check is answered", || town.is_ready(0));
+}
