Keep request bodies in pieces while they arrive

A body was received into one buffer that doubles, which took twice what counted and left holes in the heap. Bodies and answers now share Pieces: 64 KB each, joined once when a body is whole.

--- a/crates/ivyweir-gateway/src/admit.rs
+++ b/crates/ivyweir-gateway/src/admit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header;
@@ -18,6 +18,7 @@
 use crate::handover::HandedOver;
 use crate::job::{self, Job};
 use crate::log::{Trace, fingerprint_texts};
+use crate::pieces::Pieces;
 use crate::relay_buffer::{BodyRead, RelayBuffers};
 use crate::state::Gateway;
 
@@ -176,9 +177,12 @@
     mut body: Limited<Incoming>,
     trace: &mut Trace,
 ) -> Result<Bytes, ErrorReason> {
-    let mut kept = buffers
-        .make_room_to_start()
-        .then(|| (BytesMut::new(), buffers.open_body(Some(trace.request_id()))));
+    let mut kept = buffers.make_room_to_start().then(|| {
+        (
+            Pieces::default(),
+            buffers.open_body(Some(trace.request_id())),
+        )
+    });
     let reading = async {
         loop {
             if let Some((_, buffer)) = &kept {
@@ -204,21 +208,21 @@
                 BodyRead::End => return Ok(()),
                 BodyRead::NoRoom => continue,
             };
-            if let (Some((bytes, buffer)), Some(data)) = (&mut kept, frame.data_ref()) {
+            if let (Some((pieces, buffer)), Some(data)) = (&mut kept, frame.data_ref()) {
                 buffer.receive(data.len());
-                bytes.extend_from_slice(data);
+                pieces.push(data);
             }
         }
     };
     let read = timeout(BODY_TIMEOUT, reading).await;
     read.map_err(|_| ErrorReason::BodyTimeout)??;
-    let Some((bytes, buffer)) = kept else {
+    let Some((pieces, buffer)) = kept else {
         let figures = buffers.figures();
         let detail = json!({"held_bytes": figures.held_bytes, "limit_bytes": figures.limit_bytes});
         trace.fail("buffers_full", detail);
         return Err(ErrorReason::BuffersFull);
     };
-    Ok(buffer.hold(bytes.freeze()))
+    Ok(buffer.hold(pieces.into_bytes()))
 }
 
 fn body_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> ErrorReason {
--- a/crates/ivyweir-gateway/src/buffer.rs
+++ b/crates/ivyweir-gateway/src/buffer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Response, Version, header};
@@ -19,6 +19,7 @@
 use crate::error_response::ErrorReason;
 use crate::job::{Job, strip_hop_by_hop};
 use crate::log::Trace;
+use crate::pieces::Pieces;
 use crate::promise::is_promise;
 use crate::relay_buffer::{BodyRead, RelayBuffer};
 use crate::response::{PieceBody, ResponseBody};
@@ -27,9 +28,6 @@
 /// Largest response body that is buffered.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
-/// Size up to which received bytes are joined. The memory of a large answer is freed piece by piece as its caller reads.
-const PIECE_BYTES: usize = 64 << 10;
-
 /// Error of reading a body: it broke off, or it is too large.
 type CollectError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -127,31 +125,20 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Reads a body of limited size into pieces. Its bytes count, and no more is read while there is no room.
+/// Reads a body of limited size into pieces, whose memory is freed one by one as the caller reads. Its bytes count, and no more is read while there is no room.
 async fn collect(body: Incoming, buffer: &RelayBuffer) -> Result<VecDeque<Bytes>, CollectError> {
     let mut body = Limited::new(body, MAX_BUFFERED_BYTES);
-    let mut pieces = VecDeque::new();
-    let mut piece = BytesMut::new();
+    let mut pieces = Pieces::default();
     loop {
         buffer.wait_for_room().await;
         let frame = match buffer.next_frame(&mut body).await {
             BodyRead::Frame(frame) => frame,
-            BodyRead::End => {
-                if !piece.is_empty() {
-                    pieces.push_back(piece.freeze());
-                }
-                return Ok(pieces);
-            }
+            BodyRead::End => return Ok(pieces.into_pieces()),
             BodyRead::NoRoom => continue,
         };
         if let Ok(data) = frame?.into_data() {
             buffer.receive(data.len());
-            for part in data.chunks(PIECE_BYTES) {
-                if !piece.is_empty() && piece.len() + part.len() > PIECE_BYTES {
-                    pieces.push_back(std::mem::take(&mut piece).freeze());
-                }
-                piece.extend_from_slice(part);
-            }
+            pieces.push(&data);
         }
     }
 }
--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod native;
 mod path_check;
 mod peers;
+mod pieces;
 mod pipeline;
 mod promise;
 mod quarantine_sync;
