End attempts whose upstream sends informational responses without end

An upstream that answers with 1xx responses only kept its connection, and the box, busy until the deadline of the request: the HTTP library reads and drops them, and nothing counted. More than 32 now end the attempt as a lost response (502 for what may not be repeated), named in answer_lost.

--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -6,7 +6,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Parts, SendRequest};
+use hyper::ext::on_informational;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use ivyweir_policy::Name;
@@ -21,9 +22,10 @@
 use ivyweir_policy::gateway::answer_owner::{AnswerOwner, NamedRequest, SentRequests};
 use ivyweir_policy::gateway::promise::ConnectionUse;
 use ivyweir_policy::gateway::site::MAX_TIME_MS;
+use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::timeout;
 
 use self::transport::Transport;
@@ -55,7 +57,21 @@
     /// No byte of the request was sent.
     NotSent,
     /// The request may have reached the server, but no response arrived.
-    ResponseLost(hyper::Error),
+    ResponseLost(LostResponse),
+}
+
+/// Why no response arrived.
+#[derive(Debug, Snafu)]
+pub enum LostResponse {
+    /// The connection broke, or what arrived is not HTTP.
+    #[snafu(display("{source}"))]
+    Broken {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// The server goes on sending informational responses, which may never end.
+    #[snafu(display("more than {MAX_INFORMATIONAL} informational responses"))]
+    OnlyInformational,
 }
 
 /// Error of skipping a response.
@@ -64,9 +80,12 @@
     /// No other response can follow.
     NothingFollows,
     /// No other response arrived.
-    Lost(hyper::Error),
+    Lost(LostResponse),
 }
 
+/// Largest number of informational responses (1xx) to a request. Servers send one or a few.
+const MAX_INFORMATIONAL: u32 = 32;
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -178,16 +197,23 @@
     /// Fails if there is no response; the error says whether the request may have reached the server.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         self.is_in_use.store(true, Ordering::Relaxed);
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(SendError::NotSent),
-                None => Err(SendError::ResponseLost(error.into_error())),
-            },
-        }
+        let exceeded = limit_informational(&mut request);
+        let response = tokio::select! {
+            biased;
+            () = exceeded.notified() => {
+                return Err(SendError::ResponseLost(LostResponse::OnlyInformational));
+            }
+            response = self.sender.try_send_request(request) => response,
+        };
+        response.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::ResponseLost(LostResponse::Broken {
+                source: error.into_error(),
+            }),
+        })
     }
 
     /// Skips a response to the request in progress, which has this method, and waits for the head of the next response.
@@ -255,6 +281,18 @@
     }
 }
 
+/// Counts the informational responses to a request; the returned signal is sent once there are too many.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let (count, signal) = (AtomicU32::new(0), exceeded.clone());
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            signal.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Sets `TCP_USER_TIMEOUT` and TCP keepalive, so that the kernel closes a connection whose peer does not
 /// respond.
 pub fn set_tcp_timeouts(stream: &TcpStream) -> io::Result<()> {
--- a/crates/ivyweird/tests/gateway_memory.rs
+++ b/crates/ivyweird/tests/gateway_memory.rs
@@ -78,6 +78,25 @@
     endless_lines_of_one_event: "content-length: 1000000000\r\n", b"data: more\n";
 }
 
+// Guards against a connection that keeps the box busy with informational responses until the deadline of its request.
+#[test]
+fn informational_responses_without_end_end_the_attempt() {
+    let cluster = cluster(Vec::new(), || RawAnswer {
+        head: Vec::new(),
+        filler: b"HTTP/1.1 100 Continue\r\n\r\n".to_vec(),
+        repeats: 200_000,
+        end: RawEnd::Silence,
+    });
+    let reply = post(cluster.addr(0), "/unsafe/x", "endless", b"prompt".to_vec());
+    assert_eq!(reply.map(|reply| reply.status), Some(502));
+    eventually("the reason is in the log", || {
+        let lost = cluster.boxes[0].event_lines("answer_lost");
+        let mut errors = lost.iter().filter_map(|line| line["error"].as_str());
+        errors.any(|error| error.contains("informational"))
+    });
+    check_memory(&cluster);
+}
+
 fn post(addr: SocketAddr, path: &str, id: &str, body: Vec<u8>) -> Option<Reply> {
     let auth = format!("Bearer {KEY}");
     let headers = [("ivyweir-request-id", id), ("authorization", auth.as_str())];
