Keep the seeds of the soak that took more memory than a box has

Seeds 134 and 145 are red at times: the heap of a box grows beyond what its account counts, by free blocks that the allocator keeps. Listed with what was seen.

--- a/crates/ivyweird/tests/hostile_input_soak/main.rs
+++ b/crates/ivyweird/tests/hostile_input_soak/main.rs
@@ -279,10 +279,20 @@
     soak.judge();
 }
 
-// A record's name that is too long for a path ended the listing of upstreams.
-#[test]
-fn seed_116_leaves_all_boxes_ready() {
-    run(116, CI_STEPS, CI_BOXES);
+/// Seeds that failed.
+macro_rules! seeds {
+    ($($name:ident: $seed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            run($seed, CI_STEPS, CI_BOXES);
+        }
+    )*};
+}
+
+seeds! {
+    seed_116_leaves_all_boxes_ready: 116;
+    seed_134_stays_within_the_memory_of_a_box: 134;
+    seed_145_stays_within_the_memory_of_a_box: 145;
 }
 
 #[test]
