Close the listener for callers once a stopping box accepts no more

The supervisor held the listener until the process ended, so connections made in between were accepted by the kernel and then reset; before it they were refused, which callers retry at once.

--- a/crates/ivyweir-gateway/src/lib.rs
+++ b/crates/ivyweir-gateway/src/lib.rs
@@ -73,14 +73,15 @@
 use std::future::{self, Future};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use clock::{Clock, SuspensionDetector};
 use hyper::StatusCode;
 use ivyweir_policy::gateway::quarantine::SuspectKind;
 use log::Log;
+use mutex::lock;
 use serde_json::json;
 use state::Gateway;
 use supervisor::TaskRole;
@@ -318,12 +319,16 @@
     supervise(gateway, "metrics", TaskRole::Auxiliary, move |gateway| {
         server::serve_text(metrics.clone(), metrics_handler(gateway))
     });
-    let callers = Arc::new(callers);
+    let callers = Arc::new(Mutex::new(Some(Arc::new(callers))));
     supervise(gateway, "callers", TaskRole::Serving, move |gateway| {
         let (callers, stop_signal) = (callers.clone(), stop_signal.clone());
         async move {
-            server::serve_callers(gateway, callers, stop_signal).await;
-            // The box stops, so callers are not served again.
+            let listener = lock(&callers).clone();
+            if let Some(listener) = listener {
+                server::serve_callers(gateway, listener, stop_signal).await;
+            }
+            // The box stops. Connections are refused from now on, as nobody would serve them.
+            lock(&callers).take();
             future::pending().await
         }
     })
