Leave Retry-After as it is stated

The time is bounded where it is used (policy.max_backoff_ms), so nothing overflows without the bound; a_retry_time_out_of_range_is_a_refusal stays green.

--- a/crates/ivyweir-gateway/src/headers.rs
+++ b/crates/ivyweir-gateway/src/headers.rs
@@ -304,8 +304,7 @@
 /// Parses decimal seconds as whole milliseconds. They are rounded up, so that the delay is never shortened.
 fn parse_seconds_as_ms(value: &str) -> Option<u64> {
     let seconds: f64 = value.trim().parse().ok()?;
-    let ms = (seconds * 1_000.0).ceil() as u64;
-    (seconds.is_finite() && seconds >= 0.0).then_some(ms.min(MAX_TIME_MS))
+    (seconds.is_finite() && seconds >= 0.0).then_some((seconds * 1_000.0).ceil() as u64)
 }
 
 fn parse_prompt_parts(value: &str) -> Vec<PromptPart> {
