Take a status that HTTP does not define for no answer

What callers saw: an upstream's 600, 700 or 999 reached them as it came, with its stamp, on every way; a version that answers so was completed.

Cause: what the HTTP library accepts (100 to 999) counted as an answer.

Change: is_answer_status (200 to 599) is asked in one place behind all connections of a box: to upstreams, other boxes and the store. Such a response says nothing about the request, and of its upstream only that it leaves; it counts as a failed answer of the upstream and its version. The caller gets 502, an unsafe request is not sent again. A call to the store that is answered so may have been applied. Reasons are not passed on.

--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -14,12 +14,13 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Parts, SendRequest};
-use hyper::ext::on_informational;
+use hyper::ext::{ReasonPhrase, on_informational};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use ivyweir_policy::Name;
 use ivyweir_policy::gateway::answer_end::Framing;
 use ivyweir_policy::gateway::answer_owner::{AnswerOwner, NamedRequest, SentRequests};
+use ivyweir_policy::gateway::answer_status::is_answer_status;
 use ivyweir_policy::gateway::promise::ConnectionUse;
 use ivyweir_policy::gateway::site::MAX_TIME_MS;
 use snafu::Snafu;
@@ -69,6 +70,12 @@
         /// The cause.
         source: hyper::Error,
     },
+    /// What arrived has a status that HTTP does not define, so it is not an answer.
+    #[snafu(display("status {} is not one of an answer", response.status().as_u16()))]
+    InvalidStatus {
+        /// What arrived.
+        response: Box<Response<Incoming>>,
+    },
     /// The server goes on sending informational responses, which may never end.
     #[snafu(display("more than {MAX_INFORMATIONAL} informational responses"))]
     OnlyInformational,
@@ -194,7 +201,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no response; the error says whether the request may have reached the server.
+    /// Fails if there is no response that can be an answer; the error says whether the request may have reached the server.
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -208,12 +215,13 @@
             }
             response = self.sender.try_send_request(request) => response,
         };
-        response.map_err(|mut error| match error.take_message() {
+        let response = response.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
             None => SendError::ResponseLost(LostResponse::Broken {
                 source: error.into_error(),
             }),
-        })
+        })?;
+        check_head(response).map_err(SendError::ResponseLost)
     }
 
     /// Skips a response to the request in progress, which has this method, and waits for the head of the next response.
@@ -281,6 +289,16 @@
     }
 }
 
+/// Checks that a response can be an answer, and removes its reason, which means nothing.
+fn check_head(mut response: Response<Incoming>) -> Result<Response<Incoming>, LostResponse> {
+    if !is_answer_status(response.status().as_u16()) {
+        let response = Box::new(response);
+        return Err(LostResponse::InvalidStatus { response });
+    }
+    response.extensions_mut().remove::<ReasonPhrase>();
+    Ok(response)
+}
+
 /// Counts the informational responses to a request; the returned signal is sent once there are too many.
 fn limit_informational(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
     let exceeded = Arc::new(Notify::new());
--- a/crates/ivyweir-gateway/src/exchange.rs
+++ b/crates/ivyweir-gateway/src/exchange.rs
@@ -7,13 +7,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use ivyweir_policy::gateway::answer_owner::AnswerOwner;
 use ivyweir_policy::gateway::fleet::UpstreamRecord;
 use ivyweir_policy::gateway::statement::{Source, Statement};
 use serde_json::json;
 
-use crate::connection::{Connection, SendError, SkipError};
+use crate::connection::{Connection, LostResponse, SendError, SkipError};
 use crate::dialect::ResponseMetadata;
 use crate::in_flight::InFlightRequest;
 use crate::job::Job;
@@ -45,32 +45,27 @@
     let method = request.method().clone();
     let connection = in_flight.set_connection(connection);
     connection.record_request(job.metadata.request_id.as_deref());
-    let mut response = connection
-        .send(request)
-        .await
-        .map_err(ExchangeError::Send)?;
+    let mut response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(SendError::ResponseLost(LostResponse::InvalidStatus { response })) => {
+            return Err(reject(gateway, job, upstream, &response, trace));
+        }
+        Err(e) => return Err(ExchangeError::Send(e)),
+    };
     for _ in 0..MAX_SKIPPED {
         let metadata = gateway
             .dialect
             .response_metadata(response.status().as_u16(), response.headers());
-        let owner = match in_flight.connection() {
-            Some(connection) if response.status() != StatusCode::SWITCHING_PROTOCOLS => {
+        let owner = in_flight
+            .connection()
+            .map_or(AnswerOwner::Unknown, |connection| {
                 connection.owner_of_answer(metadata.named_request())
-            }
-            _ => AnswerOwner::Unknown,
-        };
+            });
         if owner == AnswerOwner::Current {
             return Ok((response, metadata));
         }
         log_foreign(job, upstream, &response, &metadata, owner, trace);
-        // Of all that an answer says of its upstream, only the departure holds however old the answer is.
-        if metadata.statement.is_leaving {
-            let statement = Statement {
-                is_leaving: true,
-                ..Statement::new(Source::Answer)
-            };
-            gateway.apply_statement(&upstream.id, &statement);
-        }
+        apply_departure(gateway, upstream, &metadata);
         let next = match in_flight.take_connection() {
             Some(connection) if owner == AnswerOwner::Surplus => {
                 connection.skip_response(response, method.clone()).await
@@ -80,16 +75,58 @@
         let then = if next.is_ok() { "skipped" } else { "lost" };
         let foreign = &gateway.metrics.foreign_answers;
         foreign.with_label_values(&[upstream.name(), then]).inc();
-        let (connection, following) = next.map_err(|e| match e {
-            SkipError::NothingFollows => ExchangeError::Foreign,
-            SkipError::Lost(e) => ExchangeError::Send(SendError::ResponseLost(e)),
-        })?;
+        let (connection, following) = match next {
+            Ok(next) => next,
+            Err(SkipError::NothingFollows) => return Err(ExchangeError::Foreign),
+            Err(SkipError::Lost(LostResponse::InvalidStatus { response })) => {
+                return Err(reject(gateway, job, upstream, &response, trace));
+            }
+            Err(SkipError::Lost(e)) => {
+                return Err(ExchangeError::Send(SendError::ResponseLost(e)));
+            }
+        };
         in_flight.set_connection(connection);
         response = following;
     }
     Err(ExchangeError::Foreign)
 }
 
+/// Handles a response that is no answer to any request; the connection is not used any more.
+fn reject(
+    gateway: &Gateway,
+    job: &Job,
+    upstream: &UpstreamRecord,
+    response: &Response<Incoming>,
+    trace: &mut Trace,
+) -> ExchangeError {
+    let metadata = gateway
+        .dialect
+        .response_metadata(response.status().as_u16(), response.headers());
+    log_foreign(
+        job,
+        upstream,
+        response,
+        &metadata,
+        AnswerOwner::Unknown,
+        trace,
+    );
+    apply_departure(gateway, upstream, &metadata);
+    let foreign = &gateway.metrics.foreign_answers;
+    foreign.with_label_values(&[upstream.name(), "lost"]).inc();
+    ExchangeError::Foreign
+}
+
+/// Of all that a response says of its upstream, only the departure holds however old the response is.
+fn apply_departure(gateway: &Gateway, upstream: &UpstreamRecord, metadata: &ResponseMetadata) {
+    if metadata.statement.is_leaving {
+        let statement = Statement {
+            is_leaving: true,
+            ..Statement::new(Source::Answer)
+        };
+        gateway.apply_statement(&upstream.id, &statement);
+    }
+}
+
 fn log_foreign(
     job: &Job,
     upstream: &UpstreamRecord,
--- a/crates/ivyweir-policy/src/gateway/mod.rs
+++ b/crates/ivyweir-policy/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod answer_end;
 pub mod answer_owner;
+pub mod answer_status;
 pub mod backlog;
 pub mod backoff;
 pub mod brittle;
--- a/crates/ivyweir-service/src/lib.rs
+++ b/crates/ivyweir-service/src/lib.rs
@@ -20,6 +20,7 @@
 use attohttpc::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 use ivyweir_policy::gateway::answer_end::{AnswerEnd, Framing, SourceEnd, UpstreamState};
+use ivyweir_policy::gateway::answer_status::is_answer_status;
 
 /// Timeout for connecting to a service. Round trips to services take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -133,6 +134,12 @@
             .send()
             .map_err(|e| transport_error(&e))?;
         let status = response.status().as_u16();
+        if !is_answer_status(status) {
+            return Err(CallError {
+                may_have_run: true,
+                detail: format!("status {status} is not one of an answer"),
+            });
+        }
         let headers = response
             .headers()
             .iter()
--- a/crates/ivyweir-service/tests/answer_ends.rs
+++ b/crates/ivyweir-service/tests/answer_ends.rs
@@ -1,4 +1,4 @@
-//! Replies of services that end early, and whole ones without a length.
+//! Replies of services that end early or have a status that HTTP does not define, and whole ones without a length.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -75,3 +75,20 @@
     a_reply_without_its_last_chunk_is_broken: "transfer-encoding: chunked\r\n", exits false;
     a_reply_that_ends_with_its_connection_and_its_service_is_broken: "", exits true;
 }
+
+macro_rules! undefined_statuses {
+    ($($name:ident: $status:expr;)*) => {$(
+        /// Guards against a reply that is no answer and reaches the caller as one.
+        #[test]
+        fn $name() {
+            let reply = call(&format!("HTTP/1.1 {} X\r\ncontent-length: 12\r\n\r\n{BODY}", $status), false);
+            assert!(reply.expect_err("no answer").may_have_run);
+        }
+    )*};
+}
+
+undefined_statuses! {
+    a_status_of_zeros_is_no_answer: "000";
+    a_status_of_six_hundred_is_no_answer: "600";
+    the_last_status_of_three_digits_is_no_answer: "999";
+}
--- a/crates/ivyweir-standins/src/edge/raw_upstream.rs
+++ b/crates/ivyweir-standins/src/edge/raw_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -38,9 +38,13 @@
     pub end: RawEnd,
 }
 
+/// The answer to a request with this id.
+type Script = dyn Fn(Option<&str>) -> RawAnswer + Send + Sync;
+
 /// A running upstream.
 pub struct RawUpstream {
     record: UpstreamRecord,
+    request_ids: Arc<Mutex<Vec<String>>>,
 }
 
 impl RawUpstream {
@@ -53,24 +57,62 @@
         id: &str,
         pool: &str,
         answer: impl Fn() -> RawAnswer + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_scripted(id, pool, move |_| answer())
+    }
+
+    /// Starts an upstream as [`start`](Self::start) does, whose answers to requests without an id, such as probes, are
+    /// sound and empty.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no loopback port can be bound.
+    pub fn start_with_sound_probes(
+        id: &str,
+        pool: &str,
+        answer: impl Fn() -> RawAnswer + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_scripted(id, pool, move |request_id| match request_id {
+            Some(_) => answer(),
+            None => RawAnswer {
+                head: b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".into(),
+                filler: Vec::new(),
+                repeats: 0,
+                end: RawEnd::Keep,
+            },
+        })
+    }
+
+    fn start_scripted(
+        id: &str,
+        pool: &str,
+        answer: impl Fn(Option<&str>) -> RawAnswer + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind((unique_ip(), 0)).expect("loopback port can be bound");
         let addr = listener.local_addr().expect("listener has an address");
-        let answer: Arc<dyn Fn() -> RawAnswer + Send + Sync> = Arc::new(answer);
+        let answer: Arc<Script> = Arc::new(answer);
+        let request_ids = Arc::<Mutex<Vec<String>>>::default();
+        let received = request_ids.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let answer = answer.clone();
+                let (answer, received) = (answer.clone(), received.clone());
                 // A box that closes its connection ends the answer.
                 thread::spawn(move || {
-                    let _ignored = serve(stream, &*answer);
+                    let _ignored = serve(stream, &*answer, &received);
                 });
             }
         });
         Self {
             record: record(id, pool, addr),
+            request_ids,
         }
     }
 
+    /// Returns the ids of the requests that were received so far. Requests without an id, such as probes, are left out.
+    pub fn request_ids(&self) -> Vec<String> {
+        self.request_ids.lock().expect("no panic").clone()
+    }
+
     /// Returns the record of the upstream.
     pub fn record(&self) -> UpstreamRecord {
         self.record.clone()
@@ -92,12 +134,17 @@
     }
 }
 
-fn serve(mut stream: TcpStream, answer: &dyn Fn() -> RawAnswer) -> io::Result<()> {
+fn serve(mut stream: TcpStream, answer: &Script, received: &Mutex<Vec<String>>) -> io::Result<()> {
     stream.set_read_timeout(Some(IDLE_TIMEOUT))?;
     stream.set_write_timeout(Some(IDLE_TIMEOUT))?;
     loop {
         let request = read_request(&mut stream)?;
-        let answer = answer();
+        let id = header(&request, "ivyweir-request-id");
+        received
+            .lock()
+            .expect("no panic")
+            .extend(id.map(str::to_owned));
+        let answer = answer(id);
         stream.write_all(&with_request_id(&answer.head, &request))?;
         let repeats_at_once = (CHUNK_BYTES / answer.filler.len().max(1)).max(1) as u64;
         let chunk = answer.filler.repeat(repeats_at_once as usize);
--- a/crates/ivyweir-standins/src/edge/test_cluster.rs
+++ b/crates/ivyweir-standins/src/edge/test_cluster.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
+use hyper::ext::ReasonPhrase;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response};
@@ -310,6 +311,8 @@
 pub struct Reply {
     /// The status code.
     pub status: u16,
+    /// The reason, unless it is the usual one for the status.
+    pub reason: Option<String>,
     /// The headers.
     pub headers: HeaderMap,
     /// The body, as far as it was received.
@@ -466,8 +469,10 @@
             }
         }
     }
+    let reason = head.extensions.get::<ReasonPhrase>();
     Reply {
         status: head.status.as_u16(),
+        reason: reason.map(|reason| String::from_utf8_lossy(reason.as_bytes()).into_owned()),
         headers: head.headers,
         body: Bytes::from(body),
         is_complete,
--- a/crates/ivyweird/tests/gateway_bad_versions.rs
+++ b/crates/ivyweird/tests/gateway_bad_versions.rs
@@ -98,6 +98,9 @@
     a_version_that_ends_streams_inside_an_event_is_rolled_back: "engines", "/stream/x", cut(BodyEnd::Framed, true) => RolledBack;
     a_version_that_loses_streams_is_rolled_back: "engines", "/stream/x", UpstreamAction::Close => RolledBack;
     a_version_that_fails_is_rolled_back: "services", "/unsafe/x", UpstreamAction::Answer(500) => RolledBack;
+    a_version_whose_status_http_does_not_define_is_rolled_back: "services", "/unsafe/x", UpstreamAction::Answer(600) => RolledBack;
+    a_version_whose_status_is_undefined_for_safe_requests_is_rolled_back: "services", "/safe/x", UpstreamAction::Answer(999) => RolledBack;
+    a_version_whose_status_is_undefined_for_streams_is_rolled_back: "engines", "/stream/x", UpstreamAction::Answer(700) => RolledBack;
     a_version_that_answers_is_completed: "services", "/unsafe/x", UpstreamAction::Answer(200) => Completed;
     a_version_that_refuses_as_not_found_is_completed: "services", "/unsafe/x", UpstreamAction::Answer(404) => Completed;
     a_version_that_streams_is_completed: "engines", "/stream/x", UpstreamAction::Events(stream()) => Completed;
