--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -181,7 +181,13 @@
             .gateway
             .store_codec
             .watch(self.topic, since.number, wait_ms);
-        let mut response = self.call_store(request, wait_ms).await;
+        let limit = if self.is_probing || self.failures > 0 {
+            PROBE_LIMIT
+        } else {
+            RESPONSE_TIMEOUT
+        };
+        let limit = Duration::from_millis(wait_ms) + limit;
+        let mut response = self.call_store(request, limit).await;
         if self.failures == 0 && matches!(response, Err(CallError::ResponseLost { .. })) {
             // The store may end a watch at any time; it is lost only if it does not respond to a
             // retry.
@@ -189,7 +195,8 @@
                 .gateway
                 .store_codec
                 .watch(self.topic, since.number, SHORT_WATCH_MS);
-            response = self.call_store(request, SHORT_WATCH_MS).await;
+            let limit = Duration::from_millis(SHORT_WATCH_MS) + PROBE_LIMIT;
+            response = self.call_store(request, limit).await;
         }
         let changes = match response.and_then(|response| self.decode(since.era, &response)) {
             Ok(changes) => changes,
@@ -234,14 +241,8 @@
     async fn call_store(
         &mut self,
         request: Request<Bytes>,
-        wait_ms: u64,
+        limit: Duration,
     ) -> Result<StoreResponse, CallError> {
-        let limit = if self.is_probing || self.failures > 0 {
-            PROBE_LIMIT
-        } else {
-            RESPONSE_TIMEOUT
-        };
-        let limit = Duration::from_millis(wait_ms) + limit;
         tokio::select! {
             response = self.client.call(request, limit) => response,
             () = self.gateway.store_events.wait_for_store_loss() => Err(CallError::Abandoned {
