Prove nothing by a listing that may lack the configuration

A listing that ends before its last page (no name to continue behind, or too many records) renewed the proof of the configuration, though the configuration may be behind its end. It does so only if it has it now. Found by reading; there is no test, as the native stand-in names its cursors.

Also: an answer that is ready goes before the last word of a stop; names and comments of the reads.

--- a/crates/ivyweir-gateway/src/pipeline.rs
+++ b/crates/ivyweir-gateway/src/pipeline.rs
@@ -118,6 +118,7 @@
     let mut state = RetryState::new(&job);
     let to = Recipient::of(job.handed_over.as_ref());
     let answered = tokio::select! {
+        biased;
         answered = answer(gateway, &job, &mut state, &mut trace) => answered,
         // The connection would be cut at the end of the process.
         () = gateway.until_last_answers() => Err(ErrorReason::Stopping),
--- a/crates/ivyweir-gateway/src/sync/site.rs
+++ b/crates/ivyweir-gateway/src/sync/site.rs
@@ -30,8 +30,8 @@
 const MIN_READ_INTERVAL_MS: u64 = 200;
 /// Rate at which a large configuration is read: a quarter of a link of 10 Mbit/s.
 const MAX_READ_BYTES_PER_MS: u64 = 312;
-/// Fraction of the time without a newer proof after which other boxes call the store themselves that an interval
-/// between reads takes at most.
+/// Longest interval between reads by a box that others follow, as a fraction of the time after which they call the store
+/// themselves for lack of a newer proof.
 const MAX_INTERVAL_FRACTION: f64 = 0.7;
 /// Age of the proof at which the next one must have arrived; it leaves a slow store a few hundred milliseconds.
 const PROOF_DUE_MS: u64 = 2_300;
@@ -41,14 +41,7 @@
 /// on a configuration is two seconds or more.
 const CHANGE_BATCH_MS: u64 = 300;
 
-/// Version of the configuration in a change; `None` if it cannot be decoded.
-fn site_version(change: &Change) -> Option<u64> {
-    match change {
-        Change::Put(Ok(StoreRecord::Site(site))) => Some(site.version),
-        _ => None,
-    }
-}
-
+/// The client of a watch, and its response.
 type WatchResult = (StoreClient, Result<StoreResponse, CallError>);
 
 /// A watch of the configuration, which stays open while the configuration is read.
@@ -268,6 +261,7 @@
             self.log_history_gone(since);
             return Ok(None);
         }
+        let proves_newest = listing.has_site();
         let changes = Changes {
             revision: listing.revision.number,
             changes: listing.entries.into_iter().map(Change::Put).collect(),
@@ -277,7 +271,7 @@
             self.site_watch.close();
         }
         let revision = self.apply_site_changes(since, changes);
-        if self.confirm(ResponseSource::Store).await {
+        if self.confirm(ResponseSource::Store).await && proves_newest {
             self.gateway
                 .renew_proof(ProofTime::of_read(requested_at_ms));
         }
@@ -302,3 +296,11 @@
         read.await
     }
 }
+
+/// Version of the configuration in a change; `None` if it cannot be decoded.
+fn site_version(change: &Change) -> Option<u64> {
+    match change {
+        Change::Put(Ok(StoreRecord::Site(site))) => Some(site.version),
+        _ => None,
+    }
+}
--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -14,7 +14,7 @@
 use super::{Follower, IDLE_WATCH_MS, PROBE_LIMIT};
 use crate::apply::{ListingKind, apply_changes, apply_listing, readable_changes};
 use crate::client::{CallError, RESPONSE_TIMEOUT};
-use crate::dialect::{Changes, RecordResult, Topic};
+use crate::dialect::{Changes, RecordResult, StoreRecord, Topic};
 use crate::store_client::StoreResponse;
 
 /// Pause between a watch that returned changes and the next one, so that consecutive changes cost
@@ -40,6 +40,14 @@
     gap: Option<ListingGap>,
 }
 
+impl Listing {
+    /// Whether the listing shows which configuration the store has. One that ends before its last page may lack it.
+    pub fn has_site(&self) -> bool {
+        let is_site = |entry: &RecordResult| matches!(entry, Ok(StoreRecord::Site(_)));
+        self.gap.is_none() || self.entries.iter().any(is_site)
+    }
+}
+
 /// Why a listing ends before its last page.
 #[derive(Debug, Clone, Copy)]
 enum ListingGap {
@@ -68,12 +76,7 @@
         self.begin_request();
         let requested_at_ms = self.gateway.clock.now_ms();
         let was_settled = self.gateway.is_store_settled();
-        let Listing {
-            entries,
-            mut revision,
-            bytes,
-            gap,
-        } = match self.read_pages(RESPONSE_TIMEOUT).await {
+        let listing = match self.read_pages(RESPONSE_TIMEOUT).await {
             Ok(listing) => listing,
             Err(e) => {
                 self.publish_store_status(false);
@@ -83,6 +86,13 @@
         };
         self.publish_store_status(true);
         self.record_success();
+        let proves_newest = listing.has_site();
+        let Listing {
+            entries,
+            mut revision,
+            bytes,
+            gap,
+        } = listing;
         revision.is_settled = was_settled && self.gateway.is_store_settled();
         if let Some(gap) = gap {
             let detail = json!({
@@ -101,7 +111,7 @@
             self.site_read_at_ms = requested_at_ms;
             self.site_read_bytes = bytes;
         }
-        if self.confirm(ResponseSource::Store).await {
+        if self.confirm(ResponseSource::Store).await && proves_newest {
             self.gateway
                 .renew_proof(ProofTime::of_read(requested_at_ms));
         }
