Retry a watch that was cut on another connection after 0.2 s

Change: the first retry is given 0.2 s, the next one, on another connection, 0.75 s, as long as the store answers reads.

--- a/crates/ivyweir-gateway/src/sync/watch.rs
+++ b/crates/ivyweir-gateway/src/sync/watch.rs
@@ -25,6 +25,9 @@
 const UPSTREAMS_WATCH_MS: u64 = 4_000;
 /// Duration of the first watches after a failure or after another box was the source.
 const SHORT_WATCH_MS: u64 = 50;
+/// Response timeouts of the store for the retries of a watch that was cut. Changes may have been hidden from the watch, so
+/// the first retry is not waited for as long as a slow store takes.
+const CUT_WATCH_LIMITS: [Duration; 2] = [Duration::from_millis(150), PROBE_LIMIT];
 
 /// Largest number of records that are kept of a listing. The largest fleets have 10,000 upstreams.
 const MAX_LISTED_RECORDS: usize = 50_000;
@@ -199,14 +202,7 @@
         let limit = Duration::from_millis(wait_ms) + limit;
         let mut response = self.call_store(request, limit).await;
         if self.failures == 0 && matches!(response, Err(CallError::ResponseLost { .. })) {
-            // The store may end a watch at any time; it is lost only if it does not respond to a
-            // retry.
-            let request = self
-                .gateway
-                .store_codec
-                .watch(self.topic, since.number, SHORT_WATCH_MS);
-            let limit = Duration::from_millis(SHORT_WATCH_MS) + PROBE_LIMIT;
-            response = self.call_store(request, limit).await;
+            response = self.retry_watch(since).await;
         }
         let changes = match response.and_then(|response| self.decode(since.era, &response)) {
             Ok(changes) => changes,
@@ -238,6 +234,23 @@
         Ok(Some(revision))
     }
 
+    /// Watches again after a watch was cut, as the store may end a watch at any time. It is lost only if it does not respond to
+    /// several retries. Each is on another connection, as one on which a response was lost stays silent.
+    async fn retry_watch(&mut self, since: Revision) -> Result<StoreResponse, CallError> {
+        let mut limits = CUT_WATCH_LIMITS.into_iter();
+        loop {
+            let codec = &self.gateway.store_codec;
+            let request = codec.watch(self.topic, since.number, SHORT_WATCH_MS);
+            let limit = limits.next().unwrap_or(PROBE_LIMIT);
+            let limit = Duration::from_millis(SHORT_WATCH_MS) + limit;
+            let response = self.call_store(request, limit).await;
+            let is_last = limits.len() == 0 || !self.gateway.histories.is_store_responsive();
+            if response.is_ok() || is_last {
+                return response;
+            }
+        }
+    }
+
     /// Logs that changes since a revision cannot be watched any more.
     pub(super) fn log_history_gone(&self, since: Revision) {
         let detail = json!({
