Bound what the chat path keeps of a stream

What operators could see: a faulty engine that repeats valid events fills the memory of a box, until the caller's deadline: text is kept to resume the stream elsewhere, and events without a choice or with a finish reason are held until the request is billed, without a limit. Closing events are not slowed by the caller, since they are not sent to it yet.

Cause: only the length of one line was limited.

Change: at most 8 MiB of text and 1 MiB of closing events in one stream; a longer one is truncated. Short events without end are read on, as nothing of them is kept but their text.

--- a/crates/ivyweir-engine/src/stream.rs
+++ b/crates/ivyweir-engine/src/stream.rs
@@ -9,6 +9,10 @@
 
 /// Maximum length of a line in a stream.
 const MAX_LINE_BYTES: u64 = 1 << 20;
+/// Maximum length of the text of a stream, which is kept to resume it.
+const MAX_TEXT_BYTES: usize = 8 << 20;
+/// Maximum length of all events without a choice or with a finish reason, which are kept until a request is billed.
+const MAX_CLOSING_BYTES: usize = 1 << 20;
 
 /// One event of a streamed response.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +35,8 @@
     reader: BufReader<Box<dyn Read + Send>>,
     request: CompletionRequest,
     has_finish_reason: bool,
+    text_bytes: usize,
+    closing_bytes: usize,
     is_exhausted: bool,
 }
 
@@ -41,6 +47,8 @@
             reader: BufReader::new(body_reader),
             request,
             has_finish_reason: false,
+            text_bytes: 0,
+            closing_bytes: 0,
             is_exhausted: false,
         }
     }
@@ -87,6 +95,16 @@
             .and_then(|c| c.get("finish_reason"))
             .is_some_and(|r| !r.is_null());
         self.has_finish_reason |= is_final;
+        self.text_bytes += text.len();
+        if is_final || choice.is_none() {
+            self.closing_bytes += data.len();
+        }
+        if self.text_bytes > MAX_TEXT_BYTES || self.closing_bytes > MAX_CLOSING_BYTES {
+            return Err(CallError::new(
+                Fault::Truncated,
+                "stream is longer than 8 MiB of text or 1 MiB of closing events",
+            ));
+        }
         Ok(Chunk {
             usage: parse_usage(&body),
             body,
