Do not hand a stream over again to the box that lost it

Cause: the next hand-over may choose the same box, and uses a connection kept to it whose end is not noticed yet. What is sent on it is lost, and counts as all sends that were granted, the last one among them.

Ruled out: that box 0 could do nothing; its paths were only in doubt.

Change: a box that lost a request is not asked for it again until a check of the paths in progress has been waited for; connections kept to it are closed when one breaks.

--- a/crates/ivyweir-gateway/src/connection.rs
+++ b/crates/ivyweir-gateway/src/connection.rs
@@ -382,6 +382,11 @@
         });
     }
 
+    /// Closes all idle connections to an upstream.
+    pub fn forget(&self, upstream_id: &str) {
+        lock(&self.idle).remove(upstream_id);
+    }
+
     /// Closes connections that have expired or whose upstream is not known any more.
     pub fn sweep(&self, is_known: impl Fn(&str) -> bool, now_ms: u64) {
         let mut idle = lock(&self.idle);
--- a/crates/ivyweir-gateway/src/handover.rs
+++ b/crates/ivyweir-gateway/src/handover.rs
@@ -134,6 +134,12 @@
         gateway.with_helpers(&self.pool, |helpers| helpers.end_request(&self.helper));
     }
 
+    /// Records that the connection to the box broke. If the box has ended, those kept to it are of no use, but not all of
+    /// them may be known to be closed.
+    pub fn lose(&self, gateway: &Gateway) {
+        gateway.helper_channels.forget(&self.helper);
+    }
+
     /// Name of the box that serves the request.
     pub fn helper(&self) -> &Name {
         &self.helper
@@ -153,6 +159,8 @@
     pub head_timeout_ms: u64,
     /// Whether other boxes are asked only for their parts of the upstreams' limits.
     pub is_for_share: bool,
+    /// Whether a box that lost the request may be asked again.
+    pub may_repeat_box: bool,
 }
 
 impl HandoverOptions {
@@ -190,11 +198,17 @@
         tried,
         ledger,
     } = attempts;
+    // A box that has lost the request may have ended, and takes the last send with it.
+    let mut excluded = if options.may_repeat_box {
+        Vec::new()
+    } else {
+        tried.clone()
+    };
     let mut asked = Vec::new();
     let mut is_repeat = false;
     while asked.len() < options.max_helpers() && !sends.is_used_up() {
         let seed = rand::random();
-        let Some(helper) = gateway.choose_helper(&job.pool, &asked, seed) else {
+        let Some(helper) = gateway.choose_helper(&job.pool, &excluded, seed) else {
             break;
         };
         if std::mem::take(&mut is_repeat) && !take_attempt(gateway, job, sends) {
@@ -216,6 +230,7 @@
         if !matches!(outcome, AttemptOutcome::NotRun { .. }) {
             return outcome;
         }
+        excluded.push(helper.clone());
         asked.push(helper);
         if sends.sent() > sent {
             is_repeat = true;
--- a/crates/ivyweir-gateway/src/in_flight.rs
+++ b/crates/ivyweir-gateway/src/in_flight.rs
@@ -296,8 +296,9 @@
     /// Records that the connection broke, and probes whether the upstream itself has terminated.
     pub fn record_broken_connection(&mut self) {
         self.record_outcome(true);
-        if let Place::Upstream(run) = &mut self.place {
-            run.lose(&self.gateway);
+        match &mut self.place {
+            Place::Upstream(run) => run.lose(&self.gateway),
+            Place::Box(guard) => guard.lose(&self.gateway),
         }
     }
 }
--- a/crates/ivyweir-gateway/src/retry/other_boxes.rs
+++ b/crates/ivyweir-gateway/src/retry/other_boxes.rs
@@ -53,6 +53,7 @@
             resume_after: None,
             head_timeout_ms: head_timeout_ms(job, state, now_ms),
             is_for_share: false,
+            may_repeat_box: state.has_waited_for_check,
         };
         let sent = state.sends.sent();
         let attempts = Attempts {
@@ -115,6 +116,7 @@
         resume_after: None,
         head_timeout_ms: head_timeout_ms(job, state, now_ms),
         is_for_share: true,
+        may_repeat_box: false,
     };
     let attempts = Attempts {
         sends: &mut state.sends,
--- a/crates/ivyweir-gateway/src/stream/resume.rs
+++ b/crates/ivyweir-gateway/src/stream/resume.rs
@@ -67,7 +67,7 @@
                 if !take_attempt(&self.gateway, &self.job, &self.sends) {
                     return false;
                 }
-                match self.hand_over_rest().await {
+                match self.hand_over_rest(has_waited_for_check).await {
                     AttemptOutcome::Answered(reply) if reply.response.status().is_success() => {
                         self.switch_source(*reply);
                         return true;
@@ -144,8 +144,8 @@
         .await
     }
 
-    /// Asks another box for the events after the last one.
-    async fn hand_over_rest(&mut self) -> AttemptOutcome {
+    /// Asks another box for the events after the last one; `may_repeat_box` if it may be one that lost the stream.
+    async fn hand_over_rest(&mut self, may_repeat_box: bool) -> AttemptOutcome {
         let now_ms = self.gateway.clock.now_ms();
         let options = HandoverOptions {
             is_counted: true,
@@ -153,6 +153,7 @@
             resume_after: self.position.last_id(),
             head_timeout_ms: self.job.deadline_ms.saturating_sub(now_ms),
             is_for_share: false,
+            may_repeat_box,
         };
         let attempts = Attempts {
             sends: &mut self.sends,
