--- a/crates/ivyweird/tests/common/mod.rs
+++ b/crates/ivyweird/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cut_box;
 pub mod soak;
+pub mod steady_callers;
 
 use ivyweir_operator::Client;
 use ivyweir_policy::{Intent, VersionRef};
--- a/crates/ivyweird/tests/common/soak.rs
+++ b/crates/ivyweird/tests/common/soak.rs
@@ -107,6 +107,13 @@
         self.note(number, from);
     }
 
+    /// Starts another box in the place of one that has ended.
+    pub fn restart(&mut self, number: usize) {
+        let from = Instant::now();
+        self.start_box(number);
+        self.note(number, from);
+    }
+
     /// Kills a box, and starts another one in its place.
     pub fn kill(&mut self, number: usize) {
         let from = Instant::now();
--- a/crates/ivyweird/tests/gateway_stop.rs
+++ b/crates/ivyweird/tests/gateway_stop.rs
@@ -3,143 +3,24 @@
 
 mod common;
 
-use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{self, JoinHandle};
+use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use common::BINARY;
 use common::cut_box::CutBoxCluster;
+use common::steady_callers::{CALLERS, Callers, Outcome, ids, judge};
 use ivyweir_standins::edge::{
-    KEY, KeptConnection, RawAnswer, RawEnd, RawUpstream, Reply, ScriptedUpstream, TestCluster,
-    UpstreamAction, site_config,
+    KEY, RawAnswer, RawEnd, RawUpstream, TestCluster, UpstreamAction, site_config,
 };
 
 /// Time of callers before the stop.
 const BEFORE_STOP: Duration = Duration::from_millis(600);
-const CALLERS: usize = 12;
 
-/// What became of a request.
-#[derive(Debug, Clone)]
-struct Outcome {
-    id: String,
-    /// Status and whether the answer is whole; `None` if there is none.
-    answer: Option<(u16, bool)>,
-}
-
-fn outcome(id: &str, reply: Option<&Reply>) -> Outcome {
-    Outcome {
-        id: id.to_owned(),
-        answer: reply.map(|reply| (reply.status, reply.is_complete)),
-    }
-}
-
-/// Callers that go on until they are told to stop.
-struct Callers {
-    stop: Arc<AtomicBool>,
-    outcomes: Arc<Mutex<Vec<Outcome>>>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Callers {
-    /// Starts callers of a box, half of which keep their connections.
-    fn start(addr: SocketAddr, path: &'static str, name: &str) -> Self {
-        let stop = Arc::<AtomicBool>::default();
-        let outcomes = Arc::<Mutex<Vec<Outcome>>>::default();
-        let start = |number: usize| {
-            let (stop, outcomes) = (stop.clone(), outcomes.clone());
-            let name = format!("{name}-{number}");
-            let keeps = number.is_multiple_of(2);
-            thread::spawn(move || call_in_turn(addr, path, &name, keeps, &stop, &outcomes))
-        };
-        let threads = (0..CALLERS).map(start).collect();
-        Self {
-            stop,
-            outcomes,
-            threads,
-        }
-    }
-
-    fn finish(self) -> Vec<Outcome> {
-        self.stop.store(true, Ordering::Relaxed);
-        for thread in self.threads {
-            thread.join().expect("a caller does not panic");
-        }
-        std::mem::take(&mut *self.outcomes.lock().expect("no panic"))
-    }
-}
-
-fn call_in_turn(
-    addr: SocketAddr,
-    path: &str,
-    name: &str,
-    keeps: bool,
-    stop: &AtomicBool,
-    outcomes: &Mutex<Vec<Outcome>>,
-) {
-    let auth = format!("Bearer {KEY}");
-    let mut kept = None;
-    for count in 0.. {
-        if stop.load(Ordering::Relaxed) {
-            return;
-        }
-        let id = format!("{name}-{count}");
-        let headers = [
-            ("ivyweir-request-id", id.as_str()),
-            ("authorization", auth.as_str()),
-            ("ivyweir-model", "*"),
-        ];
-        let Some(mut connection) = kept.take().or_else(|| KeptConnection::open(addr).ok()) else {
-            thread::sleep(Duration::from_millis(10));
-            continue;
-        };
-        let reply = connection.call("POST", path, &headers, Bytes::from_static(b"prompt"));
-        let closes = |reply: &Reply| {
-            reply
-                .headers
-                .get("connection")
-                .is_some_and(|c| c == "close")
-        };
-        outcomes
-            .lock()
-            .expect("no panic")
-            .push(outcome(&id, reply.as_ref().ok()));
-        if keeps && reply.is_ok_and(|reply| reply.is_complete && !closes(&reply)) {
-            kept = Some(connection);
-        }
-    }
-}
-
-/// Checks that each request that ran has a whole answer that does not deny it. Returns the number that ran.
-fn judge(outcomes: &[Outcome], ran: &HashSet<String>) -> usize {
-    let is_broken = |outcome: &&Outcome| match outcome.answer {
-        Some((408 | 421 | 429 | 503, true)) => ran.contains(&outcome.id),
-        Some((_, true)) => false,
-        Some((_, false)) | None => ran.contains(&outcome.id),
-    };
-    let broken: Vec<_> = outcomes.iter().filter(is_broken).collect();
-    let seen = outcomes.iter().filter(|outcome| ran.contains(&outcome.id));
-    let seen = seen.count();
-    println!(
-        "{} requests, {seen} ran, {} without an answer",
-        outcomes.len(),
-        outcomes.iter().filter(|o| o.answer.is_none()).count()
-    );
-    assert!(broken.is_empty(), "of {seen} that ran: {broken:?}");
-    seen
-}
-
-fn ids(upstreams: &[ScriptedUpstream]) -> HashSet<String> {
-    let received = upstreams
-        .iter()
-        .flat_map(ScriptedUpstream::received_requests);
-    let ran = received.filter(|request| request.was_run);
-    ran.filter_map(|request| request.header("ivyweir-request-id").map(str::to_owned))
-        .collect()
+fn at(addr: SocketAddr) -> impl Fn() -> Option<SocketAddr> + Clone {
+    move || Some(addr)
 }
 
 /// Stops a box and waits until it has ended.
@@ -172,7 +53,7 @@
         });
     }
     town.add_box("hall-a");
-    let callers = Callers::start(town.addr(0), path, "load");
+    let callers = Callers::start(at(town.addr(0)), path, "load");
     thread::sleep(BEFORE_STOP);
     stop_box(&mut town, 0, Duration::from_secs(grace_s), reloads);
     let outcomes = callers.finish();
@@ -215,7 +96,7 @@
         upstream.set_action(UpstreamAction::Hang);
     }
     town.add_box("hall-a");
-    let callers = Callers::start(town.addr(0), "/unsafe/x", "hang");
+    let callers = Callers::start(at(town.addr(0)), "/unsafe/x", "hang");
     thread::sleep(BEFORE_STOP);
     stop_box(&mut town, 0, Duration::from_secs(3), false);
     let outcomes = callers.finish();
@@ -242,8 +123,8 @@
         upstream.set_action(UpstreamAction::Slots { work_ms: 700 });
     }
     let addr = town.addr(0);
-    let plain = Callers::start(addr, "/unsafe/x", "handed");
-    let streams = Callers::start(addr, "/stream/x", "streamed");
+    let plain = Callers::start(at(addr), "/unsafe/x", "handed");
+    let streams = Callers::start(at(addr), "/stream/x", "streamed");
     for number in [1, 0] {
         thread::sleep(BEFORE_STOP);
         stop_box(town, number, Duration::from_secs(8), false);
@@ -267,7 +148,7 @@
         town.add_box("hall-a");
     }
     let callers: Vec<_> = (0..BOXES)
-        .map(|n| Callers::start(town.addr(n), "/unsafe/x", &format!("box-{n}")))
+        .map(|n| Callers::start(at(town.addr(n)), "/unsafe/x", &format!("box-{n}")))
         .collect();
     for number in 0..BOXES {
         thread::sleep(Duration::from_millis(300));
