Test that a listing without the configuration proves nothing

Guards against what mended without a test of its own: a read whose pages end before the configuration renewed the proof, so that a withdrawn key was served for as long as the store had such a page.

--- a/crates/ivyweir-standins/src/edge/record_store/state.rs
+++ b/crates/ivyweir-standins/src/edge/record_store/state.rs
@@ -63,6 +63,8 @@
     pub(super) calls: u64,
     /// Number of records on a page; `None` for all.
     pub(super) page_records: Option<usize>,
+    /// Whether each page of the configuration is the first one.
+    pub(super) repeats_site_pages: bool,
     /// Whether removals of quarantine records by boxes are not answered, and not applied yet.
     pub(super) holds_removals: bool,
     /// Names of quarantine records whose removals are held.
@@ -148,6 +150,7 @@
 
     /// Returns the page of records whose names are greater than `after`.
     pub(super) fn page(&self, topic: Topic, after: Option<&str>) -> RecordPage {
+        let after = after.filter(|_| topic != Topic::Site || !self.repeats_site_pages);
         let readable = self.contents.records.iter();
         let readable = readable.map(|(key, item)| {
             let record = serde_json::to_value(item).expect("records can be serialized");
--- a/crates/ivyweird/tests/gateway_odd_records.rs
+++ b/crates/ivyweird/tests/gateway_odd_records.rs
@@ -1,6 +1,8 @@
 //! Records of other writers that cannot be decoded, or whose names are not plain words.
 
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use ivyweir_gateway::dialect::Topic;
 use ivyweir_policy::gateway::rollout::RolloutState;
@@ -42,6 +44,37 @@
     a_number_out_of_range_ends_no_list: "a", json!({"name": "a", "upstream": {"slots": 1e300}});
 }
 
+/// Time for which a withdrawn key may be served, in the settings of the boxes.
+const REVOKE: Duration = Duration::from_secs(5);
+
+/// Guards against a listing that ends before the configuration and is taken for a proof that it has not changed.
+#[test]
+fn a_listing_without_the_configuration_proves_nothing() {
+    const WITHDRAWN_KEY: &str = "key-that-is-withdrawn";
+    let mut cluster = TestCluster::start(BINARY);
+    cluster
+        .store
+        .put_site(&site_config(2, &[KEY, WITHDRAWN_KEY]));
+    cluster.add_box("hall-a");
+    assert_eq!(cluster.status(0, WITHDRAWN_KEY), 200);
+    cluster.store.hide_changes_from_watches(true);
+    cluster.store.set_page_records(1);
+    cluster.store.repeat_site_pages(true);
+    cluster
+        .store
+        .put_unreadable(Topic::Site, "a", json!({"site": 1}));
+    cluster.store.put_site(&site_config(3, &[KEY]));
+    thread::sleep(REVOKE);
+    assert_eq!(cluster.status(0, WITHDRAWN_KEY), 503);
+    assert_eq!(cluster.status(0, KEY), 503);
+    cluster.store.hide_changes_from_watches(false);
+    cluster.store.repeat_site_pages(false);
+    eventually("the configuration is read", || {
+        cluster.status(0, KEY) == 200
+    });
+    assert_eq!(cluster.status(0, WITHDRAWN_KEY), 401);
+}
+
 // Guards against boxes that write no state of any roll-out any more.
 #[test]
 fn a_roll_out_of_a_pool_whose_name_has_a_space_is_completed() {
