Compare versions over lanes that both serve

Cause: for the group of all lanes, the rate of the old version included lanes of which the new version had no answers.

Change: that group sums the lanes of which the new version has answers. The lanes themselves are compared as before.

--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -322,12 +322,33 @@
 
     fn condemns_at(&self, significance_level: f64) -> bool {
         let total = self.total_tally();
-        total
-            .iter()
-            .any(|(_, counts)| counts.condemns(significance_level))
+        total.iter().any(|(group, counts)| {
+            let compared = match group.lane {
+                Some(_) => None,
+                None => shared_lanes(&total, group.criterion),
+            };
+            let compared = compared.filter(|compared| compared.new.all == counts.new.all);
+            compared
+                .as_ref()
+                .unwrap_or(counts)
+                .condemns(significance_level)
+        })
     }
 }
 
+/// Counts over all lanes of which the new version has answers. In the others, the old version alone may be bad, which says
+/// nothing about answers that both give.
+fn shared_lanes(total: &Tally, criterion: Criterion) -> Option<VersionCounts> {
+    let lanes = total.iter().filter(|(group, counts)| {
+        group.criterion == criterion && group.lane.is_some() && counts.new.all > 0
+    });
+    lanes.fold(None, |sum, (_, counts)| {
+        let mut sum: VersionCounts = sum.unwrap_or_default();
+        sum.add(counts);
+        Some(sum)
+    })
+}
+
 /// Converts an answer for the comparison of paces.
 fn timed(side: Side, sample: &AnswerSample, pace_ms: f64) -> TimedAnswer {
     TimedAnswer {
--- a/crates/ivyweir-policy/tests/gateway_rollout.rs
+++ b/crates/ivyweir-policy/tests/gateway_rollout.rs
@@ -263,6 +263,30 @@
     assert_eq!(tracker.duty(100), RolloutDuty::RollBack);
 }
 
+/// Guards against failures of requests that the new version is not asked for, which count as failures of the old one and
+/// hide those of the new one.
+#[test]
+fn failures_on_a_lane_that_the_new_version_does_not_serve_hide_none_of_its_own() {
+    let mut tracker = RolloutTracker::new(order(running(0), 1), 0);
+    let mut record = |side: Side, lane: u64, failed: usize, total: usize| {
+        for n in 0..total {
+            let upstream: Name = format!("u{}", (n + lane as usize) % 5).into();
+            let sample = AnswerSample {
+                lane,
+                ..answer_sample(&upstream, n >= total - failed, None)
+            };
+            tracker.record_answer(side, &sample, 13_000);
+        }
+    };
+    record(Side::Old, 0, 60, 60);
+    for lane in 1..=4 {
+        record(Side::Old, lane, 1, 100);
+        record(Side::New, lane, 1, 10);
+    }
+    assert_eq!(tracker.duty(13_100), RolloutDuty::Tell);
+    assert_eq!(tracker.duty(23_400), RolloutDuty::RollBack);
+}
+
 #[test]
 fn a_version_that_turns_bad_is_told_after_thousands_of_answers() {
     let mut answers = vec![OLD_OK; 100];
