--- a/crates/ivyweir-policy/src/gateway/canary.rs
+++ b/crates/ivyweir-policy/src/gateway/canary.rs
@@ -327,6 +327,7 @@
                 Some(_) => None,
                 None => shared_lanes(&total, group.criterion),
             };
+            // Another box may have told its counts of all lanes alone.
             let compared = compared.filter(|compared| compared.new.all == counts.new.all);
             compared
                 .as_ref()
